--- /dev/null
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/RouterClient.java
@@ -0,0 +1,149 @@
+package org.troutpier.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import org.troutpier.common.http.CallFailedException;
+import org.troutpier.common.http.HttpCall;
+import org.troutpier.common.http.HttpCalls;
+import org.troutpier.common.http.HttpReply;
+import org.troutpier.common.result.TroutpierException;
+import org.troutpier.common.settings.Address;
+
+/** Talks to routers. Confined to the command line's thread. */
+final class RouterClient implements AutoCloseable {
+
+    /** How long a change may take, milliseconds. */
+    private static final int CHANGE_MILLIS = 15_000;
+
+    /** Carries the traffic. */
+    private final EventLoopGroup mLoops = new NioEventLoopGroup(1);
+
+    /** Sends the requests. */
+    private final HttpCalls mCalls = new HttpCalls(mLoops);
+
+    /** The operator's token. */
+    private final String mToken;
+
+    /**
+     * Creates a client.
+     *
+     * @param token the operator's token
+     */
+    RouterClient(String token) {
+        mToken = token;
+    }
+
+    /**
+     * Asks one address.
+     *
+     * @param address where
+     * @param path the path and query
+     * @return the answer; fails with {@link CallFailedException}
+     */
+    HttpReply get(Address address, String path) {
+        return send(HttpCall.of("GET", address.url(path)));
+    }
+
+    /**
+     * Sends JSON to the first router that can be reached. A router that may have got it is never
+     * followed by another.
+     *
+     * @param routers the routers
+     * @param path the path
+     * @param body what to send
+     * @return the answer's JSON; fails with a {@link CliException}
+     */
+    JsonNode post(List<Address> routers, String path, Object body) {
+        return first(routers, "POST", path, body);
+    }
+
+    /**
+     * Asks the first router that can be reached.
+     *
+     * @param routers the routers
+     * @param path the path and query
+     * @return the answer's JSON; fails with a {@link CliException}
+     */
+    JsonNode ask(List<Address> routers, String path) {
+        return first(routers, "GET", path, null);
+    }
+
+    /**
+     * Sends to the first router that can be reached.
+     *
+     * @param routers the routers
+     * @param method the HTTP method
+     * @param path the path and query
+     * @param body what to send as JSON, or null
+     * @return the answer's JSON
+     */
+    private JsonNode first(List<Address> routers, String method, String path, Object body) {
+        CallFailedException last = null;
+        for (Address router : routers) {
+            HttpCall call = HttpCall.of(method, router.url(path)).withTimeout(CHANGE_MILLIS);
+            try {
+                return checked(send(body == null ? call : call.withJson(body)));
+            } catch (CallFailedException exception) {
+                if (exception.sent() && body != null) {
+                    throw new CliException(
+                            ExitCode.UNKNOWN,
+                            router + " did not answer; ask `show changes` what became of it");
+                }
+                last = exception;
+            }
+        }
+        throw new CliException(ExitCode.UNREACHED, "no router was reached: " + last.getMessage());
+    }
+
+    /**
+     * Reads an answer, and fails where it tells a result code.
+     *
+     * @param reply the answer
+     * @return its JSON
+     */
+    private static JsonNode checked(HttpReply reply) {
+        JsonNode body;
+        try {
+            body = reply.as(JsonNode.class);
+        } catch (TroutpierException exception) {
+            throw new CliException(ExitCode.UNKNOWN, "the router answers " + reply.status());
+        }
+        if (reply.ok()) {
+            return body;
+        }
+        JsonNode error = body.path("error");
+        String again = error.path("retry_after_seconds").asText("");
+        throw new CliException(
+                ExitCode.of(error.path("family").asText()),
+                error.path("detail").asText()
+                        + (again.isEmpty() ? "" : " (come back in " + again + " s)"));
+    }
+
+    /**
+     * Sends a request and waits for the answer.
+     *
+     * @param call the request
+     * @return the answer
+     */
+    private HttpReply send(HttpCall call) {
+        try {
+            return mCalls.call(call.withHeader("Authorization", "Bearer " + mToken)).join();
+        } catch (CompletionException exception) {
+            if (exception.getCause() instanceof CallFailedException failed) {
+                throw failed;
+            }
+            throw exception;
+        }
+    }
+
+    /** Closes all connections. */
+    @Override
+    public void close() {
+        mCalls.close();
+        mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/Texts.java
@@ -0,0 +1,52 @@
+package org.troutpier.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** Lays out text for people. Stateless and thread safe. */
+final class Texts {
+
+    /** Not to be instantiated. */
+    private Texts() {}
+
+    /**
+     * Lays out rows as a table.
+     *
+     * @param reply the columns and rows as a router sends them
+     * @return the lines
+     */
+    static List<String> table(JsonNode reply) {
+        List<String> columns = new ArrayList<>();
+        reply.path("columns").forEach(column -> columns.add(column.asText()));
+        List<List<String>> lines = new ArrayList<>();
+        lines.add(columns.stream().map(name -> name.toUpperCase(Locale.ROOT)).toList());
+        for (JsonNode row : reply.path("rows")) {
+            lines.add(columns.stream().map(column -> row.path(column).asText("")).toList());
+        }
+        int[] widths = new int[columns.size()];
+        for (List<String> line : lines) {
+            for (int column = 0; column < widths.length; column++) {
+                widths[column] = Math.max(widths[column], line.get(column).length());
+            }
+        }
+        return lines.stream().map(line -> padded(line, widths)).toList();
+    }
+
+    /**
+     * Pads a line's cells.
+     *
+     * @param cells the cells
+     * @param widths how wide each column is
+     * @return the line
+     */
+    private static String padded(List<String> cells, int[] widths) {
+        StringBuilder line = new StringBuilder();
+        for (int column = 0; column < widths.length; column++) {
+            line.append(cells.get(column));
+            line.append(" ".repeat(widths[column] - cells.get(column).length() + 2));
+        }
+        return line.toString().stripTrailing();
+    }
+}
--- /dev/null
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/Timeline.java
@@ -0,0 +1,108 @@
+package org.troutpier.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import org.troutpier.common.event.Event;
+import org.troutpier.common.event.HybridClock;
+import org.troutpier.common.http.CallFailedException;
+import org.troutpier.common.http.HttpReply;
+import org.troutpier.common.http.Json;
+import org.troutpier.common.settings.Address;
+
+/** Merges the events of several processes into one time line. Confined to one thread. */
+final class Timeline {
+
+    /** How a time is shown. */
+    private static final DateTimeFormatter TIME =
+            DateTimeFormatter.ofPattern("HH:mm:ss.SSS", Locale.ROOT).withZone(ZoneOffset.UTC);
+
+    /** Asks the processes. */
+    private final RouterClient mClient;
+
+    /** The events so far. */
+    private final List<Event> mEvents = new ArrayList<>();
+
+    /** The processes that did not answer. */
+    private final List<Address> mSilent = new ArrayList<>();
+
+    /**
+     * Creates an empty time line.
+     *
+     * @param client asks the processes
+     */
+    Timeline(RouterClient client) {
+        mClient = client;
+    }
+
+    /**
+     * Adds the events of processes.
+     *
+     * @param processes where they are
+     * @param subject what the events are about; also its attempts; empty for all
+     * @return this time line
+     */
+    Timeline add(List<Address> processes, String subject) {
+        for (Address process : processes) {
+            try {
+                HttpReply reply = mClient.get(process, "/events");
+                if (!reply.ok()) {
+                    mSilent.add(process);
+                    continue;
+                }
+                for (JsonNode node : reply.as(JsonNode.class)) {
+                    Event event = Json.mapper().convertValue(node, Event.class);
+                    if (about(event, subject)) {
+                        mEvents.add(event);
+                    }
+                }
+            } catch (CallFailedException exception) {
+                mSilent.add(process);
+            }
+        }
+        return this;
+    }
+
+    /**
+     * Returns whether an event is about a subject.
+     *
+     * @param event the event
+     * @param subject the subject, or empty
+     * @return whether the event's subject is it or one of its attempts
+     */
+    private static boolean about(Event event, String subject) {
+        return subject.isEmpty()
+                || event.subject().equals(subject)
+                || event.subject().startsWith(subject + ".");
+    }
+
+    /**
+     * Lays the time line out.
+     *
+     * @return one line for each event, oldest first, then one for each silent process
+     */
+    List<String> lines() {
+        mEvents.sort(Comparator.comparingLong(Event::stamp).thenComparing(Event::process));
+        List<String> lines = new ArrayList<>();
+        for (Event event : mEvents) {
+            Instant at = Instant.ofEpochMilli(event.stamp() >>> HybridClock.COUNTER_BITS);
+            String line =
+                    String.format(
+                            Locale.ROOT,
+                            "%s  %-14s %-18s %s  %s",
+                            TIME.format(at),
+                            event.process(),
+                            event.kind(),
+                            event.subject(),
+                            event.detail());
+            lines.add(line.stripTrailing());
+        }
+        mSilent.forEach(process -> lines.add("(no events from " + process + ")"));
+        return lines;
+    }
+}
--- /dev/null
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command-line tool. */
+package org.troutpier.cli;
--- /dev/null
+++ b/troutpier-common/src/main/java/org/troutpier/common/declaration/Role.java
@@ -0,0 +1,25 @@
+package org.troutpier.common.declaration;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/** What an upstream does. Immutable and thread safe. */
+public enum Role {
+    /** A model engine that prefills. */
+    @JsonProperty("prefill")
+    PREFILL,
+    /** A model engine that decodes. */
+    @JsonProperty("decode")
+    DECODE,
+    /** A plain service's replica. */
+    @JsonProperty("service")
+    SERVICE;
+
+    /**
+     * Returns the name on the wire.
+     *
+     * @return the role in lower case
+     */
+    public String label() {
+        return name().toLowerCase(java.util.Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ArrivalTimer.java
@@ -0,0 +1,83 @@
+package org.troutpier.common.http;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.troutpier.common.result.ResultCode;
+
+/**
+ * Bounds the time from a request's first byte to its last, so that a caller who drips bytes holds
+ * nothing for long. Confined to the connection's event loop.
+ */
+final class ArrivalTimer extends ChannelInboundHandlerAdapter {
+
+    /** How long a request may take, milliseconds. */
+    private final int mMillis;
+
+    /** Makes the answer. */
+    private final ServerRefusals mRefusals;
+
+    /** The running timer, or null between requests. */
+    private Future<?> mTimer;
+
+    /** Whether an exchange is being served, during which bytes start no timer. */
+    private BooleanSupplier mServing = () -> false;
+
+    /**
+     * Creates a timer.
+     *
+     * @param millis how long a request may take, milliseconds
+     * @param refusals makes the answer
+     */
+    ArrivalTimer(int millis, ServerRefusals refusals) {
+        mMillis = millis;
+        mRefusals = refusals;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (mTimer == null && !mServing.getAsBoolean()) {
+            mTimer =
+                    context.executor()
+                            .schedule(() -> expire(context), mMillis, TimeUnit.MILLISECONDS);
+        }
+        context.fireChannelRead(message);
+    }
+
+    /**
+     * Refuses the request that did not arrive.
+     *
+     * @param context the connection
+     */
+    private void expire(ChannelHandlerContext context) {
+        mTimer = null;
+        Refusing.refuseAndClose(context.channel(), mRefusals, ResultCode.REQUEST_TOO_SLOW);
+    }
+
+    /**
+     * Sets what tells whether an exchange is being served.
+     *
+     * @param serving whether an exchange is being served
+     */
+    void serving(BooleanSupplier serving) {
+        mServing = serving;
+    }
+
+    /** Stops the timer: the request has arrived whole, or never will. */
+    void stop() {
+        if (mTimer != null) {
+            mTimer.cancel(false);
+            mTimer = null;
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        stop();
+        context.fireChannelInactive();
+    }
+}
--- /dev/null
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
@@ -0,0 +1,311 @@
+package org.troutpier.common.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.List;
+
+/**
+ * One request and the way to answer it. Confined to the connection's event loop: every method but
+ * {@link #loop()} is called there. Invariant: at most one answer is begun and at most one ended.
+ */
+public final class HttpExchange {
+
+    /** The connection. */
+    private final Channel mChannel;
+
+    /** The request's method. */
+    private final String mMethod;
+
+    /** The request's path and query. */
+    private final QueryStringDecoder mUri;
+
+    /** The request's headers. */
+    private final HttpHeaders mHeaders;
+
+    /** The request's body. */
+    private final byte[] mBody;
+
+    /** Whether the connection stays open after the answer. */
+    private final boolean mKeepAlive;
+
+    /** Whether an answer was begun. */
+    private boolean mBegun;
+
+    /** Whether the answer was ended or cut. */
+    private boolean mEnded;
+
+    /** Runs when the caller goes before the answer is ended. */
+    private Runnable mOnGone = () -> {};
+
+    /** Runs when the connection takes more again. */
+    private Runnable mOnWritable = () -> {};
+
+    /**
+     * Creates an exchange.
+     *
+     * @param channel the connection
+     * @param method the request's method
+     * @param uri the request's path and query
+     * @param headers the request's headers
+     * @param body the request's body
+     * @param keepAlive whether the connection stays open after the answer
+     */
+    HttpExchange(
+            Channel channel,
+            String method,
+            String uri,
+            HttpHeaders headers,
+            byte[] body,
+            boolean keepAlive) {
+        mChannel = channel;
+        mMethod = method;
+        mUri = new QueryStringDecoder(uri);
+        mHeaders = headers;
+        mBody = body;
+        mKeepAlive = keepAlive;
+    }
+
+    /**
+     * Returns the method.
+     *
+     * @return the method, in upper case
+     */
+    public String method() {
+        return mMethod;
+    }
+
+    /**
+     * Returns the decoded path.
+     *
+     * @return the path without the query
+     */
+    public String path() {
+        return mUri.path();
+    }
+
+    /**
+     * Returns the path as sent, still encoded.
+     *
+     * @return the path without the query
+     */
+    public String rawPath() {
+        return mUri.rawPath();
+    }
+
+    /**
+     * Returns the query as sent, still encoded.
+     *
+     * @return the query, empty for none
+     */
+    public String rawQuery() {
+        return mUri.rawQuery();
+    }
+
+    /**
+     * Returns a query parameter.
+     *
+     * @param name the parameter
+     * @return its first value, empty for none
+     */
+    public String query(String name) {
+        return mUri.parameters().getOrDefault(name, List.of("")).get(0);
+    }
+
+    /**
+     * Returns a header.
+     *
+     * @param name the header
+     * @return its value, or null
+     */
+    public String header(CharSequence name) {
+        return mHeaders.get(name);
+    }
+
+    /**
+     * Returns the headers.
+     *
+     * @return the headers, not to be changed
+     */
+    public HttpHeaders headers() {
+        return mHeaders;
+    }
+
+    /**
+     * Returns the body.
+     *
+     * @return the body, not to be changed
+     */
+    public byte[] body() {
+        return mBody;
+    }
+
+    /**
+     * Returns the event loop that this exchange belongs to; may be called from any thread.
+     *
+     * @return the loop
+     */
+    public EventLoop loop() {
+        return mChannel.eventLoop();
+    }
+
+    /**
+     * Returns whether an answer was begun.
+     *
+     * @return whether the status has left
+     */
+    public boolean begun() {
+        return mBegun;
+    }
+
+    /**
+     * Returns whether the answer was ended or cut, or the caller is gone.
+     *
+     * @return whether nothing more can be said
+     */
+    public boolean over() {
+        return mEnded || !mChannel.isActive();
+    }
+
+    /**
+     * Returns whether the connection takes more without growing its buffer past the mark.
+     *
+     * @return whether to write on
+     */
+    public boolean writable() {
+        return mChannel.isWritable();
+    }
+
+    /**
+     * Returns how much waits to be sent.
+     *
+     * @return bytes in the connection's buffer
+     */
+    public long pendingBytes() {
+        return mChannel.unsafe().outboundBuffer() == null
+                ? 0
+                : mChannel.unsafe().outboundBuffer().totalPendingWriteBytes();
+    }
+
+    /**
+     * Sets what runs when the caller goes before the answer is ended.
+     *
+     * @param action the action
+     */
+    public void onGone(Runnable action) {
+        mOnGone = action;
+    }
+
+    /**
+     * Sets what runs when the connection takes more again.
+     *
+     * @param action the action
+     */
+    public void onWritable(Runnable action) {
+        mOnWritable = action;
+    }
+
+    /**
+     * Sends a whole answer.
+     *
+     * @param answer the answer; ownership passes here
+     */
+    public void answer(FullHttpResponse answer) {
+        if (mBegun || over()) {
+            answer.release();
+            return;
+        }
+        mBegun = true;
+        mEnded = true;
+        HttpUtil.setKeepAlive(answer, mKeepAlive);
+        finish(answer);
+    }
+
+    /**
+     * Begins a streamed answer.
+     *
+     * @param status the HTTP status
+     * @param headers the headers; chunked unless they give a length
+     */
+    public void begin(int status, HttpHeaders headers) {
+        if (mBegun || over()) {
+            return;
+        }
+        mBegun = true;
+        HttpResponse head =
+                new DefaultHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
+        if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
+        HttpUtil.setKeepAlive(head, mKeepAlive);
+        mChannel.writeAndFlush(head, mChannel.voidPromise());
+    }
+
+    /**
+     * Writes a part of a streamed answer.
+     *
+     * @param part the part; ownership passes here
+     */
+    public void write(ByteBuf part) {
+        if (!mBegun || over()) {
+            part.release();
+            return;
+        }
+        mChannel.writeAndFlush(new DefaultHttpContent(part), mChannel.voidPromise());
+    }
+
+    /** Ends a streamed answer whole. */
+    public void end() {
+        if (!mBegun || over()) {
+            return;
+        }
+        mEnded = true;
+        finish(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
+    /** Cuts a streamed answer: the connection closes without the end, so the caller can tell. */
+    public void cut() {
+        mEnded = true;
+        mChannel.close();
+    }
+
+    /**
+     * Sends the last message of an answer.
+     *
+     * @param message the message
+     */
+    private void finish(Object message) {
+        if (mKeepAlive) {
+            mChannel.writeAndFlush(message, mChannel.voidPromise());
+        } else {
+            mChannel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    /** Is told that the connection has closed. */
+    void gone() {
+        if (!mEnded) {
+            mEnded = true;
+            mOnGone.run();
+        }
+    }
+
+    /** Is told that the connection takes more again. */
+    void becameWritable() {
+        mOnWritable.run();
+    }
+}
--- /dev/null
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpReply.java
@@ -0,0 +1,43 @@
+package org.troutpier.common.http;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * A whole answer. Immutable by agreement: neither headers nor body are changed.
+ *
+ * @param status the HTTP status
+ * @param headers the headers
+ * @param body the body
+ */
+public record HttpReply(int status, HttpHeaders headers, byte[] body) {
+
+    /**
+     * Returns whether the status tells of success.
+     *
+     * @return whether it lies in the two hundreds
+     */
+    public boolean ok() {
+        return status / 100 == 2;
+    }
+
+    /**
+     * Returns the body as text.
+     *
+     * @return the body, read as UTF-8
+     */
+    public String text() {
+        return new String(body, StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Reads the body.
+     *
+     * @param type what to make of it
+     * @param <T> the value's type
+     * @return the value
+     */
+    public <T> T as(Class<T> type) {
+        return Json.read(body, type);
+    }
+}
--- /dev/null
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
@@ -0,0 +1,156 @@
+package org.troutpier.common.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.troutpier.common.result.ResultCode;
+import org.troutpier.common.settings.Address;
+
+/**
+ * A bounded HTTP server on Netty: it limits connections, sizes and the time a request may take to
+ * arrive. Thread safe.
+ */
+public final class HttpServer implements AutoCloseable {
+
+    /** The longest request line, bytes. */
+    private static final int MAX_REQUEST_LINE = 8192;
+
+    /** The largest chunk the codec hands on, bytes. */
+    private static final int MAX_CHUNK = 8192;
+
+    /** How many connections may wait to be accepted. */
+    private static final int BACKLOG = 1024;
+
+    /** What this server bounds. */
+    private final ServerLimits mLimits;
+
+    /** Answers what the server itself refuses. */
+    private final ServerRefusals mRefusals;
+
+    /** Serves the requests. */
+    private final HttpHandler mHandler;
+
+    /** How many connections are open. */
+    private final AtomicInteger mConnections = new AtomicInteger();
+
+    /** The listening socket. */
+    private final Channel mListener;
+
+    /**
+     * Creates and starts a server.
+     *
+     * @param address where to listen
+     * @param loops carries the traffic
+     * @param limits what to bound
+     * @param refusals answers what the server itself refuses
+     * @param handler serves the requests
+     */
+    public HttpServer(
+            Address address,
+            EventLoopGroup loops,
+            ServerLimits limits,
+            ServerRefusals refusals,
+            HttpHandler handler) {
+        mLimits = limits;
+        mRefusals = refusals;
+        mHandler = handler;
+        mListener =
+                new ServerBootstrap()
+                        .group(loops)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(new Initializer())
+                        .bind(address.socket())
+                        .syncUninterruptibly()
+                        .channel();
+    }
+
+    /**
+     * Returns where the server listens.
+     *
+     * @return the address, with the port that the system chose
+     */
+    public Address address() {
+        InetSocketAddress local = (InetSocketAddress) mListener.localAddress();
+        return new Address(local.getAddress().getHostAddress(), local.getPort());
+    }
+
+    /**
+     * Returns how many connections are open.
+     *
+     * @return the count
+     */
+    public int connections() {
+        return mConnections.get();
+    }
+
+    /** Stops listening; open connections go on. */
+    @Override
+    public void close() {
+        mListener.close().syncUninterruptibly();
+    }
+
+    /** Sets up one connection. */
+    private final class Initializer extends ChannelInitializer<SocketChannel> {
+
+        /** {@inheritDoc} */
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            boolean tooMany = mConnections.incrementAndGet() > mLimits.connections();
+            channel.closeFuture().addListener(closed -> mConnections.decrementAndGet());
+            ArrivalTimer timer = new ArrivalTimer(mLimits.requestMillis(), mRefusals);
+            ChannelPipeline pipeline = channel.pipeline();
+            pipeline.addLast(
+                    new IdleStateHandler(0, 0, mLimits.idleMillis(), TimeUnit.MILLISECONDS));
+            pipeline.addLast(timer);
+            pipeline.addLast(
+                    new HttpServerCodec(MAX_REQUEST_LINE, mLimits.headerBytes(), MAX_CHUNK));
+            if (tooMany) {
+                pipeline.addLast(new RefuseAll(ResultCode.TOO_MANY_CONNECTIONS, mRefusals));
+                return;
+            }
+            pipeline.addLast(new HeadScreen(mHandler, mRefusals));
+            pipeline.addLast(new Aggregator(mLimits.bodyBytes(), mRefusals));
+            pipeline.addLast(new ExchangeHandler(mHandler, timer, mRefusals));
+        }
+    }
+
+    /** Puts a request together and refuses one that grows too large. */
+    private static final class Aggregator extends HttpObjectAggregator {
+
+        /** Answers what is refused. */
+        private final ServerRefusals mRefusals;
+
+        /**
+         * Creates an aggregator.
+         *
+         * @param bodyBytes the largest body
+         * @param refusals answers what is refused
+         */
+        Aggregator(int bodyBytes, ServerRefusals refusals) {
+            super(bodyBytes);
+            mRefusals = refusals;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage message) {
+            Refusing.refuseAndClose(context.channel(), mRefusals, ResultCode.BODY_TOO_LARGE);
+        }
+    }
+}
--- /dev/null
+++ b/troutpier-common/src/main/java/org/troutpier/common/id/InstanceId.java
@@ -0,0 +1,35 @@
+package org.troutpier.common.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Names a router instance as the platform knows it; survives a restart. Immutable and safe to share
+ * between threads.
+ *
+ * @param value the identifier's text, checked by {@link Identifiers#check(String, String)}
+ */
+public record InstanceId(@JsonValue String value) implements Comparable<InstanceId> {
+
+    /**
+     * Checks the text.
+     *
+     * @param value the identifier's text
+     */
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public InstanceId {
+        Identifiers.check("instance", value);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int compareTo(InstanceId other) {
+        return value.compareTo(other.value);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/troutpier-common/src/main/java/org/troutpier/common/id/PartnerId.java
@@ -0,0 +1,35 @@
+package org.troutpier.common.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Names a partner: a customer with operators, callers and a share of its own. Immutable and safe to
+ * share between threads.
+ *
+ * @param value the identifier's text, checked by {@link Identifiers#check(String, String)}
+ */
+public record PartnerId(@JsonValue String value) implements Comparable<PartnerId> {
+
+    /**
+     * Checks the text.
+     *
+     * @param value the identifier's text
+     */
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public PartnerId {
+        Identifiers.check("partner", value);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int compareTo(PartnerId other) {
+        return value.compareTo(other.value);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/troutpier-common/src/main/java/org/troutpier/common/id/UpstreamId.java
@@ -0,0 +1,35 @@
+package org.troutpier.common.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Names an upstream: a model engine or a plain service's replica. Immutable and safe to share
+ * between threads.
+ *
+ * @param value the identifier's text, checked by {@link Identifiers#check(String, String)}
+ */
+public record UpstreamId(@JsonValue String value) implements Comparable<UpstreamId> {
+
+    /**
+     * Checks the text.
+     *
+     * @param value the identifier's text
+     */
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public UpstreamId {
+        Identifiers.check("upstream", value);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int compareTo(UpstreamId other) {
+        return value.compareTo(other.value);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/troutpier-common/src/main/java/org/troutpier/common/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for the identifiers that travel between processes. */
+package org.troutpier.common.id;
--- /dev/null
+++ b/troutpier-common/src/main/java/org/troutpier/common/result/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered result codes and the exception that carries one. */
+package org.troutpier.common.result;
--- /dev/null
+++ b/troutpier-common/src/main/java/org/troutpier/common/settings/CheckedYaml.java
@@ -0,0 +1,161 @@
+package org.troutpier.common.settings;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Collectors;
+import org.troutpier.common.result.ResultCode;
+import org.troutpier.common.result.TroutpierException;
+
+/**
+ * Reads YAML into records and refuses whatever is not exactly what the record takes. Thread safe:
+ * the mapper is never changed after construction.
+ */
+public final class CheckedYaml {
+
+    /** Refuses unknown, missing, null and wrongly typed fields. */
+    private static final YAMLMapper MAPPER =
+            YAMLMapper.builder()
+                    .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                    .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+                    .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+                    .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+                    .build();
+
+    /** Not to be instantiated. */
+    private CheckedYaml() {}
+
+    /**
+     * Reads a file.
+     *
+     * @param file the file to read
+     * @param type the record to make
+     * @param <T> the record's type
+     * @return the record
+     */
+    public static <T> T read(Path file, Class<T> type) {
+        try {
+            return parse(file.getFileName().toString(), Files.readString(file), type);
+        } catch (IOException exception) {
+            throw new TroutpierException(
+                    ResultCode.INVALID_DECLARATION, file + ": cannot be read", exception);
+        }
+    }
+
+    /**
+     * Reads a text.
+     *
+     * @param name what the text is called in messages
+     * @param text the YAML
+     * @param type the record to make
+     * @param <T> the record's type
+     * @return the record
+     */
+    public static <T> T parse(String name, String text, Class<T> type) {
+        try {
+            T value = MAPPER.readValue(text, type);
+            if (value == null) {
+                throw fault(name, 1, "", "the file is empty");
+            }
+            return value;
+        } catch (JsonMappingException exception) {
+            throw translated(name, text, exception);
+        } catch (JsonProcessingException exception) {
+            throw fault(name, line(exception), "", exception.getOriginalMessage());
+        }
+    }
+
+    /**
+     * Turns a mapping fault into one with file, line and field.
+     *
+     * @param name the text's name
+     * @param text the YAML
+     * @param exception the fault
+     * @return the exception to throw
+     */
+    private static TroutpierException translated(
+            String name, String text, JsonMappingException exception) {
+        String path =
+                exception.getPath().stream()
+                        .map(r -> r.getFieldName() == null ? "" + r.getIndex() : r.getFieldName())
+                        .collect(Collectors.joining("/"));
+        if (exception.getCause() instanceof FieldException field) {
+            String whole = path.isEmpty() ? field.field() : path + "/" + field.field();
+            int line = lineOf(text, "/" + whole);
+            int shown = line > 0 ? line : Math.max(1, lineOf(text, "/" + path));
+            return fault(name, shown, whole, field.getMessage());
+        }
+        String message = message(exception);
+        int line = lineOf(text, "/" + path);
+        return fault(name, line > 0 ? line : line(exception), path, message);
+    }
+
+    /**
+     * Says what is wrong in words that fit a settings file.
+     *
+     * @param exception the fault
+     * @return the words
+     */
+    private static String message(JsonMappingException exception) {
+        if (exception instanceof UnrecognizedPropertyException) {
+            return "is not a known field";
+        }
+        String original = exception.getOriginalMessage();
+        return original.startsWith("Cannot map `null`") ? "is missing" : original;
+    }
+
+    /**
+     * Makes the exception.
+     *
+     * @param name the text's name
+     * @param line the line, from 1
+     * @param field the field's path
+     * @param message what is wrong
+     * @return the exception to throw
+     */
+    private static TroutpierException fault(String name, int line, String field, String message) {
+        String where = field.isEmpty() ? "" : " field " + field.replace('/', '.');
+        return new TroutpierException(
+                ResultCode.INVALID_DECLARATION, name + ":" + line + ":" + where + ": " + message);
+    }
+
+    /**
+     * Returns the line of a parser's fault.
+     *
+     * @param exception the fault
+     * @return the line, from 1
+     */
+    private static int line(JsonProcessingException exception) {
+        return exception.getLocation() == null ? 1 : exception.getLocation().getLineNr();
+    }
+
+    /**
+     * Finds the line on which a field stands.
+     *
+     * @param text the YAML
+     * @param pointer the field as a JSON pointer
+     * @return the line from 1, or 0 where the field is not there
+     */
+    private static int lineOf(String text, String pointer) {
+        try (JsonParser parser = MAPPER.createParser(text)) {
+            for (JsonToken token = parser.nextToken(); token != null; token = parser.nextToken()) {
+                if (parser.getParsingContext().pathAsPointer().toString().equals(pointer)) {
+                    return parser.currentTokenLocation().getLineNr();
+                }
+            }
+        } catch (IOException exception) {
+            return 0;
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/DaemonMain.java
@@ -0,0 +1,64 @@
+package org.troutpier.daemon;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import org.troutpier.common.result.TroutpierException;
+import org.troutpier.common.settings.CheckedYaml;
+import org.troutpier.daemon.settings.DaemonSettings;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** The daemon's command line. Confined to the main thread. */
+@Command(
+        name = "troutpierd",
+        mixinStandardHelpOptions = true,
+        version = "troutpierd 0.1.0",
+        description = "Runs one router.")
+public final class DaemonMain implements Callable<Integer> {
+
+    /** The exit code for wrong settings. */
+    public static final int WRONG_SETTINGS = 2;
+
+    /** The settings. */
+    @Parameters(paramLabel = "SETTINGS", description = "YAML file with the daemon's settings")
+    private Path mSettings;
+
+    /** Whether to check the settings only. */
+    @Option(names = "--check", description = "check the settings and exit")
+    private boolean mCheck;
+
+    /** Created by the command line. */
+    private DaemonMain() {}
+
+    /**
+     * Runs the daemon.
+     *
+     * @param arguments the command line's words
+     */
+    public static void main(String[] arguments) {
+        System.exit(new CommandLine(new DaemonMain()).execute(arguments));
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public Integer call() throws InterruptedException {
+        DaemonSettings settings;
+        try {
+            settings = CheckedYaml.read(mSettings, DaemonSettings.class);
+        } catch (TroutpierException exception) {
+            System.err.println(exception.getMessage());
+            return WRONG_SETTINGS;
+        }
+        if (mCheck) {
+            System.out.println("the settings are valid");
+            return 0;
+        }
+        RouterDaemon daemon = new RouterDaemon(settings);
+        Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
+        new CountDownLatch(1).await();
+        return 0;
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
@@ -0,0 +1,401 @@
+package org.troutpier.daemon;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.troutpier.common.event.EventRing;
+import org.troutpier.common.event.HybridClock;
+import org.troutpier.common.http.HttpCalls;
+import org.troutpier.common.http.HttpServer;
+import org.troutpier.common.http.ServerLimits;
+import org.troutpier.common.http.ServerRefusals;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.settings.Address;
+import org.troutpier.daemon.admission.AdmissionDesk;
+import org.troutpier.daemon.admission.DecodePermits;
+import org.troutpier.daemon.admission.StewardPermits;
+import org.troutpier.daemon.caller.CallerFront;
+import org.troutpier.daemon.claim.ClaimKeeper;
+import org.troutpier.daemon.configuration.ChangeProposer;
+import org.troutpier.daemon.configuration.ConfigurationKeeper;
+import org.troutpier.daemon.instancelist.InstanceList;
+import org.troutpier.daemon.node.ControlThread;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.node.Readiness;
+import org.troutpier.daemon.objectstore.ObjectStore;
+import org.troutpier.daemon.operator.OperatorFront;
+import org.troutpier.daemon.operator.Operators;
+import org.troutpier.daemon.peer.Membership;
+import org.troutpier.daemon.peer.PeerLogic;
+import org.troutpier.daemon.peer.PeerMesh;
+import org.troutpier.daemon.placement.PairSelector;
+import org.troutpier.daemon.placement.UpstreamBook;
+import org.troutpier.daemon.placement.UpstreamState;
+import org.troutpier.daemon.request.LifeRegistry;
+import org.troutpier.daemon.request.LifeServices;
+import org.troutpier.daemon.request.RetryBudget;
+import org.troutpier.daemon.settings.DaemonSettings;
+import org.troutpier.daemon.table.Table;
+import org.troutpier.daemon.upstream.CancelKeeper;
+import org.troutpier.daemon.upstream.Engines;
+import org.troutpier.daemon.upstream.HttpEngines;
+import org.troutpier.daemon.upstream.LoadWatcher;
+import org.troutpier.daemon.upstream.OrphanSweeper;
+
+/**
+ * One router: its parts, put together from the settings. Thread safe. Invariant: after {@link
+ * #stop()} no request in progress has been cut unless the time to wait for it ran out.
+ */
+public final class RouterDaemon {
+
+    /** Tells of starts and stops. */
+    private static final Logger LOGGER = LogManager.getLogger(RouterDaemon.class);
+
+    /** How many events are kept. */
+    private static final int RING = 16_384;
+
+    /** How often a stop looks whether requests are left, milliseconds. */
+    private static final long DRAIN_TICK = 20;
+
+    /** How long a stop keeps listening, so that the balancer and the peers notice, milliseconds. */
+    private static final long NOTICE_MILLIS = 1500;
+
+    /** The settings. */
+    private final DaemonSettings mSettings;
+
+    /** What every part shares. */
+    private final Node mNode;
+
+    /** Whether new work is taken. */
+    private final Readiness mReadiness;
+
+    /** The requests that are carried. */
+    private final LifeRegistry mRegistry = new LifeRegistry();
+
+    /** Cancels attempts. */
+    private final CancelKeeper mCancels;
+
+    /** All upstreams; control thread only. */
+    private final UpstreamBook mBook = new UpstreamBook();
+
+    /** Who the routers are. */
+    private final Membership mMembership;
+
+    /** Where hard facts are kept. */
+    private final Table mTable;
+
+    /** The declarations in force. */
+    private final ConfigurationKeeper mKeeper;
+
+    /** What this router does about the others. */
+    private final PeerLogic mPeers;
+
+    /** The connections to the other routers. */
+    private final PeerMesh mMesh;
+
+    /** The callers' server. */
+    private final HttpServer mCallers;
+
+    /** The operators' server. */
+    private final HttpServer mOperators;
+
+    /**
+     * Creates and starts a router.
+     *
+     * @param settings its settings
+     */
+    public RouterDaemon(DaemonSettings settings) {
+        mSettings = settings;
+        mNode = node(settings);
+        mReadiness = new Readiness(mNode.events());
+        mMembership = new Membership(self(), mNode.nanos());
+        mTable = table();
+        mKeeper = new ConfigurationKeeper(mNode, mTable, mReadiness);
+        mPeers = new PeerLogic(mNode, mMembership, mReadiness, instanceList(), mKeeper);
+        mMesh =
+                new PeerMesh(
+                        mNode, settings.peer(), mMembership, settings.peerSecret(), mPeers::heard);
+        DeskHolder holder = new DeskHolder();
+        Optional<StewardPermits> steward = stewardPermits(holder);
+        AdmissionDesk desk = desk(steward);
+        holder.mDesk = desk;
+        mKeeper.listen(desk::apply);
+        Engines engines = new HttpEngines(mNode.calls());
+        mCancels = new CancelKeeper(mNode, engines);
+        LifeServices services =
+                new LifeServices(
+                        mNode, desk, claims(), engines, mCancels, new RetryBudget(), mRegistry);
+        ChangeProposer proposer =
+                new ChangeProposer(mNode, mMembership, mKeeper, mTable, mMesh::send);
+        new LoadWatcher(mNode, mBook, engines);
+        new OrphanSweeper(mNode, mBook, engines, mMembership, mCancels, mRegistry);
+        gauges(desk);
+        mNode.control()
+                .execute(() -> mPeers.start(mMesh, proposer, steward, this::upstreamLeaving));
+        mCallers =
+                new HttpServer(
+                        settings.caller(),
+                        mNode.loops(),
+                        settings.callerLimits(),
+                        ServerRefusals.AsJson.INSTANCE,
+                        new CallerFront(services, mKeeper, mReadiness, mPeers));
+        mOperators =
+                new HttpServer(
+                        settings.operator(),
+                        mNode.loops(),
+                        ServerLimits.DEFAULT,
+                        ServerRefusals.AsJson.INSTANCE,
+                        operatorFront(proposer));
+        LOGGER.info("started {} on {}", mNode.incarnation(), settings.caller());
+    }
+
+    /**
+     * Makes this router as the others see it.
+     *
+     * @return the member
+     */
+    private Membership.Member self() {
+        return new Membership.Member(
+                mNode.incarnation(), mSettings.hall(), mSettings.peer().toString(), false);
+    }
+
+    /**
+     * Makes the adapter to the table service.
+     *
+     * @return the table
+     */
+    private Table table() {
+        DaemonSettings.PlatformSettings platform = mSettings.platform();
+        return new Table.WithBreaker(
+                new Table.OverHttp(mNode.calls(), platform.table(), platform.timeoutMillis()),
+                mNode.nanos());
+    }
+
+    /**
+     * Makes the adapter to the instance list.
+     *
+     * @return the list
+     */
+    private InstanceList instanceList() {
+        DaemonSettings.PlatformSettings platform = mSettings.platform();
+        return new InstanceList.OverHttp(
+                mNode.calls(), platform.instanceList(), platform.timeoutMillis());
+    }
+
+    /**
+     * Makes the keeper of claims.
+     *
+     * @return the keeper
+     */
+    private ClaimKeeper claims() {
+        DaemonSettings.PlatformSettings platform = mSettings.platform();
+        ObjectStore objects =
+                new ObjectStore.OverHttp(
+                        mNode.calls(), platform.objectStore(), platform.timeoutMillis());
+        return new ClaimKeeper(
+                mNode,
+                mTable,
+                objects,
+                mMembership,
+                mSettings.caller().url(""),
+                System::currentTimeMillis);
+    }
+
+    /**
+     * Makes the permits that come from stewards, if the settings ask for them.
+     *
+     * @param holder holds the desk, which is made later
+     * @return the permits, or empty
+     */
+    private Optional<StewardPermits> stewardPermits(DeskHolder holder) {
+        if (mSettings.admission().permits() != DaemonSettings.PermitRule.STEWARD) {
+            return Optional.empty();
+        }
+        return Optional.of(new StewardPermits(mNode, mMembership, mBook, mMesh::send, holder::get));
+    }
+
+    /**
+     * Makes the desk.
+     *
+     * @param steward the permits that come from stewards, or empty
+     * @return the desk
+     */
+    private AdmissionDesk desk(Optional<StewardPermits> steward) {
+        DecodePermits permits = steward.isPresent() ? steward.get() : permits();
+        return new AdmissionDesk(
+                mNode, mBook, permits, selector(mSettings), mSettings.admission().shed());
+    }
+
+    /**
+     * Makes the operators' handler.
+     *
+     * @param proposer carries changes through
+     * @return the handler
+     */
+    private OperatorFront operatorFront(ChangeProposer proposer) {
+        return new OperatorFront(
+                mNode,
+                mReadiness,
+                mKeeper,
+                proposer,
+                mMembership,
+                Operators.commands(mNode, mRegistry, mBook, mMembership, mKeeper, mPeers),
+                mSettings.administratorTokenHash());
+    }
+
+    /** Gives the desk to what is made before it. Set once, before any use. */
+    private static final class DeskHolder {
+
+        /** The desk. */
+        private volatile AdmissionDesk mDesk;
+
+        /**
+         * Returns the desk.
+         *
+         * @return the desk
+         */
+        AdmissionDesk get() {
+            return mDesk;
+        }
+    }
+
+    /**
+     * Makes what every part shares.
+     *
+     * @param settings the settings
+     * @return the node
+     */
+    private static Node node(DaemonSettings settings) {
+        EventLoopGroup loops = new NioEventLoopGroup(settings.threads());
+        return new Node(
+                Incarnation.start(settings.instance()),
+                settings.hall(),
+                loops,
+                new ControlThread(),
+                new HttpCalls(loops),
+                new MetricRegistry(),
+                new EventRing(settings.instance().value(), RING, new HybridClock()),
+                System::nanoTime);
+    }
+
+    /**
+     * Makes the permits that need no steward.
+     *
+     * @return the permits
+     */
+    private DecodePermits permits() {
+        return switch (mSettings.admission().permits()) {
+            case STATIC -> new DecodePermits.ForStaticDivision(() -> mMembership.serving().size());
+            case LAGGING -> new DecodePermits.ForLaggingLoad();
+            default -> DecodePermits.Unlimited.INSTANCE;
+        };
+    }
+
+    /**
+     * Makes the selector.
+     *
+     * @param settings the settings
+     * @return the selector
+     */
+    private static PairSelector selector(DaemonSettings settings) {
+        return switch (settings.admission().pair()) {
+            case ROUND_ROBIN -> new PairSelector.ForRoundRobin();
+            case LEAST_LOAD -> new PairSelector.ForLeastLoad();
+            default -> new PairSelector.ForPredictedFirstToken(settings.hall());
+        };
+    }
+
+    /**
+     * Registers what is measured by looking.
+     *
+     * @param desk the desk
+     */
+    private void gauges(AdmissionDesk desk) {
+        mNode.metrics().register("requests-carried", (Gauge<Integer>) () -> mRegistry.all().size());
+        mNode.metrics().register("cancel.pending", (Gauge<Integer>) mCancels::pending);
+        mNode.metrics().register("admission.waiting", (Gauge<Integer>) desk::waiting);
+    }
+
+    /**
+     * Takes note that the instance list shows an upstream as leaving.
+     *
+     * @param id the upstream
+     * @param leaving whether it is leaving
+     */
+    private void upstreamLeaving(UpstreamId id, boolean leaving) {
+        UpstreamState state = mBook.get(id);
+        if (state != null && leaving) {
+            state.leaving(true);
+        }
+    }
+
+    /**
+     * Returns where callers come in.
+     *
+     * @return the address
+     */
+    public Address callerAddress() {
+        return mCallers.address();
+    }
+
+    /**
+     * Returns where operators come in.
+     *
+     * @return the address
+     */
+    public Address operatorAddress() {
+        return mOperators.address();
+    }
+
+    /**
+     * Stops the router: no new work, then every request in progress to its end, then everything
+     * else. Waits for it.
+     */
+    public void stop() {
+        mReadiness.stopping();
+        LOGGER.info("stopping {}", mNode.incarnation());
+        long start = System.nanoTime();
+        await(start, NOTICE_MILLIS, false);
+        mCallers.close();
+        await(start, mSettings.drainMillis(), true);
+        close();
+        LOGGER.info("stopped {}", mNode.incarnation());
+    }
+
+    /**
+     * Waits.
+     *
+     * @param start since when, by {@link System#nanoTime()}
+     * @param millis until how long after
+     * @param whileBusy whether to stop waiting once no request is left
+     */
+    private void await(long start, long millis, boolean whileBusy) {
+        while (System.nanoTime() - start < TimeUnit.MILLISECONDS.toNanos(millis)) {
+            if (whileBusy && mRegistry.all().isEmpty() && mCancels.pending() == 0) {
+                return;
+            }
+            try {
+                Thread.sleep(DRAIN_TICK);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    /** Ends everything at once. */
+    public void close() {
+        mCallers.close();
+        mOperators.close();
+        mMesh.close();
+        mNode.control().close();
+        mNode.calls().close();
+        mNode.loops().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/StewardPermits.java
@@ -0,0 +1,485 @@
+package org.troutpier.daemon.admission;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.common.id.UpstreamId;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.peer.Membership;
+import org.troutpier.daemon.peer.Membership.Member;
+import org.troutpier.daemon.peer.PeerMessage;
+import org.troutpier.daemon.peer.Stewards;
+import org.troutpier.daemon.placement.UpstreamBook;
+import org.troutpier.daemon.placement.UpstreamState;
+
+/**
+ * Permits for decode slots that an engine's steward hands out in small batches and that routers
+ * keep for reuse. Confined to the control thread. Both halves live here: the holder's side for
+ * every engine, the steward's side for the engines that this router looks after. Invariant: a
+ * steward that has just begun gives nothing until it has heard what the others hold.
+ */
+public final class StewardPermits implements DecodePermits {
+
+    /** How often idle permits and hungry routers are looked at, milliseconds. */
+    private static final long TICK_MILLIS = 50;
+
+    /** How long a permit may lie idle before it goes back, nanoseconds. */
+    private static final long IDLE_NANOS = 150_000_000L;
+
+    /** How long a new steward listens before it gives, nanoseconds. */
+    private static final long LISTEN_NANOS = 700_000_000L;
+
+    /** How long an unanswered wish is taken to be under way, nanoseconds. */
+    private static final long ASKED_NANOS = 60_000_000L;
+
+    /** How long a router's wish counts at the steward, nanoseconds. */
+    private static final long HUNGRY_NANOS = 250_000_000L;
+
+    /** What every part of the router shares. */
+    private final Node mNode;
+
+    /** Who the routers are. */
+    private final Membership mMembership;
+
+    /** All upstreams. */
+    private final UpstreamBook mBook;
+
+    /** Sends a message to a router. */
+    private final Sender mSender;
+
+    /** Starts what waits, after permits have come. */
+    private final Runnable mPump;
+
+    /** What this router holds, by engine. */
+    private final Map<UpstreamId, Holding> mHoldings = new HashMap<>();
+
+    /** What this router gives, by engine. */
+    private final Map<UpstreamId, Stewardship> mStewardships = new HashMap<>();
+
+    /** The members at the last tick, so that a change of stewards is noticed. */
+    private List<Member> mMembers = List.of();
+
+    /** Sends a message to a router. */
+    public interface Sender {
+
+        /**
+         * Sends a message.
+         *
+         * @param to the router
+         * @param message the message
+         */
+        void send(Incarnation to, PeerMessage message);
+    }
+
+    /** What this router holds of one engine's slots. */
+    private static final class Holding {
+
+        /** Permits in use. */
+        private int mUsed;
+
+        /** Permits at hand. */
+        private int mFree;
+
+        /** Since when some are at hand that nobody wants. */
+        private long mIdleSince;
+
+        /** When more were asked for last. */
+        private long mAskedAt;
+
+        /** Whether the answer to the last wish is awaited. */
+        private boolean mAsked;
+
+        /** The steward that gave last. */
+        private Incarnation mGiver;
+
+        /** How many that steward has given in all. */
+        private long mReceived;
+
+        /**
+         * Tells how many a steward has given in all.
+         *
+         * @param steward the steward
+         * @return the count, 0 for another than the last
+         */
+        long received(Incarnation steward) {
+            return steward.equals(mGiver) ? mReceived : 0;
+        }
+
+        /**
+         * Returns how many permits are held.
+         *
+         * @return used and free
+         */
+        int held() {
+            return mUsed + mFree;
+        }
+    }
+
+    /** What this router gives of one engine's slots. */
+    private static final class Stewardship {
+
+        /** What each router holds, as far as is known. */
+        private final Map<Incarnation, Integer> mHeld = new HashMap<>();
+
+        /** How many each router was given in all. */
+        private final Map<Incarnation, Long> mGiven = new HashMap<>();
+
+        /** When each router was given some last. */
+        private final Map<Incarnation, Long> mGivenAt = new HashMap<>();
+
+        /** What each router wants, oldest wish first. */
+        private final Map<Incarnation, Wish> mWishes = new LinkedHashMap<>();
+
+        /** Since when this router looks after the engine. */
+        private final long mSince;
+
+        /**
+         * Creates a stewardship.
+         *
+         * @param since since when
+         */
+        Stewardship(long since) {
+            mSince = since;
+        }
+
+        /**
+         * Counts what is out.
+         *
+         * @return permits held by all routers
+         */
+        int out() {
+            return mHeld.values().stream().mapToInt(Integer::intValue).sum();
+        }
+    }
+
+    /**
+     * A router's wish.
+     *
+     * @param count how many it wants
+     * @param at when it said so
+     */
+    private record Wish(int count, long at) {}
+
+    /**
+     * Creates permits.
+     *
+     * @param node what every part of the router shares
+     * @param membership who the routers are
+     * @param book all upstreams
+     * @param sender sends a message to a router
+     * @param pump starts what waits
+     */
+    public StewardPermits(
+            Node node,
+            Membership membership,
+            UpstreamBook book,
+            Sender sender,
+            Supplier<AdmissionDesk> pump) {
+        mNode = node;
+        mMembership = membership;
+        mBook = book;
+        mSender = sender;
+        mPump = () -> pump.get().pumpAll();
+        node.control().every(this::tick, TICK_MILLIS);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public boolean available(UpstreamState decode) {
+        return holding(decode.declared().id()).mFree > 0;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void take(UpstreamState decode) {
+        Holding holding = holding(decode.declared().id());
+        holding.mFree--;
+        holding.mUsed++;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void giveBack(UpstreamState decode) {
+        Holding holding = holding(decode.declared().id());
+        holding.mUsed--;
+        if (holding.mFree == 0) {
+            holding.mIdleSince = now();
+        }
+        holding.mFree++;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void refusedBy(UpstreamState decode) {
+        mNode.count("permits.refused-by-engine");
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void wanted(Iterable<UpstreamState> decodes, int waiting) {
+        int engines = 0;
+        for (UpstreamState ignored : decodes) {
+            engines++;
+        }
+        int each = Math.max(1, (waiting + engines - 1) / engines);
+        for (UpstreamState decode : decodes) {
+            ask(decode.declared().id(), each);
+        }
+    }
+
+    /**
+     * Asks an engine's steward for permits, unless the last wish is still under way.
+     *
+     * @param engine the engine
+     * @param count how many
+     */
+    private void ask(UpstreamId engine, int count) {
+        Holding holding = holding(engine);
+        long now = now();
+        if (holding.mAsked && now - holding.mAskedAt < ASKED_NANOS) {
+            return;
+        }
+        holding.mAsked = true;
+        holding.mAskedAt = now;
+        tell(engine, holding, count);
+    }
+
+    /**
+     * Tells an engine's steward, which may be this router, what is held and wanted.
+     *
+     * @param engine the engine
+     * @param holding what is held
+     * @param wanted how many more are wanted
+     */
+    private void tell(UpstreamId engine, Holding holding, int wanted) {
+        if (mMembers.isEmpty()) {
+            mMembers = mMembership.serving();
+        }
+        Incarnation steward = Stewards.of(engine.value(), mMembers);
+        PeerMessage.PermitAsk ask =
+                new PeerMessage.PermitAsk(
+                        engine.value(), holding.held(), holding.received(steward), wanted);
+        if (steward.equals(self())) {
+            mNode.control().execute(() -> asked(self(), ask));
+        } else {
+            mSender.send(steward, ask);
+        }
+    }
+
+    /**
+     * Takes a wish, as steward.
+     *
+     * @param from who wants
+     * @param ask what it holds and wants
+     */
+    public void asked(Incarnation from, PeerMessage.PermitAsk ask) {
+        UpstreamId engine = new UpstreamId(ask.engine());
+        Stewardship stewardship = stewardship(engine);
+        if (stewardship == null) {
+            return;
+        }
+        long given = stewardship.mGiven.getOrDefault(from, 0L);
+        int underWay = (int) Math.max(0, given - ask.received());
+        stewardship.mHeld.put(from, ask.held() + underWay);
+        stewardship.mWishes.remove(from);
+        if (ask.wanted() > 0) {
+            stewardship.mWishes.put(from, new Wish(ask.wanted(), now()));
+        }
+        serve(engine, stewardship);
+    }
+
+    /**
+     * Takes note of what a router holds, from its heartbeat.
+     *
+     * @param from the router
+     * @param held how many permits of each engine
+     */
+    public void reported(Incarnation from, Map<String, Integer> held) {
+        long now = now();
+        mStewardships.forEach(
+                (engine, stewardship) -> {
+                    Long givenAt = stewardship.mGivenAt.get(from);
+                    if (givenAt == null || now - givenAt > LISTEN_NANOS) {
+                        stewardship.mHeld.put(from, held.getOrDefault(engine.value(), 0));
+                    }
+                });
+        for (String engine : held.keySet()) {
+            stewardship(new UpstreamId(engine));
+        }
+    }
+
+    /**
+     * Gives what is free to those who want it, oldest wish first, and asks for idle permits where
+     * that is not enough.
+     *
+     * @param engine the engine
+     * @param stewardship what is given
+     */
+    private void serve(UpstreamId engine, Stewardship stewardship) {
+        UpstreamState state = mBook.get(engine);
+        long now = now();
+        if (state == null || now - stewardship.mSince < LISTEN_NANOS) {
+            return;
+        }
+        stewardship.mWishes.values().removeIf(wish -> now - wish.at() > HUNGRY_NANOS);
+        int free = state.declared().slots() - stewardship.out();
+        while (free > 0 && !stewardship.mWishes.isEmpty()) {
+            Incarnation first = stewardship.mWishes.keySet().iterator().next();
+            Wish wish = stewardship.mWishes.remove(first);
+            int fair = Math.max(1, free / (stewardship.mWishes.size() + 1));
+            int given = Math.min(wish.count(), fair);
+            free -= given;
+            stewardship.mHeld.merge(first, given, Integer::sum);
+            stewardship.mGiven.merge(first, (long) given, Long::sum);
+            stewardship.mGivenAt.put(first, now);
+            give(first, new PeerMessage.PermitGrant(engine.value(), given));
+        }
+        if (!stewardship.mWishes.isEmpty()) {
+            stewardship.mHeld.keySet().stream()
+                    .filter(holder -> !stewardship.mWishes.containsKey(holder))
+                    .filter(holder -> !holder.equals(self()))
+                    .forEach(
+                            holder ->
+                                    mSender.send(
+                                            holder, new PeerMessage.PermitRecall(engine.value())));
+            recalled(engine);
+        }
+    }
+
+    /**
+     * Gives permits to a router, which may be this one.
+     *
+     * @param to the router
+     * @param grant the permits
+     */
+    private void give(Incarnation to, PeerMessage.PermitGrant grant) {
+        mNode.count("permits.granted");
+        if (to.equals(self())) {
+            granted(self(), grant);
+        } else {
+            mSender.send(to, grant);
+        }
+    }
+
+    /**
+     * Takes permits that a steward gave.
+     *
+     * @param from the steward
+     * @param grant the permits
+     */
+    public void granted(Incarnation from, PeerMessage.PermitGrant grant) {
+        Holding holding = holding(new UpstreamId(grant.engine()));
+        holding.mReceived = holding.received(from) + grant.count();
+        holding.mGiver = from;
+        if (holding.mFree == 0) {
+            holding.mIdleSince = now();
+        }
+        holding.mAsked = false;
+        holding.mFree += grant.count();
+        mPump.run();
+    }
+
+    /**
+     * Gives idle permits back because a steward wants them.
+     *
+     * @param engine the engine
+     */
+    public void recalled(UpstreamId engine) {
+        Holding holding = holding(engine);
+        if (holding.mFree > 0) {
+            holding.mFree = 0;
+            tell(engine, holding, 0);
+        }
+    }
+
+    /**
+     * Tells what this router holds, for its heartbeat.
+     *
+     * @return permits by engine
+     */
+    public Map<String, Integer> held() {
+        Map<String, Integer> held = new HashMap<>();
+        mHoldings.forEach(
+                (engine, holding) -> {
+                    if (holding.held() > 0) {
+                        held.put(engine.value(), holding.held());
+                    }
+                });
+        return held;
+    }
+
+    /** Gives back what lies idle, notices new stewards and forgets routers that are gone. */
+    private void tick() {
+        List<Member> members = mMembership.serving();
+        if (!members.equals(mMembers)) {
+            mMembers = members;
+            mStewardships.keySet().removeIf(engine -> !looksAfter(engine));
+        }
+        long now = now();
+        mHoldings.forEach(
+                (engine, holding) -> {
+                    if (holding.mFree > 0 && now - holding.mIdleSince > IDLE_NANOS) {
+                        recalled(engine);
+                    }
+                });
+        mStewardships.forEach(
+                (engine, stewardship) -> {
+                    stewardship.mHeld.keySet().removeIf(mMembership::gone);
+                    serve(engine, stewardship);
+                });
+    }
+
+    /**
+     * Finds or begins a stewardship.
+     *
+     * @param engine the engine
+     * @return the stewardship, or null where another router looks after the engine
+     */
+    private Stewardship stewardship(UpstreamId engine) {
+        if (!looksAfter(engine)) {
+            return null;
+        }
+        return mStewardships.computeIfAbsent(engine, id -> new Stewardship(now()));
+    }
+
+    /**
+     * Returns whether this router looks after an engine.
+     *
+     * @param engine the engine
+     * @return whether it is the engine's steward
+     */
+    private boolean looksAfter(UpstreamId engine) {
+        return !mMembers.isEmpty() && Stewards.of(engine.value(), mMembers).equals(self());
+    }
+
+    /**
+     * Finds what this router holds of an engine.
+     *
+     * @param engine the engine
+     * @return what it holds
+     */
+    private Holding holding(UpstreamId engine) {
+        return mHoldings.computeIfAbsent(engine, id -> new Holding());
+    }
+
+    /**
+     * Returns this router.
+     *
+     * @return its incarnation
+     */
+    private Incarnation self() {
+        return mNode.incarnation();
+    }
+
+    /**
+     * Reads the monotonic clock.
+     *
+     * @return nanoseconds
+     */
+    private long now() {
+        return mNode.nanos().getAsLong();
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Who may start, and when: queues, shares and decode permits. */
+package org.troutpier.daemon.admission;
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/node/Node.java
@@ -0,0 +1,41 @@
+package org.troutpier.daemon.node;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import java.util.function.LongSupplier;
+import org.troutpier.common.event.EventRing;
+import org.troutpier.common.http.HttpCalls;
+import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.Incarnation;
+
+/**
+ * What every part of one router shares. Immutable; everything in it is thread safe.
+ *
+ * @param incarnation this life of this instance
+ * @param hall the hall that it stands in
+ * @param loops carries the traffic
+ * @param control the one thread of control state
+ * @param calls sends HTTP requests
+ * @param metrics counts
+ * @param events keeps the latest events
+ * @param nanos the monotonic clock, nanoseconds
+ */
+public record Node(
+        Incarnation incarnation,
+        HallId hall,
+        EventLoopGroup loops,
+        ControlThread control,
+        HttpCalls calls,
+        MetricRegistry metrics,
+        EventRing events,
+        LongSupplier nanos) {
+
+    /**
+     * Counts one.
+     *
+     * @param name the counter
+     */
+    public void count(String name) {
+        metrics.counter(name).inc();
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerLogic.java
@@ -0,0 +1,423 @@
+package org.troutpier.daemon.peer;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.troutpier.common.declaration.Declarations;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.common.id.UpstreamId;
+import org.troutpier.daemon.admission.StewardPermits;
+import org.troutpier.daemon.configuration.ChangeProposer;
+import org.troutpier.daemon.configuration.ConfigurationKeeper;
+import org.troutpier.daemon.instancelist.InstanceList;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.node.Readiness;
+import org.troutpier.daemon.peer.Membership.Member;
+
+/**
+ * What this router does about the others: heartbeats, following the instance list, answering
+ * changes, and fencing itself when it was paused or has lost everybody. Confined to the control
+ * thread, but for {@link #stalled()}. Invariant: a router that may have been left out of a change
+ * takes no new work until it has read the latest version.
+ */
+public final class PeerLogic {
+
+    /** How often heartbeats are sent, milliseconds. */
+    private static final long BEAT_MILLIS = 400;
+
+    /** How often the control thread looks at its own clock, milliseconds. */
+    private static final long TICK_MILLIS = 100;
+
+    /** How often the instance list is asked for, milliseconds. */
+    private static final long LIST_MILLIS = 500;
+
+    /** How often the table is asked for the latest version, milliseconds. */
+    private static final long PULL_MILLIS = 5000;
+
+    /** How often a fenced router asks for the latest version, milliseconds. */
+    private static final long REVALIDATE_MILLIS = 250;
+
+    /** How long a pause may be without a fence, nanoseconds. */
+    private static final long PAUSE_NANOS = 1_200_000_000L;
+
+    /** How long everybody may be silent without a fence, nanoseconds. */
+    private static final long ALONE_NANOS = 1_500_000_000L;
+
+    /** How long a start waits for the listed routers, nanoseconds. */
+    private static final long START_NANOS = 3_000_000_000L;
+
+    /** What every part of the router shares. */
+    private final Node mNode;
+
+    /** Who the others are. */
+    private final Membership mMembership;
+
+    /** Whether this router takes new work. */
+    private final Readiness mReadiness;
+
+    /** The platform's list. */
+    private final InstanceList mInstances;
+
+    /** The declarations in force. */
+    private final ConfigurationKeeper mKeeper;
+
+    /** Sends messages. */
+    private PeerMesh mMesh;
+
+    /** Carries changes through. */
+    private ChangeProposer mProposer;
+
+    /** The permits, where they come from stewards. */
+    private Optional<StewardPermits> mPermits = Optional.empty();
+
+    /** Hears of upstreams that the list shows as leaving. */
+    private Leaving mLeaving = (id, leaving) -> {};
+
+    /** When the control thread last looked at the clock. */
+    private volatile long mTickAt;
+
+    /** When a part of the platform answered last. */
+    private long mPlatformAt;
+
+    /** When this router started. */
+    private final long mStartedAt;
+
+    /** Whether the first version was asked for. */
+    private boolean mBegun;
+
+    /** Whether other routers were ever heard. */
+    private boolean mHadPeers;
+
+    /** When any other router was heard last. */
+    private long mPeersAt;
+
+    /** The versions that others said to have in force. */
+    private final Map<Incarnation, Long> mVersions = new HashMap<>();
+
+    /** Hears of upstreams that the list shows as leaving. */
+    public interface Leaving {
+
+        /**
+         * Hears of one.
+         *
+         * @param id the upstream
+         * @param leaving whether it is leaving
+         */
+        void heard(UpstreamId id, boolean leaving);
+    }
+
+    /**
+     * Creates the logic; {@link #start} sets it going.
+     *
+     * @param node what every part of the router shares
+     * @param membership who the others are
+     * @param readiness whether this router takes new work
+     * @param instances the platform's list
+     * @param keeper the declarations in force
+     */
+    public PeerLogic(
+            Node node,
+            Membership membership,
+            Readiness readiness,
+            InstanceList instances,
+            ConfigurationKeeper keeper) {
+        mNode = node;
+        mMembership = membership;
+        mReadiness = readiness;
+        mInstances = instances;
+        mKeeper = keeper;
+        mStartedAt = node.nanos().getAsLong();
+        mTickAt = mStartedAt;
+        mPlatformAt = mStartedAt;
+    }
+
+    /**
+     * Sets the logic going.
+     *
+     * @param mesh sends messages
+     * @param proposer carries changes through
+     * @param permits the permits, where they come from stewards
+     * @param leaving hears of upstreams that the list shows as leaving
+     */
+    public void start(
+            PeerMesh mesh,
+            ChangeProposer proposer,
+            Optional<StewardPermits> permits,
+            Leaving leaving) {
+        mMesh = mesh;
+        mProposer = proposer;
+        mPermits = permits;
+        mLeaving = leaving;
+        mNode.control().every(this::tick, TICK_MILLIS);
+        mNode.control().every(this::beat, BEAT_MILLIS);
+        mNode.control().every(this::askList, LIST_MILLIS);
+        mNode.control().every(this::pull, PULL_MILLIS);
+        mNode.control().every(this::revalidate, REVALIDATE_MILLIS);
+        mNode.control().execute(this::askList);
+    }
+
+    /**
+     * Returns whether the control thread has not looked at the clock for too long: the process may
+     * just have been woken, and what it knows may be old. May be called from any thread.
+     *
+     * @return whether to take no new work
+     */
+    public boolean stalled() {
+        return mNode.nanos().getAsLong() - mTickAt > PAUSE_NANOS;
+    }
+
+    /** Notices pauses and loneliness, and begins once the listed routers are connected. */
+    private void tick() {
+        long now = mNode.nanos().getAsLong();
+        if (now - mTickAt > PAUSE_NANOS) {
+            mNode.count("fence.paused");
+            mReadiness.fence("was paused");
+        }
+        mTickAt = now;
+        boolean platformSilent = now - mPlatformAt > ALONE_NANOS;
+        if (mHadPeers && platformSilent && now - mPeersAt > ALONE_NANOS && expectsPeers()) {
+            mNode.count("fence.alone");
+            mReadiness.fence("hears neither peers nor the platform");
+        }
+        begin(now);
+    }
+
+    /**
+     * Returns whether there should be other routers.
+     *
+     * @return whether the last list showed some
+     */
+    private boolean expectsPeers() {
+        return mMembership.live().size() > 1;
+    }
+
+    /**
+     * Asks for the first version once every listed router is connected, so that no change can pass
+     * this router by: who proposes one later knows of it.
+     *
+     * @param now the time
+     */
+    private void begin(long now) {
+        if (mBegun) {
+            return;
+        }
+        boolean listSeen = mMembership.listAgeNanos() < Long.MAX_VALUE;
+        boolean waitedLong = now - mStartedAt > START_NANOS;
+        if (waitedLong || listSeen && allConnected()) {
+            mBegun = true;
+            revalidateNow();
+        }
+    }
+
+    /**
+     * Returns whether every live router is connected.
+     *
+     * @return whether messages reach all
+     */
+    private boolean allConnected() {
+        return mMembership.live().stream()
+                .map(Member::incarnation)
+                .filter(incarnation -> !incarnation.equals(mNode.incarnation()))
+                .allMatch(mMesh::connected);
+    }
+
+    /** Sends a heartbeat to every router. */
+    private void beat() {
+        mMesh.connect();
+        mMembership.forget();
+        mMesh.broadcast(
+                new PeerMessage.Heartbeat(
+                        mNode.events().clock().next(),
+                        mKeeper.current().version(),
+                        mReadiness.isStopping(),
+                        mReadiness.fenced(),
+                        mPermits.map(StewardPermits::held).orElse(Map.of())));
+    }
+
+    /** Asks for the instance list. */
+    private void askList() {
+        mInstances
+                .list()
+                .whenComplete(
+                        (instances, failure) ->
+                                mNode.control()
+                                        .execute(
+                                                () -> {
+                                                    if (failure == null) {
+                                                        listed(instances);
+                                                    } else {
+                                                        mNode.count("platform.list-away");
+                                                    }
+                                                }));
+    }
+
+    /**
+     * Takes an instance list.
+     *
+     * @param instances the list
+     */
+    private void listed(List<InstanceList.Instance> instances) {
+        mPlatformAt = mNode.nanos().getAsLong();
+        mMembership.listed(instances);
+        mMesh.connect();
+        for (InstanceList.Instance instance : instances) {
+            if (!instance.router()) {
+                mLeaving.heard(new UpstreamId(instance.id()), instance.leaving());
+            }
+        }
+    }
+
+    /** Asks the table for the latest version. */
+    private void pull() {
+        mKeeper.pull()
+                .thenAccept(
+                        answered -> {
+                            if (answered) {
+                                mNode.control().execute(this::platformAnswered);
+                            }
+                        });
+    }
+
+    /** Takes note that a part of the platform answered. */
+    private void platformAnswered() {
+        mPlatformAt = mNode.nanos().getAsLong();
+    }
+
+    /** Asks for the latest version while this router may not have it. */
+    private void revalidate() {
+        if (mBegun && (mReadiness.fenced() || mReadiness.obstacle().isPresent())) {
+            revalidateNow();
+        }
+    }
+
+    /** Asks the table and, where that is away, the peers. */
+    private void revalidateNow() {
+        mKeeper.pull()
+                .thenAccept(
+                        answered ->
+                                mNode.control()
+                                        .execute(
+                                                () -> {
+                                                    if (answered) {
+                                                        platformAnswered();
+                                                        mKeeper.validated("table");
+                                                    } else {
+                                                        askPeers();
+                                                    }
+                                                }));
+    }
+
+    /** Asks every peer for its declarations. */
+    private void askPeers() {
+        mMesh.broadcast(new PeerMessage.Pull(mKeeper.current().version()));
+    }
+
+    /**
+     * Takes a message from another router.
+     *
+     * @param from who sent it
+     * @param message the message
+     */
+    public void heard(Member from, PeerMessage message) {
+        mHadPeers = true;
+        mPeersAt = mNode.nanos().getAsLong();
+        Incarnation sender = from.incarnation();
+        if (message instanceof PeerMessage.Heartbeat beat) {
+            heartbeat(from, beat);
+        } else if (message instanceof PeerMessage.PermitAsk ask) {
+            mPermits.ifPresent(permits -> permits.asked(sender, ask));
+        } else if (message instanceof PeerMessage.PermitGrant grant) {
+            mPermits.ifPresent(permits -> permits.granted(sender, grant));
+        } else if (message instanceof PeerMessage.PermitRecall recall) {
+            UpstreamId engine = new UpstreamId(recall.engine());
+            mPermits.ifPresent(permits -> permits.recalled(engine));
+        } else if (message instanceof PeerMessage.Prepare prepare) {
+            mMesh.send(sender, new PeerMessage.Prepared(prepare.change(), obstacle(prepare)));
+        } else if (message instanceof PeerMessage.Prepared prepared) {
+            mProposer.prepared(sender, prepared);
+        } else if (message instanceof PeerMessage.Activate activate) {
+            activate(sender, activate);
+        } else if (message instanceof PeerMessage.Activated activated) {
+            mProposer.activated(sender, activated);
+        } else if (message instanceof PeerMessage.Pull pull) {
+            answerPull(sender, pull);
+        }
+    }
+
+    /**
+     * Takes a heartbeat.
+     *
+     * @param from who sent it
+     * @param beat the heartbeat
+     */
+    private void heartbeat(Member from, PeerMessage.Heartbeat beat) {
+        mNode.events().clock().observe(beat.stamp());
+        Member now = new Member(from.incarnation(), from.hall(), from.peer(), beat.leaving());
+        mMembership.heard(now);
+        mVersions.put(from.incarnation(), beat.version());
+        mVersions.keySet().removeIf(mMembership::gone);
+        mPermits.ifPresent(permits -> permits.reported(from.incarnation(), beat.held()));
+        if (beat.version() > mKeeper.current().version()) {
+            mMesh.send(from.incarnation(), new PeerMessage.Pull(mKeeper.current().version()));
+        }
+    }
+
+    /**
+     * Says why a change could not be put in force here.
+     *
+     * @param prepare the change
+     * @return the reason, empty where it could
+     */
+    private String obstacle(PeerMessage.Prepare prepare) {
+        Declarations current = mKeeper.current();
+        if (mReadiness.fenced()) {
+            return "fenced";
+        }
+        if (prepare.next().version() <= current.version()
+                && !prepare.next().changeId().equals(current.changeId())) {
+            return "has version " + current.version() + " already";
+        }
+        return "";
+    }
+
+    /**
+     * Puts a committed change in force.
+     *
+     * @param from who says so
+     * @param activate the change
+     */
+    private void activate(Incarnation from, PeerMessage.Activate activate) {
+        mKeeper.adopt(activate.next(), "peer " + from.instance());
+        boolean answersPull = activate.change().isEmpty();
+        if (answersPull) {
+            mKeeper.validated("peer " + from.instance());
+        } else {
+            long version = mKeeper.current().version();
+            mMesh.send(from, new PeerMessage.Activated(activate.change(), version));
+        }
+    }
+
+    /**
+     * Answers a router that asks for the declarations in force, unless this one is unsure itself.
+     *
+     * @param to who asks
+     * @param pull what it has
+     */
+    private void answerPull(Incarnation to, PeerMessage.Pull pull) {
+        if (mReadiness.obstacle().isEmpty() || mKeeper.current().version() > pull.version()) {
+            mMesh.send(to, new PeerMessage.Activate("", mKeeper.current()));
+        }
+    }
+
+    /**
+     * Tells which version each router has in force, as far as is known.
+     *
+     * @return versions by router, this one included
+     */
+    public Map<Incarnation, Long> versions() {
+        Map<Incarnation, Long> versions = new HashMap<>(mVersions);
+        versions.put(mNode.incarnation(), mKeeper.current().version());
+        return versions;
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
@@ -0,0 +1,381 @@
+package org.troutpier.daemon.peer;
+
+import com.codahale.metrics.Counter;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.common.settings.Address;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.peer.Membership.Member;
+
+/**
+ * Connections to the other routers. Each router connects to every other it knows and sends on its
+ * own connections; it hears on those that others opened. Its methods are confined to the control
+ * thread. Invariant: no message is taken from a connection that has not proved the secret.
+ */
+public final class PeerMesh implements AutoCloseable {
+
+    /** The largest frame, bytes. */
+    private static final int MOST_FRAME = 8 * 1024 * 1024;
+
+    /** The largest frame before the secret is proved, bytes. */
+    private static final int MOST_OPENING_FRAME = 4096;
+
+    /** How many bytes give a frame's length. */
+    private static final int LENGTH_BYTES = 4;
+
+    /** How long a connection may take to open, milliseconds. */
+    private static final int CONNECT_MILLIS = 1000;
+
+    /** What every part of the router shares. */
+    private final Node mNode;
+
+    /** Who the others are. */
+    private final Membership mMembership;
+
+    /** Proves the secret. */
+    private final PeerSecret mSecret;
+
+    /** Hears messages on the control thread. */
+    private final Hearer mHearer;
+
+    /** The connections that this router opened and that are ready. */
+    private final Map<Incarnation, Channel> mReady = new HashMap<>();
+
+    /** Where connections are being opened, so that none is opened twice. */
+    private final Set<String> mOpening = new HashSet<>();
+
+    /** The listening socket. */
+    private final Channel mListener;
+
+    /** Counts messages sent. */
+    private final Counter mSent;
+
+    /** Counts messages heard. */
+    private final Counter mHeard;
+
+    /** Counts bytes sent and heard. */
+    private final Counter mBytes;
+
+    /** Hears messages, on the control thread. */
+    public interface Hearer {
+
+        /**
+         * Hears a message.
+         *
+         * @param from who sent it
+         * @param message the message
+         */
+        void heard(Member from, PeerMessage message);
+    }
+
+    /**
+     * Creates and starts a mesh.
+     *
+     * @param node what every part of the router shares
+     * @param address where others come in
+     * @param membership who the others are
+     * @param secret what routers prove to each other that they know
+     * @param hearer hears messages on the control thread
+     */
+    public PeerMesh(
+            Node node, Address address, Membership membership, String secret, Hearer hearer) {
+        mNode = node;
+        mMembership = membership;
+        mSecret = new PeerSecret(secret);
+        mHearer = hearer;
+        mSent = node.metrics().counter("peer.sent");
+        mHeard = node.metrics().counter("peer.heard");
+        mBytes = node.metrics().counter("peer.bytes");
+        mListener =
+                new ServerBootstrap()
+                        .group(node.loops())
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    /** {@inheritDoc} */
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        frames(channel);
+                                        channel.pipeline().addLast(new Incoming());
+                                    }
+                                })
+                        .bind(address.socket())
+                        .syncUninterruptibly()
+                        .channel();
+    }
+
+    /**
+     * Sets up a connection's framing.
+     *
+     * @param channel the connection
+     */
+    private void frames(Channel channel) {
+        channel.pipeline()
+                .addLast(
+                        "frames",
+                        new LengthFieldBasedFrameDecoder(
+                                MOST_OPENING_FRAME, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                .addLast(new ByteCounter(mBytes))
+                .addLast(new PeerCodec());
+    }
+
+    /**
+     * Lets a connection that has proved the secret send larger frames.
+     *
+     * @param channel the connection
+     */
+    private static void trust(Channel channel) {
+        channel.pipeline()
+                .replace(
+                        "frames",
+                        "trusted-frames",
+                        new LengthFieldBasedFrameDecoder(
+                                MOST_FRAME, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+    }
+
+    /** Connects to every router that is known and not connected. */
+    public void connect() {
+        for (Member member : mMembership.live()) {
+            boolean self = member.incarnation().equals(mMembership.self().incarnation());
+            if (!self && !mReady.containsKey(member.incarnation()) && mOpening.add(member.peer())) {
+                open(member);
+            }
+        }
+    }
+
+    /**
+     * Opens a connection.
+     *
+     * @param member the router to connect to
+     */
+    private void open(Member member) {
+        Address address = Address.parse(member.peer());
+        new Bootstrap()
+                .group(mNode.loops())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .handler(
+                        new ChannelInitializer<SocketChannel>() {
+                            /** {@inheritDoc} */
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                frames(channel);
+                                channel.pipeline().addLast(new Outgoing(member));
+                            }
+                        })
+                .connect(new InetSocketAddress(address.host(), address.port()))
+                .addListener(
+                        connected -> {
+                            if (!connected.isSuccess()) {
+                                mNode.control().execute(() -> mOpening.remove(member.peer()));
+                            }
+                        });
+    }
+
+    /**
+     * Sends a message.
+     *
+     * @param to the router
+     * @param message the message
+     * @return whether there is a connection to it
+     */
+    public boolean send(Incarnation to, PeerMessage message) {
+        Channel channel = mReady.get(to);
+        if (channel == null || !channel.isActive()) {
+            return false;
+        }
+        mSent.inc();
+        channel.writeAndFlush(message, channel.voidPromise());
+        return true;
+    }
+
+    /**
+     * Sends a message to every router that is connected.
+     *
+     * @param message the message
+     */
+    public void broadcast(PeerMessage message) {
+        mReady.keySet().forEach(to -> send(to, message));
+    }
+
+    /**
+     * Returns whether there is a connection to a router.
+     *
+     * @param to the router
+     * @return whether messages can be sent
+     */
+    public boolean connected(Incarnation to) {
+        return mReady.containsKey(to);
+    }
+
+    /** A connection that this router opened. Confined to the connection's event loop. */
+    private final class Outgoing extends SimpleChannelInboundHandler<PeerMessage> {
+
+        /** Who is on the other side. */
+        private final Member mMember;
+
+        /** The number that the other side must prove the secret over. */
+        private final String mNonce = mSecret.nonce();
+
+        /**
+         * Creates a handler.
+         *
+         * @param member who is on the other side
+         */
+        Outgoing(Member member) {
+            mMember = member;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            Member self = mMembership.self();
+            context.writeAndFlush(
+                    new PeerMessage.Hello(
+                            self.incarnation().value(), self.hall().value(), self.peer(), mNonce));
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, PeerMessage message) {
+            boolean right =
+                    message instanceof PeerMessage.Challenge challenge
+                            && mSecret.proves(
+                                    challenge.proof(), "answer", mNonce, challenge.nonce());
+            if (!right) {
+                mNode.count("peer.refused");
+                context.close();
+                return;
+            }
+            String nonce = ((PeerMessage.Challenge) message).nonce();
+            String self = mMembership.self().incarnation().value();
+            context.writeAndFlush(
+                    new PeerMessage.Proof(mSecret.prove("caller", nonce, mNonce, self)));
+            mNode.control()
+                    .execute(
+                            () -> {
+                                mReady.put(mMember.incarnation(), context.channel());
+                            });
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            mNode.control()
+                    .execute(
+                            () -> {
+                                mOpening.remove(mMember.peer());
+                                mReady.remove(mMember.incarnation(), context.channel());
+                            });
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    /** A connection that another router opened. Confined to the connection's event loop. */
+    private final class Incoming extends SimpleChannelInboundHandler<PeerMessage> {
+
+        /** Who says to be on the other side, or null. */
+        private PeerMessage.Hello mHello;
+
+        /** The number that the other side must prove the secret over. */
+        private final String mNonce = mSecret.nonce();
+
+        /** Who is on the other side, once proved. */
+        private Member mMember;
+
+        /** {@inheritDoc} */
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, PeerMessage message) {
+            if (mMember != null) {
+                take(message);
+            } else if (message instanceof PeerMessage.Hello hello && mHello == null) {
+                mHello = hello;
+                String proof = mSecret.prove("answer", hello.nonce(), mNonce);
+                context.writeAndFlush(new PeerMessage.Challenge(mNonce, proof));
+            } else if (message instanceof PeerMessage.Proof proof && proved(proof)) {
+                mMember =
+                        new Member(
+                                new Incarnation(mHello.incarnation()),
+                                new HallId(mHello.hall()),
+                                mHello.peer(),
+                                false);
+                trust(context.channel());
+                Member member = mMember;
+                mNode.control()
+                        .execute(
+                                () -> {
+                                    mMembership.heard(member);
+                                    connect();
+                                });
+            } else {
+                mNode.count("peer.refused");
+                context.close();
+            }
+        }
+
+        /**
+         * Returns whether the other side knows the secret.
+         *
+         * @param proof what it says
+         * @return whether it does
+         */
+        private boolean proved(PeerMessage.Proof proof) {
+            return mHello != null
+                    && mSecret.proves(
+                            proof.proof(), "caller", mNonce, mHello.nonce(), mHello.incarnation());
+        }
+
+        /**
+         * Takes a message.
+         *
+         * @param message the message
+         */
+        private void take(PeerMessage message) {
+            mHeard.inc();
+            Member member = mMember;
+            mNode.control().execute(() -> mHearer.heard(member, message));
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (mMember == null) {
+                mNode.count("peer.refused");
+            }
+            context.close();
+        }
+    }
+
+    /** Closes the listener and all connections. */
+    @Override
+    public void close() {
+        mListener.close().syncUninterruptibly();
+        mReady.values().forEach(Channel::close);
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
@@ -0,0 +1,128 @@
+package org.troutpier.daemon.peer;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.Map;
+import org.troutpier.common.declaration.Declarations;
+
+/** What routers say to each other. All messages are immutable and thread safe. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = PeerMessage.Hello.class, name = "hello"),
+    @JsonSubTypes.Type(value = PeerMessage.Challenge.class, name = "challenge"),
+    @JsonSubTypes.Type(value = PeerMessage.Proof.class, name = "proof"),
+    @JsonSubTypes.Type(value = PeerMessage.Heartbeat.class, name = "beat"),
+    @JsonSubTypes.Type(value = PeerMessage.PermitAsk.class, name = "ask"),
+    @JsonSubTypes.Type(value = PeerMessage.PermitGrant.class, name = "grant"),
+    @JsonSubTypes.Type(value = PeerMessage.PermitRecall.class, name = "recall"),
+    @JsonSubTypes.Type(value = PeerMessage.Prepare.class, name = "prepare"),
+    @JsonSubTypes.Type(value = PeerMessage.Prepared.class, name = "prepared"),
+    @JsonSubTypes.Type(value = PeerMessage.Activate.class, name = "activate"),
+    @JsonSubTypes.Type(value = PeerMessage.Activated.class, name = "activated"),
+    @JsonSubTypes.Type(value = PeerMessage.Pull.class, name = "pull")
+})
+public sealed interface PeerMessage {
+
+    /**
+     * Opens a connection.
+     *
+     * @param incarnation who connects
+     * @param hall its hall
+     * @param peer where it is reached
+     * @param nonce a number that the answer must prove the secret over
+     */
+    record Hello(String incarnation, String hall, String peer, String nonce)
+            implements PeerMessage {}
+
+    /**
+     * Answers a hello.
+     *
+     * @param nonce a number that the caller must prove the secret over
+     * @param proof proves the secret over both numbers
+     */
+    record Challenge(String nonce, String proof) implements PeerMessage {}
+
+    /**
+     * Ends the opening.
+     *
+     * @param proof proves the secret over both numbers and the name
+     */
+    record Proof(String proof) implements PeerMessage {}
+
+    /**
+     * Says that a router lives.
+     *
+     * @param stamp its hybrid clock
+     * @param version the version in force there
+     * @param leaving whether it takes no new work
+     * @param fenced whether it waits for revalidation
+     * @param held how many permits of each engine it holds, used and free
+     */
+    record Heartbeat(
+            long stamp, long version, boolean leaving, boolean fenced, Map<String, Integer> held)
+            implements PeerMessage {}
+
+    /**
+     * Asks an engine's steward for permits, or gives some back.
+     *
+     * @param engine the engine
+     * @param held how many it holds, used and free
+     * @param received how many this steward has given it in all, as far as it knows
+     * @param wanted how many more it wants
+     */
+    record PermitAsk(String engine, int held, long received, int wanted) implements PeerMessage {}
+
+    /**
+     * Gives permits.
+     *
+     * @param engine the engine
+     * @param count how many
+     */
+    record PermitGrant(String engine, int count) implements PeerMessage {}
+
+    /**
+     * Asks for idle permits back.
+     *
+     * @param engine the engine
+     */
+    record PermitRecall(String engine) implements PeerMessage {}
+
+    /**
+     * Asks whether a change could be put in force.
+     *
+     * @param change the change
+     * @param next the declarations that it would make
+     */
+    record Prepare(String change, Declarations next) implements PeerMessage {}
+
+    /**
+     * Answers a prepare.
+     *
+     * @param change the change
+     * @param obstacle why it could not be put in force; empty where it could
+     */
+    record Prepared(String change, String obstacle) implements PeerMessage {}
+
+    /**
+     * Says that a change is committed.
+     *
+     * @param change the change
+     * @param next the declarations that it makes
+     */
+    record Activate(String change, Declarations next) implements PeerMessage {}
+
+    /**
+     * Says that a change is in force.
+     *
+     * @param change the change
+     * @param version the version in force
+     */
+    record Activated(String change, long version) implements PeerMessage {}
+
+    /**
+     * Asks for the declarations in force, to be sent as {@link Activate}.
+     *
+     * @param version the version in force at the asking router
+     */
+    record Pull(long version) implements PeerMessage {}
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The other routers: connections, messages and membership. */
+package org.troutpier.daemon.peer;
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/placement/UpstreamState.java
@@ -0,0 +1,310 @@
+package org.troutpier.daemon.placement;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.troutpier.common.declaration.UpstreamDeclaration;
+
+/**
+ * What this router knows of one upstream. Confined to the control thread. Invariant: the count of
+ * this router's own requests there never falls below zero.
+ */
+public final class UpstreamState {
+
+    /** How many prefix blocks are remembered. */
+    private static final int MOST_BLOCKS = 20_000;
+
+    /** How long an upstream that failed is passed over, nanoseconds. */
+    private static final long COOL_NANOS = 1_000_000_000L;
+
+    /** How much a new measurement moves an average. */
+    private static final double WEIGHT = 0.1;
+
+    /** What is declared of it. */
+    private UpstreamDeclaration mDeclared;
+
+    /** Whether it said or was said to be leaving. */
+    private boolean mLeaving;
+
+    /** Until when it is passed over after a failure. */
+    private long mCoolUntil;
+
+    /** Whether it has ever been passed over, so that the time above counts. */
+    private boolean mCooled;
+
+    /** How many of this router's requests are there. */
+    private int mMine;
+
+    /** How many of this router's tokens wait or run there, for a prefill engine. */
+    private long mMyTokens;
+
+    /** How many requests it published to have. */
+    private int mPublishedRunning;
+
+    /** How many tokens it published to have waiting. */
+    private long mPublishedTokens;
+
+    /** How many of this router's requests were there when it published. */
+    private int mMineAtPublished;
+
+    /** How many of this router's tokens were there when it published. */
+    private long mMyTokensAtPublished;
+
+    /** Nanoseconds per uncached token, as measured. */
+    private double mNanosPerToken;
+
+    /** Nanoseconds from the decode request to its first token, as measured. */
+    private double mFirstStepNanos;
+
+    /** How long a decode holds its slot, as measured, nanoseconds. */
+    private double mHoldNanos;
+
+    /** The prefix blocks that it is said to have cached, oldest first. */
+    private final Set<Long> mBlocks = new LinkedHashSet<>();
+
+    /** The number of the last cache event seen. */
+    private long mLastEvent;
+
+    /**
+     * Creates the state of an upstream of which nothing is known but its declaration.
+     *
+     * @param declared what is declared of it
+     */
+    public UpstreamState(UpstreamDeclaration declared) {
+        mDeclared = declared;
+        final double nanosPerSecond = 1e9;
+        final double firstGuessNanos = 50e6;
+        mNanosPerToken = nanosPerSecond / declared.prefillTokensPerSecond();
+        mFirstStepNanos = firstGuessNanos;
+        mHoldNanos = nanosPerSecond;
+    }
+
+    /**
+     * Returns what is declared of it.
+     *
+     * @return the declaration
+     */
+    public UpstreamDeclaration declared() {
+        return mDeclared;
+    }
+
+    /**
+     * Takes a new declaration.
+     *
+     * @param declared what is declared now
+     */
+    public void declare(UpstreamDeclaration declared) {
+        mDeclared = declared;
+    }
+
+    /**
+     * Returns whether new work may be sent there.
+     *
+     * @param now the time
+     * @return whether it is in service, not leaving, and did not fail a moment ago
+     */
+    public boolean usable(long now) {
+        boolean cooling = mCooled && now - mCoolUntil < 0;
+        return !mDeclared.draining() && !mLeaving && !cooling;
+    }
+
+    /**
+     * Takes note of a failure to reach it.
+     *
+     * @param now the time
+     */
+    public void failed(long now) {
+        mCooled = true;
+        mCoolUntil = now + COOL_NANOS;
+    }
+
+    /**
+     * Takes note of whether it is leaving.
+     *
+     * @param leaving whether it is
+     */
+    public void leaving(boolean leaving) {
+        mLeaving = leaving;
+    }
+
+    /**
+     * Returns whether it is leaving.
+     *
+     * @return whether it is
+     */
+    public boolean isLeaving() {
+        return mLeaving;
+    }
+
+    /**
+     * Takes note of a published load.
+     *
+     * @param running how many requests it has
+     * @param waitingTokens how many tokens it has waiting
+     */
+    public void published(int running, long waitingTokens) {
+        mPublishedRunning = running;
+        mPublishedTokens = waitingTokens;
+        mMineAtPublished = mMine;
+        mMyTokensAtPublished = mMyTokens;
+    }
+
+    /**
+     * Takes note that a request of this router goes there.
+     *
+     * @param tokens how many uncached tokens it brings, 0 where that does not matter
+     */
+    public void entered(long tokens) {
+        mMine++;
+        mMyTokens += tokens;
+    }
+
+    /**
+     * Takes note that a request of this router has left.
+     *
+     * @param tokens as when it entered
+     */
+    public void left(long tokens) {
+        mMine--;
+        mMyTokens -= tokens;
+        org.troutpier.daemon.node.Invariants.check(mMine >= 0, "upstream-count", mDeclared.id());
+    }
+
+    /**
+     * Returns how many of this router's requests are there.
+     *
+     * @return the count
+     */
+    public int mine() {
+        return mMine;
+    }
+
+    /**
+     * Guesses how many requests are there now: the published number, corrected by what this router
+     * has sent and got back since.
+     *
+     * @return the guess
+     */
+    public int guessedRunning() {
+        return Math.max(mMine, mPublishedRunning + mMine - mMineAtPublished);
+    }
+
+    /**
+     * Returns the published number of requests.
+     *
+     * @return the number, late
+     */
+    public int publishedRunning() {
+        return mPublishedRunning;
+    }
+
+    /**
+     * Guesses how many tokens wait there now.
+     *
+     * @return the guess
+     */
+    public long guessedTokens() {
+        return Math.max(mMyTokens, mPublishedTokens + mMyTokens - mMyTokensAtPublished);
+    }
+
+    /**
+     * Predicts how long a prefill takes there.
+     *
+     * @param uncachedTokens how many tokens must be computed
+     * @return nanoseconds, with the wait for those before it
+     */
+    public double prefillNanos(long uncachedTokens) {
+        return (guessedTokens() + uncachedTokens) * mNanosPerToken;
+    }
+
+    /**
+     * Learns from a prefill.
+     *
+     * @param tokens how many tokens were computed or waited for
+     * @param nanos how long that took
+     */
+    public void prefilled(long tokens, long nanos) {
+        double measured = (double) nanos / Math.max(1, tokens);
+        mNanosPerToken += WEIGHT * (measured - mNanosPerToken);
+    }
+
+    /**
+     * Predicts the time from a decode request to its first token, transfer included.
+     *
+     * @return nanoseconds
+     */
+    public double firstStepNanos() {
+        return mFirstStepNanos;
+    }
+
+    /**
+     * Learns from a decode's first token.
+     *
+     * @param nanos how long it took
+     */
+    public void firstStep(long nanos) {
+        mFirstStepNanos += WEIGHT * (nanos - mFirstStepNanos);
+    }
+
+    /**
+     * Predicts how long a decode holds its slot.
+     *
+     * @return nanoseconds
+     */
+    public double holdNanos() {
+        return mHoldNanos;
+    }
+
+    /**
+     * Learns from a decode that has ended.
+     *
+     * @param nanos how long it held its slot
+     */
+    public void held(long nanos) {
+        mHoldNanos += WEIGHT * (nanos - mHoldNanos);
+    }
+
+    /**
+     * Counts the leading blocks that are said to be cached.
+     *
+     * @param blocks a prompt's blocks, in order
+     * @return how many of the first ones are there
+     */
+    public int cachedBlocks(List<Long> blocks) {
+        int cached = 0;
+        while (cached < blocks.size() && mBlocks.contains(blocks.get(cached))) {
+            cached++;
+        }
+        return cached;
+    }
+
+    /**
+     * Takes note of a cached block.
+     *
+     * @param block the block's name
+     */
+    public void cached(long block) {
+        mBlocks.add(block);
+        if (mBlocks.size() > MOST_BLOCKS) {
+            mBlocks.remove(mBlocks.iterator().next());
+        }
+    }
+
+    /**
+     * Returns the number of the last cache event seen.
+     *
+     * @return the number
+     */
+    public long lastEvent() {
+        return mLastEvent;
+    }
+
+    /**
+     * Takes note of the last cache event seen.
+     *
+     * @param number its number
+     */
+    public void lastEvent(long number) {
+        mLastEvent = number;
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/package-info.java
@@ -0,0 +1,2 @@
+/** The life of a request, from arrival to its one answer. */
+package org.troutpier.daemon.request;
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/table/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's table service, where hard facts are kept. */
+package org.troutpier.daemon.table;
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/Engines.java
@@ -0,0 +1,257 @@
+package org.troutpier.daemon.upstream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.troutpier.common.declaration.UpstreamDeclaration;
+import org.troutpier.common.http.HttpReply;
+import org.troutpier.common.id.Incarnation;
+
+/**
+ * What the router asks of model engines. Implementations are thread safe and answer on an event
+ * loop of their own choosing.
+ */
+public interface Engines {
+
+    /**
+     * Asks for a prefill.
+     *
+     * @param engine the engine
+     * @param order what to prefill
+     * @param timeoutMillis when to give up
+     * @param listener hears what came of it
+     * @return the way to abort
+     */
+    Abort prefill(
+            UpstreamDeclaration engine,
+            PrefillOrder order,
+            int timeoutMillis,
+            PrefillListener listener);
+
+    /**
+     * Asks for a decode.
+     *
+     * @param engine the engine
+     * @param order what to decode
+     * @param timeoutMillis when to give up
+     * @param listener hears the stream
+     * @return the way to abort
+     */
+    Abort decode(
+            UpstreamDeclaration engine,
+            DecodeOrder order,
+            int timeoutMillis,
+            DecodeListener listener);
+
+    /**
+     * Cancels a request.
+     *
+     * @param engine the engine
+     * @param attempt the attempt to cancel
+     * @return whether the engine confirmed; fails where it was not reached
+     */
+    CompletableFuture<Boolean> cancel(UpstreamDeclaration engine, String attempt);
+
+    /**
+     * Asks what an engine holds.
+     *
+     * @param engine the engine
+     * @return the attempts and their owners
+     */
+    CompletableFuture<List<Held>> holding(UpstreamDeclaration engine);
+
+    /**
+     * Asks for the load that an engine publishes.
+     *
+     * @param engine the engine
+     * @return the load, late
+     */
+    CompletableFuture<Load> load(UpstreamDeclaration engine);
+
+    /**
+     * Asks for cache events.
+     *
+     * @param engine the engine
+     * @param since the number of the last event seen
+     * @return the events, late and with gaps
+     */
+    CompletableFuture<List<CacheEvent>> cacheEvents(UpstreamDeclaration engine, long since);
+
+    /** Ends an exchange; may be called from any thread, more than once. */
+    interface Abort {
+        /** Ends it. */
+        void abort();
+    }
+
+    /**
+     * What to prefill. Immutable and thread safe.
+     *
+     * @param attempt names this attempt
+     * @param owner the router that asks
+     * @param partner the partner whose request it is
+     * @param call the caller's own mark, empty for none
+     * @param prompt the prompt
+     * @param resumeText what was generated before, empty for a new answer
+     * @param resumeTokens how many tokens that is
+     */
+    record PrefillOrder(
+            String attempt,
+            Incarnation owner,
+            String partner,
+            String call,
+            String prompt,
+            String resumeText,
+            int resumeTokens) {
+
+        /**
+         * Returns the order as the engine reads it.
+         *
+         * @return the body
+         */
+        Map<String, Object> body() {
+            Map<String, Object> body = new LinkedHashMap<>();
+            body.put("request_id", attempt);
+            body.put("owner", owner.value());
+            body.put("partner", partner);
+            body.put("call", call);
+            body.put("prompt", prompt);
+            body.put("resume_text", resumeText);
+            body.put("resume_tokens", resumeTokens);
+            return body;
+        }
+    }
+
+    /**
+     * What to decode. Immutable and thread safe.
+     *
+     * @param attempt names this attempt
+     * @param owner the router that asks
+     * @param call the caller's own mark, empty for none
+     * @param source where the prefill's result is fetched, IP number and port
+     * @param handle the prefill's result
+     * @param maxTokens how many tokens at most
+     */
+    record DecodeOrder(
+            String attempt,
+            Incarnation owner,
+            String call,
+            String source,
+            String handle,
+            int maxTokens) {
+
+        /**
+         * Returns the order as the engine reads it.
+         *
+         * @return the body
+         */
+        Map<String, Object> body() {
+            Map<String, Object> body = new LinkedHashMap<>();
+            body.put("request_id", attempt);
+            body.put("owner", owner.value());
+            body.put("call", call);
+            body.put("kv_source", source);
+            body.put("kv_handle", handle);
+            body.put("max_tokens", maxTokens);
+            return body;
+        }
+    }
+
+    /** Hears what came of a prefill: one of the two, once. */
+    interface PrefillListener {
+
+        /**
+         * Hears that the result is there.
+         *
+         * @param handle names the result
+         * @param lifeMillis how long it survives
+         */
+        void onResult(String handle, int lifeMillis);
+
+        /**
+         * Hears that there is none.
+         *
+         * @param end how it ended
+         */
+        void onPrefillEnd(AttemptEnd end);
+    }
+
+    /** Hears a decode stream: events, then one of the two ends, once. */
+    interface DecodeListener {
+
+        /**
+         * Hears a token.
+         *
+         * @param event the token
+         */
+        void onToken(TokenEvent event);
+
+        /** Hears that the answer is whole. */
+        void onWhole();
+
+        /**
+         * Hears that it will not be whole.
+         *
+         * @param end how it ended
+         */
+        void onDecodeEnd(AttemptEnd end);
+    }
+
+    /**
+     * One attempt that an engine holds. Immutable and thread safe.
+     *
+     * @param attempt the attempt
+     * @param owner the router that asked
+     */
+    record Held(String attempt, String owner) {}
+
+    /**
+     * A published load. Immutable and thread safe.
+     *
+     * @param running how many requests are held
+     * @param waitingTokens how many tokens wait, for a prefill engine
+     * @param leaving whether the engine is leaving
+     */
+    record Load(int running, long waitingTokens, boolean leaving) {
+
+        /**
+         * Reads a load.
+         *
+         * @param reply the engine's answer
+         * @return the load
+         */
+        static Load of(HttpReply reply) {
+            JsonNode node = reply.as(JsonNode.class);
+            return new Load(
+                    node.path("running").asInt(),
+                    node.path("waiting_tokens").asLong(),
+                    node.path("leaving").asBoolean());
+        }
+    }
+
+    /**
+     * A block that was cached. Immutable and thread safe.
+     *
+     * @param number the event's number
+     * @param block the block's name
+     */
+    record CacheEvent(long number, long block) {
+
+        /**
+         * Reads cache events.
+         *
+         * @param reply the engine's answer
+         * @return the events
+         */
+        static List<CacheEvent> all(HttpReply reply) {
+            List<CacheEvent> events = new ArrayList<>();
+            for (JsonNode node : reply.as(JsonNode.class)) {
+                events.add(
+                        new CacheEvent(node.path("number").asLong(), node.path("block").asLong()));
+            }
+            return events;
+        }
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/LoadWatcher.java
@@ -0,0 +1,104 @@
+package org.troutpier.daemon.upstream;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.troutpier.common.declaration.Role;
+import org.troutpier.common.declaration.UpstreamDeclaration;
+import org.troutpier.common.id.UpstreamId;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.placement.UpstreamBook;
+import org.troutpier.daemon.placement.UpstreamState;
+
+/**
+ * Asks the engines for the load and the cache events that they publish. Confined to the control
+ * thread. An engine that does not answer is passed over for a while.
+ */
+public final class LoadWatcher {
+
+    /** How often engines are asked, milliseconds. */
+    private static final long ASK_MILLIS = 250;
+
+    /** What every part of the router shares. */
+    private final Node mNode;
+
+    /** All upstreams. */
+    private final UpstreamBook mBook;
+
+    /** The engines. */
+    private final Engines mEngines;
+
+    /**
+     * Creates and starts a watcher.
+     *
+     * @param node what every part of the router shares
+     * @param book all upstreams
+     * @param engines the engines
+     */
+    public LoadWatcher(Node node, UpstreamBook book, Engines engines) {
+        mNode = node;
+        mBook = book;
+        mEngines = engines;
+        node.control().every(this::ask, ASK_MILLIS);
+    }
+
+    /** Asks every engine once. */
+    private void ask() {
+        for (UpstreamState state : new ArrayList<>(mBook.all())) {
+            UpstreamDeclaration declared = state.declared();
+            if (declared.role() == Role.SERVICE) {
+                continue;
+            }
+            mEngines.load(declared)
+                    .whenComplete(
+                            (load, failure) ->
+                                    mNode.control().execute(() -> heard(declared.id(), load)));
+            if (declared.role() == Role.PREFILL) {
+                mEngines.cacheEvents(declared, state.lastEvent())
+                        .thenAccept(
+                                events ->
+                                        mNode.control()
+                                                .execute(() -> cached(declared.id(), events)));
+            }
+        }
+    }
+
+    /**
+     * Takes a load or a silence.
+     *
+     * @param id the engine
+     * @param load its load, or null where it did not answer
+     */
+    private void heard(UpstreamId id, Engines.Load load) {
+        UpstreamState state = mBook.get(id);
+        if (state == null) {
+            return;
+        }
+        if (load == null) {
+            state.failed(mNode.nanos().getAsLong());
+            mNode.count("upstream.silent");
+            return;
+        }
+        state.published(load.running(), load.waitingTokens());
+        if (state.isLeaving() != load.leaving()) {
+            mNode.events().record("upstream-leaving", id.value(), "" + load.leaving());
+        }
+        state.leaving(load.leaving());
+    }
+
+    /**
+     * Takes cache events.
+     *
+     * @param id the engine
+     * @param events its events
+     */
+    private void cached(UpstreamId id, List<Engines.CacheEvent> events) {
+        UpstreamState state = mBook.get(id);
+        if (state == null) {
+            return;
+        }
+        for (Engines.CacheEvent event : events) {
+            state.cached(event.block());
+            state.lastEvent(Math.max(state.lastEvent(), event.number()));
+        }
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/OrphanSweeper.java
@@ -0,0 +1,112 @@
+package org.troutpier.daemon.upstream;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.troutpier.common.declaration.Role;
+import org.troutpier.common.declaration.UpstreamDeclaration;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.peer.Membership;
+import org.troutpier.daemon.peer.Stewards;
+import org.troutpier.daemon.placement.UpstreamBook;
+import org.troutpier.daemon.placement.UpstreamState;
+import org.troutpier.daemon.request.LifeRegistry;
+
+/**
+ * Cancels what engines hold for routers that are gone, and for requests that this router no longer
+ * carries. Confined to the control thread. Each engine is swept by its steward; two that both think
+ * they are it do no harm.
+ */
+public final class OrphanSweeper {
+
+    /** How often engines are swept, milliseconds. */
+    private static final long SWEEP_MILLIS = 1000;
+
+    /** What every part of the router shares. */
+    private final Node mNode;
+
+    /** All upstreams. */
+    private final UpstreamBook mBook;
+
+    /** The engines. */
+    private final Engines mEngines;
+
+    /** Who is gone. */
+    private final Membership mMembership;
+
+    /** Cancels attempts. */
+    private final CancelKeeper mCancels;
+
+    /** The requests that this router carries. */
+    private final LifeRegistry mRegistry;
+
+    /**
+     * Creates and starts a sweeper.
+     *
+     * @param node what every part of the router shares
+     * @param book all upstreams
+     * @param engines the engines
+     * @param membership who is gone
+     * @param cancels cancels attempts
+     * @param registry the requests that this router carries
+     */
+    public OrphanSweeper(
+            Node node,
+            UpstreamBook book,
+            Engines engines,
+            Membership membership,
+            CancelKeeper cancels,
+            LifeRegistry registry) {
+        mNode = node;
+        mBook = book;
+        mEngines = engines;
+        mMembership = membership;
+        mCancels = cancels;
+        mRegistry = registry;
+        node.control().every(this::sweep, SWEEP_MILLIS);
+    }
+
+    /** Sweeps the engines that this router looks after. */
+    private void sweep() {
+        List<Membership.Member> members = mMembership.live();
+        for (UpstreamState state : new ArrayList<>(mBook.all())) {
+            UpstreamDeclaration declared = state.declared();
+            boolean mine =
+                    Stewards.of("sweep " + declared.id(), members).equals(mNode.incarnation());
+            if (declared.role() != Role.SERVICE && mine) {
+                mEngines.holding(declared)
+                        .thenAccept(held -> mNode.control().execute(() -> examine(declared, held)));
+            }
+        }
+    }
+
+    /**
+     * Cancels the orphans among what an engine holds.
+     *
+     * @param engine the engine
+     * @param held what it holds
+     */
+    private void examine(UpstreamDeclaration engine, List<Engines.Held> held) {
+        for (Engines.Held one : held) {
+            if (orphan(one) && !mCancels.cancelling(engine.id(), one.attempt())) {
+                mNode.count("orphans.cancelled");
+                mNode.events().record("orphan", one.attempt(), engine.id() + " " + one.owner());
+                mCancels.cancel(engine, one.attempt());
+            }
+        }
+    }
+
+    /**
+     * Returns whether nobody waits for an attempt any more.
+     *
+     * @param held the attempt
+     * @return whether its router is gone, or is this one and no longer carries the request
+     */
+    private boolean orphan(Engines.Held held) {
+        if (held.owner().equals(mNode.incarnation().value())) {
+            return !mRegistry.carries(held.attempt());
+        }
+        boolean router = held.owner().indexOf('~') > 0;
+        return router && mMembership.gone(new Incarnation(held.owner()));
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** The upstreams: engines and plain services, what they hold and how they fare. */
+package org.troutpier.daemon.upstream;
--- /dev/null
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the outside systems, and the load tool, behind one command line. */
+package org.troutpier.standins;
--- /dev/null
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/service/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for plain services: status, orders and transcripts. */
+package org.troutpier.standins.service;
