--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -27,8 +27,9 @@
     local name=$1
     shift
     mkdir -p "$RUN_DIR"
-    "$@" >"$RUN_DIR/$name.log" 2>&1 &
+    "$@" >>"$RUN_DIR/$name.log" 2>&1 &
     PIDS+=($!)
+    disown $! 2>/dev/null || true
     echo $! >"$RUN_DIR/$name.pid"
 }
 
--- a/troutpier-cli/src/main/java/org/troutpier/cli/RouterClient.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/RouterClient.java
@@ -119,7 +119,9 @@
         String again = error.path("retry_after_seconds").asText("");
         throw new CliException(
                 ExitCode.of(error.path("family").asText()),
-                error.path("detail").asText()
+                error.path("code").asText()
+                        + " "
+                        + error.path("detail").asText()
                         + (again.isEmpty() ? "" : " (come back in " + again + " s)"));
     }
 
--- a/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
@@ -71,7 +71,7 @@
         try {
             mHandler.handle(mExchange);
         } catch (TroutpierException exception) {
-            mExchange.answer(Answers.refusal(exception.code(), exception.getMessage()));
+            mExchange.answer(Answers.refusal(exception.code(), exception.detail()));
         } catch (RuntimeException exception) {
             LOGGER.error("handler failed", exception);
             mExchange.answer(Answers.refusal(ResultCode.INTERNAL, "see the router's log"));
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HeadScreen.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HeadScreen.java
@@ -54,7 +54,7 @@
                 ReferenceCountUtil.release(message);
                 TroutpierException why = refusal.get();
                 Refusing.refuseAndClose(
-                        context.channel(), Answers.refusal(why.code(), why.getMessage()));
+                        context.channel(), Answers.refusal(why.code(), why.detail()));
                 return;
             }
         }
--- a/troutpier-common/src/main/java/org/troutpier/common/result/TroutpierException.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/result/TroutpierException.java
@@ -12,6 +12,9 @@
     /** Which way the work ended. */
     private final ResultCode mCode;
 
+    /** What exactly was wrong. */
+    private final String mDetail;
+
     /**
      * Creates an exception.
      *
@@ -21,6 +24,7 @@
     public TroutpierException(ResultCode code, String detail) {
         super(code.label() + " " + detail);
         mCode = code;
+        mDetail = detail;
     }
 
     /**
@@ -33,6 +37,7 @@
     public TroutpierException(ResultCode code, String detail, Throwable cause) {
         super(code.label() + " " + detail, cause);
         mCode = code;
+        mDetail = detail;
     }
 
     /**
@@ -43,4 +48,13 @@
     public ResultCode code() {
         return mCode;
     }
+
+    /**
+     * Returns the detail without the code.
+     *
+     * @return what exactly was wrong
+     */
+    public String detail() {
+        return mDetail;
+    }
 }
--- a/troutpier-common/src/main/java/org/troutpier/common/settings/CheckedYaml.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/settings/CheckedYaml.java
@@ -5,12 +5,19 @@
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import java.io.IOException;
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.lang.reflect.Type;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.common.result.TroutpierException;
@@ -63,6 +70,7 @@
      */
     public static <T> T parse(String name, String text, Class<T> type) {
         try {
+            requireKnownFields(name, text, type);
             T value = MAPPER.readValue(text, type);
             if (value == null) {
                 throw fault(name, 1, "", "the file is empty");
@@ -75,6 +83,63 @@
         }
     }
 
+    /**
+     * Checks that every field is known, so that a misspelt one is named rather than the one that is
+     * missing for it.
+     *
+     * @param name the text's name
+     * @param text the YAML
+     * @param type the record to make
+     * @throws JsonProcessingException when the text is no YAML
+     */
+    private static void requireKnownFields(String name, String text, Class<?> type)
+            throws JsonProcessingException {
+        Optional<String> unknown = unknownField(MAPPER.readTree(text), type, "");
+        if (unknown.isPresent()) {
+            int line = Math.max(1, lineOf(text, "/" + unknown.get()));
+            throw fault(name, line, unknown.get(), "is not a known field");
+        }
+    }
+
+    /**
+     * Finds a field that the type does not have.
+     *
+     * @param node the tree
+     * @param type the type that it is to become
+     * @param path where the tree stands
+     * @return the path of the first unknown field
+     */
+    private static Optional<String> unknownField(JsonNode node, Type type, String path) {
+        if (type instanceof ParameterizedType list && node.isArray()) {
+            Type element = list.getActualTypeArguments()[0];
+            for (int index = 0; index < node.size(); index++) {
+                Optional<String> found = unknownField(node.get(index), element, path + index + "/");
+                if (found.isPresent()) {
+                    return found;
+                }
+            }
+        }
+        if (!(type instanceof Class<?> record) || !record.isRecord() || !node.isObject()) {
+            return Optional.empty();
+        }
+        Map<String, Type> components = new HashMap<>();
+        for (RecordComponent component : record.getRecordComponents()) {
+            components.put(component.getName(), component.getGenericType());
+        }
+        for (Map.Entry<String, JsonNode> field : node.properties()) {
+            String here = path + field.getKey();
+            Type component = components.get(field.getKey());
+            Optional<String> found =
+                    component == null
+                            ? Optional.of(here)
+                            : unknownField(field.getValue(), component, here + "/");
+            if (found.isPresent()) {
+                return found;
+            }
+        }
+        return Optional.empty();
+    }
+
     /**
      * Turns a mapping fault into one with file, line and field.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
@@ -6,6 +6,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.event.EventRing;
@@ -78,6 +79,9 @@
     /** The requests that are carried. */
     private final LifeRegistry mRegistry = new LifeRegistry();
 
+    /** Whether everything was ended. */
+    private final AtomicBoolean mClosed = new AtomicBoolean();
+
     /** Cancels attempts. */
     private final CancelKeeper mCancels;
 
@@ -245,6 +249,7 @@
                 mKeeper,
                 proposer,
                 mMembership,
+                mPeers,
                 Operators.commands(mNode, mRegistry, mBook, mMembership, mKeeper, mPeers),
                 mSettings.administratorTokenHash());
     }
@@ -389,8 +394,11 @@
         }
     }
 
-    /** Ends everything at once. */
+    /** Ends everything at once; a second call does nothing. */
     public void close() {
+        if (mClosed.getAndSet(true)) {
+            return;
+        }
         mCallers.close();
         mOperators.close();
         mMesh.close();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/AdmissionDesk.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/AdmissionDesk.java
@@ -275,8 +275,7 @@
         List<UpstreamState> prefills = wanted(ticket, mBook.usable(model, Role.PREFILL, now));
         List<UpstreamState> decodes = wanted(ticket, mBook.usable(model, Role.DECODE, now));
         if (prefills.isEmpty() || decodes.isEmpty()) {
-            refuse(ticket, ResultCode.NO_UPSTREAM, "no live prefill and decode for " + model);
-            return Decision.REFUSED;
+            return withoutUpstream(ticket, "no live prefill and decode for " + model);
         }
         List<UpstreamState> free = decodes.stream().filter(mPermits::available).toList();
         if (free.isEmpty()) {
@@ -308,8 +307,7 @@
         String service = ticket.declared().serves();
         List<UpstreamState> replicas = wanted(ticket, mBook.usable(service, Role.SERVICE, now));
         if (replicas.isEmpty()) {
-            refuse(ticket, ResultCode.NO_UPSTREAM, "no live replica of " + service);
-            return Decision.REFUSED;
+            return withoutUpstream(ticket, "no live replica of " + service);
         }
         HallId hall = mNode.hall();
         Optional<UpstreamState> replica =
@@ -327,6 +325,36 @@
         return Decision.STARTED;
     }
 
+    /**
+     * Decides on a ticket for which no upstream is usable: one that can wait waits for an upstream
+     * that failed a moment ago to come back; one with a target is refused at once.
+     *
+     * @param ticket the ticket
+     * @param detail what is missing
+     * @return what was decided
+     */
+    private Decision withoutUpstream(Ticket ticket, String detail) {
+        boolean hope =
+                mBook.all().stream()
+                        .filter(state -> state.declared().serves().equals(serves(ticket)))
+                        .anyMatch(state -> !state.declared().draining());
+        if (hope && !ticket.declared().hasTarget()) {
+            return Decision.WAITS;
+        }
+        refuse(ticket, ResultCode.NO_UPSTREAM, detail);
+        return Decision.REFUSED;
+    }
+
+    /**
+     * Returns what a ticket asks for.
+     *
+     * @param ticket the ticket
+     * @return the model or service
+     */
+    private static String serves(Ticket ticket) {
+        return ticket.declared().serves();
+    }
+
     /**
      * Leaves out the upstreams that failed a request before, unless none would be left.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/OperatorFront.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/OperatorFront.java
@@ -29,6 +29,7 @@
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.node.Readiness;
 import org.troutpier.daemon.peer.Membership;
+import org.troutpier.daemon.peer.PeerLogic;
 
 /**
  * Serves operators: health, counters, events, declarations and commands. Thread safe: it keeps no
@@ -60,6 +61,9 @@
     /** Who the routers are. */
     private final Membership mMembership;
 
+    /** Knows whether the process was just woken. */
+    private final PeerLogic mPeers;
+
     /** Answers queries and commands. */
     private final CommandDesk mCommands;
 
@@ -74,6 +78,7 @@
      * @param keeper the declarations in force
      * @param proposer carries changes through
      * @param membership who the routers are
+     * @param peers knows whether the process was just woken
      * @param commands answers queries and commands
      * @param administratorHash the hash of the administrator's token, or null
      */
@@ -83,6 +88,7 @@
             ConfigurationKeeper keeper,
             ChangeProposer proposer,
             Membership membership,
+            PeerLogic peers,
             CommandDesk commands,
             String administratorHash) {
         mNode = node;
@@ -90,6 +96,7 @@
         mKeeper = keeper;
         mProposer = proposer;
         mMembership = membership;
+        mPeers = peers;
         mCommands = commands;
         mAdministratorHash = administratorHash;
     }
@@ -131,7 +138,8 @@
      * @return the answer
      */
     private FullHttpResponse readiness() {
-        Optional<String> obstacle = mReadiness.obstacle();
+        Optional<String> obstacle =
+                mPeers.stalled() ? Optional.of("just woken") : mReadiness.obstacle();
         Map<String, Object> body = new LinkedHashMap<>();
         body.put("ready", obstacle.isEmpty());
         body.put("obstacle", obstacle.orElse(""));
@@ -258,7 +266,7 @@
                                     "change",
                                     done.changeId())));
         } else if (cause instanceof TroutpierException known) {
-            exchange.answer(Answers.refusal(known.code(), known.getMessage()));
+            exchange.answer(Answers.refusal(known.code(), known.detail()));
         } else {
             exchange.answer(Answers.refusal(ResultCode.INTERNAL, String.valueOf(cause)));
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/Membership.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/Membership.java
@@ -49,9 +49,6 @@
     /** Whether the list was had at least once. */
     private boolean mListSeen;
 
-    /** When the list was had last. */
-    private long mListAt;
-
     /**
      * One router. Immutable and thread safe.
      *
@@ -103,7 +100,6 @@
         }
         mListed = listed;
         mListSeen = true;
-        mListAt = mNanos.getAsLong();
     }
 
     /**
@@ -181,12 +177,12 @@
     }
 
     /**
-     * Returns how long ago the list was had.
+     * Returns whether the list shows this very life of this router.
      *
-     * @return nanoseconds, the largest number where it never was
+     * @return whether the platform, and so the others, can know of it
      */
-    public synchronized long listAgeNanos() {
-        return mListSeen ? mNanos.getAsLong() - mListAt : Long.MAX_VALUE;
+    public synchronized boolean selfListed() {
+        return mListed.containsKey(mSelf.incarnation());
     }
 
     /** Forgets routers that have been silent for long. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerLogic.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerLogic.java
@@ -44,9 +44,6 @@
     /** How long everybody may be silent without a fence, nanoseconds. */
     private static final long ALONE_NANOS = 1_500_000_000L;
 
-    /** How long a start waits for the listed routers, nanoseconds. */
-    private static final long START_NANOS = 3_000_000_000L;
-
     /** What every part of the router shares. */
     private final Node mNode;
 
@@ -80,9 +77,6 @@
     /** When a part of the platform answered last. */
     private long mPlatformAt;
 
-    /** When this router started. */
-    private final long mStartedAt;
-
     /** Whether the first version was asked for. */
     private boolean mBegun;
 
@@ -127,9 +121,8 @@
         mReadiness = readiness;
         mInstances = instances;
         mKeeper = keeper;
-        mStartedAt = node.nanos().getAsLong();
-        mTickAt = mStartedAt;
-        mPlatformAt = mStartedAt;
+        mTickAt = node.nanos().getAsLong();
+        mPlatformAt = mTickAt;
     }
 
     /**
@@ -180,7 +173,7 @@
             mNode.count("fence.alone");
             mReadiness.fence("hears neither peers nor the platform");
         }
-        begin(now);
+        begin();
     }
 
     /**
@@ -193,33 +186,30 @@
     }
 
     /**
-     * Asks for the first version once every listed router is connected, so that no change can pass
-     * this router by: who proposes one later knows of it.
-     *
-     * @param now the time
+     * Asks for the first version once the list shows this router and every router in it has
+     * answered, so that no change can pass this router by: who proposes one later knows of it.
+     * Without a list there is no start, as nothing else says who must know.
      */
-    private void begin(long now) {
-        if (mBegun) {
-            return;
-        }
-        boolean listSeen = mMembership.listAgeNanos() < Long.MAX_VALUE;
-        boolean waitedLong = now - mStartedAt > START_NANOS;
-        if (waitedLong || listSeen && allConnected()) {
+    private void begin() {
+        if (!mBegun && mMembership.selfListed() && allKnowThis()) {
             mBegun = true;
             revalidateNow();
         }
     }
 
     /**
-     * Returns whether every live router is connected.
+     * Returns whether every live router has connected back, and so knows this one.
      *
-     * @return whether messages reach all
+     * @return whether each was heard on a connection of its own
      */
-    private boolean allConnected() {
+    private boolean allKnowThis() {
         return mMembership.live().stream()
                 .map(Member::incarnation)
                 .filter(incarnation -> !incarnation.equals(mNode.incarnation()))
-                .allMatch(mMesh::connected);
+                .allMatch(
+                        incarnation ->
+                                mMesh.connected(incarnation)
+                                        && mMembership.heardLately(incarnation));
     }
 
     /** Sends a heartbeat to every router. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestLife.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestLife.java
@@ -177,7 +177,7 @@
         /** {@inheritDoc} */
         @Override
         public void refused(TroutpierException why) {
-            onLoop(() -> refuse(why.code(), why.getMessage()));
+            onLoop(() -> refuse(why.code(), why.detail()));
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/table/Table.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/table/Table.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import org.troutpier.common.http.CallFailedException;
@@ -239,20 +240,27 @@
     }
 
     /**
-     * Spares callers the wait for a table that is away: after a failure it says so at once for a
-     * while, but for one probe at a time. Thread safe.
+     * Spares callers the wait for a table that is away: after some failures in a row it says so at
+     * once for a while, but for one probe at a time. One failure is not enough: a lost
+     * acknowledgement must still be settled by reading back. Thread safe.
      */
     final class WithBreaker implements Table {
 
         /** How long a failure is believed, nanoseconds. */
         private static final long BELIEVED_NANOS = 500_000_000L;
 
+        /** How many failures in a row mean that the table is away. */
+        private static final int FAILURES = 3;
+
         /** The table itself. */
         private final Table mTable;
 
         /** The monotonic clock. */
         private final LongSupplier mNanos;
 
+        /** How many failures there were in a row. */
+        private final AtomicInteger mFailures = new AtomicInteger();
+
         /** Until when the table is taken to be away; 0 for not. */
         private final AtomicLong mAwayUntil = new AtomicLong();
 
@@ -343,7 +351,12 @@
          * @param well whether the table answered
          */
         private void heard(boolean well) {
-            mAwayUntil.set(well ? 0 : mNanos.getAsLong() + BELIEVED_NANOS);
+            if (well) {
+                mFailures.set(0);
+                mAwayUntil.set(0);
+            } else if (mFailures.incrementAndGet() >= FAILURES) {
+                mAwayUntil.set(mNanos.getAsLong() + BELIEVED_NANOS);
+            }
         }
 
         /**
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/request/RetryBudgetTest.java
@@ -0,0 +1,54 @@
+package org.troutpier.daemon.request;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Random;
+import org.testng.Reporter;
+import org.testng.annotations.Test;
+import org.troutpier.common.id.PartnerId;
+
+public class RetryBudgetTest {
+
+    private static final PartnerId TRUST = new PartnerId("trust");
+
+    @Test
+    public void aRetryIsEarnedByTenFirstTries() {
+        RetryBudget budget = new RetryBudget();
+        for (int tries = 0; tries < 9; tries++) {
+            budget.firstTry(TRUST);
+        }
+        assertFalse(budget.retry(TRUST));
+        budget.firstTry(TRUST);
+        assertTrue(budget.retry(TRUST));
+        assertFalse(budget.retry(TRUST));
+    }
+
+    @Test
+    public void onePartnersRetriesAreNotTheOthers() {
+        RetryBudget budget = new RetryBudget();
+        for (int tries = 0; tries < 100; tries++) {
+            budget.firstTry(new PartnerId("association"));
+        }
+        assertFalse(budget.retry(TRUST));
+    }
+
+    @Test
+    public void retriesNeverExceedATenthInAnyOrder() {
+        long seed = System.nanoTime();
+        Reporter.log("seed " + seed, true);
+        Random random = new Random(seed);
+        RetryBudget budget = new RetryBudget();
+        long first = 0;
+        long retries = 0;
+        for (int step = 0; step < 300_000; step++) {
+            if (random.nextInt(3) == 0) {
+                budget.firstTry(TRUST);
+                first++;
+            } else if (budget.retry(TRUST)) {
+                retries++;
+            }
+            assertTrue(retries * 10 <= first, "seed " + seed + " step " + step);
+        }
+    }
+}
--- a/troutpier-standins/src/main/java/org/troutpier/standins/StandinMain.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/StandinMain.java
@@ -13,6 +13,8 @@
 import org.troutpier.standins.platform.ObjectStandin;
 import org.troutpier.standins.platform.TableStandin;
 import org.troutpier.standins.service.PlainService;
+import org.troutpier.standins.soak.PlanCommand;
+import org.troutpier.standins.soak.SoakCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
@@ -30,7 +32,9 @@
             StandinMain.Table.class,
             StandinMain.Objects.class,
             StandinMain.Instances.class,
-            LoadCommand.class
+            LoadCommand.class,
+            PlanCommand.class,
+            SoakCommand.class
         })
 public final class StandinMain {
 
--- a/troutpier-standins/src/main/java/org/troutpier/standins/engine/DecodeEngine.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/engine/DecodeEngine.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.troutpier.common.http.Answers;
 import org.troutpier.common.http.HttpCall;
@@ -85,6 +86,9 @@
         /** How many tokens are still to come. */
         private int mLeft;
 
+        /** Tells this run's answer from another run's. */
+        private final String mRun = String.format("%08x", ThreadLocalRandom.current().nextInt());
+
         /**
          * Creates a sequence.
          *
@@ -246,7 +250,7 @@
             return;
         }
         sequence.mLeft--;
-        String text = PrefixBlocks.token(sequence.mMark, sequence.mIndex++);
+        String text = text(sequence);
         String finish = sequence.mLeft == 0 ? "\"length\"" : "null";
         String event =
                 "data: {\"id\":\""
@@ -266,6 +270,19 @@
         }
     }
 
+    /**
+     * Makes the next token's text. The first of an answer names the run, so that two runs of one
+     * request can be told apart.
+     *
+     * @param sequence the request
+     * @return the text
+     */
+    private static String text(Sequence sequence) {
+        int index = sequence.mIndex++;
+        String token = PrefixBlocks.token(sequence.mMark, index);
+        return index > 0 ? token : token.trim() + "/" + sequence.mRun + " ";
+    }
+
     /**
      * Returns the id that the engine shows, which a fault can make another's.
      *
--- a/troutpier-standins/src/main/java/org/troutpier/standins/service/PlainService.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/service/PlainService.java
@@ -110,17 +110,23 @@
         FullHttpResponse answer =
                 Answers.json(
                         200,
-                        Map.of(
-                                "path",
+                        new Echo(
                                 exchange.path(),
-                                "call",
                                 call,
-                                "body",
                                 new String(exchange.body(), StandardCharsets.UTF_8)));
         answer.headers().set("X-Request-Id", shown);
         mServer.acknowledge(exchange, answer);
     }
 
+    /**
+     * The answer to a call. Immutable and thread safe.
+     *
+     * @param path the path that was asked for
+     * @param call the caller's own mark
+     * @param body the body that was sent
+     */
+    private record Echo(String path, String call, String body) {}
+
     /**
      * Sends a transcript as fast as the reader takes it.
      *
