An exchange that is over never closes the next one's connection

Cause: giving a finished attempt back aborted its exchange, whose connection had gone back to the pool and carried another request; that one ended with 'Remotely closed' and was retried or failed. Ruled out: idle limits and pipelining at the stand-in, cancels (they use connections of their own). Conclusion: an abort now runs where the exchange ends, and leaves an exchange that is over alone.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpCalls.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpCalls.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClient;
@@ -159,23 +160,50 @@
          * @param on whether to read
          */
         private void read(boolean on) {
-            Channel channel = mChannel;
-            if (channel != null) {
-                channel.config().setAutoRead(on);
-            }
+            onChannel(
+                    channel -> {
+                        if (!mOver) {
+                            channel.config().setAutoRead(on);
+                        }
+                    });
         }
 
-        /** Ends the exchange at once and closes its connection; the listener hears no more. */
+        /**
+         * Ends the exchange and closes its connection; the listener hears no more. An exchange that
+         * is over is left alone: its connection may already be another's.
+         */
         public void abort() {
-            mOver = true;
-            ListenableFuture<Void> future = mFuture;
-            if (future != null) {
-                future.cancel(true);
+            boolean connected =
+                    onChannel(
+                            channel -> {
+                                if (!mOver) {
+                                    mOver = true;
+                                    mFuture.cancel(true);
+                                    channel.close();
+                                }
+                            });
+            if (!connected) {
+                mOver = true;
+                ListenableFuture<Void> future = mFuture;
+                if (future != null) {
+                    future.cancel(true);
+                }
             }
+        }
+
+        /**
+         * Runs an action on the connection's event loop, where the exchange also ends, so that the
+         * action never meets a connection that has gone back to the pool.
+         *
+         * @param action the action
+         * @return whether there is a connection
+         */
+        private boolean onChannel(Consumer<Channel> action) {
             Channel channel = mChannel;
             if (channel != null) {
-                channel.close();
+                channel.eventLoop().execute(() -> action.accept(channel));
             }
+            return channel != null;
         }
 
         /**
@@ -247,7 +275,10 @@
         /** {@inheritDoc} */
         @Override
         public Void onCompleted() {
-            read(true);
+            Channel channel = mChannel;
+            if (channel != null) {
+                channel.config().setAutoRead(true);
+            }
             if (!mOver) {
                 mOver = true;
                 mListener.onEnd();
--- a/troutpier-standins/src/main/java/org/troutpier/standins/load/LoadCommand.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/load/LoadCommand.java
@@ -38,6 +38,10 @@
     @Option(names = "--seconds", defaultValue = "10", description = "how long requests leave")
     private double mSeconds;
 
+    /** How long requests leave before they are counted. */
+    @Option(names = "--warm-up", defaultValue = "0", description = "seconds not counted before")
+    private double mWarmUp;
+
     /** Fixes arrivals and lengths. */
     @Option(names = "--seed", defaultValue = "1", description = "fixes arrivals and lengths")
     private long mSeed;
@@ -62,7 +66,7 @@
         EventLoopGroup loops = new NioEventLoopGroup(2);
         HttpCalls calls = new HttpCalls(loops);
         Map<String, Map<String, Object>> figures =
-                new LoadRun(loops, target(calls), scaled).run(mSeconds, mSeed);
+                new LoadRun(loops, target(calls), scaled).run(mWarmUp, mSeconds, mSeed);
         if (mOutput.equals("json")) {
             System.out.println(new String(Json.bytes(figures), StandardCharsets.UTF_8));
         } else {
--- a/troutpier-standins/src/main/java/org/troutpier/standins/load/LoadRun.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/load/LoadRun.java
@@ -71,20 +71,23 @@
     /**
      * Runs the load and waits for every answer.
      *
-     * @param seconds how long requests leave
+     * @param warmUp how long requests leave that are not counted, seconds
+     * @param seconds how long requests leave that are counted
      * @param seed fixes arrivals and lengths
      * @return the figures by stream
      */
-    public Map<String, Map<String, Object>> run(double seconds, long seed) {
+    public Map<String, Map<String, Object>> run(double warmUp, double seconds, long seed) {
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         List<Planned> plan = new ArrayList<>();
-        mTallies.keySet().forEach(stream -> plan.addAll(planned(stream, seconds, random)));
+        mTallies.keySet().forEach(stream -> plan.addAll(planned(stream, warmUp + seconds, random)));
         plan.forEach(
                 planned -> {
                     mUnderWay.register();
                     mLoops.next()
                             .schedule(
-                                    () -> leave(planned), planned.atNanos(), TimeUnit.NANOSECONDS);
+                                    () -> leave(planned, (long) (warmUp * NANOS)),
+                                    planned.atNanos(),
+                                    TimeUnit.NANOSECONDS);
                 });
         mUnderWay.arriveAndAwaitAdvance();
         Map<String, Map<String, Object>> figures = new LinkedHashMap<>();
@@ -152,9 +155,11 @@
      * Sends one request.
      *
      * @param planned the request
+     * @param countedFrom from when on requests are counted
      */
-    private void leave(Planned planned) {
-        StreamTally tally = mTallies.get(planned.stream());
+    private void leave(Planned planned, long countedFrom) {
+        boolean counted = planned.atNanos() >= countedFrom;
+        StreamTally tally = counted ? mTallies.get(planned.stream()) : new StreamTally();
         tally.sent();
         mTarget.send(
                 planned.stream(),
