--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -5,7 +5,7 @@
 RUN_DIR=${TROUTPIER_RUN_DIR:-$TOP/.run/$$}
 PIDS=()
 SMALL_JVM="-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto -Xmx96m"
-ROUTER_JVM=${TROUTPIER_JVM:--XX:+UseSerialGC -Xshare:auto -Xmx128m}
+ROUTER_JVM=${TROUTPIER_JVM:--XX:+UseSerialGC -Xshare:auto -Xmx128m -Dio.netty.leakDetection.level=disabled}
 ADMINISTRATOR=administrator
 SECRET=a-secret-for-the-demonstration-only
 
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
@@ -263,16 +263,17 @@
     }
 
     /**
-     * Writes a part of a streamed answer.
+     * Writes a part of a streamed answer. The bytes are copied once, into the memory that the
+     * socket takes them from.
      *
-     * @param part the part; ownership passes here
+     * @param part the part
      */
-    public void write(ByteBuf part) {
+    public void write(byte[] part) {
         if (!mBegun || over()) {
-            part.release();
             return;
         }
-        mChannel.writeAndFlush(new DefaultHttpContent(part), mChannel.voidPromise());
+        ByteBuf buffer = mChannel.alloc().ioBuffer(part.length).writeBytes(part);
+        mChannel.writeAndFlush(new DefaultHttpContent(buffer), mChannel.voidPromise());
     }
 
     /** Ends a streamed answer whole. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/claim/ClaimRow.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/claim/ClaimRow.java
@@ -50,18 +50,7 @@
      * @return a new row
      */
     public ClaimRow released() {
-        return new ClaimRow(
-                State.RELEASED,
-                holder,
-                holderUrl,
-                epoch,
-                attempt,
-                fingerprint,
-                leaseEndMillis,
-                expiresMillis,
-                null,
-                null,
-                null);
+        return settled(State.RELEASED, null, null, null);
     }
 
     /**
@@ -71,18 +60,7 @@
      * @return a new row
      */
     public ClaimRow answeredInline(byte[] answer) {
-        return new ClaimRow(
-                State.ANSWERED,
-                holder,
-                holderUrl,
-                epoch,
-                attempt,
-                fingerprint,
-                leaseEndMillis,
-                expiresMillis,
-                Base64.getEncoder().encodeToString(answer),
-                null,
-                null);
+        return settled(State.ANSWERED, Base64.getEncoder().encodeToString(answer), null, null);
     }
 
     /**
@@ -92,18 +70,7 @@
      * @return a new row
      */
     public ClaimRow answered(String object) {
-        return new ClaimRow(
-                State.ANSWERED,
-                holder,
-                holderUrl,
-                epoch,
-                attempt,
-                fingerprint,
-                leaseEndMillis,
-                expiresMillis,
-                null,
-                object,
-                null);
+        return settled(State.ANSWERED, null, object, null);
     }
 
     /**
@@ -113,8 +80,21 @@
      * @return a new row
      */
     public ClaimRow ended(String code) {
+        return settled(State.ENDED, null, null, code);
+    }
+
+    /**
+     * Returns the row in another state; who holds it stays.
+     *
+     * @param newState the state
+     * @param inline the kept answer, or null
+     * @param object the key of the kept answer, or null
+     * @param code how it ended, or null
+     * @return a new row
+     */
+    private ClaimRow settled(State newState, String inline, String object, String code) {
         return new ClaimRow(
-                State.ENDED,
+                newState,
                 holder,
                 holderUrl,
                 epoch,
@@ -122,8 +102,8 @@
                 fingerprint,
                 leaseEndMillis,
                 expiresMillis,
-                null,
-                null,
+                inline,
+                object,
                 code);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/configuration/ChangeProposer.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/configuration/ChangeProposer.java
@@ -1,5 +1,6 @@
 package org.troutpier.daemon.configuration;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -10,6 +11,7 @@
 import java.util.TreeSet;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 import org.troutpier.common.declaration.Declarations;
 import org.troutpier.common.id.Incarnation;
@@ -262,21 +264,23 @@
     private void commit(Change change) {
         change.step(Step.COMMITTING);
         mNode.events().record("change-committing", change.mId, "");
+        write(change, outcome -> written(change, outcome));
+    }
+
+    /**
+     * Writes the row on the condition that it is as it was read.
+     *
+     * @param change the change
+     * @param next hears what is known of the write, on the control thread
+     */
+    private void write(Change change, Consumer<Outcome> next) {
+        JsonNode value = Table.json(change.mNext);
         CompletableFuture<Write> write =
                 change.mTag == null
-                        ? mTable.insert(ConfigurationKeeper.ROW, Table.json(change.mNext))
-                        : mTable.replace(
-                                ConfigurationKeeper.ROW, change.mTag, Table.json(change.mNext));
-        write.whenComplete(
-                (done, failure) ->
-                        mNode.control()
-                                .execute(
-                                        () ->
-                                                written(
-                                                        change,
-                                                        done == null
-                                                                ? Outcome.UNKNOWN
-                                                                : done.outcome())));
+                        ? mTable.insert(ConfigurationKeeper.ROW, value)
+                        : mTable.replace(ConfigurationKeeper.ROW, change.mTag, value);
+        write.exceptionally(failure -> new Write(Outcome.UNKNOWN, null))
+                .thenAccept(done -> mNode.control().execute(() -> next.accept(done.outcome())));
     }
 
     /**
@@ -349,25 +353,15 @@
             refuse(change, ResultCode.CHANGE_IN_DOUBT, "the commit is not to be seen");
             return;
         }
-        CompletableFuture<Write> write =
-                change.mTag == null
-                        ? mTable.insert(ConfigurationKeeper.ROW, Table.json(change.mNext))
-                        : mTable.replace(
-                                ConfigurationKeeper.ROW, change.mTag, Table.json(change.mNext));
-        write.whenComplete(
-                (done, failure) ->
-                        mNode.control()
-                                .execute(
-                                        () -> {
-                                            if (done != null && done.outcome() == Outcome.WRITTEN) {
-                                                activate(change);
-                                            } else {
-                                                mNode.control()
-                                                        .later(
-                                                                () -> readBack(change),
-                                                                AGAIN_MILLIS);
-                                            }
-                                        }));
+        write(
+                change,
+                outcome -> {
+                    if (outcome == Outcome.WRITTEN) {
+                        activate(change);
+                    } else {
+                        mNode.control().later(() -> readBack(change), AGAIN_MILLIS);
+                    }
+                });
     }
 
     /**
@@ -456,15 +450,16 @@
     }
 
     /**
-     * Lists the live members that are not among those that have answered.
+     * Lists the live members that are not among those that have answered. A leaving member takes no
+     * new work and never will again, so it need not answer.
      *
      * @param answered those that have answered
      * @return the others, this router left out
      */
     private Set<Incarnation> missing(Set<Incarnation> answered) {
         Set<Incarnation> missing = new LinkedHashSet<>();
-        List<Membership.Member> live = mMembership.live();
-        live.forEach(member -> missing.add(member.incarnation()));
+        List<Membership.Member> serving = mMembership.serving();
+        serving.forEach(member -> missing.add(member.incarnation()));
         missing.remove(mNode.incarnation());
         missing.removeAll(answered);
         return missing;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/CompletionLife.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/CompletionLife.java
@@ -1,6 +1,5 @@
 package org.troutpier.daemon.request;
 
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.util.concurrent.Future;
@@ -301,7 +300,7 @@
         mTokens++;
         mText.append(event.text());
         if (mOrder.stream()) {
-            exchange().write(Unpooled.wrappedBuffer(shown(event)));
+            exchange().write(shown(event));
             if (exchange().pendingBytes() > MOST_PENDING) {
                 refuse(ResultCode.CALLER_TOO_SLOW, "the caller reads too slowly");
             }
@@ -444,9 +443,9 @@
         }
         if (!exchange().begun()) {
             exchange().begin(200, streamHeaders());
-            exchange().write(Unpooled.wrappedBuffer(wholeEvent(answer)));
+            exchange().write(wholeEvent(answer));
         }
-        exchange().write(Unpooled.wrappedBuffer(DONE));
+        exchange().write(DONE);
         exchange().end();
     }
 
@@ -455,7 +454,7 @@
     protected void sendCut(ResultCode code, String detail) {
         String error = new String(Json.bytes(Answers.refusalBody(code, detail)));
         byte[] event = ("data: " + error + "\n\n").getBytes(StandardCharsets.UTF_8);
-        exchange().write(Unpooled.wrappedBuffer(event));
+        exchange().write(event);
         exchange().cut();
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/ServiceLife.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/ServiceLife.java
@@ -254,7 +254,7 @@
             exchange().begin(mStatus, headers);
             exchange().onWritable(this::resume);
         }
-        exchange().write(Unpooled.wrappedBuffer(part));
+        exchange().write(part);
         if (!exchange().writable() && mOngoing != null) {
             mOngoing.pause();
             if (exchange().writable()) {
--- a/troutpier-standins/src/main/java/org/troutpier/standins/engine/DecodeEngine.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/engine/DecodeEngine.java
@@ -1,7 +1,6 @@
 package org.troutpier.standins.engine;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -260,12 +259,12 @@
                         + "\",\"finish_reason\":"
                         + finish
                         + "}]}\n\n";
-        sequence.mExchange.write(Unpooled.wrappedBuffer(event.getBytes(StandardCharsets.UTF_8)));
+        sequence.mExchange.write(event.getBytes(StandardCharsets.UTF_8));
         if (sequence.mLeft == 0) {
             mHeld.remove(sequence.id());
             mServer.ran().add(sequence.id(), "", "finished");
             mServer.events().record("decode-done", sequence.id(), "");
-            sequence.mExchange.write(Unpooled.wrappedBuffer(DONE));
+            sequence.mExchange.write(DONE);
             sequence.mExchange.end();
         }
     }
--- a/troutpier-standins/src/main/java/org/troutpier/standins/service/PlainService.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/service/PlainService.java
@@ -1,6 +1,5 @@
 package org.troutpier.standins.service;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -181,7 +180,7 @@
                     part[index] = (byte) ('a' + (mWritten + index) % LETTERS);
                 }
                 mWritten += part.length;
-                mExchange.write(Unpooled.wrappedBuffer(part));
+                mExchange.write(part);
             }
             if (mWritten >= mLength) {
                 mExchange.end();
