A lost answer is told as unknown, whatever came after it

Cause: when the retry budget was spent after a lost answer, the caller was told 'ran and failed' though nothing was known. What may be said now lives in one pure class, Knowledge: 'not run' never once an attempt may have run, and nothing but 'unknown' once one was lost. Ruled out for the cut download in two runs of the planned-stop test: the stop itself; the class of that test had a deadline of 3 s, which passed under load. It has a class of its own now. The wait for the last bytes stays, as an answer in the connection's buffer is not in the registry.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/CompletionLife.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/CompletionLife.java
@@ -269,21 +269,20 @@
     }
 
     /**
-     * Corrects how a decode ended by what went before it: the prefill has run, so nothing can be
-     * said not to have started.
+     * Corrects how a decode ended by what went before it: the prefill has run and no whole answer
+     * came, so the request ran and failed, whatever became of the decode.
      *
      * @param end how the decode ended
      * @return how the attempt ended
      */
     private static AttemptEnd afterPrefill(AttemptEnd end) {
-        return end.notStarted()
-                ? new AttemptEnd(
-                        false,
-                        end.leaving(),
-                        end.unreachable(),
-                        ResultCode.UPSTREAM_FAILED,
-                        end.detail())
-                : end;
+        boolean certain = end.code().family() == ResultCode.Family.RAN_AND_FAILED;
+        return new AttemptEnd(
+                false,
+                end.leaving(),
+                end.unreachable(),
+                certain ? end.code() : ResultCode.UPSTREAM_FAILED,
+                end.detail());
     }
 
     /**
@@ -398,7 +397,8 @@
     private void giveUpAfter(long silent, long most, String what) {
         if (silent > most) {
             count("given-up");
-            attemptEnded(AttemptEnd.lost(what + " from " + currentUpstream()));
+            AttemptEnd end = AttemptEnd.lost(what + " from " + currentUpstream());
+            attemptEnded(currentStage() == Stage.PREFILL ? end : afterPrefill(end));
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestLife.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestLife.java
@@ -71,11 +71,8 @@
     /** How many attempts were started. */
     private int mAttempts;
 
-    /** Whether an upstream may have run any of it. */
-    private boolean mMayHaveRun;
-
-    /** How the last attempt ended, or null. */
-    private AttemptEnd mLastEnd;
+    /** What is known of the work. */
+    private final Knowledge mKnowledge = new Knowledge();
 
     /** The upstreams that failed it. */
     private final Set<UpstreamId> mAvoid = new HashSet<>();
@@ -252,10 +249,9 @@
         mGrant = null;
         stopAttempt();
         report(grant, end);
-        mMayHaveRun |= !end.notStarted();
-        mLastEnd = end;
+        mKnowledge.learn(end);
         stage(Stage.QUEUED);
-        if (!declared().repeatable() && mMayHaveRun) {
+        if (!declared().repeatable() && mKnowledge.mayHaveRun()) {
             refuse(end.code(), end.detail());
         } else if (mAttempts >= MOST_ATTEMPTS) {
             refuse(end.code(), "tried " + mAttempts + " times; " + end.detail());
@@ -276,7 +272,10 @@
             count("retries");
             enqueue();
         } else {
-            ResultCode code = mMayHaveRun ? ResultCode.RETRIES_SPENT : ResultCode.UPSTREAMS_REFUSED;
+            ResultCode code =
+                    mKnowledge.mayHaveRun()
+                            ? ResultCode.RETRIES_SPENT
+                            : ResultCode.UPSTREAMS_REFUSED;
             refuse(code, end.detail());
         }
     }
@@ -414,7 +413,7 @@
     private void deadline() {
         if (mStage == Stage.ANSWERING) {
             refuse(ResultCode.OUTCOME_NOT_RECORDED, "the table did not confirm in time");
-        } else if (mMayHaveRun || mStage.atUpstream()) {
+        } else if (mKnowledge.mayHaveRun() || mStage.atUpstream()) {
             refuse(ResultCode.DEADLINE_WHILE_RUNNING, "in stage " + mStage.label());
         } else {
             refuse(ResultCode.DEADLINE_BEFORE_START, "in stage " + mStage.label());
@@ -432,7 +431,7 @@
             mServices.claims().answeredInBackground(mClaim, Optional.of(mComplete));
             mClaim = null;
         }
-        mMayHaveRun |= mStage.atUpstream();
+        mKnowledge.mayHaveRun(mStage.atUpstream());
         over(ResultCode.OUTCOME_UNKNOWN);
     }
 
@@ -444,7 +443,7 @@
     public final void cancelBy(String by) {
         onLoop(
                 () -> {
-                    boolean run = mMayHaveRun || mStage.atUpstream();
+                    boolean run = mKnowledge.mayHaveRun() || mStage.atUpstream();
                     refuse(
                             run ? ResultCode.OUTCOME_UNKNOWN : ResultCode.UPSTREAMS_REFUSED,
                             "cancelled by " + by);
@@ -462,10 +461,12 @@
         if (isOver()) {
             return;
         }
-        mMayHaveRun |= mStage.atUpstream();
-        ResultCode code = truthful(wished);
+        mKnowledge.mayHaveRun(mStage.atUpstream());
+        ResultCode code = mKnowledge.truthful(wished);
         Invariants.check(
-                code.family() != Family.NOT_RUN || !mMayHaveRun, "untruthful-refusal", id());
+                code.family() != Family.NOT_RUN || !mKnowledge.mayHaveRun(),
+                "untruthful-refusal",
+                id());
         count("refused." + code.label());
         event("refused", code.label() + " " + detail);
         if (exchange().begun()) {
@@ -476,20 +477,6 @@
         over(code);
     }
 
-    /**
-     * Returns the code that is true for the whole request.
-     *
-     * @param wished the code that fits the last step
-     * @return the same, or what is known of the attempts where it would say too much
-     */
-    private ResultCode truthful(ResultCode wished) {
-        if (wished.family() != Family.NOT_RUN || !mMayHaveRun) {
-            return wished;
-        }
-        boolean told = mLastEnd != null && mLastEnd.code().family() != Family.NOT_RUN;
-        return told ? mLastEnd.code() : ResultCode.RETRIES_SPENT;
-    }
-
     /**
      * The one way out: gives everything back.
      *
@@ -497,7 +484,7 @@
      */
     private void over(ResultCode code) {
         Invariants.check(mStage != Stage.OVER, "ended-twice", id());
-        boolean ran = mMayHaveRun;
+        boolean ran = mKnowledge.mayHaveRun();
         stopAttempt();
         mStage = Stage.OVER;
         mDeadline.cancel(false);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/Rig.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/Rig.java
@@ -243,6 +243,7 @@
                 completion("repair-note", "association", 20_000),
                 completion("summary", "trust", 20_000),
                 service("machine-status", true, 3000),
+                service("transcript", true, 60_000),
                 service("parts-status", false, 1500));
     }
 
