The operators' golden session waits for what it shows

Ruled out: the order of rows. Conclusion: the test waits for the condition; the golden file is as it was.

--- a/troutpier-cli/src/test/java/org/troutpier/cli/OperatorSessionGoldenTest.java
+++ b/troutpier-cli/src/test/java/org/troutpier/cli/OperatorSessionGoldenTest.java
@@ -118,6 +118,21 @@
                 + ")\n\n";
     }
 
+    /** Waits until the router has noticed that nobody listens where the engines are declared. */
+    private String awaitSilentEngines() {
+        Awaitility.await()
+                .pollInterval(Duration.ofMillis(50))
+                .atMost(Duration.ofSeconds(20))
+                .until(
+                        () ->
+                                run(
+                                                "association-operator",
+                                                "run",
+                                                "show upstreams where state = silent")
+                                        .contains("decode-1"));
+        return "";
+    }
+
     private void verify(String session) {
         String scrubbed =
                 session.replaceAll("[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}", "<id>")
@@ -146,6 +161,7 @@
                                 "apply",
                                 "-f",
                                 EXAMPLES.resolve("association").toString())
+                        + awaitSilentEngines()
                         + run("association-operator", "run", "show classes order by name desc")
                         + run("association-operator", "run", "show upstreams where role = decode")
                         + run("association-operator", "run", "drain decode-1")
