--- a/troutpier-common/src/main/java/org/troutpier/common/http/Answers.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/Answers.java
@@ -22,6 +22,9 @@
     /** The content type of JSON. */
     public static final String JSON = "application/json";
 
+    /** How many milliseconds a second has. */
+    private static final long MILLIS_PER_SECOND = 1000;
+
     /** Not to be instantiated. */
     private Answers() {}
 
@@ -63,15 +66,39 @@
      * @return the answer
      */
     public static FullHttpResponse refusal(ResultCode code, String detail) {
+        return refusal(code, detail, code.retryAfterSeconds() * MILLIS_PER_SECOND);
+    }
+
+    /**
+     * Makes the answer that tells a code and when to come back.
+     *
+     * @param code the code
+     * @param detail what exactly was wrong
+     * @param retryAfterMillis when to come back, milliseconds; 0 where coming back does not help
+     * @return the answer
+     */
+    public static FullHttpResponse refusal(ResultCode code, String detail, long retryAfterMillis) {
         FullHttpResponse answer = json(code.httpStatus(), refusalBody(code, detail));
         answer.headers().set(CODE_HEADER, code.label());
         answer.headers().set(FAMILY_HEADER, code.family().label());
-        if (code.retryAfterSeconds() > 0) {
-            answer.headers().setInt(HttpHeaderNames.RETRY_AFTER, code.retryAfterSeconds());
+        if (retryAfterMillis > 0) {
+            answer.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(retryAfterMillis));
         }
         return answer;
     }
 
+    /**
+     * Writes a time in seconds, whole where it is.
+     *
+     * @param millis the time, milliseconds
+     * @return the seconds, with a fraction where there is one
+     */
+    private static String seconds(long millis) {
+        return millis % MILLIS_PER_SECOND == 0
+                ? Long.toString(millis / MILLIS_PER_SECOND)
+                : Double.toString(millis / (double) MILLIS_PER_SECOND);
+    }
+
     /**
      * Makes the JSON body that tells a code.
      *
--- a/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.timeout.IdleStateEvent;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.result.ResultCode;
@@ -34,6 +35,9 @@
     /** Counts the exchanges whose last byte has not left. */
     private final AtomicInteger mBusy;
 
+    /** Tells whether each answer is the last one of its connection. */
+    private final BooleanSupplier mDraining;
+
     /** The exchange being served, or null. */
     private HttpExchange mExchange;
 
@@ -44,13 +48,19 @@
      * @param timer bounds the arrival of requests
      * @param refusals makes the answers to what cannot be read
      * @param busy counts the exchanges whose last byte has not left
+     * @param draining tells whether each answer is the last one of its connection
      */
     ExchangeHandler(
-            HttpHandler handler, ArrivalTimer timer, ServerRefusals refusals, AtomicInteger busy) {
+            HttpHandler handler,
+            ArrivalTimer timer,
+            ServerRefusals refusals,
+            AtomicInteger busy,
+            BooleanSupplier draining) {
         mHandler = handler;
         mTimer = timer;
         mRefusals = refusals;
         mBusy = busy;
+        mDraining = draining;
         timer.serving(() -> mExchange != null && !mExchange.over());
     }
 
@@ -75,6 +85,7 @@
                         request.headers(),
                         ByteBufUtil.getBytes(request.content()),
                         HttpUtil.isKeepAlive(request),
+                        mDraining,
                         mBusy::decrementAndGet);
         mBusy.incrementAndGet();
         try {
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HeadScreen.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HeadScreen.java
@@ -3,6 +3,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
 import org.troutpier.common.result.ResultCode;
@@ -45,7 +47,7 @@
             if (head.decoderResult().isFailure()) {
                 mRefused = true;
                 ReferenceCountUtil.release(message);
-                Refusing.refuseAndClose(context.channel(), mRefusals, ResultCode.MALFORMED_REQUEST);
+                Refusing.refuseAndClose(context.channel(), mRefusals, unreadable(head));
                 return;
             }
             Optional<TroutpierException> refusal = mHandler.screen(head);
@@ -60,4 +62,18 @@
         }
         context.fireChannelRead(message);
     }
+
+    /**
+     * Tells why a head cannot be read.
+     *
+     * @param head the head as far as it was read
+     * @return the code for too large a head, or for any other fault
+     */
+    private static ResultCode unreadable(HttpRequest head) {
+        Throwable cause = head.decoderResult().cause();
+        boolean tooLarge =
+                cause instanceof TooLongHttpHeaderException
+                        || cause instanceof TooLongHttpLineException;
+        return tooLarge ? ResultCode.HEAD_TOO_LARGE : ResultCode.MALFORMED_REQUEST;
+    }
 }
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 /**
  * One request and the way to answer it. Confined to the connection's event loop: every method but
@@ -34,15 +36,24 @@
     /** The request's path and query. */
     private final QueryStringDecoder mUri;
 
+    /** The request's path and query as sent. */
+    private final String mTarget;
+
     /** The request's headers. */
     private final HttpHeaders mHeaders;
 
     /** The request's body. */
     private final byte[] mBody;
 
-    /** Whether the connection stays open after the answer. */
+    /** Whether the caller lets the connection stay open after the answer. */
     private final boolean mKeepAlive;
 
+    /** Tells whether the server ends each connection with its next answer. */
+    private final BooleanSupplier mDraining;
+
+    /** Whether the answer that was begun is the last one of its connection. */
+    private boolean mLastOfConnection;
+
     /** Whether an answer was begun. */
     private boolean mBegun;
 
@@ -66,7 +77,8 @@
      * @param uri the request's path and query
      * @param headers the request's headers
      * @param body the request's body
-     * @param keepAlive whether the connection stays open after the answer
+     * @param keepAlive whether the caller lets the connection stay open after the answer
+     * @param draining tells whether the server ends each connection with its next answer
      * @param onFlushed runs once when the last byte has left or the connection is closed
      */
     HttpExchange(
@@ -76,13 +88,16 @@
             HttpHeaders headers,
             byte[] body,
             boolean keepAlive,
+            BooleanSupplier draining,
             Runnable onFlushed) {
         mChannel = channel;
         mMethod = method;
         mUri = new QueryStringDecoder(uri);
+        mTarget = uri;
         mHeaders = headers;
         mBody = body;
         mKeepAlive = keepAlive;
+        mDraining = draining;
         mOnFlushed = onFlushed;
     }
 
@@ -113,6 +128,15 @@
         return mUri.rawPath();
     }
 
+    /**
+     * Returns the path and query as sent, still encoded.
+     *
+     * @return the request target
+     */
+    public String target() {
+        return mTarget;
+    }
+
     /**
      * Returns the query as sent, still encoded.
      *
@@ -237,7 +261,7 @@
         }
         mBegun = true;
         mEnded = true;
-        HttpUtil.setKeepAlive(answer, mKeepAlive);
+        setConnection(answer);
         finish(answer);
     }
 
@@ -258,7 +282,7 @@
         if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
-        HttpUtil.setKeepAlive(head, mKeepAlive);
+        setConnection(head);
         mChannel.writeAndFlush(head, mChannel.voidPromise());
     }
 
@@ -301,11 +325,21 @@
     private void finish(Object message) {
         ChannelFuture written = mChannel.writeAndFlush(message);
         written.addListener(done -> mOnFlushed.run());
-        if (!mKeepAlive) {
+        if (mLastOfConnection) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
     }
 
+    /**
+     * Tells the caller whether the connection stays open after this answer.
+     *
+     * @param answer the answer's head
+     */
+    private void setConnection(HttpMessage answer) {
+        mLastOfConnection = !mKeepAlive || mDraining.getAsBoolean();
+        HttpUtil.setKeepAlive(answer, !mLastOfConnection);
+    }
+
     /** Is told that the connection has closed. */
     void gone() {
         if (!mEnded) {
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
@@ -15,7 +15,9 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.common.settings.Address;
 
@@ -34,8 +36,8 @@
     /** How many connections may wait to be accepted. */
     private static final int BACKLOG = 1024;
 
-    /** What this server bounds. */
-    private final ServerLimits mLimits;
+    /** What this server bounds; asked again for each new connection. */
+    private final Supplier<ServerLimits> mLimits;
 
     /** Answers what the server itself refuses. */
     private final ServerRefusals mRefusals;
@@ -49,11 +51,14 @@
     /** How many exchanges there are whose last byte has not left. */
     private final AtomicInteger mBusy = new AtomicInteger();
 
+    /** Whether each answer from now on ends its connection. */
+    private final AtomicBoolean mDraining = new AtomicBoolean();
+
     /** The listening socket. */
     private final Channel mListener;
 
     /**
-     * Creates and starts a server.
+     * Creates and starts a server whose limits never change.
      *
      * @param address where to listen
      * @param loops carries the traffic
@@ -67,6 +72,24 @@
             ServerLimits limits,
             ServerRefusals refusals,
             HttpHandler handler) {
+        this(address, loops, () -> limits, refusals, handler);
+    }
+
+    /**
+     * Creates and starts a server.
+     *
+     * @param address where to listen
+     * @param loops carries the traffic
+     * @param limits tells what to bound; asked again for each new connection
+     * @param refusals answers what the server itself refuses
+     * @param handler serves the requests
+     */
+    public HttpServer(
+            Address address,
+            EventLoopGroup loops,
+            Supplier<ServerLimits> limits,
+            ServerRefusals refusals,
+            HttpHandler handler) {
         mLimits = limits;
         mRefusals = refusals;
         mHandler = handler;
@@ -111,6 +134,11 @@
         return mBusy.get();
     }
 
+    /** Makes each answer from now on the last one of its connection. */
+    public void drain() {
+        mDraining.set(true);
+    }
+
     /** Stops listening; open connections go on. */
     @Override
     public void close() {
@@ -123,22 +151,24 @@
         /** {@inheritDoc} */
         @Override
         protected void initChannel(SocketChannel channel) {
-            boolean tooMany = mConnections.incrementAndGet() > mLimits.connections();
+            ServerLimits limits = mLimits.get();
+            boolean tooMany = mConnections.incrementAndGet() > limits.connections();
             channel.closeFuture().addListener(closed -> mConnections.decrementAndGet());
-            ArrivalTimer timer = new ArrivalTimer(mLimits.requestMillis(), mRefusals);
+            ArrivalTimer timer = new ArrivalTimer(limits.requestMillis(), mRefusals);
             ChannelPipeline pipeline = channel.pipeline();
             pipeline.addLast(
-                    new IdleStateHandler(0, 0, mLimits.idleMillis(), TimeUnit.MILLISECONDS));
+                    new IdleStateHandler(0, 0, limits.idleMillis(), TimeUnit.MILLISECONDS));
             pipeline.addLast(timer);
             pipeline.addLast(
-                    new HttpServerCodec(MAX_REQUEST_LINE, mLimits.headerBytes(), MAX_CHUNK));
+                    new HttpServerCodec(MAX_REQUEST_LINE, limits.headerBytes(), MAX_CHUNK));
             if (tooMany) {
                 pipeline.addLast(new RefuseAll(ResultCode.TOO_MANY_CONNECTIONS, mRefusals));
                 return;
             }
             pipeline.addLast(new HeadScreen(mHandler, mRefusals));
-            pipeline.addLast(new Aggregator(mLimits.bodyBytes(), mRefusals));
-            pipeline.addLast(new ExchangeHandler(mHandler, timer, mRefusals, mBusy));
+            pipeline.addLast(new Aggregator(limits.bodyBytes(), mRefusals));
+            pipeline.addLast(
+                    new ExchangeHandler(mHandler, timer, mRefusals, mBusy, mDraining::get));
         }
     }
 
--- a/troutpier-common/src/main/java/org/troutpier/common/result/ResultCode.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/result/ResultCode.java
@@ -31,6 +31,10 @@
     KEY_REUSED(110, 422, Family.NOT_RUN, 0, "The key was used for another request."),
     /** The method is not allowed for the class. */
     METHOD_NOT_ALLOWED(111, 405, Family.NOT_RUN, 0, "The method is not allowed here."),
+    /** The request line or the headers are larger than the router takes. */
+    HEAD_TOO_LARGE(112, 431, Family.NOT_RUN, 0, "The request's head is larger than allowed."),
+    /** No route has the host and the path. */
+    NO_ROUTE(113, 404, Family.NOT_RUN, 0, "No route has this host and path."),
     /** The partner's queue is full. */
     QUEUE_FULL(120, 429, Family.NOT_RUN, 1, "The partner's queue is full."),
     /** The first token could not come in time. */
@@ -48,6 +52,8 @@
     /** The partner has as many requests in flight as it may. */
     PARTNER_LIMIT(
             127, 429, Family.NOT_RUN, 1, "The partner's requests in flight are at the limit."),
+    /** No engine has memory for the request in time. */
+    NO_PLACE(128, 503, Family.NOT_RUN, 1, "No engine has memory for the request now."),
     /** The same key runs elsewhere. */
     ALREADY_RUNNING(200, 409, Family.OUTCOME_UNKNOWN, 2, "The request with this key is running."),
     /** Bytes left for an upstream and nothing proves what became of them. */
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -0,0 +1,206 @@
+package org.troutpier.daemon.directory;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.troutpier.common.id.UpstreamId;
+
+/**
+ * The upstreams that may get work. Changes are confined to the control thread; {@link #snapshot()}
+ * is thread safe. Invariant: an entry that the platform lists as draining or no longer lists gets
+ * no work, except that an entry which vanished while the store was away is believed until {@link
+ * #GRACE_MILLIS} after the store's return.
+ */
+public final class UpstreamDirectory {
+
+    /**
+     * How long after the store's return an entry that vanished meanwhile is still believed,
+     * milliseconds: the users say that entries of live servers are back within about two seconds.
+     */
+    static final long GRACE_MILLIS = 2000;
+
+    /** Logs each change. */
+    private static final Logger LOGGER = LogManager.getLogger(UpstreamDirectory.class);
+
+    /** How many nanoseconds a millisecond has. */
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    /** The entries by id. */
+    private final Map<UpstreamId, UpstreamEntry> mEntries = new HashMap<>();
+
+    /** When entries that vanished in an outage stop being believed, on the monotonic clock. */
+    private final Map<UpstreamId, Long> mVanished = new HashMap<>();
+
+    /** The monotonic clock, nanoseconds. */
+    private final LongSupplier mNanos;
+
+    /** Whether the store is away. */
+    private boolean mAway;
+
+    /** Until when a vanished entry is believed, on the monotonic clock; 0 for never. */
+    private long mGraceUntil;
+
+    /** The entries by service, for readers on any thread. */
+    private volatile Map<String, List<UpstreamEntry>> mSnapshot = Map.of();
+
+    /** Whether the entries were read at least once. */
+    private volatile boolean mLoaded;
+
+    /**
+     * Creates an empty directory.
+     *
+     * @param nanos the monotonic clock, nanoseconds
+     */
+    public UpstreamDirectory(LongSupplier nanos) {
+        mNanos = nanos;
+    }
+
+    /**
+     * Returns whether the entries were read at least once.
+     *
+     * @return whether the directory can be used
+     */
+    public boolean loaded() {
+        return mLoaded;
+    }
+
+    /**
+     * Returns the upstreams of a service that may get work.
+     *
+     * @param service the service's name
+     * @return the entries
+     */
+    public List<UpstreamEntry> usable(String service) {
+        return mSnapshot.getOrDefault(service, List.of());
+    }
+
+    /**
+     * Returns all upstreams that may get work.
+     *
+     * @return the entries by service
+     */
+    public Map<String, List<UpstreamEntry>> snapshot() {
+        return mSnapshot;
+    }
+
+    /** Takes note that the store cannot be read. */
+    public void storeLost() {
+        if (!mAway) {
+            LOGGER.warn("directory store lost entries={}", mEntries.size());
+        }
+        mAway = true;
+    }
+
+    /** Takes note that the store was read. */
+    public void storeHeard() {
+        if (mAway) {
+            mAway = false;
+            mGraceUntil = mNanos.getAsLong() + GRACE_MILLIS * NANOS_PER_MILLI;
+            LOGGER.info("directory store regained entries={}", mEntries.size());
+        }
+        expire();
+    }
+
+    /**
+     * Takes the whole list.
+     *
+     * @param listed all entries that the platform lists
+     */
+    public void replaceAll(Collection<UpstreamEntry> listed) {
+        Map<UpstreamId, UpstreamEntry> next =
+                listed.stream().collect(Collectors.toMap(UpstreamEntry::id, entry -> entry));
+        for (UpstreamId known : List.copyOf(mEntries.keySet())) {
+            if (!next.containsKey(known)) {
+                remove(known);
+            }
+        }
+        next.values().forEach(this::put);
+        mLoaded = true;
+        publish();
+    }
+
+    /**
+     * Takes one changed entry.
+     *
+     * @param id the entry's id
+     * @param entry the entry, or empty where it was deleted
+     */
+    public void change(UpstreamId id, Optional<UpstreamEntry> entry) {
+        entry.ifPresentOrElse(this::put, () -> remove(id));
+        publish();
+    }
+
+    /**
+     * Stores an entry.
+     *
+     * @param entry the entry
+     */
+    private void put(UpstreamEntry entry) {
+        mVanished.remove(entry.id());
+        UpstreamEntry before = mEntries.put(entry.id(), entry);
+        if (!entry.equals(before)) {
+            LOGGER.info(
+                    "upstream listed id={} service={} address={} role={} draining={}",
+                    entry.id(),
+                    entry.service(),
+                    entry.address(),
+                    entry.role(),
+                    entry.draining());
+        }
+    }
+
+    /**
+     * Removes an entry, or lets it lapse later where it may have vanished by mistake.
+     *
+     * @param id the entry's id
+     */
+    private void remove(UpstreamId id) {
+        if (!mEntries.containsKey(id)) {
+            return;
+        }
+        boolean doubtful = mAway || mGraceUntil != 0 && mNanos.getAsLong() - mGraceUntil < 0;
+        if (doubtful && !mEntries.get(id).draining()) {
+            mVanished.putIfAbsent(id, mGraceUntil);
+            return;
+        }
+        mEntries.remove(id);
+        LOGGER.info("upstream gone id={}", id);
+    }
+
+    /** Removes vanished entries whose grace is over. */
+    private void expire() {
+        boolean changed = false;
+        for (Iterator<Map.Entry<UpstreamId, Long>> each = mVanished.entrySet().iterator();
+                each.hasNext(); ) {
+            Map.Entry<UpstreamId, Long> vanished = each.next();
+            if (mNanos.getAsLong() - vanished.getValue() >= 0) {
+                each.remove();
+                mEntries.remove(vanished.getKey());
+                LOGGER.info("upstream gone after the store's return id={}", vanished.getKey());
+                changed = true;
+            }
+        }
+        if (changed) {
+            publish();
+        }
+    }
+
+    /** Publishes what may get work. */
+    private void publish() {
+        List<UpstreamEntry> usable = new ArrayList<>(mEntries.values());
+        usable.removeIf(UpstreamEntry::draining);
+        mSnapshot =
+                usable.stream()
+                        .collect(
+                                Collectors.groupingBy(
+                                        UpstreamEntry::service, Collectors.toUnmodifiableList()));
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/Knowledge.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/Knowledge.java
@@ -9,7 +9,7 @@
  * decision, confined to the request's event loop. Invariants: "not run" is never said once any
  * attempt may have run; once an attempt was lost, nothing but "unknown" is said.
  */
-final class Knowledge {
+public final class Knowledge {
 
     /** Whether an upstream may have run any of it. */
     private boolean mMayHaveRun;
@@ -22,7 +22,7 @@
      *
      * @param end how the attempt ended
      */
-    void learn(AttemptEnd end) {
+    public void learn(AttemptEnd end) {
         if (end.notStarted()) {
             return;
         }
@@ -37,7 +37,7 @@
      *
      * @param atUpstream whether one has it
      */
-    void mayHaveRun(boolean atUpstream) {
+    public void mayHaveRun(boolean atUpstream) {
         mMayHaveRun |= atUpstream;
     }
 
@@ -46,7 +46,7 @@
      *
      * @return whether it cannot be said that it was not run
      */
-    boolean mayHaveRun() {
+    public boolean mayHaveRun() {
         return mMayHaveRun;
     }
 
@@ -56,7 +56,7 @@
      * @param wished the code that fits the last step
      * @return the same, or what is known where it would say too much
      */
-    ResultCode truthful(ResultCode wished) {
+    public ResultCode truthful(ResultCode wished) {
         boolean lost = mKnown != null && mKnown.family() == Family.OUTCOME_UNKNOWN;
         if (lost && wished.family() != Family.OUTCOME_UNKNOWN) {
             return mKnown;
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ExtraCallBudget.java
@@ -0,0 +1,113 @@
+package org.troutpier.daemon.serving;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Bounds the calls that a service gets beyond the first of each request, over a sliding window.
+ * Confined to the traffic loop. Invariant: within any window, extra calls of a service are at most
+ * the ratio of the requests seen in that window, plus the fixed allowance. Each router keeps to its
+ * own part, so the sum over all routers keeps to the whole without any word between them.
+ */
+public final class ExtraCallBudget {
+
+    /** How many steps a window is divided into. */
+    private static final int STEPS = 20;
+
+    /**
+     * Which part of the ratio is used: a step's worth of requests drops out of the window at once,
+     * and requests that other routers count in another step may not be there.
+     */
+    private static final double USED_PART = 0.8;
+
+    /** Extra calls for each request. */
+    private final double mRatio;
+
+    /** Extra calls in a window without any requests. */
+    private final double mAllowance;
+
+    /** How long a step is, milliseconds. */
+    private final long mStepMillis;
+
+    /** The counts of each service. */
+    private final Map<String, Counts> mCounts = new HashMap<>();
+
+    /** One service's counts by step. */
+    private static final class Counts {
+
+        /** Requests in each step. */
+        private final int[] mRequests = new int[STEPS];
+
+        /** Extra calls in each step. */
+        private final int[] mExtra = new int[STEPS];
+
+        /** The newest step. */
+        private long mStep;
+    }
+
+    /**
+     * Creates a budget.
+     *
+     * @param ratio extra calls for each request
+     * @param allowance extra calls in a window without any requests
+     * @param windowMillis how long the window is, milliseconds
+     */
+    public ExtraCallBudget(double ratio, double allowance, long windowMillis) {
+        mRatio = ratio * USED_PART;
+        mAllowance = allowance;
+        mStepMillis = Math.max(1, windowMillis / STEPS);
+    }
+
+    /**
+     * Takes note of a request.
+     *
+     * @param service the service it goes to
+     * @param nowMillis the monotonic clock, milliseconds
+     */
+    public void request(String service, long nowMillis) {
+        Counts counts = at(service, nowMillis);
+        counts.mRequests[(int) (counts.mStep % STEPS)]++;
+    }
+
+    /**
+     * Asks for an extra call.
+     *
+     * @param service the service it goes to
+     * @param nowMillis the monotonic clock, milliseconds
+     * @return whether it may be made
+     */
+    public boolean tryExtra(String service, long nowMillis) {
+        Counts counts = at(service, nowMillis);
+        int requests = 0;
+        int extra = 0;
+        for (int step = 0; step < STEPS; step++) {
+            requests += counts.mRequests[step];
+            extra += counts.mExtra[step];
+        }
+        if (extra + 1 > requests * mRatio + mAllowance) {
+            return false;
+        }
+        counts.mExtra[(int) (counts.mStep % STEPS)]++;
+        return true;
+    }
+
+    /**
+     * Returns a service's counts with all steps before the window cleared.
+     *
+     * @param service the service
+     * @param nowMillis the monotonic clock, milliseconds
+     * @return the counts
+     */
+    private Counts at(String service, long nowMillis) {
+        Counts counts = mCounts.computeIfAbsent(service, name -> new Counts());
+        long step = nowMillis / mStepMillis;
+        long clear = Math.min(STEPS, step - counts.mStep);
+        for (long each = 0; each < clear; each++) {
+            int index = (int) ((step - each) % STEPS);
+            counts.mRequests[index] = 0;
+            counts.mExtra[index] = 0;
+        }
+        counts.mStep = Math.max(counts.mStep, step);
+        return counts;
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -0,0 +1,224 @@
+package org.troutpier.daemon.serving;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.troutpier.common.id.UpstreamId;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.upstream.AttemptEnd;
+
+/**
+ * Finds memory for requests at decode engines before their prompts are read. The engines themselves
+ * set it aside, so routers that know nothing of each other never give the same memory twice.
+ * Confined to the traffic loop. Invariant: each search ends once: granted, refused or stopped; a
+ * place that is granted after the search was stopped is given back.
+ */
+public final class PlaceAllocator {
+
+    /**
+     * How long an engine that refused is not asked again by this router, milliseconds: with a few
+     * dozen requests leaving an engine in a second, room comes about that often.
+     */
+    private static final long FULL_MILLIS = 30;
+
+    /** How long a place is kept for its prompt to be read, milliseconds. */
+    private static final int PLACE_MILLIS = 2000;
+
+    /** The collaborators that it shares with the executions. */
+    private final TrafficLoop mLoop;
+
+    /** Asks engines for places. */
+    private final UpstreamPort mPort;
+
+    /** What is under way at each engine. */
+    private final UpstreamLoads mLoads;
+
+    /** Spreads repeated questions. */
+    private final RandomGenerator mRandom;
+
+    /** Until when each engine is taken to be full, milliseconds on the loop's clock. */
+    private final Map<UpstreamId, Long> mFullUntil = new HashMap<>();
+
+    /**
+     * Creates an allocator.
+     *
+     * @param loop the traffic loop
+     * @param port asks engines for places
+     * @param loads what is under way at each engine
+     * @param random spreads repeated questions
+     */
+    public PlaceAllocator(
+            TrafficLoop loop, UpstreamPort port, UpstreamLoads loads, RandomGenerator random) {
+        mLoop = loop;
+        mPort = port;
+        mLoads = loads;
+        mRandom = random;
+    }
+
+    /** Hears how a search ends, on the traffic loop. */
+    public interface Listener {
+
+        /**
+         * Hears of a place.
+         *
+         * @param engine where it is
+         * @param place the place; empty where engines do not set places aside
+         */
+        void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place);
+
+        /**
+         * Hears that no place was found in time.
+         *
+         * @param detail what was tried
+         */
+        void refused(String detail);
+    }
+
+    /**
+     * What is looked for. Immutable.
+     *
+     * @param tokens how much memory
+     * @param placeMillis how long engines set places aside at most; 0 where they do not
+     * @param waitMillis how long to look
+     * @param engines the engines that may be used, asked again for each round
+     */
+    public record Wanted(
+            long tokens, int placeMillis, long waitMillis, Supplier<List<UpstreamEntry>> engines) {}
+
+    /**
+     * Looks for a place.
+     *
+     * @param wanted what is looked for
+     * @param listener hears the end
+     * @return the search, to stop it
+     */
+    public Search find(Wanted wanted, Listener listener) {
+        Search search = new Search(wanted, listener);
+        search.round();
+        return search;
+    }
+
+    /** One search. Confined to the traffic loop. */
+    public final class Search {
+
+        /** What is looked for. */
+        private final Wanted mWanted;
+
+        /** Hears the end. */
+        private final Listener mListener;
+
+        /** When the search gives up, milliseconds on the loop's clock. */
+        private final long mUntil;
+
+        /** Which engines were asked in this round. */
+        private final Set<UpstreamId> mAsked = new HashSet<>();
+
+        /** How many refusals there were. */
+        private int mRefusals;
+
+        /** Whether the search has ended. */
+        private boolean mOver;
+
+        /**
+         * Creates a search.
+         *
+         * @param wanted what is looked for
+         * @param listener hears the end
+         */
+        private Search(Wanted wanted, Listener listener) {
+            mWanted = wanted;
+            mListener = listener;
+            mUntil = mLoop.millis() + wanted.waitMillis();
+        }
+
+        /** Stops the search; its listener hears no more. */
+        public void stop() {
+            mOver = true;
+        }
+
+        /** Begins a round over all engines. */
+        private void round() {
+            mAsked.clear();
+            next();
+        }
+
+        /** Asks the next engine of the round, or waits for the next round. */
+        private void next() {
+            if (mOver) {
+                return;
+            }
+            long now = mLoop.millis();
+            for (UpstreamEntry engine : mLoads.byTokens(mWanted.engines().get(), mAsked)) {
+                if (mFullUntil.getOrDefault(engine.id(), now) <= now) {
+                    ask(engine);
+                    return;
+                }
+            }
+            if (now + FULL_MILLIS > mUntil) {
+                mOver = true;
+                mListener.refused("no place after " + mRefusals + " refusals");
+                return;
+            }
+            mLoop.later(this::round, FULL_MILLIS / 2 + mRandom.nextLong(FULL_MILLIS / 2));
+        }
+
+        /**
+         * Asks one engine.
+         *
+         * @param engine the engine
+         */
+        private void ask(UpstreamEntry engine) {
+            if (mWanted.placeMillis() == 0) {
+                mOver = true;
+                mListener.granted(engine, Optional.empty());
+                return;
+            }
+            mAsked.add(engine.id());
+            int millis = Math.min(PLACE_MILLIS, mWanted.placeMillis());
+            mPort.reserve(engine, mWanted.tokens(), millis, new Answer(engine));
+        }
+
+        /** Hears an engine's answer. Confined to the traffic loop. */
+        private final class Answer implements UpstreamPort.ResultListener<UpstreamPort.Place> {
+
+            /** Who answers. */
+            private final UpstreamEntry mEngine;
+
+            /**
+             * Creates a listener.
+             *
+             * @param engine who answers
+             */
+            Answer(UpstreamEntry engine) {
+                mEngine = engine;
+            }
+
+            /** {@inheritDoc} */
+            @Override
+            public void onResult(UpstreamPort.Place place) {
+                if (mOver) {
+                    mPort.release(mEngine, place);
+                    return;
+                }
+                mOver = true;
+                mListener.granted(mEngine, Optional.of(place));
+            }
+
+            /** {@inheritDoc} */
+            @Override
+            public void onFailure(AttemptEnd end) {
+                mRefusals++;
+                mFullUntil.put(mEngine.id(), mLoop.millis() + FULL_MILLIS);
+                if (end.unreachable()) {
+                    mLoads.failed(mEngine, true, "no place: " + end.detail());
+                }
+                next();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlannedStop.java
@@ -0,0 +1,90 @@
+package org.troutpier.daemon.serving;
+
+import java.util.function.BooleanSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.troutpier.common.http.HttpServer;
+import org.troutpier.daemon.node.Readiness;
+
+/**
+ * Stops a router without cutting requests: it is not ready any more, answers end their connections,
+ * and the process ends once nothing is in progress, or at the end of the time that it is given.
+ * Thread safe; {@link #run()} blocks the thread that calls it.
+ */
+public final class PlannedStop {
+
+    /**
+     * How long callers may still come, milliseconds: the platform asks for readiness every second
+     * and takes a router out after two misses.
+     */
+    private static final long NOTICE_MILLIS = 2600;
+
+    /** How much of the time that is given is left unused, milliseconds. */
+    private static final long SPARE_MILLIS = 300;
+
+    /** How often it is looked whether requests are in progress, milliseconds. */
+    private static final long LOOK_MILLIS = 50;
+
+    /** Logs the stop. */
+    private static final Logger LOGGER = LogManager.getLogger(PlannedStop.class);
+
+    /** Whether this router takes new work. */
+    private final Readiness mReadiness;
+
+    /** Where callers come in. */
+    private final HttpServer mServer;
+
+    /** How long the process may take to end, milliseconds. */
+    private final long mGraceMillis;
+
+    /**
+     * Creates a stop.
+     *
+     * @param readiness whether this router takes new work
+     * @param server where callers come in
+     * @param graceMillis how long the process may take to end, milliseconds
+     */
+    public PlannedStop(Readiness readiness, HttpServer server, long graceMillis) {
+        mReadiness = readiness;
+        mServer = server;
+        mGraceMillis = graceMillis;
+    }
+
+    /** Stops; returns when the process may end. */
+    public void run() {
+        long start = System.nanoTime();
+        mReadiness.stopping();
+        mServer.drain();
+        LOGGER.info("stop begins busy={} graceMillis={}", mServer.busy(), mGraceMillis);
+        waitUntil(() -> elapsed(start) >= NOTICE_MILLIS && mServer.busy() == 0, start);
+        LOGGER.info("stop ends busy={} millis={}", mServer.busy(), elapsed(start));
+    }
+
+    /**
+     * Waits for a condition or the end of the time that is given.
+     *
+     * @param condition the condition
+     * @param start when the stop began, nanoseconds
+     */
+    private void waitUntil(BooleanSupplier condition, long start) {
+        while (!condition.getAsBoolean() && elapsed(start) < mGraceMillis - SPARE_MILLIS) {
+            try {
+                Thread.sleep(LOOK_MILLIS);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+                LOGGER.warn("stop interrupted busy={}", mServer.busy());
+                return;
+            }
+        }
+    }
+
+    /**
+     * Returns how long ago a moment was.
+     *
+     * @param start the moment, nanoseconds
+     * @return milliseconds
+     */
+    private static long elapsed(long start) {
+        return (System.nanoTime() - start) / 1_000_000;
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -0,0 +1,239 @@
+package org.troutpier.daemon.serving;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.result.ResultCode;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.request.Knowledge;
+import org.troutpier.daemon.route.Route;
+import org.troutpier.daemon.upstream.AttemptEnd;
+
+/**
+ * Serves one request from its arrival to its end. Confined to the traffic loop. Invariants: a
+ * request ends once; it is ended no later than its route's timeout and its caller's deadline; a
+ * refusal says "not run" only while no upstream may have run it.
+ */
+abstract class RequestExecution {
+
+    /** The collaborators. */
+    protected final ServingContext mContext;
+
+    /** The request. */
+    protected final ServingRequest mRequest;
+
+    /** Its route. */
+    protected final Route mRoute;
+
+    /** The service that was chosen among the route's. */
+    protected final String mService;
+
+    /** The way to answer. */
+    protected final CallerChannel mCaller;
+
+    /** What is known of its attempts. */
+    protected final Knowledge mKnowledge = new Knowledge();
+
+    /** Where it was sent to be run. */
+    protected final Set<UpstreamId> mTried = new HashSet<>();
+
+    /** What happened, for the log. */
+    protected final RequestTrace mTrace;
+
+    /** When it ends at the latest, milliseconds on the loop's clock. */
+    private final long mDeadline;
+
+    /** Fires at the deadline. */
+    private final TrafficLoop.Timer mTimer;
+
+    /** Whether it has ended. */
+    private boolean mOver;
+
+    /**
+     * Creates an execution.
+     *
+     * @param context the collaborators
+     * @param request the request
+     * @param route its route
+     * @param service the service that was chosen among the route's
+     * @param caller the way to answer
+     */
+    RequestExecution(
+            ServingContext context,
+            ServingRequest request,
+            Route route,
+            String service,
+            CallerChannel caller) {
+        mContext = context;
+        mRequest = request;
+        mRoute = route;
+        mService = service;
+        mCaller = caller;
+        mTrace = new RequestTrace(request.id().value(), route.name(), context.loop());
+        long held =
+                Math.min(
+                        route.timeoutMillis(),
+                        request.deadlineMillis() - ServingSettings.ANSWER_MARGIN_MILLIS);
+        mDeadline = context.loop().millis() + Math.max(1, held);
+        mTimer = context.loop().later(this::expire, Math.max(1, held));
+        caller.onGone(this::callerGone);
+        context.budget().request(service, context.loop().millis());
+    }
+
+    /** Begins to serve. */
+    abstract void start();
+
+    /** Stops whatever is under way upstream and gives back whatever is held. */
+    protected abstract void stopUpstream();
+
+    /**
+     * Returns whether an upstream may be working on the request just now.
+     *
+     * @return whether the request was handed to one and has not come back
+     */
+    protected abstract boolean atUpstream();
+
+    /**
+     * Returns the time that is left.
+     *
+     * @return milliseconds, at least 1
+     */
+    protected long leftMillis() {
+        return Math.max(1, mDeadline - mContext.loop().millis());
+    }
+
+    /**
+     * Returns whether the request has ended.
+     *
+     * @return whether nothing more is to be done
+     */
+    protected boolean over() {
+        return mOver;
+    }
+
+    /**
+     * Returns the upstreams of the request's service that may get work.
+     *
+     * @param role what they do
+     * @return the upstreams
+     */
+    protected List<UpstreamEntry> upstreams(UpstreamEntry.Role role) {
+        return mContext.directory().usable(mService).stream()
+                .filter(entry -> entry.role() == role)
+                .toList();
+    }
+
+    /**
+     * Takes note of an attempt's end.
+     *
+     * @param upstream where it was
+     * @param end how it ended
+     */
+    protected void learn(UpstreamEntry upstream, AttemptEnd end) {
+        mKnowledge.learn(end);
+        mTrace.step("failed@" + upstream.id() + "(" + end.detail() + ")");
+        if (!end.notStarted() || end.unreachable()) {
+            boolean unreached = end.notStarted() && end.unreachable();
+            mContext.loads().failed(upstream, unreached, end.detail());
+        }
+    }
+
+    /**
+     * Returns whether one more call may be sent to run the request.
+     *
+     * @return whether attempts, time and the budget of extra calls allow it
+     */
+    protected boolean mayTryAgain() {
+        return mTried.size() < mRoute.maxAttempts()
+                && leftMillis() > ServingSettings.ANSWER_MARGIN_MILLIS
+                && mContext.budget().tryExtra(mService, mContext.loop().millis());
+    }
+
+    /** Ends the request after an upstream's whole answer went to the caller. */
+    protected void answered() {
+        close(RequestTrace.ANSWERED);
+    }
+
+    /**
+     * Ends the request with a refusal that is true for all its attempts.
+     *
+     * @param wished the code that fits the last step
+     * @param detail what exactly
+     * @param retryAfterMillis when to come back, milliseconds
+     */
+    protected void refuse(ResultCode wished, String detail, long retryAfterMillis) {
+        if (mOver) {
+            return;
+        }
+        ResultCode code = mKnowledge.truthful(wished);
+        boolean comeBack = code.family() == ResultCode.Family.NOT_RUN || mRoute.kind().repeatable();
+        mTrace.step(code.label() + "(" + detail + ")");
+        stopUpstream();
+        mCaller.refuse(code, detail, comeBack ? retryAfterMillis : 0);
+        close(code.label());
+    }
+
+    /**
+     * Ends the request by breaking its answer off.
+     *
+     * @param reason why, for the log
+     */
+    protected void cut(String reason) {
+        if (mOver) {
+            return;
+        }
+        mTrace.step("cut(" + reason + ")");
+        stopUpstream();
+        mCaller.cut();
+        close("cut");
+    }
+
+    /** Ends the request at its deadline. */
+    private void expire() {
+        if (mOver) {
+            return;
+        }
+        mTrace.step("deadline");
+        mKnowledge.mayHaveRun(atUpstream());
+        if (streaming()) {
+            cut("deadline");
+        } else if (atUpstream()) {
+            refuse(ResultCode.DEADLINE_WHILE_RUNNING, "deadline at the upstream", 0);
+        } else {
+            refuse(
+                    ResultCode.NO_PLACE,
+                    "deadline before the start",
+                    ServingSettings.RETRY_AFTER_MILLIS);
+        }
+    }
+
+    /**
+     * Returns whether a stream to the caller was begun.
+     *
+     * @return whether a refusal can no longer be told
+     */
+    protected boolean streaming() {
+        return false;
+    }
+
+    /** Ends the request after its caller has left. */
+    private void callerGone() {
+        if (mOver) {
+            return;
+        }
+        stopUpstream();
+        close("caller-gone");
+    }
+
+    /**
+     * Ends the request.
+     *
+     * @param outcome how, for the log
+     */
+    private void close(String outcome) {
+        mOver = true;
+        mTimer.stop();
+        mContext.decisions().ended(mTrace, outcome);
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
@@ -0,0 +1,108 @@
+package org.troutpier.daemon.serving;
+
+import java.util.Optional;
+import org.troutpier.common.result.ResultCode;
+import org.troutpier.daemon.route.CurrentConfiguration;
+import org.troutpier.daemon.route.Route;
+import org.troutpier.daemon.route.RoutingConfiguration;
+import org.troutpier.daemon.route.Service;
+
+/**
+ * Finds the route of each request and has it served. Confined to the traffic loop. Invariant: a
+ * request is served by the version in force when it came.
+ */
+public final class RequestRouter {
+
+    /** How long until a router that starts has a configuration, milliseconds, roughly. */
+    private static final long START_MILLIS = 500;
+
+    /** The version in force. */
+    private final CurrentConfiguration mConfiguration;
+
+    /** The collaborators of executions. */
+    private final ServingContext mContext;
+
+    /**
+     * Creates a router.
+     *
+     * @param configuration the version in force
+     * @param context the collaborators of executions
+     */
+    public RequestRouter(CurrentConfiguration configuration, ServingContext context) {
+        mConfiguration = configuration;
+        mContext = context;
+    }
+
+    /**
+     * Serves a request.
+     *
+     * @param request the request
+     * @param caller the way to answer
+     */
+    public void serve(ServingRequest request, CallerChannel caller) {
+        Optional<RoutingConfiguration> configuration = mConfiguration.current();
+        if (configuration.isEmpty()) {
+            refuse(request, caller, ResultCode.ROUTER_NOT_READY, START_MILLIS);
+            return;
+        }
+        Optional<Route> route = configuration.get().route(request.host(), path(request.target()));
+        if (route.isEmpty()) {
+            refuse(request, caller, ResultCode.NO_ROUTE, 0);
+            return;
+        }
+        String name = route.get().service(mContext.random().nextDouble());
+        Optional<Service> service = configuration.get().service(name);
+        execution(request, route.get(), name, service, caller).start();
+    }
+
+    /**
+     * Makes the execution that fits the service.
+     *
+     * @param request the request
+     * @param route its route
+     * @param name the service's name
+     * @param service the service, if it is configured
+     * @param caller the way to answer
+     * @return the execution
+     */
+    private RequestExecution execution(
+            ServingRequest request,
+            Route route,
+            String name,
+            Optional<Service> service,
+            CallerChannel caller) {
+        boolean engine = service.flatMap(Service::engine).isPresent();
+        if (engine && route.kind().streams()) {
+            return new StreamExecution(
+                    mContext, request, route, name, service.get().engine().get(), caller);
+        }
+        return new PlainExecution(mContext, request, route, name, caller);
+    }
+
+    /**
+     * Refuses a request that has no route.
+     *
+     * @param request the request
+     * @param caller the way to answer
+     * @param code why
+     * @param retryAfterMillis when to come back, milliseconds
+     */
+    private void refuse(
+            ServingRequest request, CallerChannel caller, ResultCode code, long retryAfterMillis) {
+        RequestTrace trace = new RequestTrace(request.id().value(), "none", mContext.loop());
+        trace.step(request.host() + request.target());
+        caller.refuse(code, code.meaning(), retryAfterMillis);
+        mContext.decisions().ended(trace, code.label());
+    }
+
+    /**
+     * Returns a target's path.
+     *
+     * @param target path and query
+     * @return the path
+     */
+    private static String path(String target) {
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -0,0 +1,27 @@
+package org.troutpier.daemon.serving;
+
+import java.util.random.RandomGenerator;
+import org.troutpier.daemon.directory.UpstreamDirectory;
+
+/**
+ * The collaborators of each request's execution. Immutable; confined to the traffic loop, as are
+ * the parts.
+ *
+ * @param loop the traffic loop
+ * @param port sends calls to upstreams
+ * @param directory the upstreams
+ * @param loads what is under way at each upstream
+ * @param budget bounds extra calls
+ * @param places gives out places at decode engines
+ * @param decisions logs what was decided about requests
+ * @param random draws splits
+ */
+public record ServingContext(
+        TrafficLoop loop,
+        UpstreamPort port,
+        UpstreamDirectory directory,
+        UpstreamLoads loads,
+        ExtraCallBudget budget,
+        PlaceAllocator places,
+        DecisionLog decisions,
+        RandomGenerator random) {}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
@@ -0,0 +1,42 @@
+package org.troutpier.daemon.serving;
+
+/**
+ * Limits of serving. Immutable and thread safe.
+ *
+ * @param extraCallRatio extra calls for each request, over all routers
+ * @param extraCallAllowance extra calls in a window without requests, for this router
+ * @param extraCallWindowMillis the window of both, milliseconds
+ */
+public record ServingSettings(
+        double extraCallRatio, double extraCallAllowance, long extraCallWindowMillis) {
+
+    /**
+     * How long before the caller gives up the final answer is sent, milliseconds: a few times the
+     * way to a caller (3 ms).
+     */
+    static final long ANSWER_MARGIN_MILLIS = 20;
+
+    /**
+     * Which part of its target a request waits for a place at an engine. The users price waits of
+     * over a quarter that come to nothing.
+     */
+    static final double WAIT_PART = 0.24;
+
+    /**
+     * How many times its target a repeatable call may be silent at one upstream while another may
+     * still be asked.
+     */
+    static final double SILENCE_PART = 2.0;
+
+    /**
+     * How long a prefill may take, milliseconds: some ten times the time of the largest prompt
+     * (11,000 tokens at 55 a millisecond).
+     */
+    static final long PREFILL_MILLIS = 2000;
+
+    /** How long a stream that can be continued elsewhere may be silent, milliseconds. */
+    static final long STREAM_SILENCE_MILLIS = 1200;
+
+    /** When a caller is asked to come back where nothing better is known, milliseconds. */
+    static final long RETRY_AFTER_MILLIS = 400;
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -0,0 +1,484 @@
+package org.troutpier.daemon.serving;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.result.ResultCode;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.route.EngineTraits;
+import org.troutpier.daemon.route.Route;
+import org.troutpier.daemon.upstream.AttemptEnd;
+
+/**
+ * Serves a request of a model: finds memory at a decode engine, has a prefill engine read the
+ * prompt, then hands the decode engine's events on as they come. Confined to the traffic loop.
+ * Invariants: no prompt is read before memory is found for it; a stream that was begun ends whole
+ * only where its run did; memory set aside is used or given back.
+ */
+final class StreamExecution extends RequestExecution {
+
+    /** What the service's engines can do. */
+    private final EngineTraits mEngine;
+
+    /** Hands events to the caller. */
+    private final EventRelay mRelay;
+
+    /** The prefill engines that were tried for this run. */
+    private final Set<UpstreamId> mPrefillTried = new HashSet<>();
+
+    /** Looks for a place, or null. */
+    private PlaceAllocator.Search mSearch;
+
+    /** The decode engine that was found, or null. */
+    private UpstreamEntry mDecode;
+
+    /** The place that was set aside there and not used yet. */
+    private Optional<UpstreamPort.Place> mPlace = Optional.empty();
+
+    /** The prompt's reading, or null. */
+    private PromptReading mReading;
+
+    /** The run under way, or null. */
+    private StreamRun mRun;
+
+    /** Whether the caller has the stream's head. */
+    private boolean mBegun;
+
+    /** Whether a prompt was sent to be read before, so that the next one counts as extra. */
+    private boolean mReadBefore;
+
+    /**
+     * Creates an execution.
+     *
+     * @param context the collaborators
+     * @param request the request
+     * @param route its route
+     * @param service the service that was chosen among the route's
+     * @param engine what the service's engines can do
+     * @param caller the way to answer
+     */
+    StreamExecution(
+            ServingContext context,
+            ServingRequest request,
+            Route route,
+            String service,
+            EngineTraits engine,
+            CallerChannel caller) {
+        super(context, request, route, service, caller);
+        mEngine = engine;
+        mRelay = new EventRelay(caller, request.lastEvent());
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    void start() {
+        if (tokens() > mEngine.memoryTokens()) {
+            refuse(ResultCode.NO_PLACE, "larger than an engine's memory", 0);
+            return;
+        }
+        search();
+    }
+
+    /** Looks for a place at a decode engine. */
+    private void search() {
+        long wait =
+                mBegun
+                        ? mRoute.targetMillis()
+                        : (long) (mRoute.targetMillis() * ServingSettings.WAIT_PART);
+        mSearch =
+                mContext.places()
+                        .find(
+                                new PlaceAllocator.Wanted(
+                                        tokens(), mEngine.placeMillis(), wait, this::engines),
+                                new PlaceFound());
+    }
+
+    /**
+     * Returns the decode engines that have not had the request.
+     *
+     * @return the engines
+     */
+    private List<UpstreamEntry> engines() {
+        return upstreams(UpstreamEntry.Role.DECODE).stream()
+                .filter(entry -> !mTried.contains(entry.id()))
+                .toList();
+    }
+
+    /**
+     * Returns how much memory the request takes at most.
+     *
+     * @return tokens
+     */
+    private long tokens() {
+        return mRequest.prompt().map(PromptShape::mostTokens).orElse(0L);
+    }
+
+    /** Has the prompt read, or has the decode engine read it where nobody else can. */
+    private void read() {
+        List<UpstreamEntry> engines =
+                mContext.loads().byTokens(upstreams(UpstreamEntry.Role.PREFILL), mPrefillTried);
+        if (engines.isEmpty()) {
+            mTrace.step("no prefill engine");
+            run(Optional.empty());
+            return;
+        }
+        boolean extra = mReadBefore;
+        if (extra && !mContext.budget().tryExtra(mService, mContext.loop().millis())) {
+            failedBeforeRun(ResultCode.RETRIES_SPENT, "no extra prefill is left");
+            return;
+        }
+        mReadBefore = true;
+        UpstreamEntry engine = engines.get(0);
+        mPrefillTried.add(engine.id());
+        mTrace.step("prefill@" + engine.id());
+        mReading = new PromptReading(engine);
+        mReading.begin();
+    }
+
+    /**
+     * Sends the request to the decode engine.
+     *
+     * @param prompt where the prompt was read, if elsewhere
+     */
+    private void run(Optional<UpstreamPort.StoredPrompt> prompt) {
+        mTried.add(mDecode.id());
+        mTrace.step("decode@" + mDecode.id());
+        mRelay.beginRun();
+        UpstreamPort.RunPlan plan =
+                UpstreamPort.RunPlan.plain(leftMillis(), mRoute.priority())
+                        .withPlace(mPlace)
+                        .withResumeAfter(mRelay.last());
+        mPlace = Optional.empty();
+        mRun = new StreamRun(mDecode, prompt);
+        mRun.begin(prompt.map(plan::withPrompt).orElse(plan));
+    }
+
+    /**
+     * Ends the request before a run was begun, or breaks off a stream that cannot be continued.
+     *
+     * @param code the code that fits the last step
+     * @param detail what exactly
+     */
+    private void failedBeforeRun(ResultCode code, String detail) {
+        if (mBegun) {
+            cut(detail);
+        } else {
+            refuse(code, detail, ServingSettings.RETRY_AFTER_MILLIS);
+        }
+    }
+
+    /**
+     * Goes on after a run that failed.
+     *
+     * @param upstream where it was
+     * @param end how it ended
+     */
+    private void runFailed(UpstreamEntry upstream, AttemptEnd end) {
+        learn(upstream, end);
+        boolean again = end.notStarted() || mRoute.kind() == Route.Kind.RESUMABLE_STREAM;
+        if (again && mayTryAgain()) {
+            mPrefillTried.clear();
+            search();
+            return;
+        }
+        failedBeforeRun(end.code(), end.detail());
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    protected void stopUpstream() {
+        if (mSearch != null) {
+            mSearch.stop();
+        }
+        if (mReading != null) {
+            mReading.abort();
+        }
+        if (mRun != null) {
+            mRun.abort();
+        }
+        mPlace.ifPresent(place -> mContext.port().release(mDecode, place));
+        mPlace = Optional.empty();
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    protected boolean atUpstream() {
+        return mRun != null;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    protected boolean streaming() {
+        return mBegun;
+    }
+
+    /** Hears of a place. Confined to the traffic loop. */
+    private final class PlaceFound implements PlaceAllocator.Listener {
+
+        /** {@inheritDoc} */
+        @Override
+        public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
+            mSearch = null;
+            mDecode = engine;
+            mPlace = place;
+            mTrace.step("place@" + engine.id());
+            read();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void refused(String detail) {
+            mSearch = null;
+            failedBeforeRun(ResultCode.NO_PLACE, detail);
+        }
+    }
+
+    /** The reading of the prompt at one prefill engine. Confined to the traffic loop. */
+    private final class PromptReading
+            implements UpstreamPort.ResultListener<UpstreamPort.StoredPrompt> {
+
+        /** Where it is read. */
+        private final UpstreamEntry mUpstream;
+
+        /** Gives the reading up. */
+        private final TrafficLoop.Timer mTimer;
+
+        /** The call. */
+        private UpstreamPort.Call mCall;
+
+        /**
+         * Creates a reading.
+         *
+         * @param upstream where it is read
+         */
+        PromptReading(UpstreamEntry upstream) {
+            mUpstream = upstream;
+            mTimer = mContext.loop().later(this::silent, ServingSettings.PREFILL_MILLIS);
+        }
+
+        /** Sends the call. */
+        void begin() {
+            mContext.loads().begin(mUpstream, tokens());
+            mCall =
+                    mContext.port()
+                            .prefill(
+                                    mUpstream,
+                                    mRequest,
+                                    UpstreamPort.RunPlan.plain(leftMillis(), mRoute.priority())
+                                            .withResumeAfter(mRelay.last()),
+                                    this);
+        }
+
+        /** Gives the reading up because the engine is silent. */
+        private void silent() {
+            if (mReading == this) {
+                mCall.abort();
+                onFailure(AttemptEnd.lost("prefill silent"));
+            }
+        }
+
+        /** Ends the call without hearing more. */
+        void abort() {
+            mCall.abort();
+            close();
+        }
+
+        /** Takes note that the call is over. */
+        private void close() {
+            mTimer.stop();
+            if (mReading == this) {
+                mReading = null;
+                mContext.loads().end(mUpstream, tokens());
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onResult(UpstreamPort.StoredPrompt prompt) {
+            close();
+            mContext.loads().succeeded(mUpstream);
+            mTrace.step("read");
+            run(Optional.of(prompt));
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onFailure(AttemptEnd end) {
+            close();
+            mTrace.step("prefill failed(" + end.detail() + ")");
+            if (!end.notStarted() || end.unreachable()) {
+                mContext.loads().failed(mUpstream, end.unreachable(), end.detail());
+            }
+            read();
+        }
+    }
+
+    /** One run at a decode engine. Confined to the traffic loop. */
+    private final class StreamRun implements UpstreamPort.RunListener {
+
+        /** Where it runs. */
+        private final UpstreamEntry mUpstream;
+
+        /** Where its prompt was read, if elsewhere. */
+        private final Optional<UpstreamPort.StoredPrompt> mPrompt;
+
+        /** The call. */
+        private UpstreamPort.Call mCall;
+
+        /** An answer that is no stream, or null. */
+        private WholeAnswer mAnswer;
+
+        /** Gives the run up where another may go on, or null. */
+        private TrafficLoop.Timer mSilence;
+
+        /**
+         * Creates a run.
+         *
+         * @param upstream where it runs
+         * @param prompt where its prompt was read, if elsewhere
+         */
+        StreamRun(UpstreamEntry upstream, Optional<UpstreamPort.StoredPrompt> prompt) {
+            mUpstream = upstream;
+            mPrompt = prompt;
+        }
+
+        /**
+         * Sends the call.
+         *
+         * @param plan what goes with it
+         */
+        void begin(UpstreamPort.RunPlan plan) {
+            mContext.loads().begin(mUpstream, tokens());
+            mCall = mContext.port().run(mUpstream, mRequest, plan, this);
+            mCaller.onWritable(() -> mCall.read(true));
+            watch();
+        }
+
+        /** Starts to wait for the next event where the stream may be continued elsewhere. */
+        private void watch() {
+            if (mSilence != null) {
+                mSilence.stop();
+            }
+            boolean another =
+                    mRoute.kind() == Route.Kind.RESUMABLE_STREAM
+                            && mTried.size() < mRoute.maxAttempts();
+            mSilence =
+                    another
+                            ? mContext.loop()
+                                    .later(this::silent, ServingSettings.STREAM_SILENCE_MILLIS)
+                            : null;
+        }
+
+        /** Gives the run up because the engine is silent. */
+        private void silent() {
+            if (mRun == this && !over()) {
+                mCall.abort();
+                onFailure(AttemptEnd.lost("stream silent"));
+            }
+        }
+
+        /** Ends the call without hearing more. */
+        void abort() {
+            mCall.abort();
+            close();
+        }
+
+        /** Takes note that the call is over. */
+        private void close() {
+            if (mSilence != null) {
+                mSilence.stop();
+            }
+            if (mRun == this) {
+                mRun = null;
+                mContext.loads().end(mUpstream, tokens());
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onHead(UpstreamPort.Head head) {
+            if (head.verdict() != UpstreamPort.Verdict.SUCCESS) {
+                mAnswer = new WholeAnswer(head);
+                return;
+            }
+            if (!mBegun) {
+                mBegun = true;
+                mTrace.step("head");
+                mCaller.begin(head.status(), head.headers());
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onPart(byte[] part) {
+            if (mAnswer != null) {
+                mAnswer.add(part);
+                return;
+            }
+            long before = mRelay.events();
+            try {
+                mRelay.feed(part);
+            } catch (org.troutpier.common.result.TroutpierException exception) {
+                mCall.abort();
+                onFailure(AttemptEnd.failed(exception.code(), exception.detail()));
+                return;
+            }
+            if (before == 0 && mRelay.events() > 0) {
+                mTrace.step("first event");
+            }
+            watch();
+            if (!mCaller.writable()) {
+                mCall.read(false);
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onEnd() {
+            if (mAnswer != null) {
+                refused();
+                return;
+            }
+            if (!mRelay.betweenEvents()) {
+                onFailure(AttemptEnd.failed(ResultCode.UPSTREAM_FAILED, "ended inside an event"));
+                return;
+            }
+            close();
+            mContext.loads().succeeded(mUpstream);
+            mTrace.step("events=" + mRelay.events());
+            mCaller.end();
+            answered();
+        }
+
+        /** Goes on after an answer that is no stream. */
+        private void refused() {
+            UpstreamPort.Head head = mAnswer.head();
+            AttemptEnd end = Verdicts.end(head);
+            close();
+            if (end.notStarted()) {
+                mPrompt.ifPresent(mContext.port()::discard);
+            }
+            boolean own = head.verdict() == UpstreamPort.Verdict.OWN_FAILURE;
+            if (own && !mBegun && mRoute.kind() != Route.Kind.RESUMABLE_STREAM) {
+                learn(mUpstream, end);
+                mTrace.step("status=" + head.status());
+                mAnswer.sendTo(mCaller);
+                answered();
+                return;
+            }
+            runFailed(mUpstream, end);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onFailure(AttemptEnd end) {
+            close();
+            if (end.notStarted()) {
+                mPrompt.ifPresent(mContext.port()::discard);
+            }
+            runFailed(mUpstream, end);
+        }
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -0,0 +1,245 @@
+package org.troutpier.daemon.serving;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.UpstreamId;
+import org.troutpier.daemon.directory.UpstreamEntry;
+
+/**
+ * What this router has under way at each upstream, and which upstreams it passes over because their
+ * calls failed. Confined to the traffic loop. Invariant: an upstream whose calls fail is tried
+ * again after at most {@link #MOST_EJECTED_MILLIS}, and where all are passed over the one that
+ * comes back first is used.
+ */
+public final class UpstreamLoads {
+
+    /** How many failures in a row pass an upstream over; two happen by chance at one in seven. */
+    private static final int FAILURES = 4;
+
+    /** How long an upstream is passed over at first, milliseconds. */
+    private static final long FIRST_EJECTED_MILLIS = 500;
+
+    /** How long an upstream is passed over at most, milliseconds. */
+    private static final long MOST_EJECTED_MILLIS = 4000;
+
+    /** What crossing to another hall counts for, in parts of an upstream's slots. */
+    private static final double OTHER_HALL = 0.15;
+
+    /** Logs each upstream that is passed over or used again. */
+    private static final Logger LOGGER = LogManager.getLogger(UpstreamLoads.class);
+
+    /** The state of each upstream. */
+    private final Map<UpstreamId, Load> mLoads = new HashMap<>();
+
+    /** The clock. */
+    private final TrafficLoop mLoop;
+
+    /** Breaks ties. */
+    private final RandomGenerator mRandom;
+
+    /** The hall of this router. */
+    private final HallId mHall;
+
+    /** One upstream's state. */
+    private static final class Load {
+
+        /** Calls under way. */
+        private int mCalls;
+
+        /** Tokens of the calls under way. */
+        private long mTokens;
+
+        /** Failures since the last success. */
+        private int mFailures;
+
+        /** Until when the upstream is passed over, milliseconds; 0 for not. */
+        private long mEjectedUntil;
+
+        /** How long it was passed over last, milliseconds. */
+        private long mEjectedMillis;
+    }
+
+    /**
+     * Creates a view without any upstream.
+     *
+     * @param loop the clock
+     * @param random breaks ties
+     * @param hall the hall of this router
+     */
+    public UpstreamLoads(TrafficLoop loop, RandomGenerator random, HallId hall) {
+        mLoop = loop;
+        mRandom = random;
+        mHall = hall;
+    }
+
+    /**
+     * Takes note that a call begins.
+     *
+     * @param upstream where
+     * @param tokens its tokens; 0 for a plain call
+     */
+    public void begin(UpstreamEntry upstream, long tokens) {
+        Load load = load(upstream.id());
+        load.mCalls++;
+        load.mTokens += tokens;
+    }
+
+    /**
+     * Takes note that a call has ended.
+     *
+     * @param upstream where
+     * @param tokens the tokens it began with
+     */
+    public void end(UpstreamEntry upstream, long tokens) {
+        Load load = load(upstream.id());
+        load.mCalls--;
+        load.mTokens -= tokens;
+    }
+
+    /**
+     * Takes note that a call went well.
+     *
+     * @param upstream where
+     */
+    public void succeeded(UpstreamEntry upstream) {
+        Load load = load(upstream.id());
+        if (load.mEjectedUntil != 0) {
+            LOGGER.info("upstream used again id={}", upstream.id());
+        }
+        load.mFailures = 0;
+        load.mEjectedUntil = 0;
+        load.mEjectedMillis = 0;
+    }
+
+    /**
+     * Takes note that a call failed.
+     *
+     * @param upstream where
+     * @param unreachable whether the upstream could not be reached
+     * @param detail what happened, for the log
+     */
+    public void failed(UpstreamEntry upstream, boolean unreachable, String detail) {
+        Load load = load(upstream.id());
+        load.mFailures++;
+        if (!unreachable && load.mFailures < FAILURES) {
+            return;
+        }
+        long now = mLoop.millis();
+        if (now < load.mEjectedUntil) {
+            return;
+        }
+        load.mEjectedMillis =
+                Math.min(
+                        MOST_EJECTED_MILLIS,
+                        Math.max(FIRST_EJECTED_MILLIS, 2 * load.mEjectedMillis));
+        load.mEjectedUntil = now + load.mEjectedMillis;
+        LOGGER.warn(
+                "upstream passed over id={} failures={} millis={} cause={}",
+                upstream.id(),
+                load.mFailures,
+                load.mEjectedMillis,
+                detail);
+    }
+
+    /**
+     * Chooses where a call goes: the upstream with the fewest own calls for its slots, own hall
+     * first, passing over those that failed.
+     *
+     * @param candidates the upstreams
+     * @param tried where the request was already sent
+     * @return the upstream, or empty for none
+     */
+    public Optional<UpstreamEntry> pick(
+            Collection<UpstreamEntry> candidates, Set<UpstreamId> tried) {
+        return ordered(candidates, tried, this::callCost).stream().findFirst();
+    }
+
+    /**
+     * Orders engines by the tokens that this router has under way there.
+     *
+     * @param candidates the engines
+     * @param tried where the request was already sent
+     * @return the engines, the least loaded first
+     */
+    public List<UpstreamEntry> byTokens(
+            Collection<UpstreamEntry> candidates, Set<UpstreamId> tried) {
+        return ordered(candidates, tried, entry -> load(entry.id()).mTokens);
+    }
+
+    /**
+     * Orders upstreams.
+     *
+     * @param candidates the upstreams
+     * @param tried where the request was already sent
+     * @param cost what each costs
+     * @return the upstreams that are not passed over, the cheapest first; where all are passed
+     *     over, the one that comes back first
+     */
+    private List<UpstreamEntry> ordered(
+            Collection<UpstreamEntry> candidates,
+            Set<UpstreamId> tried,
+            ToDoubleFunction<UpstreamEntry> cost) {
+        long now = mLoop.millis();
+        List<UpstreamEntry> left = new ArrayList<>(candidates);
+        left.removeIf(entry -> tried.contains(entry.id()));
+        List<UpstreamEntry> sound =
+                new ArrayList<>(
+                        left.stream()
+                                .filter(entry -> load(entry.id()).mEjectedUntil <= now)
+                                .toList());
+        if (sound.isEmpty()) {
+            return left.stream()
+                    .min(Comparator.comparingLong(entry -> load(entry.id()).mEjectedUntil))
+                    .map(List::of)
+                    .orElse(List.of());
+        }
+        Map<UpstreamId, Double> costs = new HashMap<>();
+        for (UpstreamEntry entry : sound) {
+            costs.put(entry.id(), cost.applyAsDouble(entry) + mRandom.nextDouble() * 1e-6);
+        }
+        sound.sort(Comparator.comparingDouble(entry -> costs.get(entry.id())));
+        return sound;
+    }
+
+    /**
+     * Returns what a plain call costs.
+     *
+     * @param entry the upstream
+     * @return the part of its slots that is taken, and more for another hall
+     */
+    private double callCost(UpstreamEntry entry) {
+        double taken = load(entry.id()).mCalls / (double) Math.max(1, entry.slots());
+        return taken + (entry.hall().equals(mHall) ? 0 : OTHER_HALL);
+    }
+
+    /**
+     * Forgets upstreams that are no longer listed.
+     *
+     * @param listed the ids that are listed
+     */
+    public void retain(Set<UpstreamId> listed) {
+        mLoads.entrySet()
+                .removeIf(each -> !listed.contains(each.getKey()) && each.getValue().mCalls == 0);
+    }
+
+    /**
+     * Returns an upstream's state.
+     *
+     * @param id the upstream
+     * @return its state
+     */
+    private Load load(UpstreamId id) {
+        return mLoads.computeIfAbsent(id, any -> new Load());
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
@@ -0,0 +1,234 @@
+package org.troutpier.daemon.serving;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.upstream.AttemptEnd;
+
+/**
+ * Sends calls to upstreams. Called on the traffic loop; listeners are called there too. Every call
+ * names the upstream's incarnation, so that an address that was given to another upstream never
+ * runs it.
+ */
+public interface UpstreamPort {
+
+    /**
+     * Sends a request to be run.
+     *
+     * @param upstream where to
+     * @param request the request
+     * @param plan what goes with it
+     * @param listener hears the answer
+     * @return the call, to abort it
+     */
+    Call run(UpstreamEntry upstream, ServingRequest request, RunPlan plan, RunListener listener);
+
+    /**
+     * Has a prompt read without running the request.
+     *
+     * @param upstream where to
+     * @param request the request
+     * @param plan what goes with it
+     * @param listener hears the result
+     * @return the call, to abort it
+     */
+    Call prefill(
+            UpstreamEntry upstream,
+            ServingRequest request,
+            RunPlan plan,
+            ResultListener<StoredPrompt> listener);
+
+    /**
+     * Sets a slot and memory aside at an engine.
+     *
+     * @param upstream where to
+     * @param tokens how much memory
+     * @param millis for how long
+     * @param listener hears the place, or the refusal
+     * @return the call, to abort it
+     */
+    Call reserve(UpstreamEntry upstream, long tokens, int millis, ResultListener<Place> listener);
+
+    /**
+     * Gives a place back that serves nobody; a failure is logged, the place lapses by itself.
+     *
+     * @param upstream where it was set aside
+     * @param place the place
+     */
+    void release(UpstreamEntry upstream, Place place);
+
+    /**
+     * Frees a prompt's memory that serves nobody; a failure is logged, the memory lapses by itself.
+     *
+     * @param prompt the prompt
+     */
+    void discard(StoredPrompt prompt);
+
+    /** A call under way. */
+    interface Call {
+
+        /** Closes the call's connection, which cancels it upstream; its listener hears no more. */
+        void abort();
+
+        /**
+         * Holds the upstream back or lets it go on.
+         *
+         * @param on whether to read what it sends
+         */
+        void read(boolean on);
+    }
+
+    /**
+     * What goes with a request to an upstream. Immutable and thread safe.
+     *
+     * @param deadlineMillis when the upstream is to stop work, from now
+     * @param priority the rank, 0 is the most urgent
+     * @param prompt where the prompt was read, if elsewhere
+     * @param place the place that was set aside, if any
+     * @param resumeAfter the last event that the caller has, where a stream is continued
+     */
+    record RunPlan(
+            long deadlineMillis,
+            int priority,
+            Optional<StoredPrompt> prompt,
+            Optional<Place> place,
+            OptionalLong resumeAfter) {
+
+        /**
+         * Makes the plan of a plain call.
+         *
+         * @param deadlineMillis when the upstream is to stop work, from now
+         * @param priority the rank, 0 is the most urgent
+         * @return the plan
+         */
+        public static RunPlan plain(long deadlineMillis, int priority) {
+            return new RunPlan(
+                    deadlineMillis,
+                    priority,
+                    Optional.empty(),
+                    Optional.empty(),
+                    OptionalLong.empty());
+        }
+
+        /**
+         * Returns the plan with a place.
+         *
+         * @param taken the place
+         * @return a new plan
+         */
+        public RunPlan withPlace(Optional<Place> taken) {
+            return new RunPlan(deadlineMillis, priority, prompt, taken, resumeAfter);
+        }
+
+        /**
+         * Returns the plan with a prompt that was read elsewhere.
+         *
+         * @param stored the prompt
+         * @return a new plan
+         */
+        public RunPlan withPrompt(StoredPrompt stored) {
+            return new RunPlan(deadlineMillis, priority, Optional.of(stored), place, resumeAfter);
+        }
+
+        /**
+         * Returns the plan of a stream that is continued.
+         *
+         * @param lastEvent the last event that the caller has, if any
+         * @return a new plan
+         */
+        public RunPlan withResumeAfter(OptionalLong lastEvent) {
+            return new RunPlan(deadlineMillis, priority, prompt, place, lastEvent);
+        }
+    }
+
+    /**
+     * A prompt's memory at the engine that read it. Immutable and thread safe.
+     *
+     * @param upstream the engine
+     * @param handle names the memory there
+     */
+    record StoredPrompt(UpstreamEntry upstream, String handle) {}
+
+    /**
+     * A slot and memory set aside at an engine. Immutable and thread safe.
+     *
+     * @param token names it there
+     */
+    record Place(String token) {}
+
+    /**
+     * The head of an upstream's answer. Immutable by agreement: the headers are not changed.
+     *
+     * @param status the HTTP status
+     * @param headers what goes to the caller; nothing that concerns one connection only
+     * @param verdict what the head proves
+     */
+    record Head(int status, HttpHeaders headers, Verdict verdict) {}
+
+    /** What the head of an answer proves. */
+    enum Verdict {
+        /** The upstream's own success, for this request. */
+        SUCCESS,
+        /** The upstream's own answer for this request, not a success. */
+        OWN_FAILURE,
+        /** The upstream says that it did not start the request. */
+        NOT_STARTED,
+        /** The upstream says that it did not start the request because it is full. */
+        FULL,
+        /** Another upstream has the address now; the request was not started. */
+        OTHER_UPSTREAM,
+        /** Not this request's answer, or no answer of the upstream. */
+        FOREIGN
+    }
+
+    /** Hears the answer to a run. */
+    interface RunListener {
+
+        /**
+         * Hears the head.
+         *
+         * @param head the head
+         */
+        void onHead(Head head);
+
+        /**
+         * Hears a part of the body.
+         *
+         * @param part the bytes, owned by the listener
+         */
+        void onPart(byte[] part);
+
+        /** Hears that the answer is whole. */
+        void onEnd();
+
+        /**
+         * Hears that there will be no whole answer.
+         *
+         * @param end what is known
+         */
+        void onFailure(AttemptEnd end);
+    }
+
+    /**
+     * Hears the result of a call that runs nothing.
+     *
+     * @param <T> the result's type
+     */
+    interface ResultListener<T> {
+
+        /**
+         * Hears the result.
+         *
+         * @param result the result
+         */
+        void onResult(T result);
+
+        /**
+         * Hears that there is none.
+         *
+         * @param end what is known
+         */
+        void onFailure(AttemptEnd end);
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/EventFrames.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/EventFrames.java
@@ -12,7 +12,7 @@
  * Cuts a stream of server-sent events into single events with Netty's frame decoder. Confined to
  * one event loop.
  */
-final class EventFrames extends DelimiterBasedFrameDecoder {
+public final class EventFrames extends DelimiterBasedFrameDecoder {
 
     /** The longest event, bytes. */
     private static final int LONGEST = 65_536;
@@ -24,7 +24,7 @@
     private final ByteBuf mArrived = Unpooled.buffer();
 
     /** Creates an empty cutter. */
-    EventFrames() {
+    public EventFrames() {
         super(LONGEST, false, false, Unpooled.wrappedBuffer(END));
     }
 
@@ -34,7 +34,7 @@
      * @param bytes the bytes
      * @param taker takes each event, with the blank line that ends it
      */
-    void feed(byte[] bytes, Consumer<byte[]> taker) {
+    public void feed(byte[] bytes, Consumer<byte[]> taker) {
         mArrived.writeBytes(bytes);
         try {
             while (decode(null, mArrived) instanceof ByteBuf event) {
@@ -51,4 +51,13 @@
         }
         mArrived.discardReadBytes();
     }
+
+    /**
+     * Returns whether bytes have arrived that are not yet a whole event.
+     *
+     * @return whether an end now would be in the middle of an event
+     */
+    public boolean insideEvent() {
+        return mArrived.isReadable();
+    }
 }
