--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptShape.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptShape.java
@@ -9,9 +9,11 @@
  * @param model the model asked for
  * @param promptTokens the prompt's length
  * @param outputTokens the most tokens that may come out
+ * @param expectedTokens how many tokens are expected to come out; at most {@code outputTokens}
  * @param parts the prompt's parts in order; the last belongs to the request or its session
  */
-public record PromptShape(String model, int promptTokens, int outputTokens, List<Part> parts) {
+public record PromptShape(
+        String model, int promptTokens, int outputTokens, int expectedTokens, List<Part> parts) {
 
     /**
      * A part of a prompt, which other prompts may share. Immutable and thread safe.
@@ -25,15 +27,23 @@
     public PromptShape {
         Check.range("promptTokens", promptTokens, 0, Integer.MAX_VALUE);
         Check.range("outputTokens", outputTokens, 0, Integer.MAX_VALUE);
+        Check.range("expectedTokens", expectedTokens, 0, outputTokens);
         parts = List.copyOf(parts);
     }
 
     /**
-     * Returns how much memory the request takes at most.
+     * Which part of the expected output is set aside with the prompt. Output grows token by token
+     * while others leave, so a run takes half of it on average.
+     */
+    static final double OUTPUT_PART =
+            Double.parseDouble(System.getProperty("troutpier.outputPart", "0.5"));
+
+    /**
+     * Returns how much memory is set aside for the request.
      *
      * @return tokens
      */
-    public long mostTokens() {
-        return (long) promptTokens + outputTokens;
+    public long placeTokens() {
+        return promptTokens + Math.round(expectedTokens * OUTPUT_PART);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -74,7 +74,7 @@
     /** {@inheritDoc} */
     @Override
     void start() {
-        if (tokens() > mEngine.memoryTokens()) {
+        if (mRequest.prompt().map(PromptShape::promptTokens).orElse(0) > mEngine.memoryTokens()) {
             refuse(ResultCode.NO_PLACE, "larger than an engine's memory", 0);
             return;
         }
@@ -107,12 +107,12 @@
     }
 
     /**
-     * Returns how much memory the request takes at most.
+     * Returns how much memory the request is expected to take on average while it runs.
      *
      * @return tokens
      */
     private long tokens() {
-        return mRequest.prompt().map(PromptShape::mostTokens).orElse(0L);
+        return mRequest.prompt().map(PromptShape::placeTokens).orElse(0L);
     }
 
     /** Has the prompt read, or has the decode engine read it where nobody else can. */
