--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptShape.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptShape.java
@@ -44,6 +44,6 @@
      * @return tokens
      */
     public long placeTokens() {
-        return promptTokens + Math.round(expectedTokens * OUTPUT_PART);
+        return promptTokens + Math.round(outputTokens * OUTPUT_PART);
     }
 }
