--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/ConfigurationCodec.java
@@ -0,0 +1,15 @@
+package org.troutpier.daemon.cluster;
+
+import org.troutpier.daemon.route.RoutingConfiguration;
+
+/** Reads a configuration as the operator wrote it. Implementations are thread safe. */
+public interface ConfigurationCodec {
+
+    /**
+     * Reads a configuration.
+     *
+     * @param encoded the operator's bytes
+     * @return the configuration
+     */
+    RoutingConfiguration decode(byte[] encoded);
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/Demand.java
@@ -0,0 +1,84 @@
+package org.troutpier.daemon.cluster;
+
+/**
+ * What callers asked of one model service lately, as decaying sums that add up over routers.
+ * Immutable and thread safe.
+ *
+ * @param promptTokens prompt tokens of the requests that came
+ * @param requests requests that came
+ * @param placeTokens memory that these requests need at a decode engine, tokens
+ * @param runMillis time that completed runs took
+ * @param runs completed runs
+ * @param prefillTokensPerMilli the fastest pace at which an engine read a prompt lately; 0 for
+ *     unknown
+ */
+public record Demand(
+        double promptTokens,
+        double requests,
+        double placeTokens,
+        double runMillis,
+        double runs,
+        double prefillTokensPerMilli) {
+
+    /** No demand. */
+    public static final Demand NONE = new Demand(0, 0, 0, 0, 0, 0);
+
+    /**
+     * After which time a sum has decayed to 1/e, milliseconds: two bursts, so that one burst alone
+     * does not outweigh what came before.
+     */
+    public static final double DECAY_MILLIS = 10_000;
+
+    /**
+     * Returns the demand of two routers together.
+     *
+     * @param other the other's
+     * @return the sum
+     */
+    public Demand plus(Demand other) {
+        return new Demand(
+                promptTokens + other.promptTokens,
+                requests + other.requests,
+                placeTokens + other.placeTokens,
+                runMillis + other.runMillis,
+                runs + other.runs,
+                Math.max(prefillTokensPerMilli, other.prefillTokensPerMilli));
+    }
+
+    /**
+     * Returns the demand after some time without anything new.
+     *
+     * @param millis the time
+     * @return the decayed sums
+     */
+    public Demand after(double millis) {
+        double left = Math.exp(-millis / DECAY_MILLIS);
+        return new Demand(
+                promptTokens * left,
+                requests * left,
+                placeTokens * left,
+                runMillis * left,
+                runs * left,
+                prefillTokensPerMilli);
+    }
+
+    /**
+     * Returns the demand on prefill engines.
+     *
+     * @return prompt tokens a millisecond
+     */
+    public double promptTokensPerMilli() {
+        return promptTokens / DECAY_MILLIS;
+    }
+
+    /**
+     * Returns the demand on decode engines: the memory that all requests would take at once if none
+     * were refused.
+     *
+     * @return tokens
+     */
+    public double memoryTokens() {
+        double meanRunMillis = runs > 0 ? runMillis / runs : 0;
+        return placeTokens / DECAY_MILLIS * meanRunMillis;
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/DemandMeter.java
@@ -0,0 +1,107 @@
+package org.troutpier.daemon.cluster;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Measures demand by service. Confined to the traffic loop, except {@link #published}, which is
+ * thread safe.
+ */
+public final class DemandMeter {
+
+    /** The shortest prompt whose reading tells an engine's pace, tokens. */
+    private static final int LEAST_PACED = 1000;
+
+    /** The demand of each service when it last changed. */
+    private final Map<String, Demand> mDemand = new HashMap<>();
+
+    /** When each service's demand last changed, milliseconds. */
+    private final Map<String, Long> mChanged = new HashMap<>();
+
+    /** The demand of each service as it was published last. */
+    private volatile Map<String, Demand> mPublished = Map.of();
+
+    /**
+     * Takes note of a request that came.
+     *
+     * @param service its service
+     * @param promptTokens its prompt's length
+     * @param placeTokens the memory it needs
+     * @param now the monotonic clock, milliseconds
+     */
+    public void came(String service, long promptTokens, long placeTokens, long now) {
+        add(service, new Demand(promptTokens, 1, placeTokens, 0, 0, 0), now);
+    }
+
+    /**
+     * Takes note of a run that was completed.
+     *
+     * @param service its service
+     * @param millis how long it took
+     * @param now the monotonic clock, milliseconds
+     */
+    public void ran(String service, long millis, long now) {
+        add(service, new Demand(0, 0, 0, millis, 1, 0), now);
+    }
+
+    /**
+     * Takes note of a prompt that was read.
+     *
+     * @param service its service
+     * @param tokens its length
+     * @param millis how long it took
+     * @param now the monotonic clock, milliseconds
+     */
+    public void read(String service, long tokens, long millis, long now) {
+        if (tokens >= LEAST_PACED && millis > 0) {
+            add(service, new Demand(0, 0, 0, 0, 0, tokens / (double) millis), now);
+        }
+    }
+
+    /**
+     * Publishes the demand of each service.
+     *
+     * @param now the monotonic clock, milliseconds
+     * @return the demand by service
+     */
+    public Map<String, Demand> publish(long now) {
+        Map<String, Demand> current = new HashMap<>();
+        mDemand.keySet().forEach(service -> current.put(service, at(service, now)));
+        mPublished = Map.copyOf(current);
+        return mPublished;
+    }
+
+    /**
+     * Returns a service's demand as it was published last.
+     *
+     * @param service the service
+     * @return the demand
+     */
+    public Demand published(String service) {
+        return mPublished.getOrDefault(service, Demand.NONE);
+    }
+
+    /**
+     * Adds to a service's demand.
+     *
+     * @param service the service
+     * @param more what is added
+     * @param now the monotonic clock, milliseconds
+     */
+    private void add(String service, Demand more, long now) {
+        mDemand.put(service, at(service, now).plus(more));
+        mChanged.put(service, now);
+    }
+
+    /**
+     * Returns a service's demand.
+     *
+     * @param service the service
+     * @param now the monotonic clock, milliseconds
+     * @return the demand now
+     */
+    private Demand at(String service, long now) {
+        Demand before = mDemand.getOrDefault(service, Demand.NONE);
+        return before.after(now - mChanged.getOrDefault(service, now));
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import org.troutpier.common.declaration.Declarations;
+import org.troutpier.daemon.cluster.LoadReport;
 
 /** What routers say to each other. All messages are immutable and thread safe. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
@@ -19,7 +20,9 @@
     @JsonSubTypes.Type(value = PeerMessage.Prepared.class, name = "prepared"),
     @JsonSubTypes.Type(value = PeerMessage.Activate.class, name = "activate"),
     @JsonSubTypes.Type(value = PeerMessage.Activated.class, name = "activated"),
-    @JsonSubTypes.Type(value = PeerMessage.Pull.class, name = "pull")
+    @JsonSubTypes.Type(value = PeerMessage.Pull.class, name = "pull"),
+    @JsonSubTypes.Type(value = PeerMessage.Load.class, name = "load"),
+    @JsonSubTypes.Type(value = PeerMessage.Configuration.class, name = "configuration")
 })
 public sealed interface PeerMessage {
 
@@ -132,4 +135,19 @@
      * @param version the version in force at the asking router
      */
     record Pull(long version) implements PeerMessage {}
+
+    /**
+     * Tells of a router's load.
+     *
+     * @param report the load
+     */
+    record Load(LoadReport report) implements PeerMessage {}
+
+    /**
+     * Hands on a configuration as the operator wrote it.
+     *
+     * @param version its version
+     * @param encoded the operator's bytes
+     */
+    record Configuration(long version, byte[] encoded) implements PeerMessage {}
 }
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/EngineOrders.java
@@ -0,0 +1,57 @@
+package org.troutpier.daemon.role;
+
+import java.util.concurrent.CompletableFuture;
+import org.troutpier.daemon.directory.UpstreamEntry;
+
+/** Orders engines to change their role. Implementations are thread safe. */
+public interface EngineOrders {
+
+    /**
+     * Asks an engine how it stands.
+     *
+     * @param engine the engine
+     * @return its report; fails where there is none
+     */
+    CompletableFuture<EngineReport> report(UpstreamEntry engine);
+
+    /**
+     * Orders an engine to change its role.
+     *
+     * @param engine the engine
+     * @param role what it is to do
+     * @param lease who orders, with which right
+     * @param expectedOrders how many orders it must have taken, so that a late order is void
+     * @return what is known of the order; never fails
+     */
+    CompletableFuture<Outcome> order(
+            UpstreamEntry engine, UpstreamEntry.Role role, Right lease, long expectedOrders);
+
+    /**
+     * The right to order. Immutable and thread safe.
+     *
+     * @param holder the instance that holds the lease
+     * @param fencingToken rises with every holder
+     */
+    record Right(String holder, long fencingToken) {}
+
+    /**
+     * How an engine stands. Immutable and thread safe.
+     *
+     * @param role what it does
+     * @param changing whether an order is being carried out
+     * @param orders how many orders it has taken
+     */
+    record EngineReport(UpstreamEntry.Role role, boolean changing, long orders) {}
+
+    /** What is known of an order. */
+    enum Outcome {
+        /** It is being carried out. */
+        TAKEN,
+        /** The engine has the role already. */
+        ALREADY,
+        /** It was refused and has no effect. */
+        REFUSED,
+        /** It may have been taken, or may be taken later. */
+        UNKNOWN
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -0,0 +1,360 @@
+package org.troutpier.daemon.role;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.troutpier.daemon.cluster.Demand;
+import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.directory.UpstreamDirectory;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.route.CurrentConfiguration;
+import org.troutpier.daemon.route.EngineTraits;
+import org.troutpier.daemon.route.RoutingConfiguration;
+import org.troutpier.daemon.rows.RowStore;
+
+/**
+ * Keeps the engines' roles in step with the load. Confined to the control thread; {@link #holds()}
+ * is thread safe. Invariants: orders are given only under the lease; a service has at most one
+ * change under way; an order whose fate is unknown is only ever repeated, never followed by
+ * another, until the engine's report tells what came of it.
+ */
+public final class RoleController {
+
+    /** How often it is looked whether a change is due, milliseconds. */
+    private static final long TICK_MILLIS = 500;
+
+    /** How long another split must look better before a change, milliseconds. */
+    private static final long SUSTAINED_MILLIS = 2500;
+
+    /** How long after a change the load is watched before the next one, milliseconds. */
+    private static final long SETTLE_MILLIS = 4000;
+
+    /**
+     * How long a change may take beyond the engine's own time for it, milliseconds: its runs come
+     * to their end first.
+     */
+    private static final long RUNS_MILLIS = 15_000;
+
+    /** Logs each decision. */
+    private static final Logger LOGGER = LogManager.getLogger(RoleController.class);
+
+    /** What every part of this router shares. */
+    private final Node mNode;
+
+    /** The version in force. */
+    private final CurrentConfiguration mConfiguration;
+
+    /** The engines. */
+    private final UpstreamDirectory mDirectory;
+
+    /** What the other routers said. */
+    private final PeerLoads mPeers;
+
+    /** What callers asked of this router lately, by service; thread safe. */
+    private final Function<String, Demand> mOwnDemand;
+
+    /** Gives orders. */
+    private final EngineOrders mOrders;
+
+    /** The right to give orders. */
+    private final RoleLease mLease;
+
+    /** The state of each service. */
+    private final Map<String, Change> mChanges = new HashMap<>();
+
+    /** Whether this router holds the lease, for other threads. */
+    private volatile boolean mHolds;
+
+    /** One service's state. */
+    private static final class Change {
+
+        /** Since when another split looks better, milliseconds; 0 for not. */
+        private long mSince;
+
+        /** The engine that is being changed, or null. */
+        private UpstreamEntry mEngine;
+
+        /** What it is to do. */
+        private UpstreamEntry.Role mRole;
+
+        /** When the change is given up, milliseconds. */
+        private long mUntil;
+
+        /** How many orders the engine had taken before; -1 for not yet known. */
+        private long mOrdersBefore = -1;
+
+        /** Whether the order was taken for certain. */
+        private boolean mTaken;
+
+        /** Whether a call to the engine is under way. */
+        private boolean mCalling;
+
+        /** Before when no change is begun, milliseconds. */
+        private long mNotBefore;
+    }
+
+    /**
+     * Creates a controller.
+     *
+     * @param node what every part of this router shares
+     * @param configuration the version in force
+     * @param directory the engines
+     * @param peers what the other routers said
+     * @param ownDemand what callers asked of this router lately, by service; thread safe
+     * @param orders gives orders
+     * @param store where the lease is kept
+     * @param leaseMillis how long the lease lasts without renewal, milliseconds
+     */
+    public RoleController(
+            Node node,
+            CurrentConfiguration configuration,
+            UpstreamDirectory directory,
+            PeerLoads peers,
+            Function<String, Demand> ownDemand,
+            EngineOrders orders,
+            RowStore store,
+            long leaseMillis) {
+        mNode = node;
+        mConfiguration = configuration;
+        mDirectory = directory;
+        mPeers = peers;
+        mOwnDemand = ownDemand;
+        mOrders = orders;
+        mLease = new RoleLease(node, store, leaseMillis);
+    }
+
+    /** Starts to control. */
+    public void start() {
+        mNode.control().every(this::tick, TICK_MILLIS);
+    }
+
+    /**
+     * Returns whether this router decides engines' roles.
+     *
+     * @return whether it holds the lease
+     */
+    public boolean holds() {
+        return mHolds;
+    }
+
+    /** Looks whether a change is due. */
+    private void tick() {
+        Optional<RoutingConfiguration> configuration = mConfiguration.current();
+        if (configuration.isEmpty() || !mDirectory.loaded()) {
+            return;
+        }
+        mLease.tick(mPeers.roleHolder());
+        mHolds = mLease.held();
+        if (!mLease.mayOrder()) {
+            mChanges.clear();
+            return;
+        }
+        configuration
+                .get()
+                .services()
+                .forEach(
+                        (name, service) ->
+                                service.engine().ifPresent(engine -> control(name, engine)));
+    }
+
+    /**
+     * Looks whether a service's engines need a change.
+     *
+     * @param service the service
+     * @param traits what its engines can do
+     */
+    private void control(String service, EngineTraits traits) {
+        Change change = mChanges.computeIfAbsent(service, name -> new Change());
+        List<UpstreamEntry> engines = mDirectory.usable(service);
+        if (change.mEngine != null) {
+            follow(change, engines);
+            return;
+        }
+        int prefill = (int) engines.stream().filter(RoleController::reads).count();
+        Demand demand = mOwnDemand.apply(service).plus(mPeers.demand(service));
+        int wanted =
+                RoleSplit.prefillEngines(engines.size(), prefill, traits.memoryTokens(), demand);
+        long now = now();
+        if (wanted == prefill || now < change.mNotBefore) {
+            change.mSince = 0;
+            return;
+        }
+        if (change.mSince == 0) {
+            change.mSince = now;
+        }
+        boolean measured = demand.runs() > 0;
+        if (!measured || now - change.mSince >= SUSTAINED_MILLIS) {
+            begin(change, engines, wanted > prefill, traits);
+            LOGGER.info(
+                    "role change service={} engines={} prefill={} wanted={} engine={} demand={}",
+                    service,
+                    engines.size(),
+                    prefill,
+                    wanted,
+                    change.mEngine == null ? "none" : change.mEngine.id(),
+                    demand);
+        }
+    }
+
+    /**
+     * Returns whether an engine reads prompts.
+     *
+     * @param engine the engine
+     * @return whether it does
+     */
+    private static boolean reads(UpstreamEntry engine) {
+        return engine.role() == UpstreamEntry.Role.PREFILL;
+    }
+
+    /**
+     * Begins a change at the least used engine.
+     *
+     * @param change the service's state
+     * @param engines the engines
+     * @param toPrefill whether one more engine is to read prompts
+     * @param traits what the engines can do
+     */
+    private void begin(
+            Change change, List<UpstreamEntry> engines, boolean toPrefill, EngineTraits traits) {
+        Optional<UpstreamEntry> engine =
+                engines.stream()
+                        .filter(each -> reads(each) != toPrefill)
+                        .min(
+                                Comparator.<UpstreamEntry>comparingLong(
+                                                each -> mPeers.use(each.id()).tokens())
+                                        .thenComparing(UpstreamEntry::id));
+        if (engine.isEmpty()) {
+            return;
+        }
+        change.mEngine = engine.get();
+        change.mRole = toPrefill ? UpstreamEntry.Role.PREFILL : UpstreamEntry.Role.DECODE;
+        change.mUntil = now() + traits.switchMillis() + RUNS_MILLIS;
+        change.mOrdersBefore = -1;
+        change.mTaken = false;
+        report(change);
+    }
+
+    /**
+     * Follows a change that was begun.
+     *
+     * @param change the service's state
+     * @param engines the engines
+     */
+    private void follow(Change change, List<UpstreamEntry> engines) {
+        Optional<UpstreamEntry> listed =
+                engines.stream().filter(each -> each.id().equals(change.mEngine.id())).findFirst();
+        boolean done = listed.isPresent() && listed.get().role() == change.mRole;
+        if (done || listed.isEmpty() || now() > change.mUntil) {
+            LOGGER.info(
+                    "role change ended engine={} done={} listed={}",
+                    change.mEngine.id(),
+                    done,
+                    listed.isPresent());
+            end(change);
+        } else if (!change.mTaken && !change.mCalling) {
+            report(change);
+        }
+    }
+
+    /**
+     * Ends a change.
+     *
+     * @param change the service's state
+     */
+    private void end(Change change) {
+        change.mEngine = null;
+        change.mSince = 0;
+        change.mNotBefore = now() + SETTLE_MILLIS;
+    }
+
+    /**
+     * Asks the engine how it stands, to order with what it says.
+     *
+     * @param change the service's state
+     */
+    private void report(Change change) {
+        change.mCalling = true;
+        UpstreamEntry engine = change.mEngine;
+        mOrders.report(engine)
+                .whenComplete(
+                        (report, failure) ->
+                                mNode.control()
+                                        .execute(
+                                                () -> {
+                                                    change.mCalling = false;
+                                                    if (change.mEngine == engine
+                                                            && failure == null) {
+                                                        reported(change, report);
+                                                    }
+                                                }));
+    }
+
+    /**
+     * Orders, unless the engine changes already.
+     *
+     * @param change the service's state
+     * @param report how the engine stands
+     */
+    private void reported(Change change, EngineOrders.EngineReport report) {
+        boolean taken = change.mOrdersBefore >= 0 && report.orders() > change.mOrdersBefore;
+        if (taken || report.changing() || report.role() == change.mRole) {
+            change.mTaken = true;
+            return;
+        }
+        if (!mLease.mayOrder()) {
+            return;
+        }
+        change.mOrdersBefore = report.orders();
+        change.mCalling = true;
+        UpstreamEntry engine = change.mEngine;
+        EngineOrders.Right right = mLease.right();
+        LOGGER.info(
+                "order engine={} role={} token={} ordersBefore={}",
+                engine.id(),
+                change.mRole,
+                right.fencingToken(),
+                report.orders());
+        mOrders.order(engine, change.mRole, right, report.orders())
+                .thenAccept(
+                        outcome ->
+                                mNode.control()
+                                        .execute(
+                                                () -> {
+                                                    change.mCalling = false;
+                                                    if (change.mEngine == engine) {
+                                                        ordered(change, outcome);
+                                                    }
+                                                }));
+    }
+
+    /**
+     * Takes what is known of the order.
+     *
+     * @param change the service's state
+     * @param outcome what is known
+     */
+    private void ordered(Change change, EngineOrders.Outcome outcome) {
+        LOGGER.info("order engine={} outcome={}", change.mEngine.id(), outcome);
+        switch (outcome) {
+            case TAKEN, ALREADY -> change.mTaken = true;
+            case REFUSED -> end(change);
+            default -> change.mTaken = false;
+        }
+    }
+
+    /**
+     * Returns the monotonic clock.
+     *
+     * @return milliseconds
+     */
+    private long now() {
+        return TimeUnit.NANOSECONDS.toMillis(mNode.nanos().getAsLong());
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
@@ -0,0 +1,255 @@
+package org.troutpier.daemon.role;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.troutpier.common.http.Json;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.rows.RowStore;
+import org.troutpier.daemon.rows.RowStore.Outcome;
+import org.troutpier.daemon.rows.RowStore.Row;
+import org.troutpier.daemon.rows.RowStore.RowPage;
+import org.troutpier.daemon.rows.RowStore.RowWrite;
+
+/**
+ * The lease of the one router that orders engines: a row that its holder renews. Confined to the
+ * control thread. Invariants: a router believes that it holds the lease only until one term after
+ * it sent the last renewal that was acknowledged, on the monotonic clock; another takes it only
+ * after the row has not changed for a term and a margin, and then orders nothing for one more term,
+ * since engines do not check who orders; the fencing token is the row's version at the acquisition,
+ * so it rises.
+ */
+final class RoleLease {
+
+    /** The table. */
+    private static final String TABLE = "troutpier_leases";
+
+    /** The row's key. */
+    private static final String KEY = "engine-roles";
+
+    /** How often a holder renews within a term. */
+    private static final int RENEWALS = 3;
+
+    /** How much longer than a term the row must rest before it is taken over, milliseconds. */
+    private static final long MARGIN_MILLIS = 1000;
+
+    /** How often a router that does not hold the lease looks at the row, milliseconds. */
+    private static final long LOOK_MILLIS = 1500;
+
+    /** Logs gain and loss. */
+    private static final Logger LOGGER = LogManager.getLogger(RoleLease.class);
+
+    /** What every part of this router shares. */
+    private final Node mNode;
+
+    /** The store. */
+    private final RowStore mStore;
+
+    /** How long the lease lasts without renewal, milliseconds. */
+    private final long mTermMillis;
+
+    /** The row's version as it was seen last; 0 for no row. */
+    private long mVersion;
+
+    /** When that version was first seen, milliseconds. */
+    private long mSeenAt;
+
+    /** Whether the row was read at least once. */
+    private boolean mSeen;
+
+    /** The fencing token; 0 while the lease is not held. */
+    private long mToken;
+
+    /** Until when the lease is held, milliseconds. */
+    private long mValidUntil;
+
+    /** From when orders may be given, milliseconds. */
+    private long mOrdersFrom;
+
+    /** When a call is due, milliseconds. */
+    private long mNextCall;
+
+    /** Whether a call is under way. */
+    private boolean mCalling;
+
+    /** Counts renewals, so that each changes the row. */
+    private long mRenewals;
+
+    /**
+     * What the row says.
+     *
+     * @param holder the instance that holds the lease
+     * @param renewals counts its renewals
+     */
+    record Holder(String holder, long renewals) {}
+
+    /**
+     * Creates a lease that is not held.
+     *
+     * @param node what every part of this router shares
+     * @param store the store
+     * @param termMillis how long the lease lasts without renewal, milliseconds
+     */
+    RoleLease(Node node, RowStore store, long termMillis) {
+        mNode = node;
+        mStore = store;
+        mTermMillis = termMillis;
+    }
+
+    /**
+     * Returns whether this router holds the lease.
+     *
+     * @return whether it does
+     */
+    boolean held() {
+        return mToken != 0 && now() < mValidUntil;
+    }
+
+    /**
+     * Returns whether this router may give orders.
+     *
+     * @return whether it holds the lease and has waited out the one before it
+     */
+    boolean mayOrder() {
+        return held() && now() >= mOrdersFrom;
+    }
+
+    /**
+     * Returns the right to order.
+     *
+     * @return the right; only to be used while {@link #mayOrder()}
+     */
+    EngineOrders.Right right() {
+        return new EngineOrders.Right(instance(), mToken);
+    }
+
+    /**
+     * Renews the lease, or tries to get it.
+     *
+     * @param otherHolds whether another router said lately that it holds the lease
+     */
+    void tick(boolean otherHolds) {
+        if (mToken != 0 && !held()) {
+            LOGGER.warn("role lease lapsed token={}", mToken);
+            mToken = 0;
+        }
+        if (mCalling || now() < mNextCall) {
+            return;
+        }
+        if (held()) {
+            write(mVersion, true);
+        } else if (!otherHolds || !mSeen) {
+            look();
+        }
+    }
+
+    /** Reads the row. */
+    private void look() {
+        mCalling = true;
+        mNextCall = now() + LOOK_MILLIS;
+        mStore.read(TABLE, "")
+                .whenComplete(
+                        (page, failure) -> mNode.control().execute(() -> looked(page, failure)));
+    }
+
+    /**
+     * Takes the row.
+     *
+     * @param page what was read, or null
+     * @param failure why nothing was read, or null
+     */
+    private void looked(RowPage page, Throwable failure) {
+        mCalling = false;
+        if (failure != null) {
+            mSeen = false;
+            return;
+        }
+        List<Row> rows = page.rows().stream().filter(row -> row.key().equals(KEY)).toList();
+        long version = rows.isEmpty() ? 0 : rows.get(0).version();
+        if (!mSeen || version != mVersion) {
+            mSeen = true;
+            mVersion = version;
+            mSeenAt = now();
+        }
+        boolean own = !rows.isEmpty() && holder(rows.get(0)).equals(instance());
+        boolean rested = now() - mSeenAt >= mTermMillis + MARGIN_MILLIS;
+        if (version == 0 || own || rested) {
+            mOrdersFrom = own ? now() : now() + mTermMillis;
+            write(version, false);
+        }
+    }
+
+    /**
+     * Writes the row on the condition that nobody else did.
+     *
+     * @param version the version that it must have
+     * @param renewal whether the lease is held already
+     */
+    private void write(long version, boolean renewal) {
+        mCalling = true;
+        long sentAt = now();
+        mNextCall = sentAt + mTermMillis / RENEWALS;
+        byte[] value = Json.bytes(new Holder(instance(), ++mRenewals));
+        mStore.write(new Row(TABLE, "", KEY, value, 0, false), version)
+                .thenAccept(
+                        write -> mNode.control().execute(() -> written(write, sentAt, renewal)));
+    }
+
+    /**
+     * Takes what is known of a write.
+     *
+     * @param write what is known
+     * @param sentAt when it was sent, milliseconds
+     * @param renewal whether the lease was held already
+     */
+    private void written(RowWrite write, long sentAt, boolean renewal) {
+        mCalling = false;
+        if (write.outcome() == Outcome.WRITTEN) {
+            mVersion = write.version();
+            mSeenAt = now();
+            mValidUntil = sentAt + mTermMillis;
+            if (!renewal || mToken == 0) {
+                mToken = write.version();
+                LOGGER.info(
+                        "role lease acquired token={} ordersInMillis={}",
+                        mToken,
+                        mOrdersFrom - now());
+            }
+        } else if (write.outcome() == Outcome.CONFLICT) {
+            if (mToken != 0) {
+                LOGGER.warn("role lease lost token={} rowVersion={}", mToken, write.version());
+            }
+            mToken = 0;
+            mSeen = false;
+        }
+    }
+
+    /**
+     * Reads who holds the lease.
+     *
+     * @param row the row
+     * @return the holder's instance
+     */
+    private static String holder(Row row) {
+        return Json.read(row.value(), Holder.class).holder();
+    }
+
+    /**
+     * Returns this instance's name.
+     *
+     * @return the name
+     */
+    private String instance() {
+        return mNode.incarnation().instance().value();
+    }
+
+    /**
+     * Returns the monotonic clock.
+     *
+     * @return milliseconds
+     */
+    private long now() {
+        return TimeUnit.NANOSECONDS.toMillis(mNode.nanos().getAsLong());
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/route/RoutingConfiguration.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/route/RoutingConfiguration.java
@@ -28,6 +28,9 @@
     /** What callers are held to. */
     private final ServerLimits mLimits;
 
+    /** The configuration as the operator wrote it. */
+    private final byte[] mEncoded;
+
     /**
      * Creates a version.
      *
@@ -35,10 +38,16 @@
      * @param routes all routes
      * @param services all services
      * @param limits what callers are held to
+     * @param encoded the configuration as the operator wrote it, for other routers
      */
     public RoutingConfiguration(
-            long version, List<Route> routes, List<Service> services, ServerLimits limits) {
+            long version,
+            List<Route> routes,
+            List<Service> services,
+            ServerLimits limits,
+            byte[] encoded) {
         mVersion = version;
+        mEncoded = encoded.clone();
         mLimits = Check.present("limits", limits);
         mServices =
                 services.stream()
@@ -66,6 +75,15 @@
         return mLimits;
     }
 
+    /**
+     * Returns the configuration as the operator wrote it.
+     *
+     * @return a copy of the bytes
+     */
+    public byte[] encoded() {
+        return mEncoded.clone();
+    }
+
     /**
      * Finds the route of a request.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptShape.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptShape.java
@@ -36,7 +36,7 @@
      * while others leave, so a run takes half of it on average.
      */
     static final double OUTPUT_PART =
-            Double.parseDouble(System.getProperty("troutpier.outputPart", "0.5"));
+            Double.parseDouble(System.getProperty("troutpier.outputPart", "1"));
 
     /**
      * Returns how much memory is set aside for the request.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -1,6 +1,7 @@
 package org.troutpier.daemon.serving;
 
 import java.util.random.RandomGenerator;
+import org.troutpier.daemon.cluster.DemandMeter;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 
 /**
@@ -13,6 +14,7 @@
  * @param loads what is under way at each upstream
  * @param budget bounds extra calls
  * @param places gives out places at decode engines
+ * @param demand measures what is asked of model services
  * @param decisions logs what was decided about requests
  * @param random draws splits
  */
@@ -23,5 +25,6 @@
         UpstreamLoads loads,
         ExtraCallBudget budget,
         PlaceAllocator places,
+        DemandMeter demand,
         DecisionLog decisions,
         RandomGenerator random) {}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -74,10 +74,11 @@
     /** {@inheritDoc} */
     @Override
     void start() {
-        if (mRequest.prompt().map(PromptShape::promptTokens).orElse(0) > mEngine.memoryTokens()) {
+        if (promptTokens() > mEngine.memoryTokens()) {
             refuse(ResultCode.NO_PLACE, "larger than an engine's memory", 0);
             return;
         }
+        mContext.demand().came(mService, promptTokens(), tokens(), mContext.loop().millis());
         search();
     }
 
@@ -115,6 +116,15 @@
         return mRequest.prompt().map(PromptShape::placeTokens).orElse(0L);
     }
 
+    /**
+     * Returns the prompt's length.
+     *
+     * @return tokens
+     */
+    private long promptTokens() {
+        return mRequest.prompt().map(PromptShape::promptTokens).orElse(0);
+    }
+
     /** Has the prompt read, or has the decode engine read it where nobody else can. */
     private void read() {
         List<UpstreamEntry> engines =
@@ -242,6 +252,9 @@
         /** Where it is read. */
         private final UpstreamEntry mUpstream;
 
+        /** When it began, milliseconds. */
+        private final long mStart;
+
         /** Gives the reading up. */
         private final TrafficLoop.Timer mTimer;
 
@@ -255,12 +268,13 @@
          */
         PromptReading(UpstreamEntry upstream) {
             mUpstream = upstream;
+            mStart = mContext.loop().millis();
             mTimer = mContext.loop().later(this::silent, ServingSettings.PREFILL_MILLIS);
         }
 
         /** Sends the call. */
         void begin() {
-            mContext.loads().begin(mUpstream, tokens());
+            mContext.loads().begin(mUpstream, promptTokens());
             mCall =
                     mContext.port()
                             .prefill(
@@ -290,7 +304,7 @@
             mTimer.stop();
             if (mReading == this) {
                 mReading = null;
-                mContext.loads().end(mUpstream, tokens());
+                mContext.loads().end(mUpstream, promptTokens());
             }
         }
 
@@ -299,6 +313,8 @@
         public void onResult(UpstreamPort.StoredPrompt prompt) {
             close();
             mContext.loads().succeeded(mUpstream);
+            long now = mContext.loop().millis();
+            mContext.demand().read(mService, promptTokens(), now - mStart, now);
             mTrace.step("read");
             run(Optional.of(prompt));
         }
@@ -321,6 +337,9 @@
         /** Where it runs. */
         private final UpstreamEntry mUpstream;
 
+        /** When it began, milliseconds. */
+        private final long mStart;
+
         /** Where its prompt was read, if elsewhere. */
         private final Optional<UpstreamPort.StoredPrompt> mPrompt;
 
@@ -341,6 +360,7 @@
          */
         StreamRun(UpstreamEntry upstream, Optional<UpstreamPort.StoredPrompt> prompt) {
             mUpstream = upstream;
+            mStart = mContext.loop().millis();
             mPrompt = prompt;
         }
 
@@ -447,6 +467,8 @@
             }
             close();
             mContext.loads().succeeded(mUpstream);
+            long now = mContext.loop().millis();
+            mContext.demand().ran(mService, now - mStart, now);
             mTrace.step("events=" + mRelay.events());
             mCaller.end();
             answered();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -14,6 +14,8 @@
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.UpstreamId;
+import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.cluster.UpstreamUse;
 import org.troutpier.daemon.directory.UpstreamEntry;
 
 /**
@@ -51,6 +53,9 @@
     /** The hall of this router. */
     private final HallId mHall;
 
+    /** What the other routers have under way. */
+    private final PeerLoads mPeers;
+
     /** One upstream's state. */
     private static final class Load {
 
@@ -76,8 +81,10 @@
      * @param loop the clock
      * @param random breaks ties
      * @param hall the hall of this router
+     * @param peers what the other routers have under way
      */
-    public UpstreamLoads(TrafficLoop loop, RandomGenerator random, HallId hall) {
+    public UpstreamLoads(TrafficLoop loop, RandomGenerator random, HallId hall, PeerLoads peers) {
+        mPeers = peers;
         mLoop = loop;
         mRandom = random;
         mHall = hall;
@@ -153,7 +160,7 @@
     }
 
     /**
-     * Chooses where a call goes: the upstream with the fewest own calls for its slots, own hall
+     * Chooses where a call goes: the upstream with the fewest known calls for its slots, own hall
      * first, passing over those that failed.
      *
      * @param candidates the upstreams
@@ -166,7 +173,7 @@
     }
 
     /**
-     * Orders engines by the tokens that this router has under way there.
+     * Orders engines by the tokens that all routers are known to have under way there.
      *
      * @param candidates the engines
      * @param tried where the request was already sent
@@ -174,7 +181,10 @@
      */
     public List<UpstreamEntry> byTokens(
             Collection<UpstreamEntry> candidates, Set<UpstreamId> tried) {
-        return ordered(candidates, tried, entry -> load(entry.id()).mTokens);
+        return ordered(
+                candidates,
+                tried,
+                entry -> load(entry.id()).mTokens + mPeers.use(entry.id()).tokens());
     }
 
     /**
@@ -219,10 +229,27 @@
      * @return the part of its slots that is taken, and more for another hall
      */
     private double callCost(UpstreamEntry entry) {
-        double taken = load(entry.id()).mCalls / (double) Math.max(1, entry.slots());
+        int calls = load(entry.id()).mCalls + mPeers.use(entry.id()).calls();
+        double taken = calls / (double) Math.max(1, entry.slots());
         return taken + (entry.hall().equals(mHall) ? 0 : OTHER_HALL);
     }
 
+    /**
+     * Returns what is under way.
+     *
+     * @return the use of each upstream that is used
+     */
+    public Map<UpstreamId, UpstreamUse> uses() {
+        Map<UpstreamId, UpstreamUse> uses = new HashMap<>();
+        mLoads.forEach(
+                (id, load) -> {
+                    if (load.mCalls > 0) {
+                        uses.put(id, new UpstreamUse(load.mCalls, load.mTokens));
+                    }
+                });
+        return uses;
+    }
+
     /**
      * Forgets upstreams that are no longer listed.
      *
