--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -92,7 +92,11 @@
         mLooks = 0;
         mReported = uses;
         LoadReport report =
-                new LoadReport(mConfiguration.version(), mRoleHolder.getAsBoolean(), uses, mOwn);
+                new LoadReport(
+                        mConfiguration.version(),
+                        mRoleHolder.getAsBoolean(),
+                        uses,
+                        mDemand.publish(mLoop.millis()));
         mControl.execute(() -> mExchange.tell(report));
     }
 }
