--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
@@ -20,7 +20,8 @@
      * Which part of its target a request waits for a place at an engine. The users price waits of
      * over a quarter that come to nothing.
      */
-    static final double WAIT_PART = 0.24;
+    static final double WAIT_PART =
+            Double.parseDouble(System.getProperty("troutpier.waitPart", "0.24"));
 
     /**
      * How many times its target a repeatable call may be silent at one upstream while another may
@@ -38,5 +39,6 @@
     static final long STREAM_SILENCE_MILLIS = 1200;
 
     /** When a caller is asked to come back where nothing better is known, milliseconds. */
-    static final long RETRY_AFTER_MILLIS = 400;
+    static final long RETRY_AFTER_MILLIS =
+            Long.parseLong(System.getProperty("troutpier.retryAfter", "400"));
 }
