--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.id.Incarnation;
@@ -47,6 +48,9 @@
     /** What the others said. */
     private final PeerLoads mLoads;
 
+    /** Takes the key of each request that another router refused. */
+    private final Consumer<String> mRefusals;
+
     /** Who the others are. */
     private final Membership mMembership;
 
@@ -71,6 +75,7 @@
      * @param configuration the version in force
      * @param codec reads configurations of others
      * @param loads takes what the others say
+     * @param refusals takes the key of each request that another router refused; thread safe
      */
     public PeerExchange(
             Node node,
@@ -78,7 +83,9 @@
             String secret,
             CurrentConfiguration configuration,
             ConfigurationCodec codec,
-            PeerLoads loads) {
+            PeerLoads loads,
+            Consumer<String> refusals) {
+        mRefusals = refusals;
         mNode = node;
         mConfiguration = configuration;
         mCodec = codec;
@@ -114,6 +121,15 @@
         mMesh.broadcast(new PeerMessage.Load(report));
     }
 
+    /**
+     * Tells the others that a request was refused.
+     *
+     * @param key the part of its prompt that is its own
+     */
+    public void refused(String key) {
+        mMesh.broadcast(new PeerMessage.Refused(key));
+    }
+
     /** {@inheritDoc} */
     @Override
     public void heard(Member from, PeerMessage message) {
@@ -125,6 +141,8 @@
             }
         } else if (message instanceof PeerMessage.Configuration offered) {
             take(from, offered);
+        } else if (message instanceof PeerMessage.Refused refused) {
+            mRefusals.accept(refused.key());
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
@@ -22,7 +22,8 @@
     @JsonSubTypes.Type(value = PeerMessage.Activated.class, name = "activated"),
     @JsonSubTypes.Type(value = PeerMessage.Pull.class, name = "pull"),
     @JsonSubTypes.Type(value = PeerMessage.Load.class, name = "load"),
-    @JsonSubTypes.Type(value = PeerMessage.Configuration.class, name = "configuration")
+    @JsonSubTypes.Type(value = PeerMessage.Configuration.class, name = "configuration"),
+    @JsonSubTypes.Type(value = PeerMessage.Refused.class, name = "refused")
 })
 public sealed interface PeerMessage {
 
@@ -150,4 +151,11 @@
      * @param encoded the operator's bytes
      */
     record Configuration(long version, byte[] encoded) implements PeerMessage {}
+
+    /**
+     * Tells that a request was refused and will come back.
+     *
+     * @param key the part of its prompt that is its own
+     */
+    record Refused(String key) implements PeerMessage {}
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptShape.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptShape.java
@@ -46,4 +46,13 @@
     public long placeTokens() {
         return promptTokens + Math.round(outputTokens * OUTPUT_PART);
     }
+
+    /**
+     * Returns the part that belongs to the request or its session.
+     *
+     * @return the last part's id; empty for a prompt without parts
+     */
+    public String ownPart() {
+        return parts.isEmpty() ? "" : parts.get(parts.size() - 1).id();
+    }
 }
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReturningRequests.java
@@ -0,0 +1,80 @@
+package org.troutpier.daemon.serving;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Remembers which requests any router refused lately, by the part of the prompt that is the
+ * request's own, so that one that comes back as told is recognised. Confined to the traffic loop.
+ * Invariant: bounded in number and age.
+ */
+public final class ReturningRequests {
+
+    /** How long a refusal is remembered, milliseconds: longer than callers are sent away for. */
+    private static final long REMEMBERED_MILLIS = 7000;
+
+    /** How many refusals are remembered. */
+    private static final int MOST = 20_000;
+
+    /** When each was refused, milliseconds, in the order of refusals. */
+    private final Map<String, Long> mRefused = new LinkedHashMap<>();
+
+    /** Tells the other routers of a refusal. */
+    private volatile Consumer<String> mTeller = key -> {};
+
+    /**
+     * Sets who tells the other routers.
+     *
+     * @param teller takes the key of each refused request, on the traffic loop
+     */
+    public void onRefused(Consumer<String> teller) {
+        mTeller = teller;
+    }
+
+    /**
+     * Takes note of a refusal by this router.
+     *
+     * @param prompt the request's prompt
+     * @param now the monotonic clock, milliseconds
+     */
+    void refused(PromptShape prompt, long now) {
+        String key = prompt.ownPart();
+        if (!key.isEmpty()) {
+            remember(key, now);
+            mTeller.accept(key);
+        }
+    }
+
+    /**
+     * Takes note of a refusal by any router.
+     *
+     * @param key the request's own part
+     * @param now the monotonic clock, milliseconds
+     */
+    public void remember(String key, long now) {
+        mRefused.remove(key);
+        mRefused.put(key, now);
+        Iterator<Long> oldest = mRefused.values().iterator();
+        while (oldest.hasNext()) {
+            boolean old = now - oldest.next() > REMEMBERED_MILLIS;
+            if (!old && mRefused.size() <= MOST) {
+                return;
+            }
+            oldest.remove();
+        }
+    }
+
+    /**
+     * Returns whether a request was refused lately.
+     *
+     * @param prompt the request's prompt
+     * @param now the monotonic clock, milliseconds
+     * @return whether it comes back
+     */
+    boolean comesBack(PromptShape prompt, long now) {
+        Long at = mRefused.get(prompt.ownPart());
+        return at != null && now - at <= REMEMBERED_MILLIS;
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -14,6 +14,8 @@
  * @param loads what is under way at each upstream
  * @param budget bounds extra calls
  * @param places gives out places at decode engines
+ * @param returning which requests were refused lately
+ * @param pacer tells refused callers when to come back
  * @param demand measures what is asked of model services
  * @param decisions logs what was decided about requests
  * @param random draws splits
@@ -25,6 +27,8 @@
         UpstreamLoads loads,
         ExtraCallBudget budget,
         PlaceAllocator places,
+        ReturningRequests returning,
+        ReturnPacer pacer,
         DemandMeter demand,
         DecisionLog decisions,
         RandomGenerator random) {}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
@@ -41,4 +41,14 @@
     /** When a caller is asked to come back where nothing better is known, milliseconds. */
     static final long RETRY_AFTER_MILLIS =
             Long.parseLong(System.getProperty("troutpier.retryAfter", "400"));
+
+    /**
+     * Which part of its target a request waits for a place that was refused before, or whose stream
+     * is to be continued: a second refusal costs more than a late answer.
+     */
+    static final double RETURN_WAIT_PART =
+            Double.parseDouble(System.getProperty("troutpier.returnWait", "0.9"));
+
+    /** Which part of the time left callers wait at most before they come back. */
+    static final double RETURN_PART = 0.32;
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -84,10 +84,11 @@
 
     /** Looks for a place at a decode engine. */
     private void search() {
-        long wait =
-                mBegun
-                        ? mRoute.targetMillis()
-                        : (long) (mRoute.targetMillis() * ServingSettings.WAIT_PART);
+        double part =
+                mBegun || comesBack()
+                        ? ServingSettings.RETURN_WAIT_PART
+                        : ServingSettings.WAIT_PART;
+        long wait = (long) (mRoute.targetMillis() * part);
         mSearch =
                 mContext.places()
                         .find(
@@ -96,6 +97,18 @@
                                 new PlaceFound());
     }
 
+    /**
+     * Returns whether the request was refused lately and comes back as told.
+     *
+     * @return whether it does
+     */
+    private boolean comesBack() {
+        long now = mContext.loop().millis();
+        return mRequest.prompt()
+                .filter(own -> mContext.returning().comesBack(own, now))
+                .isPresent();
+    }
+
     /**
      * Returns the decode engines that have not had the request.
      *
@@ -175,7 +188,10 @@
         if (mBegun) {
             cut(detail);
         } else {
-            refuse(code, detail, ServingSettings.RETRY_AFTER_MILLIS);
+            long now = mContext.loop().millis();
+            mRequest.prompt().ifPresent(own -> mContext.returning().refused(own, now));
+            long limit = (long) (leftMillis() * ServingSettings.RETURN_PART);
+            refuse(code, detail, mContext.pacer().next(now, limit));
         }
     }
 
@@ -233,6 +249,7 @@
             mSearch = null;
             mDecode = engine;
             mPlace = place;
+            mContext.pacer().granted(mContext.loop().millis());
             mTrace.step("place@" + engine.id());
             read();
         }
