--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -27,7 +27,7 @@
     private static final long FULL_MILLIS = 30;
 
     /** How long a place is kept for its prompt to be read, milliseconds. */
-    private static final int PLACE_MILLIS = 2000;
+    private static final int PLACE_MILLIS = Integer.getInteger("troutpier.placeMillis", 500);
 
     /** The collaborators that it shares with the executions. */
     private final TrafficLoop mLoop;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
@@ -47,7 +47,7 @@
      * is to be continued: a second refusal costs more than a late answer.
      */
     static final double RETURN_WAIT_PART =
-            Double.parseDouble(System.getProperty("troutpier.returnWait", "0.9"));
+            Double.parseDouble(System.getProperty("troutpier.returnWait", "0.5"));
 
     /** Which part of the time left callers wait at most before they come back. */
     static final double RETURN_PART = 0.32;
