--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -29,6 +29,17 @@
     /** How long a place is kept for its prompt to be read, milliseconds. */
     private static final int PLACE_MILLIS = Integer.getInteger("troutpier.placeMillis", 500);
 
+    /**
+     * How many times the most output of one request an engine keeps free for the growth of what
+     * runs there. Runs grow together while they leave one by one, so an engine that is filled up
+     * preempts before somebody leaves.
+     */
+    private static final double GROWTH_OUTPUTS =
+            Double.parseDouble(System.getProperty("troutpier.growth", "1.6"));
+
+    /** Which part of an engine's memory is kept free for growth at most. */
+    private static final double MOST_MARGIN = 0.5;
+
     /** The collaborators that it shares with the executions. */
     private final TrafficLoop mLoop;
 
@@ -82,13 +93,20 @@
     /**
      * What is looked for. Immutable.
      *
-     * @param tokens how much memory
+     * @param promptTokens the prompt's length
+     * @param mostTokens the prompt's length and the most output
+     * @param memoryTokens how much memory an engine has
      * @param placeMillis how long engines set places aside at most; 0 where they do not
      * @param waitMillis how long to look
      * @param engines the engines that may be used, asked again for each round
      */
     public record Wanted(
-            long tokens, int placeMillis, long waitMillis, Supplier<List<UpstreamEntry>> engines) {}
+            long promptTokens,
+            long mostTokens,
+            long memoryTokens,
+            int placeMillis,
+            long waitMillis,
+            Supplier<List<UpstreamEntry>> engines) {}
 
     /**
      * Looks for a place.
@@ -154,7 +172,7 @@
             }
             long now = mLoop.millis();
             for (UpstreamEntry engine : mLoads.byTokens(mWanted.engines().get(), mAsked)) {
-                if (mFullUntil.getOrDefault(engine.id(), now) <= now) {
+                if (mFullUntil.getOrDefault(engine.id(), now) <= now && hasRoom(engine)) {
                     ask(engine);
                     return;
                 }
@@ -167,6 +185,22 @@
             mLoop.later(this::round, FULL_MILLIS / 2 + mRandom.nextLong(FULL_MILLIS / 2));
         }
 
+        /**
+         * Returns whether an engine has room for the prompt and for the growth of what runs there.
+         *
+         * @param engine the engine
+         * @return whether to ask it; where nobody else's use is known the engine alone decides
+         */
+        private boolean hasRoom(UpstreamEntry engine) {
+            if (!mLoads.peersHeard()) {
+                return true;
+            }
+            long output = mWanted.mostTokens() - mWanted.promptTokens();
+            double margin = Math.min(output * GROWTH_OUTPUTS, mWanted.memoryTokens() * MOST_MARGIN);
+            return mLoads.tokens(engine) + mWanted.promptTokens() + margin
+                    <= mWanted.memoryTokens();
+        }
+
         /**
          * Asks one engine.
          *
@@ -180,7 +214,8 @@
             }
             mAsked.add(engine.id());
             int millis = Math.min(PLACE_MILLIS, mWanted.placeMillis());
-            mPort.reserve(engine, mWanted.tokens(), millis, new Answer(engine));
+            long tokens = mLoads.peersHeard() ? mWanted.promptTokens() : mWanted.mostTokens();
+            mPort.reserve(engine, tokens, millis, new Answer(engine));
         }
 
         /** Hears an engine's answer. Confined to the traffic loop. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptShape.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptShape.java
@@ -32,19 +32,12 @@
     }
 
     /**
-     * Which part of the expected output is set aside with the prompt. Output grows token by token
-     * while others leave, so a run takes half of it on average.
-     */
-    static final double OUTPUT_PART =
-            Double.parseDouble(System.getProperty("troutpier.outputPart", "1"));
-
-    /**
-     * Returns how much memory is set aside for the request.
+     * Returns how much memory the request takes at most.
      *
      * @return tokens
      */
-    public long placeTokens() {
-        return promptTokens + Math.round(outputTokens * OUTPUT_PART);
+    public long mostTokens() {
+        return (long) promptTokens + outputTokens;
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -37,6 +37,9 @@
     /** The place that was set aside there and not used yet. */
     private Optional<UpstreamPort.Place> mPlace = Optional.empty();
 
+    /** What the request takes at the decode engine, or null. */
+    private EngineMemory mMemory;
+
     /** The prompt's reading, or null. */
     private PromptReading mReading;
 
@@ -93,7 +96,12 @@
                 mContext.places()
                         .find(
                                 new PlaceAllocator.Wanted(
-                                        tokens(), mEngine.placeMillis(), wait, this::engines),
+                                        promptTokens(),
+                                        tokens(),
+                                        mEngine.memoryTokens(),
+                                        mEngine.placeMillis(),
+                                        wait,
+                                        this::engines),
                                 new PlaceFound());
     }
 
@@ -121,12 +129,12 @@
     }
 
     /**
-     * Returns how much memory the request is expected to take on average while it runs.
+     * Returns how much memory the request takes at most.
      *
      * @return tokens
      */
     private long tokens() {
-        return mRequest.prompt().map(PromptShape::placeTokens).orElse(0L);
+        return mRequest.prompt().map(PromptShape::mostTokens).orElse(0L);
     }
 
     /**
@@ -224,10 +232,19 @@
         if (mRun != null) {
             mRun.abort();
         }
+        freeMemory();
         mPlace.ifPresent(place -> mContext.port().release(mDecode, place));
         mPlace = Optional.empty();
     }
 
+    /** Takes note that the decode engine's memory is no longer used. */
+    private void freeMemory() {
+        if (mMemory != null) {
+            mMemory.free();
+            mMemory = null;
+        }
+    }
+
     /** {@inheritDoc} */
     @Override
     protected boolean atUpstream() {
@@ -240,6 +257,42 @@
         return mBegun;
     }
 
+    /** What the request takes at one decode engine. Confined to the traffic loop. */
+    private final class EngineMemory {
+
+        /** The engine. */
+        private final UpstreamEntry mUpstream;
+
+        /** How many tokens are taken. */
+        private long mTokens;
+
+        /**
+         * Takes the prompt's memory.
+         *
+         * @param upstream the engine
+         */
+        EngineMemory(UpstreamEntry upstream) {
+            mUpstream = upstream;
+            mTokens = promptTokens() + mRelay.events() * mEngine.eventTokens();
+            mContext.loads().begin(upstream, mTokens);
+        }
+
+        /**
+         * Takes more.
+         *
+         * @param tokens how many more
+         */
+        void grow(long tokens) {
+            mTokens += tokens;
+            mContext.loads().grow(mUpstream, tokens);
+        }
+
+        /** Frees all. */
+        void free() {
+            mContext.loads().end(mUpstream, mTokens);
+        }
+    }
+
     /** Hears of a place. Confined to the traffic loop. */
     private final class PlaceFound implements PlaceAllocator.Listener {
 
@@ -249,6 +302,7 @@
             mSearch = null;
             mDecode = engine;
             mPlace = place;
+            mMemory = new EngineMemory(engine);
             mContext.pacer().granted(mContext.loop().millis());
             mTrace.step("place@" + engine.id());
             read();
@@ -387,7 +441,6 @@
          * @param plan what goes with it
          */
         void begin(UpstreamPort.RunPlan plan) {
-            mContext.loads().begin(mUpstream, tokens());
             mCall = mContext.port().run(mUpstream, mRequest, plan, this);
             mCaller.onWritable(() -> mCall.read(true));
             watch();
@@ -429,7 +482,7 @@
             }
             if (mRun == this) {
                 mRun = null;
-                mContext.loads().end(mUpstream, tokens());
+                freeMemory();
             }
         }
 
@@ -462,6 +515,9 @@
                 onFailure(AttemptEnd.failed(exception.code(), exception.detail()));
                 return;
             }
+            if (mMemory != null) {
+                mMemory.grow((mRelay.events() - before) * mEngine.eventTokens());
+            }
             if (before == 0 && mRelay.events() > 0) {
                 mTrace.step("first event");
             }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -114,6 +114,35 @@
         load.mTokens -= tokens;
     }
 
+    /**
+     * Takes note that a call takes more tokens.
+     *
+     * @param upstream where
+     * @param tokens how many more
+     */
+    public void grow(UpstreamEntry upstream, long tokens) {
+        load(upstream.id()).mTokens += tokens;
+    }
+
+    /**
+     * Returns the tokens that all routers are known to have under way at an engine.
+     *
+     * @param engine the engine
+     * @return tokens
+     */
+    public long tokens(UpstreamEntry engine) {
+        return load(engine.id()).mTokens + mPeers.use(engine.id()).tokens();
+    }
+
+    /**
+     * Returns whether other routers were heard lately, so that their use is known.
+     *
+     * @return whether any was
+     */
+    public boolean peersHeard() {
+        return mPeers.routers() > 0;
+    }
+
     /**
      * Takes note that a call went well.
      *
@@ -181,10 +210,7 @@
      */
     public List<UpstreamEntry> byTokens(
             Collection<UpstreamEntry> candidates, Set<UpstreamId> tried) {
-        return ordered(
-                candidates,
-                tried,
-                entry -> load(entry.id()).mTokens + mPeers.use(entry.id()).tokens());
+        return ordered(candidates, tried, this::tokens);
     }
 
     /**
