--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/Demand.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/Demand.java
@@ -6,8 +6,8 @@
  *
  * @param promptTokens prompt tokens of the requests that came
  * @param requests requests that came
- * @param placeTokens memory that these requests need at a decode engine, tokens
- * @param runMillis time that completed runs took
+ * @param memoryTime memory that completed runs took, each for as long as it ran, in tokens times
+ *     milliseconds
  * @param runs completed runs
  * @param prefillTokensPerMilli the fastest pace at which an engine read a prompt lately; 0 for
  *     unknown
@@ -15,13 +15,12 @@
 public record Demand(
         double promptTokens,
         double requests,
-        double placeTokens,
-        double runMillis,
+        double memoryTime,
         double runs,
         double prefillTokensPerMilli) {
 
     /** No demand. */
-    public static final Demand NONE = new Demand(0, 0, 0, 0, 0, 0);
+    public static final Demand NONE = new Demand(0, 0, 0, 0, 0);
 
     /**
      * After which time a sum has decayed to 1/e, milliseconds: two bursts, so that one burst alone
@@ -39,8 +38,7 @@
         return new Demand(
                 promptTokens + other.promptTokens,
                 requests + other.requests,
-                placeTokens + other.placeTokens,
-                runMillis + other.runMillis,
+                memoryTime + other.memoryTime,
                 runs + other.runs,
                 Math.max(prefillTokensPerMilli, other.prefillTokensPerMilli));
     }
@@ -56,8 +54,7 @@
         return new Demand(
                 promptTokens * left,
                 requests * left,
-                placeTokens * left,
-                runMillis * left,
+                memoryTime * left,
                 runs * left,
                 prefillTokensPerMilli);
     }
@@ -78,7 +75,7 @@
      * @return tokens
      */
     public double memoryTokens() {
-        double meanRunMillis = runs > 0 ? runMillis / runs : 0;
-        return placeTokens / DECAY_MILLIS * meanRunMillis;
+        double memoryTimeOfRun = runs > 0 ? memoryTime / runs : 0;
+        return requests / DECAY_MILLIS * memoryTimeOfRun;
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/DemandMeter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/DemandMeter.java
@@ -26,22 +26,22 @@
      *
      * @param service its service
      * @param promptTokens its prompt's length
-     * @param placeTokens the memory it needs
      * @param now the monotonic clock, milliseconds
      */
-    public void came(String service, long promptTokens, long placeTokens, long now) {
-        add(service, new Demand(promptTokens, 1, placeTokens, 0, 0, 0), now);
+    public void came(String service, long promptTokens, long now) {
+        add(service, new Demand(promptTokens, 1, 0, 0, 0), now);
     }
 
     /**
      * Takes note of a run that was completed.
      *
      * @param service its service
-     * @param millis how long it took
+     * @param memoryTime the memory it took on average times how long it ran, tokens times
+     *     milliseconds
      * @param now the monotonic clock, milliseconds
      */
-    public void ran(String service, long millis, long now) {
-        add(service, new Demand(0, 0, 0, millis, 1, 0), now);
+    public void ran(String service, double memoryTime, long now) {
+        add(service, new Demand(0, 0, memoryTime, 1, 0), now);
     }
 
     /**
@@ -54,7 +54,7 @@
      */
     public void read(String service, long tokens, long millis, long now) {
         if (tokens >= LEAST_PACED && millis > 0) {
-            add(service, new Demand(0, 0, 0, 0, 0, tokens / (double) millis), now);
+            add(service, new Demand(0, 0, 0, 0, tokens / (double) millis), now);
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -2,9 +2,10 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.BooleanSupplier;
+import java.util.Set;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.daemon.node.Control;
+import org.troutpier.daemon.role.RoleController;
 import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.serving.TrafficLoop;
 import org.troutpier.daemon.serving.UpstreamLoads;
@@ -33,8 +34,8 @@
     /** The version in force. */
     private final CurrentConfiguration mConfiguration;
 
-    /** Tells whether this router decides engines' roles. */
-    private final BooleanSupplier mRoleHolder;
+    /** Decides engines' roles, if this router does. */
+    private final RoleController mRoles;
 
     /** The control thread, where reports are sent. */
     private final Control mControl;
@@ -55,7 +56,7 @@
      * @param loads what is under way
      * @param demand what was asked lately
      * @param configuration the version in force
-     * @param roleHolder tells whether this router decides engines' roles
+     * @param roles decides engines' roles, if this router does
      * @param control the control thread
      * @param exchange sends reports
      */
@@ -64,14 +65,14 @@
             UpstreamLoads loads,
             DemandMeter demand,
             CurrentConfiguration configuration,
-            BooleanSupplier roleHolder,
+            RoleController roles,
             Control control,
             PeerExchange exchange) {
         mLoop = loop;
         mLoads = loads;
         mDemand = demand;
         mConfiguration = configuration;
-        mRoleHolder = roleHolder;
+        mRoles = roles;
         mControl = control;
         mExchange = exchange;
     }
@@ -84,6 +85,8 @@
     /** Reports if there is something to tell. */
     private void look() {
         mLoop.later(this::look, LOOK_MILLIS);
+        Set<UpstreamId> changing = mRoles.changing();
+        mLoads.changing(changing);
         Map<UpstreamId, UpstreamUse> uses = mLoads.uses();
         mLooks++;
         if (uses.equals(mReported) && mLooks < LOOKS_UNCHANGED) {
@@ -94,7 +97,8 @@
         LoadReport report =
                 new LoadReport(
                         mConfiguration.version(),
-                        mRoleHolder.getAsBoolean(),
+                        mRoles.holds(),
+                        changing,
                         uses,
                         mDemand.publish(mLoop.millis()));
         mControl.execute(() -> mExchange.tell(report));
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -1,7 +1,9 @@
 package org.troutpier.daemon.cluster;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.UpstreamId;
 
@@ -19,7 +21,7 @@
     private final Map<Incarnation, Heard> mHeard = new HashMap<>();
 
     /** The sums over all reports. */
-    private volatile Sums mSums = new Sums(Map.of(), Map.of(), 0, false);
+    private volatile Sums mSums = new Sums(Map.of(), Map.of(), Set.of(), 0, false);
 
     /**
      * A report and when it came.
@@ -34,12 +36,14 @@
      *
      * @param uses the use of each upstream
      * @param demands the demand of each service
+     * @param changing the engines that change their role
      * @param routers how many routers there are
      * @param roleHolder whether one of them decides engines' roles
      */
     private record Sums(
             Map<UpstreamId, UpstreamUse> uses,
             Map<String, Demand> demands,
+            Set<UpstreamId> changing,
             int routers,
             boolean roleHolder) {}
 
@@ -66,15 +70,23 @@
         mHeard.values().removeIf(heard -> now - heard.at() > BELIEVED_MILLIS);
         Map<UpstreamId, UpstreamUse> uses = new HashMap<>();
         Map<String, Demand> demands = new HashMap<>();
+        Set<UpstreamId> changing = new HashSet<>();
         boolean roleHolder = false;
         for (Heard heard : mHeard.values()) {
             heard.report().uses().forEach((id, use) -> uses.merge(id, use, UpstreamUse::plus));
             heard.report()
                     .demands()
                     .forEach((service, demand) -> demands.merge(service, demand, Demand::plus));
+            changing.addAll(heard.report().changing());
             roleHolder |= heard.report().roleHolder();
         }
-        mSums = new Sums(Map.copyOf(uses), Map.copyOf(demands), mHeard.size(), roleHolder);
+        mSums =
+                new Sums(
+                        Map.copyOf(uses),
+                        Map.copyOf(demands),
+                        Set.copyOf(changing),
+                        mHeard.size(),
+                        roleHolder);
     }
 
     /**
@@ -87,6 +99,16 @@
         return mSums.uses().getOrDefault(upstream, UpstreamUse.NONE);
     }
 
+    /**
+     * Returns whether an engine changes its role by another router's order.
+     *
+     * @param engine the engine
+     * @return whether one said so lately
+     */
+    public boolean changing(UpstreamId engine) {
+        return mSums.changing().contains(engine);
+    }
+
     /**
      * Returns what callers asked of the others lately.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -5,10 +5,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.troutpier.common.id.UpstreamId;
 import org.troutpier.daemon.cluster.Demand;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.directory.UpstreamDirectory;
@@ -21,9 +25,9 @@
 
 /**
  * Keeps the engines' roles in step with the load. Confined to the control thread; {@link #holds()}
- * is thread safe. Invariants: orders are given only under the lease; a service has at most one
- * change under way; an order whose fate is unknown is only ever repeated, never followed by
- * another, until the engine's report tells what came of it.
+ * and {@link #changing()} are thread safe. Invariants: orders are given only under the lease; a
+ * service has at most one change under way; an order whose fate is unknown is only ever repeated,
+ * never followed by another, until the engine's report tells what came of it.
  */
 public final class RoleController {
 
@@ -72,6 +76,9 @@
     /** Whether this router holds the lease, for other threads. */
     private volatile boolean mHolds;
 
+    /** The engines that are being changed, for other threads. */
+    private volatile Set<UpstreamId> mChanging = Set.of();
+
     /** One service's state. */
     private static final class Change {
 
@@ -144,6 +151,15 @@
         return mHolds;
     }
 
+    /**
+     * Returns the engines that are being changed by this router's orders.
+     *
+     * @return their ids
+     */
+    public Set<UpstreamId> changing() {
+        return mChanging;
+    }
+
     /** Looks whether a change is due. */
     private void tick() {
         Optional<RoutingConfiguration> configuration = mConfiguration.current();
@@ -153,7 +169,7 @@
         mLease.tick(mPeers.roleHolder());
         mHolds = mLease.held();
         if (!mLease.mayOrder()) {
-            mChanges.clear();
+            mChanging = Set.of();
             return;
         }
         configuration
@@ -162,6 +178,11 @@
                 .forEach(
                         (name, service) ->
                                 service.engine().ifPresent(engine -> control(name, engine)));
+        mChanging =
+                mChanges.values().stream()
+                        .filter(change -> change.mOrdersBefore >= 0 && change.mEngine != null)
+                        .map(change -> change.mEngine.id())
+                        .collect(Collectors.toUnmodifiableSet());
     }
 
     /**
@@ -190,15 +211,14 @@
             change.mSince = now;
         }
         boolean measured = demand.runs() > 0;
-        if (!measured || now - change.mSince >= SUSTAINED_MILLIS) {
-            begin(change, engines, wanted > prefill, traits);
+        if ((!measured || now - change.mSince >= SUSTAINED_MILLIS) && !change.mCalling) {
+            inspect(change, engines, wanted > prefill, traits);
             LOGGER.info(
-                    "role change service={} engines={} prefill={} wanted={} engine={} demand={}",
+                    "role change wanted service={} engines={} prefill={} wanted={} demand={}",
                     service,
                     engines.size(),
                     prefill,
                     wanted,
-                    change.mEngine == null ? "none" : change.mEngine.id(),
                     demand);
         }
     }
@@ -213,6 +233,44 @@
         return engine.role() == UpstreamEntry.Role.PREFILL;
     }
 
+    /**
+     * Asks all engines how they stand, so that no change is begun beside one that an earlier holder
+     * of the lease ordered.
+     *
+     * @param change the service's state
+     * @param engines the engines
+     * @param toPrefill whether one more engine is to read prompts
+     * @param traits what the engines can do
+     */
+    private void inspect(
+            Change change, List<UpstreamEntry> engines, boolean toPrefill, EngineTraits traits) {
+        change.mCalling = true;
+        List<CompletableFuture<Boolean>> idle =
+                engines.stream()
+                        .map(
+                                engine ->
+                                        mOrders.report(engine)
+                                                .handle(
+                                                        (report, failure) ->
+                                                                failure != null
+                                                                        || !report.changing()))
+                        .toList();
+        CompletableFuture.allOf(idle.toArray(CompletableFuture[]::new))
+                .thenRun(
+                        () ->
+                                mNode.control()
+                                        .execute(
+                                                () -> {
+                                                    change.mCalling = false;
+                                                    if (idle.stream()
+                                                            .allMatch(CompletableFuture::join)) {
+                                                        begin(change, engines, toPrefill, traits);
+                                                    } else {
+                                                        end(change);
+                                                    }
+                                                }));
+    }
+
     /**
      * Begins a change at the least used engine.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleSplit.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleSplit.java
@@ -27,6 +27,9 @@
     /** How much of its pace a prefill engine keeps up with waiting requests that vary in length. */
     private static final double USABLE_PACE = 0.8;
 
+    /** Which part of its memory a decode engine uses while runs that grow are not preempted. */
+    private static final double USABLE_MEMORY = 0.8;
+
     /** Not to be instantiated. */
     private RoleSplit() {}
 
@@ -73,7 +76,8 @@
     static double use(int engines, int prefill, long memoryTokens, Demand demand) {
         double pace = demand.prefillTokensPerMilli() * USABLE_PACE;
         double reading = demand.promptTokensPerMilli() / (prefill * pace);
-        double making = demand.memoryTokens() / ((engines - prefill) * (double) memoryTokens);
+        double making =
+                demand.memoryTokens() / ((engines - prefill) * memoryTokens * USABLE_MEMORY);
         return Math.max(reading, making);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -81,7 +81,7 @@
             refuse(ResultCode.NO_PLACE, "larger than an engine's memory", 0);
             return;
         }
-        mContext.demand().came(mService, promptTokens(), tokens(), mContext.loop().millis());
+        mContext.demand().came(mService, promptTokens(), mContext.loop().millis());
         search();
     }
 
@@ -157,7 +157,7 @@
         }
         boolean extra = mReadBefore;
         if (extra && !mContext.budget().tryExtra(mService, mContext.loop().millis())) {
-            failedBeforeRun(ResultCode.RETRIES_SPENT, "no extra prefill is left");
+            failedBeforeRun(ResultCode.UPSTREAMS_REFUSED, "no extra prefill is left");
             return;
         }
         mReadBefore = true;
@@ -395,7 +395,9 @@
         public void onFailure(AttemptEnd end) {
             close();
             mTrace.step("prefill failed(" + end.detail() + ")");
-            if (!end.notStarted() || end.unreachable()) {
+            if (end.notStarted() && !end.unreachable()) {
+                mContext.loads().refused(mUpstream);
+            } else {
                 mContext.loads().failed(mUpstream, end.unreachable(), end.detail());
             }
             read();
@@ -541,7 +543,8 @@
             close();
             mContext.loads().succeeded(mUpstream);
             long now = mContext.loop().millis();
-            mContext.demand().ran(mService, now - mStart, now);
+            double tokens = promptTokens() + mRelay.events() * mEngine.eventTokens() / 2.0;
+            mContext.demand().ran(mService, tokens * (now - mStart), now);
             mTrace.step("events=" + mRelay.events());
             mCaller.end();
             answered();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -35,6 +35,9 @@
     /** How long an upstream is passed over at most, milliseconds. */
     private static final long MOST_EJECTED_MILLIS = 4000;
 
+    /** How long an engine that refused to read a prompt is passed over, milliseconds. */
+    private static final long REFUSED_MILLIS = 250;
+
     /** What crossing to another hall counts for, in parts of an upstream's slots. */
     private static final double OTHER_HALL = 0.15;
 
@@ -56,6 +59,9 @@
     /** What the other routers have under way. */
     private final PeerLoads mPeers;
 
+    /** The engines that change their role by this router's order. */
+    private volatile Set<UpstreamId> mChanging = Set.of();
+
     /** One upstream's state. */
     private static final class Load {
 
@@ -158,6 +164,25 @@
         load.mEjectedMillis = 0;
     }
 
+    /**
+     * Takes note that an engine refused a call as it is full or changes its role.
+     *
+     * @param upstream the engine
+     */
+    public void refused(UpstreamEntry upstream) {
+        Load load = load(upstream.id());
+        load.mEjectedUntil = Math.max(load.mEjectedUntil, mLoop.millis() + REFUSED_MILLIS);
+    }
+
+    /**
+     * Sets the engines that change their role by this router's order.
+     *
+     * @param changing their ids; may be called from any thread
+     */
+    public void changing(Set<UpstreamId> changing) {
+        mChanging = changing;
+    }
+
     /**
      * Takes note that a call failed.
      *
@@ -228,7 +253,11 @@
             ToDoubleFunction<UpstreamEntry> cost) {
         long now = mLoop.millis();
         List<UpstreamEntry> left = new ArrayList<>(candidates);
-        left.removeIf(entry -> tried.contains(entry.id()));
+        left.removeIf(
+                entry ->
+                        tried.contains(entry.id())
+                                || mChanging.contains(entry.id())
+                                || mPeers.changing(entry.id()));
         List<UpstreamEntry> sound =
                 new ArrayList<>(
                         left.stream()
