--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -14,10 +14,11 @@
 import org.troutpier.common.id.UpstreamId;
 
 /**
- * The upstreams that may get work. Changes are confined to the control thread; {@link #snapshot()}
- * is thread safe. Invariant: an entry that the platform lists as draining or no longer lists gets
- * no work, except that an entry which vanished while the store was away is believed until {@link
- * #GRACE_MILLIS} after the store's return.
+ * The upstreams that may get work. Changes are confined to the control thread; {@link #snapshot()},
+ * {@link #usable}, {@link #loaded()} and {@link #storeIsHeard()} are thread safe. Invariant: an
+ * entry that the platform lists as draining or no longer lists gets no work, except that an entry
+ * which vanished while the store was away is believed until {@link #GRACE_MILLIS} after the store's
+ * return.
  */
 public final class UpstreamDirectory {
 
@@ -43,7 +44,7 @@
     private final LongSupplier mNanos;
 
     /** Whether the store is away. */
-    private boolean mAway;
+    private volatile boolean mAway;
 
     /** Until when a vanished entry is believed, on the monotonic clock; 0 for never. */
     private long mGraceUntil;
@@ -72,6 +73,15 @@
         return mLoaded;
     }
 
+    /**
+     * Returns whether the store was read when it was last asked.
+     *
+     * @return whether it was
+     */
+    public boolean storeIsHeard() {
+        return !mAway;
+    }
+
     /**
      * Returns the upstreams of a service that may get work.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -34,6 +34,12 @@
     /** How often it is looked whether a change is due, milliseconds. */
     private static final long TICK_MILLIS = 500;
 
+    /**
+     * The shortest term of the lease, milliseconds: it is renewed three times in a term, and looked
+     * after every tick.
+     */
+    private static final long SHORTEST_TERM_MILLIS = 3 * TICK_MILLIS;
+
     /** How long another split must look better before a change, milliseconds. */
     private static final long SUSTAINED_MILLIS = 2500;
 
@@ -134,7 +140,7 @@
         mPeers = peers;
         mOwnDemand = ownDemand;
         mOrders = orders;
-        mLease = new RoleLease(node, store, leaseMillis);
+        mLease = new RoleLease(node, store, Math.max(leaseMillis, SHORTEST_TERM_MILLIS));
     }
 
     /** Starts to control. */
