--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/node/ManualTime.java
@@ -0,0 +1,139 @@
+package org.troutpier.daemon.node;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+import org.troutpier.daemon.serving.TrafficLoop;
+
+/** A clock that tests move, and the tasks that wait for it. Confined to the test's thread. */
+public final class ManualTime {
+
+    private final PriorityQueue<Task> mTasks =
+            new PriorityQueue<>(Comparator.comparingLong(Task::at).thenComparingLong(Task::number));
+    private long mMillis = 1000;
+    private long mNumber;
+    private boolean mRunning;
+
+    private static final class Task {
+        private final long mAt;
+        private final long mOrder;
+        private Runnable mAction;
+
+        Task(long at, long number, Runnable action) {
+            mAt = at;
+            mOrder = number;
+            mAction = action;
+        }
+
+        long at() {
+            return mAt;
+        }
+
+        long number() {
+            return mOrder;
+        }
+    }
+
+    /** Returns the time, milliseconds. */
+    public long millis() {
+        return mMillis;
+    }
+
+    /** Returns the time, nanoseconds. */
+    public long nanos() {
+        return TimeUnit.MILLISECONDS.toNanos(mMillis);
+    }
+
+    private Task add(Runnable action, long millis) {
+        Task task = new Task(mMillis + millis, mNumber++, action);
+        mTasks.add(task);
+        return task;
+    }
+
+    /** Moves the clock and runs what is due. */
+    public void pass(long millis) {
+        long until = mMillis + millis;
+        if (mRunning) {
+            throw new IllegalStateException("the clock is moved by its own task");
+        }
+        mRunning = true;
+        while (!mTasks.isEmpty() && mTasks.peek().at() <= until) {
+            Task task = mTasks.poll();
+            mMillis = Math.max(mMillis, task.at());
+            task.mAction.run();
+        }
+        mMillis = until;
+        mRunning = false;
+    }
+
+    /** Returns a traffic loop on this clock. */
+    public TrafficLoop loop() {
+        return new TrafficLoop() {
+            @Override
+            public void execute(Runnable task) {
+                add(task, 0);
+            }
+
+            @Override
+            public Timer later(Runnable task, long millis) {
+                Task added = add(task, millis);
+                return () -> added.mAction = () -> {};
+            }
+
+            @Override
+            public long nanos() {
+                return ManualTime.this.nanos();
+            }
+        };
+    }
+
+    /** Returns a control thread on this clock, which may be paused. */
+    public PausableControl control() {
+        return new PausableControl();
+    }
+
+    /** A control thread that may stand still. */
+    public final class PausableControl implements Control {
+
+        private boolean mPaused;
+
+        /** Stands still or goes on. */
+        public void pause(boolean paused) {
+            mPaused = paused;
+        }
+
+        private Runnable whenAwake(Runnable task) {
+            return () -> {
+                if (mPaused) {
+                    add(whenAwake(task), 1);
+                } else {
+                    task.run();
+                }
+            };
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            add(whenAwake(task), 0);
+        }
+
+        @Override
+        public void later(Runnable task, long millis) {
+            add(whenAwake(task), millis);
+        }
+
+        @Override
+        public void every(Runnable task, long millis) {
+            add(
+                    whenAwake(
+                            () -> {
+                                task.run();
+                                every(task, millis);
+                            }),
+                    millis);
+        }
+
+        @Override
+        public void close() {}
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleLeaseTest.java
@@ -0,0 +1,182 @@
+package org.troutpier.daemon.role;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.event.EventRing;
+import org.troutpier.common.event.HybridClock;
+import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.common.id.InstanceId;
+import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.rows.FakeRowStore;
+import org.troutpier.standins.platform.VersionedRows;
+
+/** The lease of the router that orders engines. */
+public final class RoleLeaseTest {
+
+    private static final long TERM = 3000;
+    private static final long TICK = 500;
+
+    private ManualTime mTime;
+    private VersionedRows mRows;
+
+    /** One router's view of the lease. */
+    private final class Contender {
+        final ManualTime.PausableControl mControl = mTime.control();
+        final FakeRowStore mStore = new FakeRowStore(mRows);
+        final RoleLease mLease;
+        boolean mOtherHolds;
+
+        Contender(String name) {
+            Incarnation incarnation = Incarnation.start(new InstanceId(name));
+            Node node =
+                    new Node(
+                            incarnation,
+                            new HallId("hall"),
+                            null,
+                            mControl,
+                            null,
+                            new MetricRegistry(),
+                            new EventRing(name, 16, new HybridClock()),
+                            mTime::nanos);
+            mLease = new RoleLease(node, mStore, TERM);
+            mControl.every(() -> mLease.tick(mOtherHolds), TICK);
+        }
+    }
+
+    @BeforeMethod
+    void start() {
+        mTime = new ManualTime();
+        mRows = new VersionedRows();
+    }
+
+    @Test
+    public void theFirstRouterGetsItAndWaitsATermBeforeItOrders() {
+        Contender only = new Contender("a");
+        mTime.pass(2 * TICK);
+        assertTrue(only.mLease.held());
+        assertFalse(only.mLease.mayOrder());
+        mTime.pass(TERM);
+        assertTrue(only.mLease.mayOrder());
+        mTime.pass(10 * TERM);
+        assertTrue(only.mLease.mayOrder());
+    }
+
+    @Test
+    public void aHolderThatCannotRenewStopsWithinATerm() {
+        Contender only = new Contender("a");
+        mTime.pass(2 * TERM);
+        long token = only.mLease.right().fencingToken();
+        only.mStore.mAway = true;
+        mTime.pass(TERM);
+        assertFalse(only.mLease.held());
+        only.mStore.mAway = false;
+        mTime.pass(2 * TERM);
+        assertTrue(only.mLease.mayOrder());
+        assertTrue(only.mLease.right().fencingToken() > token);
+    }
+
+    @Test
+    public void anotherTakesItAfterAHolderThatStandsStill() {
+        Contender first = new Contender("a");
+        mTime.pass(2 * TERM);
+        assertTrue(first.mLease.mayOrder());
+        Contender second = new Contender("b");
+        mTime.pass(2 * TERM);
+        assertFalse(second.mLease.held());
+        first.mControl.pause(true);
+        mTime.pass(5 * TERM);
+        assertTrue(second.mLease.mayOrder());
+        assertFalse(first.mLease.mayOrder());
+        first.mControl.pause(false);
+        mTime.pass(5 * TERM);
+        assertFalse(first.mLease.held());
+        assertTrue(second.mLease.mayOrder());
+    }
+
+    @Test
+    public void aRenewalThatIsDoneButNotAnsweredDoesNotExtendTheLease() {
+        Contender only = new Contender("a");
+        mTime.pass(2 * TERM);
+        only.mStore.mCarrier =
+                (work, answer) -> {
+                    work.run();
+                };
+        mTime.pass(TERM);
+        assertFalse(only.mLease.held());
+    }
+
+    @Test
+    public void atRandomNoTwoEverOrderWithinATermOfEachOther() {
+        long seed = System.nanoTime();
+        System.out.println("RoleLeaseTest seed " + seed);
+        Random random = new Random(seed);
+        List<Contender> all = new ArrayList<>();
+        for (String name : List.of("a", "b", "c")) {
+            Contender contender = new Contender(name);
+            contender.mStore.mCarrier = (work, answer) -> carry(random, contender, work, answer);
+            all.add(contender);
+        }
+        Contender last = null;
+        long lastAt = 0;
+        long lastToken = 0;
+        int turns = 0;
+        for (int step = 0; step < 40_000; step++) {
+            if (random.nextInt(400) == 0) {
+                Contender contender = all.get(random.nextInt(all.size()));
+                contender.mControl.pause(random.nextInt(3) > 0);
+            }
+            if (random.nextInt(400) == 0) {
+                Contender contender = all.get(random.nextInt(all.size()));
+                contender.mStore.mAway = random.nextInt(3) > 0;
+            }
+            mTime.pass(50);
+            for (Contender contender : all) {
+                if (!contender.mLease.mayOrder()) {
+                    continue;
+                }
+                long token = contender.mLease.right().fencingToken();
+                assertTrue(token >= lastToken, "a lower token, seed " + seed);
+                if (last != contender) {
+                    boolean apart = last == null || mTime.millis() - lastAt >= TERM;
+                    assertTrue(apart, "two ordered within a term, seed " + seed);
+                    turns++;
+                }
+                last = contender;
+                lastAt = mTime.millis();
+                lastToken = token;
+            }
+        }
+        assertTrue(turns > 3, "turns " + turns + ", seed " + seed);
+        assertEquals(mRows.read("troutpier_leases", "", "", 10).size(), 1);
+    }
+
+    private void carry(Random random, Contender contender, Runnable work, Runnable answer) {
+        int delay = random.nextInt(40);
+        switch (random.nextInt(12)) {
+            case 0 -> contender.mControl.later(answer, 1000);
+            case 1 -> {
+                work.run();
+                contender.mControl.later(() -> {}, delay);
+                mTime.loop().later(answer, 1000);
+            }
+            case 2 -> {
+                mTime.loop().later(work, 1000 + random.nextInt(6000));
+                mTime.loop().later(answer, 1000);
+            }
+            default -> {
+                work.run();
+                mTime.loop().later(answer, delay);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/FakeRowStore.java
@@ -0,0 +1,106 @@
+package org.troutpier.daemon.rows;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import org.troutpier.standins.platform.VersionedRows;
+import org.troutpier.standins.platform.VersionedRows.Condition;
+import org.troutpier.standins.platform.VersionedRows.Key;
+import org.troutpier.standins.platform.VersionedRows.Write;
+
+/** A row store in memory whose answers a test may lose or delay. Confined to the test's thread. */
+public final class FakeRowStore implements RowStore {
+
+    /** How calls are carried out: takes the call's work and what answers it. */
+    public BiConsumer<Runnable, Runnable> mCarrier =
+            (work, answer) -> {
+                work.run();
+                answer.run();
+            };
+
+    public final VersionedRows mRows;
+    public boolean mAway;
+
+    public FakeRowStore(VersionedRows rows) {
+        mRows = rows;
+    }
+
+    @Override
+    public CompletableFuture<RowPage> read(String table, String part) {
+        CompletableFuture<RowPage> future = new CompletableFuture<>();
+        if (mAway) {
+            future.completeExceptionally(
+                    new RowStoreException(RowStoreException.Reason.REFUSED, "away"));
+            return future;
+        }
+        List<Row> rows = new ArrayList<>();
+        mCarrier.accept(
+                () -> mRows.read(table, part, "", 1000).forEach(row -> rows.add(row(row))),
+                () -> future.complete(new RowPage(rows, mRows.version(), 0)));
+        return future;
+    }
+
+    @Override
+    public CompletableFuture<RowPage> feed(String table, long after, int waitMillis) {
+        CompletableFuture<RowPage> future = new CompletableFuture<>();
+        if (mAway) {
+            future.completeExceptionally(
+                    new RowStoreException(RowStoreException.Reason.REFUSED, "away"));
+            return future;
+        }
+        mRows.changes(table, after)
+                .ifPresentOrElse(
+                        rows ->
+                                future.complete(
+                                        new RowPage(
+                                                rows.stream().map(FakeRowStore::row).toList(),
+                                                mRows.version(),
+                                                0)),
+                        () ->
+                                future.completeExceptionally(
+                                        new RowStoreException(
+                                                RowStoreException.Reason.HISTORY_GONE, "")));
+        return future;
+    }
+
+    @Override
+    public CompletableFuture<RowWrite> write(Row row, long expectedVersion) {
+        CompletableFuture<RowWrite> future = new CompletableFuture<>();
+        if (mAway) {
+            future.complete(new RowWrite(Outcome.NOT_DONE, 0, 0));
+            return future;
+        }
+        Key key = new Key(row.table(), row.part(), row.key());
+        List<RowWrite> result = new ArrayList<>();
+        mCarrier.accept(
+                () -> {
+                    boolean held =
+                            mRows.transact(
+                                    List.of(new Condition(key, expectedVersion)),
+                                    List.of(new Write(key, new String(row.value()))),
+                                    List.of());
+                    result.add(
+                            new RowWrite(
+                                    held ? Outcome.WRITTEN : Outcome.CONFLICT,
+                                    mRows.version(key),
+                                    0));
+                },
+                () ->
+                        future.complete(
+                                result.isEmpty()
+                                        ? new RowWrite(Outcome.UNKNOWN, 0, 0)
+                                        : result.get(0)));
+        return future;
+    }
+
+    private static Row row(VersionedRows.Row row) {
+        return new Row(
+                row.key().table(),
+                row.key().part(),
+                row.key().key(),
+                row.value().getBytes(),
+                row.version(),
+                row.deleted());
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/EventRelayTest.java
@@ -0,0 +1,88 @@
+package org.troutpier.daemon.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.result.TroutpierException;
+
+/** How events are handed on. */
+public final class EventRelayTest {
+
+    private FakeCaller mCaller;
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @BeforeMethod
+    void start() {
+        mCaller = new FakeCaller();
+    }
+
+    @Test
+    public void onlyWholeEventsAreHandedOn() {
+        EventRelay relay = new EventRelay(mCaller, OptionalLong.empty());
+        relay.feed(bytes("id: 1\ndata: a\n\nid: 2\nda"));
+        assertEquals(mCaller.text(), "id: 1\ndata: a\n\n");
+        assertFalse(relay.betweenEvents());
+        relay.feed(bytes("ta: b\n\n"));
+        assertTrue(relay.betweenEvents());
+        assertEquals(relay.last(), OptionalLong.of(2));
+    }
+
+    @Test
+    public void anotherRunGoesOnAfterTheLastWholeEvent() {
+        EventRelay relay = new EventRelay(mCaller, OptionalLong.empty());
+        relay.feed(bytes("id: 1\ndata: a\n\nid: 2\nda"));
+        relay.beginRun();
+        relay.feed(bytes("id: 2\ndata: b\n\n"));
+        assertEquals(mCaller.text(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    }
+
+    @Test
+    public void anEventOutOfOrderIsNotHandedOn() {
+        EventRelay relay = new EventRelay(mCaller, OptionalLong.of(4));
+        assertThrows(TroutpierException.class, () -> relay.feed(bytes("id: 6\ndata: a\n\n")));
+        EventRelay again = new EventRelay(mCaller, OptionalLong.of(4));
+        assertThrows(TroutpierException.class, () -> again.feed(bytes("id: 4\ndata: a\n\n")));
+        assertEquals(mCaller.text(), "");
+    }
+
+    @Test
+    public void aFirstLineBeforeTheIdIsKept() {
+        EventRelay relay = new EventRelay(mCaller, OptionalLong.of(0));
+        relay.feed(bytes("weight-versions: 2\nid: 1\ndata: a\n\n"));
+        assertEquals(mCaller.text(), "weight-versions: 2\nid: 1\ndata: a\n\n");
+        assertEquals(relay.last(), OptionalLong.of(1));
+    }
+
+    @Test
+    public void atRandomAnyCutOfTheBytesGivesTheSameEvents() {
+        long seed = System.nanoTime();
+        System.out.println("EventRelayTest seed " + seed);
+        Random random = new Random(seed);
+        for (int round = 0; round < 500; round++) {
+            FakeCaller caller = new FakeCaller();
+            EventRelay relay = new EventRelay(caller, OptionalLong.empty());
+            StringBuilder all = new StringBuilder();
+            for (int event = 1; event <= 1 + random.nextInt(20); event++) {
+                all.append("id: ").append(event).append("\ndata: ");
+                all.append("x".repeat(random.nextInt(300))).append("\n\n");
+            }
+            byte[] bytes = bytes(all.toString());
+            for (int at = 0; at < bytes.length; ) {
+                int next = Math.min(bytes.length, at + 1 + random.nextInt(100));
+                relay.feed(java.util.Arrays.copyOfRange(bytes, at, next));
+                at = next;
+            }
+            assertEquals(caller.text(), all.toString(), "seed " + seed);
+        }
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExtraCallBudgetTest.java
@@ -0,0 +1,60 @@
+package org.troutpier.daemon.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** The budget of extra calls. */
+public final class ExtraCallBudgetTest {
+
+    private static final long WINDOW = 10_000;
+
+    @Test
+    public void withoutRequestsOnlyTheAllowanceIsThere() {
+        ExtraCallBudget budget = new ExtraCallBudget(0.2, 2, WINDOW);
+        int made = 0;
+        for (int call = 0; call < 10; call++) {
+            made += budget.tryExtra("s", 100 + call) ? 1 : 0;
+        }
+        assertEquals(made, 2);
+        assertTrue(budget.tryExtra("s", 100 + 2 * WINDOW));
+    }
+
+    @Test
+    public void oneServiceDoesNotSpendForAnother() {
+        ExtraCallBudget budget = new ExtraCallBudget(0.2, 1, WINDOW);
+        assertTrue(budget.tryExtra("s", 0));
+        assertTrue(budget.tryExtra("t", 0));
+    }
+
+    @Test
+    public void atRandomNoWindowEverHoldsMoreThanItsPart() {
+        long seed = System.nanoTime();
+        System.out.println("ExtraCallBudgetTest seed " + seed);
+        Random random = new Random(seed);
+        ExtraCallBudget budget = new ExtraCallBudget(0.2, 2, WINDOW);
+        List<Long> requests = new ArrayList<>();
+        List<Long> extra = new ArrayList<>();
+        long now = 0;
+        for (int step = 0; step < 20_000; step++) {
+            now += random.nextInt(random.nextInt(50) == 0 ? 3000 : 40);
+            if (random.nextInt(3) > 0) {
+                budget.request("s", now);
+                requests.add(now);
+            } else if (budget.tryExtra("s", now)) {
+                extra.add(now);
+                long from = now - WINDOW;
+                long made = extra.stream().filter(at -> at > from).count();
+                long came = requests.stream().filter(at -> at > from).count();
+                assertTrue(made <= came * 0.2 + 2, "made " + made + " came " + came + seed);
+            }
+            long from = now - 2 * WINDOW;
+            requests.removeIf(at -> at < from);
+            extra.removeIf(at -> at < from);
+        }
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakeCaller.java
@@ -0,0 +1,74 @@
+package org.troutpier.daemon.serving;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import org.troutpier.common.result.ResultCode;
+
+/** A caller that notes what it gets. Confined to the test's thread. */
+final class FakeCaller implements CallerChannel {
+
+    private final StringBuilder mText = new StringBuilder();
+    int mStatus;
+    int mAnswers;
+    ResultCode mRefusal;
+    long mRetryAfterMillis;
+    boolean mEnded;
+    boolean mCut;
+    private Runnable mOnGone = () -> {};
+
+    String text() {
+        return mText.toString();
+    }
+
+    void leave() {
+        mOnGone.run();
+    }
+
+    @Override
+    public void answer(int status, HttpHeaders headers, byte[] body) {
+        mStatus = status;
+        mAnswers++;
+        write(body);
+    }
+
+    @Override
+    public void refuse(ResultCode code, String detail, long retryAfterMillis) {
+        mRefusal = code;
+        mAnswers++;
+        mRetryAfterMillis = retryAfterMillis;
+    }
+
+    @Override
+    public void begin(int status, HttpHeaders headers) {
+        mStatus = status;
+        mAnswers++;
+    }
+
+    @Override
+    public void write(byte[] part) {
+        mText.append(new String(part, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void end() {
+        mEnded = true;
+    }
+
+    @Override
+    public void cut() {
+        mCut = true;
+    }
+
+    @Override
+    public boolean writable() {
+        return true;
+    }
+
+    @Override
+    public void onGone(Runnable action) {
+        mOnGone = action;
+    }
+
+    @Override
+    public void onWritable(Runnable action) {}
+}
