--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/Entries.java
@@ -0,0 +1,33 @@
+package org.troutpier.daemon.serving;
+
+import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.settings.Address;
+import org.troutpier.daemon.directory.UpstreamEntry;
+
+/** Makes upstreams for tests. */
+final class Entries {
+
+    static final HallId HALL = new HallId("hall-a");
+
+    private Entries() {}
+
+    static UpstreamEntry plain(String id, String hall) {
+        return entry(id, hall, UpstreamEntry.Role.PLAIN);
+    }
+
+    static UpstreamEntry decode(String id) {
+        return entry(id, HALL.value(), UpstreamEntry.Role.DECODE);
+    }
+
+    private static UpstreamEntry entry(String id, String hall, UpstreamEntry.Role role) {
+        return new UpstreamEntry(
+                new UpstreamId(id),
+                "service",
+                new Address("127.0.0.1", 1),
+                new HallId(hall),
+                10,
+                role,
+                false);
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakePort.java
@@ -0,0 +1,83 @@
+package org.troutpier.daemon.serving;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.troutpier.common.id.UpstreamId;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.upstream.AttemptEnd;
+
+/** Upstreams that a test answers for. Confined to the test's thread. */
+final class FakePort implements UpstreamPort {
+
+    final List<Sent> mRuns = new ArrayList<>();
+    final List<UpstreamEntry> mAsked = new ArrayList<>();
+    final List<Long> mAskedTokens = new ArrayList<>();
+    final List<String> mReleased = new ArrayList<>();
+    final Set<UpstreamId> mFull = new HashSet<>();
+    boolean mHoldsBack;
+    ResultListener<Place> mWaiting;
+
+    /** A run that was sent. */
+    static final class Sent implements Call {
+        final UpstreamEntry mUpstream;
+        final RunPlan mPlan;
+        final RunListener mListener;
+        boolean mAborted;
+
+        Sent(UpstreamEntry upstream, RunPlan plan, RunListener listener) {
+            mUpstream = upstream;
+            mPlan = plan;
+            mListener = listener;
+        }
+
+        @Override
+        public void abort() {
+            mAborted = true;
+        }
+
+        @Override
+        public void read(boolean on) {}
+    }
+
+    @Override
+    public Call run(
+            UpstreamEntry upstream, ServingRequest request, RunPlan plan, RunListener listener) {
+        Sent sent = new Sent(upstream, plan, listener);
+        mRuns.add(sent);
+        return sent;
+    }
+
+    @Override
+    public Call prefill(
+            UpstreamEntry upstream,
+            ServingRequest request,
+            RunPlan plan,
+            ResultListener<StoredPrompt> listener) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Call reserve(
+            UpstreamEntry upstream, long tokens, int millis, ResultListener<Place> listener) {
+        mAsked.add(upstream);
+        mAskedTokens.add(tokens);
+        if (mHoldsBack) {
+            mWaiting = listener;
+        } else if (mFull.contains(upstream.id())) {
+            listener.onFailure(AttemptEnd.refused(false, "full"));
+        } else {
+            listener.onResult(new Place("place at " + upstream.id()));
+        }
+        return new Sent(upstream, null, null);
+    }
+
+    @Override
+    public void release(UpstreamEntry upstream, Place place) {
+        mReleased.add(place.token());
+    }
+
+    @Override
+    public void discard(StoredPrompt prompt) {}
+}
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
@@ -0,0 +1,155 @@
+package org.troutpier.daemon.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.common.id.InstanceId;
+import org.troutpier.daemon.cluster.LoadReport;
+import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.cluster.UpstreamUse;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.node.ManualTime;
+
+/** How places at decode engines are found. */
+public final class PlaceAllocatorTest {
+
+    private static final long MEMORY = 100_000;
+    private static final long PROMPT = 5000;
+    private static final long MOST = 15_000;
+
+    private final UpstreamEntry mFirst = Entries.decode("first");
+    private final UpstreamEntry mSecond = Entries.decode("second");
+    private ManualTime mTime;
+    private FakePort mPort;
+    private PeerLoads mPeers;
+    private UpstreamLoads mLoads;
+    private PlaceAllocator mAllocator;
+    private UpstreamEntry mGranted;
+    private String mRefused;
+
+    @BeforeMethod
+    void start() {
+        mTime = new ManualTime();
+        mPort = new FakePort();
+        mPeers = new PeerLoads();
+        mLoads = new UpstreamLoads(mTime.loop(), new Random(1), Entries.HALL, mPeers);
+        mAllocator = new PlaceAllocator(mTime.loop(), mPort, mLoads, new Random(1));
+        mGranted = null;
+        mRefused = null;
+    }
+
+    private PlaceAllocator.Search find(long waitMillis) {
+        return mAllocator.find(
+                new PlaceAllocator.Wanted(
+                        PROMPT, MOST, MEMORY, 2000, waitMillis, () -> List.of(mFirst, mSecond)),
+                new PlaceAllocator.Listener() {
+                    @Override
+                    public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
+                        mGranted = engine;
+                    }
+
+                    @Override
+                    public void refused(String detail) {
+                        mRefused = detail;
+                    }
+                });
+    }
+
+    private void peersUse(long first, long second) {
+        LoadReport report =
+                new LoadReport(
+                        1,
+                        false,
+                        Set.of(),
+                        Map.of(
+                                mFirst.id(), new UpstreamUse(1, first),
+                                mSecond.id(), new UpstreamUse(1, second)),
+                        Map.of());
+        Incarnation peer = new Incarnation("peer~1");
+        assertEquals(peer.instance(), new InstanceId("peer"));
+        mPeers.heard(peer, report, mTime.millis());
+    }
+
+    @Test
+    public void theEngineThatAllRoutersUseLeastIsAskedForThePromptsMemory() {
+        peersUse(30_000, 10_000);
+        mLoads.begin(mSecond, 5000);
+        find(200);
+        assertEquals(mGranted, mSecond);
+        assertEquals(mPort.mAskedTokens, List.of(PROMPT));
+    }
+
+    @Test
+    public void anEngineWithoutRoomForGrowthIsNotAsked() {
+        peersUse(90_000, 90_000);
+        find(200);
+        mTime.pass(300);
+        assertTrue(mPort.mAsked.isEmpty());
+        assertTrue(mRefused != null);
+        assertNull(mGranted);
+    }
+
+    @Test
+    public void aRouterThatHearsNobodyReservesTheMostOutputToo() {
+        find(200);
+        assertEquals(mPort.mAskedTokens, List.of(MOST));
+    }
+
+    @Test
+    public void aFullEngineIsFollowedByTheNext() {
+        mPort.mFull.add(mFirst.id());
+        mLoads.begin(mSecond, 1);
+        find(200);
+        assertEquals(mPort.mAsked, List.of(mFirst, mSecond));
+        assertEquals(mGranted, mSecond);
+    }
+
+    @Test
+    public void aSearchGoesOnUntilThereIsRoom() {
+        mPort.mFull.addAll(Set.of(mFirst.id(), mSecond.id()));
+        find(200);
+        mTime.pass(100);
+        assertNull(mGranted);
+        mPort.mFull.remove(mFirst.id());
+        mTime.pass(60);
+        assertEquals(mGranted, mFirst);
+    }
+
+    @Test
+    public void aPlaceThatComesAfterTheSearchWasStoppedIsGivenBack() {
+        mPort.mHoldsBack = true;
+        PlaceAllocator.Search search = find(200);
+        search.stop();
+        mPort.mWaiting.onResult(new UpstreamPort.Place("late"));
+        assertEquals(mPort.mReleased, List.of("late"));
+        assertNull(mGranted);
+    }
+
+    @Test
+    public void withoutEnginesASearchIsRefusedAfterItsWait() {
+        mAllocator.find(
+                new PlaceAllocator.Wanted(PROMPT, MOST, MEMORY, 2000, 100, List::of),
+                new PlaceAllocator.Listener() {
+                    @Override
+                    public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
+                        mGranted = engine;
+                    }
+
+                    @Override
+                    public void refused(String detail) {
+                        mRefused = detail;
+                    }
+                });
+        mTime.pass(150);
+        assertTrue(mRefused != null);
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -0,0 +1,99 @@
+package org.troutpier.daemon.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.daemon.cluster.LoadReport;
+import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.cluster.UpstreamUse;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.node.ManualTime;
+
+/** Which upstream a call goes to. */
+public final class UpstreamLoadsTest {
+
+    private final UpstreamEntry mNear = Entries.plain("near", "hall-a");
+    private final UpstreamEntry mFar = Entries.plain("far", "hall-b");
+    private ManualTime mTime;
+    private PeerLoads mPeers;
+    private UpstreamLoads mLoads;
+
+    @BeforeMethod
+    void start() {
+        mTime = new ManualTime();
+        mPeers = new PeerLoads();
+        mLoads = new UpstreamLoads(mTime.loop(), new Random(1), Entries.HALL, mPeers);
+    }
+
+    private Optional<UpstreamEntry> pick() {
+        return mLoads.pick(List.of(mFar, mNear), Set.of());
+    }
+
+    @Test
+    public void theOwnHallGoesFirstUntilItIsBusier() {
+        assertEquals(pick().get(), mNear);
+        mLoads.begin(mNear, 0);
+        assertEquals(pick().get(), mNear);
+        mLoads.begin(mNear, 0);
+        assertEquals(pick().get(), mFar);
+        mLoads.end(mNear, 0);
+        assertEquals(pick().get(), mNear);
+    }
+
+    @Test
+    public void whatOtherRoutersHaveUnderWayCounts() {
+        LoadReport report =
+                new LoadReport(
+                        1, false, Set.of(), Map.of(mNear.id(), new UpstreamUse(5, 0)), Map.of());
+        mPeers.heard(new Incarnation("peer~1"), report, mTime.millis());
+        assertEquals(pick().get(), mFar);
+        mPeers.sum(mTime.millis() + 10_000);
+        assertEquals(pick().get(), mNear);
+    }
+
+    @Test
+    public void anUnreachableUpstreamIsPassedOverAndComesBack() {
+        mLoads.failed(mNear, true, "refused");
+        assertEquals(pick().get(), mFar);
+        mTime.pass(501);
+        assertEquals(pick().get(), mNear);
+        mLoads.failed(mNear, true, "refused");
+        mTime.pass(501);
+        assertEquals(pick().get(), mFar);
+        mLoads.succeeded(mNear);
+        assertEquals(pick().get(), mNear);
+    }
+
+    @Test
+    public void aFewFailuresAreChanceManyInARowAreNot() {
+        mLoads.failed(mNear, false, "500");
+        mLoads.failed(mNear, false, "500");
+        assertEquals(pick().get(), mNear);
+        mLoads.failed(mNear, false, "500");
+        mLoads.failed(mNear, false, "500");
+        assertEquals(pick().get(), mFar);
+    }
+
+    @Test
+    public void whereAllArePassedOverTheNextToComeBackIsUsed() {
+        mLoads.failed(mNear, true, "refused");
+        mTime.pass(100);
+        mLoads.failed(mFar, true, "refused");
+        assertEquals(pick().get(), mNear);
+    }
+
+    @Test
+    public void whatWasTriedOrChangesItsRoleIsNotChosen() {
+        assertEquals(mLoads.pick(List.of(mNear, mFar), Set.of(mNear.id())).get(), mFar);
+        mLoads.changing(Set.of(mFar.id()));
+        assertTrue(mLoads.pick(List.of(mNear, mFar), Set.of(mNear.id())).isEmpty());
+    }
+}
