Streams note pauses that make them late

Cause: preempted runs show in no line; why they were preempted could not be told from the log. Conclusion: the line of a request now names each pause beyond the route's limit and the engine's known use.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -416,6 +416,9 @@
         /** Where its prompt was read, if elsewhere. */
         private final Optional<UpstreamPort.StoredPrompt> mPrompt;
 
+        /** When the last event came, milliseconds. */
+        private long mLastEvent;
+
         /** The call. */
         private UpstreamPort.Call mCall;
 
@@ -517,6 +520,7 @@
                 onFailure(AttemptEnd.failed(exception.code(), exception.detail()));
                 return;
             }
+            notePause();
             if (mMemory != null) {
                 mMemory.grow((mRelay.events() - before) * mEngine.eventTokens());
             }
@@ -529,6 +533,17 @@
             }
         }
 
+        /** Notes a pause between events that makes the answer late. */
+        private void notePause() {
+            long now = mContext.loop().millis();
+            long pause = now - mLastEvent;
+            if (mLastEvent != 0 && mRoute.eventGapMillis() > 0 && pause > mRoute.eventGapMillis()) {
+                long used = mContext.loads().tokens(mUpstream);
+                mTrace.step("pause " + pause + "ms@" + mUpstream.id() + " known tokens " + used);
+            }
+            mLastEvent = now;
+        }
+
         /** {@inheritDoc} */
         @Override
         public void onEnd() {
