--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.daemon.node.Control;
 import org.troutpier.daemon.role.RoleController;
@@ -79,26 +78,32 @@
 
     /** Starts to report. */
     public void start() {
+        mLoads.onMemoryTaken(this::report);
         mLoop.later(this::look, LOOK_MILLIS);
     }
 
     /** Reports if there is something to tell. */
     private void look() {
         mLoop.later(this::look, LOOK_MILLIS);
-        Set<UpstreamId> changing = mRoles.changing();
-        mLoads.changing(changing);
+        mLoads.changing(mRoles.changing());
         Map<UpstreamId, UpstreamUse> uses = mLoads.uses();
         mLooks++;
         if (uses.equals(mReported) && mLooks < LOOKS_UNCHANGED) {
             return;
         }
+        report();
+    }
+
+    /** Reports now. */
+    private void report() {
         mLooks = 0;
+        Map<UpstreamId, UpstreamUse> uses = mLoads.uses();
         mReported = uses;
         LoadReport report =
                 new LoadReport(
                         mConfiguration.version(),
                         mRoles.holds(),
-                        changing,
+                        mRoles.changing(),
                         uses,
                         mDemand.publish(mLoop.millis()));
         mControl.execute(() -> mExchange.tell(report));
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -75,7 +75,8 @@
     public interface Listener {
 
         /**
-         * Hears of a place.
+         * Hears of a place. The prompt's tokens are taken at the engine from now on; the listener
+         * gives them back.
          *
          * @param engine where it is
          * @param place the place; empty where engines do not set places aside
@@ -209,12 +210,14 @@
         private void ask(UpstreamEntry engine) {
             if (mWanted.placeMillis() == 0) {
                 mOver = true;
+                mLoads.take(engine, mWanted.promptTokens());
                 mListener.granted(engine, Optional.empty());
                 return;
             }
             mAsked.add(engine.id());
             int millis = Math.min(PLACE_MILLIS, mWanted.placeMillis());
             long tokens = mLoads.peersHeard() ? mWanted.promptTokens() : mWanted.mostTokens();
+            mLoads.take(engine, mWanted.promptTokens());
             mPort.reserve(engine, tokens, millis, new Answer(engine));
         }
 
@@ -237,6 +240,7 @@
             @Override
             public void onResult(UpstreamPort.Place place) {
                 if (mOver) {
+                    mLoads.end(mEngine, mWanted.promptTokens());
                     mPort.release(mEngine, place);
                     return;
                 }
@@ -247,6 +251,7 @@
             /** {@inheritDoc} */
             @Override
             public void onFailure(AttemptEnd end) {
+                mLoads.end(mEngine, mWanted.promptTokens());
                 mRefusals++;
                 mFullUntil.put(mEngine.id(), mLoop.millis() + FULL_MILLIS);
                 if (end.unreachable()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -267,14 +267,15 @@
         private long mTokens;
 
         /**
-         * Takes the prompt's memory.
+         * Keeps the memory of the prompt, which was taken with the place, and that of the events
+         * that an earlier run made.
          *
          * @param upstream the engine
          */
         EngineMemory(UpstreamEntry upstream) {
             mUpstream = upstream;
-            mTokens = promptTokens() + mRelay.events() * mEngine.eventTokens();
-            mContext.loads().begin(upstream, mTokens);
+            mTokens = promptTokens();
+            grow(mRelay.events() * mEngine.eventTokens());
         }
 
         /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -59,6 +59,9 @@
     /** What the other routers have under way. */
     private final PeerLoads mPeers;
 
+    /** Runs when memory is taken. */
+    private Runnable mOnMemoryTaken = () -> {};
+
     /** The engines that change their role by this router's order. */
     private volatile Set<UpstreamId> mChanging = Set.of();
 
@@ -96,6 +99,27 @@
         mHall = hall;
     }
 
+    /**
+     * Sets what runs when memory is taken, so that the other routers hear of it at once.
+     *
+     * @param action the action, run on the traffic loop
+     */
+    public void onMemoryTaken(Runnable action) {
+        mOnMemoryTaken = action;
+    }
+
+    /**
+     * Takes note that memory of an engine is taken, and tells the other routers at once: two that
+     * ask for the same room at the same time would both get it.
+     *
+     * @param engine the engine
+     * @param tokens how much
+     */
+    public void take(UpstreamEntry engine, long tokens) {
+        begin(engine, tokens);
+        mOnMemoryTaken.run();
+    }
+
     /**
      * Takes note that a call begins.
      *
