--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -27,15 +27,14 @@
     private static final long FULL_MILLIS = 30;
 
     /** How long a place is kept for its prompt to be read, milliseconds. */
-    private static final int PLACE_MILLIS = Integer.getInteger("troutpier.placeMillis", 500);
+    private static final int PLACE_MILLIS = 1000;
 
     /**
      * How many times the most output of one request an engine keeps free for the growth of what
      * runs there. Runs grow together while they leave one by one, so an engine that is filled up
      * preempts before somebody leaves.
      */
-    private static final double GROWTH_OUTPUTS =
-            Double.parseDouble(System.getProperty("troutpier.growth", "1.6"));
+    private static final double GROWTH_OUTPUTS = 1.6;
 
     /** Which part of an engine's memory is kept free for growth at most. */
     private static final double MOST_MARGIN = 0.5;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
@@ -20,8 +20,7 @@
      * Which part of its target a request waits for a place at an engine. The users price waits of
      * over a quarter that come to nothing.
      */
-    static final double WAIT_PART =
-            Double.parseDouble(System.getProperty("troutpier.waitPart", "0.24"));
+    static final double WAIT_PART = 0.24;
 
     /**
      * How many times its target a repeatable call may be silent at one upstream while another may
@@ -39,15 +38,13 @@
     static final long STREAM_SILENCE_MILLIS = 1200;
 
     /** When a caller is asked to come back where nothing better is known, milliseconds. */
-    static final long RETRY_AFTER_MILLIS =
-            Long.parseLong(System.getProperty("troutpier.retryAfter", "400"));
+    static final long RETRY_AFTER_MILLIS = 400;
 
     /**
      * Which part of its target a request waits for a place that was refused before, or whose stream
      * is to be continued: a second refusal costs more than a late answer.
      */
-    static final double RETURN_WAIT_PART =
-            Double.parseDouble(System.getProperty("troutpier.returnWait", "0.5"));
+    static final double RETURN_WAIT_PART = 0.5;
 
     /** Which part of the time left callers wait at most before they come back. */
     static final double RETURN_PART = 0.32;
