--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/Demand.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/Demand.java
@@ -9,18 +9,19 @@
  * @param memoryTime memory that completed runs took, each for as long as it ran, in tokens times
  *     milliseconds
  * @param runs completed runs
- * @param prefillTokensPerMilli the fastest pace at which an engine read a prompt lately; 0 for
- *     unknown
+ * @param readTokens prompt tokens that prefill engines read without anything waiting before them
+ * @param readMillis time that these took
  */
 public record Demand(
         double promptTokens,
         double requests,
         double memoryTime,
         double runs,
-        double prefillTokensPerMilli) {
+        double readTokens,
+        double readMillis) {
 
     /** No demand. */
-    public static final Demand NONE = new Demand(0, 0, 0, 0, 0);
+    public static final Demand NONE = new Demand(0, 0, 0, 0, 0, 0);
 
     /**
      * After which time a sum has decayed to 1/e, milliseconds: two bursts, so that one burst alone
@@ -40,7 +41,8 @@
                 requests + other.requests,
                 memoryTime + other.memoryTime,
                 runs + other.runs,
-                Math.max(prefillTokensPerMilli, other.prefillTokensPerMilli));
+                readTokens + other.readTokens,
+                readMillis + other.readMillis);
     }
 
     /**
@@ -56,7 +58,17 @@
                 requests * left,
                 memoryTime * left,
                 runs * left,
-                prefillTokensPerMilli);
+                readTokens * left,
+                readMillis * left);
+    }
+
+    /**
+     * Returns the pace of a prefill engine.
+     *
+     * @return prompt tokens a millisecond; 0 for unknown
+     */
+    public double prefillTokensPerMilli() {
+        return readMillis > 0 ? readTokens / readMillis : 0;
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/DemandMeter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/DemandMeter.java
@@ -29,7 +29,7 @@
      * @param now the monotonic clock, milliseconds
      */
     public void came(String service, long promptTokens, long now) {
-        add(service, new Demand(promptTokens, 1, 0, 0, 0), now);
+        add(service, new Demand(promptTokens, 1, 0, 0, 0, 0), now);
     }
 
     /**
@@ -41,11 +41,11 @@
      * @param now the monotonic clock, milliseconds
      */
     public void ran(String service, double memoryTime, long now) {
-        add(service, new Demand(0, 0, memoryTime, 1, 0), now);
+        add(service, new Demand(0, 0, memoryTime, 1, 0, 0), now);
     }
 
     /**
-     * Takes note of a prompt that was read.
+     * Takes note of a prompt that was read without anything waiting before it.
      *
      * @param service its service
      * @param tokens its length
@@ -54,7 +54,7 @@
      */
     public void read(String service, long tokens, long millis, long now) {
         if (tokens >= LEAST_PACED && millis > 0) {
-            add(service, new Demand(0, 0, 0, 0, tokens / (double) millis), now);
+            add(service, new Demand(0, 0, 0, 0, tokens, millis), now);
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -2,6 +2,7 @@
 
 import java.util.random.RandomGenerator;
 import org.troutpier.daemon.cluster.DemandMeter;
+import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 
 /**
@@ -16,6 +17,7 @@
  * @param places gives out places at decode engines
  * @param returning which requests were refused lately
  * @param pacer tells refused callers when to come back
+ * @param peers what the other routers said
  * @param demand measures what is asked of model services
  * @param decisions logs what was decided about requests
  * @param random draws splits
@@ -29,6 +31,18 @@
         PlaceAllocator places,
         ReturningRequests returning,
         ReturnPacer pacer,
+        PeerLoads peers,
         DemandMeter demand,
         DecisionLog decisions,
-        RandomGenerator random) {}
+        RandomGenerator random) {
+
+    /**
+     * Returns the pace of a service's prefill engines as all routers measured it.
+     *
+     * @param service the service
+     * @return prompt tokens a millisecond; 0 for unknown
+     */
+    double prefillPace(String service) {
+        return demand.published(service).plus(peers.demand(service)).prefillTokensPerMilli();
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
@@ -48,4 +48,10 @@
 
     /** Which part of the time left callers wait at most before they come back. */
     static final double RETURN_PART = 0.32;
+
+    /**
+     * Which part of the target may pass until the prompt is read, what waits before it included.
+     * The rest is for the place and the first event.
+     */
+    static final double READ_PART = 0.6;
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -120,14 +120,32 @@
     /**
      * Returns the decode engines that have not had the request.
      *
-     * @return the engines
+     * @return the engines; none while the prefill engines could not read the prompt in time
      */
     private List<UpstreamEntry> engines() {
+        if (readMillis() > mRoute.targetMillis() * ServingSettings.READ_PART) {
+            return List.of();
+        }
         return upstreams(UpstreamEntry.Role.DECODE).stream()
                 .filter(entry -> !mTried.contains(entry.id()))
                 .toList();
     }
 
+    /**
+     * Predicts how long the prompt's reading takes at the prefill engine with the least to read.
+     *
+     * @return milliseconds; 0 where the engines' pace is not known or none reads prompts
+     */
+    private double readMillis() {
+        List<UpstreamEntry> prefill =
+                mContext.loads().byTokens(upstreams(UpstreamEntry.Role.PREFILL), Set.of());
+        double pace = mContext.prefillPace(mService);
+        if (prefill.isEmpty() || pace <= 0) {
+            return 0;
+        }
+        return (mContext.loads().tokens(prefill.get(0)) + promptTokens()) / pace;
+    }
+
     /**
      * Returns how much memory the request takes at most.
      *
@@ -160,11 +178,11 @@
             failedBeforeRun(ResultCode.UPSTREAMS_REFUSED, "no extra prefill is left");
             return;
         }
-        mReadBefore = true;
         UpstreamEntry engine = engines.get(0);
         mPrefillTried.add(engine.id());
         mTrace.step("prefill@" + engine.id());
         mReading = new PromptReading(engine);
+        mReadBefore = true;
         mReading.begin();
     }
 
@@ -327,6 +345,9 @@
         /** When it began, milliseconds. */
         private final long mStart;
 
+        /** Whether nothing was known to wait before it, and it is not read again. */
+        private final boolean mAlone;
+
         /** Gives the reading up. */
         private final TrafficLoop.Timer mTimer;
 
@@ -341,6 +362,7 @@
         PromptReading(UpstreamEntry upstream) {
             mUpstream = upstream;
             mStart = mContext.loop().millis();
+            mAlone = mContext.loads().tokens(upstream) == 0 && !mReadBefore && !comesBack();
             mTimer = mContext.loop().later(this::silent, ServingSettings.PREFILL_MILLIS);
         }
 
@@ -386,7 +408,9 @@
             close();
             mContext.loads().succeeded(mUpstream);
             long now = mContext.loop().millis();
-            mContext.demand().read(mService, promptTokens(), now - mStart, now);
+            if (mAlone) {
+                mContext.demand().read(mService, promptTokens(), now - mStart, now);
+            }
             mTrace.step("read");
             run(Optional.of(prompt));
         }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleSplitTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleSplitTest.java
@@ -16,7 +16,8 @@
     /** Demand of some requests a second, each with a prompt and a time in memory. */
     private static Demand demand(double perSecond, double prompt, double tokens, double millis) {
         double requests = perSecond * Demand.DECAY_MILLIS / 1000;
-        return new Demand(requests * prompt, requests, requests * tokens * millis, requests, PACE);
+        return new Demand(
+                requests * prompt, requests, requests * tokens * millis, requests, PACE, 1);
     }
 
     @Test
