--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ExtraCallBudget.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ExtraCallBudget.java
@@ -21,10 +21,10 @@
     private static final double USED_PART = 0.8;
 
     /** Extra calls for each request. */
-    private final double mRatio;
+    private double mRatio;
 
     /** Extra calls in a window without any requests. */
-    private final double mAllowance;
+    private double mAllowance;
 
     /** How long a step is, milliseconds. */
     private final long mStepMillis;
@@ -58,6 +58,17 @@
         mStepMillis = Math.max(1, windowMillis / STEPS);
     }
 
+    /**
+     * Takes other limits; what was counted stays counted.
+     *
+     * @param ratio extra calls for each request
+     * @param allowance extra calls in a window without any requests
+     */
+    public void limit(double ratio, double allowance) {
+        mRatio = ratio * USED_PART;
+        mAllowance = allowance;
+    }
+
     /**
      * Takes note of a request.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/Engines.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/Engines.java
@@ -1,13 +1,8 @@
 package org.troutpier.daemon.upstream;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.troutpier.common.declaration.UpstreamDeclaration;
-import org.troutpier.common.http.HttpReply;
 import org.troutpier.common.id.Incarnation;
 
 /**
@@ -104,25 +99,7 @@
             String call,
             String prompt,
             String resumeText,
-            int resumeTokens) {
-
-        /**
-         * Returns the order as the engine reads it.
-         *
-         * @return the body
-         */
-        Map<String, Object> body() {
-            Map<String, Object> body = new LinkedHashMap<>();
-            body.put("request_id", attempt);
-            body.put("owner", owner.value());
-            body.put("partner", partner);
-            body.put("call", call);
-            body.put("prompt", prompt);
-            body.put("resume_text", resumeText);
-            body.put("resume_tokens", resumeTokens);
-            return body;
-        }
-    }
+            int resumeTokens) {}
 
     /**
      * What to decode. Immutable and thread safe.
@@ -140,24 +117,7 @@
             String call,
             String source,
             String handle,
-            int maxTokens) {
-
-        /**
-         * Returns the order as the engine reads it.
-         *
-         * @return the body
-         */
-        Map<String, Object> body() {
-            Map<String, Object> body = new LinkedHashMap<>();
-            body.put("request_id", attempt);
-            body.put("owner", owner.value());
-            body.put("call", call);
-            body.put("kv_source", source);
-            body.put("kv_handle", handle);
-            body.put("max_tokens", maxTokens);
-            return body;
-        }
-    }
+            int maxTokens) {}
 
     /** Hears what came of a prefill: one of the two, once. */
     interface PrefillListener {
@@ -214,22 +174,7 @@
      * @param waitingTokens how many tokens wait, for a prefill engine
      * @param leaving whether the engine is leaving
      */
-    record Load(int running, long waitingTokens, boolean leaving) {
-
-        /**
-         * Reads a load.
-         *
-         * @param reply the engine's answer
-         * @return the load
-         */
-        static Load of(HttpReply reply) {
-            JsonNode node = reply.as(JsonNode.class);
-            return new Load(
-                    node.path("running").asInt(),
-                    node.path("waiting_tokens").asLong(),
-                    node.path("leaving").asBoolean());
-        }
-    }
+    record Load(int running, long waitingTokens, boolean leaving) {}
 
     /**
      * A block that was cached. Immutable and thread safe.
@@ -237,21 +182,5 @@
      * @param number the event's number
      * @param block the block's name
      */
-    record CacheEvent(long number, long block) {
-
-        /**
-         * Reads cache events.
-         *
-         * @param reply the engine's answer
-         * @return the events
-         */
-        static List<CacheEvent> all(HttpReply reply) {
-            List<CacheEvent> events = new ArrayList<>();
-            for (JsonNode node : reply.as(JsonNode.class)) {
-                events.add(
-                        new CacheEvent(node.path("number").asLong(), node.path("block").asLong()));
-            }
-            return events;
-        }
-    }
+    record CacheEvent(long number, long block) {}
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/HttpEngines.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/HttpEngines.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CancellationException;
@@ -45,7 +46,7 @@
             PrefillListener listener) {
         HttpCall call =
                 HttpCall.of("POST", engine.address().url("/v1/prefill"))
-                        .withJson(order.body())
+                        .withJson(prefillBody(order))
                         .withTimeout(timeoutMillis);
         CompletableFuture<HttpReply> future = mCalls.call(call);
         future.whenComplete(
@@ -133,7 +134,7 @@
             DecodeListener listener) {
         HttpCall call =
                 HttpCall.of("POST", engine.address().url("/v1/decode"))
-                        .withJson(order.body())
+                        .withJson(decodeBody(order))
                         .withTimeout(timeoutMillis);
         HttpCalls.Ongoing ongoing = mCalls.send(call, new Stream(order.attempt(), listener));
         return ongoing::abort;
@@ -169,13 +170,14 @@
     /** {@inheritDoc} */
     @Override
     public CompletableFuture<Load> load(UpstreamDeclaration engine) {
-        return question(engine, "/v1/load").thenApply(Load::of);
+        return question(engine, "/v1/load").thenApply(HttpEngines::load);
     }
 
     /** {@inheritDoc} */
     @Override
     public CompletableFuture<List<CacheEvent>> cacheEvents(UpstreamDeclaration engine, long since) {
-        return question(engine, "/v1/cache-events?since=" + since).thenApply(CacheEvent::all);
+        return question(engine, "/v1/cache-events?since=" + since)
+                .thenApply(HttpEngines::cacheEvents);
     }
 
     /**
@@ -311,4 +313,67 @@
             }
         }
     }
+
+    /**
+     * Writes what to prefill as the engine reads it.
+     *
+     * @param order what to prefill
+     * @return the body
+     */
+    private static Map<String, Object> prefillBody(PrefillOrder order) {
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("request_id", order.attempt());
+        body.put("owner", order.owner().value());
+        body.put("partner", order.partner());
+        body.put("call", order.call());
+        body.put("prompt", order.prompt());
+        body.put("resume_text", order.resumeText());
+        body.put("resume_tokens", order.resumeTokens());
+        return body;
+    }
+
+    /**
+     * Writes what to decode as the engine reads it.
+     *
+     * @param order what to decode
+     * @return the body
+     */
+    private static Map<String, Object> decodeBody(DecodeOrder order) {
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("request_id", order.attempt());
+        body.put("owner", order.owner().value());
+        body.put("call", order.call());
+        body.put("kv_source", order.source());
+        body.put("kv_handle", order.handle());
+        body.put("max_tokens", order.maxTokens());
+        return body;
+    }
+
+    /**
+     * Reads a published load.
+     *
+     * @param reply the engine's answer
+     * @return the load
+     */
+    private static Load load(HttpReply reply) {
+        JsonNode node = reply.as(JsonNode.class);
+        return new Load(
+                node.path("running").asInt(),
+                node.path("waiting_tokens").asLong(),
+                node.path("leaving").asBoolean());
+    }
+
+    /**
+     * Reads cache events.
+     *
+     * @param reply the engine's answer
+     * @return the events
+     */
+    private static List<CacheEvent> cacheEvents(HttpReply reply) {
+        List<CacheEvent> events = new ArrayList<>();
+        for (JsonNode node : reply.as(JsonNode.class)) {
+            events.add(new CacheEvent(node.path("number").asLong(), node.path("block").asLong()));
+        }
+        return events;
+    }
 }
