A planned stop closes idle connections before the process ends

The stop ended the process while kept connections were open, so a request could come between the look at the count of exchanges and the end. Conclusion: the listener closes at the end of the notice, idle connections are closed by the server, and the process ends when no connection is left.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
@@ -118,7 +118,8 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         boolean idle = mExchange == null || mExchange.over();
-        if (event instanceof IdleStateEvent && idle) {
+        boolean asked = event instanceof IdleStateEvent || event == HttpServer.Idle.CLOSE;
+        if (asked && idle) {
             context.close();
         }
     }
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
@@ -7,12 +7,15 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -51,6 +54,9 @@
     /** How many exchanges there are whose last byte has not left. */
     private final AtomicInteger mBusy = new AtomicInteger();
 
+    /** The open connections. */
+    private final ChannelGroup mOpen = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+
     /** Whether each answer from now on ends its connection. */
     private final AtomicBoolean mDraining = new AtomicBoolean();
 
@@ -139,6 +145,20 @@
         mDraining.set(true);
     }
 
+    /**
+     * Closes each connection on which no request is being served. A request that has been read
+     * whole is served; one that is on its way finds the connection closed, unread.
+     */
+    public void closeIdle() {
+        mOpen.forEach(channel -> channel.pipeline().fireUserEventTriggered(Idle.CLOSE));
+    }
+
+    /** What connections are told. */
+    enum Idle {
+        /** To close unless a request is being served. */
+        CLOSE
+    }
+
     /** Stops listening; open connections go on. */
     @Override
     public void close() {
@@ -153,6 +173,7 @@
         protected void initChannel(SocketChannel channel) {
             ServerLimits limits = mLimits.get();
             boolean tooMany = mConnections.incrementAndGet() > limits.connections();
+            mOpen.add(channel);
             channel.closeFuture().addListener(closed -> mConnections.decrementAndGet());
             ArrivalTimer timer = new ArrivalTimer(limits.requestMillis(), mRefusals);
             ChannelPipeline pipeline = channel.pipeline();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlannedStop.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlannedStop.java
@@ -8,8 +8,10 @@
 
 /**
  * Stops a router without cutting requests: it is not ready any more, answers end their connections,
- * and the process ends once nothing is in progress, or at the end of the time that it is given.
- * Thread safe; {@link #run()} blocks the thread that calls it.
+ * idle connections are closed last, and the process ends once no connection is left, or at the end
+ * of the time that it is given. Invariant: a request that was read is served before its connection
+ * is closed; ending the process while connections are open would lose one that comes at that
+ * moment. Thread safe; {@link #run()} blocks the thread that calls it.
  */
 public final class PlannedStop {
 
@@ -56,10 +58,22 @@
         mReadiness.stopping();
         mServer.drain();
         LOGGER.info("stop begins busy={} graceMillis={}", mServer.busy(), mGraceMillis);
-        waitUntil(() -> elapsed(start) >= NOTICE_MILLIS && mServer.busy() == 0, start);
+        waitUntil(() -> elapsed(start) >= NOTICE_MILLIS, start);
+        mServer.close();
+        waitUntil(this::closed, start);
         LOGGER.info("stop ends busy={} millis={}", mServer.busy(), elapsed(start));
     }
 
+    /**
+     * Closes the connections on which nothing is in progress, so that no request is read any more.
+     *
+     * @return whether no connection is left
+     */
+    private boolean closed() {
+        mServer.closeIdle();
+        return mServer.connections() == 0;
+    }
+
     /**
      * Waits for a condition or the end of the time that is given.
      *
