--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
@@ -18,13 +18,13 @@
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.settings.Address;
-import org.troutpier.daemon.admission.AdmissionDesk;
+import org.troutpier.daemon.admission.AdmissionController;
+import org.troutpier.daemon.admission.CoordinatorPermits;
 import org.troutpier.daemon.admission.DecodePermits;
-import org.troutpier.daemon.admission.StewardPermits;
 import org.troutpier.daemon.caller.CallerFront;
-import org.troutpier.daemon.claim.ClaimKeeper;
+import org.troutpier.daemon.claim.ClaimStore;
 import org.troutpier.daemon.configuration.ChangeProposer;
-import org.troutpier.daemon.configuration.ConfigurationKeeper;
+import org.troutpier.daemon.configuration.ConfigurationRegistry;
 import org.troutpier.daemon.instancelist.InstanceList;
 import org.troutpier.daemon.node.ControlThread;
 import org.troutpier.daemon.node.Node;
@@ -36,14 +36,14 @@
 import org.troutpier.daemon.peer.PeerLogic;
 import org.troutpier.daemon.peer.PeerMesh;
 import org.troutpier.daemon.placement.PairSelector;
-import org.troutpier.daemon.placement.UpstreamBook;
+import org.troutpier.daemon.placement.UpstreamRegistry;
 import org.troutpier.daemon.placement.UpstreamState;
-import org.troutpier.daemon.request.LifeRegistry;
-import org.troutpier.daemon.request.LifeServices;
+import org.troutpier.daemon.request.ExchangeRegistry;
+import org.troutpier.daemon.request.ExchangeServices;
 import org.troutpier.daemon.request.RetryBudget;
 import org.troutpier.daemon.settings.DaemonSettings;
 import org.troutpier.daemon.table.Table;
-import org.troutpier.daemon.upstream.CancelKeeper;
+import org.troutpier.daemon.upstream.CancellationRetrier;
 import org.troutpier.daemon.upstream.Engines;
 import org.troutpier.daemon.upstream.HttpEngines;
 import org.troutpier.daemon.upstream.LoadWatcher;
@@ -77,16 +77,16 @@
     private final Readiness mReadiness;
 
     /** The requests that are carried. */
-    private final LifeRegistry mRegistry = new LifeRegistry();
+    private final ExchangeRegistry mRegistry = new ExchangeRegistry();
 
     /** Whether everything was ended. */
     private final AtomicBoolean mClosed = new AtomicBoolean();
 
     /** Cancels attempts. */
-    private final CancelKeeper mCancels;
+    private final CancellationRetrier mCancels;
 
     /** All upstreams; control thread only. */
-    private final UpstreamBook mBook = new UpstreamBook();
+    private final UpstreamRegistry mUpstreamRegistry = new UpstreamRegistry();
 
     /** Who the routers are. */
     private final Membership mMembership;
@@ -95,7 +95,7 @@
     private final Table mTable;
 
     /** The declarations in force. */
-    private final ConfigurationKeeper mKeeper;
+    private final ConfigurationRegistry mConfigurations;
 
     /** What this router does about the others. */
     private final PeerLogic mPeers;
@@ -120,26 +120,32 @@
         mReadiness = new Readiness(mNode.events());
         mMembership = new Membership(self(), mNode.nanos());
         mTable = table();
-        mKeeper = new ConfigurationKeeper(mNode, mTable, mReadiness);
-        mPeers = new PeerLogic(mNode, mMembership, mReadiness, instanceList(), mKeeper);
+        mConfigurations = new ConfigurationRegistry(mNode, mTable, mReadiness);
+        mPeers = new PeerLogic(mNode, mMembership, mReadiness, instanceList(), mConfigurations);
         mMesh =
                 new PeerMesh(
                         mNode, settings.peer(), mMembership, settings.peerSecret(), mPeers::heard);
         DeskHolder holder = new DeskHolder();
-        Optional<StewardPermits> steward = stewardPermits(holder);
-        AdmissionDesk desk = desk(steward);
-        holder.mDesk = desk;
-        mKeeper.listen(desk::apply);
+        Optional<CoordinatorPermits> steward = stewardPermits(holder);
+        AdmissionController controller = desk(steward);
+        holder.mAdmissionController = controller;
+        mConfigurations.listen(controller::apply);
         Engines engines = new HttpEngines(mNode.calls());
-        mCancels = new CancelKeeper(mNode, engines);
-        LifeServices services =
-                new LifeServices(
-                        mNode, desk, claims(), engines, mCancels, new RetryBudget(), mRegistry);
+        mCancels = new CancellationRetrier(mNode, engines);
+        ExchangeServices services =
+                new ExchangeServices(
+                        mNode,
+                        controller,
+                        claims(),
+                        engines,
+                        mCancels,
+                        new RetryBudget(),
+                        mRegistry);
         ChangeProposer proposer =
-                new ChangeProposer(mNode, mMembership, mKeeper, mTable, mMesh::send);
-        new LoadWatcher(mNode, mBook, engines);
-        new OrphanSweeper(mNode, mBook, engines, mMembership, mCancels, mRegistry);
-        gauges(desk);
+                new ChangeProposer(mNode, mMembership, mConfigurations, mTable, mMesh::send);
+        new LoadWatcher(mNode, mUpstreamRegistry, engines);
+        new OrphanSweeper(mNode, mUpstreamRegistry, engines, mMembership, mCancels, mRegistry);
+        gauges(controller);
         mNode.control()
                 .execute(() -> mPeers.start(mMesh, proposer, steward, this::upstreamLeaving));
         mCallers =
@@ -148,7 +154,7 @@
                         mNode.loops(),
                         settings.callerLimits(),
                         ServerRefusals.AsJson.INSTANCE,
-                        new CallerFront(services, mKeeper, mReadiness, mPeers));
+                        new CallerFront(services, mConfigurations, mReadiness, mPeers));
         mOperators =
                 new HttpServer(
                         settings.operator(),
@@ -193,16 +199,16 @@
     }
 
     /**
-     * Makes the keeper of claims.
+     * Makes the configurations of claims.
      *
-     * @return the keeper
+     * @return the configurations
      */
-    private ClaimKeeper claims() {
+    private ClaimStore claims() {
         DaemonSettings.PlatformSettings platform = mSettings.platform();
         ObjectStore objects =
                 new ObjectStore.OverHttp(
                         mNode.calls(), platform.objectStore(), platform.timeoutMillis());
-        return new ClaimKeeper(
+        return new ClaimStore(
                 mNode,
                 mTable,
                 objects,
@@ -214,28 +220,36 @@
     /**
      * Makes the permits that come from stewards, if the settings ask for them.
      *
-     * @param holder holds the desk, which is made later
+     * @param holder holds the controller, which is made later
      * @return the permits, or empty
      */
-    private Optional<StewardPermits> stewardPermits(DeskHolder holder) {
+    private Optional<CoordinatorPermits> stewardPermits(DeskHolder holder) {
         if (mSettings.admission().permits() != DaemonSettings.PermitRule.STEWARD) {
             return Optional.empty();
         }
         return Optional.of(
-                new StewardPermits(
-                        mNode, mMembership, mBook, mMesh::send, () -> holder.get().pumpAll()));
+                new CoordinatorPermits(
+                        mNode,
+                        mMembership,
+                        mUpstreamRegistry,
+                        mMesh::send,
+                        () -> holder.get().pumpAll()));
     }
 
     /**
-     * Makes the desk.
+     * Makes the controller.
      *
      * @param steward the permits that come from stewards, or empty
-     * @return the desk
+     * @return the controller
      */
-    private AdmissionDesk desk(Optional<StewardPermits> steward) {
+    private AdmissionController desk(Optional<CoordinatorPermits> steward) {
         DecodePermits permits = steward.isPresent() ? steward.get() : permits();
-        return new AdmissionDesk(
-                mNode, mBook, permits, selector(mSettings), mSettings.admission().shed());
+        return new AdmissionController(
+                mNode,
+                mUpstreamRegistry,
+                permits,
+                selector(mSettings),
+                mSettings.admission().shed());
     }
 
     /**
@@ -248,27 +262,28 @@
         return new OperatorFront(
                 mNode,
                 mReadiness,
-                mKeeper,
+                mConfigurations,
                 proposer,
                 mMembership,
                 mPeers,
-                Operators.commands(mNode, mRegistry, mBook, mMembership, mKeeper, mPeers),
+                Operators.commands(
+                        mNode, mRegistry, mUpstreamRegistry, mMembership, mConfigurations, mPeers),
                 mSettings.administratorTokenHash());
     }
 
-    /** Gives the desk to what is made before it. Set once, before any use. */
+    /** Gives the controller to what is made before it. Set once, before any use. */
     private static final class DeskHolder {
 
-        /** The desk. */
-        private volatile AdmissionDesk mDesk;
+        /** The controller. */
+        private volatile AdmissionController mAdmissionController;
 
         /**
-         * Returns the desk.
+         * Returns the controller.
          *
-         * @return the desk
+         * @return the controller
          */
-        AdmissionDesk get() {
-            return mDesk;
+        AdmissionController get() {
+            return mAdmissionController;
         }
     }
 
@@ -321,12 +336,12 @@
     /**
      * Registers what is measured by looking.
      *
-     * @param desk the desk
+     * @param controller the controller
      */
-    private void gauges(AdmissionDesk desk) {
+    private void gauges(AdmissionController controller) {
         mNode.metrics().register("requests-carried", (Gauge<Integer>) () -> mRegistry.all().size());
         mNode.metrics().register("cancel.pending", (Gauge<Integer>) mCancels::pending);
-        mNode.metrics().register("admission.waiting", (Gauge<Integer>) desk::waiting);
+        mNode.metrics().register("admission.waiting", (Gauge<Integer>) controller::waiting);
     }
 
     /**
@@ -336,7 +351,7 @@
      * @param leaving whether it is leaving
      */
     private void upstreamLeaving(UpstreamId id, boolean leaving) {
-        UpstreamState state = mBook.get(id);
+        UpstreamState state = mUpstreamRegistry.get(id);
         if (state != null && leaving) {
             state.leaving(true);
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/AdmissionDesk.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/AdmissionController.java
@@ -19,14 +19,14 @@
 import org.troutpier.common.result.TroutpierException;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.placement.PairSelector;
-import org.troutpier.daemon.placement.UpstreamBook;
+import org.troutpier.daemon.placement.UpstreamRegistry;
 import org.troutpier.daemon.placement.UpstreamState;
 
 /**
  * Decides which request starts, when and where. Confined to the control thread. Invariant: every
  * ticket hears exactly one answer, and whatever a grant takes is given back once.
  */
-public final class AdmissionDesk {
+public final class AdmissionController {
 
     /** How often tickets that wait in vain are looked for, milliseconds. */
     private static final long SWEEP_MILLIS = 20;
@@ -48,7 +48,7 @@
     private final Node mNode;
 
     /** All upstreams. */
-    private final UpstreamBook mBook;
+    private final UpstreamRegistry mUpstreamRegistry;
 
     /** How decode slots are shared among routers. */
     private final DecodePermits mPermits;
@@ -69,22 +69,22 @@
     private Declarations mDeclarations = Declarations.EMPTY;
 
     /**
-     * Creates a desk.
+     * Creates a controller.
      *
      * @param node what every part of the router shares
-     * @param book all upstreams
+     * @param registry all upstreams
      * @param permits how decode slots are shared among routers
      * @param selector how a pair of engines is chosen
      * @param shed whether a request whose target is out of reach is refused
      */
-    public AdmissionDesk(
+    public AdmissionController(
             Node node,
-            UpstreamBook book,
+            UpstreamRegistry registry,
             DecodePermits permits,
             PairSelector selector,
             boolean shed) {
         mNode = node;
-        mBook = book;
+        mUpstreamRegistry = registry;
         mPermits = permits;
         mSelector = selector;
         mShed = shed;
@@ -99,7 +99,7 @@
      */
     public void apply(Declarations declarations) {
         mDeclarations = declarations;
-        mBook.apply(declarations);
+        mUpstreamRegistry.apply(declarations);
         pumpAll();
     }
 
@@ -182,7 +182,7 @@
      * @param id the upstream
      */
     public void unreached(UpstreamId id) {
-        UpstreamState state = mBook.get(id);
+        UpstreamState state = mUpstreamRegistry.get(id);
         if (state != null) {
             state.unreached(mNode.nanos().getAsLong());
         }
@@ -195,7 +195,7 @@
      * @param leaving whether it said that it is leaving
      */
     public void refusedBy(UpstreamId id, boolean leaving) {
-        UpstreamState state = mBook.get(id);
+        UpstreamState state = mUpstreamRegistry.get(id);
         if (state != null && leaving) {
             state.leaving(true);
         } else if (state != null) {
@@ -272,8 +272,10 @@
     private Decision placeCompletion(Ticket ticket) {
         long now = mNode.nanos().getAsLong();
         String model = ticket.declared().serves();
-        List<UpstreamState> prefills = wanted(ticket, mBook.usable(model, Role.PREFILL, now));
-        List<UpstreamState> decodes = wanted(ticket, mBook.usable(model, Role.DECODE, now));
+        List<UpstreamState> prefills =
+                wanted(ticket, mUpstreamRegistry.usable(model, Role.PREFILL, now));
+        List<UpstreamState> decodes =
+                wanted(ticket, mUpstreamRegistry.usable(model, Role.DECODE, now));
         if (prefills.isEmpty() || decodes.isEmpty()) {
             return withoutUpstream(ticket, "no live prefill and decode for " + model);
         }
@@ -305,7 +307,8 @@
     private Decision placeCall(Ticket ticket) {
         long now = mNode.nanos().getAsLong();
         String service = ticket.declared().serves();
-        List<UpstreamState> replicas = wanted(ticket, mBook.usable(service, Role.SERVICE, now));
+        List<UpstreamState> replicas =
+                wanted(ticket, mUpstreamRegistry.usable(service, Role.SERVICE, now));
         if (replicas.isEmpty()) {
             return withoutUpstream(ticket, "no live replica of " + service);
         }
@@ -335,7 +338,7 @@
      */
     private Decision withoutUpstream(Ticket ticket, String detail) {
         boolean hope =
-                mBook.all().stream()
+                mUpstreamRegistry.all().stream()
                         .filter(state -> state.declared().serves().equals(serves(ticket)))
                         .anyMatch(state -> !state.declared().draining());
         if (hope && !ticket.declared().hasTarget()) {
@@ -409,7 +412,7 @@
         if (ticket.declared().kind() == ClassDeclaration.Kind.SERVICE) {
             return 0;
         }
-        return mBook.usable(ticket.declared().serves(), Role.DECODE, now).stream()
+        return mUpstreamRegistry.usable(ticket.declared().serves(), Role.DECODE, now).stream()
                 .mapToLong(state -> (long) state.firstStepNanos())
                 .min()
                 .orElse(0);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/StewardPermits.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/CoordinatorPermits.java
@@ -7,11 +7,11 @@
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.peer.Coordinators;
 import org.troutpier.daemon.peer.Membership;
 import org.troutpier.daemon.peer.Membership.Member;
 import org.troutpier.daemon.peer.PeerMessage;
-import org.troutpier.daemon.peer.Stewards;
-import org.troutpier.daemon.placement.UpstreamBook;
+import org.troutpier.daemon.placement.UpstreamRegistry;
 import org.troutpier.daemon.placement.UpstreamState;
 
 /**
@@ -20,7 +20,7 @@
  * every engine, the steward's side for the engines that this router looks after. Invariant: a
  * steward that has just begun gives nothing until it has heard what the others hold.
  */
-public final class StewardPermits implements DecodePermits {
+public final class CoordinatorPermits implements DecodePermits {
 
     /** How often idle permits and hungry routers are looked at, milliseconds. */
     private static final long TICK_MILLIS = 50;
@@ -47,7 +47,7 @@
     private final Membership mMembership;
 
     /** All upstreams. */
-    private final UpstreamBook mBook;
+    private final UpstreamRegistry mUpstreamRegistry;
 
     /** Sends a message to a router. */
     private final Sender mSender;
@@ -179,15 +179,19 @@
      *
      * @param node what every part of the router shares
      * @param membership who the routers are
-     * @param book all upstreams
+     * @param registry all upstreams
      * @param sender sends a message to a router
      * @param pump starts what waits
      */
-    public StewardPermits(
-            Node node, Membership membership, UpstreamBook book, Sender sender, Runnable pump) {
+    public CoordinatorPermits(
+            Node node,
+            Membership membership,
+            UpstreamRegistry registry,
+            Sender sender,
+            Runnable pump) {
         mNode = node;
         mMembership = membership;
-        mBook = book;
+        mUpstreamRegistry = registry;
         mSender = sender;
         mPump = pump;
         node.control().every(this::tick, TICK_MILLIS);
@@ -315,7 +319,7 @@
      * @param stewardship what is given
      */
     private void serve(UpstreamId engine, Stewardship stewardship) {
-        UpstreamState state = mBook.get(engine);
+        UpstreamState state = mUpstreamRegistry.get(engine);
         long now = now();
         if (state == null || now - stewardship.mSince < LISTEN_NANOS) {
             return;
@@ -460,7 +464,7 @@
         if (mMembers.isEmpty()) {
             mMembers = mMembership.serving();
         }
-        return Stewards.of(engine.value(), mMembers);
+        return Coordinators.of(engine.value(), mMembers);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/caller/CallerFront.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/caller/CallerFront.java
@@ -19,14 +19,14 @@
 import org.troutpier.common.id.RequestId;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.common.result.TroutpierException;
-import org.troutpier.daemon.configuration.ConfigurationKeeper;
+import org.troutpier.daemon.configuration.ConfigurationRegistry;
 import org.troutpier.daemon.node.Readiness;
 import org.troutpier.daemon.peer.PeerLogic;
 import org.troutpier.daemon.request.Arrival;
-import org.troutpier.daemon.request.CompletionLife;
-import org.troutpier.daemon.request.CompletionLife.CompletionOrder;
-import org.troutpier.daemon.request.LifeServices;
-import org.troutpier.daemon.request.ServiceLife;
+import org.troutpier.daemon.request.CompletionExchange;
+import org.troutpier.daemon.request.CompletionExchange.CompletionOrder;
+import org.troutpier.daemon.request.ExchangeServices;
+import org.troutpier.daemon.request.ServiceExchange;
 
 /**
  * Reads, checks and classifies what callers send. Thread safe: it keeps no state of its own.
@@ -62,10 +62,10 @@
     private static final int LONGEST_KEY = 200;
 
     /** What every request's life calls on. */
-    private final LifeServices mServices;
+    private final ExchangeServices mServices;
 
     /** The declarations in force. */
-    private final ConfigurationKeeper mKeeper;
+    private final ConfigurationRegistry mConfigurations;
 
     /** Whether new work is taken. */
     private final Readiness mReadiness;
@@ -77,17 +77,17 @@
      * Creates a front.
      *
      * @param services what every request's life calls on
-     * @param keeper the declarations in force
+     * @param configurations the declarations in force
      * @param readiness whether new work is taken
      * @param peers knows whether the process was just woken
      */
     public CallerFront(
-            LifeServices services,
-            ConfigurationKeeper keeper,
+            ExchangeServices services,
+            ConfigurationRegistry configurations,
             Readiness readiness,
             PeerLogic peers) {
         mServices = services;
-        mKeeper = keeper;
+        mConfigurations = configurations;
         mReadiness = readiness;
         mPeers = peers;
     }
@@ -135,9 +135,9 @@
         int limit = checked.partner().inFlightLimit();
         if (declared.kind() == Kind.COMPLETION) {
             CompletionOrder order = order(exchange);
-            new CompletionLife(mServices, arrival, order).start(limit);
+            new CompletionExchange(mServices, arrival, order).start(limit);
         } else {
-            new ServiceLife(mServices, arrival, servicePath(exchange)).start(limit);
+            new ServiceExchange(mServices, arrival, servicePath(exchange)).start(limit);
         }
     }
 
@@ -154,7 +154,7 @@
             throw new TroutpierException(
                     ResultCode.ROUTER_NOT_READY, obstacle.orElse("just woken"));
         }
-        Declarations declarations = mKeeper.current();
+        Declarations declarations = mConfigurations.current();
         PartnerDeclaration partner =
                 partner(declarations, headers.get(HttpHeaderNames.AUTHORIZATION));
         String wanted = headers.get(CLASS_HEADER);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/claim/ClaimKeeper.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/claim/ClaimStore.java
@@ -27,7 +27,7 @@
  * given only once the row of this router's own epoch says so, and a write whose acknowledgement was
  * lost is settled by reading its attempt back.
  */
-public final class ClaimKeeper {
+public final class ClaimStore {
 
     /** Where claims stand in the table. */
     public static final String PREFIX = "claims/";
@@ -81,7 +81,7 @@
      * @param url where this router takes callers
      * @param wallMillis the wall clock
      */
-    public ClaimKeeper(
+    public ClaimStore(
             Node node,
             Table table,
             ObjectStore objects,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/configuration/ChangeProposer.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/configuration/ChangeProposer.java
@@ -17,7 +17,7 @@
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.common.result.TroutpierException;
-import org.troutpier.daemon.admission.StewardPermits;
+import org.troutpier.daemon.admission.CoordinatorPermits;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.peer.Membership;
 import org.troutpier.daemon.peer.PeerMessage;
@@ -58,13 +58,13 @@
     private final Membership mMembership;
 
     /** The declarations in force here. */
-    private final ConfigurationKeeper mKeeper;
+    private final ConfigurationRegistry mConfigurations;
 
     /** Where the row stands. */
     private final Table mTable;
 
     /** Sends a message to a router. */
-    private final StewardPermits.Sender mSender;
+    private final CoordinatorPermits.Sender mSender;
 
     /** The changes under way, by id. */
     private final Map<String, Change> mChanges = new HashMap<>();
@@ -133,19 +133,19 @@
      *
      * @param node what every part of the router shares
      * @param membership who the members are
-     * @param keeper the declarations in force here
+     * @param configurations the declarations in force here
      * @param table where the row stands
      * @param sender sends a message to a router
      */
     public ChangeProposer(
             Node node,
             Membership membership,
-            ConfigurationKeeper keeper,
+            ConfigurationRegistry configurations,
             Table table,
-            StewardPermits.Sender sender) {
+            CoordinatorPermits.Sender sender) {
         mNode = node;
         mMembership = membership;
-        mKeeper = keeper;
+        mConfigurations = configurations;
         mTable = table;
         mSender = sender;
     }
@@ -159,7 +159,8 @@
      */
     public CompletableFuture<Declarations> propose(UnaryOperator<Declarations> edit) {
         CompletableFuture<Declarations> told = new CompletableFuture<>();
-        mKeeper.row()
+        mConfigurations
+                .row()
                 .whenComplete(
                         (row, failure) ->
                                 mNode.control().execute(() -> start(edit, row, failure, told)));
@@ -188,7 +189,7 @@
         Change change = new Change();
         try {
             Declarations latest =
-                    row.map(found -> ConfigurationKeeper.parse(found.value()))
+                    row.map(found -> ConfigurationRegistry.parse(found.value()))
                             .orElse(Declarations.EMPTY);
             change.mNext = edit.apply(latest).as(latest.version() + 1, change.mId);
         } catch (TroutpierException exception) {
@@ -277,8 +278,8 @@
         JsonNode value = Table.json(change.mNext);
         CompletableFuture<Write> write =
                 change.mTag == null
-                        ? mTable.insert(ConfigurationKeeper.ROW, value)
-                        : mTable.replace(ConfigurationKeeper.ROW, change.mTag, value);
+                        ? mTable.insert(ConfigurationRegistry.ROW, value)
+                        : mTable.replace(ConfigurationRegistry.ROW, change.mTag, value);
         write.exceptionally(failure -> new Write(Outcome.UNKNOWN, null))
                 .thenAccept(done -> mNode.control().execute(() -> next.accept(done.outcome())));
     }
@@ -306,7 +307,8 @@
      * @param change the change
      */
     private void readBack(Change change) {
-        mKeeper.row()
+        mConfigurations
+                .row()
                 .whenComplete(
                         (row, failure) ->
                                 mNode.control().execute(() -> readBack(change, row, failure)));
@@ -331,7 +333,7 @@
             return;
         }
         Declarations found =
-                row.map(one -> ConfigurationKeeper.parse(one.value())).orElse(Declarations.EMPTY);
+                row.map(one -> ConfigurationRegistry.parse(one.value())).orElse(Declarations.EMPTY);
         if (found.changeId().equals(change.mId)) {
             mNode.count("configuration.acknowledgement-recovered");
             activate(change);
@@ -372,7 +374,7 @@
     private void activate(Change change) {
         change.step(Step.ACTIVATING);
         mNode.events().record("change-committed", change.mId, "");
-        mKeeper.adopt(change.mNext, "own change");
+        mConfigurations.adopt(change.mNext, "own change");
         carryOn(change);
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/configuration/ConfigurationKeeper.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/configuration/ConfigurationRegistry.java
@@ -19,7 +19,7 @@
  * The declarations in force at this router. The current ones may be read anywhere; everything else
  * is confined to the control thread. Invariant: the version never falls.
  */
-public final class ConfigurationKeeper {
+public final class ConfigurationRegistry {
 
     /** The row that holds the declarations. */
     public static final String ROW = "configuration";
@@ -46,7 +46,7 @@
      * @param table where the row stands
      * @param readiness whether the router takes new work
      */
-    public ConfigurationKeeper(Node node, Table table, Readiness readiness) {
+    public ConfigurationRegistry(Node node, Table table, Readiness readiness) {
         mNode = node;
         mTable = table;
         mReadiness = readiness;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/CommandDesk.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/CommandHandler.java
@@ -24,20 +24,20 @@
 import org.troutpier.daemon.operator.grammar.CommandBaseVisitor;
 import org.troutpier.daemon.operator.grammar.CommandLexer;
 import org.troutpier.daemon.operator.grammar.CommandParser;
-import org.troutpier.daemon.request.LifeRegistry;
-import org.troutpier.daemon.request.RequestLife;
+import org.troutpier.daemon.request.ExchangeRegistry;
+import org.troutpier.daemon.request.RequestExchange;
 
 /**
  * Reads the operators' language and says what is to be done. Thread safe; rows are made on the
  * control thread. Invariant: a command names things of the operator's own partner only.
  */
-public final class CommandDesk {
+public final class CommandHandler {
 
     /** What every part of the router shares. */
     private final Node mNode;
 
     /** The requests that this router carries. */
-    private final LifeRegistry mRegistry;
+    private final ExchangeRegistry mRegistry;
 
     /** What can be shown; control thread only. */
     private final Inventory mInventory;
@@ -49,7 +49,7 @@
      * @param registry the requests that this router carries
      * @param inventory what can be shown
      */
-    CommandDesk(Node node, LifeRegistry registry, Inventory inventory) {
+    CommandHandler(Node node, ExchangeRegistry registry, Inventory inventory) {
         mNode = node;
         mRegistry = registry;
         mInventory = inventory;
@@ -217,7 +217,7 @@
         /** {@inheritDoc} */
         @Override
         public Reply visitCancel(CommandParser.CancelContext cancel) {
-            RequestLife life = mRegistry.get(new RequestId(cancel.name.getText()));
+            RequestExchange life = mRegistry.get(new RequestId(cancel.name.getText()));
             if (life == null || !mRights.covers(life.declared().partner())) {
                 throw new TroutpierException(
                         ResultCode.MALFORMED_REQUEST,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Inventory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Inventory.java
@@ -12,14 +12,14 @@
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.common.result.TroutpierException;
-import org.troutpier.daemon.configuration.ConfigurationKeeper;
+import org.troutpier.daemon.configuration.ConfigurationRegistry;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.peer.Membership;
 import org.troutpier.daemon.peer.PeerLogic;
-import org.troutpier.daemon.placement.UpstreamBook;
+import org.troutpier.daemon.placement.UpstreamRegistry;
 import org.troutpier.daemon.placement.UpstreamState;
-import org.troutpier.daemon.request.LifeRegistry;
-import org.troutpier.daemon.request.RequestLife;
+import org.troutpier.daemon.request.ExchangeRegistry;
+import org.troutpier.daemon.request.RequestExchange;
 
 /**
  * What this router can show: requests, upstreams, capacity, routers, classes, partners, changes.
@@ -35,16 +35,16 @@
     private final Node mNode;
 
     /** The requests that this router carries. */
-    private final LifeRegistry mRegistry;
+    private final ExchangeRegistry mRegistry;
 
     /** All upstreams. */
-    private final UpstreamBook mBook;
+    private final UpstreamRegistry mUpstreamRegistry;
 
     /** Who the routers are. */
     private final Membership mMembership;
 
     /** The declarations in force. */
-    private final ConfigurationKeeper mKeeper;
+    private final ConfigurationRegistry mConfigurations;
 
     /** Knows the versions of the other routers. */
     private final PeerLogic mPeers;
@@ -54,23 +54,23 @@
      *
      * @param node what every part of the router shares
      * @param registry the requests that this router carries
-     * @param book all upstreams
+     * @param upstreamRegistry all upstreams
      * @param membership who the routers are
-     * @param keeper the declarations in force
+     * @param configurations the declarations in force
      * @param peers knows the versions of the other routers
      */
     Inventory(
             Node node,
-            LifeRegistry registry,
-            UpstreamBook book,
+            ExchangeRegistry registry,
+            UpstreamRegistry upstreamRegistry,
             Membership membership,
-            ConfigurationKeeper keeper,
+            ConfigurationRegistry configurations,
             PeerLogic peers) {
         mNode = node;
         mRegistry = registry;
-        mBook = book;
+        mUpstreamRegistry = upstreamRegistry;
         mMembership = membership;
-        mKeeper = keeper;
+        mConfigurations = configurations;
         mPeers = peers;
     }
 
@@ -109,7 +109,7 @@
     private Shown requests(Rights rights) {
         List<Map<String, String>> rows = new ArrayList<>();
         long now = mNode.nanos().getAsLong();
-        for (RequestLife life : mRegistry.all()) {
+        for (RequestExchange life : mRegistry.all()) {
             if (rights.covers(life.declared().partner())) {
                 rows.add(
                         row(
@@ -133,7 +133,7 @@
     private Shown upstreams(Rights rights) {
         List<Map<String, String>> rows = new ArrayList<>();
         long now = mNode.nanos().getAsLong();
-        for (UpstreamState state : mBook.all()) {
+        for (UpstreamState state : mUpstreamRegistry.all()) {
             if (rights.covers(state.declared().owner())) {
                 rows.add(
                         row(
@@ -181,7 +181,7 @@
     private Shown capacity(Rights rights) {
         Map<String, int[]> sums = new LinkedHashMap<>();
         long now = mNode.nanos().getAsLong();
-        for (UpstreamState state : mBook.all()) {
+        for (UpstreamState state : mUpstreamRegistry.all()) {
             Role role = state.declared().role();
             String key = state.declared().serves() + " " + role.label();
             if (rights.covers(state.declared().owner()) && state.usable(now)) {
@@ -234,7 +234,7 @@
      */
     private Shown classes(Rights rights) {
         List<Map<String, String>> rows = new ArrayList<>();
-        for (ClassDeclaration declared : mKeeper.current().classes()) {
+        for (ClassDeclaration declared : mConfigurations.current().classes()) {
             if (rights.covers(declared.partner())) {
                 rows.add(
                         row(
@@ -268,7 +268,7 @@
      * @return the rows
      */
     private Shown partners(Rights rights) {
-        Declarations visible = ShareEdit.visible(mKeeper.current(), rights);
+        Declarations visible = ShareEdit.visible(mConfigurations.current(), rights);
         List<Map<String, String>> rows =
                 visible.partners().stream()
                         .map(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/OperatorFront.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/OperatorFront.java
@@ -24,7 +24,7 @@
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.common.result.TroutpierException;
 import org.troutpier.daemon.configuration.ChangeProposer;
-import org.troutpier.daemon.configuration.ConfigurationKeeper;
+import org.troutpier.daemon.configuration.ConfigurationRegistry;
 import org.troutpier.daemon.node.Invariants;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.node.Readiness;
@@ -53,7 +53,7 @@
     private final Readiness mReadiness;
 
     /** The declarations in force. */
-    private final ConfigurationKeeper mKeeper;
+    private final ConfigurationRegistry mConfigurations;
 
     /** Carries changes through. */
     private final ChangeProposer mProposer;
@@ -65,7 +65,7 @@
     private final PeerLogic mPeers;
 
     /** Answers queries and commands. */
-    private final CommandDesk mCommands;
+    private final CommandHandler mCommands;
 
     /** The hash of the administrator's token, or null. */
     private final String mAdministratorHash;
@@ -75,7 +75,7 @@
      *
      * @param node what every part of the router shares
      * @param readiness whether new work is taken
-     * @param keeper the declarations in force
+     * @param configurations the declarations in force
      * @param proposer carries changes through
      * @param membership who the routers are
      * @param peers knows whether the process was just woken
@@ -85,15 +85,15 @@
     public OperatorFront(
             Node node,
             Readiness readiness,
-            ConfigurationKeeper keeper,
+            ConfigurationRegistry configurations,
             ChangeProposer proposer,
             Membership membership,
             PeerLogic peers,
-            CommandDesk commands,
+            CommandHandler commands,
             String administratorHash) {
         mNode = node;
         mReadiness = readiness;
-        mKeeper = keeper;
+        mConfigurations = configurations;
         mProposer = proposer;
         mMembership = membership;
         mPeers = peers;
@@ -143,7 +143,7 @@
         Map<String, Object> body = new LinkedHashMap<>();
         body.put("ready", obstacle.isEmpty());
         body.put("obstacle", obstacle.orElse(""));
-        body.put("version", mKeeper.current().version());
+        body.put("version", mConfigurations.current().version());
         return Answers.json(obstacle.isEmpty() ? 200 : NOT_READY, body);
     }
 
@@ -167,7 +167,7 @@
         }
         mNode.metrics().getGauges().forEach((name, gauge) -> metrics.put(name, gauge.getValue()));
         metrics.put("invariant", Invariants.count());
-        metrics.put("configuration.version", mKeeper.current().version());
+        metrics.put("configuration.version", mConfigurations.current().version());
         return metrics;
     }
 
@@ -214,7 +214,7 @@
     private void declarations(HttpExchange exchange) {
         Rights rights = rights(exchange);
         if (exchange.method().equals("GET")) {
-            Declarations visible = ShareEdit.visible(mKeeper.current(), rights);
+            Declarations visible = ShareEdit.visible(mConfigurations.current(), rights);
             exchange.answer(Answers.json(200, visible));
             return;
         }
@@ -294,10 +294,10 @@
      * @param reply what the command comes to, or null
      * @param why why it comes to nothing, or null
      */
-    private void carryOut(HttpExchange exchange, CommandDesk.Reply reply, Throwable why) {
-        if (reply instanceof CommandDesk.Rows rows) {
+    private void carryOut(HttpExchange exchange, CommandHandler.Reply reply, Throwable why) {
+        if (reply instanceof CommandHandler.Rows rows) {
             exchange.answer(Answers.json(200, rows));
-        } else if (reply instanceof CommandDesk.Edit edit) {
+        } else if (reply instanceof CommandHandler.Edit edit) {
             propose(exchange, edit.edit());
         } else {
             tell(exchange, null, why);
@@ -326,7 +326,8 @@
      * @return the rights; fails where the token is unknown
      */
     private Rights rights(HttpExchange exchange) {
-        return Rights.of(exchange.header("Authorization"), mAdministratorHash, mKeeper.current());
+        return Rights.of(
+                exchange.header("Authorization"), mAdministratorHash, mConfigurations.current());
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Operators.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Operators.java
@@ -1,11 +1,11 @@
 package org.troutpier.daemon.operator;
 
-import org.troutpier.daemon.configuration.ConfigurationKeeper;
+import org.troutpier.daemon.configuration.ConfigurationRegistry;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.peer.Membership;
 import org.troutpier.daemon.peer.PeerLogic;
-import org.troutpier.daemon.placement.UpstreamBook;
-import org.troutpier.daemon.request.LifeRegistry;
+import org.troutpier.daemon.placement.UpstreamRegistry;
+import org.troutpier.daemon.request.ExchangeRegistry;
 
 /** Puts the operators' parts together. Stateless and thread safe. */
 public final class Operators {
@@ -18,20 +18,22 @@
      *
      * @param node what every part of the router shares
      * @param registry the requests that this router carries
-     * @param book all upstreams
+     * @param upstreamRegistry all upstreams
      * @param membership who the routers are
      * @param keeper the declarations in force
      * @param peers knows the versions of the other routers
      * @return the desk
      */
-    public static CommandDesk commands(
+    public static CommandHandler commands(
             Node node,
-            LifeRegistry registry,
-            UpstreamBook book,
+            ExchangeRegistry registry,
+            UpstreamRegistry upstreamRegistry,
             Membership membership,
-            ConfigurationKeeper keeper,
+            ConfigurationRegistry keeper,
             PeerLogic peers) {
-        return new CommandDesk(
-                node, registry, new Inventory(node, registry, book, membership, keeper, peers));
+        return new CommandHandler(
+                node,
+                registry,
+                new Inventory(node, registry, upstreamRegistry, membership, keeper, peers));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/Stewards.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/Coordinators.java
@@ -11,13 +11,13 @@
  * router picks the same one while all see the same members, and when a member goes only what it
  * looked after moves. Stateless and thread safe. A wrong or doubled choice must cost goodput only.
  */
-public final class Stewards {
+public final class Coordinators {
 
     /** The hash. */
     private static final Hasher64 HASHER = Hashing.komihash5_0();
 
     /** Not to be instantiated. */
-    private Stewards() {}
+    private Coordinators() {}
 
     /**
      * Picks the router that looks after something.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerLogic.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerLogic.java
@@ -7,9 +7,9 @@
 import org.troutpier.common.declaration.Declarations;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.UpstreamId;
-import org.troutpier.daemon.admission.StewardPermits;
+import org.troutpier.daemon.admission.CoordinatorPermits;
 import org.troutpier.daemon.configuration.ChangeProposer;
-import org.troutpier.daemon.configuration.ConfigurationKeeper;
+import org.troutpier.daemon.configuration.ConfigurationRegistry;
 import org.troutpier.daemon.instancelist.InstanceList;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.node.Readiness;
@@ -57,7 +57,7 @@
     private final InstanceList mInstances;
 
     /** The declarations in force. */
-    private final ConfigurationKeeper mKeeper;
+    private final ConfigurationRegistry mConfigurations;
 
     /** Sends messages. */
     private PeerMesh mMesh;
@@ -66,7 +66,7 @@
     private ChangeProposer mProposer;
 
     /** The permits, where they come from stewards. */
-    private Optional<StewardPermits> mPermits = Optional.empty();
+    private Optional<CoordinatorPermits> mPermits = Optional.empty();
 
     /** Hears of upstreams that the list shows as leaving. */
     private Leaving mLeaving = (id, leaving) -> {};
@@ -108,19 +108,19 @@
      * @param membership who the others are
      * @param readiness whether this router takes new work
      * @param instances the platform's list
-     * @param keeper the declarations in force
+     * @param configurations the declarations in force
      */
     public PeerLogic(
             Node node,
             Membership membership,
             Readiness readiness,
             InstanceList instances,
-            ConfigurationKeeper keeper) {
+            ConfigurationRegistry configurations) {
         mNode = node;
         mMembership = membership;
         mReadiness = readiness;
         mInstances = instances;
-        mKeeper = keeper;
+        mConfigurations = configurations;
         mTickAt = node.nanos().getAsLong();
         mPlatformAt = mTickAt;
     }
@@ -136,7 +136,7 @@
     public void start(
             PeerMesh mesh,
             ChangeProposer proposer,
-            Optional<StewardPermits> permits,
+            Optional<CoordinatorPermits> permits,
             Leaving leaving) {
         mMesh = mesh;
         mProposer = proposer;
@@ -219,7 +219,7 @@
         mMesh.broadcast(
                 new PeerMessage.Heartbeat(
                         mNode.events().clock().next(),
-                        mKeeper.current().version(),
+                        mConfigurations.current().version(),
                         mReadiness.isStopping(),
                         mReadiness.fenced()));
     }
@@ -259,7 +259,8 @@
 
     /** Asks the table for the latest version. */
     private void pull() {
-        mKeeper.pull()
+        mConfigurations
+                .pull()
                 .thenAccept(
                         answered -> {
                             if (answered) {
@@ -282,7 +283,8 @@
 
     /** Asks the table and, where that is away, the peers. */
     private void revalidateNow() {
-        mKeeper.pull()
+        mConfigurations
+                .pull()
                 .thenAccept(
                         answered ->
                                 mNode.control()
@@ -290,7 +292,7 @@
                                                 () -> {
                                                     if (answered) {
                                                         platformAnswered();
-                                                        mKeeper.validated("table");
+                                                        mConfigurations.validated("table");
                                                     } else {
                                                         askPeers();
                                                     }
@@ -299,7 +301,7 @@
 
     /** Asks every peer for its declarations. */
     private void askPeers() {
-        mMesh.broadcast(new PeerMessage.Pull(mKeeper.current().version()));
+        mMesh.broadcast(new PeerMessage.Pull(mConfigurations.current().version()));
     }
 
     /**
@@ -348,8 +350,9 @@
         mMembership.heard(now);
         mVersions.put(from.incarnation(), beat.version());
         mVersions.keySet().removeIf(mMembership::gone);
-        if (beat.version() > mKeeper.current().version()) {
-            mMesh.send(from.incarnation(), new PeerMessage.Pull(mKeeper.current().version()));
+        if (beat.version() > mConfigurations.current().version()) {
+            mMesh.send(
+                    from.incarnation(), new PeerMessage.Pull(mConfigurations.current().version()));
         }
     }
 
@@ -360,7 +363,7 @@
      * @return the reason, empty where it could
      */
     private String obstacle(PeerMessage.Prepare prepare) {
-        Declarations current = mKeeper.current();
+        Declarations current = mConfigurations.current();
         if (mReadiness.fenced()) {
             return "fenced";
         }
@@ -378,12 +381,12 @@
      * @param activate the change
      */
     private void activate(Incarnation from, PeerMessage.Activate activate) {
-        mKeeper.adopt(activate.next(), "peer " + from.instance());
+        mConfigurations.adopt(activate.next(), "peer " + from.instance());
         boolean answersPull = activate.change().isEmpty();
         if (answersPull) {
-            mKeeper.validated("peer " + from.instance());
+            mConfigurations.validated("peer " + from.instance());
         } else {
-            long version = mKeeper.current().version();
+            long version = mConfigurations.current().version();
             mMesh.send(from, new PeerMessage.Activated(activate.change(), version));
         }
     }
@@ -395,8 +398,9 @@
      * @param pull what it has
      */
     private void answerPull(Incarnation to, PeerMessage.Pull pull) {
-        if (mReadiness.obstacle().isEmpty() || mKeeper.current().version() > pull.version()) {
-            mMesh.send(to, new PeerMessage.Activate("", mKeeper.current()));
+        if (mReadiness.obstacle().isEmpty()
+                || mConfigurations.current().version() > pull.version()) {
+            mMesh.send(to, new PeerMessage.Activate("", mConfigurations.current()));
         }
     }
 
@@ -407,7 +411,7 @@
      */
     public Map<Incarnation, Long> versions() {
         Map<Incarnation, Long> versions = new HashMap<>(mVersions);
-        versions.put(mNode.incarnation(), mKeeper.current().version());
+        versions.put(mNode.incarnation(), mConfigurations.current().version());
         return versions;
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/placement/UpstreamBook.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/placement/UpstreamRegistry.java
@@ -10,7 +10,7 @@
 import org.troutpier.common.id.UpstreamId;
 
 /** All upstreams and what is known of them. Confined to the control thread. */
-public final class UpstreamBook {
+public final class UpstreamRegistry {
 
     /** The upstreams by id, in the order in which they are declared. */
     private final Map<UpstreamId, UpstreamState> mStates = new LinkedHashMap<>();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/CompletionLife.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/CompletionExchange.java
@@ -26,7 +26,7 @@
  * caller's connection. Invariant: the end mark is sent only after the decode engine's own end mark,
  * and an answer that was cut is continued from the token where it broke off.
  */
-public final class CompletionLife extends RequestLife {
+public final class CompletionExchange extends RequestExchange {
 
     /** How often a silent upstream is looked for, milliseconds. */
     private static final long WATCH_MILLIS = 250;
@@ -101,7 +101,7 @@
      * @param arrival the request as it arrived
      * @param order what was asked
      */
-    public CompletionLife(LifeServices services, Arrival arrival, CompletionOrder order) {
+    public CompletionExchange(ExchangeServices services, Arrival arrival, CompletionOrder order) {
         super(services, arrival);
         mOrder = order;
         mBlocks = PromptBlocks.of(order.prompt());
@@ -198,7 +198,10 @@
     private void decode(String handle) {
         Grant grant = mUsed;
         long took = now() - mSince;
-        services().node().control().execute(() -> services().desk().prefillEnded(grant, took));
+        services()
+                .node()
+                .control()
+                .execute(() -> services().controller().prefillEnded(grant, took));
         stage(Stage.TRANSFER);
         where(grant.main().id().value());
         event("decode", grant.main().id().value());
@@ -317,7 +320,7 @@
         mPrefillHolds = false;
         Grant grant = mUsed;
         long step = now - mSince;
-        services().node().control().execute(() -> services().desk().firstToken(grant, step));
+        services().node().control().execute(() -> services().controller().firstToken(grant, step));
         if (mFirstNanos == 0) {
             mFirstNanos = now;
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/LifeRegistry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/ExchangeRegistry.java
@@ -11,13 +11,13 @@
  * The requests that this router carries. Thread safe. Invariant: a partner never has more in it
  * than its limit allowed when each came in.
  */
-public final class LifeRegistry {
+public final class ExchangeRegistry {
 
     /** Parts a request's id from the number of the attempt. */
     public static final char ATTEMPT_SEPARATOR = '.';
 
     /** The requests by id. */
-    private final Map<String, RequestLife> mLives = new ConcurrentHashMap<>();
+    private final Map<String, RequestExchange> mLives = new ConcurrentHashMap<>();
 
     /** How many requests each partner has. */
     private final Map<PartnerId, AtomicInteger> mCounts = new ConcurrentHashMap<>();
@@ -29,7 +29,7 @@
      * @param limit how many the partner may have
      * @return whether it was added
      */
-    boolean add(RequestLife life, int limit) {
+    boolean add(RequestExchange life, int limit) {
         AtomicInteger count = count(life.declared().partner());
         if (count.incrementAndGet() > limit) {
             count.decrementAndGet();
@@ -44,7 +44,7 @@
      *
      * @param life the request
      */
-    void remove(RequestLife life) {
+    void remove(RequestExchange life) {
         if (mLives.remove(life.id().value(), life)) {
             count(life.declared().partner()).decrementAndGet();
         }
@@ -67,7 +67,7 @@
      * @param id the request
      * @return the request, or null
      */
-    public RequestLife get(RequestId id) {
+    public RequestExchange get(RequestId id) {
         return mLives.get(id.value());
     }
 
@@ -76,7 +76,7 @@
      *
      * @return the requests, as they come and go
      */
-    public Collection<RequestLife> all() {
+    public Collection<RequestExchange> all() {
         return mLives.values();
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestLife.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
@@ -18,8 +18,8 @@
 import org.troutpier.daemon.admission.Grant;
 import org.troutpier.daemon.admission.Ticket;
 import org.troutpier.daemon.claim.Claim;
-import org.troutpier.daemon.claim.ClaimKeeper.Settled;
 import org.troutpier.daemon.claim.ClaimOutcome;
+import org.troutpier.daemon.claim.ClaimStore.Settled;
 import org.troutpier.daemon.claim.StoredAnswer;
 import org.troutpier.daemon.node.Invariants;
 import org.troutpier.daemon.upstream.AttemptEnd;
@@ -30,7 +30,7 @@
  * gets one answer or one refusal; "not run" is said only when no upstream may have run it; whatever
  * the request holds is given back in {@link #over(ResultCode)}, which every way out passes once.
  */
-public abstract class RequestLife {
+public abstract class RequestExchange {
 
     /** How many attempts are made at most, the first included. */
     private static final int MOST_ATTEMPTS = 4;
@@ -42,7 +42,7 @@
     private static final long LEASE_MARGIN_NANOS = 2_000_000_000L;
 
     /** What this life calls on. */
-    private final LifeServices mServices;
+    private final ExchangeServices mServices;
 
     /** The request as it arrived. */
     private final Arrival mArrival;
@@ -86,7 +86,7 @@
      * @param services what it calls on
      * @param arrival the request as it arrived
      */
-    protected RequestLife(LifeServices services, Arrival arrival) {
+    protected RequestExchange(ExchangeServices services, Arrival arrival) {
         mServices = services;
         mArrival = arrival;
         mArrivalNanos = services.node().nanos().getAsLong();
@@ -159,7 +159,7 @@
         stage(Stage.QUEUED);
         mTicket = ticket(mArrivalNanos, Set.copyOf(mAvoid), new DeskAnswer());
         Ticket ticket = mTicket;
-        mServices.node().control().execute(() -> mServices.desk().submit(ticket));
+        mServices.node().control().execute(() -> mServices.controller().submit(ticket));
     }
 
     /** Hears the desk's answer on the control thread and passes it on. */
@@ -295,11 +295,11 @@
                 .execute(
                         () -> {
                             if (end.notStarted() && end.unreachable()) {
-                                mServices.desk().unreached(blamed);
+                                mServices.controller().unreached(blamed);
                             } else if (end.notStarted()) {
-                                mServices.desk().refusedBy(blamed, end.leaving());
+                                mServices.controller().refusedBy(blamed, end.leaving());
                             }
-                            mServices.desk().ended(grant);
+                            mServices.controller().ended(grant);
                         });
     }
 
@@ -490,7 +490,7 @@
         mDeadline.cancel(false);
         if (mTicket != null) {
             Ticket ticket = mTicket;
-            mServices.node().control().execute(() -> mServices.desk().withdraw(ticket));
+            mServices.node().control().execute(() -> mServices.controller().withdraw(ticket));
             mTicket = null;
         }
         if (mGrant != null) {
@@ -514,7 +514,7 @@
      * @param grant the grant
      */
     private void giveBack(Grant grant) {
-        mServices.node().control().execute(() -> mServices.desk().ended(grant));
+        mServices.node().control().execute(() -> mServices.controller().ended(grant));
     }
 
     /**
@@ -525,7 +525,7 @@
     private String attempt() {
         return mAttempts == 1
                 ? id().value()
-                : id().value() + LifeRegistry.ATTEMPT_SEPARATOR + mAttempts;
+                : id().value() + ExchangeRegistry.ATTEMPT_SEPARATOR + mAttempts;
     }
 
     /**
@@ -604,7 +604,7 @@
      *
      * @return the services
      */
-    protected final LifeServices services() {
+    protected final ExchangeServices services() {
         return mServices;
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/ServiceLife.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/ServiceExchange.java
@@ -30,7 +30,7 @@
  * Invariant: a call that must not be repeated goes out on a connection of its own, so that a
  * connection that the service has just closed can never leave it in doubt.
  */
-public final class ServiceLife extends RequestLife {
+public final class ServiceExchange extends RequestExchange {
 
     /** Says, with {@code false}, that a refused call was not started. */
     public static final String STARTED_HEADER = "X-Request-Started";
@@ -92,7 +92,7 @@
      * @param arrival the request as it arrived
      * @param path the path and query to ask the service for, still encoded
      */
-    public ServiceLife(LifeServices services, Arrival arrival, String path) {
+    public ServiceExchange(ExchangeServices services, Arrival arrival, String path) {
         super(services, arrival);
         mPath = path;
     }
@@ -187,7 +187,7 @@
         /** {@inheritDoc} */
         @Override
         public void onEnd() {
-            ifCurrent(ServiceLife.this::end);
+            ifCurrent(ServiceExchange.this::end);
         }
 
         /** {@inheritDoc} */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/CancelKeeper.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/CancellationRetrier.java
@@ -11,7 +11,7 @@
  * Cancels attempts at engines until the engine confirms or is gone. Confined to the control thread.
  * Invariant: an attempt that was given to {@link #cancel} is tried until one of these holds.
  */
-public final class CancelKeeper {
+public final class CancellationRetrier {
 
     /** The first wait between two tries, milliseconds. */
     private static final long FIRST_WAIT = 100;
@@ -61,7 +61,7 @@
      * @param node what every part of the router shares
      * @param engines the engines
      */
-    public CancelKeeper(Node node, Engines engines) {
+    public CancellationRetrier(Node node, Engines engines) {
         mNode = node;
         mEngines = engines;
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/LoadWatcher.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/LoadWatcher.java
@@ -6,7 +6,7 @@
 import org.troutpier.common.declaration.UpstreamDeclaration;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.daemon.node.Node;
-import org.troutpier.daemon.placement.UpstreamBook;
+import org.troutpier.daemon.placement.UpstreamRegistry;
 import org.troutpier.daemon.placement.UpstreamState;
 
 /**
@@ -22,7 +22,7 @@
     private final Node mNode;
 
     /** All upstreams. */
-    private final UpstreamBook mBook;
+    private final UpstreamRegistry mUpstreamRegistry;
 
     /** The engines. */
     private final Engines mEngines;
@@ -31,19 +31,19 @@
      * Creates and starts a watcher.
      *
      * @param node what every part of the router shares
-     * @param book all upstreams
+     * @param registry all upstreams
      * @param engines the engines
      */
-    public LoadWatcher(Node node, UpstreamBook book, Engines engines) {
+    public LoadWatcher(Node node, UpstreamRegistry registry, Engines engines) {
         mNode = node;
-        mBook = book;
+        mUpstreamRegistry = registry;
         mEngines = engines;
         node.control().every(this::ask, ASK_MILLIS);
     }
 
     /** Asks every engine once. */
     private void ask() {
-        for (UpstreamState state : new ArrayList<>(mBook.all())) {
+        for (UpstreamState state : new ArrayList<>(mUpstreamRegistry.all())) {
             UpstreamDeclaration declared = state.declared();
             if (declared.role() == Role.SERVICE) {
                 continue;
@@ -69,7 +69,7 @@
      * @param load its load, or null where it did not answer
      */
     private void heard(UpstreamId id, Engines.Load load) {
-        UpstreamState state = mBook.get(id);
+        UpstreamState state = mUpstreamRegistry.get(id);
         if (state == null) {
             return;
         }
@@ -92,7 +92,7 @@
      * @param events its events
      */
     private void cached(UpstreamId id, List<Engines.CacheEvent> events) {
-        UpstreamState state = mBook.get(id);
+        UpstreamState state = mUpstreamRegistry.get(id);
         if (state == null) {
             return;
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/OrphanSweeper.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/OrphanSweeper.java
@@ -6,11 +6,11 @@
 import org.troutpier.common.declaration.UpstreamDeclaration;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.peer.Coordinators;
 import org.troutpier.daemon.peer.Membership;
-import org.troutpier.daemon.peer.Stewards;
-import org.troutpier.daemon.placement.UpstreamBook;
+import org.troutpier.daemon.placement.UpstreamRegistry;
 import org.troutpier.daemon.placement.UpstreamState;
-import org.troutpier.daemon.request.LifeRegistry;
+import org.troutpier.daemon.request.ExchangeRegistry;
 
 /**
  * Cancels what engines hold for routers that are gone, and for requests that this router no longer
@@ -26,7 +26,7 @@
     private final Node mNode;
 
     /** All upstreams. */
-    private final UpstreamBook mBook;
+    private final UpstreamRegistry mUpstreamRegistry;
 
     /** The engines. */
     private final Engines mEngines;
@@ -35,16 +35,16 @@
     private final Membership mMembership;
 
     /** Cancels attempts. */
-    private final CancelKeeper mCancels;
+    private final CancellationRetrier mCancels;
 
     /** The requests that this router carries. */
-    private final LifeRegistry mRegistry;
+    private final ExchangeRegistry mRegistry;
 
     /**
      * Creates and starts a sweeper.
      *
      * @param node what every part of the router shares
-     * @param book all upstreams
+     * @param upstreamRegistry all upstreams
      * @param engines the engines
      * @param membership who is gone
      * @param cancels cancels attempts
@@ -52,13 +52,13 @@
      */
     public OrphanSweeper(
             Node node,
-            UpstreamBook book,
+            UpstreamRegistry upstreamRegistry,
             Engines engines,
             Membership membership,
-            CancelKeeper cancels,
-            LifeRegistry registry) {
+            CancellationRetrier cancels,
+            ExchangeRegistry registry) {
         mNode = node;
-        mBook = book;
+        mUpstreamRegistry = upstreamRegistry;
         mEngines = engines;
         mMembership = membership;
         mCancels = cancels;
@@ -69,10 +69,10 @@
     /** Sweeps the engines that this router looks after. */
     private void sweep() {
         List<Membership.Member> members = mMembership.live();
-        for (UpstreamState state : new ArrayList<>(mBook.all())) {
+        for (UpstreamState state : new ArrayList<>(mUpstreamRegistry.all())) {
             UpstreamDeclaration declared = state.declared();
             boolean mine =
-                    Stewards.of("sweep " + declared.id(), members).equals(mNode.incarnation());
+                    Coordinators.of("sweep " + declared.id(), members).equals(mNode.incarnation());
             if (declared.role() != Role.SERVICE && mine) {
                 mEngines.holding(declared)
                         .thenAccept(held -> mNode.control().execute(() -> examine(declared, held)));
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/RequestUnderFailureTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/RequestUnderFailureTest.java
@@ -18,7 +18,7 @@
 import org.troutpier.common.id.PartnerId;
 import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.Rig.Outcome;
-import org.troutpier.daemon.claim.ClaimKeeper;
+import org.troutpier.daemon.claim.ClaimStore;
 import org.troutpier.standins.engine.DecodeModel;
 import org.troutpier.standins.engine.PrefixBlocks;
 import org.troutpier.standins.fault.Fault;
@@ -265,7 +265,7 @@
                 rig.mTable
                         .server()
                         .address()
-                        .url("/rows/" + ClaimKeeper.rowKey(new PartnerId("trust"), "key-8"));
+                        .url("/rows/" + ClaimStore.rowKey(new PartnerId("trust"), "key-8"));
         ObjectNode claim = (ObjectNode) rig.call(HttpCall.of("GET", row)).as(JsonNode.class);
         claim.put("epoch", 2);
         claim.put("attempt", "another-router's");
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/admission/StewardPermitsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/admission/CoordinatorPermitsTest.java
@@ -25,11 +25,11 @@
 import org.troutpier.daemon.peer.Membership;
 import org.troutpier.daemon.peer.Membership.Member;
 import org.troutpier.daemon.peer.PeerMessage;
-import org.troutpier.daemon.placement.UpstreamBook;
+import org.troutpier.daemon.placement.UpstreamRegistry;
 import org.troutpier.daemon.placement.UpstreamState;
 
 /** Several routers' permits driven by hand: messages are late and the clock is a number. */
-public class StewardPermitsTest {
+public class CoordinatorPermitsTest {
 
     private static final int ROUTERS = 4;
     private static final int SLOTS = 20;
@@ -44,8 +44,8 @@
     private final class Router {
         final Member mMember;
         final Membership mMembership;
-        final UpstreamBook mBook = new UpstreamBook();
-        final StewardPermits mPermits;
+        final UpstreamRegistry mUpstreamRegistry = new UpstreamRegistry();
+        final CoordinatorPermits mPermits;
         final ManualControl mControl = new ManualControl();
         int mUsed;
 
@@ -67,19 +67,19 @@
                             new MetricRegistry(),
                             new EventRing("r", 16, new HybridClock()),
                             mNow::get);
-            mBook.apply(declarations());
+            mUpstreamRegistry.apply(declarations());
             mPermits =
-                    new StewardPermits(
+                    new CoordinatorPermits(
                             node,
                             mMembership,
-                            mBook,
+                            mUpstreamRegistry,
                             (to, message) ->
                                     mUnderWay.add(new Message(mMember.incarnation(), to, message)),
                             () -> {});
         }
 
         UpstreamState engine() {
-            return mBook.get(new UpstreamId("decode-1"));
+            return mUpstreamRegistry.get(new UpstreamId("decode-1"));
         }
 
         void take(PeerMessage message, Incarnation from) {
@@ -247,7 +247,7 @@
         assertEquals(held(), SLOTS);
         Router steward =
                 router(
-                        org.troutpier.daemon.peer.Stewards.of(
+                        org.troutpier.daemon.peer.Coordinators.of(
                                 "decode-1", mRouters.get(0).mMembership.serving()));
         int lost = steward.mPermits.held(new UpstreamId("decode-1"));
         mRouters.remove(steward);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/MembershipTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/MembershipTest.java
@@ -104,8 +104,8 @@
         List<Member> two = List.of(member("router-1~a"), member("router-3~c"));
         int moved = 0;
         for (int subject = 0; subject < 300; subject++) {
-            Incarnation before = Stewards.of("engine-" + subject, three);
-            Incarnation after = Stewards.of("engine-" + subject, two);
+            Incarnation before = Coordinators.of("engine-" + subject, three);
+            Incarnation after = Coordinators.of("engine-" + subject, two);
             boolean itsStewardWent = before.value().equals("router-2~b");
             assertTrue(itsStewardWent || before.equals(after));
             moved += itsStewardWent ? 1 : 0;
