An upstream that cannot be reached is no attempt; its prompt is used elsewhere; the budget knows how many routers there are

Ruled out: more attempts (the route's bound is the operator's), and a prompt kept after a refusal (the engine's 503 does not tell whether the handle is gone). Now: a call that never reached its upstream is neither an attempt nor an extra call; the prompt that was read goes to the next engine while its handle lives; a router uses 1/(1.5 x routers) of the allowance, routers being all that were ever registered (at least 4), so late or wrong knowledge only makes it less.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
@@ -1,6 +1,9 @@
 package org.troutpier.daemon.cluster;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.function.IntConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.http.Json;
@@ -44,6 +47,12 @@
     /** Hears who is listed. */
     private final PeerExchange mExchange;
 
+    /** Hears how many routers have been there. */
+    private final IntConsumer mCount;
+
+    /** The instances that have been listed. */
+    private final Set<InstanceId> mSeen = new HashSet<>();
+
     /** This router's row. */
     private final byte[] mSelf;
 
@@ -57,8 +66,11 @@
      * @param store the store
      * @param address where the others reach this router
      * @param exchange hears who is listed
+     * @param count hears how many routers have been there, on the control thread
      */
-    public MemberRegistry(Node node, RowStore store, Address address, PeerExchange exchange) {
+    public MemberRegistry(
+            Node node, RowStore store, Address address, PeerExchange exchange, IntConsumer count) {
+        mCount = count;
         mNode = node;
         mStore = store;
         mExchange = exchange;
@@ -115,8 +127,10 @@
             if (instance.equals(mNode.incarnation().instance())) {
                 mVersion = row.version();
             }
+            mSeen.add(instance);
             mExchange.listed(instance, row.deleted() ? null : instance(row));
         }
+        mCount.accept(mSeen.size());
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ExtraCallBudget.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ExtraCallBudget.java
@@ -20,6 +20,12 @@
      */
     private static final double USED_PART = 0.8;
 
+    /** How many routers are assumed at least: a new one may not be known yet. */
+    private static final int LEAST_ROUTERS = 4;
+
+    /** How many routers more than are known are assumed. */
+    private static final double MORE_ROUTERS = 1.5;
+
     /** Extra calls for each request. */
     private double mRatio;
 
@@ -58,6 +64,17 @@
         mStepMillis = Math.max(1, windowMillis / STEPS);
     }
 
+    /**
+     * Returns which part of the whole allowance one router may use.
+     *
+     * @param routers how many routers are known to have been there; those that are gone may count
+     *     too
+     * @return the part, small enough that routers that are not known yet break nothing
+     */
+    public static double part(int routers) {
+        return 1 / (MORE_ROUTERS * Math.max(LEAST_ROUTERS, routers));
+    }
+
     /**
      * Takes other limits; what was counted stays counted.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -46,7 +46,7 @@
     /** Sends the request to an upstream that has not had it. */
     private void send() {
         Optional<UpstreamEntry> upstream =
-                mContext.loads().pick(upstreams(UpstreamEntry.Role.PLAIN), mTried);
+                mContext.loads().pick(upstreams(UpstreamEntry.Role.PLAIN), excluded());
         if (upstream.isEmpty()) {
             giveUp(ResultCode.NO_UPSTREAM, "no upstream is left for " + mService);
             return;
@@ -96,7 +96,7 @@
     private void failed(UpstreamEntry upstream, AttemptEnd end) {
         learn(upstream, end);
         boolean again = end.notStarted() || mRoute.kind().repeatable();
-        if (again && mayTryAgain()) {
+        if (again && mayTryAgain(upstream, end)) {
             send();
         } else {
             giveUp(end.code(), end.detail());
@@ -152,7 +152,7 @@
             if (mAttempt != this || over()) {
                 return;
             }
-            if (mContext.loads().pick(upstreams(UpstreamEntry.Role.PLAIN), mTried).isEmpty()) {
+            if (mContext.loads().pick(upstreams(UpstreamEntry.Role.PLAIN), excluded()).isEmpty()) {
                 return;
             }
             mCall.abort();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -38,6 +38,9 @@
     /** Where it was sent to be run. */
     protected final Set<UpstreamId> mTried = new HashSet<>();
 
+    /** Which upstreams could not be reached, so that the request was never sent to them. */
+    private final Set<UpstreamId> mUnreached = new HashSet<>();
+
     /** What happened, for the log. */
     protected final RequestTrace mTrace;
 
@@ -140,16 +143,37 @@
     }
 
     /**
-     * Returns whether one more call may be sent to run the request.
+     * Returns whether one more call may be sent to run the request. A call that never reached its
+     * upstream is no attempt and no extra call.
      *
+     * @param upstream where the last call was sent
+     * @param end how it ended
      * @return whether attempts, time and the budget of extra calls allow it
      */
-    protected boolean mayTryAgain() {
+    protected boolean mayTryAgain(UpstreamEntry upstream, AttemptEnd end) {
+        if (leftMillis() <= ServingSettings.ANSWER_MARGIN_MILLIS) {
+            return false;
+        }
+        if (end.notStarted() && end.unreachable()) {
+            mTried.remove(upstream.id());
+            mUnreached.add(upstream.id());
+            return mUnreached.size() <= ServingSettings.MOST_UNREACHED;
+        }
         return mTried.size() < mRoute.maxAttempts()
-                && leftMillis() > ServingSettings.ANSWER_MARGIN_MILLIS
                 && mContext.budget().tryExtra(mService, mContext.loop().millis());
     }
 
+    /**
+     * Returns the upstreams that the request is not to be sent to again.
+     *
+     * @return those that had it and those that could not be reached
+     */
+    protected Set<UpstreamId> excluded() {
+        Set<UpstreamId> excluded = new HashSet<>(mTried);
+        excluded.addAll(mUnreached);
+        return excluded;
+    }
+
     /** Ends the request after an upstream's whole answer went to the caller. */
     protected void answered() {
         close(RequestTrace.ANSWERED);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
@@ -54,4 +54,10 @@
      * The rest is for the place and the first event.
      */
     static final double READ_PART = 0.6;
+
+    /** How many upstreams that cannot be reached a request is tried at. */
+    static final int MOST_UNREACHED = 3;
+
+    /** How much of a prefill result's life is left to the engine that fetches it, milliseconds. */
+    static final long FETCH_MILLIS = 150;
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -46,6 +46,12 @@
     /** The run under way, or null. */
     private StreamRun mRun;
 
+    /** A prompt that was read and not used, to be used at another decode engine; or null. */
+    private UpstreamPort.StoredPrompt mStored;
+
+    /** Until when it can be used, milliseconds. */
+    private long mStoredUntil;
+
     /** Whether the caller has the stream's head. */
     private boolean mBegun;
 
@@ -126,8 +132,9 @@
         if (readMillis() > mRoute.targetMillis() * ServingSettings.READ_PART) {
             return List.of();
         }
+        Set<UpstreamId> excluded = excluded();
         return upstreams(UpstreamEntry.Role.DECODE).stream()
-                .filter(entry -> !mTried.contains(entry.id()))
+                .filter(entry -> !excluded.contains(entry.id()))
                 .toList();
     }
 
@@ -166,6 +173,14 @@
 
     /** Has the prompt read, or has the decode engine read it where nobody else can. */
     private void read() {
+        if (mStored != null && mContext.loop().millis() < mStoredUntil) {
+            UpstreamPort.StoredPrompt stored = mStored;
+            mStored = null;
+            mTrace.step("prompt kept");
+            run(Optional.of(stored));
+            return;
+        }
+        discardStored();
         List<UpstreamEntry> engines =
                 mContext.loads().byTokens(upstreams(UpstreamEntry.Role.PREFILL), mPrefillTried);
         if (engines.isEmpty()) {
@@ -230,7 +245,7 @@
     private void runFailed(UpstreamEntry upstream, AttemptEnd end) {
         learn(upstream, end);
         boolean again = end.notStarted() || mRoute.kind() == Route.Kind.RESUMABLE_STREAM;
-        if (again && mayTryAgain()) {
+        if (again && mayTryAgain(upstream, end)) {
             mPrefillTried.clear();
             search();
             return;
@@ -251,10 +266,19 @@
             mRun.abort();
         }
         freeMemory();
+        discardStored();
         mPlace.ifPresent(place -> mContext.port().release(mDecode, place));
         mPlace = Optional.empty();
     }
 
+    /** Frees the prompt that was read and not used. */
+    private void discardStored() {
+        if (mStored != null) {
+            mContext.port().discard(mStored);
+            mStored = null;
+        }
+    }
+
     /** Takes note that the decode engine's memory is no longer used. */
     private void freeMemory() {
         if (mMemory != null) {
@@ -412,6 +436,7 @@
                 mContext.demand().read(mService, promptTokens(), now - mStart, now);
             }
             mTrace.step("read");
+            mStoredUntil = now + mEngine.handleMillis() - ServingSettings.FETCH_MILLIS;
             run(Optional.of(prompt));
         }
 
@@ -614,7 +639,7 @@
         public void onFailure(AttemptEnd end) {
             close();
             if (end.notStarted()) {
-                mPrompt.ifPresent(mContext.port()::discard);
+                mPrompt.ifPresent(prompt -> mStored = prompt);
             }
             runFailed(mUpstream, end);
         }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/Entries.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/Entries.java
@@ -20,6 +20,10 @@
         return entry(id, HALL.value(), UpstreamEntry.Role.DECODE);
     }
 
+    static UpstreamEntry prefill(String id) {
+        return entry(id, HALL.value(), UpstreamEntry.Role.PREFILL);
+    }
+
     private static UpstreamEntry entry(String id, String hall, UpstreamEntry.Role role) {
         return new UpstreamEntry(
                 new UpstreamId(id),
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -0,0 +1,201 @@
+package org.troutpier.daemon.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.id.RequestId;
+import org.troutpier.common.result.ResultCode;
+import org.troutpier.daemon.cluster.DemandMeter;
+import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.directory.UpstreamDirectory;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.route.EngineTraits;
+import org.troutpier.daemon.route.Route;
+import org.troutpier.daemon.upstream.AttemptEnd;
+
+/** What becomes of a request whose upstreams fail. */
+public final class ExecutionTest {
+
+    private ManualTime mTime;
+    private FakePort mPort;
+    private FakeCaller mCaller;
+    private UpstreamDirectory mDirectory;
+    private ServingContext mContext;
+
+    @BeforeMethod
+    void start() {
+        mTime = new ManualTime();
+        mPort = new FakePort();
+        mCaller = new FakeCaller();
+        mDirectory = new UpstreamDirectory(mTime::nanos);
+        PeerLoads peers = new PeerLoads();
+        Random random = new Random(1);
+        UpstreamLoads loads = new UpstreamLoads(mTime.loop(), random, Entries.HALL, peers);
+        mContext =
+                new ServingContext(
+                        mTime.loop(),
+                        mPort,
+                        mDirectory,
+                        loads,
+                        new ExtraCallBudget(0, 0, 10_000),
+                        new PlaceAllocator(mTime.loop(), mPort, loads, random),
+                        new ReturningRequests(),
+                        new ReturnPacer(random),
+                        peers,
+                        new DemandMeter(),
+                        new DecisionLog(new MetricRegistry(), mTime.loop()),
+                        random);
+    }
+
+    private static Route route(Route.Kind kind) {
+        return new Route(
+                "r",
+                "h",
+                "/",
+                kind,
+                5000,
+                900,
+                300,
+                1,
+                1,
+                List.of(new Route.WeightedService("service", 1)));
+    }
+
+    private static ServingRequest request() {
+        PromptShape prompt =
+                new PromptShape("m", 1000, 500, 100, List.of(new PromptShape.Part("own", 1000)));
+        return new ServingRequest(
+                new RequestId("abc"),
+                "POST",
+                "/x",
+                "h",
+                new DefaultHttpHeaders(),
+                new byte[0],
+                9000,
+                OptionalLong.empty(),
+                Optional.of(prompt));
+    }
+
+    private void stream() {
+        new StreamExecution(
+                        mContext,
+                        request(),
+                        route(Route.Kind.STREAM),
+                        "service",
+                        new EngineTraits(10, 90_000, 4, 2000, 500, 100),
+                        mCaller)
+                .start();
+    }
+
+    private void plain() {
+        new PlainExecution(mContext, request(), route(Route.Kind.ONCE), "service", mCaller).start();
+    }
+
+    private UpstreamPort.Head head(UpstreamPort.Verdict verdict) {
+        return new UpstreamPort.Head(200, new DefaultHttpHeaders(), verdict);
+    }
+
+    @Test
+    public void aPromptThatWasReadIsUsedElsewhereWhenItsEngineCannotBeReached() {
+        UpstreamEntry prefill = Entries.prefill("p");
+        mDirectory.replaceAll(List.of(prefill, Entries.decode("a"), Entries.decode("b")));
+        stream();
+        UpstreamPort.StoredPrompt prompt = new UpstreamPort.StoredPrompt(prefill, "handle");
+        mPort.mPrefills.get(0).onResult(prompt);
+        mPort.mRuns.get(0).mListener.onFailure(AttemptEnd.unreached("refused"));
+        assertEquals(mPort.mPrefills.size(), 1);
+        assertEquals(mPort.mRuns.size(), 2);
+        assertEquals(mPort.mRuns.get(1).mPlan.prompt(), Optional.of(prompt));
+        assertNotEquals(mPort.mRuns.get(0).mUpstream, mPort.mRuns.get(1).mUpstream);
+        assertNull(mCaller.mRefusal);
+    }
+
+    @Test
+    public void aPromptThatIsNotUsedIsFreed() {
+        UpstreamEntry prefill = Entries.prefill("p");
+        mDirectory.replaceAll(List.of(prefill, Entries.decode("a")));
+        stream();
+        UpstreamPort.StoredPrompt prompt = new UpstreamPort.StoredPrompt(prefill, "handle");
+        mPort.mPrefills.get(0).onResult(prompt);
+        mPort.mRuns.get(0).mListener.onFailure(AttemptEnd.unreached("refused"));
+        mTime.pass(1000);
+        assertEquals(mPort.mDiscarded, List.of(prompt));
+        assertEquals(mCaller.mRefusal, ResultCode.NO_PLACE);
+        assertTrue(mCaller.mRetryAfterMillis > 0);
+    }
+
+    @Test
+    public void aRunThatMayHaveBegunIsNeverSentElsewhere() {
+        mDirectory.replaceAll(List.of(Entries.decode("a"), Entries.decode("b")));
+        stream();
+        mPort.mRuns.get(0).mListener.onFailure(AttemptEnd.lost("reset"));
+        assertEquals(mPort.mRuns.size(), 1);
+        assertEquals(mCaller.mRefusal, ResultCode.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    public void anUpstreamThatCannotBeReachedIsNoAttempt() {
+        mDirectory.replaceAll(List.of(Entries.plain("a", "hall-a"), Entries.plain("b", "hall-a")));
+        plain();
+        mPort.mRuns.get(0).mListener.onFailure(AttemptEnd.unreached("refused"));
+        assertEquals(mPort.mRuns.size(), 2);
+        mPort.mRuns.get(1).mListener.onHead(head(UpstreamPort.Verdict.SUCCESS));
+        mPort.mRuns.get(1).mListener.onPart("ok".getBytes(StandardCharsets.UTF_8));
+        mPort.mRuns.get(1).mListener.onEnd();
+        assertEquals(mCaller.text(), "ok");
+        assertEquals(mCaller.mAnswers, 1);
+    }
+
+    @Test
+    public void aRefusalWithProofIsAnAttemptAndToldAsNotRun() {
+        mDirectory.replaceAll(List.of(Entries.plain("a", "hall-a"), Entries.plain("b", "hall-a")));
+        plain();
+        mPort.mRuns.get(0).mListener.onHead(head(UpstreamPort.Verdict.FULL));
+        mPort.mRuns.get(0).mListener.onEnd();
+        assertEquals(mPort.mRuns.size(), 1);
+        assertEquals(mCaller.mRefusal.family(), ResultCode.Family.NOT_RUN);
+    }
+
+    @Test
+    public void aCallerThatLeavesEndsTheRunAndFreesTheMemory() {
+        mDirectory.replaceAll(List.of(Entries.decode("a")));
+        stream();
+        assertEquals(mContext.loads().uses().size(), 1);
+        mCaller.leave();
+        assertTrue(mPort.mRuns.get(0).mAborted);
+        assertTrue(mContext.loads().uses().isEmpty());
+    }
+
+    @Test
+    public void aStreamThatEndsInsideAnEventIsCut() {
+        mDirectory.replaceAll(List.of(Entries.decode("a")));
+        stream();
+        UpstreamPort.RunListener run = mPort.mRuns.get(0).mListener;
+        run.onHead(head(UpstreamPort.Verdict.SUCCESS));
+        run.onPart("id: 1\ndata: a\n\nid: 2\nda".getBytes(StandardCharsets.UTF_8));
+        run.onEnd();
+        assertTrue(mCaller.mCut);
+        assertEquals(mCaller.text(), "id: 1\ndata: a\n\n");
+        assertTrue(mContext.loads().uses().isEmpty());
+    }
+
+    @Test
+    public void theBudgetsPartsOfAllRoutersStayWithinTheWhole() {
+        for (int routers = 1; routers < 200; routers++) {
+            assertTrue(routers * ExtraCallBudget.part(routers) <= 1, "routers " + routers);
+            assertTrue((routers + 2) * ExtraCallBudget.part(routers) <= 1, "late " + routers);
+        }
+    }
+}
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakePort.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakePort.java
@@ -12,6 +12,8 @@
 final class FakePort implements UpstreamPort {
 
     final List<Sent> mRuns = new ArrayList<>();
+    final List<ResultListener<StoredPrompt>> mPrefills = new ArrayList<>();
+    final List<StoredPrompt> mDiscarded = new ArrayList<>();
     final List<UpstreamEntry> mAsked = new ArrayList<>();
     final List<Long> mAskedTokens = new ArrayList<>();
     final List<String> mReleased = new ArrayList<>();
@@ -55,7 +57,8 @@
             ServingRequest request,
             RunPlan plan,
             ResultListener<StoredPrompt> listener) {
-        throw new UnsupportedOperationException();
+        mPrefills.add(listener);
+        return new Sent(upstream, plan, null);
     }
 
     @Override
@@ -79,5 +82,7 @@
     }
 
     @Override
-    public void discard(StoredPrompt prompt) {}
+    public void discard(StoredPrompt prompt) {
+        mDiscarded.add(prompt);
+    }
 }
