--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/DemandMeter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/DemandMeter.java
@@ -22,7 +22,7 @@
     private volatile Map<String, Demand> mPublished = Map.of();
 
     /**
-     * Takes note of a request that came.
+     * Records a request that came.
      *
      * @param service its service
      * @param promptTokens its prompt's length
@@ -33,7 +33,7 @@
     }
 
     /**
-     * Takes note of a run that was completed.
+     * Records a run that was completed.
      *
      * @param service its service
      * @param memoryTime the memory it took on average times how long it ran, tokens times
@@ -45,7 +45,7 @@
     }
 
     /**
-     * Takes note of a prompt that was read without anything waiting before it.
+     * Records a prompt that was read without anything waiting before it.
      *
      * @param service its service
      * @param tokens its length
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
@@ -44,10 +44,10 @@
     /** The store. */
     private final RowStore mStore;
 
-    /** Hears who is listed. */
+    /** Receives who is listed. */
     private final PeerExchange mExchange;
 
-    /** Hears how many routers have been there. */
+    /** Receives how many routers have been there. */
     private final IntConsumer mCount;
 
     /** The instances that have been listed. */
@@ -65,8 +65,8 @@
      * @param node what every part of this router shares
      * @param store the store
      * @param address where the others reach this router
-     * @param exchange hears who is listed
-     * @param count hears how many routers have been there, on the control thread
+     * @param exchange receives who is listed
+     * @param count receives how many routers have been there, on the control thread
      */
     public MemberRegistry(
             Node node, RowStore store, Address address, PeerExchange exchange, IntConsumer count) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -20,9 +20,9 @@
 import org.troutpier.daemon.route.CurrentConfiguration;
 
 /**
- * Tells the other routers of this one's load and hears theirs; hands a newer configuration to a
+ * Tells the other routers of this one's load and receives theirs; hands a newer configuration to a
  * router that has an older one, so that a router which the store turns away still follows. Confined
- * to the control thread. Invariant: nothing here is needed for a promise; a router that hears
+ * to the control thread. Invariant: nothing here is needed for a promise; a router that receives
  * nobody serves by what it knows itself.
  */
 public final class PeerExchange implements PeerMesh.Hearer {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -101,7 +101,7 @@
         return mSnapshot;
     }
 
-    /** Takes note that the store cannot be read. */
+    /** Records that the store cannot be read. */
     public void storeLost() {
         if (!mAway) {
             LOGGER.warn("directory store lost entries={}", mEntries.size());
@@ -109,7 +109,7 @@
         mAway = true;
     }
 
-    /** Takes note that the store was read. */
+    /** Records that the store was read. */
     public void storeHeard() {
         if (mAway) {
             mAway = false;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/route/CurrentConfiguration.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/route/CurrentConfiguration.java
@@ -14,13 +14,13 @@
     /** The version in force, or null before the first. */
     private volatile RoutingConfiguration mCurrent;
 
-    /** Hears of each adopted version. */
+    /** Receives each adopted version. */
     private volatile Consumer<RoutingConfiguration> mListener = adopted -> {};
 
     /**
-     * Sets who hears of each adopted version.
+     * Sets who receives each adopted version.
      *
-     * @param listener hears it, on the adopting thread
+     * @param listener receives it, on the adopting thread
      */
     public void onAdopted(Consumer<RoutingConfiguration> listener) {
         mListener = listener;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/TableFollower.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/TableFollower.java
@@ -36,7 +36,7 @@
     /** How the table is followed. */
     private final Pace mPace;
 
-    /** Hears what is read, on the control thread. */
+    /** Receives what is read, on the control thread. */
     private final Listener mListener;
 
     /** The version that was read last. */
@@ -56,24 +56,24 @@
      */
     public record Pace(int waitMillis, long pauseMillis) {}
 
-    /** Hears what is read, on the control thread. */
+    /** Receives what is read, on the control thread. */
     public interface Listener {
 
         /**
-         * Hears the whole table.
+         * Receives the whole table.
          *
          * @param rows all rows
          */
         void whole(List<Row> rows);
 
         /**
-         * Hears changes.
+         * Receives changes.
          *
          * @param rows the changed rows in order; may be empty
          */
         void changed(List<Row> rows);
 
-        /** Hears that the store cannot be read. */
+        /** Called when the store cannot be read. */
         void lost();
     }
 
@@ -84,7 +84,7 @@
      * @param store the store
      * @param table the table
      * @param pace how the table is followed
-     * @param listener hears what is read, on the control thread
+     * @param listener receives what is read, on the control thread
      */
     public TableFollower(
             Control control, RowStore store, String table, Pace pace, Listener listener) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecisionLog.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecisionLog.java
@@ -42,7 +42,7 @@
     }
 
     /**
-     * Takes note of a request's end.
+     * Records a request's end.
      *
      * @param trace what happened to it
      * @param outcome how it ended
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ExtraCallBudget.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ExtraCallBudget.java
@@ -87,7 +87,7 @@
     }
 
     /**
-     * Takes note of a request.
+     * Records a request.
      *
      * @param service the service it goes to
      * @param nowMillis the monotonic clock, milliseconds
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -70,11 +70,11 @@
         mRandom = random;
     }
 
-    /** Hears how a search ends, on the traffic loop. */
+    /** Receives how a search ends, on the traffic loop. */
     public interface Listener {
 
         /**
-         * Hears of a place. The prompt's tokens are taken at the engine from now on; the listener
+         * Receives a place. The prompt's tokens are taken at the engine from now on; the listener
          * gives them back.
          *
          * @param engine where it is
@@ -83,7 +83,7 @@
         void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place);
 
         /**
-         * Hears that no place was found in time.
+         * Called when no place was found in time.
          *
          * @param detail what was tried
          */
@@ -112,7 +112,7 @@
      * Looks for a place.
      *
      * @param wanted what is looked for
-     * @param listener hears the end
+     * @param listener receives the end
      * @return the search, to stop it
      */
     public Search find(Wanted wanted, Listener listener) {
@@ -127,7 +127,7 @@
         /** What is looked for. */
         private final Wanted mWanted;
 
-        /** Hears the end. */
+        /** Receives the end. */
         private final Listener mListener;
 
         /** When the search gives up, milliseconds on the loop's clock. */
@@ -146,7 +146,7 @@
          * Creates a search.
          *
          * @param wanted what is looked for
-         * @param listener hears the end
+         * @param listener receives the end
          */
         private Search(Wanted wanted, Listener listener) {
             mWanted = wanted;
@@ -154,7 +154,7 @@
             mUntil = mLoop.millis() + wanted.waitMillis();
         }
 
-        /** Stops the search; its listener hears no more. */
+        /** Stops the search; its listener receives no more. */
         public void stop() {
             mOver = true;
         }
@@ -220,7 +220,7 @@
             mPort.reserve(engine, tokens, millis, new Answer(engine));
         }
 
-        /** Hears an engine's answer. Confined to the traffic loop. */
+        /** Receives an engine's answer. Confined to the traffic loop. */
         private final class Answer implements UpstreamPort.ResultListener<UpstreamPort.Place> {
 
             /** Who answers. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -166,7 +166,7 @@
             close();
         }
 
-        /** Takes note that the call is over. */
+        /** Records that the call is over. */
         private void close() {
             if (mSilence != null) {
                 mSilence.stop();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -128,7 +128,7 @@
     }
 
     /**
-     * Takes note of an attempt's end.
+     * Records an attempt's end.
      *
      * @param upstream where it was
      * @param end how it ended
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReturnPacer.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReturnPacer.java
@@ -48,7 +48,7 @@
     }
 
     /**
-     * Takes note that a place was granted.
+     * Records that a place was granted.
      *
      * @param now the monotonic clock, milliseconds
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReturningRequests.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReturningRequests.java
@@ -34,7 +34,7 @@
     }
 
     /**
-     * Takes note of a refusal by this router.
+     * Records a refusal by this router.
      *
      * @param prompt the request's prompt
      * @param now the monotonic clock, milliseconds
@@ -48,7 +48,7 @@
     }
 
     /**
-     * Takes note of a refusal by any router.
+     * Records a refusal by any router.
      *
      * @param key the request's own part
      * @param now the monotonic clock, milliseconds
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -279,7 +279,7 @@
         }
     }
 
-    /** Takes note that the decode engine's memory is no longer used. */
+    /** Records that the decode engine's memory is no longer used. */
     private void freeMemory() {
         if (mMemory != null) {
             mMemory.free();
@@ -336,7 +336,7 @@
         }
     }
 
-    /** Hears of a place. Confined to the traffic loop. */
+    /** Receives a place. Confined to the traffic loop. */
     private final class PlaceFound implements PlaceAllocator.Listener {
 
         /** {@inheritDoc} */
@@ -417,7 +417,7 @@
             close();
         }
 
-        /** Takes note that the call is over. */
+        /** Records that the call is over. */
         private void close() {
             mTimer.stop();
             if (mReading == this) {
@@ -530,7 +530,7 @@
             close();
         }
 
-        /** Takes note that the call is over. */
+        /** Records that the call is over. */
         private void close() {
             if (mSilence != null) {
                 mSilence.stop();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -109,8 +109,8 @@
     }
 
     /**
-     * Takes note that memory of an engine is taken, and tells the other routers at once: two that
-     * ask for the same room at the same time would both get it.
+     * Records that memory of an engine is taken, and tells the other routers at once: two that ask
+     * for the same room at the same time would both get it.
      *
      * @param engine the engine
      * @param tokens how much
@@ -121,7 +121,7 @@
     }
 
     /**
-     * Takes note that a call begins.
+     * Records that a call begins.
      *
      * @param upstream where
      * @param tokens its tokens; 0 for a plain call
@@ -133,7 +133,7 @@
     }
 
     /**
-     * Takes note that a call has ended.
+     * Records that a call has ended.
      *
      * @param upstream where
      * @param tokens the tokens it began with
@@ -145,7 +145,7 @@
     }
 
     /**
-     * Takes note that a call takes more tokens.
+     * Records that a call takes more tokens.
      *
      * @param upstream where
      * @param tokens how many more
@@ -174,7 +174,7 @@
     }
 
     /**
-     * Takes note that a call went well.
+     * Records that a call went well.
      *
      * @param upstream where
      */
@@ -189,7 +189,7 @@
     }
 
     /**
-     * Takes note that an engine refused a call as it is full or changes its role.
+     * Records that an engine refused a call as it is full or changes its role.
      *
      * @param upstream the engine
      */
@@ -208,7 +208,7 @@
     }
 
     /**
-     * Takes note that a call failed.
+     * Records that a call failed.
      *
      * @param upstream where
      * @param unreachable whether the upstream could not be reached
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
@@ -19,7 +19,7 @@
      * @param upstream where to
      * @param request the request
      * @param plan what goes with it
-     * @param listener hears the answer
+     * @param listener receives the answer
      * @return the call, to abort it
      */
     Call run(UpstreamEntry upstream, ServingRequest request, RunPlan plan, RunListener listener);
@@ -30,7 +30,7 @@
      * @param upstream where to
      * @param request the request
      * @param plan what goes with it
-     * @param listener hears the result
+     * @param listener receives the result
      * @return the call, to abort it
      */
     Call prefill(
@@ -45,7 +45,7 @@
      * @param upstream where to
      * @param tokens how much memory
      * @param millis for how long
-     * @param listener hears the place, or the refusal
+     * @param listener receives the place, or the refusal
      * @return the call, to abort it
      */
     Call reserve(UpstreamEntry upstream, long tokens, int millis, ResultListener<Place> listener);
@@ -68,7 +68,7 @@
     /** A call under way. */
     interface Call {
 
-        /** Closes the call's connection, which cancels it upstream; its listener hears no more. */
+        /** Closes the connection, which cancels the call; its listener is not called again. */
         void abort();
 
         /**
@@ -182,28 +182,28 @@
         FOREIGN
     }
 
-    /** Hears the answer to a run. */
+    /** Receives the answer to a run. */
     interface RunListener {
 
         /**
-         * Hears the head.
+         * Receives the head.
          *
          * @param head the head
          */
         void onHead(Head head);
 
         /**
-         * Hears a part of the body.
+         * Receives a part of the body.
          *
          * @param part the bytes, owned by the listener
          */
         void onPart(byte[] part);
 
-        /** Hears that the answer is whole. */
+        /** Called when the answer is whole. */
         void onEnd();
 
         /**
-         * Hears that there will be no whole answer.
+         * Called when there will be no whole answer.
          *
          * @param end what is known
          */
@@ -211,21 +211,21 @@
     }
 
     /**
-     * Hears the result of a call that runs nothing.
+     * Receives the result of a call that runs nothing.
      *
      * @param <T> the result's type
      */
     interface ResultListener<T> {
 
         /**
-         * Hears the result.
+         * Receives the result.
          *
          * @param result the result
          */
         void onResult(T result);
 
         /**
-         * Hears that there is none.
+         * Called when there is none.
          *
          * @param end what is known
          */
