An engine that another answers for is no attempt, keeps the prompt and is passed over

Cause: after a crash an engine's entry is listed for up to three heartbeats while its successor has the address. Places were still granted there (the call for a place is not refused by the successor), the prompt was read, and the run was refused with 421.

Change: such an engine is passed over until its entry has lapsed or lists another role; the request may go elsewhere within the budget of extra calls with the prompt that was read. Tests: ExecutionTest.anEngineThatWasReplaced* (failed before: one run where two are due), UpstreamLoadsTest.anUpstreamThatWasReplaced*.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -253,7 +253,9 @@
                 mLoads.end(mEngine, mWanted.promptTokens());
                 mRefusals++;
                 mFullUntil.put(mEngine.id(), mLoop.millis() + FULL_MILLIS);
-                if (end.unreachable()) {
+                if (end.leaving()) {
+                    mLoads.replaced(mEngine);
+                } else if (end.unreachable()) {
                     mLoads.failed(mEngine, true, "no place: " + end.detail());
                 }
                 next();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -38,7 +38,7 @@
     /** Where it was sent to be run. */
     protected final Set<UpstreamId> mTried = new HashSet<>();
 
-    /** Which upstreams could not be reached, so that the request was never sent to them. */
+    /** Which upstreams never received the request: not reached, or another stood in their place. */
     private final Set<UpstreamId> mUnreached = new HashSet<>();
 
     /** What happened, for the log. */
@@ -136,7 +136,9 @@
     protected void learn(UpstreamEntry upstream, AttemptEnd end) {
         mKnowledge.learn(end);
         mTrace.step("failed@" + upstream.id() + "(" + end.detail() + ")");
-        if (!end.notStarted() || end.unreachable()) {
+        if (end.notStarted() && end.leaving()) {
+            mContext.loads().replaced(upstream);
+        } else if (!end.notStarted() || end.unreachable()) {
             boolean unreached = end.notStarted() && end.unreachable();
             mContext.loads().failed(upstream, unreached, end.detail());
         }
@@ -144,7 +146,8 @@
 
     /**
      * Returns whether one more call may be sent to run the request. A call that never reached its
-     * upstream is no attempt and no extra call.
+     * upstream is no attempt and no extra call. One that another upstream received in its place is
+     * no attempt either, but it did arrive, so the next one is extra.
      *
      * @param upstream where the last call was sent
      * @param end how it ended
@@ -154,13 +157,24 @@
         if (leftMillis() <= ServingSettings.ANSWER_MARGIN_MILLIS) {
             return false;
         }
-        if (end.notStarted() && end.unreachable()) {
+        boolean another = end.notStarted() && end.leaving();
+        boolean unreached = end.notStarted() && end.unreachable();
+        if (another || unreached) {
             mTried.remove(upstream.id());
             mUnreached.add(upstream.id());
-            return mUnreached.size() <= ServingSettings.MOST_UNREACHED;
+            boolean more = mUnreached.size() <= ServingSettings.MOST_UNREACHED;
+            return more && (unreached || mayCallOnceMore());
         }
-        return mTried.size() < mRoute.maxAttempts()
-                && mContext.budget().tryExtra(mService, mContext.loop().millis());
+        return mTried.size() < mRoute.maxAttempts() && mayCallOnceMore();
+    }
+
+    /**
+     * Returns whether the budget of extra calls allows one more.
+     *
+     * @return whether it does; it is taken from the budget then
+     */
+    private boolean mayCallOnceMore() {
+        return mContext.budget().tryExtra(mService, mContext.loop().millis());
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -445,7 +445,9 @@
         public void onFailure(AttemptEnd end) {
             close();
             mTrace.step("prefill failed(" + end.detail() + ")");
-            if (end.notStarted() && !end.unreachable()) {
+            if (end.notStarted() && end.leaving()) {
+                mContext.loads().replaced(mUpstream);
+            } else if (end.notStarted() && !end.unreachable()) {
                 mContext.loads().refused(mUpstream);
             } else {
                 mContext.loads().failed(mUpstream, end.unreachable(), end.detail());
@@ -620,7 +622,9 @@
             UpstreamPort.Head head = mAnswer.head();
             AttemptEnd end = Verdicts.end(head);
             close();
-            if (end.notStarted()) {
+            if (end.notStarted() && end.leaving()) {
+                mPrompt.ifPresent(prompt -> mStored = prompt);
+            } else if (end.notStarted()) {
                 mPrompt.ifPresent(mContext.port()::discard);
             }
             boolean own = head.verdict() == UpstreamPort.Verdict.OWN_FAILURE;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -38,6 +38,12 @@
     /** How long an engine that refused to read a prompt is passed over, milliseconds. */
     private static final long REFUSED_MILLIS = 250;
 
+    /**
+     * How long an upstream is passed over after another answered in its place, milliseconds: its
+     * entry lapses after three heartbeats of silence, which are 3.6 s on the users' sites.
+     */
+    private static final long REPLACED_MILLIS = 4000;
+
     /** What crossing to another hall counts for, in parts of an upstream's slots. */
     private static final double OTHER_HALL = 0.15;
 
@@ -82,6 +88,23 @@
 
         /** How long it was passed over last, milliseconds. */
         private long mEjectedMillis;
+
+        /** Until when another is known to answer in its place, milliseconds; 0 for not. */
+        private long mReplacedUntil;
+
+        /** The role that it was asked for when another answered. */
+        private UpstreamEntry.Role mReplacedRole;
+
+        /**
+         * Returns until when the upstream is passed over.
+         *
+         * @param entry what is listed of it now
+         * @return milliseconds; in the past for not
+         */
+        private long passedOverUntil(UpstreamEntry entry) {
+            boolean replaced = entry.role() == mReplacedRole;
+            return replaced ? Math.max(mReplacedUntil, mEjectedUntil) : mEjectedUntil;
+        }
     }
 
     /**
@@ -198,6 +221,27 @@
         load.mEjectedUntil = Math.max(load.mEjectedUntil, mLoop.millis() + REFUSED_MILLIS);
     }
 
+    /**
+     * Records that another incarnation or an engine of another role answered in an upstream's
+     * place: a crashed upstream is listed for some heartbeats although its successor has its
+     * address. It is passed over until its entry has lapsed or lists another role.
+     *
+     * @param upstream the upstream as it was listed
+     */
+    public void replaced(UpstreamEntry upstream) {
+        Load load = load(upstream.id());
+        long now = mLoop.millis();
+        if (load.passedOverUntil(upstream) <= now) {
+            LOGGER.warn(
+                    "upstream replaced id={} role={} millis={}",
+                    upstream.id(),
+                    upstream.role(),
+                    REPLACED_MILLIS);
+        }
+        load.mReplacedUntil = now + REPLACED_MILLIS;
+        load.mReplacedRole = upstream.role();
+    }
+
     /**
      * Sets the engines that change their role by this router's order.
      *
@@ -285,11 +329,11 @@
         List<UpstreamEntry> sound =
                 new ArrayList<>(
                         left.stream()
-                                .filter(entry -> load(entry.id()).mEjectedUntil <= now)
+                                .filter(entry -> load(entry.id()).passedOverUntil(entry) <= now)
                                 .toList());
         if (sound.isEmpty()) {
             return left.stream()
-                    .min(Comparator.comparingLong(entry -> load(entry.id()).mEjectedUntil))
+                    .min(Comparator.comparingLong(entry -> load(entry.id()).passedOverUntil(entry)))
                     .map(List::of)
                     .orElse(List.of());
         }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -136,6 +136,33 @@
         assertTrue(mCaller.mRetryAfterMillis > 0);
     }
 
+    @Test
+    public void anEngineThatWasReplacedIsNoAttemptAndItsPromptIsUsedElsewhere() {
+        mContext.budget().limit(0, 1);
+        UpstreamEntry prefill = Entries.prefill("p");
+        mDirectory.replaceAll(List.of(prefill, Entries.decode("a"), Entries.decode("b")));
+        stream();
+        UpstreamPort.StoredPrompt prompt = new UpstreamPort.StoredPrompt(prefill, "handle");
+        mPort.mPrefills.get(0).onResult(prompt);
+        mPort.mRuns.get(0).mListener.onHead(head(UpstreamPort.Verdict.OTHER_UPSTREAM));
+        mPort.mRuns.get(0).mListener.onEnd();
+        assertEquals(mPort.mPrefills.size(), 1);
+        assertEquals(mPort.mRuns.size(), 2);
+        assertEquals(mPort.mRuns.get(1).mPlan.prompt(), Optional.of(prompt));
+        assertTrue(mPort.mDiscarded.isEmpty());
+        assertNull(mCaller.mRefusal);
+    }
+
+    @Test
+    public void theNextCallAfterAReplacedEngineIsExtra() {
+        mDirectory.replaceAll(List.of(Entries.decode("a"), Entries.decode("b")));
+        stream();
+        mPort.mRuns.get(0).mListener.onHead(head(UpstreamPort.Verdict.OTHER_UPSTREAM));
+        mPort.mRuns.get(0).mListener.onEnd();
+        assertEquals(mPort.mRuns.size(), 1);
+        assertEquals(mCaller.mRefusal.family(), ResultCode.Family.NOT_RUN);
+    }
+
     @Test
     public void aRunThatMayHaveBegunIsNeverSentElsewhere() {
         mDirectory.replaceAll(List.of(Entries.decode("a"), Entries.decode("b")));
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -72,6 +72,21 @@
         assertEquals(pick().get(), mNear);
     }
 
+    @Test
+    public void anUpstreamThatWasReplacedIsPassedOverUntilItsEntryLapsesOrChangesItsRole() {
+        UpstreamEntry engine = Entries.decode("engine");
+        UpstreamEntry other = Entries.decode("other");
+        mLoads.begin(other, 1000);
+        mLoads.replaced(engine);
+        assertEquals(mLoads.byTokens(List.of(engine, other), Set.of()), List.of(other));
+        UpstreamEntry changed = Entries.prefill("engine");
+        assertEquals(mLoads.byTokens(List.of(changed), Set.of()), List.of(changed));
+        mTime.pass(3900);
+        assertEquals(mLoads.byTokens(List.of(engine, other), Set.of()), List.of(other));
+        mTime.pass(200);
+        assertEquals(mLoads.byTokens(List.of(engine, other), Set.of()).size(), 2);
+    }
+
     @Test
     public void aFewFailuresAreChanceManyInARowAreNot() {
         mLoads.failed(mNear, false, "500");
