--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
@@ -124,7 +124,11 @@
         mPeers = new PeerLogic(mNode, mMembership, mReadiness, instanceList(), mConfigurations);
         mMesh =
                 new PeerMesh(
-                        mNode, settings.peer(), mMembership, settings.peerSecret(), mPeers::heard);
+                        mNode,
+                        settings.peer(),
+                        new PeerMesh.Members(mMembership, mMembership::live),
+                        settings.peerSecret(),
+                        mPeers::heard);
         DeskHolder holder = new DeskHolder();
         Optional<CoordinatorPermits> steward = stewardPermits(holder);
         AdmissionController controller = desk(steward);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
@@ -1,29 +1,59 @@
 package org.troutpier.daemon.cluster;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import org.troutpier.common.id.UpstreamId;
 
 /**
- * What a router tells the others of itself. Immutable and thread safe.
+ * What one or several routers tell the others of themselves. Immutable and thread safe.
  *
- * @param configuration the version of the configuration in force; -1 for none
- * @param roleHolder whether it decides engines' roles
- * @param changing the engines that change their role by its order
- * @param uses what it has under way at each upstream
+ * @param configuration the version of the configuration in force at the sender; -1 for none
+ * @param routers how many routers it tells of
+ * @param roleHolder whether one of them decides engines' roles
+ * @param changing the engines that change their role by their orders
+ * @param uses what they have under way at each upstream
  * @param demands what callers asked of each model service lately
  */
 public record LoadReport(
         long configuration,
+        int routers,
         boolean roleHolder,
         Set<UpstreamId> changing,
         Map<UpstreamId, UpstreamUse> uses,
         Map<String, Demand> demands) {
 
+    /** The report of no router. */
+    public static final LoadReport NONE =
+            new LoadReport(-1, 0, false, Set.of(), Map.of(), Map.of());
+
     /** Copies the maps. */
     public LoadReport {
         changing = Set.copyOf(changing);
         uses = Map.copyOf(uses);
         demands = Map.copyOf(demands);
     }
+
+    /**
+     * Returns the report of these and other routers together, with this sender's configuration.
+     *
+     * @param others the others' reports
+     * @return a new report
+     */
+    public LoadReport plus(Iterable<LoadReport> others) {
+        int count = routers;
+        boolean holder = roleHolder;
+        Set<UpstreamId> changed = new HashSet<>(changing);
+        Map<UpstreamId, UpstreamUse> allUses = new HashMap<>(uses);
+        Map<String, Demand> allDemands = new HashMap<>(demands);
+        for (LoadReport other : others) {
+            count += other.routers;
+            holder |= other.roleHolder;
+            changed.addAll(other.changing);
+            other.uses.forEach((id, use) -> allUses.merge(id, use, UpstreamUse::plus));
+            other.demands.forEach((name, demand) -> allDemands.merge(name, demand, Demand::plus));
+        }
+        return new LoadReport(configuration, count, holder, changed, allUses, allDemands);
+    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -88,10 +88,9 @@
         mLoads.changing(mRoles.changing());
         Map<UpstreamId, UpstreamUse> uses = mLoads.uses();
         mLooks++;
-        if (uses.equals(mReported) && mLooks < LOOKS_UNCHANGED) {
-            return;
+        if (mLooks >= LOOKS_UNCHANGED || !uses.equals(mReported)) {
+            report();
         }
-        report();
     }
 
     /** Reports now. */
@@ -102,6 +101,7 @@
         LoadReport report =
                 new LoadReport(
                         mConfiguration.version(),
+                        1,
                         mRoles.holds(),
                         mRoles.changing(),
                         uses,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
@@ -9,7 +9,6 @@
 import org.troutpier.common.http.Json;
 import org.troutpier.common.id.InstanceId;
 import org.troutpier.common.settings.Address;
-import org.troutpier.daemon.instancelist.InstanceList.Instance;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.rows.RowStore;
 import org.troutpier.daemon.rows.RowStore.Row;
@@ -26,14 +25,11 @@
     /** The table. */
     private static final String TABLE = "troutpier_members";
 
-    /** The state of a router that runs. */
-    private static final String ALIVE = "alive";
-
     /** How long to wait before a write is tried again, milliseconds. */
     private static final long RETRY_MILLIS = 400;
 
     /** How the table is followed: it changes only when a router starts. */
-    private static final TableFollower.Pace PACE = new TableFollower.Pace(10_000, 100);
+    private static final TableFollower.Pace PACE = new TableFollower.Pace(10_000, 500, 0);
 
     /** Logs the registration. */
     private static final Logger LOGGER = LogManager.getLogger(MemberRegistry.class);
@@ -65,29 +61,43 @@
      * @param node what every part of this router shares
      * @param store the store
      * @param address where the others reach this router
+     * @param capacity how much this router can do for the others
      * @param exchange receives who is listed
      * @param count receives how many routers have been there, on the control thread
      */
     public MemberRegistry(
-            Node node, RowStore store, Address address, PeerExchange exchange, IntConsumer count) {
+            Node node,
+            RowStore store,
+            Address address,
+            RouterCapacity capacity,
+            PeerExchange exchange,
+            IntConsumer count) {
         mCount = count;
         mNode = node;
         mStore = store;
         mExchange = exchange;
         mSelf =
                 Json.bytes(
-                        new Instance(
+                        new MemberRow(
                                 node.incarnation().instance().value(),
                                 node.incarnation().value(),
                                 address.toString(),
                                 node.hall().value(),
-                                ALIVE));
+                                capacity.points()));
     }
 
     /** Registers this router and follows the others. */
     public void start() {
         mNode.control().execute(this::register);
-        new TableFollower(mNode.control(), mStore, TABLE, PACE, this).start();
+        new TableFollower(
+                        mNode.control(),
+                        mStore,
+                        TABLE,
+                        PACE,
+                        this,
+                        TableFollower.Sharer.NONE,
+                        mNode.nanos())
+                .start();
     }
 
     /** Writes this router's row. */
@@ -121,16 +131,17 @@
 
     /** {@inheritDoc} */
     @Override
-    public void changed(List<Row> rows) {
+    public List<Row> changed(List<Row> rows) {
         for (Row row : rows) {
             InstanceId instance = new InstanceId(row.key());
             if (instance.equals(mNode.incarnation().instance())) {
                 mVersion = row.version();
             }
             mSeen.add(instance);
-            mExchange.listed(instance, row.deleted() ? null : instance(row));
+            mExchange.listed(instance, row.deleted() ? null : member(row));
         }
         mCount.accept(mSeen.size());
+        return rows;
     }
 
     /**
@@ -139,9 +150,9 @@
      * @param row the row
      * @return what it says, or null where it cannot be read
      */
-    private static Instance instance(Row row) {
+    private static MemberRow member(Row row) {
         try {
-            return Json.read(row.value(), Instance.class);
+            return Json.read(row.value(), MemberRow.class);
         } catch (RuntimeException exception) {
             LOGGER.error("router's row not readable key={}", row.key(), exception);
             return null;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -1,9 +1,13 @@
 package org.troutpier.daemon.cluster;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -15,25 +19,39 @@
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.peer.Membership;
 import org.troutpier.daemon.peer.Membership.Member;
+import org.troutpier.daemon.peer.PeerLinks;
 import org.troutpier.daemon.peer.PeerMesh;
 import org.troutpier.daemon.peer.PeerMessage;
 import org.troutpier.daemon.route.CurrentConfiguration;
 
 /**
- * Tells the other routers of this one's load and receives theirs; hands a newer configuration to a
- * router that has an older one, so that a router which the store turns away still follows. Confined
- * to the control thread. Invariant: nothing here is needed for a promise; a router that receives
- * nobody serves by what it knows itself.
+ * Tells the other routers of this one's load and receives theirs, as the {@link RelayPlan} says;
+ * hands a newer configuration to a router that has an older one, so that a router which the store
+ * turns away still follows; shares what the hall's reader read. Confined to the control thread.
+ * Invariant: nothing here is needed for a promise; a router that receives nobody serves by what it
+ * knows itself.
  */
 public final class PeerExchange implements PeerMesh.Hearer {
 
+    /** The state of a router that runs, in the instance list's words. */
+    private static final String ALIVE = "alive";
+
     /** How long a router is not sent the same version again, milliseconds. */
     private static final long RESEND_MILLIS = 500;
 
-    /** How often connections are opened and old reports dropped, milliseconds. */
+    /** How often the plan is made, connections are opened and old reports dropped, milliseconds. */
     private static final long TICK_MILLIS = 250;
 
-    /** Logs routers gained and lost. */
+    /** How often a relay hands on what changed, milliseconds: half the age that loads may have. */
+    private static final long RELAY_MILLIS = 50;
+
+    /** After how many turns without a change a relay hands on all the same. */
+    private static final int TURNS_UNCHANGED = 10;
+
+    /** How soon a report that was heard shows in the sums, milliseconds. */
+    private static final long SUM_MILLIS = 5;
+
+    /** Logs routers gained and lost, and changes of the plan. */
     private static final Logger LOGGER = LogManager.getLogger(PeerExchange.class);
 
     /** What every part of this router shares. */
@@ -48,43 +66,78 @@
     /** What the others said. */
     private final PeerLoads mLoads;
 
-    /** Takes the key of each request that another router refused. */
-    private final Consumer<String> mRefusals;
+    /** Takes the keys of requests that other routers refused. */
+    private final Consumer<List<String>> mRefusals;
 
     /** Who the others are. */
     private final Membership mMembership;
 
     /** Connections to the others. */
-    private final PeerMesh mMesh;
+    private final PeerLinks mLinks;
+
+    /** Which expected routers are silent. */
+    private final PeerWatch mWatch = new PeerWatch();
 
     /** Who is in the table of routers. */
-    private final Map<String, Instance> mListed = new HashMap<>();
+    private final Map<String, MemberRow> mListed = new HashMap<>();
+
+    /** What each router was last sent. */
+    private final Map<Incarnation, Sent> mSent = new HashMap<>();
+
+    /** Takes shared pages, by table. */
+    private final Map<String, Consumer<SharedPage>> mReaders = new HashMap<>();
+
+    /** Keys of refused requests that are to be told to all. */
+    private final List<String> mRefusedHere = new ArrayList<>();
 
-    /** When each router was last sent a configuration, milliseconds. */
-    private final Map<Incarnation, Long> mSentAt = new HashMap<>();
+    /** Keys of refused requests that relays told, to be told to the hall. */
+    private final List<String> mRefusedElsewhere = new ArrayList<>();
 
-    /** How many routers were heard lately when that was last logged. */
+    /** To whom this router tells what. */
+    private RelayPlan mPlan;
+
+    /** This router's latest report. */
+    private LoadReport mOwn = LoadReport.NONE;
+
+    /** Whether there is something to hand on. */
+    private boolean mChanged;
+
+    /** How many turns passed without handing on. */
+    private int mTurns;
+
+    /** Whether the sums are about to be made. */
+    private boolean mSumming;
+
+    /** How many routers were heard of lately when that was last logged. */
     private int mHeardCount;
 
+    /**
+     * A configuration that was sent.
+     *
+     * @param version its version
+     * @param at when, milliseconds
+     */
+    private record Sent(long version, long at) {}
+
     /**
      * Creates an exchange and starts to listen.
      *
      * @param node what every part of this router shares
      * @param address where the others come in
-     * @param secret what routers prove to each other that they know
+     * @param opener opens connections to the others
      * @param configuration the version in force
      * @param codec reads configurations of others
      * @param loads takes what the others say
-     * @param refusals takes the key of each request that another router refused; thread safe
+     * @param refusals takes the keys of requests that other routers refused; thread safe
      */
     public PeerExchange(
             Node node,
             Address address,
-            String secret,
+            PeerLinks.Opener opener,
             CurrentConfiguration configuration,
             ConfigurationCodec codec,
             PeerLoads loads,
-            Consumer<String> refusals) {
+            Consumer<List<String>> refusals) {
         mRefusals = refusals;
         mNode = node;
         mConfiguration = configuration;
@@ -92,8 +145,10 @@
         mLoads = loads;
         Member self = new Member(node.incarnation(), node.hall(), address.toString(), false);
         mMembership = new Membership(self, node.nanos());
-        mMesh = new PeerMesh(node, address, mMembership, secret, this);
+        mPlan = RelayPlan.of(self, List.of(self), member -> 0, router -> false);
+        mLinks = opener.open(new PeerMesh.Members(mMembership, () -> mPlan.wanted()), this);
         node.control().every(this::tick, TICK_MILLIS);
+        node.control().every(this::relay, RELAY_MILLIS);
     }
 
     /**
@@ -102,23 +157,118 @@
      * @param instance who it is of; the key
      * @param listed what it says, or null where it was deleted
      */
-    public void listed(InstanceId instance, Instance listed) {
+    public void listed(InstanceId instance, MemberRow listed) {
         if (listed == null) {
             mListed.remove(instance.value());
         } else {
             mListed.put(instance.value(), listed);
         }
-        mMembership.listed(new ArrayList<>(mListed.values()));
-        mMesh.connect();
+        mMembership.listed(mListed.values().stream().map(PeerExchange::entry).toList());
+        plan();
+    }
+
+    /**
+     * Turns a router's row into an entry of an instance list.
+     *
+     * @param row the row
+     * @return the entry
+     */
+    private static Instance entry(MemberRow row) {
+        return new Instance(row.instance(), row.incarnation(), row.peer(), row.hall(), ALIVE);
     }
 
     /**
-     * Tells the others.
+     * Sets who takes pages of a table that another router shares.
+     *
+     * @param table the table
+     * @param reader takes pages
+     */
+    public void onShared(String table, Consumer<SharedPage> reader) {
+        mReaders.put(table, reader);
+    }
+
+    /**
+     * Shares a page with the others of this hall, if this router reads for them.
+     *
+     * @param page the page
+     */
+    public void share(SharedPage page) {
+        if (!mPlan.reader()) {
+            return;
+        }
+        mLinks.sendAll(hallMates(), new PeerMessage.Page(page));
+    }
+
+    /**
+     * Returns the others of this hall that this router hears from.
+     *
+     * @return who they are
+     */
+    private Set<Incarnation> hallMates() {
+        List<Member> known = mPlan.direct() ? mPlan.wanted() : mPlan.relays();
+        Set<Incarnation> mates = new HashSet<>();
+        known.stream()
+                .filter(member -> member.hall().equals(mNode.hall()))
+                .forEach(member -> mates.add(member.incarnation()));
+        mates.addAll(locals());
+        return mates;
+    }
+
+    /**
+     * Returns the routers of this hall that report to this relay.
+     *
+     * @return who they are
+     */
+    private Set<Incarnation> locals() {
+        return mPlan.relay() ? mLoads.heard(ReportScope.OWN) : Set.of();
+    }
+
+    /**
+     * Tells the others of this router's load.
      *
      * @param report what to tell
      */
     public void tell(LoadReport report) {
-        mMesh.broadcast(new PeerMessage.Load(report));
+        mOwn = report;
+        mChanged = true;
+        PeerMessage.Load load = new PeerMessage.Load(ReportScope.OWN, report);
+        if (mPlan.direct()) {
+            mLinks.sendAll(incarnations(mPlan.wanted()), load);
+        } else {
+            mPlan.reportTo().ifPresent(relay -> mLinks.send(relay.incarnation(), load));
+        }
+    }
+
+    /** Hands on what changed to the other relays and to those that report to this one. */
+    private void relay() {
+        tellRefusals();
+        mTurns++;
+        if (!mPlan.relay() || !mChanged && mTurns < TURNS_UNCHANGED) {
+            return;
+        }
+        mChanged = false;
+        mTurns = 0;
+        LoadReport group = mOwn.plus(mLoads.reports(EnumSet.of(ReportScope.OWN), null));
+        mLinks.sendAll(
+                incarnations(mPlan.relays()), new PeerMessage.Load(ReportScope.GROUP, group));
+        for (Incarnation local : locals()) {
+            LoadReport rest = mOwn.plus(mLoads.reports(counted(), local));
+            mLinks.send(local, new PeerMessage.Load(ReportScope.REST, rest));
+        }
+    }
+
+    /**
+     * Returns the scopes that count under the plan.
+     *
+     * @return the scopes, each of which tells of other routers
+     */
+    private Set<ReportScope> counted() {
+        if (mPlan.direct()) {
+            return EnumSet.of(ReportScope.OWN);
+        }
+        return mPlan.relay()
+                ? EnumSet.of(ReportScope.OWN, ReportScope.GROUP)
+                : EnumSet.of(ReportScope.REST);
     }
 
     /**
@@ -127,22 +277,75 @@
      * @param key the part of its prompt that is its own
      */
     public void refused(String key) {
-        mMesh.broadcast(new PeerMessage.Refused(key));
+        mRefusedHere.add(key);
+    }
+
+    /** Tells of the requests that were refused since the last turn. */
+    private void tellRefusals() {
+        if (!mRefusedHere.isEmpty()) {
+            PeerMessage.Refused message = new PeerMessage.Refused(List.copyOf(mRefusedHere));
+            Set<Incarnation> to = incarnations(mPlan.direct() ? mPlan.wanted() : mPlan.relays());
+            mPlan.reportTo().ifPresent(relay -> to.add(relay.incarnation()));
+            to.addAll(locals());
+            mLinks.sendAll(to, message);
+            mRefusedHere.clear();
+        }
+        if (!mRefusedElsewhere.isEmpty()) {
+            mLinks.sendAll(locals(), new PeerMessage.Refused(List.copyOf(mRefusedElsewhere)));
+            mRefusedElsewhere.clear();
+        }
     }
 
     /** {@inheritDoc} */
     @Override
     public void heard(Member from, PeerMessage message) {
         mMembership.heard(from);
+        mWatch.heard(from.incarnation(), millis());
         if (message instanceof PeerMessage.Load load) {
-            mLoads.heard(from.incarnation(), load.report(), millis());
-            if (load.report().configuration() < mConfiguration.version()) {
-                sendConfiguration(from.incarnation());
-            }
+            heard(from, load);
         } else if (message instanceof PeerMessage.Configuration offered) {
             take(from, offered);
         } else if (message instanceof PeerMessage.Refused refused) {
-            mRefusals.accept(refused.key());
+            heard(from, refused);
+        } else if (message instanceof PeerMessage.Page page) {
+            Consumer<SharedPage> reader = mReaders.get(page.page().table());
+            if (reader != null) {
+                reader.accept(page.page());
+            }
+        }
+    }
+
+    /**
+     * Takes a report.
+     *
+     * @param from who sent it
+     * @param load the report
+     */
+    private void heard(Member from, PeerMessage.Load load) {
+        boolean expected =
+                load.scope() != ReportScope.REST
+                        || mPlan.reportTo().filter(relay -> same(relay, from)).isPresent();
+        if (expected) {
+            mLoads.heard(from.incarnation(), load.scope(), load.report(), millis());
+            mChanged |= load.scope() != ReportScope.REST;
+            sumSoon();
+        }
+        if (load.report().configuration() < mConfiguration.version()) {
+            sendConfiguration(from.incarnation());
+        }
+    }
+
+    /**
+     * Takes the keys of refused requests and, at a relay, hands them on.
+     *
+     * @param from who sent them
+     * @param refused the keys
+     */
+    private void heard(Member from, PeerMessage.Refused refused) {
+        mRefusals.accept(refused.keys());
+        if (mPlan.relay()) {
+            boolean local = locals().contains(from.incarnation());
+            (local ? mRefusedHere : mRefusedElsewhere).addAll(refused.keys());
         }
     }
 
@@ -170,31 +373,34 @@
      */
     private void sendConfiguration(Incarnation to) {
         long now = millis();
-        Long before = mSentAt.get(to);
-        if (before != null && now - before < RESEND_MILLIS) {
+        long version = mConfiguration.version();
+        Sent before = mSent.get(to);
+        if (before != null && before.version() == version && now - before.at() < RESEND_MILLIS) {
             return;
         }
         mConfiguration
                 .current()
                 .ifPresent(
                         current -> {
-                            mSentAt.put(to, now);
-                            mMesh.send(
+                            mSent.put(to, new Sent(current.version(), now));
+                            mLinks.send(
                                     to,
                                     new PeerMessage.Configuration(
                                             current.version(), current.encoded()));
                         });
     }
 
-    /** Sends the version in force to all, right after it was adopted. */
+    /** Sends the version in force to those this router talks to, right after it was adopted. */
     public void configurationAdopted() {
-        List<Member> live = mMembership.live();
-        live.forEach(member -> sendConfiguration(member.incarnation()));
+        Set<Incarnation> to = incarnations(mPlan.direct() ? mPlan.wanted() : mPlan.relays());
+        mPlan.reportTo().ifPresent(relay -> to.add(relay.incarnation()));
+        to.addAll(locals());
+        to.forEach(this::sendConfiguration);
     }
 
-    /** Opens connections and drops old reports. */
+    /** Makes the plan, opens connections and drops old reports. */
     private void tick() {
-        mMesh.connect();
+        plan();
         mLoads.sum(millis());
         if (mLoads.routers() != mHeardCount) {
             LOGGER.info("routers heard before={} now={}", mHeardCount, mLoads.routers());
@@ -202,6 +408,110 @@
         }
     }
 
+    /** Makes the plan and opens the connections that it wants. */
+    private void plan() {
+        RelayPlan before = mPlan;
+        mPlan =
+                RelayPlan.of(
+                        mMembership.self(),
+                        mMembership.live(),
+                        this::points,
+                        router -> mLinks.connected(router) && !mWatch.suspected(router));
+        mLoads.count(counted());
+        mWatch.expect(expected(), millis());
+        if (!before.reportTo().equals(mPlan.reportTo()) || before.relay() != mPlan.relay()) {
+            LOGGER.info(
+                    "relay plan direct={} relay={} reader={} reportTo={} relays={}",
+                    mPlan.direct(),
+                    mPlan.relay(),
+                    mPlan.reader(),
+                    mPlan.reportTo().map(Member::incarnation).orElse(null),
+                    mPlan.relays().size());
+        }
+        mPlan.wanted().forEach(mLinks::connect);
+        locals().forEach(this::connectBack);
+    }
+
+    /**
+     * Opens a connection to a router that reports to this relay.
+     *
+     * @param local the router
+     */
+    private void connectBack(Incarnation local) {
+        if (!mLinks.connected(local)) {
+            mMembership.live().stream()
+                    .filter(member -> member.incarnation().equals(local))
+                    .forEach(mLinks::connect);
+        }
+    }
+
+    /**
+     * Returns from whom messages must come regularly.
+     *
+     * @return who they are
+     */
+    private Set<Incarnation> expected() {
+        Set<Incarnation> expected = incarnations(mPlan.relays());
+        mPlan.reportTo().ifPresent(relay -> expected.add(relay.incarnation()));
+        return expected;
+    }
+
+    /**
+     * Returns how much a router can do for the others.
+     *
+     * @param member the router
+     * @return points of its capacity; 0 where its row is not known
+     */
+    private int points(Member member) {
+        MemberRow row = mListed.get(member.incarnation().instance().value());
+        return row == null ? 0 : row.capacity();
+    }
+
+    /**
+     * Has the sums made: at once where few routers tell each other, so that memory taken shows to
+     * the next request; else soon, once for all reports that come until then.
+     */
+    private void sumSoon() {
+        if (mPlan.direct()) {
+            mLoads.sum(millis());
+            return;
+        }
+        if (mSumming) {
+            return;
+        }
+        mSumming = true;
+        mNode.control()
+                .later(
+                        () -> {
+                            mSumming = false;
+                            mLoads.sum(millis());
+                        },
+                        SUM_MILLIS);
+    }
+
+    /**
+     * Returns whether two members are the same start of the same router.
+     *
+     * @param one one of them
+     * @param other the other
+     * @return whether they are
+     */
+    private static boolean same(Member one, Member other) {
+        return one.incarnation().equals(other.incarnation());
+    }
+
+    /**
+     * Returns members' incarnations.
+     *
+     * @param members the members
+     * @return a new set
+     */
+    private static Set<Incarnation> incarnations(Collection<Member> members) {
+        Set<Incarnation> incarnations = new HashSet<>();
+        members.forEach(member -> incarnations.add(member.incarnation()));
+        return incarnations;
+    }
+
     /**
      * Returns the monotonic clock.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -1,7 +1,9 @@
 package org.troutpier.daemon.cluster;
 
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.troutpier.common.id.Incarnation;
@@ -9,8 +11,10 @@
 
 /**
  * What the other routers said of their load and demand. Changes are confined to the control thread;
- * {@link #use}, {@link #demand} and {@link #routers()} are thread safe. Invariant: what a router
- * said counts until {@link #BELIEVED_MILLIS} after it was heard.
+ * {@link #use}, {@link #demand}, {@link #changing}, {@link #routers()} and {@link #roleHolder()}
+ * are thread safe and answer as of the last {@link #sum}. Invariants: a report counts until {@link
+ * #BELIEVED_MILLIS} after it was heard; only reports of the scopes that are counted count, so that
+ * no router's load is counted twice.
  */
 public final class PeerLoads {
 
@@ -20,45 +24,42 @@
     /** The latest report of each router. */
     private final Map<Incarnation, Heard> mHeard = new HashMap<>();
 
-    /** The sums over all reports. */
-    private volatile Sums mSums = new Sums(Map.of(), Map.of(), Set.of(), 0, false);
+    /** The scopes that count. */
+    private Set<ReportScope> mCounted = EnumSet.of(ReportScope.OWN);
+
+    /** The sum over all reports that count. */
+    private volatile LoadReport mSum = LoadReport.NONE;
 
     /**
      * A report and when it came.
      *
+     * @param scope whose load it tells of
      * @param report the report
      * @param at when it came, milliseconds
      */
-    private record Heard(LoadReport report, long at) {}
-
-    /**
-     * Sums over all reports. Immutable and thread safe.
-     *
-     * @param uses the use of each upstream
-     * @param demands the demand of each service
-     * @param changing the engines that change their role
-     * @param routers how many routers there are
-     * @param roleHolder whether one of them decides engines' roles
-     */
-    private record Sums(
-            Map<UpstreamId, UpstreamUse> uses,
-            Map<String, Demand> demands,
-            Set<UpstreamId> changing,
-            int routers,
-            boolean roleHolder) {}
+    private record Heard(ReportScope scope, LoadReport report, long at) {}
 
     /**
-     * Takes a report.
+     * Takes a report. It shows once {@link #sum} was called.
      *
-     * @param from whose it is
+     * @param from who sent it
+     * @param scope whose load it tells of
      * @param report the report
      * @param now the monotonic clock, milliseconds
      */
-    public void heard(Incarnation from, LoadReport report, long now) {
+    public void heard(Incarnation from, ReportScope scope, LoadReport report, long now) {
         mHeard.keySet()
                 .removeIf(other -> other.instance().equals(from.instance()) && !other.equals(from));
-        mHeard.put(from, new Heard(report, now));
-        sum(now);
+        mHeard.put(from, new Heard(scope, report, now));
+    }
+
+    /**
+     * Sets which scopes count.
+     *
+     * @param counted the scopes
+     */
+    void count(Set<ReportScope> counted) {
+        mCounted = Set.copyOf(counted);
     }
 
     /**
@@ -68,25 +69,44 @@
      */
     public void sum(long now) {
         mHeard.values().removeIf(heard -> now - heard.at() > BELIEVED_MILLIS);
-        Map<UpstreamId, UpstreamUse> uses = new HashMap<>();
-        Map<String, Demand> demands = new HashMap<>();
-        Set<UpstreamId> changing = new HashSet<>();
-        boolean roleHolder = false;
-        for (Heard heard : mHeard.values()) {
-            heard.report().uses().forEach((id, use) -> uses.merge(id, use, UpstreamUse::plus));
-            heard.report()
-                    .demands()
-                    .forEach((service, demand) -> demands.merge(service, demand, Demand::plus));
-            changing.addAll(heard.report().changing());
-            roleHolder |= heard.report().roleHolder();
-        }
-        mSums =
-                new Sums(
-                        Map.copyOf(uses),
-                        Map.copyOf(demands),
-                        Set.copyOf(changing),
-                        mHeard.size(),
-                        roleHolder);
+        mSum =
+                LoadReport.NONE.plus(
+                        mHeard.values().stream()
+                                .filter(heard -> mCounted.contains(heard.scope()))
+                                .map(Heard::report)
+                                .toList());
+    }
+
+    /**
+     * Returns the routers that were heard lately.
+     *
+     * @param scope with what scope
+     * @return who they are
+     */
+    Set<Incarnation> heard(ReportScope scope) {
+        Set<Incarnation> routers = new HashSet<>();
+        mHeard.forEach(
+                (router, heard) -> {
+                    if (heard.scope() == scope) {
+                        routers.add(router);
+                    }
+                });
+        return routers;
+    }
+
+    /**
+     * Returns the reports with some scopes.
+     *
+     * @param scopes the scopes
+     * @param without a router to leave out, or null
+     * @return the reports
+     */
+    List<LoadReport> reports(Set<ReportScope> scopes, Incarnation without) {
+        return mHeard.entrySet().stream()
+                .filter(each -> scopes.contains(each.getValue().scope()))
+                .filter(each -> !each.getKey().equals(without))
+                .map(each -> each.getValue().report())
+                .toList();
     }
 
     /**
@@ -96,7 +116,7 @@
      * @return the sum
      */
     public UpstreamUse use(UpstreamId upstream) {
-        return mSums.uses().getOrDefault(upstream, UpstreamUse.NONE);
+        return mSum.uses().getOrDefault(upstream, UpstreamUse.NONE);
     }
 
     /**
@@ -106,7 +126,7 @@
      * @return whether one said so lately
      */
     public boolean changing(UpstreamId engine) {
-        return mSums.changing().contains(engine);
+        return mSum.changing().contains(engine);
     }
 
     /**
@@ -116,16 +136,16 @@
      * @return the sum
      */
     public Demand demand(String service) {
-        return mSums.demands().getOrDefault(service, Demand.NONE);
+        return mSum.demands().getOrDefault(service, Demand.NONE);
     }
 
     /**
-     * Returns how many others were heard lately.
+     * Returns how many others were heard of lately.
      *
      * @return the count
      */
     public int routers() {
-        return mSums.routers();
+        return mSum.routers();
     }
 
     /**
@@ -134,6 +154,6 @@
      * @return whether one said so lately
      */
     public boolean roleHolder() {
-        return mSums.roleHolder();
+        return mSum.roleHolder();
     }
 }
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/RelayPlan.java
@@ -0,0 +1,147 @@
+package org.troutpier.daemon.cluster;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
+import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.daemon.peer.Membership.Member;
+
+/**
+ * To whom a router tells its load and from whom it hears that of the others. Immutable; a pure
+ * decision of who is known, what each can do and who can be used. Few routers tell each other
+ * directly. Of many, the ablest usable routers of each hall are its relays: the others of the hall
+ * report to the first of them, and relays of all halls tell each other of their groups. A router's
+ * messages so grow with its hall's size at most, not with that of the whole.
+ *
+ * @param direct whether all routers tell each other
+ * @param relay whether this router relays for its hall
+ * @param reader whether this router reads shared tables for its hall
+ * @param wanted the routers to be connected to
+ * @param reportTo whom this router reports to; empty for a relay and where all tell each other
+ * @param relays the other relays of all halls; empty for a router that is no relay
+ */
+record RelayPlan(
+        boolean direct,
+        boolean relay,
+        boolean reader,
+        List<Member> wanted,
+        Optional<Member> reportTo,
+        List<Member> relays) {
+
+    /**
+     * Up to how many routers all tell each other: the load reports of sixteen cost a router about a
+     * twentieth of a small core (measured slope in docs/CAPACITY.md), and word comes in one step.
+     */
+    static final int MOST_DIRECT = 16;
+
+    /** How many relays a hall has: one that works and one that stands by. */
+    static final int RELAYS = 2;
+
+    /**
+     * Makes a plan.
+     *
+     * @param self this router
+     * @param live all routers that may be there, this one included
+     * @param points how much each can do
+     * @param usable whether another router is connected and answers
+     * @return the plan
+     */
+    static RelayPlan of(
+            Member self,
+            List<Member> live,
+            ToIntFunction<Member> points,
+            Predicate<Incarnation> usable) {
+        Predicate<Member> here =
+                member ->
+                        member.incarnation().equals(self.incarnation())
+                                || usable.test(member.incarnation());
+        List<Member> ranked = new ArrayList<>(live);
+        ranked.sort(
+                Comparator.comparingInt(points)
+                        .reversed()
+                        .thenComparing(member -> member.incarnation().instance().value()));
+        Ranking ownHall = Ranking.of(self.hall(), ranked, here);
+        boolean reader = ownHall.isFirst(self);
+        if (live.size() <= MOST_DIRECT) {
+            return new RelayPlan(true, false, reader, live, Optional.empty(), List.of());
+        }
+        boolean relay = ownHall.relays().contains(self);
+        List<Member> wanted = new ArrayList<>(ownHall.candidates());
+        List<Member> relays = new ArrayList<>(ownHall.relays());
+        if (relay) {
+            for (HallId hall : otherHalls(self, live)) {
+                Ranking other = Ranking.of(hall, ranked, here);
+                wanted.addAll(other.candidates());
+                relays.addAll(other.relays());
+            }
+            relays.remove(self);
+            return new RelayPlan(false, true, reader, wanted, Optional.empty(), relays);
+        }
+        Optional<Member> reportTo = ownHall.relays().stream().findFirst();
+        return new RelayPlan(false, false, false, wanted, reportTo, List.of());
+    }
+
+    /**
+     * Returns the other halls.
+     *
+     * @param self this router
+     * @param live all routers
+     * @return the halls, each once
+     */
+    private static List<HallId> otherHalls(Member self, List<Member> live) {
+        return live.stream()
+                .map(Member::hall)
+                .filter(hall -> !hall.equals(self.hall()))
+                .distinct()
+                .toList();
+    }
+
+    /**
+     * The routers of one hall that may relay. Immutable.
+     *
+     * @param candidates those to be connected to: the relays and all that rank before the last
+     * @param relays the first that are usable
+     */
+    private record Ranking(List<Member> candidates, List<Member> relays) {
+
+        /**
+         * Ranks a hall's routers.
+         *
+         * @param hall the hall
+         * @param ranked all routers, the ablest first
+         * @param here whether a router can be used
+         * @return the ranking
+         */
+        static Ranking of(HallId hall, List<Member> ranked, Predicate<Member> here) {
+            List<Member> candidates = new ArrayList<>();
+            List<Member> relays = new ArrayList<>();
+            for (Member member : ranked) {
+                if (!member.hall().equals(hall)) {
+                    continue;
+                }
+                candidates.add(member);
+                if (here.test(member)) {
+                    relays.add(member);
+                }
+                if (relays.size() == RELAYS) {
+                    break;
+                }
+            }
+            return new Ranking(candidates, relays);
+        }
+
+        /**
+         * Returns whether a router is the first relay.
+         *
+         * @param member the router
+         * @return whether it is
+         */
+        boolean isFirst(Member member) {
+            return !relays.isEmpty() && relays.get(0).equals(member);
+        }
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -101,6 +101,16 @@
         return mSnapshot;
     }
 
+    /**
+     * Returns whether no entry waits for the end of its grace. One that waits shows again only in
+     * what this router reads itself, since others share changes only.
+     *
+     * @return whether the entries are certain
+     */
+    public boolean settled() {
+        return mVanished.isEmpty();
+    }
+
     /** Records that the store cannot be read. */
     public void storeLost() {
         if (!mAway) {
@@ -142,21 +152,27 @@
      *
      * @param id the entry's id
      * @param entry the entry, or empty where it was deleted
+     * @return whether it says something new
      */
-    public void change(UpstreamId id, Optional<UpstreamEntry> entry) {
-        entry.ifPresentOrElse(this::put, () -> remove(id));
-        publish();
+    public boolean change(UpstreamId id, Optional<UpstreamEntry> entry) {
+        boolean news = entry.isPresent() ? put(entry.get()) : remove(id);
+        if (news) {
+            publish();
+        }
+        return news;
     }
 
     /**
      * Stores an entry.
      *
      * @param entry the entry
+     * @return whether it says something new
      */
-    private void put(UpstreamEntry entry) {
-        mVanished.remove(entry.id());
+    private boolean put(UpstreamEntry entry) {
+        boolean back = mVanished.remove(entry.id()) != null;
         UpstreamEntry before = mEntries.put(entry.id(), entry);
-        if (!entry.equals(before)) {
+        boolean news = !entry.equals(before);
+        if (news) {
             LOGGER.info(
                     "upstream listed id={} service={} address={} role={} draining={}",
                     entry.id(),
@@ -165,24 +181,27 @@
                     entry.role(),
                     entry.draining());
         }
+        return news || back;
     }
 
     /**
      * Removes an entry, or lets it lapse later where it may have vanished by mistake.
      *
      * @param id the entry's id
+     * @return whether it was there
      */
-    private void remove(UpstreamId id) {
+    private boolean remove(UpstreamId id) {
         if (!mEntries.containsKey(id)) {
-            return;
+            return false;
         }
         boolean doubtful = mAway || mGraceUntil != 0 && mNanos.getAsLong() - mGraceUntil < 0;
         if (doubtful && !mEntries.get(id).draining()) {
             mVanished.putIfAbsent(id, mGraceUntil);
-            return;
+            return true;
         }
         mEntries.remove(id);
         LOGGER.info("upstream gone id={}", id);
+        return true;
     }
 
     /** Removes vanished entries whose grace is over. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerCodec.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerCodec.java
@@ -1,9 +1,11 @@
 package org.troutpier.daemon.peer;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.MessageToMessageCodec;
 import java.io.IOException;
@@ -23,7 +25,18 @@
     @Override
     protected void encode(ChannelHandlerContext context, PeerMessage message, List<Object> out)
             throws IOException {
-        out.add(context.alloc().buffer().writeBytes(MAPPER.writeValueAsBytes(message)));
+        out.add(Unpooled.wrappedBuffer(bytes(message)));
+    }
+
+    /**
+     * Encodes a message, so that it can be sent on several connections.
+     *
+     * @param message the message
+     * @return its bytes
+     * @throws JsonProcessingException when it has no encoding
+     */
+    static byte[] bytes(PeerMessage message) throws JsonProcessingException {
+        return MAPPER.writeValueAsBytes(message);
     }
 
     /** {@inheritDoc} */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
@@ -1,8 +1,10 @@
 package org.troutpier.daemon.peer;
 
 import com.codahale.metrics.Counter;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -14,10 +16,11 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.function.Supplier;
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.settings.Address;
@@ -29,7 +32,7 @@
  * own connections; it hears on those that others opened. Its methods are confined to the control
  * thread. Invariant: no message is taken from a connection that has not proved the secret.
  */
-public final class PeerMesh implements AutoCloseable {
+public final class PeerMesh implements PeerLinks, AutoCloseable {
 
     /** The largest frame, bytes. */
     private static final int MOST_FRAME = 8 * 1024 * 1024;
@@ -47,7 +50,7 @@
     private final Node mNode;
 
     /** Who the others are. */
-    private final Membership mMembership;
+    private final Members mMembers;
 
     /** Proves the secret. */
     private final PeerSecret mSecret;
@@ -58,8 +61,8 @@
     /** The connections that this router opened and that are ready. */
     private final Map<Incarnation, Channel> mReady = new HashMap<>();
 
-    /** Where connections are being opened, so that none is opened twice. */
-    private final Set<String> mOpening = new HashSet<>();
+    /** Where connections are open or being opened and to which start of a router, by address. */
+    private final Map<String, Incarnation> mOpening = new HashMap<>();
 
     /** The listening socket. */
     private final Channel mListener;
@@ -85,19 +88,26 @@
         void heard(Member from, PeerMessage message);
     }
 
+    /**
+     * Who the others are and to whom connections are kept. Thread safe if its parts are.
+     *
+     * @param membership takes note of who was heard
+     * @param wanted whom to be connected to; asked on the control thread
+     */
+    public record Members(Membership membership, Supplier<List<Member>> wanted) {}
+
     /**
      * Creates and starts a mesh.
      *
      * @param node what every part of the router shares
      * @param address where others come in
-     * @param membership who the others are
+     * @param members who the others are
      * @param secret what routers prove to each other that they know
      * @param hearer hears messages on the control thread
      */
-    public PeerMesh(
-            Node node, Address address, Membership membership, String secret, Hearer hearer) {
+    public PeerMesh(Node node, Address address, Members members, String secret, Hearer hearer) {
         mNode = node;
-        mMembership = membership;
+        mMembers = members;
         mSecret = new PeerSecret(secret);
         mHearer = hearer;
         mSent = node.metrics().counter("peer.sent");
@@ -153,13 +163,26 @@
                                 MOST_FRAME, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
     }
 
-    /** Connects to every router that is known and not connected. */
+    /** Connects to every router that is wanted and not connected. */
     public void connect() {
-        for (Member member : mMembership.live()) {
-            boolean self = member.incarnation().equals(mMembership.self().incarnation());
-            if (!self && !mReady.containsKey(member.incarnation()) && mOpening.add(member.peer())) {
-                open(member);
-            }
+        mMembers.wanted().get().forEach(this::connect);
+    }
+
+    /**
+     * {@inheritDoc} A connection to an earlier start of the same router is closed first: messages
+     * are sent by incarnation.
+     */
+    @Override
+    public void connect(Member member) {
+        Incarnation incarnation = member.incarnation();
+        if (incarnation.equals(mMembers.membership().self().incarnation())) {
+            return;
+        }
+        Incarnation before = mOpening.putIfAbsent(member.peer(), incarnation);
+        if (before == null) {
+            open(member);
+        } else if (!before.equals(incarnation) && mReady.containsKey(before)) {
+            mReady.remove(before).close();
         }
     }
 
@@ -193,13 +216,8 @@
                         });
     }
 
-    /**
-     * Sends a message.
-     *
-     * @param to the router
-     * @param message the message
-     * @return whether there is a connection to it
-     */
+    /** {@inheritDoc} */
+    @Override
     public boolean send(Incarnation to, PeerMessage message) {
         Channel channel = mReady.get(to);
         if (channel == null || !channel.isActive()) {
@@ -216,15 +234,41 @@
      * @param message the message
      */
     public void broadcast(PeerMessage message) {
-        mReady.keySet().forEach(to -> send(to, message));
+        sendAll(mReady.keySet(), message);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void sendAll(Collection<Incarnation> to, PeerMessage message) {
+        if (to.isEmpty()) {
+            return;
+        }
+        byte[] frame = encoded(message);
+        for (Incarnation each : to) {
+            Channel channel = mReady.get(each);
+            if (channel != null && channel.isActive()) {
+                mSent.inc();
+                channel.writeAndFlush(Unpooled.wrappedBuffer(frame), channel.voidPromise());
+            }
+        }
     }
 
     /**
-     * Returns whether there is a connection to a router.
+     * Encodes a message.
      *
-     * @param to the router
-     * @return whether messages can be sent
+     * @param message the message
+     * @return its bytes
      */
+    private static byte[] encoded(PeerMessage message) {
+        try {
+            return PeerCodec.bytes(message);
+        } catch (JsonProcessingException exception) {
+            throw new IllegalStateException("no encoding for " + message, exception);
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
     public boolean connected(Incarnation to) {
         return mReady.containsKey(to);
     }
@@ -250,7 +294,7 @@
         /** {@inheritDoc} */
         @Override
         public void channelActive(ChannelHandlerContext context) {
-            Member self = mMembership.self();
+            Member self = mMembers.membership().self();
             context.writeAndFlush(
                     new PeerMessage.Hello(
                             self.incarnation().value(), self.hall().value(), self.peer(), mNonce));
@@ -269,7 +313,7 @@
                 return;
             }
             String nonce = ((PeerMessage.Challenge) message).nonce();
-            String self = mMembership.self().incarnation().value();
+            String self = mMembers.membership().self().incarnation().value();
             context.writeAndFlush(
                     new PeerMessage.Proof(mSecret.prove("caller", nonce, mNonce, self)));
             mNode.control()
@@ -330,7 +374,7 @@
                 mNode.control()
                         .execute(
                                 () -> {
-                                    mMembership.heard(member);
+                                    mMembers.membership().heard(member);
                                     connect();
                                 });
             } else {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
@@ -2,8 +2,11 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
 import org.troutpier.common.declaration.Declarations;
 import org.troutpier.daemon.cluster.LoadReport;
+import org.troutpier.daemon.cluster.ReportScope;
+import org.troutpier.daemon.cluster.SharedPage;
 
 /** What routers say to each other. All messages are immutable and thread safe. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
@@ -23,7 +26,8 @@
     @JsonSubTypes.Type(value = PeerMessage.Pull.class, name = "pull"),
     @JsonSubTypes.Type(value = PeerMessage.Load.class, name = "load"),
     @JsonSubTypes.Type(value = PeerMessage.Configuration.class, name = "configuration"),
-    @JsonSubTypes.Type(value = PeerMessage.Refused.class, name = "refused")
+    @JsonSubTypes.Type(value = PeerMessage.Refused.class, name = "refused"),
+    @JsonSubTypes.Type(value = PeerMessage.Page.class, name = "page")
 })
 public sealed interface PeerMessage {
 
@@ -138,11 +142,12 @@
     record Pull(long version) implements PeerMessage {}
 
     /**
-     * Tells of a router's load.
+     * Tells of the load of one or several routers.
      *
+     * @param scope whose load it is
      * @param report the load
      */
-    record Load(LoadReport report) implements PeerMessage {}
+    record Load(ReportScope scope, LoadReport report) implements PeerMessage {}
 
     /**
      * Hands on a configuration as the operator wrote it.
@@ -153,9 +158,16 @@
     record Configuration(long version, byte[] encoded) implements PeerMessage {}
 
     /**
-     * Tells that a request was refused and will come back.
+     * Tells that requests were refused and will come back.
      *
-     * @param key the part of its prompt that is its own
+     * @param keys the part of each one's prompt that is its own
      */
-    record Refused(String key) implements PeerMessage {}
+    record Refused(List<String> keys) implements PeerMessage {}
+
+    /**
+     * Shares changes of a table that the sender read.
+     *
+     * @param page the changes
+     */
+    record Page(SharedPage page) implements PeerMessage {}
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/TableFollower.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/TableFollower.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.daemon.node.Control;
@@ -11,7 +13,8 @@
 /**
  * Follows a table: reads it whole, then its changes, and whole again where the history is gone.
  * Confined to the control thread. Invariants: at most one call is under way; after any failure the
- * follower tries again, waiting longer after each up to {@link #MOST_BACKOFF_MILLIS}.
+ * follower tries again, waiting longer after each up to {@link #MOST_BACKOFF_MILLIS}; what is told
+ * never goes back behind what was told before.
  */
 public final class TableFollower {
 
@@ -39,6 +42,15 @@
     /** Receives what is read, on the control thread. */
     private final Listener mListener;
 
+    /** Shares what is read. */
+    private final Sharer mSharer;
+
+    /** The monotonic clock, nanoseconds. */
+    private final LongSupplier mNanos;
+
+    /** Before when no call is needed, nanoseconds on the monotonic clock. */
+    private long mNotBefore;
+
     /** The version that was read last. */
     private long mVersion;
 
@@ -53,8 +65,26 @@
      *
      * @param waitMillis how long one call waits for a change
      * @param pauseMillis how long to pause between calls
+     * @param sharedMillis how long after a page that another router shared no call is needed; 0
+     *     where none are shared
      */
-    public record Pace(int waitMillis, long pauseMillis) {}
+    public record Pace(int waitMillis, long pauseMillis, long sharedMillis) {}
+
+    /** Receives changes that this router read itself, to share them with others. */
+    public interface Sharer {
+
+        /** Shares nothing. */
+        Sharer NONE = (after, version, rows) -> {};
+
+        /**
+         * Receives changes.
+         *
+         * @param after the version after which they came
+         * @param version the newest version that they reflect
+         * @param rows the rows that say something new; may be empty
+         */
+        void read(long after, long version, List<Row> rows);
+    }
 
     /** Receives what is read, on the control thread. */
     public interface Listener {
@@ -70,11 +100,21 @@
          * Receives changes.
          *
          * @param rows the changed rows in order; may be empty
+         * @return those of them that say something new
          */
-        void changed(List<Row> rows);
+        List<Row> changed(List<Row> rows);
 
         /** Called when the store cannot be read. */
         void lost();
+
+        /**
+         * Returns whether changes that another router shares are enough for now.
+         *
+         * @return false while this router must read the table itself
+         */
+        default boolean settled() {
+            return true;
+        }
     }
 
     /**
@@ -85,9 +125,20 @@
      * @param table the table
      * @param pace how the table is followed
      * @param listener receives what is read, on the control thread
+     * @param sharer shares what is read
+     * @param nanos the monotonic clock, nanoseconds
      */
     public TableFollower(
-            Control control, RowStore store, String table, Pace pace, Listener listener) {
+            Control control,
+            RowStore store,
+            String table,
+            Pace pace,
+            Listener listener,
+            Sharer sharer,
+            LongSupplier nanos) {
+        mSharer = sharer;
+        mNanos = nanos;
+        mNotBefore = nanos.getAsLong();
         mControl = control;
         mStore = store;
         mTable = table;
@@ -100,9 +151,35 @@
         mControl.execute(this::next);
     }
 
-    /** Reads the table whole, or its next changes. */
+    /**
+     * Takes changes that another router read. They count only where nothing is missing before them
+     * and they are not older than what is known; then no call is needed for a while.
+     *
+     * @param after the version after which they came
+     * @param version the newest version that they reflect
+     * @param rows the changed rows
+     */
+    public void shared(long after, long version, List<Row> rows) {
+        if (mWhole || after > mVersion || version < mVersion) {
+            return;
+        }
+        if (version > mVersion) {
+            mVersion = version;
+            mListener.changed(rows);
+        }
+        if (mListener.settled()) {
+            mNotBefore = mNanos.getAsLong() + TimeUnit.MILLISECONDS.toNanos(mPace.sharedMillis());
+        }
+    }
+
+    /**
+     * Reads the table whole, or its next changes, unless another router's page made it needless.
+     */
     private void next() {
-        if (mWhole) {
+        long early = TimeUnit.NANOSECONDS.toMillis(mNotBefore - mNanos.getAsLong());
+        if (!mWhole && early > 0) {
+            mControl.later(this::next, early);
+        } else if (mWhole) {
             mStore.read(mTable, "")
                     .whenComplete(
                             (page, failure) -> mControl.execute(() -> heard(page, failure, true)));
@@ -129,12 +206,13 @@
             LOGGER.info("store regained table={} failures={}", mTable, mFailures);
         }
         mFailures = 0;
+        long after = mVersion;
         mVersion = Math.max(mVersion, page.version());
         mWhole = false;
         if (whole) {
             mListener.whole(page.rows());
-        } else {
-            mListener.changed(page.rows());
+        } else if (page.version() >= after) {
+            mSharer.read(after, mVersion, mListener.changed(page.rows()));
         }
         mControl.later(this::next, mPace.pauseMillis());
     }
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -0,0 +1,287 @@
+package org.troutpier.daemon.cluster;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.event.EventRing;
+import org.troutpier.common.event.HybridClock;
+import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.common.id.InstanceId;
+import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.settings.Address;
+import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.peer.Membership.Member;
+import org.troutpier.daemon.peer.PeerLinks;
+import org.troutpier.daemon.peer.PeerMesh;
+import org.troutpier.daemon.peer.PeerMessage;
+import org.troutpier.daemon.route.CurrentConfiguration;
+import org.troutpier.daemon.rows.RowStore.Row;
+
+/** Many routers that tell each other of their load, over a network in memory. */
+public final class PeerExchangeTest {
+
+    private static final int MANY = 40;
+    private static final int HALLS = 3;
+    private static final long ROUND_TRIP_MILLIS = 2;
+    private static final UpstreamId ENGINE = new UpstreamId("engine");
+    private static final long SETTLED_MILLIS = 8000;
+
+    private ManualTime mTime;
+    private Map<Incarnation, Router> mRouters;
+    private Set<Set<Incarnation>> mCuts;
+
+    /** One router and its links. */
+    private final class Router implements PeerLinks {
+
+        final Member mSelf;
+        final ManualTime.PausableControl mControl = mTime.control();
+        final PeerLoads mLoads = new PeerLoads();
+        final Set<Incarnation> mConnected = new HashSet<>();
+        final List<SharedPage> mPages = new ArrayList<>();
+        final List<String> mRefused = new ArrayList<>();
+        final PeerExchange mExchange;
+        PeerMesh.Hearer mHearer;
+        boolean mDead;
+        int mSent;
+
+        Router(int number) {
+            String name = String.format("router-%02d", number);
+            Incarnation incarnation = Incarnation.start(new InstanceId(name));
+            HallId hall = new HallId("hall-" + number % HALLS);
+            Address address = new Address("127.0.0.1", 1000 + number);
+            mSelf = new Member(incarnation, hall, address.toString(), false);
+            Node node =
+                    new Node(
+                            incarnation,
+                            hall,
+                            null,
+                            mControl,
+                            null,
+                            new MetricRegistry(),
+                            new EventRing(name, 16, new HybridClock()),
+                            mTime::nanos);
+            mExchange =
+                    new PeerExchange(
+                            node,
+                            address,
+                            (members, hearer) -> {
+                                mHearer = hearer;
+                                return this;
+                            },
+                            new CurrentConfiguration(),
+                            bytes -> {
+                                throw new IllegalStateException("no configuration is sent here");
+                            },
+                            mLoads,
+                            mRefused::addAll);
+            mExchange.onShared("table", mPages::add);
+            mControl.every(this::report, 100);
+        }
+
+        private void report() {
+            mExchange.tell(
+                    new LoadReport(
+                            -1,
+                            1,
+                            false,
+                            Set.of(),
+                            Map.of(ENGINE, new UpstreamUse(1, 10)),
+                            Map.of()));
+        }
+
+        private boolean reaches(Router other) {
+            return !mDead
+                    && !other.mDead
+                    && !mCuts.contains(Set.of(mSelf.incarnation(), other.mSelf.incarnation()));
+        }
+
+        @Override
+        public void connect(Member member) {
+            Router other = mRouters.get(member.incarnation());
+            if (other != null && other != this && reaches(other)) {
+                mConnected.add(member.incarnation());
+            }
+        }
+
+        @Override
+        public boolean connected(Incarnation to) {
+            Router other = mRouters.get(to);
+            if (other == null || other.mDead) {
+                mConnected.remove(to);
+            }
+            return mConnected.contains(to);
+        }
+
+        @Override
+        public boolean send(Incarnation to, PeerMessage message) {
+            if (!connected(to)) {
+                return false;
+            }
+            mSent++;
+            Router other = mRouters.get(to);
+            mTime.loop()
+                    .later(
+                            () -> {
+                                if (reaches(other)) {
+                                    other.mControl.execute(
+                                            () -> other.mHearer.heard(mSelf, message));
+                                }
+                            },
+                            ROUND_TRIP_MILLIS / 2);
+            return true;
+        }
+
+        @Override
+        public void sendAll(Collection<Incarnation> to, PeerMessage message) {
+            to.forEach(each -> send(each, message));
+        }
+    }
+
+    @BeforeMethod
+    void start() {
+        mTime = new ManualTime();
+        mRouters = new LinkedHashMap<>();
+        mCuts = new HashSet<>();
+    }
+
+    private void routers(int count) {
+        for (int number = 0; number < count; number++) {
+            Router router = new Router(number);
+            mRouters.put(router.mSelf.incarnation(), router);
+        }
+        mRouters.values().forEach(this::list);
+    }
+
+    private void list(Router router) {
+        Member self = router.mSelf;
+        MemberRow row =
+                new MemberRow(
+                        self.incarnation().instance().value(),
+                        self.incarnation().value(),
+                        self.peer(),
+                        self.hall().value(),
+                        10);
+        mRouters.values()
+                .forEach(each -> each.mExchange.listed(self.incarnation().instance(), row));
+    }
+
+    private List<Router> living() {
+        return mRouters.values().stream().filter(router -> !router.mDead).toList();
+    }
+
+    private void assertAllKnowAll() {
+        List<Router> living = living();
+        for (Router router : living) {
+            int others = living.size() - 1;
+            assertEquals(router.mLoads.routers(), others, "routers at " + router.mSelf);
+            assertEquals(router.mLoads.use(ENGINE).calls(), others, "calls at " + router.mSelf);
+        }
+    }
+
+    @Test
+    public void fewRoutersKnowOfEachOther() {
+        routers(8);
+        mTime.pass(1000);
+        assertAllKnowAll();
+    }
+
+    @Test
+    public void manyRoutersKnowOfEachOtherOverRelays() {
+        routers(MANY);
+        mTime.pass(2000);
+        assertAllKnowAll();
+    }
+
+    @Test
+    public void aRoutersMessagesDoNotGrowWithAllOthers() {
+        routers(MANY);
+        mTime.pass(2000);
+        mRouters.values().forEach(router -> router.mSent = 0);
+        mTime.pass(1000);
+        List<Integer> sent =
+                mRouters.values().stream().map(router -> router.mSent).sorted().toList();
+        assertTrue(sent.get(MANY / 2) <= 12, "messages a second at most routers " + sent);
+        assertTrue(sent.get(MANY - 1) <= 500, "messages a second at relays " + sent);
+    }
+
+    @Test
+    public void aRelayThatDiesOrStandsStillIsReplaced() {
+        routers(MANY);
+        mTime.pass(2000);
+        List<Router> all = List.copyOf(mRouters.values());
+        all.get(0).mDead = true;
+        all.get(1).mControl.pause(true);
+        mTime.pass(SETTLED_MILLIS);
+        all.get(1).mDead = true;
+        mTime.pass(SETTLED_MILLIS);
+        assertAllKnowAll();
+    }
+
+    @Test
+    public void aRefusalIsToldToAll() {
+        routers(MANY);
+        mTime.pass(2000);
+        List<Router> all = List.copyOf(mRouters.values());
+        all.get(MANY - 1).mExchange.refused("key");
+        mTime.pass(500);
+        for (Router router : all.subList(0, MANY - 1)) {
+            assertTrue(router.mRefused.contains("key"), "told to " + router.mSelf);
+        }
+    }
+
+    @Test
+    public void theReaderOfAHallSharesWithItsHallOnly() {
+        routers(MANY);
+        mTime.pass(2000);
+        List<Router> all = List.copyOf(mRouters.values());
+        SharedPage page =
+                new SharedPage(
+                        "table", 1, 2, List.of(new Row("table", "", "k", new byte[0], 2, false)));
+        all.forEach(router -> router.mExchange.share(page));
+        mTime.pass(100);
+        for (int number = 0; number < MANY; number++) {
+            int expected = number < HALLS ? 0 : 1;
+            assertEquals(all.get(number).mPages.size(), expected, "pages at " + number);
+        }
+    }
+
+    @Test
+    public void atRandomTheSumsAreRightAgainAfterKillsFreezesAndCuts() {
+        long seed = System.nanoTime();
+        System.out.println("PeerExchangeTest seed " + seed);
+        Random random = new Random(seed);
+        routers(MANY);
+        mTime.pass(2000);
+        for (int round = 0; round < 12; round++) {
+            List<Router> living = living();
+            Router frozen = living.get(random.nextInt(living.size()));
+            Router killed = living.get(random.nextInt(living.size()));
+            Router one = living.get(random.nextInt(living.size()));
+            Router other = living.get(random.nextInt(living.size()));
+            frozen.mControl.pause(true);
+            if (one != other) {
+                mCuts.add(Set.of(one.mSelf.incarnation(), other.mSelf.incarnation()));
+            }
+            killed.mDead = true;
+            mTime.pass(random.nextInt(3000));
+            frozen.mControl.pause(false);
+            mTime.pass(random.nextInt(3000));
+            mCuts.clear();
+            mTime.pass(SETTLED_MILLIS);
+            assertAllKnowAll();
+        }
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/RelayPlanTest.java
@@ -0,0 +1,110 @@
+package org.troutpier.daemon.cluster;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.daemon.peer.Membership.Member;
+
+/** To whom a router tells its load. */
+public final class RelayPlanTest {
+
+    private final List<Member> mLive = new ArrayList<>();
+    private final Set<Incarnation> mSilent = new HashSet<>();
+
+    @BeforeMethod
+    void start() {
+        mLive.clear();
+        mSilent.clear();
+    }
+
+    private Member member(int number, String hall) {
+        Incarnation incarnation = new Incarnation(String.format("router-%02d~1", number));
+        return new Member(incarnation, new HallId(hall), "127.0.0.1:" + (1000 + number), false);
+    }
+
+    private void routers(int count, int halls) {
+        for (int number = 0; number < count; number++) {
+            mLive.add(member(number, "hall-" + number % halls));
+        }
+    }
+
+    /** Routers with numbers from 6 to 11 can do more than the others. */
+    private static int points(Member member) {
+        int number = Integer.parseInt(member.incarnation().value().substring(7, 9));
+        return number >= 6 && number < 12 ? 150 : 10;
+    }
+
+    private RelayPlan plan(int number) {
+        return RelayPlan.of(
+                mLive.get(number),
+                mLive,
+                RelayPlanTest::points,
+                router -> !mSilent.contains(router));
+    }
+
+    private Set<Integer> numbers(List<Member> members) {
+        Set<Integer> numbers = new HashSet<>();
+        members.forEach(member -> numbers.add(mLive.indexOf(member)));
+        return numbers;
+    }
+
+    @Test
+    public void fewRoutersTellEachOtherDirectly() {
+        routers(RelayPlan.MOST_DIRECT, 3);
+        RelayPlan plan = plan(0);
+        assertTrue(plan.direct());
+        assertEquals(plan.wanted(), mLive);
+        assertFalse(plan.relay());
+    }
+
+    @Test
+    public void ofManyTheAblestOfTheHallRelays() {
+        routers(30, 3);
+        RelayPlan plan = plan(0);
+        assertFalse(plan.direct());
+        assertEquals(plan.reportTo().get(), mLive.get(6));
+        assertEquals(numbers(plan.wanted()), Set.of(6, 9));
+        RelayPlan relay = plan(6);
+        assertTrue(relay.relay());
+        assertTrue(relay.reader());
+        assertTrue(relay.reportTo().isEmpty());
+        assertEquals(numbers(relay.relays()), Set.of(9, 7, 10, 8, 11));
+        assertFalse(plan(9).reader());
+    }
+
+    @Test
+    public void aRelayThatIsSilentIsFollowedByTheNext() {
+        routers(30, 3);
+        mSilent.add(mLive.get(6).incarnation());
+        assertEquals(plan(3).reportTo().get(), mLive.get(9));
+        assertEquals(numbers(plan(3).wanted()), Set.of(6, 9, 0));
+        assertTrue(plan(9).reader());
+        assertTrue(plan(0).relay());
+    }
+
+    @Test
+    public void oneReaderOfEachHallIsThereWithFewRoutersToo() {
+        routers(8, 3);
+        int readers = 0;
+        for (int number = 0; number < 8; number++) {
+            readers += plan(number).reader() ? 1 : 0;
+        }
+        assertEquals(readers, 3);
+    }
+
+    @Test
+    public void aRoutersConnectionsGrowWithHallsNotWithRouters() {
+        routers(1800, 6);
+        assertTrue(plan(50).wanted().size() <= RelayPlan.RELAYS);
+        assertTrue(plan(6).relays().size() < RelayPlan.RELAYS * 6);
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/TableFollowerTest.java
@@ -0,0 +1,159 @@
+package org.troutpier.daemon.rows;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.rows.RowStore.Row;
+import org.troutpier.standins.platform.VersionedRows;
+import org.troutpier.standins.platform.VersionedRows.Key;
+
+/** How a table is followed by a router's own reads and by pages that others share. */
+public final class TableFollowerTest {
+
+    private static final String TABLE = "table";
+    private static final long PAUSE = 700;
+    private static final long SHARED = 1000;
+
+    private ManualTime mTime;
+    private VersionedRows mRows;
+    private FakeRowStore mStore;
+    private List<String> mTold;
+    private List<Long> mShared;
+    private int mPages;
+    private boolean mSettled;
+    private TableFollower mFollower;
+
+    @BeforeMethod
+    void start() {
+        mTime = new ManualTime();
+        mRows = new VersionedRows();
+        mStore = new FakeRowStore(mRows);
+        mTold = new ArrayList<>();
+        mShared = new ArrayList<>();
+        mPages = 0;
+        mSettled = true;
+        mFollower =
+                new TableFollower(
+                        mTime.control(),
+                        mStore,
+                        TABLE,
+                        new TableFollower.Pace(1, PAUSE, SHARED),
+                        new Listener(),
+                        (after, version, rows) -> mShared.add(version),
+                        mTime::nanos);
+        put("a");
+        mFollower.start();
+        mTime.pass(10);
+    }
+
+    /** Keeps what it is told. */
+    private final class Listener implements TableFollower.Listener {
+
+        @Override
+        public void whole(List<Row> rows) {
+            rows.forEach(row -> mTold.add(row.key()));
+        }
+
+        @Override
+        public List<Row> changed(List<Row> rows) {
+            mPages++;
+            rows.forEach(row -> mTold.add(row.key()));
+            return rows;
+        }
+
+        @Override
+        public void lost() {
+            mTold.add("lost");
+        }
+
+        @Override
+        public boolean settled() {
+            return mSettled;
+        }
+    }
+
+    private void put(String key) {
+        mRows.put(new Key(TABLE, "", key), "");
+    }
+
+    private static Row row(String key, long version) {
+        return new Row(TABLE, "", key, new byte[0], version, false);
+    }
+
+    private void share(String key) {
+        long before = mRows.version();
+        put(key);
+        mFollower.shared(before, mRows.version(), List.of(row(key, mRows.version())));
+    }
+
+    @Test
+    public void whatThisRouterReadIsShared() {
+        put("b");
+        mTime.pass(PAUSE);
+        assertEquals(mTold, List.of("a", "b"));
+        assertEquals(mShared, List.of(mRows.version()));
+    }
+
+    @Test
+    public void aSharedPageMakesTheNextReadNeedlessForAWhile() {
+        share("b");
+        assertEquals(mTold, List.of("a", "b"));
+        mTime.pass(SHARED - 20);
+        assertEquals(mPages, 1);
+        mTime.pass(40);
+        assertEquals(mPages, 2);
+        assertEquals(mTold, List.of("a", "b"));
+    }
+
+    @Test
+    public void aSharedPageBehindAGapIsNotTaken() {
+        put("b");
+        share("c");
+        assertEquals(mTold, List.of("a"));
+        mTime.pass(PAUSE);
+        assertEquals(mTold, List.of("a", "b", "c"));
+    }
+
+    @Test
+    public void aSharedPageThatIsOlderThanWhatIsKnownDelaysNoRead() {
+        long before = mRows.version();
+        put("b");
+        mTime.pass(PAUSE);
+        assertEquals(mPages, 1);
+        mTime.pass(PAUSE - 50);
+        mFollower.shared(before - 1, before, List.of(row("a", before)));
+        mTime.pass(60);
+        assertEquals(mPages, 2);
+        assertEquals(mTold, List.of("a", "b"));
+    }
+
+    @Test
+    public void aSharedPageWithoutChangesMakesTheNextReadNeedlessToo() {
+        long version = mRows.version();
+        mTime.pass(PAUSE - 50);
+        mFollower.shared(version, version, List.of());
+        mTime.pass(200);
+        assertEquals(mPages, 0);
+    }
+
+    @Test
+    public void aRouterThatMustReadItselfTakesPagesAndReadsOn() {
+        mSettled = false;
+        share("b");
+        mTime.pass(PAUSE);
+        assertTrue(mPages >= 2);
+    }
+
+    @Test
+    public void aRouterThatTheStoreTurnsAwayFollowsByPages() {
+        mStore.mAway = true;
+        mTime.pass(PAUSE);
+        share("b");
+        assertEquals(mTold, List.of("a", "lost", "b"));
+    }
+}
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
@@ -15,6 +15,7 @@
 import org.troutpier.common.id.InstanceId;
 import org.troutpier.daemon.cluster.LoadReport;
 import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.cluster.ReportScope;
 import org.troutpier.daemon.cluster.UpstreamUse;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualTime;
@@ -67,6 +68,7 @@
     private void peersUse(long first, long second) {
         LoadReport report =
                 new LoadReport(
+                        1,
                         1,
                         false,
                         Set.of(),
@@ -76,7 +78,8 @@
                         Map.of());
         Incarnation peer = new Incarnation("peer~1");
         assertEquals(peer.instance(), new InstanceId("peer"));
-        mPeers.heard(peer, report, mTime.millis());
+        mPeers.heard(peer, ReportScope.OWN, report, mTime.millis());
+        mPeers.sum(mTime.millis());
     }
 
     @Test
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -13,6 +13,7 @@
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.daemon.cluster.LoadReport;
 import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.cluster.ReportScope;
 import org.troutpier.daemon.cluster.UpstreamUse;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualTime;
@@ -52,8 +53,9 @@
     public void whatOtherRoutersHaveUnderWayCounts() {
         LoadReport report =
                 new LoadReport(
-                        1, false, Set.of(), Map.of(mNear.id(), new UpstreamUse(5, 0)), Map.of());
-        mPeers.heard(new Incarnation("peer~1"), report, mTime.millis());
+                        1, 1, false, Set.of(), Map.of(mNear.id(), new UpstreamUse(5, 0)), Map.of());
+        mPeers.heard(new Incarnation("peer~1"), ReportScope.OWN, report, mTime.millis());
+        mPeers.sum(mTime.millis());
         assertEquals(pick().get(), mFar);
         mPeers.sum(mTime.millis() + 10_000);
         assertEquals(pick().get(), mNear);
