--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -174,16 +174,18 @@
         }
         mLease.tick(mPeers.roleHolder());
         mHolds = mLease.held();
-        if (!mLease.mayOrder()) {
-            mChanging = Set.of();
-            return;
-        }
+        boolean mayOrder = mLease.mayOrder();
         configuration
                 .get()
                 .services()
                 .forEach(
                         (name, service) ->
-                                service.engine().ifPresent(engine -> control(name, engine)));
+                                service.engine()
+                                        .ifPresent(engine -> control(name, engine, mayOrder)));
+        if (!mayOrder) {
+            mChanging = Set.of();
+            return;
+        }
         mChanging =
                 mChanges.values().stream()
                         .filter(change -> change.mOrdersBefore >= 0 && change.mEngine != null)
@@ -192,16 +194,20 @@
     }
 
     /**
-     * Looks whether a service's engines need a change.
+     * Looks whether a service's engines need a change. A router that may not order looks too, so
+     * that it need not look as long again once it may.
      *
      * @param service the service
      * @param traits what its engines can do
+     * @param mayOrder whether this router may order a change
      */
-    private void control(String service, EngineTraits traits) {
+    private void control(String service, EngineTraits traits, boolean mayOrder) {
         Change change = mChanges.computeIfAbsent(service, name -> new Change());
         List<UpstreamEntry> engines = mDirectory.usable(service);
         if (change.mEngine != null) {
-            follow(change, engines);
+            if (mayOrder) {
+                follow(change, engines);
+            }
             return;
         }
         int prefill = (int) engines.stream().filter(RoleController::reads).count();
@@ -217,7 +223,8 @@
             change.mSince = now;
         }
         boolean measured = demand.runs() > 0;
-        if ((!measured || now - change.mSince >= SUSTAINED_MILLIS) && !change.mCalling) {
+        boolean due = !measured || now - change.mSince >= SUSTAINED_MILLIS;
+        if (mayOrder && due && !change.mCalling) {
             inspect(change, engines, wanted > prefill, traits);
             LOGGER.info(
                     "role change wanted service={} engines={} prefill={} wanted={} demand={}",
