--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/Demand.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/Demand.java
@@ -9,16 +9,16 @@
  * @param memoryTime memory that completed runs took, each for as long as it ran, in tokens times
  *     milliseconds
  * @param runs completed runs
- * @param paceSum the pace of a prefill engine, prompt tokens a millisecond, times {@code paceWeight}
- * @param paceWeight how many readings the pace was measured by
+ * @param readTokens prompt tokens that prefill engines read without anything waiting before them
+ * @param readMillis time that these took
  */
 public record Demand(
         double promptTokens,
         double requests,
         double memoryTime,
         double runs,
-        double paceSum,
-        double paceWeight) {
+        double readTokens,
+        double readMillis) {
 
     /** No demand. */
     public static final Demand NONE = new Demand(0, 0, 0, 0, 0, 0);
@@ -41,8 +41,8 @@
                 requests + other.requests,
                 memoryTime + other.memoryTime,
                 runs + other.runs,
-                paceSum + other.paceSum,
-                paceWeight + other.paceWeight);
+                readTokens + other.readTokens,
+                readMillis + other.readMillis);
     }
 
     /**
@@ -58,19 +58,8 @@
                 requests * left,
                 memoryTime * left,
                 runs * left,
-                paceSum * left,
-                paceWeight * left);
-    }
-
-    /**
-     * Returns the demand with another measure of the pace.
-     *
-     * @param pace prompt tokens a millisecond
-     * @return a new demand
-     */
-    public Demand withPace(double pace) {
-        return new Demand(
-                promptTokens, requests, memoryTime, runs, pace * paceWeight, paceWeight);
+                readTokens * left,
+                readMillis * left);
     }
 
     /**
@@ -79,7 +68,7 @@
      * @return prompt tokens a millisecond; 0 for unknown
      */
     public double prefillTokensPerMilli() {
-        return paceWeight > 0 ? paceSum / paceWeight : 0;
+        return readMillis > 0 ? readTokens / readMillis : 0;
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/DemandMeter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/DemandMeter.java
@@ -15,9 +15,6 @@
     /** The demand of each service when it last changed. */
     private final Map<String, Demand> mDemand = new HashMap<>();
 
-    /** How fast each service's prefill engines read. */
-    private final Map<String, PaceMeter> mPaces = new HashMap<>();
-
     /** When each service's demand last changed, milliseconds. */
     private final Map<String, Long> mChanged = new HashMap<>();
 
@@ -57,8 +54,7 @@
      */
     public void read(String service, long tokens, long millis, long now) {
         if (tokens >= LEAST_PACED && millis > 0) {
-            mPaces.computeIfAbsent(service, name -> new PaceMeter()).add(tokens, millis);
-            add(service, new Demand(0, 0, 0, 0, 0, 1), now);
+            add(service, new Demand(0, 0, 0, 0, tokens, millis), now);
         }
     }
 
@@ -106,8 +102,6 @@
      */
     private Demand at(String service, long now) {
         Demand before = mDemand.getOrDefault(service, Demand.NONE);
-        Demand decayed = before.after(now - mChanged.getOrDefault(service, now));
-        PaceMeter pace = mPaces.get(service);
-        return pace == null ? decayed : decayed.withPace(pace.pace());
+        return before.after(now - mChanged.getOrDefault(service, now));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -174,18 +174,16 @@
         }
         mLease.tick(mPeers.roleHolder());
         mHolds = mLease.held();
-        boolean mayOrder = mLease.mayOrder();
+        if (!mLease.mayOrder()) {
+            mChanging = Set.of();
+            return;
+        }
         configuration
                 .get()
                 .services()
                 .forEach(
                         (name, service) ->
-                                service.engine()
-                                        .ifPresent(engine -> control(name, engine, mayOrder)));
-        if (!mayOrder) {
-            mChanging = Set.of();
-            return;
-        }
+                                service.engine().ifPresent(engine -> control(name, engine)));
         mChanging =
                 mChanges.values().stream()
                         .filter(change -> change.mOrdersBefore >= 0 && change.mEngine != null)
@@ -194,20 +192,16 @@
     }
 
     /**
-     * Looks whether a service's engines need a change. A router that may not order looks too, so
-     * that it need not look as long again once it may.
+     * Looks whether a service's engines need a change.
      *
      * @param service the service
      * @param traits what its engines can do
-     * @param mayOrder whether this router may order a change
      */
-    private void control(String service, EngineTraits traits, boolean mayOrder) {
+    private void control(String service, EngineTraits traits) {
         Change change = mChanges.computeIfAbsent(service, name -> new Change());
         List<UpstreamEntry> engines = mDirectory.usable(service);
         if (change.mEngine != null) {
-            if (mayOrder) {
-                follow(change, engines);
-            }
+            follow(change, engines);
             return;
         }
         int prefill = (int) engines.stream().filter(RoleController::reads).count();
@@ -223,8 +217,7 @@
             change.mSince = now;
         }
         boolean measured = demand.runs() > 0;
-        boolean due = !measured || now - change.mSince >= SUSTAINED_MILLIS;
-        if (mayOrder && due && !change.mCalling) {
+        if ((!measured || now - change.mSince >= SUSTAINED_MILLIS) && !change.mCalling) {
             inspect(change, engines, wanted > prefill, traits);
             LOGGER.info(
                     "role change wanted service={} engines={} prefill={} wanted={} demand={}",
