Log lines never hold anybody up, are structured, and name the inputs of each decision

Ruled out: async loggers (a further library); blocking=false of the appender (it drops without a count). Change: a queue before standard output whose policy drops and counts (DropWhenFull, DroppedLines); our own short JSON template; a request's line carries outcome, route, configuration version, routers heard and all stages; a refusal names the memory needed, the least used engine and what is known of it, and how long a prompt would wait to be read; ServingMetrics and MeasuredRowStore; entries of upstreams that are gone are trimmed (UpstreamLoads.retain was never called, PlaceAllocator kept them).

--- /dev/null
+++ b/troutpier-common/src/test/java/org/troutpier/common/logging/DropWhenFullTest.java
@@ -0,0 +1,78 @@
+package org.troutpier.common.logging;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.LogEvent;
+import org.apache.logging.log4j.core.appender.AbstractAppender;
+import org.apache.logging.log4j.core.appender.AsyncAppender;
+import org.apache.logging.log4j.core.config.AppenderRef;
+import org.apache.logging.log4j.core.config.DefaultConfiguration;
+import org.apache.logging.log4j.core.config.Property;
+import org.apache.logging.log4j.core.impl.Log4jLogEvent;
+import org.apache.logging.log4j.message.SimpleMessage;
+import org.testng.annotations.Test;
+
+/** That nobody waits for a log. */
+public final class DropWhenFullTest {
+
+    private static final int ROOM = 4;
+    private static final int LINES = 50;
+
+    /** An output that stands still until it is let go. */
+    private static final class StandingOutput extends AbstractAppender {
+        final CountDownLatch mGo = new CountDownLatch(1);
+        final List<String> mWritten = new CopyOnWriteArrayList<>();
+
+        StandingOutput() {
+            super("output", null, null, false, Property.EMPTY_ARRAY);
+        }
+
+        @Override
+        public void append(LogEvent event) {
+            try {
+                assertTrue(mGo.await(10, TimeUnit.SECONDS));
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
+            mWritten.add(event.getMessage().getFormattedMessage());
+        }
+    }
+
+    @Test(timeOut = 20_000)
+    public void linesWithoutRoomAreDroppedAndCountedAndNobodyWaits() {
+        StandingOutput output = new StandingOutput();
+        output.start();
+        DefaultConfiguration configuration = new DefaultConfiguration();
+        configuration.addAppender(output);
+        AsyncAppender queue =
+                AsyncAppender.newBuilder()
+                        .setName("queue")
+                        .setBufferSize(ROOM)
+                        .setConfiguration(configuration)
+                        .setAppenderRefs(
+                                new AppenderRef[] {
+                                    AppenderRef.createAppenderRef("output", Level.ALL, null)
+                                })
+                        .build();
+        queue.start();
+        long before = DropWhenFull.dropped();
+        for (int line = 0; line < LINES; line++) {
+            queue.append(
+                    Log4jLogEvent.newBuilder()
+                            .setLevel(Level.ERROR)
+                            .setMessage(new SimpleMessage("line " + line))
+                            .build());
+        }
+        long dropped = DropWhenFull.dropped() - before;
+        assertTrue(dropped >= LINES - ROOM - 1, "dropped " + dropped);
+        output.mGo.countDown();
+        queue.stop(10, TimeUnit.SECONDS);
+        assertEquals(output.mWritten.size() + dropped, LINES);
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
@@ -52,6 +54,9 @@
     /** The entries by service, for readers on any thread. */
     private volatile Map<String, List<UpstreamEntry>> mSnapshot = Map.of();
 
+    /** Is told of the upstreams that are listed. */
+    private Consumer<Set<UpstreamId>> mListener = listed -> {};
+
     /** Whether the entries were read at least once. */
     private volatile boolean mLoaded;
 
@@ -93,12 +98,12 @@
     }
 
     /**
-     * Returns all upstreams that may get work.
+     * Sets who is told of the upstreams that are listed, whenever that changes.
      *
-     * @return the entries by service
+     * @param listener takes their ids, on the control thread
      */
-    public Map<String, List<UpstreamEntry>> snapshot() {
-        return mSnapshot;
+    public void onChanged(Consumer<Set<UpstreamId>> listener) {
+        mListener = listener;
     }
 
     /**
@@ -231,5 +236,6 @@
                         .collect(
                                 Collectors.groupingBy(
                                         UpstreamEntry::service, Collectors.toUnmodifiableList()));
+        mListener.accept(Set.copyOf(mEntries.keySet()));
     }
 }
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/MeasuredRowStore.java
@@ -0,0 +1,80 @@
+package org.troutpier.daemon.rows;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Counts and times the calls to another store, by table. Thread safe if the other is. A waiting
+ * read counts as long as it waits.
+ */
+public final class MeasuredRowStore implements RowStore {
+
+    /** The other store. */
+    private final RowStore mStore;
+
+    /** Keeps the figures. */
+    private final MetricRegistry mMetrics;
+
+    /** The monotonic clock, nanoseconds. */
+    private final LongSupplier mNanos;
+
+    /**
+     * Creates a store.
+     *
+     * @param store the other store
+     * @param metrics keeps the figures
+     * @param nanos the monotonic clock, nanoseconds
+     */
+    public MeasuredRowStore(RowStore store, MetricRegistry metrics, LongSupplier nanos) {
+        mStore = store;
+        mMetrics = metrics;
+        mNanos = nanos;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<RowPage> read(String table, String part) {
+        return measured("read", table, mStore.read(table, part));
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<RowPage> feed(String table, long after, int waitMillis) {
+        return measured("feed", table, mStore.feed(table, after, waitMillis));
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<RowWrite> write(Row row, long expectedVersion) {
+        return measured("write", row.table(), mStore.write(row, expectedVersion))
+                .thenApply(
+                        write -> {
+                            mMetrics.counter("store.write." + write.outcome().name().toLowerCase())
+                                    .inc();
+                            return write;
+                        });
+    }
+
+    /**
+     * Measures a call.
+     *
+     * @param <T> the result's type
+     * @param call what it does
+     * @param table the table
+     * @param result its result
+     * @return the same result
+     */
+    private <T> CompletableFuture<T> measured(
+            String call, String table, CompletableFuture<T> result) {
+        long start = mNanos.getAsLong();
+        String name = "store." + call + "." + table;
+        return result.whenComplete(
+                (value, failure) -> {
+                    mMetrics.counter(name + (failure == null ? ".answered" : ".failed")).inc();
+                    mMetrics.histogram(name + ".millis")
+                            .update(TimeUnit.NANOSECONDS.toMillis(mNanos.getAsLong() - start));
+                });
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecisionLog.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecisionLog.java
@@ -1,5 +1,6 @@
 package org.troutpier.daemon.serving;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -7,8 +8,8 @@
 
 /**
  * Logs what was decided about requests: one line for each request at its end, with the stages it
- * went through, and counters and histograms of the same. Confined to the traffic loop. Invariant:
- * at most {@link #LINES_PER_SECOND} lines a second; what is left out is counted.
+ * went through. Confined to the traffic loop. Invariant: at most {@link #LINES_PER_SECOND} lines a
+ * second; what is left out is counted.
  */
 public final class DecisionLog {
 
@@ -18,8 +19,8 @@
     /** Writes the lines. */
     private static final Logger LOGGER = LogManager.getLogger("decision");
 
-    /** Counts and measures. */
-    private final MetricRegistry mMetrics;
+    /** Counts lines that are left out. */
+    private final Counter mLeftOut;
 
     /** The clock. */
     private final TrafficLoop mLoop;
@@ -33,11 +34,11 @@
     /**
      * Creates a log.
      *
-     * @param metrics counts and measures
+     * @param metrics counts lines that are left out
      * @param loop the clock
      */
     public DecisionLog(MetricRegistry metrics, TrafficLoop loop) {
-        mMetrics = metrics;
+        mLeftOut = metrics.counter("log.left-out");
         mLoop = loop;
     }
 
@@ -48,12 +49,8 @@
      * @param outcome how it ended
      */
     public void ended(RequestTrace trace, String outcome) {
-        boolean well = outcome.equals(RequestTrace.ANSWERED);
-        mMetrics.counter("requests." + outcome).inc();
-        mMetrics.counter("requests.route." + trace.route() + "." + outcome).inc();
-        mMetrics.histogram("requests.millis." + trace.route()).update(trace.elapsedMillis());
-        if (admitted(well)) {
-            LOGGER.info("request {} outcome={} {}", trace.id(), outcome, trace);
+        if (admitted(outcome.equals(RequestTrace.ANSWERED))) {
+            LOGGER.info(trace.message(outcome));
         }
     }
 
@@ -70,7 +67,7 @@
             mLines = 0;
         }
         if (mLines >= (well ? LINES_PER_SECOND / 2 : LINES_PER_SECOND)) {
-            mMetrics.counter("log.dropped").inc();
+            mLeftOut.inc();
             return false;
         }
         mLines++;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -121,6 +121,15 @@
         return search;
     }
 
+    /**
+     * Forgets engines that are no longer listed.
+     *
+     * @param listed the ids that are listed
+     */
+    public void retain(Set<UpstreamId> listed) {
+        mFullUntil.keySet().retainAll(listed);
+    }
+
     /** One search. Confined to the traffic loop. */
     public final class Search {
 
@@ -179,12 +188,47 @@
             }
             if (now + FULL_MILLIS > mUntil) {
                 mOver = true;
-                mListener.refused("no place after " + mRefusals + " refusals");
+                mListener.refused(why());
                 return;
             }
             mLoop.later(this::round, FULL_MILLIS / 2 + mRandom.nextLong(FULL_MILLIS / 2));
         }
 
+        /**
+         * Tells what the refusal was decided by.
+         *
+         * @return what was needed, and what is known of the engine with the least in use
+         */
+        private String why() {
+            String needed =
+                    "no place after "
+                            + mRefusals
+                            + " refusals: "
+                            + mWanted.promptTokens()
+                            + "+"
+                            + (long) margin()
+                            + " tokens of "
+                            + mWanted.memoryTokens();
+            List<UpstreamEntry> engines = mLoads.byTokens(mWanted.engines().get(), Set.of());
+            return engines.isEmpty()
+                    ? needed + ", no engine may be asked"
+                    : needed
+                            + ", least used "
+                            + engines.get(0).id()
+                            + " known "
+                            + mLoads.tokens(engines.get(0));
+        }
+
+        /**
+         * Returns how much memory is kept free for the growth of what runs at an engine.
+         *
+         * @return tokens
+         */
+        private double margin() {
+            long output = mWanted.mostTokens() - mWanted.promptTokens();
+            return Math.min(output * GROWTH_OUTPUTS, mWanted.memoryTokens() * MOST_MARGIN);
+        }
+
         /**
          * Returns whether an engine has room for the prompt and for the growth of what runs there.
          *
@@ -195,9 +239,7 @@
             if (!mLoads.peersHeard()) {
                 return true;
             }
-            long output = mWanted.mostTokens() - mWanted.promptTokens();
-            double margin = Math.min(output * GROWTH_OUTPUTS, mWanted.memoryTokens() * MOST_MARGIN);
-            return mLoads.tokens(engine) + mWanted.promptTokens() + margin
+            return mLoads.tokens(engine) + mWanted.promptTokens() + margin()
                     <= mWanted.memoryTokens();
         }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -51,8 +51,7 @@
             giveUp(ResultCode.NO_UPSTREAM, "no upstream is left for " + mService);
             return;
         }
-        mTried.add(upstream.get().id());
-        mTrace.step("sent@" + upstream.get().id());
+        sent(upstream.get(), "sent");
         mAttempt = new Attempt(upstream.get());
         mAttempt.begin();
     }
@@ -109,6 +108,9 @@
         /** Where it goes. */
         private final UpstreamEntry mUpstream;
 
+        /** When it began, milliseconds. */
+        private final long mStart = mContext.loop().millis();
+
         /** The call. */
         private UpstreamPort.Call mCall;
 
@@ -201,7 +203,7 @@
             UpstreamPort.Head head = mAnswer.head();
             switch (head.verdict()) {
                 case SUCCESS -> {
-                    mContext.loads().succeeded(mUpstream);
+                    succeeded(mUpstream, "plain", mContext.loop().millis() - mStart);
                     mTrace.step("status=" + head.status());
                     mAnswer.sendTo(mCaller);
                     answered();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -80,10 +80,21 @@
                         request.deadlineMillis() - ServingSettings.ANSWER_MARGIN_MILLIS);
         mDeadline = context.loop().millis() + Math.max(1, held);
         mTimer = context.loop().later(this::expire, Math.max(1, held));
+        mTrace.input("routersHeard", context.peers().routers());
+        context.metrics().began();
         caller.onGone(this::callerGone);
         context.budget().request(service, context.loop().millis());
     }
 
+    /**
+     * Returns what happened to the request so far.
+     *
+     * @return the trace
+     */
+    RequestTrace trace() {
+        return mTrace;
+    }
+
     /** Begins to serve. */
     abstract void start();
 
@@ -135,6 +146,12 @@
      */
     protected void learn(UpstreamEntry upstream, AttemptEnd end) {
         mKnowledge.learn(end);
+        mContext.metrics()
+                .upstream(
+                        upstream.id(),
+                        end.notStarted()
+                                ? ServingMetrics.UpstreamEvent.REFUSED
+                                : ServingMetrics.UpstreamEvent.FAILED);
         mTrace.step("failed@" + upstream.id() + "(" + end.detail() + ")");
         if (end.notStarted() && end.leaving()) {
             mContext.loads().replaced(upstream);
@@ -173,8 +190,13 @@
      *
      * @return whether it does; it is taken from the budget then
      */
-    private boolean mayCallOnceMore() {
-        return mContext.budget().tryExtra(mService, mContext.loop().millis());
+    protected boolean mayCallOnceMore() {
+        boolean made = mContext.budget().tryExtra(mService, mContext.loop().millis());
+        mContext.metrics().extraCall(made);
+        if (!made) {
+            mTrace.step("budget of extra calls is used up");
+        }
+        return made;
     }
 
     /**
@@ -188,6 +210,31 @@
         return excluded;
     }
 
+    /**
+     * Records that the request is sent to be run.
+     *
+     * @param upstream where to
+     * @param step what it is called in the log
+     */
+    protected void sent(UpstreamEntry upstream, String step) {
+        mTried.add(upstream.id());
+        mTrace.step(step + "@" + upstream.id());
+        mContext.metrics().upstream(upstream.id(), ServingMetrics.UpstreamEvent.SENT);
+    }
+
+    /**
+     * Records that an upstream answered well.
+     *
+     * @param upstream the upstream
+     * @param stage the stage that is over
+     * @param millis how long it took
+     */
+    protected void succeeded(UpstreamEntry upstream, String stage, long millis) {
+        mContext.loads().succeeded(upstream);
+        mContext.metrics().upstream(upstream.id(), ServingMetrics.UpstreamEvent.SUCCEEDED);
+        mContext.metrics().stage(stage, millis);
+    }
+
     /** Ends the request after an upstream's whole answer went to the caller. */
     protected void answered() {
         close(RequestTrace.ANSWERED);
@@ -272,6 +319,7 @@
     private void close(String outcome) {
         mOver = true;
         mTimer.stop();
+        mContext.metrics().ended(mRoute.name(), outcome, mTrace.elapsedMillis());
         mContext.decisions().ended(mTrace, outcome);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
@@ -52,7 +52,9 @@
         }
         String name = route.get().service(mContext.random().nextDouble());
         Optional<Service> service = configuration.get().service(name);
-        execution(request, route.get(), name, service, caller).start();
+        RequestExecution execution = execution(request, route.get(), name, service, caller);
+        execution.trace().input("configuration", configuration.get().version());
+        execution.start();
     }
 
     /**
@@ -92,6 +94,7 @@
         RequestTrace trace = new RequestTrace(request.id().value(), "none", mContext.loop());
         trace.step(request.host() + request.target());
         caller.refuse(code, code.meaning(), retryAfterMillis);
+        mContext.metrics().ended(code.label());
         mContext.decisions().ended(trace, code.label());
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
@@ -1,5 +1,10 @@
 package org.troutpier.daemon.serving;
 
+import java.util.Map;
+import java.util.TreeMap;
+import org.apache.logging.log4j.message.Message;
+import org.apache.logging.log4j.message.StringMapMessage;
+
 /**
  * What happened to one request, for its line in the log. Confined to the traffic loop. Invariant:
  * bounded in size.
@@ -24,6 +29,9 @@
     /** When the request came, milliseconds. */
     private final long mStart;
 
+    /** What the request was decided by. */
+    private final Map<String, String> mInputs = new TreeMap<>();
+
     /** The steps so far. */
     private final StringBuilder mSteps = new StringBuilder();
 
@@ -79,9 +87,31 @@
         return mLoop.millis() - mStart;
     }
 
-    /** {@inheritDoc} */
-    @Override
-    public String toString() {
-        return "route=" + mRoute + " millis=" + elapsedMillis() + " steps=[" + mSteps + " ]";
+    /**
+     * Notes what the request was decided by.
+     *
+     * @param name what it is
+     * @param value its value, age or version
+     */
+    public void input(String name, long value) {
+        mInputs.put(name, Long.toString(value));
+    }
+
+    /**
+     * Returns the request's line for the log.
+     *
+     * @param outcome how it ended
+     * @return a structured message
+     */
+    Message message(String outcome) {
+        StringMapMessage message = new StringMapMessage();
+        message.put("event", "request");
+        message.put("request", mId);
+        message.put("outcome", outcome);
+        message.put("route", mRoute);
+        message.put("millis", Long.toString(elapsedMillis()));
+        message.putAll(mInputs);
+        message.put("steps", mSteps.toString().trim());
+        return message;
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -19,6 +19,7 @@
  * @param pacer tells refused callers when to come back
  * @param peers what the other routers said
  * @param demand measures what is asked of model services
+ * @param metrics counts and measures
  * @param decisions logs what was decided about requests
  * @param random draws splits
  */
@@ -33,6 +34,7 @@
         ReturnPacer pacer,
         PeerLoads peers,
         DemandMeter demand,
+        ServingMetrics metrics,
         DecisionLog decisions,
         RandomGenerator random) {
 
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
@@ -0,0 +1,146 @@
+package org.troutpier.daemon.serving;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.Set;
+import org.troutpier.common.id.UpstreamId;
+
+/**
+ * Counts and measures what becomes of requests, by outcome, route, stage and upstream. Thread safe.
+ * Invariant: figures of upstreams that are gone are dropped, so their number stays bounded.
+ */
+public final class ServingMetrics {
+
+    /** What the names of an upstream's figures begin with. */
+    private static final String UPSTREAM = "upstream.";
+
+    /** Keeps the figures. */
+    private final MetricRegistry mMetrics;
+
+    /** Requests that have not ended. */
+    private final Counter mOpen;
+
+    /** Requests that wait for a place at an engine. */
+    private final Counter mWaiting;
+
+    /** Extra calls that were made. */
+    private final Counter mExtraMade;
+
+    /** Extra calls that the budget did not allow. */
+    private final Counter mExtraDenied;
+
+    /** What may happen between a router and an upstream. */
+    enum UpstreamEvent {
+        /** A request was sent to be run. */
+        SENT,
+        /** It was answered well. */
+        SUCCEEDED,
+        /** It failed or its fate is unknown. */
+        FAILED,
+        /** The upstream refused it as not started. */
+        REFUSED
+    }
+
+    /**
+     * Registers the figures.
+     *
+     * @param metrics keeps them
+     */
+    public ServingMetrics(MetricRegistry metrics) {
+        mMetrics = metrics;
+        mOpen = metrics.counter("requests.open");
+        mWaiting = metrics.counter("places.waiting");
+        mExtraMade = metrics.counter("budget.extra.made");
+        mExtraDenied = metrics.counter("budget.extra.denied");
+    }
+
+    /** Counts a request that begins. */
+    void began() {
+        mOpen.inc();
+    }
+
+    /**
+     * Counts a request that has ended.
+     *
+     * @param route its route
+     * @param outcome how it ended
+     * @param millis how long it took
+     */
+    void ended(String route, String outcome, long millis) {
+        mOpen.dec();
+        ended(outcome);
+        mMetrics.counter("requests.route." + route + "." + outcome).inc();
+        mMetrics.histogram("requests.millis." + route).update(millis);
+    }
+
+    /**
+     * Counts a request that ended before it had a route.
+     *
+     * @param outcome how it ended
+     */
+    void ended(String outcome) {
+        mMetrics.counter("requests." + outcome).inc();
+    }
+
+    /**
+     * Measures a stage of a request.
+     *
+     * @param stage the stage
+     * @param millis how long it took
+     */
+    void stage(String stage, long millis) {
+        mMetrics.histogram("stage.millis." + stage).update(millis);
+    }
+
+    /**
+     * Counts what happened between this router and an upstream.
+     *
+     * @param upstream the upstream
+     * @param event what happened
+     */
+    void upstream(UpstreamId upstream, UpstreamEvent event) {
+        mMetrics.counter(UPSTREAM + upstream.value() + "." + event.name().toLowerCase()).inc();
+    }
+
+    /**
+     * Counts an extra call that was wanted.
+     *
+     * @param made whether the budget allowed it
+     */
+    void extraCall(boolean made) {
+        (made ? mExtraMade : mExtraDenied).inc();
+    }
+
+    /**
+     * Counts a request that begins or ends to wait for a place.
+     *
+     * @param waits whether it begins
+     */
+    void waitsForPlace(boolean waits) {
+        if (waits) {
+            mWaiting.inc();
+        } else {
+            mWaiting.dec();
+        }
+    }
+
+    /**
+     * Drops the figures of upstreams that are no longer listed.
+     *
+     * @param listed the ids that are listed
+     */
+    public void retain(Set<UpstreamId> listed) {
+        mMetrics.removeMatching(
+                (name, metric) -> name.startsWith(UPSTREAM) && !listed.contains(id(name)));
+    }
+
+    /**
+     * Returns the upstream that a figure belongs to.
+     *
+     * @param name the figure's name
+     * @return the id
+     */
+    private static UpstreamId id(String name) {
+        return new UpstreamId(name.substring(UPSTREAM.length(), name.lastIndexOf('.')));
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -28,6 +28,9 @@
     /** The prefill engines that were tried for this run. */
     private final Set<UpstreamId> mPrefillTried = new HashSet<>();
 
+    /** When the last search for a place began, milliseconds. */
+    private long mSearchBegan;
+
     /** Looks for a place, or null. */
     private PlaceAllocator.Search mSearch;
 
@@ -98,6 +101,8 @@
                         ? ServingSettings.RETURN_WAIT_PART
                         : ServingSettings.WAIT_PART;
         long wait = (long) (mRoute.targetMillis() * part);
+        mSearchBegan = mContext.loop().millis();
+        mContext.metrics().waitsForPlace(true);
         mSearch =
                 mContext.places()
                         .find(
@@ -189,7 +194,7 @@
             return;
         }
         boolean extra = mReadBefore;
-        if (extra && !mContext.budget().tryExtra(mService, mContext.loop().millis())) {
+        if (extra && !mayCallOnceMore()) {
             failedBeforeRun(ResultCode.UPSTREAMS_REFUSED, "no extra prefill is left");
             return;
         }
@@ -207,8 +212,7 @@
      * @param prompt where the prompt was read, if elsewhere
      */
     private void run(Optional<UpstreamPort.StoredPrompt> prompt) {
-        mTried.add(mDecode.id());
-        mTrace.step("decode@" + mDecode.id());
+        sent(mDecode, "decode");
         mRelay.beginRun();
         UpstreamPort.RunPlan plan =
                 UpstreamPort.RunPlan.plain(leftMillis(), mRoute.priority())
@@ -258,6 +262,8 @@
     protected void stopUpstream() {
         if (mSearch != null) {
             mSearch.stop();
+            mSearch = null;
+            mContext.metrics().waitsForPlace(false);
         }
         if (mReading != null) {
             mReading.abort();
@@ -342,20 +348,28 @@
         /** {@inheritDoc} */
         @Override
         public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
-            mSearch = null;
+            searched();
             mDecode = engine;
             mPlace = place;
             mMemory = new EngineMemory(engine);
             mContext.pacer().granted(mContext.loop().millis());
-            mTrace.step("place@" + engine.id());
+            mTrace.step("place@" + engine.id() + " known " + mContext.loads().tokens(engine));
             read();
         }
 
+        /** Records that the search is over. */
+        private void searched() {
+            mSearch = null;
+            mContext.metrics().waitsForPlace(false);
+            mContext.metrics().stage("place", mContext.loop().millis() - mSearchBegan);
+        }
+
         /** {@inheritDoc} */
         @Override
         public void refused(String detail) {
-            mSearch = null;
-            failedBeforeRun(ResultCode.NO_PLACE, detail);
+            searched();
+            mTrace.step(detail + ", prompt read in " + (long) readMillis() + "ms at best");
+            failedBeforeRun(ResultCode.NO_PLACE, "no place");
         }
     }
 
@@ -430,8 +444,8 @@
         @Override
         public void onResult(UpstreamPort.StoredPrompt prompt) {
             close();
-            mContext.loads().succeeded(mUpstream);
             long now = mContext.loop().millis();
+            succeeded(mUpstream, "prefill", now - mStart);
             if (mAlone) {
                 mContext.demand().read(mService, promptTokens(), now - mStart, now);
             }
@@ -578,6 +592,7 @@
             }
             if (before == 0 && mRelay.events() > 0) {
                 mTrace.step("first event");
+                mContext.metrics().stage("first-event", mTrace.elapsedMillis());
             }
             watch();
             if (!mCaller.writable()) {
@@ -608,8 +623,8 @@
                 return;
             }
             close();
-            mContext.loads().succeeded(mUpstream);
             long now = mContext.loop().millis();
+            succeeded(mUpstream, "stream", now - mStart);
             double tokens = promptTokens() + mRelay.events() * mEngine.eventTokens() / 2.0;
             mContext.demand().ran(mService, tokens * (now - mStart), now);
             mTrace.step("events=" + mRelay.events());
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -55,6 +55,7 @@
                         new ReturnPacer(random),
                         peers,
                         new DemandMeter(),
+                        new ServingMetrics(new MetricRegistry()),
                         new DecisionLog(new MetricRegistry(), mTime.loop()),
                         random);
     }
