--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -9,7 +9,6 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.troutpier.common.id.UpstreamId;
-import org.troutpier.daemon.cluster.UpstreamUse;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
@@ -31,11 +30,14 @@
     private static final int PLACE_MILLIS = 1000;
 
     /**
-     * Which part of an engine's memory is kept free beyond the forecast: outputs are often far from
-     * what was guessed, and what other routers took in the last 50 ms is not known. Measured in
-     * steps from 0.05 to 0.21 (docs/PLATFORM.md).
+     * How many times the most output of one request an engine keeps free for the growth of what
+     * runs there. Runs grow together while they leave one by one, so an engine that is filled up
+     * preempts before somebody leaves.
      */
-    private static final double FREE_PART = 0.17;
+    private static final double GROWTH_OUTPUTS = 1.6;
+
+    /** Which part of an engine's memory is kept free for growth at most. */
+    private static final double MOST_MARGIN = 0.5;
 
     /** The collaborators that it shares with the executions. */
     private final TrafficLoop mLoop;
@@ -92,7 +94,6 @@
      * What is looked for. Immutable.
      *
      * @param promptTokens the prompt's length
-     * @param expectedTokens how many tokens are expected to come out
      * @param mostTokens the prompt's length and the most output
      * @param memoryTokens how much memory an engine has
      * @param placeMillis how long engines set places aside at most; 0 where they do not
@@ -101,7 +102,6 @@
      */
     public record Wanted(
             long promptTokens,
-            long expectedTokens,
             long mostTokens,
             long memoryTokens,
             int placeMillis,
@@ -206,7 +206,7 @@
                             + " refusals: "
                             + mWanted.promptTokens()
                             + "+"
-                            + mWanted.expectedTokens()
+                            + (long) margin()
                             + " tokens of "
                             + mWanted.memoryTokens();
             List<UpstreamEntry> engines = mLoads.byTokens(mWanted.engines().get(), Set.of());
@@ -216,9 +216,17 @@
                             + ", least used "
                             + engines.get(0).id()
                             + " known "
-                            + mLoads.tokens(engines.get(0))
-                            + " forecast "
-                            + (long) forecast(engines.get(0));
+                            + mLoads.tokens(engines.get(0));
+        }
+
+        /**
+         * Returns how much memory is kept free for the growth of what runs at an engine.
+         *
+         * @return tokens
+         */
+        private double margin() {
+            long output = mWanted.mostTokens() - mWanted.promptTokens();
+            return Math.min(output * GROWTH_OUTPUTS, mWanted.memoryTokens() * MOST_MARGIN);
         }
 
         /**
@@ -231,19 +239,8 @@
             if (!mLoads.peersHeard()) {
                 return true;
             }
-            double usable = mWanted.memoryTokens() * (1 - FREE_PART);
-            return forecast(engine) <= usable;
-        }
-
-        /**
-         * Forecasts the most memory that an engine's runs take at once, with this one among them.
-         *
-         * @param engine the engine
-         * @return tokens
-         */
-        private double forecast(UpstreamEntry engine) {
-            UpstreamUse own = new UpstreamUse(1, mWanted.promptTokens(), mWanted.expectedTokens());
-            return MemoryForecast.peak(mLoads.use(engine).plus(own));
+            return mLoads.tokens(engine) + mWanted.promptTokens() + margin()
+                    <= mWanted.memoryTokens();
         }
 
         /**
@@ -254,14 +251,14 @@
         private void ask(UpstreamEntry engine) {
             if (mWanted.placeMillis() == 0) {
                 mOver = true;
-                mLoads.take(engine, mWanted.promptTokens(), mWanted.expectedTokens());
+                mLoads.take(engine, mWanted.promptTokens());
                 mListener.granted(engine, Optional.empty());
                 return;
             }
             mAsked.add(engine.id());
             int millis = Math.min(PLACE_MILLIS, mWanted.placeMillis());
             long tokens = mLoads.peersHeard() ? mWanted.promptTokens() : mWanted.mostTokens();
-            mLoads.take(engine, mWanted.promptTokens(), mWanted.expectedTokens());
+            mLoads.take(engine, mWanted.promptTokens());
             mPort.reserve(engine, tokens, millis, new Answer(engine));
         }
 
@@ -284,7 +281,7 @@
             @Override
             public void onResult(UpstreamPort.Place place) {
                 if (mOver) {
-                    mLoads.giveBack(mEngine, mWanted.promptTokens(), mWanted.expectedTokens());
+                    mLoads.end(mEngine, mWanted.promptTokens());
                     mPort.release(mEngine, place);
                     return;
                 }
@@ -295,7 +292,7 @@
             /** {@inheritDoc} */
             @Override
             public void onFailure(AttemptEnd end) {
-                mLoads.giveBack(mEngine, mWanted.promptTokens(), mWanted.expectedTokens());
+                mLoads.end(mEngine, mWanted.promptTokens());
                 mRefusals++;
                 mFullUntil.put(mEngine.id(), mLoop.millis() + FULL_MILLIS);
                 if (end.leaving()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -108,7 +108,6 @@
                         .find(
                                 new PlaceAllocator.Wanted(
                                         promptTokens(),
-                                        remaining(),
                                         tokens(),
                                         mEngine.memoryTokens(),
                                         mEngine.placeMillis(),
@@ -168,21 +167,6 @@
         return mRequest.prompt().map(PromptShape::mostTokens).orElse(0L);
     }
 
-    /**
-     * Forecasts how many tokens come out still.
-     *
-     * @return tokens
-     */
-    private long remaining() {
-        long made = mRelay.events() * mEngine.eventTokens();
-        return mRequest.prompt()
-                .map(
-                        prompt ->
-                                MemoryForecast.remaining(
-                                        prompt.expectedTokens(), prompt.outputTokens(), made))
-                .orElse(0L);
-    }
-
     /**
      * Returns the prompt's length.
      *
@@ -328,10 +312,7 @@
         private final UpstreamEntry mUpstream;
 
         /** How many tokens are taken. */
-        private long mTokens = promptTokens();
-
-        /** How many more are expected. */
-        private long mExpected = remaining();
+        private long mTokens;
 
         /**
          * Keeps the memory of the prompt, which was taken with the place, and that of the events
@@ -341,6 +322,7 @@
          */
         EngineMemory(UpstreamEntry upstream) {
             mUpstream = upstream;
+            mTokens = promptTokens();
             grow(mRelay.events() * mEngine.eventTokens());
         }
 
@@ -350,15 +332,13 @@
          * @param tokens how many more
          */
         void grow(long tokens) {
-            long expected = remaining();
-            mContext.loads().grow(mUpstream, tokens, expected - mExpected);
             mTokens += tokens;
-            mExpected = expected;
+            mContext.loads().grow(mUpstream, tokens);
         }
 
         /** Frees all. */
         void free() {
-            mContext.loads().giveBack(mUpstream, mTokens, mExpected);
+            mContext.loads().end(mUpstream, mTokens);
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -80,9 +80,6 @@
         /** Tokens of the calls under way. */
         private long mTokens;
 
-        /** Tokens that they are expected to make still. */
-        private long mExpected;
-
         /** Failures since the last success. */
         private int mFailures;
 
@@ -140,11 +137,9 @@
      *
      * @param engine the engine
      * @param tokens how much
-     * @param expected how many more tokens are expected to be made
      */
-    public void take(UpstreamEntry engine, long tokens, long expected) {
+    public void take(UpstreamEntry engine, long tokens) {
         begin(engine, tokens);
-        load(engine.id()).mExpected += expected;
         mOnMemoryTaken.run();
     }
 
@@ -172,41 +167,14 @@
         load.mTokens -= tokens;
     }
 
-    /**
-     * Records that memory taken with {@link #take} is given back.
-     *
-     * @param engine the engine
-     * @param tokens how much the call takes now
-     * @param expected how many more tokens were expected last
-     */
-    public void giveBack(UpstreamEntry engine, long tokens, long expected) {
-        end(engine, tokens);
-        load(engine.id()).mExpected -= expected;
-    }
-
     /**
      * Records that a call takes more tokens.
      *
      * @param upstream where
      * @param tokens how many more
-     * @param expected by how much the tokens that are expected still change
-     */
-    public void grow(UpstreamEntry upstream, long tokens, long expected) {
-        Load load = load(upstream.id());
-        load.mTokens += tokens;
-        load.mExpected += expected;
-    }
-
-    /**
-     * Returns what all routers are known to have under way at an engine.
-     *
-     * @param engine the engine
-     * @return the sum
      */
-    public UpstreamUse use(UpstreamEntry engine) {
-        Load load = load(engine.id());
-        return new UpstreamUse(load.mCalls, load.mTokens, load.mExpected)
-                .plus(mPeers.use(engine.id()));
+    public void grow(UpstreamEntry upstream, long tokens) {
+        load(upstream.id()).mTokens += tokens;
     }
 
     /**
@@ -399,7 +367,7 @@
         mLoads.forEach(
                 (id, load) -> {
                     if (load.mCalls > 0) {
-                        uses.put(id, new UpstreamUse(load.mCalls, load.mTokens, load.mExpected));
+                        uses.put(id, new UpstreamUse(load.mCalls, load.mTokens));
                     }
                 });
         return uses;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
@@ -25,7 +25,6 @@
 
     private static final long MEMORY = 100_000;
     private static final long PROMPT = 5000;
-    private static final long OUTPUT = 3000;
     private static final long MOST = 15_000;
 
     private final UpstreamEntry mFirst = Entries.decode("first");
@@ -52,13 +51,7 @@
     private PlaceAllocator.Search find(long waitMillis) {
         return mAllocator.find(
                 new PlaceAllocator.Wanted(
-                        PROMPT,
-                        OUTPUT,
-                        MOST,
-                        MEMORY,
-                        2000,
-                        waitMillis,
-                        () -> List.of(mFirst, mSecond)),
+                        PROMPT, MOST, MEMORY, 2000, waitMillis, () -> List.of(mFirst, mSecond)),
                 new PlaceAllocator.Listener() {
                     @Override
                     public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
@@ -80,8 +73,8 @@
                         false,
                         Set.of(),
                         Map.of(
-                                mFirst.id(), new UpstreamUse(1, first, 0),
-                                mSecond.id(), new UpstreamUse(1, second, 0)),
+                                mFirst.id(), new UpstreamUse(1, first),
+                                mSecond.id(), new UpstreamUse(1, second)),
                         Map.of());
         Incarnation peer = new Incarnation("peer~1");
         assertEquals(peer.instance(), new InstanceId("peer"));
@@ -147,7 +140,7 @@
     @Test
     public void withoutEnginesASearchIsRefusedAfterItsWait() {
         mAllocator.find(
-                new PlaceAllocator.Wanted(PROMPT, OUTPUT, MOST, MEMORY, 2000, 100, List::of),
+                new PlaceAllocator.Wanted(PROMPT, MOST, MEMORY, 2000, 100, List::of),
                 new PlaceAllocator.Listener() {
                     @Override
                     public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -53,12 +53,7 @@
     public void whatOtherRoutersHaveUnderWayCounts() {
         LoadReport report =
                 new LoadReport(
-                        1,
-                        1,
-                        false,
-                        Set.of(),
-                        Map.of(mNear.id(), new UpstreamUse(5, 0, 0)),
-                        Map.of());
+                        1, 1, false, Set.of(), Map.of(mNear.id(), new UpstreamUse(5, 0)), Map.of());
         mPeers.heard(new Incarnation("peer~1"), ReportScope.OWN, report, mTime.millis());
         mPeers.sum(mTime.millis());
         assertEquals(pick().get(), mFar);
