A prefill engine that is silent is given up by the time the prompt should take

Ruled out: engines that are merely busy (what is known to wait there counts in the prediction). Change: three times the predicted time, at least 400 ms, at most the 2 s of before. Test: ExecutionTest.aPrefillEngineThatIsSilentIsGivenUpByTheTimeItShouldTake (failed before: one reading).

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
@@ -29,11 +29,20 @@
     static final double SILENCE_PART = 2.0;
 
     /**
-     * How long a prefill may take, milliseconds: some ten times the time of the largest prompt
-     * (11,000 tokens at 55 a millisecond).
+     * How long a prefill may take at most, milliseconds: some ten times the time of the largest
+     * prompt (11,000 tokens at 55 a millisecond).
      */
     static final long PREFILL_MILLIS = 2000;
 
+    /**
+     * How long a prefill may take at least before it is given up, milliseconds: twice the time of
+     * the largest prompt.
+     */
+    static final long LEAST_PREFILL_MILLIS = 400;
+
+    /** How many times as long as predicted a prefill may take. */
+    static final double PREFILL_PATIENCE = 3;
+
     /** How long a stream that can be continued elsewhere may be silent, milliseconds. */
     static final long STREAM_SILENCE_MILLIS = 1200;
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -401,7 +401,26 @@
             mUpstream = upstream;
             mStart = mContext.loop().millis();
             mAlone = mContext.loads().tokens(upstream) == 0 && !mReadBefore && !comesBack();
-            mTimer = mContext.loop().later(this::silent, ServingSettings.PREFILL_MILLIS);
+            mTimer = mContext.loop().later(this::silent, patienceMillis());
+        }
+
+        /**
+         * Returns how long the engine may be silent. One that lost its answer is given up soon, so
+         * that another can still read the prompt in time.
+         *
+         * @return milliseconds
+         */
+        private long patienceMillis() {
+            double pace = mContext.prefillPace(mService);
+            if (pace <= 0) {
+                return ServingSettings.PREFILL_MILLIS;
+            }
+            double predicted = (mContext.loads().tokens(mUpstream) + promptTokens()) / pace;
+            double patience = predicted * ServingSettings.PREFILL_PATIENCE;
+            return (long)
+                    Math.min(
+                            ServingSettings.PREFILL_MILLIS,
+                            Math.max(ServingSettings.LEAST_PREFILL_MILLIS, patience));
         }
 
         /** Sends the call. */
@@ -592,6 +611,7 @@
             }
             if (before == 0 && mRelay.events() > 0) {
                 mTrace.step("first event");
+                lateAfter(mTrace.elapsedMillis());
                 mContext.metrics().stage("first-event", mTrace.elapsedMillis());
             }
             watch();
@@ -606,6 +626,7 @@
             long pause = now - mLastEvent;
             if (mLastEvent != 0 && mRoute.eventGapMillis() > 0 && pause > mRoute.eventGapMillis()) {
                 long used = mContext.loads().tokens(mUpstream);
+                mTrace.late();
                 mTrace.step("pause " + pause + "ms@" + mUpstream.id() + " known tokens " + used);
             }
             mLastEvent = now;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -123,6 +123,23 @@
         assertNull(mCaller.mRefusal);
     }
 
+    @Test
+    public void aPrefillEngineThatIsSilentIsGivenUpByTheTimeItShouldTake() {
+        mContext.budget().limit(0, 1);
+        for (int reading = 0; reading < 3; reading++) {
+            mContext.demand().read("service", 5000, 100, mTime.millis());
+        }
+        mContext.demand().publish(mTime.millis());
+        mDirectory.replaceAll(
+                List.of(Entries.prefill("p"), Entries.prefill("q"), Entries.decode("a")));
+        stream();
+        assertEquals(mPort.mPrefills.size(), 1);
+        mTime.pass(ServingSettings.LEAST_PREFILL_MILLIS - 1);
+        assertEquals(mPort.mPrefills.size(), 1);
+        mTime.pass(2);
+        assertEquals(mPort.mPrefills.size(), 2);
+    }
+
     @Test
     public void aPromptThatIsNotUsedIsFreed() {
         UpstreamEntry prefill = Entries.prefill("p");
