--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecisionLog.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecisionLog.java
@@ -13,13 +13,22 @@
  */
 public final class DecisionLog {
 
-    /** How many lines a second are written; failures may use them all, successes half. */
+    /** How many lines a second are written at most. */
     private static final int LINES_PER_SECOND = 200;
 
+    /**
+     * How many of them may tell of ordinary successes: enough to see what one looks like. Counters
+     * and histograms tell the rest.
+     */
+    private static final int ORDINARY_PER_SECOND = 1;
+
     /** Writes the lines. */
     private static final Logger LOGGER = LogManager.getLogger("decision");
 
-    /** Counts lines that are left out. */
+    /** Counts lines of ordinary successes that are left out. */
+    private final Counter mFolded;
+
+    /** Counts other lines that are left out. */
     private final Counter mLeftOut;
 
     /** The clock. */
@@ -31,6 +40,9 @@
     /** How many lines were written in it. */
     private int mLines;
 
+    /** How many ordinary successes there were in it. */
+    private int mOrdinary;
+
     /**
      * Creates a log.
      *
@@ -38,6 +50,7 @@
      * @param loop the clock
      */
     public DecisionLog(MetricRegistry metrics, TrafficLoop loop) {
+        mFolded = metrics.counter("log.folded");
         mLeftOut = metrics.counter("log.left-out");
         mLoop = loop;
     }
@@ -49,7 +62,7 @@
      * @param outcome how it ended
      */
     public void ended(RequestTrace trace, String outcome) {
-        if (admitted(outcome.equals(RequestTrace.ANSWERED))) {
+        if (admitted(trace.ordinary(outcome))) {
             LOGGER.info(trace.message(outcome));
         }
     }
@@ -57,16 +70,21 @@
     /**
      * Returns whether a line may be written.
      *
-     * @param well whether it tells of a success
+     * @param ordinary whether it tells of an ordinary success
      * @return whether to write it
      */
-    private boolean admitted(boolean well) {
+    private boolean admitted(boolean ordinary) {
         long second = TimeUnit.NANOSECONDS.toSeconds(mLoop.nanos());
         if (second != mSecond) {
             mSecond = second;
             mLines = 0;
+            mOrdinary = 0;
+        }
+        if (ordinary && ++mOrdinary > ORDINARY_PER_SECOND) {
+            mFolded.inc();
+            return false;
         }
-        if (mLines >= (well ? LINES_PER_SECOND / 2 : LINES_PER_SECOND)) {
+        if (mLines >= LINES_PER_SECOND) {
             mLeftOut.inc();
             return false;
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -205,6 +205,7 @@
                 case SUCCESS -> {
                     succeeded(mUpstream, "plain", mContext.loop().millis() - mStart);
                     mTrace.step("status=" + head.status());
+                    lateAfter(mTrace.elapsedMillis());
                     mAnswer.sendTo(mCaller);
                     answered();
                 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -235,6 +235,17 @@
         mContext.metrics().stage(stage, millis);
     }
 
+    /**
+     * Marks the request as late if its target has passed.
+     *
+     * @param millis how long its answer took to come
+     */
+    protected void lateAfter(long millis) {
+        if (millis > mRoute.targetMillis()) {
+            mTrace.late();
+        }
+    }
+
     /** Ends the request after an upstream's whole answer went to the caller. */
     protected void answered() {
         close(RequestTrace.ANSWERED);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
@@ -29,6 +29,9 @@
     /** When the request came, milliseconds. */
     private final long mStart;
 
+    /** Whether it was answered late. */
+    private boolean mLate;
+
     /** What the request was decided by. */
     private final Map<String, String> mInputs = new TreeMap<>();
 
@@ -87,6 +90,21 @@
         return mLoop.millis() - mStart;
     }
 
+    /** Marks the request as one that was not served as it should be, though it was answered. */
+    public void late() {
+        mLate = true;
+    }
+
+    /**
+     * Returns whether a request's end is an ordinary success.
+     *
+     * @param outcome how it ended
+     * @return whether it was answered in time
+     */
+    boolean ordinary(String outcome) {
+        return outcome.equals(ANSWERED) && !mLate;
+    }
+
     /**
      * Notes what the request was decided by.
      *
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecisionLogTest.java
@@ -0,0 +1,61 @@
+package org.troutpier.daemon.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.daemon.node.ManualTime;
+
+/** Which requests have a line of their own. */
+public final class DecisionLogTest {
+
+    private ManualTime mTime;
+    private MetricRegistry mMetrics;
+    private DecisionLog mLog;
+
+    @BeforeMethod
+    void start() {
+        mTime = new ManualTime();
+        mMetrics = new MetricRegistry();
+        mLog = new DecisionLog(mMetrics, mTime.loop());
+    }
+
+    private RequestTrace trace() {
+        return new RequestTrace("id", "route", mTime.loop());
+    }
+
+    private long count(String counter) {
+        return mMetrics.counter(counter).getCount();
+    }
+
+    @Test
+    public void ordinarySuccessesAreFoldedIntoCounters() {
+        for (int request = 0; request < 10; request++) {
+            mLog.ended(trace(), RequestTrace.ANSWERED);
+        }
+        assertEquals(count("log.folded"), 9);
+        assertEquals(count("log.left-out"), 0);
+    }
+
+    @Test
+    public void failuresHaveTheirLinesWithinTheBound() {
+        for (int request = 0; request < 250; request++) {
+            mLog.ended(trace(), "TP-128");
+        }
+        assertEquals(count("log.left-out"), 50);
+        mTime.pass(1000);
+        mLog.ended(trace(), "TP-128");
+        assertEquals(count("log.left-out"), 50);
+    }
+
+    @Test
+    public void aLateAnswerIsNoOrdinarySuccess() {
+        RequestTrace trace = trace();
+        assertTrue(trace.ordinary(RequestTrace.ANSWERED));
+        trace.late();
+        assertFalse(trace.ordinary(RequestTrace.ANSWERED));
+    }
+}
