An engine that refuses runs it set places aside for is passed over by all routers

Cause: an engine that empties to change its role, or cannot fetch memory, grants places and refuses the runs with 503. Change: two refusals in a row pass an engine over for 1 s, doubling to 4 s, until a run succeeds; load reports name such engines, so one router's loss is enough for all. Where all refuse, the least used is asked all the same. Tests: UpstreamLoadsTest.anEngineThatRefuses* (three).

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
@@ -13,6 +13,7 @@
  * @param routers how many routers it tells of
  * @param roleHolder whether one of them decides engines' roles
  * @param changing the engines that change their role by their orders
+ * @param refusing the engines that refused runs they had set places aside for
  * @param uses what they have under way at each upstream
  * @param demands what callers asked of each model service lately
  */
@@ -21,16 +22,18 @@
         int routers,
         boolean roleHolder,
         Set<UpstreamId> changing,
+        Set<UpstreamId> refusing,
         Map<UpstreamId, UpstreamUse> uses,
         Map<String, Demand> demands) {
 
     /** The report of no router. */
     public static final LoadReport NONE =
-            new LoadReport(-1, 0, false, Set.of(), Map.of(), Map.of());
+            new LoadReport(-1, 0, false, Set.of(), Set.of(), Map.of(), Map.of());
 
     /** Copies the maps. */
     public LoadReport {
         changing = Set.copyOf(changing);
+        refusing = Set.copyOf(refusing);
         uses = Map.copyOf(uses);
         demands = Map.copyOf(demands);
     }
@@ -45,15 +48,17 @@
         int count = routers;
         boolean holder = roleHolder;
         Set<UpstreamId> changed = new HashSet<>(changing);
+        Set<UpstreamId> refused = new HashSet<>(refusing);
         Map<UpstreamId, UpstreamUse> allUses = new HashMap<>(uses);
         Map<String, Demand> allDemands = new HashMap<>(demands);
         for (LoadReport other : others) {
             count += other.routers;
             holder |= other.roleHolder;
             changed.addAll(other.changing);
+            refused.addAll(other.refusing);
             other.uses.forEach((id, use) -> allUses.merge(id, use, UpstreamUse::plus));
             other.demands.forEach((name, demand) -> allDemands.merge(name, demand, Demand::plus));
         }
-        return new LoadReport(configuration, count, holder, changed, allUses, allDemands);
+        return new LoadReport(configuration, count, holder, changed, refused, allUses, allDemands);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -104,6 +104,7 @@
                         1,
                         mRoles.holds(),
                         mRoles.changing(),
+                        mLoads.refusing(),
                         uses,
                         mDemand.publish(mLoop.millis()));
         mControl.execute(() -> mExchange.tell(report));
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -11,10 +11,10 @@
 
 /**
  * What the other routers said of their load and demand. Changes are confined to the control thread;
- * {@link #use}, {@link #demand}, {@link #changing}, {@link #routers()} and {@link #roleHolder()}
- * are thread safe and answer as of the last {@link #sum}. Invariants: a report counts until {@link
- * #BELIEVED_MILLIS} after it was heard; only reports of the scopes that are counted count, so that
- * no router's load is counted twice.
+ * {@link #use}, {@link #demand}, {@link #changing}, {@link #refusing}, {@link #routers()} and
+ * {@link #roleHolder()} are thread safe and answer as of the last {@link #sum}. Invariants: a
+ * report counts until {@link #BELIEVED_MILLIS} after it was heard; only reports of the scopes that
+ * are counted count, so that no router's load is counted twice.
  */
 public final class PeerLoads {
 
@@ -129,6 +129,16 @@
         return mSum.changing().contains(engine);
     }
 
+    /**
+     * Returns whether an engine refused runs of another router lately.
+     *
+     * @param engine the engine
+     * @return whether one said so
+     */
+    public boolean refusing(UpstreamId engine) {
+        return mSum.refusing().contains(engine);
+    }
+
     /**
      * Returns what callers asked of the others lately.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.id.HallId;
@@ -44,6 +45,15 @@
      */
     private static final long REPLACED_MILLIS = 4000;
 
+    /** How many runs in a row a decode engine refuses before it is passed over. */
+    private static final int REFUSALS = 2;
+
+    /**
+     * How long a decode engine that refuses runs is passed over at first, milliseconds; a change of
+     * its role takes some seconds.
+     */
+    private static final long FIRST_REFUSING_MILLIS = 1000;
+
     /** What crossing to another hall counts for, in parts of an upstream's slots. */
     private static final double OTHER_HALL = 0.15;
 
@@ -95,6 +105,12 @@
         /** The role that it was asked for when another answered. */
         private UpstreamEntry.Role mReplacedRole;
 
+        /** Runs that it refused since the last success. */
+        private int mRefusals;
+
+        /** Until when it is taken to refuse runs, milliseconds; 0 for not. */
+        private long mRefusingUntil;
+
         /**
          * Returns until when the upstream is passed over.
          *
@@ -209,6 +225,8 @@
         load.mFailures = 0;
         load.mEjectedUntil = 0;
         load.mEjectedMillis = 0;
+        load.mRefusals = 0;
+        load.mRefusingUntil = 0;
     }
 
     /**
@@ -221,6 +239,42 @@
         load.mEjectedUntil = Math.max(load.mEjectedUntil, mLoop.millis() + REFUSED_MILLIS);
     }
 
+    /**
+     * Records that an engine refused to run a request though it had set a place aside for it, as
+     * one does that empties to change its role. It looks idle, so it would be chosen again and
+     * again; the other routers are told too.
+     *
+     * @param engine the engine
+     */
+    public void runRefused(UpstreamEntry engine) {
+        Load load = load(engine.id());
+        load.mRefusals++;
+        if (load.mRefusals < REFUSALS) {
+            return;
+        }
+        int doublings = Math.min(load.mRefusals - REFUSALS, Integer.SIZE / 2);
+        long millis = Math.min(MOST_EJECTED_MILLIS, FIRST_REFUSING_MILLIS << doublings);
+        load.mRefusingUntil = mLoop.millis() + millis;
+        LOGGER.warn(
+                "upstream refuses runs id={} refusals={} millis={}",
+                engine.id(),
+                load.mRefusals,
+                millis);
+    }
+
+    /**
+     * Returns the engines that are taken to refuse runs.
+     *
+     * @return their ids
+     */
+    public Set<UpstreamId> refusing() {
+        long now = mLoop.millis();
+        return mLoads.entrySet().stream()
+                .filter(each -> each.getValue().mRefusingUntil > now)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /**
      * Records that another incarnation or an engine of another role answered in an upstream's
      * place: a crashed upstream is listed for some heartbeats although its successor has its
@@ -312,8 +366,8 @@
      * @param candidates the upstreams
      * @param tried where the request was already sent
      * @param cost what each costs
-     * @return the upstreams that are not passed over, the cheapest first; where all are passed
-     *     over, the one that comes back first
+     * @return the upstreams that are not passed over, the cheapest first; where all refuse runs,
+     *     those; where all are passed over, the one that comes back first
      */
     private List<UpstreamEntry> ordered(
             Collection<UpstreamEntry> candidates,
@@ -326,17 +380,19 @@
                         tried.contains(entry.id())
                                 || mChanging.contains(entry.id())
                                 || mPeers.changing(entry.id()));
-        List<UpstreamEntry> sound =
-                new ArrayList<>(
-                        left.stream()
-                                .filter(entry -> load(entry.id()).passedOverUntil(entry) <= now)
-                                .toList());
-        if (sound.isEmpty()) {
+        List<UpstreamEntry> there = new ArrayList<>(left);
+        there.removeIf(entry -> load(entry.id()).passedOverUntil(entry) > now);
+        if (there.isEmpty()) {
             return left.stream()
                     .min(Comparator.comparingLong(entry -> load(entry.id()).passedOverUntil(entry)))
                     .map(List::of)
                     .orElse(List.of());
         }
+        List<UpstreamEntry> sound = new ArrayList<>(there);
+        sound.removeIf(entry -> refuses(entry.id(), now));
+        if (sound.isEmpty()) {
+            sound = there;
+        }
         Map<UpstreamId, Double> costs = new HashMap<>();
         for (UpstreamEntry entry : sound) {
             costs.put(entry.id(), cost.applyAsDouble(entry) + mRandom.nextDouble() * 1e-6);
@@ -345,6 +401,17 @@
         return sound;
     }
 
+    /**
+     * Returns whether an engine is taken to refuse runs, by this router or another.
+     *
+     * @param id the engine
+     * @param now the clock, milliseconds
+     * @return whether it is
+     */
+    private boolean refuses(UpstreamId id, long now) {
+        return load(id).mRefusingUntil > now || mPeers.refusing(id);
+    }
+
     /**
      * Returns what a plain call costs.
      *
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -98,6 +98,7 @@
                             1,
                             false,
                             Set.of(),
+                            Set.of(),
                             Map.of(ENGINE, new UpstreamUse(1, 10)),
                             Map.of()));
         }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
@@ -72,6 +72,7 @@
                         1,
                         false,
                         Set.of(),
+                        Set.of(),
                         Map.of(
                                 mFirst.id(), new UpstreamUse(1, first),
                                 mSecond.id(), new UpstreamUse(1, second)),
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -53,7 +53,13 @@
     public void whatOtherRoutersHaveUnderWayCounts() {
         LoadReport report =
                 new LoadReport(
-                        1, 1, false, Set.of(), Map.of(mNear.id(), new UpstreamUse(5, 0)), Map.of());
+                        1,
+                        1,
+                        false,
+                        Set.of(),
+                        Set.of(),
+                        Map.of(mNear.id(), new UpstreamUse(5, 0)),
+                        Map.of());
         mPeers.heard(new Incarnation("peer~1"), ReportScope.OWN, report, mTime.millis());
         mPeers.sum(mTime.millis());
         assertEquals(pick().get(), mFar);
@@ -89,6 +95,50 @@
         assertEquals(mLoads.byTokens(List.of(engine, other), Set.of()).size(), 2);
     }
 
+    @Test
+    public void anEngineThatRefusesRunsIsPassedOverThoughItLooksIdle() {
+        UpstreamEntry idle = Entries.decode("idle");
+        UpstreamEntry busy = Entries.decode("busy");
+        List<UpstreamEntry> engines = List.of(idle, busy);
+        mLoads.begin(busy, 5000);
+        mLoads.runRefused(idle);
+        assertEquals(mLoads.byTokens(engines, Set.of()).get(0), idle);
+        mLoads.runRefused(idle);
+        assertEquals(mLoads.byTokens(engines, Set.of()), List.of(busy));
+        assertEquals(mLoads.refusing(), Set.of(idle.id()));
+        mTime.pass(1001);
+        assertEquals(mLoads.byTokens(engines, Set.of()).get(0), idle);
+        mLoads.runRefused(idle);
+        mTime.pass(1001);
+        assertEquals(mLoads.byTokens(engines, Set.of()), List.of(busy));
+        mLoads.succeeded(idle);
+        assertEquals(mLoads.byTokens(engines, Set.of()).get(0), idle);
+    }
+
+    @Test
+    public void anEngineThatRefusesAnotherRoutersRunsIsPassedOver() {
+        UpstreamEntry idle = Entries.decode("idle");
+        UpstreamEntry busy = Entries.decode("busy");
+        mLoads.begin(busy, 5000);
+        LoadReport report =
+                new LoadReport(1, 1, false, Set.of(), Set.of(idle.id()), Map.of(), Map.of());
+        mPeers.heard(new Incarnation("peer~1"), ReportScope.OWN, report, mTime.millis());
+        mPeers.sum(mTime.millis());
+        assertEquals(mLoads.byTokens(List.of(idle, busy), Set.of()), List.of(busy));
+    }
+
+    @Test
+    public void whereAllEnginesRefuseRunsTheLeastUsedIsAskedAllTheSame() {
+        UpstreamEntry idle = Entries.decode("idle");
+        UpstreamEntry busy = Entries.decode("busy");
+        mLoads.begin(busy, 5000);
+        for (int refusal = 0; refusal < 3; refusal++) {
+            mLoads.runRefused(idle);
+            mLoads.runRefused(busy);
+        }
+        assertEquals(mLoads.byTokens(List.of(busy, idle), Set.of()), List.of(idle, busy));
+    }
+
     @Test
     public void aFewFailuresAreChanceManyInARowAreNot() {
         mLoads.failed(mNear, false, "500");
