--- a/troutpier-common/src/main/java/org/troutpier/common/declaration/ClassDeclaration.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/declaration/ClassDeclaration.java
@@ -19,7 +19,6 @@
  * @param firstTokenMillis the first token's target, 0 for none
  * @param perTokenMillis the target between tokens, 0 for none
  * @param deadlineMillis when a request is given up, from its arrival
- * @param prefill when a prefill may start
  * @param whenTableUnavailable what to do with a keyed request while the table is away
  * @param answerCommit whether the outcome is recorded before or after the end mark
  * @param keepAnswerSeconds how long the answer of a keyed request is kept
@@ -35,7 +34,6 @@
         int firstTokenMillis,
         int perTokenMillis,
         int deadlineMillis,
-        PrefillRule prefill,
         TableRule whenTableUnavailable,
         AnswerCommit answerCommit,
         Integer keepAnswerSeconds,
@@ -69,16 +67,6 @@
         SERVICE
     }
 
-    /** When a prefill may start. */
-    public enum PrefillRule {
-        /** Only with a decode permit in hand: least wasted prefill. */
-        @JsonProperty("after-permit")
-        AFTER_PERMIT,
-        /** Already when a permit is predicted in time: most goodput. */
-        @JsonProperty("ahead")
-        AHEAD
-    }
-
     /** What to do with a keyed request while the table is away. */
     public enum TableRule {
         /** Refuse it as not run. */
@@ -113,7 +101,6 @@
                 "firstTokenMillis",
                 firstTokenMillis <= deadlineMillis,
                 "must not be later than deadlineMillis");
-        prefill = prefill == null ? PrefillRule.AFTER_PERMIT : prefill;
         whenTableUnavailable =
                 whenTableUnavailable == null ? TableRule.REFUSE : whenTableUnavailable;
         Check.that(
--- a/troutpier-common/src/main/java/org/troutpier/common/declaration/UpstreamDeclaration.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/declaration/UpstreamDeclaration.java
@@ -17,7 +17,6 @@
  * @param serves the model or service that it serves
  * @param slots how many requests it holds at once
  * @param prefillTokensPerSecond how fast it prefills, a first guess for the predictor
- * @param checksOrders whether it checks the epoch of an order itself
  * @param draining whether operators have taken it out of service
  */
 public record UpstreamDeclaration(
@@ -29,7 +28,6 @@
         String serves,
         int slots,
         Integer prefillTokensPerSecond,
-        boolean checksOrders,
         boolean draining) {
 
     /** The most slots an upstream may have. */
@@ -64,16 +62,7 @@
      */
     public UpstreamDeclaration withRole(Role newRole) {
         return new UpstreamDeclaration(
-                id,
-                owner,
-                newRole,
-                hall,
-                address,
-                serves,
-                slots,
-                prefillTokensPerSecond,
-                checksOrders,
-                draining);
+                id, owner, newRole, hall, address, serves, slots, prefillTokensPerSecond, draining);
     }
 
     /**
@@ -84,15 +73,6 @@
      */
     public UpstreamDeclaration withDraining(boolean newDraining) {
         return new UpstreamDeclaration(
-                id,
-                owner,
-                role,
-                hall,
-                address,
-                serves,
-                slots,
-                prefillTokensPerSecond,
-                checksOrders,
-                newDraining);
+                id, owner, role, hall, address, serves, slots, prefillTokensPerSecond, newDraining);
     }
 }
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpCalls.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpCalls.java
@@ -104,6 +104,24 @@
         return ongoing;
     }
 
+    /**
+     * Returns how many connections are kept open for the next call.
+     *
+     * @return the count
+     */
+    public long idleConnections() {
+        return mClient.getClientStats().getTotalIdleConnectionCount();
+    }
+
+    /**
+     * Returns how many connections carry a call.
+     *
+     * @return the count
+     */
+    public long activeConnections() {
+        return mClient.getClientStats().getTotalActiveConnectionCount();
+    }
+
     /** Closes all connections. */
     @Override
     public void close() {
--- a/troutpier-common/src/main/java/org/troutpier/common/id/Incarnation.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/id/Incarnation.java
@@ -16,7 +16,7 @@
     /** Parts the instance from the random part. */
     private static final char SEPARATOR = '~';
 
-    /** How many random bytes tell two lives apart. */
+    /** How many random bytes tell two starts apart. */
     private static final int RANDOM_BYTES = 6;
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
@@ -129,9 +129,9 @@
                         new PeerMesh.Members(mMembership, mMembership::live),
                         settings.peerSecret(),
                         mPeers::heard);
-        DeskHolder holder = new DeskHolder();
-        Optional<CoordinatorPermits> steward = stewardPermits(holder);
-        AdmissionController controller = desk(steward);
+        ControllerReference holder = new ControllerReference();
+        Optional<CoordinatorPermits> coordinator = coordinatorPermits(holder);
+        AdmissionController controller = admissionController(coordinator);
         holder.mAdmissionController = controller;
         mConfigurations.listen(controller::apply);
         Engines engines = new HttpEngines(mNode.calls());
@@ -151,7 +151,7 @@
         new OrphanSweeper(mNode, mUpstreamRegistry, engines, mMembership, mCancels, mRegistry);
         gauges(controller);
         mNode.control()
-                .execute(() -> mPeers.start(mMesh, proposer, steward, this::upstreamLeaving));
+                .execute(() -> mPeers.start(mMesh, proposer, coordinator, this::upstreamLeaving));
         mCallers =
                 new HttpServer(
                         settings.caller(),
@@ -222,13 +222,13 @@
     }
 
     /**
-     * Makes the permits that come from stewards, if the settings ask for them.
+     * Makes the permits that come from coordinators, if the settings ask for them.
      *
      * @param holder holds the controller, which is made later
      * @return the permits, or empty
      */
-    private Optional<CoordinatorPermits> stewardPermits(DeskHolder holder) {
-        if (mSettings.admission().permits() != DaemonSettings.PermitRule.STEWARD) {
+    private Optional<CoordinatorPermits> coordinatorPermits(ControllerReference holder) {
+        if (mSettings.admission().permits() != DaemonSettings.PermitRule.COORDINATOR) {
             return Optional.empty();
         }
         return Optional.of(
@@ -243,11 +243,11 @@
     /**
      * Makes the controller.
      *
-     * @param steward the permits that come from stewards, or empty
+     * @param coordinator the permits that come from coordinators, or empty
      * @return the controller
      */
-    private AdmissionController desk(Optional<CoordinatorPermits> steward) {
-        DecodePermits permits = steward.isPresent() ? steward.get() : permits();
+    private AdmissionController admissionController(Optional<CoordinatorPermits> coordinator) {
+        DecodePermits permits = coordinator.isPresent() ? coordinator.get() : permits();
         return new AdmissionController(
                 mNode,
                 mUpstreamRegistry,
@@ -276,7 +276,7 @@
     }
 
     /** Gives the controller to what is made before it. Set once, before any use. */
-    private static final class DeskHolder {
+    private static final class ControllerReference {
 
         /** The controller. */
         private volatile AdmissionController mAdmissionController;
@@ -311,7 +311,7 @@
     }
 
     /**
-     * Makes the permits that need no steward.
+     * Makes the permits that need no coordinator.
      *
      * @return the permits
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/CoordinatorPermits.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/CoordinatorPermits.java
@@ -15,10 +15,10 @@
 import org.troutpier.daemon.placement.UpstreamState;
 
 /**
- * Permits for decode slots that an engine's steward hands out in small batches and that routers
+ * Permits for decode slots that an engine's coordinator hands out in small batches and that routers
  * keep for reuse. Confined to the control thread. Both halves live here: the holder's side for
- * every engine, the steward's side for the engines that this router looks after. Invariant: a
- * steward that has just begun gives nothing until it has heard what the others hold.
+ * every engine, the coordinator's side for the engines that this router looks after. Invariant: a
+ * coordinator that has just begun gives nothing until it has heard what the others hold.
  */
 public final class CoordinatorPermits implements DecodePermits {
 
@@ -31,14 +31,14 @@
     /** How long a permit may lie idle before it goes back, nanoseconds. */
     private static final long IDLE_NANOS = 150_000_000L;
 
-    /** How long a new steward listens before it gives, nanoseconds. */
+    /** How long a new coordinator listens before it gives, nanoseconds. */
     private static final long LISTEN_NANOS = 700_000_000L;
 
     /** How long an unanswered wish is taken to be under way, nanoseconds. */
     private static final long ASKED_NANOS = 60_000_000L;
 
-    /** How long a router's wish counts at the steward, nanoseconds. */
-    private static final long HUNGRY_NANOS = 250_000_000L;
+    /** How long a router's wish counts at the coordinator, nanoseconds. */
+    private static final long WISH_NANOS = 250_000_000L;
 
     /** What every part of the router shares. */
     private final Node mNode;
@@ -59,9 +59,9 @@
     private final Map<UpstreamId, Holding> mHoldings = new HashMap<>();
 
     /** What this router gives, by engine. */
-    private final Map<UpstreamId, Stewardship> mStewardships = new HashMap<>();
+    private final Map<UpstreamId, Allocation> mAllocations = new HashMap<>();
 
-    /** The members at the last tick, so that a change of stewards is noticed. */
+    /** The members at the last tick, so that a change of coordinators is noticed. */
     private List<Member> mMembers = List.of();
 
     /** Sends a message to a router. */
@@ -94,20 +94,20 @@
         /** Whether the answer to the last wish is awaited. */
         private boolean mAsked;
 
-        /** The steward that gave last. */
+        /** The coordinator that gave last. */
         private Incarnation mGiver;
 
-        /** How many that steward has given in all. */
+        /** How many that coordinator has given in all. */
         private long mReceived;
 
         /**
-         * Tells how many a steward has given in all.
+         * Tells how many a coordinator has given in all.
          *
-         * @param steward the steward
+         * @param coordinator the coordinator
          * @return the count, 0 for another than the last
          */
-        long received(Incarnation steward) {
-            return steward.equals(mGiver) ? mReceived : 0;
+        long received(Incarnation coordinator) {
+            return coordinator.equals(mGiver) ? mReceived : 0;
         }
 
         /**
@@ -121,7 +121,7 @@
     }
 
     /** What this router gives of one engine's slots. */
-    private static final class Stewardship {
+    private static final class Allocation {
 
         /** What each router holds, as far as is known. */
         private final Map<Incarnation, Integer> mHeld = new HashMap<>();
@@ -136,11 +136,11 @@
         private final long mSince;
 
         /**
-         * Creates a stewardship.
+         * Creates an allocation.
          *
          * @param since since when
          */
-        Stewardship(long since) {
+        Allocation(long since) {
             mSince = since;
         }
 
@@ -243,7 +243,7 @@
     }
 
     /**
-     * Asks an engine's steward for permits, unless the last wish is still under way.
+     * Asks an engine's coordinator for permits, unless the last wish is still under way.
      *
      * @param engine the engine
      * @param count how many
@@ -260,42 +260,42 @@
     }
 
     /**
-     * Tells an engine's steward, which may be this router, what is held and wanted.
+     * Tells an engine's coordinator, which may be this router, what is held and wanted.
      *
      * @param engine the engine
      * @param holding what is held
      * @param wanted how many more are wanted
      */
     private void tell(UpstreamId engine, Holding holding, int wanted) {
-        Incarnation steward = steward(engine);
+        Incarnation coordinator = coordinator(engine);
         PeerMessage.PermitAsk ask =
                 new PeerMessage.PermitAsk(
-                        engine.value(), holding.held(), holding.received(steward), wanted);
-        if (steward.equals(self())) {
+                        engine.value(), holding.held(), holding.received(coordinator), wanted);
+        if (coordinator.equals(self())) {
             mNode.control().execute(() -> asked(self(), ask));
         } else {
-            mSender.send(steward, ask);
+            mSender.send(coordinator, ask);
         }
     }
 
     /**
-     * Takes a wish, as steward.
+     * Takes a wish, as coordinator.
      *
      * @param from who wants
      * @param ask what it holds and wants
      */
     public void asked(Incarnation from, PeerMessage.PermitAsk ask) {
         UpstreamId engine = new UpstreamId(ask.engine());
-        Stewardship stewardship = stewardship(engine);
-        if (stewardship == null) {
+        Allocation allocation = allocation(engine);
+        if (allocation == null) {
             return;
         }
-        stewardship.holds(from, ask.held(), ask.received());
-        stewardship.mWishes.remove(from);
+        allocation.holds(from, ask.held(), ask.received());
+        allocation.mWishes.remove(from);
         if (ask.wanted() > 0) {
-            stewardship.mWishes.put(from, new Wish(ask.wanted(), now()));
+            allocation.mWishes.put(from, new Wish(ask.wanted(), now()));
         }
-        serve(engine, stewardship);
+        serve(engine, allocation);
     }
 
     /**
@@ -305,9 +305,9 @@
      * @param report what it says
      */
     public void reported(Incarnation from, PeerMessage.PermitReport report) {
-        Stewardship stewardship = stewardship(new UpstreamId(report.engine()));
-        if (stewardship != null) {
-            stewardship.holds(from, report.held(), report.received());
+        Allocation allocation = allocation(new UpstreamId(report.engine()));
+        if (allocation != null) {
+            allocation.holds(from, report.held(), report.received());
         }
     }
 
@@ -316,29 +316,29 @@
      * that is not enough.
      *
      * @param engine the engine
-     * @param stewardship what is given
+     * @param allocation what is given
      */
-    private void serve(UpstreamId engine, Stewardship stewardship) {
+    private void serve(UpstreamId engine, Allocation allocation) {
         UpstreamState state = mUpstreamRegistry.get(engine);
         long now = now();
-        if (state == null || now - stewardship.mSince < LISTEN_NANOS) {
+        if (state == null || now - allocation.mSince < LISTEN_NANOS) {
             return;
         }
-        stewardship.mWishes.values().removeIf(wish -> now - wish.at() > HUNGRY_NANOS);
-        int free = state.declared().slots() - stewardship.out();
-        while (free > 0 && !stewardship.mWishes.isEmpty()) {
-            Incarnation first = stewardship.mWishes.keySet().iterator().next();
-            Wish wish = stewardship.mWishes.remove(first);
-            int fair = Math.max(1, free / (stewardship.mWishes.size() + 1));
+        allocation.mWishes.values().removeIf(wish -> now - wish.at() > WISH_NANOS);
+        int free = state.declared().slots() - allocation.out();
+        while (free > 0 && !allocation.mWishes.isEmpty()) {
+            Incarnation first = allocation.mWishes.keySet().iterator().next();
+            Wish wish = allocation.mWishes.remove(first);
+            int fair = Math.max(1, free / (allocation.mWishes.size() + 1));
             int given = Math.min(wish.count(), fair);
             free -= given;
-            stewardship.mHeld.merge(first, given, Integer::sum);
-            stewardship.mGiven.merge(first, (long) given, Long::sum);
+            allocation.mHeld.merge(first, given, Integer::sum);
+            allocation.mGiven.merge(first, (long) given, Long::sum);
             give(first, new PeerMessage.PermitGrant(engine.value(), given));
         }
-        if (!stewardship.mWishes.isEmpty()) {
-            stewardship.mHeld.keySet().stream()
-                    .filter(holder -> !stewardship.mWishes.containsKey(holder))
+        if (!allocation.mWishes.isEmpty()) {
+            allocation.mHeld.keySet().stream()
+                    .filter(holder -> !allocation.mWishes.containsKey(holder))
                     .filter(holder -> !holder.equals(self()))
                     .forEach(
                             holder ->
@@ -364,9 +364,9 @@
     }
 
     /**
-     * Takes permits that a steward gave.
+     * Takes permits that a coordinator gave.
      *
-     * @param from the steward
+     * @param from the coordinator
      * @param grant the permits
      */
     public void granted(Incarnation from, PeerMessage.PermitGrant grant) {
@@ -382,7 +382,7 @@
     }
 
     /**
-     * Gives idle permits back because a steward wants them.
+     * Gives idle permits back because a coordinator wants them.
      *
      * @param engine the engine
      */
@@ -404,28 +404,28 @@
         return holding(engine).held();
     }
 
-    /** Tells every engine's steward what this router holds. */
+    /** Tells every engine's coordinator what this router holds. */
     private void report() {
         mHoldings.forEach(
                 (engine, holding) -> {
-                    Incarnation steward = steward(engine);
+                    Incarnation coordinator = coordinator(engine);
                     PeerMessage.PermitReport report =
                             new PeerMessage.PermitReport(
-                                    engine.value(), holding.held(), holding.received(steward));
-                    if (steward.equals(self())) {
+                                    engine.value(), holding.held(), holding.received(coordinator));
+                    if (coordinator.equals(self())) {
                         reported(self(), report);
                     } else {
-                        mSender.send(steward, report);
+                        mSender.send(coordinator, report);
                     }
                 });
     }
 
-    /** Gives back what lies idle, notices new stewards and forgets routers that are gone. */
+    /** Gives back what lies idle, notices new coordinators and forgets routers that are gone. */
     private void tick() {
         List<Member> members = mMembership.serving();
         if (!members.equals(mMembers)) {
             mMembers = members;
-            mStewardships.keySet().removeIf(engine -> !looksAfter(engine));
+            mAllocations.keySet().removeIf(engine -> !looksAfter(engine));
         }
         long now = now();
         mHoldings.forEach(
@@ -434,33 +434,33 @@
                         recalled(engine);
                     }
                 });
-        mStewardships.forEach(
-                (engine, stewardship) -> {
-                    stewardship.mHeld.keySet().removeIf(mMembership::gone);
-                    serve(engine, stewardship);
+        mAllocations.forEach(
+                (engine, allocation) -> {
+                    allocation.mHeld.keySet().removeIf(mMembership::gone);
+                    serve(engine, allocation);
                 });
     }
 
     /**
-     * Finds or begins a stewardship.
+     * Finds or begins a allocation.
      *
      * @param engine the engine
-     * @return the stewardship, or null where another router looks after the engine
+     * @return the allocation, or null where another router looks after the engine
      */
-    private Stewardship stewardship(UpstreamId engine) {
+    private Allocation allocation(UpstreamId engine) {
         if (!looksAfter(engine)) {
             return null;
         }
-        return mStewardships.computeIfAbsent(engine, id -> new Stewardship(now()));
+        return mAllocations.computeIfAbsent(engine, id -> new Allocation(now()));
     }
 
     /**
-     * Finds an engine's steward.
+     * Finds an engine's coordinator.
      *
      * @param engine the engine
      * @return the router that looks after it, as this one sees it
      */
-    private Incarnation steward(UpstreamId engine) {
+    private Incarnation coordinator(UpstreamId engine) {
         if (mMembers.isEmpty()) {
             mMembers = mMembership.serving();
         }
@@ -471,10 +471,10 @@
      * Returns whether this router looks after an engine.
      *
      * @param engine the engine
-     * @return whether it is the engine's steward
+     * @return whether it is the engine's coordinator
      */
     private boolean looksAfter(UpstreamId engine) {
-        return steward(engine).equals(self());
+        return coordinator(engine).equals(self());
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/claim/ClaimStore.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/claim/ClaimStore.java
@@ -72,7 +72,7 @@
     private final Set<String> mAttempts = ConcurrentHashMap.newKeySet();
 
     /**
-     * Creates a keeper.
+     * Creates a store.
      *
      * @param node what every part of the router shares
      * @param table where claims stand
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/CommandHandler.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/CommandHandler.java
@@ -43,7 +43,7 @@
     private final Inventory mInventory;
 
     /**
-     * Creates a desk.
+     * Creates a handler.
      *
      * @param node what every part of the router shares
      * @param registry the requests that this router carries
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/OperatorFront.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/OperatorFront.java
@@ -117,7 +117,7 @@
     }
 
     /**
-     * Tells who this router is and that it lives.
+     * Tells who this router is and that it runs.
      *
      * @return the answer
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Operators.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Operators.java
@@ -14,7 +14,7 @@
     private Operators() {}
 
     /**
-     * Makes the desk that answers queries and commands.
+     * Makes the handler of queries and commands.
      *
      * @param node what every part of the router shares
      * @param registry the requests that this router carries
@@ -22,7 +22,7 @@
      * @param membership who the routers are
      * @param keeper the declarations in force
      * @param peers knows the versions of the other routers
-     * @return the desk
+     * @return the handler
      */
     public static CommandHandler commands(
             Node node,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/Membership.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/Membership.java
@@ -52,7 +52,7 @@
     /**
      * One router. Immutable and thread safe.
      *
-     * @param incarnation which life of which instance
+     * @param incarnation which start of which instance
      * @param hall its hall
      * @param peer where its peers reach it
      * @param leaving whether it takes no new work
@@ -115,7 +115,7 @@
 
     /**
      * Lists the routers that are alive by either source, this one included, in a fixed order. Of
-     * two lives of one instance the one that was heard later counts.
+     * two starts of one instance the one that was heard later counts.
      *
      * @return the members
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerLogic.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerLogic.java
@@ -65,7 +65,7 @@
     /** Carries changes through. */
     private ChangeProposer mProposer;
 
-    /** The permits, where they come from stewards. */
+    /** The permits, where they come from coordinators. */
     private Optional<CoordinatorPermits> mPermits = Optional.empty();
 
     /** Hears of upstreams that the list shows as leaving. */
@@ -130,7 +130,7 @@
      *
      * @param mesh sends messages
      * @param proposer carries changes through
-     * @param permits the permits, where they come from stewards
+     * @param permits the permits, where they come from coordinators
      * @param leaving hears of upstreams that the list shows as leaving
      */
     public void start(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
@@ -58,7 +58,7 @@
     record Proof(String proof) implements PeerMessage {}
 
     /**
-     * Says that a router lives.
+     * Says that a router runs.
      *
      * @param stamp its hybrid clock
      * @param version the version in force there
@@ -69,21 +69,21 @@
             implements PeerMessage {}
 
     /**
-     * Asks an engine's steward for permits, or gives some back.
+     * Asks an engine's coordinator for permits, or gives some back.
      *
      * @param engine the engine
      * @param held how many it holds, used and free
-     * @param received how many this steward has given it in all, as far as it knows
+     * @param received how many this coordinator has given it in all, as far as it knows
      * @param wanted how many more it wants
      */
     record PermitAsk(String engine, int held, long received, int wanted) implements PeerMessage {}
 
     /**
-     * Tells an engine's steward what is held, now and then, in case an earlier word was lost.
+     * Tells an engine's coordinator what is held, now and then, in case an earlier word was lost.
      *
      * @param engine the engine
      * @param held how many it holds, used and free
-     * @param received how many this steward has given it in all, as far as it knows
+     * @param received how many this coordinator has given it in all, as far as it knows
      */
     record PermitReport(String engine, int held, long received) implements PeerMessage {}
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
@@ -62,7 +62,7 @@
     /** The claim on its key, once granted. */
     private Claim mClaim;
 
-    /** The ticket that waits at the desk, or null. */
+    /** The ticket that waits at the admission controller, or null. */
     private Ticket mTicket;
 
     /** What the current attempt may use, or null. */
@@ -154,16 +154,16 @@
         }
     }
 
-    /** Asks the desk to start. */
+    /** Asks the admission controller to start. */
     private void enqueue() {
         stage(Stage.QUEUED);
-        mTicket = ticket(mArrivalNanos, Set.copyOf(mAvoid), new DeskAnswer());
+        mTicket = ticket(mArrivalNanos, Set.copyOf(mAvoid), new AdmissionAnswer());
         Ticket ticket = mTicket;
         mServices.node().control().execute(() -> mServices.controller().submit(ticket));
     }
 
-    /** Hears the desk's answer on the control thread and passes it on. */
-    private final class DeskAnswer implements Ticket.Answer {
+    /** Hears the admission controller's answer on the control thread and passes it on. */
+    private final class AdmissionAnswer implements Ticket.Answer {
 
         /** {@inheritDoc} */
         @Override
@@ -199,11 +199,11 @@
     }
 
     /**
-     * Makes the ticket for the desk.
+     * Makes the ticket for the admission controller.
      *
      * @param arrivalNanos when the request arrived
      * @param avoid the upstreams that failed it
-     * @param answer hears the desk's answer
+     * @param answer hears the admission controller's answer
      * @return the ticket
      */
     protected abstract Ticket ticket(
@@ -281,7 +281,7 @@
     }
 
     /**
-     * Tells the desk how an attempt ended.
+     * Tells the admission controller how an attempt ended.
      *
      * @param grant what it used
      * @param end how it ended
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecisionLog.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecisionLog.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.troutpier.common.event.EventRing;
 
 /**
  * Logs what was decided about requests: one line for each request at its end, with the stages it
@@ -31,6 +32,9 @@
     /** Counts other lines that are left out. */
     private final Counter mLeftOut;
 
+    /** The time line. */
+    private final EventRing mEvents;
+
     /** The clock. */
     private final TrafficLoop mLoop;
 
@@ -47,9 +51,11 @@
      * Creates a log.
      *
      * @param metrics counts lines that are left out
+     * @param events the time line; each request is put there
      * @param loop the clock
      */
-    public DecisionLog(MetricRegistry metrics, TrafficLoop loop) {
+    public DecisionLog(MetricRegistry metrics, EventRing events, TrafficLoop loop) {
+        mEvents = events;
         mFolded = metrics.counter("log.folded");
         mLeftOut = metrics.counter("log.left-out");
         mLoop = loop;
@@ -62,6 +68,7 @@
      * @param outcome how it ended
      */
     public void ended(RequestTrace trace, String outcome) {
+        mEvents.record("request " + outcome, trace.id(), trace.steps());
         if (admitted(trace.ordinary(outcome))) {
             LOGGER.info(trace.message(outcome));
         }
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptReading.java
@@ -0,0 +1,171 @@
+package org.troutpier.daemon.serving;
+
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.upstream.AttemptEnd;
+
+/**
+ * The reading of one prompt at one prefill engine. Confined to the traffic loop. Invariant: it ends
+ * once: read, failed or aborted; a silent engine is given up.
+ */
+final class PromptReading implements UpstreamPort.ResultListener<UpstreamPort.StoredPrompt> {
+
+    /** The collaborators. */
+    private final ServingContext mContext;
+
+    /** What is read. */
+    private final Prompt mPrompt;
+
+    /** Where it is read. */
+    private final UpstreamEntry mEngine;
+
+    /** The steps of the request. */
+    private final RequestTrace mTrace;
+
+    /** Receives the end. */
+    private final Listener mListener;
+
+    /** When it began, milliseconds. */
+    private final long mStart;
+
+    /** Gives the reading up. */
+    private final TrafficLoop.Timer mTimer;
+
+    /** The call. */
+    private UpstreamPort.Call mCall;
+
+    /** Whether it has ended. */
+    private boolean mOver;
+
+    /**
+     * A prompt that is to be read.
+     *
+     * @param service the service that its request goes to
+     * @param tokens its length
+     * @param alone whether nothing is known to wait before it and it was not read before, so that
+     *     its time tells the engine's pace
+     */
+    record Prompt(String service, long tokens, boolean alone) {}
+
+    /** Receives how a reading ends, on the traffic loop. */
+    interface Listener {
+
+        /**
+         * Receives the prompt.
+         *
+         * @param prompt where it is kept
+         * @param millis how long it took
+         */
+        void read(UpstreamPort.StoredPrompt prompt, long millis);
+
+        /** Called when the engine did not read it. */
+        void failed();
+    }
+
+    /**
+     * Creates a reading.
+     *
+     * @param context the collaborators
+     * @param prompt what is read
+     * @param engine where it is read
+     * @param trace the steps of the request
+     * @param listener receives the end
+     */
+    PromptReading(
+            ServingContext context,
+            Prompt prompt,
+            UpstreamEntry engine,
+            RequestTrace trace,
+            Listener listener) {
+        mContext = context;
+        mPrompt = prompt;
+        mEngine = engine;
+        mTrace = trace;
+        mListener = listener;
+        mStart = context.loop().millis();
+        mTimer = context.loop().later(this::silent, patienceMillis());
+    }
+
+    /**
+     * Sends the call.
+     *
+     * @param request the request whose prompt it is
+     * @param plan what goes with it
+     */
+    void begin(ServingRequest request, UpstreamPort.RunPlan plan) {
+        mTrace.step("prefill@" + mEngine.id());
+        mContext.loads().begin(mEngine, mPrompt.tokens());
+        mCall = mContext.port().prefill(mEngine, request, plan, this);
+    }
+
+    /**
+     * Returns how long the engine may be silent. One that lost its answer is given up soon, so that
+     * another can still read the prompt in time.
+     *
+     * @return milliseconds
+     */
+    private long patienceMillis() {
+        double pace = mContext.prefillPace(mPrompt.service());
+        if (pace <= 0) {
+            return ServingSettings.PREFILL_MILLIS;
+        }
+        double predicted = (mContext.loads().tokens(mEngine) + mPrompt.tokens()) / pace;
+        double patience = predicted * ServingSettings.PREFILL_PATIENCE;
+        return (long)
+                Math.min(
+                        ServingSettings.PREFILL_MILLIS,
+                        Math.max(ServingSettings.LEAST_PREFILL_MILLIS, patience));
+    }
+
+    /** Gives the reading up because the engine is silent. */
+    private void silent() {
+        if (!mOver) {
+            mCall.abort();
+            onFailure(AttemptEnd.lost("prefill silent"));
+        }
+    }
+
+    /** Ends the call without hearing more. */
+    void abort() {
+        mCall.abort();
+        close();
+    }
+
+    /** Records that the call is over. */
+    private void close() {
+        mTimer.stop();
+        if (!mOver) {
+            mOver = true;
+            mContext.loads().end(mEngine, mPrompt.tokens());
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onResult(UpstreamPort.StoredPrompt prompt) {
+        close();
+        long now = mContext.loop().millis();
+        if (mPrompt.alone()) {
+            mContext.demand().read(mPrompt.service(), mPrompt.tokens(), now - mStart, now);
+        }
+        mContext.loads().succeeded(mEngine);
+        mContext.metrics().succeeded(mEngine.id(), "prefill", now - mStart);
+        mTrace.step("read");
+        mListener.read(prompt, now - mStart);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onFailure(AttemptEnd end) {
+        close();
+        mTrace.step("prefill failed(" + end.detail() + ")");
+        mContext.metrics().ended(mEngine.id(), end.notStarted());
+        if (end.notStarted() && end.leaving()) {
+            mContext.loads().replaced(mEngine);
+        } else if (end.notStarted() && !end.unreachable()) {
+            mContext.loads().refused(mEngine);
+        } else {
+            mContext.loads().failed(mEngine, end.unreachable(), end.detail());
+        }
+        mListener.failed();
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptShape.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptShape.java
@@ -9,11 +9,9 @@
  * @param model the model asked for
  * @param promptTokens the prompt's length
  * @param outputTokens the most tokens that may come out
- * @param expectedTokens how many tokens are expected to come out; at most {@code outputTokens}
  * @param parts the prompt's parts in order; the last belongs to the request or its session
  */
-public record PromptShape(
-        String model, int promptTokens, int outputTokens, int expectedTokens, List<Part> parts) {
+public record PromptShape(String model, int promptTokens, int outputTokens, List<Part> parts) {
 
     /**
      * A part of a prompt, which other prompts may share. Immutable and thread safe.
@@ -27,7 +25,6 @@
     public PromptShape {
         Check.range("promptTokens", promptTokens, 0, Integer.MAX_VALUE);
         Check.range("outputTokens", outputTokens, 0, Integer.MAX_VALUE);
-        Check.range("expectedTokens", expectedTokens, 0, outputTokens);
         parts = List.copyOf(parts);
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -146,12 +146,7 @@
      */
     protected void learn(UpstreamEntry upstream, AttemptEnd end) {
         mKnowledge.learn(end);
-        mContext.metrics()
-                .upstream(
-                        upstream.id(),
-                        end.notStarted()
-                                ? ServingMetrics.UpstreamEvent.REFUSED
-                                : ServingMetrics.UpstreamEvent.FAILED);
+        mContext.metrics().ended(upstream.id(), end.notStarted());
         mTrace.step("failed@" + upstream.id() + "(" + end.detail() + ")");
         if (end.notStarted() && end.leaving()) {
             mContext.loads().replaced(upstream);
@@ -235,7 +230,7 @@
     protected void sent(UpstreamEntry upstream, String step) {
         mTried.add(upstream.id());
         mTrace.step(step + "@" + upstream.id());
-        mContext.metrics().upstream(upstream.id(), ServingMetrics.UpstreamEvent.SENT);
+        mContext.metrics().sent(upstream.id());
     }
 
     /**
@@ -247,8 +242,7 @@
      */
     protected void succeeded(UpstreamEntry upstream, String stage, long millis) {
         mContext.loads().succeeded(upstream);
-        mContext.metrics().upstream(upstream.id(), ServingMetrics.UpstreamEvent.SUCCEEDED);
-        mContext.metrics().stage(stage, millis);
+        mContext.metrics().succeeded(upstream.id(), stage, millis);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
@@ -129,7 +129,16 @@
         message.put("route", mRoute);
         message.put("millis", Long.toString(elapsedMillis()));
         message.putAll(mInputs);
-        message.put("steps", mSteps.toString().trim());
+        message.put("steps", steps());
         return message;
     }
+
+    /**
+     * Returns what happened so far.
+     *
+     * @return the steps, each with the milliseconds since the request came
+     */
+    String steps() {
+        return mSteps.toString().trim();
+    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
@@ -29,18 +29,6 @@
     /** Extra calls that the budget did not allow. */
     private final Counter mExtraDenied;
 
-    /** What may happen between a router and an upstream. */
-    enum UpstreamEvent {
-        /** A request was sent to be run. */
-        SENT,
-        /** It was answered well. */
-        SUCCEEDED,
-        /** It failed or its fate is unknown. */
-        FAILED,
-        /** The upstream refused it as not started. */
-        REFUSED
-    }
-
     /**
      * Registers the figures.
      *
@@ -92,14 +80,45 @@
         mMetrics.histogram("stage.millis." + stage).update(millis);
     }
 
+    /**
+     * Counts a request that is sent to be run.
+     *
+     * @param upstream where to
+     */
+    void sent(UpstreamId upstream) {
+        count(upstream, "sent");
+    }
+
+    /**
+     * Counts a call that an upstream answered well.
+     *
+     * @param upstream the upstream
+     * @param stage the stage that is over
+     * @param millis how long it took
+     */
+    void succeeded(UpstreamId upstream, String stage, long millis) {
+        count(upstream, "succeeded");
+        stage(stage, millis);
+    }
+
+    /**
+     * Counts a call that was not answered well.
+     *
+     * @param upstream the upstream
+     * @param notStarted whether it is proved that the upstream did not start it
+     */
+    void ended(UpstreamId upstream, boolean notStarted) {
+        count(upstream, notStarted ? "refused" : "failed");
+    }
+
     /**
      * Counts what happened between this router and an upstream.
      *
      * @param upstream the upstream
      * @param event what happened
      */
-    void upstream(UpstreamId upstream, UpstreamEvent event) {
-        mMetrics.counter(UPSTREAM + upstream.value() + "." + event.name().toLowerCase()).inc();
+    private void count(UpstreamId upstream, String event) {
+        mMetrics.counter(UPSTREAM + upstream.value() + "." + event).inc();
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -176,7 +176,10 @@
         return mRequest.prompt().map(PromptShape::promptTokens).orElse(0);
     }
 
-    /** Has the prompt read, or has the decode engine read it where nobody else can. */
+    /**
+     * Has the prompt read, or has the decode engine read it where nobody else can or no extra call
+     * is left: its run is the request's first all the same.
+     */
     private void read() {
         if (mStored != null && mContext.loop().millis() < mStoredUntil) {
             UpstreamPort.StoredPrompt stored = mStored;
@@ -195,15 +198,19 @@
         }
         boolean extra = mReadBefore;
         if (extra && !mayCallOnceMore()) {
-            failedBeforeRun(ResultCode.UPSTREAMS_REFUSED, "no extra prefill is left");
+            run(Optional.empty());
             return;
         }
         UpstreamEntry engine = engines.get(0);
         mPrefillTried.add(engine.id());
-        mTrace.step("prefill@" + engine.id());
-        mReading = new PromptReading(engine);
+        boolean alone = mContext.loads().tokens(engine) == 0 && !mReadBefore && !comesBack();
         mReadBefore = true;
-        mReading.begin();
+        PromptReading.Prompt prompt = new PromptReading.Prompt(mService, promptTokens(), alone);
+        mReading = new PromptReading(mContext, prompt, engine, mTrace, new PromptRead());
+        mReading.begin(
+                mRequest,
+                UpstreamPort.RunPlan.plain(leftMillis(), mRoute.priority())
+                        .withResumeAfter(mRelay.last()));
     }
 
     /**
@@ -267,6 +274,7 @@
         }
         if (mReading != null) {
             mReading.abort();
+            mReading = null;
         }
         if (mRun != null) {
             mRun.abort();
@@ -305,43 +313,6 @@
         return mBegun;
     }
 
-    /** What the request takes at one decode engine. Confined to the traffic loop. */
-    private final class EngineMemory {
-
-        /** The engine. */
-        private final UpstreamEntry mUpstream;
-
-        /** How many tokens are taken. */
-        private long mTokens;
-
-        /**
-         * Keeps the memory of the prompt, which was taken with the place, and that of the events
-         * that an earlier run made.
-         *
-         * @param upstream the engine
-         */
-        EngineMemory(UpstreamEntry upstream) {
-            mUpstream = upstream;
-            mTokens = promptTokens();
-            grow(mRelay.events() * mEngine.eventTokens());
-        }
-
-        /**
-         * Takes more.
-         *
-         * @param tokens how many more
-         */
-        void grow(long tokens) {
-            mTokens += tokens;
-            mContext.loads().grow(mUpstream, tokens);
-        }
-
-        /** Frees all. */
-        void free() {
-            mContext.loads().end(mUpstream, mTokens);
-        }
-    }
-
     /** Receives a place. Confined to the traffic loop. */
     private final class PlaceFound implements PlaceAllocator.Listener {
 
@@ -351,7 +322,8 @@
             searched();
             mDecode = engine;
             mPlace = place;
-            mMemory = new EngineMemory(engine);
+            mMemory = new EngineMemory(mContext.loads(), engine, promptTokens());
+            mMemory.grow(mRelay.events() * mEngine.eventTokens());
             mContext.pacer().granted(mContext.loop().millis());
             mTrace.step("place@" + engine.id() + " known " + mContext.loads().tokens(engine));
             read();
@@ -373,119 +345,23 @@
         }
     }
 
-    /** The reading of the prompt at one prefill engine. Confined to the traffic loop. */
-    private final class PromptReading
-            implements UpstreamPort.ResultListener<UpstreamPort.StoredPrompt> {
-
-        /** Where it is read. */
-        private final UpstreamEntry mUpstream;
-
-        /** When it began, milliseconds. */
-        private final long mStart;
-
-        /** Whether nothing was known to wait before it, and it is not read again. */
-        private final boolean mAlone;
-
-        /** Gives the reading up. */
-        private final TrafficLoop.Timer mTimer;
-
-        /** The call. */
-        private UpstreamPort.Call mCall;
-
-        /**
-         * Creates a reading.
-         *
-         * @param upstream where it is read
-         */
-        PromptReading(UpstreamEntry upstream) {
-            mUpstream = upstream;
-            mStart = mContext.loop().millis();
-            mAlone = mContext.loads().tokens(upstream) == 0 && !mReadBefore && !comesBack();
-            mTimer = mContext.loop().later(this::silent, patienceMillis());
-        }
-
-        /**
-         * Returns how long the engine may be silent. One that lost its answer is given up soon, so
-         * that another can still read the prompt in time.
-         *
-         * @return milliseconds
-         */
-        private long patienceMillis() {
-            double pace = mContext.prefillPace(mService);
-            if (pace <= 0) {
-                return ServingSettings.PREFILL_MILLIS;
-            }
-            double predicted = (mContext.loads().tokens(mUpstream) + promptTokens()) / pace;
-            double patience = predicted * ServingSettings.PREFILL_PATIENCE;
-            return (long)
-                    Math.min(
-                            ServingSettings.PREFILL_MILLIS,
-                            Math.max(ServingSettings.LEAST_PREFILL_MILLIS, patience));
-        }
-
-        /** Sends the call. */
-        void begin() {
-            mContext.loads().begin(mUpstream, promptTokens());
-            mCall =
-                    mContext.port()
-                            .prefill(
-                                    mUpstream,
-                                    mRequest,
-                                    UpstreamPort.RunPlan.plain(leftMillis(), mRoute.priority())
-                                            .withResumeAfter(mRelay.last()),
-                                    this);
-        }
-
-        /** Gives the reading up because the engine is silent. */
-        private void silent() {
-            if (mReading == this) {
-                mCall.abort();
-                onFailure(AttemptEnd.lost("prefill silent"));
-            }
-        }
-
-        /** Ends the call without hearing more. */
-        void abort() {
-            mCall.abort();
-            close();
-        }
-
-        /** Records that the call is over. */
-        private void close() {
-            mTimer.stop();
-            if (mReading == this) {
-                mReading = null;
-                mContext.loads().end(mUpstream, promptTokens());
-            }
-        }
+    /** Receives the prompt. Confined to the traffic loop. */
+    private final class PromptRead implements PromptReading.Listener {
 
         /** {@inheritDoc} */
         @Override
-        public void onResult(UpstreamPort.StoredPrompt prompt) {
-            close();
+        public void read(UpstreamPort.StoredPrompt prompt, long millis) {
+            mReading = null;
             long now = mContext.loop().millis();
-            succeeded(mUpstream, "prefill", now - mStart);
-            if (mAlone) {
-                mContext.demand().read(mService, promptTokens(), now - mStart, now);
-            }
-            mTrace.step("read");
             mStoredUntil = now + mEngine.handleMillis() - ServingSettings.FETCH_MILLIS;
             run(Optional.of(prompt));
         }
 
         /** {@inheritDoc} */
         @Override
-        public void onFailure(AttemptEnd end) {
-            close();
-            mTrace.step("prefill failed(" + end.detail() + ")");
-            if (end.notStarted() && end.leaving()) {
-                mContext.loads().replaced(mUpstream);
-            } else if (end.notStarted() && !end.unreachable()) {
-                mContext.loads().refused(mUpstream);
-            } else {
-                mContext.loads().failed(mUpstream, end.unreachable(), end.detail());
-            }
-            read();
+        public void failed() {
+            mReading = null;
+            StreamExecution.this.read();
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
@@ -174,8 +174,6 @@
         OWN_FAILURE,
         /** The upstream says that it did not start the request. */
         NOT_STARTED,
-        /** The upstream says that it did not start the request because it is full. */
-        FULL,
         /** Another upstream has the address now; the request was not started. */
         OTHER_UPSTREAM,
         /** Not this request's answer, or no answer of the upstream. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/Verdicts.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/Verdicts.java
@@ -18,7 +18,7 @@
     static AttemptEnd end(UpstreamPort.Head head) {
         String detail = "status " + head.status() + " " + head.verdict();
         return switch (head.verdict()) {
-            case NOT_STARTED, FULL -> AttemptEnd.refused(false, detail);
+            case NOT_STARTED -> AttemptEnd.refused(false, detail);
             case OTHER_UPSTREAM -> AttemptEnd.refused(true, detail);
             case FOREIGN ->
                     new AttemptEnd(false, false, false, ResultCode.UPSTREAM_MISMATCH, detail);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/settings/DaemonSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/settings/DaemonSettings.java
@@ -145,9 +145,9 @@
         /** Each router goes by the engines' lagging load. */
         @JsonProperty("lagging")
         LAGGING,
-        /** The engine's steward hands out permits. */
-        @JsonProperty("steward")
-        STEWARD,
+        /** The engine's coordinator hands out permits. */
+        @JsonProperty("coordinator")
+        COORDINATOR,
         /** Nothing is reserved: a baseline for measurements. */
         @JsonProperty("unlimited")
         UNLIMITED
@@ -177,11 +177,11 @@
 
         /** What the measurements chose. */
         public static final AdmissionSettings DEFAULT =
-                new AdmissionSettings(PermitRule.STEWARD, PairRule.PREDICTED, true);
+                new AdmissionSettings(PermitRule.COORDINATOR, PairRule.PREDICTED, true);
 
         /** Fills the defaults. */
         public AdmissionSettings {
-            permits = permits == null ? PermitRule.STEWARD : permits;
+            permits = permits == null ? PermitRule.COORDINATOR : permits;
             pair = pair == null ? PairRule.PREDICTED : pair;
             shed = shed == null || shed;
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/CancellationRetrier.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/CancellationRetrier.java
@@ -56,7 +56,7 @@
     }
 
     /**
-     * Creates a keeper.
+     * Creates a store.
      *
      * @param node what every part of the router shares
      * @param engines the engines
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/OrphanSweeper.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/OrphanSweeper.java
@@ -14,8 +14,8 @@
 
 /**
  * Cancels what engines hold for routers that are gone, and for requests that this router no longer
- * carries. Confined to the control thread. Each engine is swept by its steward; two that both think
- * they are it do no harm.
+ * carries. Confined to the control thread. Each engine is swept by its coordinator; two that both
+ * think they are it do no harm.
  */
 public final class OrphanSweeper {
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/Rig.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/Rig.java
@@ -17,7 +17,6 @@
 import org.troutpier.common.declaration.ClassDeclaration;
 import org.troutpier.common.declaration.ClassDeclaration.AnswerCommit;
 import org.troutpier.common.declaration.ClassDeclaration.Kind;
-import org.troutpier.common.declaration.ClassDeclaration.PrefillRule;
 import org.troutpier.common.declaration.ClassDeclaration.TableRule;
 import org.troutpier.common.declaration.DeclarationPart;
 import org.troutpier.common.declaration.PartnerDeclaration;
@@ -234,7 +233,6 @@
                 role.equals("service") ? "status" : "model",
                 mSlots,
                 null,
-                false,
                 false);
     }
 
@@ -258,7 +256,6 @@
                 0,
                 0,
                 deadlineMillis,
-                PrefillRule.AFTER_PERMIT,
                 TableRule.REFUSE,
                 AnswerCommit.BEFORE_END_MARK,
                 600,
@@ -276,7 +273,6 @@
                 deadlineMillis,
                 0,
                 deadlineMillis,
-                PrefillRule.AFTER_PERMIT,
                 TableRule.REFUSE,
                 AnswerCommit.BEFORE_END_MARK,
                 600,
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/admission/CoordinatorPermitsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/admission/CoordinatorPermitsTest.java
@@ -111,7 +111,6 @@
                                 "model",
                                 SLOTS,
                                 null,
-                                false,
                                 false)),
                 List.of());
     }
@@ -225,7 +224,7 @@
     }
 
     @Test
-    public void aNewStewardGivesNothingThatTheOthersStillHold() {
+    public void aNewCoordinatorGivesNothingThatTheOthersStillHold() {
         start();
         for (int round = 0; round < 2000; round++) {
             mNow.addAndGet(MILLI);
@@ -245,12 +244,12 @@
             mRouters.forEach(one -> one.mControl.tick());
         }
         assertEquals(held(), SLOTS);
-        Router steward =
+        Router coordinator =
                 router(
                         org.troutpier.daemon.peer.Coordinators.of(
                                 "decode-1", mRouters.get(0).mMembership.serving()));
-        int lost = steward.mPermits.held(new UpstreamId("decode-1"));
-        mRouters.remove(steward);
+        int lost = coordinator.mPermits.held(new UpstreamId("decode-1"));
+        mRouters.remove(coordinator);
         for (int round = 0; round < 4000; round++) {
             mNow.addAndGet(MILLI);
             if (round % 400 == 0) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/claim/ClaimRulesTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/claim/ClaimRulesTest.java
@@ -31,7 +31,6 @@
                 0,
                 1000,
                 null,
-                null,
                 commit,
                 null,
                 null);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/operator/ShareEditTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/operator/ShareEditTest.java
@@ -38,7 +38,6 @@
                 "model",
                 20,
                 null,
-                false,
                 false);
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/MembershipTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/MembershipTest.java
@@ -69,7 +69,7 @@
     }
 
     @Test
-    public void anEarlierLifeIsGoneWhenALaterOneLives() {
+    public void anEarlierStartIsGoneWhenALaterOneRuns() {
         mMembership.listed(List.of(listed("router-2~c", "live")));
         assertFalse(gone("router-2~b"));
         mNow += 3 * SECOND;
@@ -78,7 +78,7 @@
     }
 
     @Test
-    public void theLaterLifeOfAnInstanceCounts() {
+    public void theLaterStartOfAnInstanceCounts() {
         mMembership.listed(List.of(listed("router-2~b", "live")));
         mMembership.heard(member("router-2~c"));
         assertEquals(
@@ -98,7 +98,7 @@
     }
 
     @Test
-    public void onlyWhatAGoneStewardLookedAfterMoves() {
+    public void onlyWhatAGoneCoordinatorLookedAfterMoves() {
         List<Member> three =
                 List.of(member("router-1~a"), member("router-2~b"), member("router-3~c"));
         List<Member> two = List.of(member("router-1~a"), member("router-3~c"));
@@ -106,9 +106,9 @@
         for (int subject = 0; subject < 300; subject++) {
             Incarnation before = Coordinators.of("engine-" + subject, three);
             Incarnation after = Coordinators.of("engine-" + subject, two);
-            boolean itsStewardWent = before.value().equals("router-2~b");
-            assertTrue(itsStewardWent || before.equals(after));
-            moved += itsStewardWent ? 1 : 0;
+            boolean itsCoordinatorWent = before.value().equals("router-2~b");
+            assertTrue(itsCoordinatorWent || before.equals(after));
+            moved += itsCoordinatorWent ? 1 : 0;
         }
         assertTrue(moved > 60 && moved < 140, moved + " of 300 moved");
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecisionLogTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecisionLogTest.java
@@ -7,6 +7,8 @@
 import com.codahale.metrics.MetricRegistry;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.troutpier.common.event.EventRing;
+import org.troutpier.common.event.HybridClock;
 import org.troutpier.daemon.node.ManualTime;
 
 /** Which requests have a line of their own. */
@@ -14,13 +16,15 @@
 
     private ManualTime mTime;
     private MetricRegistry mMetrics;
+    private EventRing mEvents;
     private DecisionLog mLog;
 
     @BeforeMethod
     void start() {
         mTime = new ManualTime();
         mMetrics = new MetricRegistry();
-        mLog = new DecisionLog(mMetrics, mTime.loop());
+        mEvents = new EventRing("router", 16, new HybridClock());
+        mLog = new DecisionLog(mMetrics, mEvents, mTime.loop());
     }
 
     private RequestTrace trace() {
@@ -37,6 +41,7 @@
             mLog.ended(trace(), RequestTrace.ANSWERED);
         }
         assertEquals(count("log.folded"), 9);
+        assertEquals(mEvents.about("id").size(), 10);
         assertEquals(count("log.left-out"), 0);
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -14,6 +14,8 @@
 import java.util.Random;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.troutpier.common.event.EventRing;
+import org.troutpier.common.event.HybridClock;
 import org.troutpier.common.id.RequestId;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.cluster.DemandMeter;
@@ -56,7 +58,10 @@
                         peers,
                         new DemandMeter(),
                         new ServingMetrics(new MetricRegistry()),
-                        new DecisionLog(new MetricRegistry(), mTime.loop()),
+                        new DecisionLog(
+                                new MetricRegistry(),
+                                new EventRing("router", 16, new HybridClock()),
+                                mTime.loop()),
                         random);
     }
 
@@ -76,7 +81,7 @@
 
     private static ServingRequest request() {
         PromptShape prompt =
-                new PromptShape("m", 1000, 500, 100, List.of(new PromptShape.Part("own", 1000)));
+                new PromptShape("m", 1000, 500, List.of(new PromptShape.Part("own", 1000)));
         return new ServingRequest(
                 new RequestId("abc"),
                 "POST",
@@ -140,6 +145,18 @@
         assertEquals(mPort.mPrefills.size(), 2);
     }
 
+    @Test
+    public void aPromptWhoseReadingWasLostIsReadByTheDecodeEngineWhenNoExtraCallIsLeft() {
+        mDirectory.replaceAll(
+                List.of(Entries.prefill("p"), Entries.prefill("q"), Entries.decode("a")));
+        stream();
+        mPort.mPrefills.get(0).onFailure(AttemptEnd.lost("reset"));
+        assertEquals(mPort.mPrefills.size(), 1);
+        assertEquals(mPort.mRuns.size(), 1);
+        assertEquals(mPort.mRuns.get(0).mPlan.prompt(), Optional.empty());
+        assertNull(mCaller.mRefusal);
+    }
+
     @Test
     public void aPromptThatIsNotUsedIsFreed() {
         UpstreamEntry prefill = Entries.prefill("p");
@@ -207,7 +224,7 @@
     public void aRefusalWithProofIsAnAttemptAndToldAsNotRun() {
         mDirectory.replaceAll(List.of(Entries.plain("a", "hall-a"), Entries.plain("b", "hall-a")));
         plain();
-        mPort.mRuns.get(0).mListener.onHead(head(UpstreamPort.Verdict.FULL));
+        mPort.mRuns.get(0).mListener.onHead(head(UpstreamPort.Verdict.NOT_STARTED));
         mPort.mRuns.get(0).mListener.onEnd();
         assertEquals(mPort.mRuns.size(), 1);
         assertEquals(mCaller.mRefusal.family(), ResultCode.Family.NOT_RUN);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReturnPacerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReturnPacerTest.java
@@ -41,7 +41,6 @@
                         "m",
                         300,
                         10,
-                        10,
                         List.of(
                                 new PromptShape.Part("shared", 100),
                                 new PromptShape.Part("own", 200)));
@@ -55,7 +54,7 @@
     public void refusalsOfOtherRoutersAreKnownAndOldOnesForgotten() {
         ReturningRequests returning = new ReturningRequests();
         PromptShape prompt =
-                new PromptShape("m", 300, 10, 10, List.of(new PromptShape.Part("own", 300)));
+                new PromptShape("m", 300, 10, List.of(new PromptShape.Part("own", 300)));
         returning.remember("own", 1000);
         assertTrue(returning.comesBack(prompt, 1001));
         for (int other = 0; other < 100; other++) {
