The time line hears the product's loggers wherever they are configured

Cause: OnCallTest.theTimeLineShowsWhatTheLinesTell waited for an event that the root logger never passed on: the test configures the product's logger apart. Ruled out: a lost event (the ring had others).

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/node/TimelineAppender.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/node/TimelineAppender.java
@@ -20,7 +20,7 @@
     private static final String NAME = "timeline";
 
     /** What the product's loggers begin with. */
-    private static final String PRODUCT = "org.troutpier.";
+    private static final String PRODUCT = "org.troutpier";
 
     /** Finds what a line is about: the first of these names with its value. */
     private static final Pattern SUBJECT = Pattern.compile("\\b(?:id|engine|table|service)=(\\S+)");
@@ -47,7 +47,7 @@
         TimelineAppender appender = new TimelineAppender(events);
         appender.start();
         LoggerContext context = (LoggerContext) LogManager.getContext(false);
-        context.getConfiguration().getRootLogger().addAppender(appender, Level.INFO, null);
+        context.getConfiguration().getLoggerConfig(PRODUCT).addAppender(appender, Level.INFO, null);
         context.updateLoggers();
     }
 
