--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/RelayPlan.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/RelayPlan.java
@@ -33,8 +33,8 @@
         List<Member> relays) {
 
     /**
-     * Up to how many routers all tell each other: the load reports of sixteen cost a router about a
-     * twentieth of a small core (measured slope in docs/CAPACITY.md), and word comes in one step.
+     * Up to how many routers all tell each other, so that word comes in one step. Reports of seven
+     * others cost 0.042 of a core (docs/CAPACITY.md); twice as many are borne by the first sites.
      */
     static final int MOST_DIRECT = 16;
 
