--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -65,6 +65,7 @@
     private void giveUp(ResultCode code, String detail) {
         if (mFailure != null && !over()) {
             mFailure.sendTo(mCaller);
+            mTrace.notable();
             mTrace.step("status=" + mFailure.head().status());
             answered();
             return;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -252,7 +252,7 @@
      */
     protected void lateAfter(long millis) {
         if (millis > mRoute.targetMillis()) {
-            mTrace.late();
+            mTrace.notable();
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
@@ -29,8 +29,8 @@
     /** When the request came, milliseconds. */
     private final long mStart;
 
-    /** Whether it was answered late. */
-    private boolean mLate;
+    /** Whether it was answered, but not as it should be. */
+    private boolean mNotable;
 
     /** What the request was decided by. */
     private final Map<String, String> mInputs = new TreeMap<>();
@@ -90,19 +90,22 @@
         return mLoop.millis() - mStart;
     }
 
-    /** Marks the request as one that was not served as it should be, though it was answered. */
-    public void late() {
-        mLate = true;
+    /**
+     * Marks the request as one that was not served as it should be, though it was answered: late,
+     * or with an upstream's own failure.
+     */
+    public void notable() {
+        mNotable = true;
     }
 
     /**
      * Returns whether a request's end is an ordinary success.
      *
      * @param outcome how it ended
-     * @return whether it was answered in time
+     * @return whether it was answered well and in time
      */
     boolean ordinary(String outcome) {
-        return outcome.equals(ANSWERED) && !mLate;
+        return outcome.equals(ANSWERED) && !mNotable;
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -502,7 +502,7 @@
             long pause = now - mLastEvent;
             if (mLastEvent != 0 && mRoute.eventGapMillis() > 0 && pause > mRoute.eventGapMillis()) {
                 long used = mContext.loads().tokens(mUpstream);
-                mTrace.late();
+                mTrace.notable();
                 mTrace.step("pause " + pause + "ms@" + mUpstream.id() + " known tokens " + used);
             }
             mLastEvent = now;
@@ -542,6 +542,7 @@
             boolean own = head.verdict() == UpstreamPort.Verdict.OWN_FAILURE;
             if (own && !mBegun && mRoute.kind() != Route.Kind.RESUMABLE_STREAM) {
                 learn(mUpstream, end);
+                mTrace.notable();
                 mTrace.step("status=" + head.status());
                 mAnswer.sendTo(mCaller);
                 answered();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecisionLogTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecisionLogTest.java
@@ -57,10 +57,10 @@
     }
 
     @Test
-    public void aLateAnswerIsNoOrdinarySuccess() {
+    public void anAnswerThatIsLateOrAFailureIsNoOrdinarySuccess() {
         RequestTrace trace = trace();
         assertTrue(trace.ordinary(RequestTrace.ANSWERED));
-        trace.late();
+        trace.notable();
         assertFalse(trace.ordinary(RequestTrace.ANSWERED));
     }
 }
