--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/DaemonMain.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/DaemonMain.java
@@ -1,10 +1,10 @@
 package org.troutpier.daemon;
 
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
-import org.troutpier.common.result.TroutpierException;
-import org.troutpier.common.settings.CheckedYaml;
+import org.troutpier.daemon.node.ProcessLifecycle;
 import org.troutpier.daemon.settings.DaemonSettings;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -45,19 +45,17 @@
     /** {@inheritDoc} */
     @Override
     public Integer call() throws InterruptedException {
-        DaemonSettings settings;
-        try {
-            settings = CheckedYaml.read(mSettings, DaemonSettings.class);
-        } catch (TroutpierException exception) {
-            System.err.println(exception.getMessage());
-            return WRONG_SETTINGS;
+        Optional<DaemonSettings> settings =
+                ProcessLifecycle.settings(mSettings, DaemonSettings.class);
+        if (settings.isEmpty()) {
+            return ProcessLifecycle.WRONG_SETTINGS;
         }
         if (mCheck) {
             System.out.println("the settings are valid");
             return 0;
         }
-        RouterDaemon daemon = new RouterDaemon(settings);
-        Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
+        RouterDaemon daemon = new RouterDaemon(settings.get());
+        ProcessLifecycle.onEnd(daemon::stop);
         new CountDownLatch(1).await();
         return 0;
     }
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/node/ProcessLifecycleTest.java
@@ -0,0 +1,24 @@
+package org.troutpier.daemon.node;
+
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.testng.annotations.Test;
+import org.troutpier.daemon.settings.DaemonSettings;
+
+/** What a daemon's command line does at its start. */
+public final class ProcessLifecycleTest {
+
+    @Test
+    public void wrongSettingsAreToldAndNotTaken() throws IOException {
+        Path file = Files.createTempFile("settings", ".yaml");
+        try {
+            Files.writeString(file, "instance: one\nunknown: 1\n");
+            assertTrue(ProcessLifecycle.settings(file, DaemonSettings.class).isEmpty());
+        } finally {
+            Files.delete(file);
+        }
+    }
+}
