A server that drains ends each connection with its answer, also one that had begun before

Change: while the server drains the last byte of any answer ends its connection. Test: HttpServerTest, failed before (the connection stayed open for 10 s).

--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
@@ -318,14 +318,16 @@
     }
 
     /**
-     * Sends the last message of an answer.
+     * Sends the last message of an answer. While the server drains the connection ends with it, also
+     * where the head could not say so yet: a request that came on it now would be cut with the
+     * process.
      *
      * @param message the message
      */
     private void finish(Object message) {
         ChannelFuture written = mChannel.writeAndFlush(message);
         written.addListener(done -> mOnFlushed.run());
-        if (mLastOfConnection) {
+        if (mLastOfConnection || mDraining.getAsBoolean()) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
     }
--- /dev/null
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/HttpServerTest.java
@@ -0,0 +1,62 @@
+package org.troutpier.common.http;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.settings.Address;
+
+/** How a server ends its connections. */
+public final class HttpServerTest {
+
+    private static final int READ_MILLIS = 10_000;
+
+    private NioEventLoopGroup mLoops;
+    private CompletableFuture<HttpExchange> mExchange;
+    private HttpServer mServer;
+
+    @BeforeMethod
+    void start() {
+        mLoops = new NioEventLoopGroup(1);
+        mExchange = new CompletableFuture<>();
+        mServer =
+                new HttpServer(
+                        new Address("127.0.0.1", 0),
+                        mLoops,
+                        ServerLimits.DEFAULT,
+                        ServerRefusals.AsJson.INSTANCE,
+                        mExchange::complete);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    void stop() {
+        mServer.close();
+        mLoops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    public void anAnswerThatBeganBeforeTheServerDrainsEndsItsConnectionToo() throws IOException {
+        try (Socket caller = new Socket("127.0.0.1", mServer.address().port())) {
+            caller.setSoTimeout(READ_MILLIS);
+            String request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+            caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            HttpExchange exchange = mExchange.orTimeout(10, TimeUnit.SECONDS).join();
+            exchange.begin(200, new DefaultHttpHeaders());
+            mServer.drain();
+            exchange.end();
+            byte[] all = caller.getInputStream().readAllBytes();
+            String answer = new String(all, StandardCharsets.US_ASCII);
+            assertTrue(answer.endsWith("0\r\n\r\n"), answer);
+            assertFalse(answer.contains("close"), answer);
+        }
+    }
+}
