--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
@@ -318,8 +318,8 @@
     }
 
     /**
-     * Sends the last message of an answer. While the server drains the connection ends with it, also
-     * where the head could not say so yet: a request that came on it now would be cut with the
+     * Sends the last message of an answer. While the server drains the connection ends with it,
+     * also where the head could not say so yet: a request that came on it now would be cut with the
      * process.
      *
      * @param message the message
