A fault soak of the real programs on the platform's protocol, with proxies on every connection

What: FaultProxy delays, resets, cuts one way, darkens and forgets connections from outside; PlatformSoak runs routers as processes, with a proxy between callers, store, upstreams, other routers and each of them, signals in series and overlapping, upstreams that crash, drain and are replaced at one address, and changes of the configuration among them.

--- a/troutpier-standins/src/main/java/org/troutpier/standins/StandinMain.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/StandinMain.java
@@ -8,6 +8,7 @@
 import org.troutpier.standins.engine.DecodeModel;
 import org.troutpier.standins.engine.PrefillEngine;
 import org.troutpier.standins.engine.PrefillModel;
+import org.troutpier.standins.fault.ProxiesCommand;
 import org.troutpier.standins.load.LoadCommand;
 import org.troutpier.standins.platform.InstanceListStandin;
 import org.troutpier.standins.platform.ObjectStandin;
@@ -34,6 +35,7 @@
             StandinMain.Instances.class,
             LoadCommand.class,
             PlanCommand.class,
+            ProxiesCommand.class,
             SoakCommand.class
         })
 public final class StandinMain {
--- a/troutpier-standins/src/main/java/org/troutpier/standins/soak/FaultPlan.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/soak/FaultPlan.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.troutpier.standins.fault.LinkFault;
 
 /**
  * A plan of faults that the seed fixes: when, what and where. Immutable and thread safe. Faults
@@ -34,13 +35,26 @@
     /** The faults of services. */
     private static final String[] SERVICE_FAULTS = {"lost-ack", "full", "delay", "hang", "leaving"};
 
+    /** Whose connections are harmed, besides those of callers to routers. */
+    private static final String[] LINKS = {
+        "table",
+        "objects",
+        "instances",
+        "prefill-1",
+        "prefill-2",
+        "decode-1",
+        "decode-2",
+        "status-1",
+        "status-2"
+    };
+
     /**
      * One fault.
      *
      * @param atMillis when, from the start
-     * @param action {@code kill}, {@code freeze}, {@code stop} or {@code fault}
-     * @param target the process
-     * @param kind the fault's kind, for {@code fault}; else {@code -}
+     * @param action {@code kill}, {@code freeze}, {@code stop}, {@code fault} or {@code link}
+     * @param target the process, or for {@code link} the one whose connections are harmed
+     * @param kind the fault's kind, for {@code fault} and {@code link}; else {@code -}
      * @param millis how long it lasts
      * @param amount how strong it is
      */
@@ -93,7 +107,7 @@
     private static Step step(long at, int routers, UniformRandomProvider random) {
         final int shortest = 300;
         final int spread = 3500;
-        final int kinds = 8;
+        final int kinds = 10;
         final int mostTokens = 12;
         int millis = shortest + random.nextInt(spread);
         int amount = random.nextInt(mostTokens);
@@ -135,7 +149,7 @@
                             any(DECODE_FAULTS, random),
                             millis,
                             amount);
-            default ->
+            case 7 ->
                     new Step(
                             at,
                             "fault",
@@ -143,17 +157,28 @@
                             any(SERVICE_FAULTS, random),
                             millis,
                             delay);
+            default ->
+                    new Step(
+                            at,
+                            "link",
+                            random.nextBoolean()
+                                    ? any(LINKS, random)
+                                    : "router-" + (1 + random.nextInt(routers)),
+                            any(LinkFault.values(), random).label(),
+                            millis,
+                            1 + delay);
         };
     }
 
     /**
      * Draws one of several.
      *
+     * @param <T> what they are
      * @param words what to draw from
      * @param random the source of chance
      * @return one of them
      */
-    private static String any(String[] words, UniformRandomProvider random) {
+    private static <T> T any(T[] words, UniformRandomProvider random) {
         return words[random.nextInt(words.length)];
     }
 }
