--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpCalls.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpCalls.java
@@ -11,8 +11,10 @@
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import javax.net.ssl.SSLEngine;
 import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.AsyncHttpClientConfig;
 import org.asynchttpclient.DefaultAsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.HttpResponseBodyPart;
@@ -58,9 +60,23 @@
                                 .setDisableUrlEncodingForBoundRequests(true)
                                 .setProxyServerSelector(ProxyServerSelector.NO_PROXY_SELECTOR)
                                 .setTcpNoDelay(true)
+                                .setSslEngineFactory(HttpCalls::refuseSecured)
                                 .build());
     }
 
+    /**
+     * Refuses secured calls, which nobody here speaks. The library's own factory would load and set
+     * up the machine's whole cryptography at each start: about a fifth of its processor time.
+     *
+     * @param config the library's settings
+     * @param host the host
+     * @param port the port
+     * @return never
+     */
+    private static SSLEngine refuseSecured(AsyncHttpClientConfig config, String host, int port) {
+        throw new IllegalArgumentException("secured calls are not supported: " + host + ":" + port);
+    }
+
     /**
      * Sends a request and gathers the whole answer.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -15,11 +15,14 @@
  */
 public final class LoadReporter {
 
-    /** How often it is looked whether the load changed, milliseconds. */
-    private static final long LOOK_MILLIS = 50;
+    /**
+     * The shortest pause between a report and the next for a change that can wait, milliseconds:
+     * half the age that loads may have.
+     */
+    private static final long LEAST_MILLIS = 50;
 
-    /** After how many looks an unchanged load is reported again. */
-    private static final int LOOKS_UNCHANGED = 10;
+    /** After how long an unchanged load is reported again, milliseconds. */
+    private static final long UNCHANGED_MILLIS = 500;
 
     /** The traffic loop. */
     private final TrafficLoop mLoop;
@@ -45,8 +48,11 @@
     /** The use that was reported last. */
     private Map<UpstreamId, UpstreamUse> mReported = new HashMap<>();
 
-    /** How many looks there were since the last report. */
-    private int mLooks;
+    /** When the last report was made, milliseconds. */
+    private long mReportedAt;
+
+    /** Whether it is about to be looked what changed. */
+    private boolean mLooking;
 
     /**
      * Creates a reporter.
@@ -78,24 +84,51 @@
 
     /** Starts to report. */
     public void start() {
-        mLoads.onMemoryTaken(this::report);
-        mLoop.later(this::look, LOOK_MILLIS);
+        mLoop.execute(
+                () -> {
+                    mLoads.onMemoryTaken(this::report);
+                    mLoads.onChanged(this::changed);
+                    mRoles.onChanging(() -> mLoop.execute(this::rolesChange));
+                    repeat();
+                });
     }
 
-    /** Reports if there is something to tell. */
-    private void look() {
-        mLoop.later(this::look, LOOK_MILLIS);
+    /** Takes the engines that change their role. */
+    private void rolesChange() {
         mLoads.changing(mRoles.changing());
-        Map<UpstreamId, UpstreamUse> uses = mLoads.uses();
-        mLooks++;
-        if (mLooks >= LOOKS_UNCHANGED || !uses.equals(mReported)) {
+        report();
+    }
+
+    /** Has it looked what changed: at once, or once the shortest pause is over. */
+    private void changed() {
+        if (!mLooking) {
+            mLooking = true;
+            long left = LEAST_MILLIS - (mLoop.millis() - mReportedAt);
+            mLoop.later(this::look, Math.max(0, left));
+        }
+    }
+
+    /** Reports if there is something new to tell. */
+    private void look() {
+        mLooking = false;
+        if (!mLoads.uses().equals(mReported)) {
+            report();
+        }
+    }
+
+    /** Reports again what has not changed for long. */
+    private void repeat() {
+        long left = UNCHANGED_MILLIS - (mLoop.millis() - mReportedAt);
+        if (left <= 0) {
             report();
+            left = UNCHANGED_MILLIS;
         }
+        mLoop.later(this::repeat, left);
     }
 
     /** Reports now. */
     private void report() {
-        mLooks = 0;
+        mReportedAt = mLoop.millis();
         Map<UpstreamId, UpstreamUse> uses = mLoads.uses();
         mReported = uses;
         LoadReport report =
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -42,14 +42,20 @@
     /** How often the plan is made, connections are opened and old reports dropped, milliseconds. */
     private static final long TICK_MILLIS = 250;
 
-    /** How often a relay hands on what changed, milliseconds: half the age that loads may have. */
+    /**
+     * The shortest pause between two times that a relay hands on what changed, milliseconds: half
+     * the age that loads may have.
+     */
     private static final long RELAY_MILLIS = 50;
 
-    /** After how many turns without a change a relay hands on all the same. */
-    private static final int TURNS_UNCHANGED = 10;
+    /**
+     * After how long a relay hands on what has not changed, milliseconds: the second tick after it
+     * last did.
+     */
+    private static final long UNCHANGED_MILLIS = 2 * TICK_MILLIS - TICK_MILLIS / 2;
 
-    /** How soon a report that was heard shows in the sums, milliseconds. */
-    private static final long SUM_MILLIS = 5;
+    /** How long a relay gathers what comes together, milliseconds. */
+    private static final long GATHER_MILLIS = 5;
 
     /** Logs routers gained and lost, and changes of the plan. */
     private static final Logger LOGGER = LogManager.getLogger(PeerExchange.class);
@@ -102,8 +108,14 @@
     /** Whether there is something to hand on. */
     private boolean mChanged;
 
-    /** How many turns passed without handing on. */
-    private int mTurns;
+    /** Whether it is about to be handed on. */
+    private boolean mRelaying;
+
+    /** When it was last looked for something to hand on, milliseconds. */
+    private long mRelayedAt;
+
+    /** When loads were last handed on, milliseconds. */
+    private long mHandedOnAt;
 
     /** Whether the sums are about to be made. */
     private boolean mSumming;
@@ -148,7 +160,6 @@
         mPlan = RelayPlan.of(self, List.of(self), member -> 0, router -> false);
         mLinks = opener.open(new PeerMesh.Members(mMembership, () -> mPlan.wanted()), this);
         node.control().every(this::tick, TICK_MILLIS);
-        node.control().every(this::relay, RELAY_MILLIS);
     }
 
     /**
@@ -242,7 +253,7 @@
      */
     public void tell(LoadReport report) {
         mOwn = report;
-        mChanged = true;
+        changed();
         PeerMessage.Load load = new PeerMessage.Load(ReportScope.OWN, report);
         if (mPlan.direct()) {
             mLinks.sendAll(incarnations(mPlan.wanted()), load);
@@ -251,15 +262,29 @@
         }
     }
 
-    /** Hands on what changed to the other relays and to those that report to this one. */
+    /** Has what changed handed on: soon, or once the shortest pause is over. */
+    private void relaySoon() {
+        if (!mRelaying) {
+            mRelaying = true;
+            long left = RELAY_MILLIS - (millis() - mRelayedAt);
+            mNode.control().later(this::relay, Math.max(GATHER_MILLIS, left));
+        }
+    }
+
+    /** Hands on what changed. */
     private void relay() {
+        mRelaying = false;
+        mRelayedAt = millis();
         tellRefusals();
-        mTurns++;
-        if (!mPlan.relay() || !mChanged && mTurns < TURNS_UNCHANGED) {
-            return;
+        if (mPlan.relay() && mChanged) {
+            handOn();
         }
+    }
+
+    /** Tells the other relays of this router's group, and those that report to it of the rest. */
+    private void handOn() {
         mChanged = false;
-        mTurns = 0;
+        mHandedOnAt = millis();
         LoadReport group = mOwn.plus(mLoads.reports(EnumSet.of(ReportScope.OWN), null));
         mLinks.sendAll(otherRelays(), new PeerMessage.Load(ReportScope.GROUP, group));
         for (Incarnation local : locals()) {
@@ -268,6 +293,14 @@
         }
     }
 
+    /** Notes that there is something to hand on, where this router does that. */
+    private void changed() {
+        mChanged = true;
+        if (mPlan.relay()) {
+            relaySoon();
+        }
+    }
+
     /**
      * Returns the other relays: those of the plan, and those that say so of themselves by telling
      * of a group. A router that took a relay's place while it was not heard would else never hear
@@ -302,6 +335,7 @@
      */
     public void refused(String key) {
         mRefusedHere.add(key);
+        relaySoon();
     }
 
     /** Tells of the requests that were refused since the last turn. */
@@ -347,8 +381,10 @@
                 load.scope() != ReportScope.REST
                         || mPlan.reportTo().filter(relay -> same(relay, from)).isPresent();
         if (expected) {
-            mLoads.heard(from.incarnation(), load.scope(), load.report(), millis());
-            mChanged |= load.scope() != ReportScope.REST;
+            boolean news = mLoads.heard(from.incarnation(), load.scope(), load.report(), millis());
+            if (news && load.scope() != ReportScope.REST) {
+                changed();
+            }
             sumSoon();
         }
         if (load.report().configuration() < mConfiguration.version()) {
@@ -367,6 +403,7 @@
         if (mPlan.relay()) {
             boolean local = locals().contains(from.incarnation());
             (local ? mRefusedHere : mRefusedElsewhere).addAll(refused.keys());
+            relaySoon();
         }
     }
 
@@ -416,10 +453,13 @@
         audience().forEach(this::sendConfiguration);
     }
 
-    /** Makes the plan, opens connections and drops old reports. */
+    /** Makes the plan, opens connections, drops old reports and repeats what has not changed. */
     private void tick() {
         plan();
         mLoads.sum(millis());
+        if (mPlan.relay() && millis() - mHandedOnAt >= UNCHANGED_MILLIS) {
+            handOn();
+        }
         if (mLoads.routers() != mHeardCount) {
             LOGGER.info("routers heard before={} now={}", mHeardCount, mLoads.routers());
             mHeardCount = mLoads.routers();
@@ -489,11 +529,11 @@
     }
 
     /**
-     * Has the sums made: at once where few routers tell each other, so that memory taken shows to
-     * the next request; else soon, once for all reports that come until then.
+     * Has the sums made: at once where few reports come, so that memory taken shows to the next
+     * request; at a relay soon, once for all reports that come until then.
      */
     private void sumSoon() {
-        if (mPlan.direct()) {
+        if (!mPlan.relay()) {
             mLoads.sum(millis());
             return;
         }
@@ -507,7 +547,7 @@
                             mSumming = false;
                             mLoads.sum(millis());
                         },
-                        SUM_MILLIS);
+                        GATHER_MILLIS);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -46,11 +46,13 @@
      * @param scope whose load it tells of
      * @param report the report
      * @param now the monotonic clock, milliseconds
+     * @return whether it says something new
      */
-    public void heard(Incarnation from, ReportScope scope, LoadReport report, long now) {
+    public boolean heard(Incarnation from, ReportScope scope, LoadReport report, long now) {
         mHeard.keySet()
                 .removeIf(other -> other.instance().equals(from.instance()) && !other.equals(from));
-        mHeard.put(from, new Heard(scope, report, now));
+        Heard before = mHeard.put(from, new Heard(scope, report, now));
+        return before == null || before.scope() != scope || !before.report().equals(report);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -85,6 +85,9 @@
     /** The engines that are being changed, for other threads. */
     private volatile Set<UpstreamId> mChanging = Set.of();
 
+    /** Runs when they change. */
+    private Runnable mOnChanging = () -> {};
+
     /** One service's state. */
     private static final class Change {
 
@@ -175,7 +178,7 @@
         mLease.tick(mPeers.roleHolder());
         mHolds = mLease.held();
         if (!mLease.mayOrder()) {
-            mChanging = Set.of();
+            changing(Set.of());
             return;
         }
         configuration
@@ -184,11 +187,32 @@
                 .forEach(
                         (name, service) ->
                                 service.engine().ifPresent(engine -> control(name, engine)));
-        mChanging =
+        changing(
                 mChanges.values().stream()
                         .filter(change -> change.mOrdersBefore >= 0 && change.mEngine != null)
                         .map(change -> change.mEngine.id())
-                        .collect(Collectors.toUnmodifiableSet());
+                        .collect(Collectors.toUnmodifiableSet()));
+    }
+
+    /**
+     * Sets what runs when the engines that are being changed are others than before.
+     *
+     * @param action the action, run on the control thread
+     */
+    public void onChanging(Runnable action) {
+        mNode.control().execute(() -> mOnChanging = action);
+    }
+
+    /**
+     * Takes which engines are being changed.
+     *
+     * @param changing their ids
+     */
+    private void changing(Set<UpstreamId> changing) {
+        if (!changing.equals(mChanging)) {
+            mChanging = changing;
+            mOnChanging.run();
+        }
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -78,6 +78,9 @@
     /** Runs when memory is taken. */
     private Runnable mOnMemoryTaken = () -> {};
 
+    /** Runs when what is under way changes. */
+    private Runnable mOnChanged = () -> {};
+
     /** The engines that change their role by this router's order. */
     private volatile Set<UpstreamId> mChanging = Set.of();
 
@@ -147,6 +150,15 @@
         mOnMemoryTaken = action;
     }
 
+    /**
+     * Sets what runs when what is under way or refuses changes.
+     *
+     * @param action the action, run on the traffic loop
+     */
+    public void onChanged(Runnable action) {
+        mOnChanged = action;
+    }
+
     /**
      * Records that memory of an engine is taken, and tells the other routers at once: two that ask
      * for the same room at the same time would both get it.
@@ -169,6 +181,7 @@
         Load load = load(upstream.id());
         load.mCalls++;
         load.mTokens += tokens;
+        mOnChanged.run();
     }
 
     /**
@@ -181,6 +194,7 @@
         Load load = load(upstream.id());
         load.mCalls--;
         load.mTokens -= tokens;
+        mOnChanged.run();
     }
 
     /**
@@ -191,6 +205,7 @@
      */
     public void grow(UpstreamEntry upstream, long tokens) {
         load(upstream.id()).mTokens += tokens;
+        mOnChanged.run();
     }
 
     /**
@@ -255,6 +270,7 @@
         int doublings = Math.min(load.mRefusals - REFUSALS, Integer.SIZE / 2);
         long millis = Math.min(MOST_EJECTED_MILLIS, FIRST_REFUSING_MILLIS << doublings);
         load.mRefusingUntil = mLoop.millis() + millis;
+        mOnMemoryTaken.run();
         LOGGER.warn(
                 "upstream refuses runs id={} refusals={} millis={}",
                 engine.id(),
