The relay plan is made when something changed; what has not changed is handed on twice a second

Cause: each row of the table of routers made the plan anew, 62 times at each start of 62 routers, and each tick made it again and summed all reports; a relay's own unchanged report, and demand that drifts all the time, counted as news and were handed on twenty times a second. After: at most 80; a changed load still reaches all within 60 ms (second new test).

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
@@ -38,6 +38,22 @@
         demands = Map.copyOf(demands);
     }
 
+    /**
+     * Returns whether another report says the same but for the demand, which drifts all the time
+     * and matters to the decisions of seconds only.
+     *
+     * @param other the other report
+     * @return whether it does
+     */
+    boolean sameLoad(LoadReport other) {
+        return configuration == other.configuration
+                && routers == other.routers
+                && roleHolder == other.roleHolder
+                && changing.equals(other.changing)
+                && refusing.equals(other.refusing)
+                && uses.equals(other.uses);
+    }
+
     /**
      * Returns the report of these and other routers together, with this sender's configuration.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -39,9 +39,12 @@
     /** How long a router is not sent the same version again, milliseconds. */
     private static final long RESEND_MILLIS = 500;
 
-    /** How often the plan is made, connections are opened and old reports dropped, milliseconds. */
+    /** How often it is looked who is silent and which reports are too old, milliseconds. */
     private static final long TICK_MILLIS = 250;
 
+    /** After how many ticks the plan is made again though nothing is known to have changed. */
+    private static final int MOST_TICKS = 4;
+
     /**
      * The shortest pause between two times that a relay hands on what changed, milliseconds: half
      * the age that loads may have.
@@ -54,7 +57,7 @@
      */
     private static final long UNCHANGED_MILLIS = 2 * TICK_MILLIS - TICK_MILLIS / 2;
 
-    /** How long a relay gathers what comes together, milliseconds. */
+    /** How long it is waited for more of what mostly comes together, milliseconds. */
     private static final long GATHER_MILLIS = 5;
 
     /** Logs routers gained and lost, and changes of the plan. */
@@ -105,6 +108,18 @@
     /** This router's latest report. */
     private LoadReport mOwn = LoadReport.NONE;
 
+    /** Whether the table of routers has changed since the last plan. */
+    private boolean mListChanged;
+
+    /** Whether a plan is about to be made. */
+    private boolean mPlanning;
+
+    /** How many ticks passed since the last plan. */
+    private int mTicks;
+
+    /** Which routers of the plan were connected when it was made. */
+    private Set<Incarnation> mConnected = Set.of();
+
     /** Whether there is something to hand on. */
     private boolean mChanged;
 
@@ -174,8 +189,16 @@
         } else {
             mListed.put(instance.value(), listed);
         }
-        mMembership.listed(mListed.values().stream().map(PeerExchange::entry).toList());
-        plan();
+        mListChanged = true;
+        planSoon();
+    }
+
+    /** Has the plan made soon, once for all that comes until then. */
+    private void planSoon() {
+        if (!mPlanning) {
+            mPlanning = true;
+            mNode.control().later(this::plan, GATHER_MILLIS);
+        }
     }
 
     /**
@@ -252,8 +275,11 @@
      * @param report what to tell
      */
     public void tell(LoadReport report) {
+        boolean news = !report.sameLoad(mOwn);
         mOwn = report;
-        changed();
+        if (news) {
+            changed();
+        }
         PeerMessage.Load load = new PeerMessage.Load(ReportScope.OWN, report);
         if (mPlan.direct()) {
             mLinks.sendAll(incarnations(mPlan.wanted()), load);
@@ -356,6 +382,9 @@
     public void heard(Member from, PeerMessage message) {
         mMembership.heard(from);
         mWatch.heard(from.incarnation(), millis());
+        if (mPlan.relay() && !mLinks.connected(from.incarnation())) {
+            planSoon();
+        }
         if (message instanceof PeerMessage.Load load) {
             heard(from, load);
         } else if (message instanceof PeerMessage.Configuration offered) {
@@ -453,10 +482,13 @@
         audience().forEach(this::sendConfiguration);
     }
 
-    /** Makes the plan, opens connections, drops old reports and repeats what has not changed. */
+    /** Drops old reports, repeats what has not changed, and plans where something else has. */
     private void tick() {
-        plan();
-        mLoads.sum(millis());
+        boolean silent = mWatch.expect(expected(), millis());
+        if (silent || !connected().equals(mConnected) || ++mTicks >= MOST_TICKS) {
+            plan();
+        }
+        mLoads.expire(millis());
         if (mPlan.relay() && millis() - mHandedOnAt >= UNCHANGED_MILLIS) {
             handOn();
         }
@@ -468,6 +500,12 @@
 
     /** Makes the plan and opens the connections that it wants. */
     private void plan() {
+        mPlanning = false;
+        mTicks = 0;
+        if (mListChanged) {
+            mListChanged = false;
+            mMembership.listed(mListed.values().stream().map(PeerExchange::entry).toList());
+        }
         RelayPlan before = mPlan;
         mPlan =
                 RelayPlan.of(
@@ -476,6 +514,7 @@
                         this::points,
                         router -> mLinks.connected(router) && !mWatch.suspected(router));
         mLoads.count(counted());
+        mLoads.sum(millis());
         mWatch.expect(expected(), millis());
         if (!before.reportTo().equals(mPlan.reportTo()) || before.relay() != mPlan.relay()) {
             LOGGER.info(
@@ -486,6 +525,7 @@
                     mPlan.reportTo().map(Member::incarnation).orElse(null),
                     mPlan.relays().size());
         }
+        mConnected = connected();
         mPlan.wanted().forEach(mLinks::connect);
         locals().forEach(this::connectBack);
         if (mPlan.relay()) {
@@ -493,6 +533,17 @@
         }
     }
 
+    /**
+     * Returns which routers of the plan are connected.
+     *
+     * @return who they are
+     */
+    private Set<Incarnation> connected() {
+        Set<Incarnation> connected = incarnations(mPlan.wanted());
+        connected.removeIf(router -> !mLinks.connected(router));
+        return connected;
+    }
+
     /**
      * Opens a connection to a router that this relay tells of others.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -46,13 +46,13 @@
      * @param scope whose load it tells of
      * @param report the report
      * @param now the monotonic clock, milliseconds
-     * @return whether it says something new
+     * @return whether it says something new of the load
      */
     public boolean heard(Incarnation from, ReportScope scope, LoadReport report, long now) {
         mHeard.keySet()
                 .removeIf(other -> other.instance().equals(from.instance()) && !other.equals(from));
         Heard before = mHeard.put(from, new Heard(scope, report, now));
-        return before == null || before.scope() != scope || !before.report().equals(report);
+        return before == null || before.scope() != scope || !before.report().sameLoad(report);
     }
 
     /**
@@ -70,7 +70,7 @@
      * @param now the monotonic clock, milliseconds
      */
     public void sum(long now) {
-        mHeard.values().removeIf(heard -> now - heard.at() > BELIEVED_MILLIS);
+        dropOld(now);
         mSum =
                 LoadReport.NONE.plus(
                         mHeard.values().stream()
@@ -79,6 +79,27 @@
                                 .toList());
     }
 
+    /**
+     * Drops what no longer counts, and sums up if there was any.
+     *
+     * @param now the monotonic clock, milliseconds
+     */
+    void expire(long now) {
+        if (dropOld(now)) {
+            sum(now);
+        }
+    }
+
+    /**
+     * Drops what no longer counts.
+     *
+     * @param now the monotonic clock, milliseconds
+     * @return whether there was any
+     */
+    private boolean dropOld(long now) {
+        return mHeard.values().removeIf(heard -> now - heard.at() > BELIEVED_MILLIS);
+    }
+
     /**
      * Returns the routers that were heard lately.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerWatch.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerWatch.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.troutpier.common.id.Incarnation;
 
 /**
@@ -40,8 +41,10 @@
      *
      * @param routers the routers
      * @param now the monotonic clock, milliseconds
+     * @return whether other routers are suspected than before
      */
-    void expect(Collection<Incarnation> routers, long now) {
+    boolean expect(Collection<Incarnation> routers, long now) {
+        Set<Incarnation> before = Set.copyOf(mSuspectedUntil.keySet());
         mHeardAt.keySet().retainAll(routers);
         routers.forEach(router -> mHeardAt.putIfAbsent(router, now));
         mHeardAt.forEach(
@@ -52,6 +55,7 @@
                 });
         mSuspectedUntil.values().removeIf(until -> until <= now);
         mHeardAt.keySet().removeAll(mSuspectedUntil.keySet());
+        return !before.equals(mSuspectedUntil.keySet());
     }
 
     /**
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -91,6 +91,8 @@
             mControl.every(this::report, 100);
         }
 
+        int mCalls = 1;
+
         private void report() {
             mExchange.tell(
                     new LoadReport(
@@ -99,7 +101,7 @@
                             false,
                             Set.of(),
                             Set.of(),
-                            Map.of(ENGINE, new UpstreamUse(1, 10)),
+                            Map.of(ENGINE, new UpstreamUse(mCalls, 10)),
                             Map.of()));
         }
 
@@ -218,6 +220,30 @@
         assertTrue(sent.get(MANY - 1) <= 500, "messages a second at relays " + sent);
     }
 
+    @Test
+    public void anUnchangedLoadIsHandedOnSeldom() {
+        routers(MANY);
+        mTime.pass(2000);
+        mRouters.values().forEach(router -> router.mSent = 0);
+        mTime.pass(1000);
+        int most = mRouters.values().stream().mapToInt(router -> router.mSent).max().orElseThrow();
+        assertTrue(most <= 80, "messages a second at a relay though nothing changed: " + most);
+    }
+
+    @Test
+    public void aChangedLoadIsHandedOnAtOnce() {
+        routers(MANY);
+        mTime.pass(2000);
+        Router changed = List.copyOf(mRouters.values()).get(MANY - 1);
+        changed.mCalls = 5;
+        changed.report();
+        mTime.pass(60);
+        for (Router router : living()) {
+            int calls = router == changed ? MANY - 1 : MANY - 2 + changed.mCalls;
+            assertEquals(router.mLoads.use(ENGINE).calls(), calls, "calls at " + router.mSelf);
+        }
+    }
+
     @Test
     public void aRelayThatDiesOrStandsStillIsReplaced() {
         routers(MANY);
