--- a/troutpier-standins/src/main/java/org/troutpier/standins/soak/FaultPlan.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/soak/FaultPlan.java
@@ -157,19 +157,30 @@
                             any(SERVICE_FAULTS, random),
                             millis,
                             delay);
-            default ->
-                    new Step(
-                            at,
-                            "link",
-                            random.nextBoolean()
-                                    ? any(LINKS, random)
-                                    : "router-" + (1 + random.nextInt(routers)),
-                            any(LinkFault.values(), random).label(),
-                            millis,
-                            1 + delay);
+            default -> link(at, routers, millis, 1 + delay, random);
         };
     }
 
+    /**
+     * Draws a fault of connections.
+     *
+     * @param at when
+     * @param routers how many routers there are
+     * @param millis how long it lasts
+     * @param amount how strong it is
+     * @param random the source of chance
+     * @return the fault
+     */
+    private static Step link(
+            long at, int routers, int millis, int amount, UniformRandomProvider random) {
+        String target =
+                random.nextBoolean()
+                        ? any(LINKS, random)
+                        : "router-" + (1 + random.nextInt(routers));
+        String kind = any(LinkFault.values(), random).label();
+        return new Step(at, "link", target, kind, millis, amount);
+    }
+
     /**
      * Draws one of several.
      *
