--- a/troutpier-standins/src/main/java/org/troutpier/standins/soak/SoakCaller.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/soak/SoakCaller.java
@@ -1,22 +1,19 @@
 package org.troutpier.standins.soak;
 
-import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.troutpier.common.http.Answers;
-import org.troutpier.common.http.CallFailedException;
 import org.troutpier.common.http.HttpCall;
 import org.troutpier.common.http.HttpCalls;
-import org.troutpier.common.http.ReplyListener;
 import org.troutpier.common.settings.Address;
 import org.troutpier.standins.engine.PrefixBlocks;
+import org.troutpier.standins.load.GatheredAnswer;
 
 /**
  * One caller: it asks, sometimes goes away in the middle, and asks again with the same key, also at
@@ -129,7 +126,10 @@
                 end = System.nanoTime() + PATIENCE_NANOS;
             }
             if (end != 0 && System.nanoTime() > end) {
-                mLedger.violation(id + " never arrived; last told " + first.mCode);
+                mLedger.violation(
+                        id
+                                + " never arrived; last told "
+                                + first.answer().header(Answers.CODE_HEADER));
                 return;
             }
             pause();
@@ -174,12 +174,12 @@
                 completion
                         ? call.withJson(Map.of("prompt", id, "max_tokens", tokens, "stream", true))
                         : call.withBody(id.getBytes(StandardCharsets.UTF_8));
-        Ask ask = new Ask(mark);
-        ask.mOngoing = mCalls.send(call, ask);
+        GatheredAnswer answer = new GatheredAnswer();
+        Ask ask = new Ask(mark, answer, mCalls.send(call, answer));
         final int cancelOneIn = 8;
         final int cancelWithin = 400;
         if (mRandom.nextInt(cancelOneIn) == 0) {
-            ask.cancelAfter(mRandom.nextInt(cancelWithin));
+            ask.leaveAfter(mRandom.nextInt(cancelWithin));
         }
         return ask;
     }
@@ -210,19 +210,19 @@
      */
     private boolean settle(Kind kind, String id, Ask ask, int tokens) {
         ask.await();
-        if ("not-run".equals(ask.mFamily)) {
-            mLedger.toldNotRun(ask.mMark);
+        if ("not-run".equals(ask.family())) {
+            mLedger.toldNotRun(ask.mark());
         }
         boolean completion = kind == Kind.NOTE || kind == Kind.SUMMARY;
-        String body = ask.mBody.toString();
+        String body = ask.answer().body();
         if (!completion) {
-            boolean whole = ask.mEnded && ask.mStatus == 200;
+            boolean whole = ask.answer().ended() && ask.answer().status() == 200;
             if (whole && !body.contains(id)) {
                 mLedger.violation(id + " got another's answer: " + body);
             }
             return whole;
         }
-        boolean whole = ask.mEnded && body.contains("data: [DONE]");
+        boolean whole = ask.answer().ended() && body.contains("data: [DONE]");
         String text = text(body);
         if (!text.isEmpty() && !text.replaceAll("/[0-9a-f]+", "").equals(expected(id, text))) {
             mLedger.violation(id + " got a wrong answer: " + text);
@@ -273,92 +273,47 @@
         return expected.toString();
     }
 
-    /** One ask under way. Written on an event loop, read after it is over. */
-    private static final class Ask implements ReplyListener {
-
-        /** Names the ask. */
-        private final String mMark;
-
-        /** Completes when it is over. */
-        private final CompletableFuture<Void> mOver = new CompletableFuture<>();
-
-        /** The exchange. */
-        private volatile HttpCalls.Ongoing mOngoing;
-
-        /** The status. */
-        private volatile int mStatus;
-
-        /** What is known of the work, as told. */
-        private volatile String mFamily = "";
-
-        /** The result code, as told. */
-        private volatile String mCode = "";
-
-        /** Whether the answer ended as HTTP has it. */
-        private volatile boolean mEnded;
-
-        /** The body. */
-        private final StringBuffer mBody = new StringBuffer();
-
-        /**
-         * Creates an ask.
-         *
-         * @param mark names it
-         */
-        Ask(String mark) {
-            mMark = mark;
-        }
+    /**
+     * One ask under way.
+     *
+     * @param mark names the ask
+     * @param answer what came of it
+     * @param ongoing the exchange
+     */
+    private record Ask(String mark, GatheredAnswer answer, HttpCalls.Ongoing ongoing) {
 
         /**
-         * Goes away after a while.
+         * Leaves after a while.
          *
-         * @param millis how long
+         * @param millis the while
          */
-        void cancelAfter(int millis) {
+        void leaveAfter(int millis) {
             CompletableFuture.delayedExecutor(millis, TimeUnit.MILLISECONDS)
                     .execute(
                             () -> {
-                                mOngoing.abort();
-                                mOver.complete(null);
+                                ongoing.abort();
+                                answer.leave();
                             });
         }
 
         /** Waits until it is over. */
         void await() {
             try {
-                mOver.get(ASK_MILLIS * 2L, TimeUnit.MILLISECONDS);
-            } catch (TimeoutException exception) {
-                mOngoing.abort();
-            } catch (Exception exception) {
-                throw new IllegalStateException(exception);
+                if (!answer.await(ASK_MILLIS * 2)) {
+                    ongoing.abort();
+                }
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
             }
         }
 
-        /** {@inheritDoc} */
-        @Override
-        public void onHead(int status, HttpHeaders headers) {
-            mStatus = status;
-            mFamily = headers.get(Answers.FAMILY_HEADER, "");
-            mCode = headers.get(Answers.CODE_HEADER, "");
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onPart(byte[] part) {
-            mBody.append(new String(part, StandardCharsets.UTF_8));
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onEnd() {
-            mEnded = true;
-            mOver.complete(null);
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onFailure(CallFailedException failure) {
-            mOver.complete(null);
+        /**
+         * Returns what is known of the work, as told.
+         *
+         * @return the family of the result code, or nothing
+         */
+        String family() {
+            return answer.header(Answers.FAMILY_HEADER);
         }
     }
 }
