--- a/troutpier-standins/src/main/java/org/troutpier/standins/fault/FaultProxy.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/fault/FaultProxy.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.troutpier.common.settings.Address;
@@ -103,8 +104,9 @@
      * @param fault the fault
      * @param millis how long it lasts; {@link LinkFault#FORGET} has no length
      * @param amount how strong it is
+     * @return completes once every open connection is harmed
      */
-    public void fault(LinkFault fault, long millis, int amount) {
+    public CompletableFuture<Void> fault(LinkFault fault, long millis, int amount) {
         if (fault == LinkFault.DELAY) {
             mDelayMillis = amount;
         }
@@ -113,7 +115,7 @@
             mLoops.next().schedule(this::apply, millis + 1, TimeUnit.MILLISECONDS);
         }
         mConnections.forEach(connection -> connection.harmed(fault));
-        apply();
+        return apply();
     }
 
     /** Ends all faults; connections that were forgotten stay so. */
@@ -122,9 +124,14 @@
         apply();
     }
 
-    /** Has every connection look at what is on. */
-    private void apply() {
-        mConnections.forEach(Connection::look);
+    /**
+     * Has every connection look at what is on.
+     *
+     * @return completes once all have
+     */
+    private CompletableFuture<Void> apply() {
+        return CompletableFuture.allOf(
+                mConnections.stream().map(Connection::look).toArray(CompletableFuture[]::new));
     }
 
     /**
@@ -244,15 +251,19 @@
             }
         }
 
-        /** Lets each direction pass or holds it, by what is on. */
-        private void look() {
-            mNear.eventLoop()
-                    .execute(
-                            () -> {
-                                boolean held = mForgotten || on(LinkFault.DARK);
-                                mForth.look(held);
-                                mBack.look(held);
-                            });
+        /**
+         * Lets each direction pass or holds it, by what is on.
+         *
+         * @return completes once it has
+         */
+        private CompletableFuture<Void> look() {
+            return CompletableFuture.runAsync(
+                    () -> {
+                        boolean held = mForgotten || on(LinkFault.DARK);
+                        mForth.look(held);
+                        mBack.look(held);
+                    },
+                    mNear.eventLoop());
         }
     }
 
--- a/troutpier-standins/src/test/java/org/troutpier/standins/fault/FaultProxyTest.java
+++ b/troutpier-standins/src/test/java/org/troutpier/standins/fault/FaultProxyTest.java
@@ -139,7 +139,7 @@
             try (Client client = new Client()) {
                 client.send(1);
                 assertEquals(client.receive(PATIENCE_MILLIS), 1);
-                mProxy.fault(cut, LONG_MILLIS, 0);
+                mProxy.fault(cut, LONG_MILLIS, 0).join();
                 client.send(2);
                 assertThrows(SocketTimeoutException.class, () -> client.receive(SOON_MILLIS));
                 mProxy.heal();
@@ -153,7 +153,7 @@
         try (Client old = new Client()) {
             old.send(1);
             assertEquals(old.receive(PATIENCE_MILLIS), 1);
-            mProxy.fault(LinkFault.FORGET, 0, 0);
+            mProxy.fault(LinkFault.FORGET, 0, 0).join();
             old.send(2);
             try (Client next = new Client()) {
                 next.send(3);
