--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -14,8 +14,8 @@
 # Builds when there is no build or a source is newer than the last one.
 ensure_built() {
     local mark=$TOP/troutpier-cli/target/lib
-    if [ ! -d "$mark" ] || [ ! -d "$TOP/troutpier-daemon/target/lib" ] ||
-        [ -n "$(find "$TOP"/troutpier-*/src/main "$TOP"/troutpier-*/pom.xml -newer "$mark" -print -quit)" ]; then
+    if [ ! -d "$mark" ] || [ ! -d "$TOP/troutpier-daemon/target/lib" ] || [ ! -d "$TOP/platform/target/lib" ] ||
+        [ -n "$(find "$TOP"/troutpier-*/src/main "$TOP"/platform/src "$TOP"/*/pom.xml -newer "$mark" -print -quit)" ]; then
         echo "building ..." >&2
         (cd "$TOP" && mvn -B -q package -DskipTests >&2)
         touch "$mark"
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpCalls.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpCalls.java
@@ -66,7 +66,7 @@
 
     /**
      * Refuses secured calls, which nobody here speaks. The library's own factory would load and set
-     * up the machine's whole cryptography at each start: about a fifth of its processor time.
+     * up the machine's cryptography at each start.
      *
      * @param config the library's settings
      * @param host the host
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -86,7 +86,7 @@
     public void start() {
         mLoop.execute(
                 () -> {
-                    mLoads.onMemoryTaken(this::report);
+                    mLoads.onUrgent(this::report);
                     mLoads.onChanged(this::changed);
                     mRoles.onChanging(() -> mLoop.execute(this::rolesChange));
                     repeat();
@@ -111,8 +111,9 @@
     /** Reports if there is something new to tell. */
     private void look() {
         mLooking = false;
-        if (!mLoads.uses().equals(mReported)) {
-            report();
+        Map<UpstreamId, UpstreamUse> uses = mLoads.uses();
+        if (!uses.equals(mReported)) {
+            report(uses);
         }
     }
 
@@ -128,8 +129,16 @@
 
     /** Reports now. */
     private void report() {
+        report(mLoads.uses());
+    }
+
+    /**
+     * Reports now.
+     *
+     * @param uses what is under way
+     */
+    private void report(Map<UpstreamId, UpstreamUse> uses) {
         mReportedAt = mLoop.millis();
-        Map<UpstreamId, UpstreamUse> uses = mLoads.uses();
         mReported = uses;
         LoadReport report =
                 new LoadReport(
@@ -139,7 +148,7 @@
                         mRoles.changing(),
                         mLoads.refusing(),
                         uses,
-                        mDemand.publish(mLoop.millis()));
+                        mDemand.publish(mReportedAt));
         mControl.execute(() -> mExchange.tell(report));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -75,10 +75,10 @@
     /** What the other routers have under way. */
     private final PeerLoads mPeers;
 
-    /** Runs when memory is taken. */
-    private Runnable mOnMemoryTaken = () -> {};
+    /** Runs when the other routers must hear at once of what changed. */
+    private Runnable mOnUrgent = () -> {};
 
-    /** Runs when what is under way changes. */
+    /** Runs when what is under way changes in a way of which the others may hear a little later. */
     private Runnable mOnChanged = () -> {};
 
     /** The engines that change their role by this router's order. */
@@ -142,16 +142,18 @@
     }
 
     /**
-     * Sets what runs when memory is taken, so that the other routers hear of it at once.
+     * Sets what runs when the other routers must hear at once of what changed: memory is taken, or
+     * an engine refuses runs.
      *
      * @param action the action, run on the traffic loop
      */
-    public void onMemoryTaken(Runnable action) {
-        mOnMemoryTaken = action;
+    public void onUrgent(Runnable action) {
+        mOnUrgent = action;
     }
 
     /**
-     * Sets what runs when what is under way or refuses changes.
+     * Sets what runs when what is under way changes in a way of which the others may hear a little
+     * later.
      *
      * @param action the action, run on the traffic loop
      */
@@ -167,8 +169,8 @@
      * @param tokens how much
      */
     public void take(UpstreamEntry engine, long tokens) {
-        begin(engine, tokens);
-        mOnMemoryTaken.run();
+        add(engine, tokens);
+        mOnUrgent.run();
     }
 
     /**
@@ -178,10 +180,20 @@
      * @param tokens its tokens; 0 for a plain call
      */
     public void begin(UpstreamEntry upstream, long tokens) {
+        add(upstream, tokens);
+        mOnChanged.run();
+    }
+
+    /**
+     * Counts a call.
+     *
+     * @param upstream where
+     * @param tokens its tokens
+     */
+    private void add(UpstreamEntry upstream, long tokens) {
         Load load = load(upstream.id());
         load.mCalls++;
         load.mTokens += tokens;
-        mOnChanged.run();
     }
 
     /**
@@ -270,7 +282,7 @@
         int doublings = Math.min(load.mRefusals - REFUSALS, Integer.SIZE / 2);
         long millis = Math.min(MOST_EJECTED_MILLIS, FIRST_REFUSING_MILLIS << doublings);
         load.mRefusingUntil = mLoop.millis() + millis;
-        mOnMemoryTaken.run();
+        mOnUrgent.run();
         LOGGER.warn(
                 "upstream refuses runs id={} refusals={} millis={}",
                 engine.id(),
