A page of the stand-in's table says truly up to which version it goes

The stand-in of the store took rows and the version that it stamps on the answer one after the other. What another thread wrote in between was covered by the version and missing in the page, so who went on after that version never saw it. A router that missed its own row or the other's in the table of routers ranked the two wrongly for good; both then read. Before: VersionedRowsTest fails in two of its three tests with rows and version taken apart. After: it passes; FollowingTest, RoleLeaseTest and TableFollowerTest pass beside eight busy processes. Also: the fake of the row store answers a read that was never done as failed, where it told of an empty table. Conclusion: a fault of the stand-in; the platform's own store stamps what it read.

--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleLeaseTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleLeaseTest.java
@@ -157,7 +157,7 @@
             }
         }
         assertTrue(turns > 3, "turns " + turns + ", seed " + seed);
-        assertEquals(mRows.read("troutpier_leases", "", "", 10).size(), 1);
+        assertEquals(mRows.read("troutpier_leases", "", "", 10).rows().size(), 1);
     }
 
     private void carry(Random random, Contender contender, Runnable work, Runnable answer) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/FakeRowStore.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/FakeRowStore.java
@@ -34,10 +34,10 @@
                     new RowStoreException(RowStoreException.Reason.REFUSED, "away"));
             return future;
         }
-        List<Row> rows = new ArrayList<>();
+        List<RowPage> pages = new ArrayList<>();
         mCarrier.accept(
-                () -> mRows.read(table, part, "", 1000).forEach(row -> rows.add(row(row))),
-                () -> future.complete(new RowPage(rows, mRows.version(), 0)));
+                () -> pages.add(page(mRows.read(table, part, "", 1000))),
+                () -> answer(future, pages));
         return future;
     }
 
@@ -51,12 +51,7 @@
         }
         mRows.changes(table, after)
                 .ifPresentOrElse(
-                        rows ->
-                                future.complete(
-                                        new RowPage(
-                                                rows.stream().map(FakeRowStore::row).toList(),
-                                                mRows.version(),
-                                                0)),
+                        page -> future.complete(page(page)),
                         () ->
                                 future.completeExceptionally(
                                         new RowStoreException(
@@ -94,6 +89,20 @@
         return future;
     }
 
+    /** Answers with what was read; a call that is answered before it is done has failed. */
+    private static void answer(CompletableFuture<RowPage> future, List<RowPage> pages) {
+        if (pages.isEmpty()) {
+            future.completeExceptionally(
+                    new RowStoreException(RowStoreException.Reason.REFUSED, "not read in time"));
+        } else {
+            future.complete(pages.get(0));
+        }
+    }
+
+    private static RowPage page(VersionedRows.Page page) {
+        return new RowPage(page.rows().stream().map(FakeRowStore::row).toList(), page.version(), 0);
+    }
+
     private static Row row(VersionedRows.Row row) {
         return new Row(
                 row.key().table(),
--- a/troutpier-standins/src/main/java/org/troutpier/standins/platform/VersionedRows.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/platform/VersionedRows.java
@@ -50,6 +50,15 @@
      */
     public record Row(Key key, String value, long version, boolean deleted) {}
 
+    /**
+     * Rows as they stood at one version. Immutable and thread safe. Invariant: no row of a version
+     * up to this one is missing, so who goes on after it misses nothing.
+     *
+     * @param rows the rows
+     * @param version the newest version when they were read
+     */
+    public record Page(List<Row> rows, long version) {}
+
     /**
      * A condition of a transaction. Immutable and thread safe.
      *
@@ -148,14 +157,17 @@
      * @param part the part
      * @param from the first key
      * @param most how many rows at most
-     * @return the rows, keys rising
+     * @return the rows, keys rising, and the version at which they stood so
      */
-    public synchronized List<Row> read(String table, String part, String from, int most) {
-        return mRows.values().stream()
-                .filter(row -> row.key().table().equals(table) && row.key().part().equals(part))
-                .filter(row -> row.key().key().compareTo(from) >= 0)
-                .limit(most)
-                .toList();
+    public synchronized Page read(String table, String part, String from, int most) {
+        List<Row> rows =
+                mRows.values().stream()
+                        .filter(row -> row.key().table().equals(table))
+                        .filter(row -> row.key().part().equals(part))
+                        .filter(row -> row.key().key().compareTo(from) >= 0)
+                        .limit(most)
+                        .toList();
+        return new Page(rows, mVersion);
     }
 
     /**
@@ -163,16 +175,18 @@
      *
      * @param table the table
      * @param after the version
-     * @return the changes in order, or empty where that history is forgotten
+     * @return the changes in order and the version up to which they go, or empty where that history
+     *     is forgotten
      */
-    public synchronized Optional<List<Row>> changes(String table, long after) {
+    public synchronized Optional<Page> changes(String table, long after) {
         if (after < mForgotten) {
             return Optional.empty();
         }
-        return Optional.of(
+        List<Row> rows =
                 mHistory.stream()
                         .filter(row -> row.version() > after && row.key().table().equals(table))
-                        .toList());
+                        .toList();
+        return Optional.of(new Page(rows, mVersion));
     }
 
     /** Forgets the history. */
