A run whose answer was lost goes on at the engine that has its prompt

The engine that lost the answer keeps what it fetched, and the same upstream again is no further attempt. Slow engines as cause of silent readings: all of them lie in the seconds in which answers are lost. Change: KeptPrompt. A resumable stream whose run was lost looks for a place at the same engine first, at once and with one extra call, and goes on there without a reading; at most twice in a request. Where the engine does not give a place it goes on elsewhere as before. Once-only streams are not touched. Tests: ExecutionTest, four cases, two of them seen to fail with the mechanism off.

--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/KeptPrompt.java
@@ -0,0 +1,55 @@
+package org.troutpier.daemon.serving;
+
+import java.util.List;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.upstream.AttemptEnd;
+
+/**
+ * Which decode engine still has the prompt of a run whose answer was lost. An engine keeps what it
+ * fetched until it needs the room, the parts used last the longest, so the run goes on there
+ * without reading the prompt again. Confined to the traffic loop. Invariant: a request is sent
+ * again to the engine that lost its answer at most {@link #MOST_REPEATS} times in all.
+ */
+final class KeptPrompt {
+
+    /**
+     * How often a request is sent again to an engine that lost its answer: an engine that loses two
+     * of five loses three in a row once in sixteen times.
+     */
+    static final int MOST_REPEATS = 2;
+
+    /** The engine that has the prompt, or null. */
+    private UpstreamEntry mEngine;
+
+    /** How often the request was sent again to the engine that lost its answer. */
+    private int mRepeats;
+
+    /**
+     * Takes note of a run that failed.
+     *
+     * @param engine where it was
+     * @param end how it ended
+     * @return whether the run may go on there: its answer was lost and nothing says that the engine
+     *     is gone
+     */
+    boolean lost(UpstreamEntry engine, AttemptEnd end) {
+        boolean answerLost = !end.notStarted() && end.unreachable();
+        mEngine = answerLost && mRepeats < MOST_REPEATS ? engine : null;
+        return mEngine != null;
+    }
+
+    /**
+     * Returns the engine that has the prompt.
+     *
+     * @param usable the engines that may get work
+     * @return the engine, if it is one of them
+     */
+    List<UpstreamEntry> among(List<UpstreamEntry> usable) {
+        return usable.stream().filter(each -> each.id().equals(mEngine.id())).toList();
+    }
+
+    /** Records that the run goes on there. */
+    void repeated() {
+        mRepeats++;
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -182,6 +182,16 @@
         return mTried.size() < mRoute.maxAttempts() && mayCallOnceMore();
     }
 
+    /**
+     * Returns whether the request may be sent again to an upstream that had it, which is no further
+     * attempt.
+     *
+     * @return whether time and the budget of extra calls allow it
+     */
+    protected boolean mayRepeat() {
+        return leftMillis() > ServingSettings.ANSWER_MARGIN_MILLIS && mayCallOnceMore();
+    }
+
     /**
      * Returns whether the budget of extra calls allows one more.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.directory.UpstreamEntry;
@@ -55,6 +56,9 @@
     /** Until when it can be used, milliseconds. */
     private long mStoredUntil;
 
+    /** Where the prompt of a run whose answer was lost still is. */
+    private final KeptPrompt mKept = new KeptPrompt();
+
     /** Whether the caller has the stream's head. */
     private boolean mBegun;
 
@@ -101,6 +105,27 @@
                         ? ServingSettings.RETURN_WAIT_PART
                         : ServingSettings.WAIT_PART;
         long wait = (long) (mRoute.targetMillis() * part);
+        search(wait, this::engines, new PlaceFound());
+    }
+
+    /**
+     * Looks for a place at the engine that lost the run's answer, whose memory it left just now.
+     *
+     * @param end how the run ended
+     */
+    private void searchKept(AttemptEnd end) {
+        search(0, () -> mKept.among(upstreams(UpstreamEntry.Role.DECODE)), new KeptFound(end));
+    }
+
+    /**
+     * Looks for a place.
+     *
+     * @param wait how long, milliseconds
+     * @param engines the engines that may be used
+     * @param listener receives the end
+     */
+    private void search(
+            long wait, Supplier<List<UpstreamEntry>> engines, PlaceAllocator.Listener listener) {
         mSearchBegan = mContext.loop().millis();
         mContext.metrics().waitsForPlace(true);
         mSearch =
@@ -112,8 +137,31 @@
                                         mEngine.memoryTokens(),
                                         mEngine.placeMillis(),
                                         wait,
-                                        this::engines),
-                                new PlaceFound());
+                                        engines),
+                                listener);
+    }
+
+    /** Records that the search is over. */
+    private void searched() {
+        mSearch = null;
+        mContext.metrics().waitsForPlace(false);
+        mContext.metrics().stage("place", mContext.loop().millis() - mSearchBegan);
+    }
+
+    /**
+     * Takes a place.
+     *
+     * @param engine where it is
+     * @param place the place; empty where engines do not set places aside
+     */
+    private void take(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
+        searched();
+        mDecode = engine;
+        mPlace = place;
+        mMemory = new EngineMemory(mContext.loads(), engine, promptTokens());
+        mMemory.grow(mRelay.events() * mEngine.eventTokens());
+        mContext.pacer().granted(mContext.loop().millis());
+        mTrace.step("place@" + engine.id() + " known " + mContext.loads().tokens(engine));
     }
 
     /**
@@ -254,7 +302,12 @@
      */
     private void runFailed(UpstreamEntry upstream, AttemptEnd end) {
         learn(upstream, end);
-        boolean again = end.notStarted() || mRoute.kind() == Route.Kind.RESUMABLE_STREAM;
+        boolean resumable = mRoute.kind() == Route.Kind.RESUMABLE_STREAM;
+        if (resumable && mKept.lost(upstream, end) && mayRepeat()) {
+            searchKept(end);
+            return;
+        }
+        boolean again = end.notStarted() || resumable;
         if (again && mayTryAgain(upstream, end)) {
             mPrefillTried.clear();
             search();
@@ -318,23 +371,10 @@
         /** {@inheritDoc} */
         @Override
         public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
-            searched();
-            mDecode = engine;
-            mPlace = place;
-            mMemory = new EngineMemory(mContext.loads(), engine, promptTokens());
-            mMemory.grow(mRelay.events() * mEngine.eventTokens());
-            mContext.pacer().granted(mContext.loop().millis());
-            mTrace.step("place@" + engine.id() + " known " + mContext.loads().tokens(engine));
+            take(engine, place);
             read();
         }
 
-        /** Records that the search is over. */
-        private void searched() {
-            mSearch = null;
-            mContext.metrics().waitsForPlace(false);
-            mContext.metrics().stage("place", mContext.loop().millis() - mSearchBegan);
-        }
-
         /** {@inheritDoc} */
         @Override
         public void refused(String detail) {
@@ -344,6 +384,44 @@
         }
     }
 
+    /** Receives a place at the engine that has the prompt. Confined to the traffic loop. */
+    private final class KeptFound implements PlaceAllocator.Listener {
+
+        /** How the run ended whose prompt it has. */
+        private final AttemptEnd mEnd;
+
+        /**
+         * Creates a listener.
+         *
+         * @param end how the run ended whose prompt the engine has
+         */
+        KeptFound(AttemptEnd end) {
+            mEnd = end;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
+            take(engine, place);
+            mKept.repeated();
+            mTrace.step("prompt still there");
+            run(Optional.empty());
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void refused(String detail) {
+            searched();
+            mTrace.step("not there again");
+            if (mTried.size() < mRoute.maxAttempts()) {
+                mPrefillTried.clear();
+                search();
+            } else {
+                failedBeforeRun(mEnd.code(), mEnd.detail());
+            }
+        }
+    }
+
     /** Receives the prompt. Confined to the traffic loop. */
     private final class PromptRead implements PromptReading.Listener {
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -95,10 +95,14 @@
     }
 
     private void stream() {
+        stream(Route.Kind.STREAM);
+    }
+
+    private void stream(Route.Kind kind) {
         new StreamExecution(
                         mContext,
                         request(),
-                        route(Route.Kind.STREAM),
+                        route(kind),
                         "service",
                         new EngineTraits(10, 90_000, 4, 2000, 500, 100),
                         mCaller)
@@ -207,6 +211,58 @@
         assertEquals(mCaller.mRefusal, ResultCode.OUTCOME_UNKNOWN);
     }
 
+    @Test
+    public void aRunWhoseAnswerWasLostGoesOnWhereItsPromptIs() {
+        mContext.budget().limit(0, 10);
+        UpstreamEntry prefill = Entries.prefill("p");
+        mDirectory.replaceAll(List.of(prefill, Entries.decode("a"), Entries.decode("b")));
+        stream(Route.Kind.RESUMABLE_STREAM);
+        mPort.mPrefills.get(0).onResult(new UpstreamPort.StoredPrompt(prefill, "handle"));
+        UpstreamPort.RunListener run = mPort.mRuns.get(0).mListener;
+        run.onHead(head(UpstreamPort.Verdict.SUCCESS));
+        run.onPart("id: 1\ndata: a\n\n".getBytes(StandardCharsets.UTF_8));
+        run.onFailure(AttemptEnd.lost("reset"));
+        assertEquals(mPort.mRuns.size(), 2);
+        assertEquals(mPort.mRuns.get(1).mUpstream, mPort.mRuns.get(0).mUpstream);
+        assertEquals(mPort.mRuns.get(1).mPlan.prompt(), Optional.empty());
+        assertEquals(mPort.mRuns.get(1).mPlan.resumeAfter(), OptionalLong.of(1));
+        assertEquals(mPort.mPrefills.size(), 1);
+    }
+
+    @Test
+    public void anEngineThatLosesEveryAnswerIsLeft() {
+        mContext.budget().limit(0, 10);
+        mDirectory.replaceAll(List.of(Entries.decode("a"), Entries.decode("b")));
+        stream(Route.Kind.RESUMABLE_STREAM);
+        for (int run = 0; run <= KeptPrompt.MOST_REPEATS; run++) {
+            mPort.mRuns.get(run).mListener.onFailure(AttemptEnd.lost("reset"));
+        }
+        assertEquals(mPort.mRuns.size(), KeptPrompt.MOST_REPEATS + 1);
+        assertEquals(mCaller.mRefusal, ResultCode.OUTCOME_UNKNOWN);
+        assertTrue(mContext.loads().uses().isEmpty());
+    }
+
+    @Test
+    public void aLostRunIsNotRepeatedWithoutAnExtraCall() {
+        mDirectory.replaceAll(List.of(Entries.decode("a"), Entries.decode("b")));
+        stream(Route.Kind.RESUMABLE_STREAM);
+        mPort.mRuns.get(0).mListener.onFailure(AttemptEnd.lost("reset"));
+        assertEquals(mPort.mRuns.size(), 1);
+        assertEquals(mCaller.mRefusal, ResultCode.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    public void aLostRunEndsTruthfullyWhereItsEngineIsGone() {
+        mContext.budget().limit(0, 10);
+        mDirectory.replaceAll(List.of(Entries.decode("a")));
+        stream(Route.Kind.RESUMABLE_STREAM);
+        mPort.mFull.add(Entries.decode("a").id());
+        mPort.mRuns.get(0).mListener.onFailure(AttemptEnd.lost("reset"));
+        assertEquals(mPort.mRuns.size(), 1);
+        assertEquals(mCaller.mRefusal, ResultCode.OUTCOME_UNKNOWN);
+        assertTrue(mContext.loads().uses().isEmpty());
+    }
+
     @Test
     public void anUpstreamThatCannotBeReachedIsNoAttempt() {
         mDirectory.replaceAll(List.of(Entries.plain("a", "hall-a"), Entries.plain("b", "hall-a")));
