Callers come in while a router still starts

Ruled out: the store (configuration and upstreams are there 50 ms after listening); the start of the virtual machine before main, which stays as it is.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
@@ -16,6 +16,8 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -36,9 +38,6 @@
     /** The largest chunk the codec hands on, bytes. */
     private static final int MAX_CHUNK = 8192;
 
-    /** How many connections may wait to be accepted. */
-    private static final int BACKLOG = 1024;
-
     /** What this server bounds; asked again for each new connection. */
     private final Supplier<ServerLimits> mLimits;
 
@@ -96,22 +95,61 @@
             Supplier<ServerLimits> limits,
             ServerRefusals refusals,
             HttpHandler handler) {
+        this(listen(address), loops, limits, refusals, handler);
+        accept();
+    }
+
+    /**
+     * Creates a server on a socket that listens already. It accepts nothing before {@link
+     * #accept()}.
+     *
+     * @param socket the socket
+     * @param loops carries the traffic
+     * @param limits tells what to bound; asked again for each new connection
+     * @param refusals answers what the server itself refuses
+     * @param handler serves the requests
+     */
+    public HttpServer(
+            ListeningSocket socket,
+            EventLoopGroup loops,
+            Supplier<ServerLimits> limits,
+            ServerRefusals refusals,
+            HttpHandler handler) {
         mLimits = limits;
         mRefusals = refusals;
         mHandler = handler;
         mListener =
                 new ServerBootstrap()
                         .group(loops)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .channelFactory(() -> new NioServerSocketChannel(socket.channel()))
+                        .option(ChannelOption.AUTO_READ, false)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(new Initializer())
-                        .bind(address.socket())
+                        .register()
                         .syncUninterruptibly()
                         .channel();
     }
 
+    /**
+     * Opens a socket.
+     *
+     * @param address where to listen
+     * @return the socket
+     * @throws UncheckedIOException if the address cannot be listened at
+     */
+    private static ListeningSocket listen(Address address) {
+        try {
+            return ListeningSocket.open(address);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    /** Begins to accept connections; a second call changes nothing. */
+    public void accept() {
+        mListener.config().setAutoRead(true);
+    }
+
     /**
      * Returns where the server listens.
      *
--- a/troutpier-common/src/test/java/org/troutpier/common/http/HttpServerTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/HttpServerTest.java
@@ -1,5 +1,6 @@
 package org.troutpier.common.http;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -8,6 +9,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
@@ -43,6 +45,31 @@
         mLoops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
 
+    @Test
+    public void aRequestThatCameBeforeTheServerAcceptsIsServedThen() throws IOException {
+        ListeningSocket socket = ListeningSocket.open(new Address("127.0.0.1", 0));
+        try (Socket caller = new Socket("127.0.0.1", socket.address().port())) {
+            caller.setSoTimeout(READ_MILLIS);
+            String request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+            caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            HttpServer server =
+                    new HttpServer(
+                            socket,
+                            mLoops,
+                            () -> ServerLimits.DEFAULT,
+                            ServerRefusals.AsJson.INSTANCE,
+                            mExchange::complete);
+            assertEquals(server.connections(), 0);
+            server.accept();
+            HttpExchange exchange = mExchange.orTimeout(10, TimeUnit.SECONDS).join();
+            assertEquals(server.connections(), 1);
+            exchange.answer(Answers.json(200, Map.of()));
+            byte[] first = caller.getInputStream().readNBytes("HTTP/1.1 200".length());
+            assertEquals(new String(first, StandardCharsets.US_ASCII), "HTTP/1.1 200");
+            server.close();
+        }
+    }
+
     @Test
     public void anAnswerThatBeganBeforeTheServerDrainsEndsItsConnectionToo() throws IOException {
         try (Socket caller = new Socket("127.0.0.1", mServer.address().port())) {
