--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/DaemonMain.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/DaemonMain.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import org.troutpier.common.logging.DaemonLogging;
 import org.troutpier.daemon.node.DaemonProcess;
 import org.troutpier.daemon.settings.DaemonSettings;
 import picocli.CommandLine;
@@ -39,6 +40,7 @@
      * @param arguments the command line's words
      */
     public static void main(String[] arguments) {
+        DaemonLogging.install();
         System.exit(new CommandLine(new DaemonMain()).execute(arguments));
     }
 
