What hands loads on, a place at a decode engine and a run are classes of their own

Change: LoadRelay (what a relay hands on), DecodePlace (search, place and memory of one request), UpstreamRun (base of PlainExecution.Attempt and StreamExecution.StreamRun). No behaviour changes.

--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
@@ -0,0 +1,248 @@
+package org.troutpier.daemon.cluster;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.peer.Membership.Member;
+import org.troutpier.daemon.peer.PeerLinks;
+import org.troutpier.daemon.peer.PeerMessage;
+
+/**
+ * Tells other routers of this one's load and, where the {@link RelayPlan} makes this router a
+ * relay, hands on the loads and refusals of others. Confined to the control thread. Invariants:
+ * nobody is told of its own load; what is told of a group is this router's load and those that
+ * report to it, so that no router counts twice.
+ */
+final class LoadRelay {
+
+    /**
+     * The shortest pause between two times that a relay hands on what changed, milliseconds: half
+     * the age that loads may have.
+     */
+    private static final long RELAY_MILLIS = 50;
+
+    /**
+     * After how long a relay hands on what has not changed, milliseconds: the second tick after it
+     * last did.
+     */
+    private static final long UNCHANGED_MILLIS =
+            2 * PeerExchange.TICK_MILLIS - PeerExchange.TICK_MILLIS / 2;
+
+    /** How long it is waited for more of what mostly comes together, milliseconds. */
+    static final long GATHER_MILLIS = 5;
+
+    /** What every part of this router shares. */
+    private final Node mNode;
+
+    /** Connections to the others. */
+    private final PeerLinks mLinks;
+
+    /** What the others said. */
+    private final PeerLoads mLoads;
+
+    /** To whom this router tells what. */
+    private final Supplier<RelayPlan> mPlan;
+
+    /** Keys of refused requests that are to be told to all. */
+    private final List<String> mRefusedHere = new ArrayList<>();
+
+    /** Keys of refused requests that relays told, to be told to the hall. */
+    private final List<String> mRefusedElsewhere = new ArrayList<>();
+
+    /** This router's latest report. */
+    private LoadReport mOwn = LoadReport.NONE;
+
+    /** Whether there is something to hand on. */
+    private boolean mChanged;
+
+    /** Whether it is about to be handed on. */
+    private boolean mRelaying;
+
+    /** When it was last looked for something to hand on, milliseconds. */
+    private long mRelayedAt;
+
+    /** When loads were last handed on, milliseconds. */
+    private long mHandedOnAt;
+
+    /**
+     * Creates a relay.
+     *
+     * @param node what every part of this router shares
+     * @param links connections to the others
+     * @param loads what the others said
+     * @param plan to whom this router tells what; asked each time
+     */
+    LoadRelay(Node node, PeerLinks links, PeerLoads loads, Supplier<RelayPlan> plan) {
+        mNode = node;
+        mLinks = links;
+        mLoads = loads;
+        mPlan = plan;
+    }
+
+    /**
+     * Returns all whom this router tells what everybody should know.
+     *
+     * @return who they are
+     */
+    Set<Incarnation> audience() {
+        Set<Incarnation> audience =
+                incarnations(mPlan.get().direct() ? mPlan.get().wanted() : mPlan.get().relays());
+        mPlan.get().reportTo().ifPresent(relay -> audience.add(relay.incarnation()));
+        audience.addAll(locals());
+        return audience;
+    }
+
+    /**
+     * Returns the routers of this hall that report to this relay.
+     *
+     * @return who they are
+     */
+    Set<Incarnation> locals() {
+        return mPlan.get().relay() ? mLoads.reporters(ReportScope.OWN) : Set.of();
+    }
+
+    /**
+     * Tells the others of this router's load.
+     *
+     * @param report what to tell
+     */
+    void tell(LoadReport report) {
+        boolean news = !report.sameLoad(mOwn);
+        mOwn = report;
+        if (news) {
+            changed();
+        }
+        PeerMessage.Load load = new PeerMessage.Load(ReportScope.OWN, report);
+        if (mPlan.get().direct()) {
+            mLinks.sendAll(incarnations(mPlan.get().wanted()), load);
+        } else {
+            mPlan.get().reportTo().ifPresent(relay -> mLinks.send(relay.incarnation(), load));
+        }
+    }
+
+    /** Hands on what has not changed, once that is due. */
+    void repeat() {
+        if (mPlan.get().relay() && millis() - mHandedOnAt >= UNCHANGED_MILLIS) {
+            handOn();
+        }
+    }
+
+    /** Has what changed handed on: soon, or once the shortest pause is over. */
+    private void relaySoon() {
+        if (!mRelaying) {
+            mRelaying = true;
+            long left = RELAY_MILLIS - (millis() - mRelayedAt);
+            mNode.control().later(this::relay, Math.max(GATHER_MILLIS, left));
+        }
+    }
+
+    /** Hands on what changed. */
+    private void relay() {
+        mRelaying = false;
+        mRelayedAt = millis();
+        tellRefusals();
+        if (mPlan.get().relay() && mChanged) {
+            handOn();
+        }
+    }
+
+    /** Tells the other relays of this router's group, and those that report to it of the rest. */
+    private void handOn() {
+        mChanged = false;
+        mHandedOnAt = millis();
+        LoadReport group = mOwn.plus(mLoads.reports(EnumSet.of(ReportScope.OWN), null));
+        mLinks.sendAll(otherRelays(), new PeerMessage.Load(ReportScope.GROUP, group));
+        for (Incarnation local : locals()) {
+            LoadReport rest = mOwn.plus(mLoads.reports(counted(), local));
+            mLinks.send(local, new PeerMessage.Load(ReportScope.REST, rest));
+        }
+    }
+
+    /** Notes that there is something to hand on, where this router does that. */
+    void changed() {
+        mChanged = true;
+        if (mPlan.get().relay()) {
+            relaySoon();
+        }
+    }
+
+    /**
+     * Returns the other relays: those of the plan, and those that say so of themselves by telling
+     * of a group. A router that took a relay's place while it was not heard would else never hear
+     * it again, since it expects what relays tell each other.
+     *
+     * @return who they are
+     */
+    Set<Incarnation> otherRelays() {
+        Set<Incarnation> relays = incarnations(mPlan.get().relays());
+        relays.addAll(mLoads.reporters(ReportScope.GROUP));
+        return relays;
+    }
+
+    /**
+     * Returns the scopes that count under the plan.
+     *
+     * @return the scopes, each of which tells of other routers
+     */
+    Set<ReportScope> counted() {
+        if (mPlan.get().direct()) {
+            return EnumSet.of(ReportScope.OWN);
+        }
+        return mPlan.get().relay()
+                ? EnumSet.of(ReportScope.OWN, ReportScope.GROUP)
+                : EnumSet.of(ReportScope.REST);
+    }
+
+    /**
+     * Has it told that requests were refused.
+     *
+     * @param keys the parts of their prompts that are their own
+     * @param here whether by this router or by one that reports to it, so that all are to hear it;
+     *     otherwise only those that report to this router
+     */
+    void refused(List<String> keys, boolean here) {
+        (here ? mRefusedHere : mRefusedElsewhere).addAll(keys);
+        relaySoon();
+    }
+
+    /** Tells of the requests that were refused since the last turn. */
+    private void tellRefusals() {
+        if (!mRefusedHere.isEmpty()) {
+            PeerMessage.Refused message = new PeerMessage.Refused(List.copyOf(mRefusedHere));
+            mLinks.sendAll(audience(), message);
+            mRefusedHere.clear();
+        }
+        if (!mRefusedElsewhere.isEmpty()) {
+            mLinks.sendAll(locals(), new PeerMessage.Refused(List.copyOf(mRefusedElsewhere)));
+            mRefusedElsewhere.clear();
+        }
+    }
+
+    /**
+     * Returns members' incarnations.
+     *
+     * @param members the members
+     * @return a new set
+     */
+    static Set<Incarnation> incarnations(Collection<Member> members) {
+        Set<Incarnation> incarnations = new HashSet<>();
+        members.forEach(member -> incarnations.add(member.incarnation()));
+        return incarnations;
+    }
+
+    /**
+     * Returns the monotonic clock.
+     *
+     * @return milliseconds
+     */
+    private long millis() {
+        return TimeUnit.NANOSECONDS.toMillis(mNode.nanos().getAsLong());
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -1,8 +1,5 @@
 package org.troutpier.daemon.cluster;
 
-import java.util.ArrayList;
-import java.util.Collection;
-import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -40,26 +37,11 @@
     private static final long RESEND_MILLIS = 500;
 
     /** How often it is looked who is silent and which reports are too old, milliseconds. */
-    private static final long TICK_MILLIS = 250;
+    static final long TICK_MILLIS = 250;
 
     /** After how many ticks the plan is made again though nothing is known to have changed. */
     private static final int MOST_TICKS = 4;
 
-    /**
-     * The shortest pause between two times that a relay hands on what changed, milliseconds: half
-     * the age that loads may have.
-     */
-    private static final long RELAY_MILLIS = 50;
-
-    /**
-     * After how long a relay hands on what has not changed, milliseconds: the second tick after it
-     * last did.
-     */
-    private static final long UNCHANGED_MILLIS = 2 * TICK_MILLIS - TICK_MILLIS / 2;
-
-    /** How long it is waited for more of what mostly comes together, milliseconds. */
-    private static final long GATHER_MILLIS = 5;
-
     /** Logs routers gained and lost, and changes of the plan. */
     private static final Logger LOGGER = LogManager.getLogger(PeerExchange.class);
 
@@ -84,6 +66,9 @@
     /** Connections to the others. */
     private final PeerLinks mLinks;
 
+    /** Hands on loads and refusals. */
+    private final LoadRelay mRelay;
+
     /** Which expected routers are silent. */
     private final PeerWatch mWatch = new PeerWatch();
 
@@ -96,18 +81,9 @@
     /** Takes shared pages, by table. */
     private final Map<String, Consumer<SharedPage>> mReaders = new HashMap<>();
 
-    /** Keys of refused requests that are to be told to all. */
-    private final List<String> mRefusedHere = new ArrayList<>();
-
-    /** Keys of refused requests that relays told, to be told to the hall. */
-    private final List<String> mRefusedElsewhere = new ArrayList<>();
-
     /** To whom this router tells what. */
     private RelayPlan mPlan;
 
-    /** This router's latest report. */
-    private LoadReport mOwn = LoadReport.NONE;
-
     /** Whether the table of routers has changed since the last plan. */
     private boolean mListChanged;
 
@@ -120,18 +96,6 @@
     /** Which routers of the plan were connected when it was made. */
     private Set<Incarnation> mConnected = Set.of();
 
-    /** Whether there is something to hand on. */
-    private boolean mChanged;
-
-    /** Whether it is about to be handed on. */
-    private boolean mRelaying;
-
-    /** When it was last looked for something to hand on, milliseconds. */
-    private long mRelayedAt;
-
-    /** When loads were last handed on, milliseconds. */
-    private long mHandedOnAt;
-
     /** Whether the sums are about to be made. */
     private boolean mSumming;
 
@@ -174,6 +138,7 @@
         mMembership = new Membership(self, node.nanos());
         mPlan = RelayPlan.of(self, List.of(self), member -> 0, router -> false);
         mLinks = opener.open(new PeerMesh.Members(mMembership, () -> mPlan.wanted()), this);
+        mRelay = new LoadRelay(node, mLinks, loads, () -> mPlan);
         node.control().every(this::tick, TICK_MILLIS);
     }
 
@@ -197,7 +162,7 @@
     private void planSoon() {
         if (!mPlanning) {
             mPlanning = true;
-            mNode.control().later(this::plan, GATHER_MILLIS);
+            mNode.control().later(this::plan, LoadRelay.GATHER_MILLIS);
         }
     }
 
@@ -244,114 +209,17 @@
         known.stream()
                 .filter(member -> member.hall().equals(mNode.hall()))
                 .forEach(member -> mates.add(member.incarnation()));
-        mates.addAll(locals());
+        mates.addAll(mRelay.locals());
         return mates;
     }
 
-    /**
-     * Returns all whom this router tells what everybody should know.
-     *
-     * @return who they are
-     */
-    private Set<Incarnation> audience() {
-        Set<Incarnation> audience = incarnations(mPlan.direct() ? mPlan.wanted() : mPlan.relays());
-        mPlan.reportTo().ifPresent(relay -> audience.add(relay.incarnation()));
-        audience.addAll(locals());
-        return audience;
-    }
-
-    /**
-     * Returns the routers of this hall that report to this relay.
-     *
-     * @return who they are
-     */
-    private Set<Incarnation> locals() {
-        return mPlan.relay() ? mLoads.reporters(ReportScope.OWN) : Set.of();
-    }
-
     /**
      * Tells the others of this router's load.
      *
      * @param report what to tell
      */
     public void tell(LoadReport report) {
-        boolean news = !report.sameLoad(mOwn);
-        mOwn = report;
-        if (news) {
-            changed();
-        }
-        PeerMessage.Load load = new PeerMessage.Load(ReportScope.OWN, report);
-        if (mPlan.direct()) {
-            mLinks.sendAll(incarnations(mPlan.wanted()), load);
-        } else {
-            mPlan.reportTo().ifPresent(relay -> mLinks.send(relay.incarnation(), load));
-        }
-    }
-
-    /** Has what changed handed on: soon, or once the shortest pause is over. */
-    private void relaySoon() {
-        if (!mRelaying) {
-            mRelaying = true;
-            long left = RELAY_MILLIS - (millis() - mRelayedAt);
-            mNode.control().later(this::relay, Math.max(GATHER_MILLIS, left));
-        }
-    }
-
-    /** Hands on what changed. */
-    private void relay() {
-        mRelaying = false;
-        mRelayedAt = millis();
-        tellRefusals();
-        if (mPlan.relay() && mChanged) {
-            handOn();
-        }
-    }
-
-    /** Tells the other relays of this router's group, and those that report to it of the rest. */
-    private void handOn() {
-        mChanged = false;
-        mHandedOnAt = millis();
-        LoadReport group = mOwn.plus(mLoads.reports(EnumSet.of(ReportScope.OWN), null));
-        mLinks.sendAll(otherRelays(), new PeerMessage.Load(ReportScope.GROUP, group));
-        for (Incarnation local : locals()) {
-            LoadReport rest = mOwn.plus(mLoads.reports(counted(), local));
-            mLinks.send(local, new PeerMessage.Load(ReportScope.REST, rest));
-        }
-    }
-
-    /** Notes that there is something to hand on, where this router does that. */
-    private void changed() {
-        mChanged = true;
-        if (mPlan.relay()) {
-            relaySoon();
-        }
-    }
-
-    /**
-     * Returns the other relays: those of the plan, and those that say so of themselves by telling
-     * of a group. A router that took a relay's place while it was not heard would else never hear
-     * it again, since it expects what relays tell each other.
-     *
-     * @return who they are
-     */
-    private Set<Incarnation> otherRelays() {
-        Set<Incarnation> relays = incarnations(mPlan.relays());
-        relays.addAll(mLoads.reporters(ReportScope.GROUP));
-        return relays;
-    }
-
-    /**
-     * Returns the scopes that count under the plan.
-     *
-     * @return the scopes, each of which tells of other routers
-     */
-    private Set<ReportScope> counted() {
-        if (mPlan.direct()) {
-            return EnumSet.of(ReportScope.OWN);
-        }
-        return mPlan.relay()
-                ? EnumSet.of(ReportScope.OWN, ReportScope.GROUP)
-                : EnumSet.of(ReportScope.REST);
+        mRelay.tell(report);
     }
 
     /**
@@ -360,21 +228,7 @@
      * @param key the part of its prompt that is its own
      */
     public void refused(String key) {
-        mRefusedHere.add(key);
-        relaySoon();
-    }
-
-    /** Tells of the requests that were refused since the last turn. */
-    private void tellRefusals() {
-        if (!mRefusedHere.isEmpty()) {
-            PeerMessage.Refused message = new PeerMessage.Refused(List.copyOf(mRefusedHere));
-            mLinks.sendAll(audience(), message);
-            mRefusedHere.clear();
-        }
-        if (!mRefusedElsewhere.isEmpty()) {
-            mLinks.sendAll(locals(), new PeerMessage.Refused(List.copyOf(mRefusedElsewhere)));
-            mRefusedElsewhere.clear();
-        }
+        mRelay.refused(List.of(key), true);
     }
 
     /** {@inheritDoc} */
@@ -412,7 +266,7 @@
         if (expected) {
             boolean news = mLoads.heard(from.incarnation(), load.scope(), load.report(), millis());
             if (news && load.scope() != ReportScope.REST) {
-                changed();
+                mRelay.changed();
             }
             sumSoon();
         }
@@ -430,9 +284,7 @@
     private void heard(Member from, PeerMessage.Refused refused) {
         mRefusals.accept(refused.keys());
         if (mPlan.relay()) {
-            boolean local = locals().contains(from.incarnation());
-            (local ? mRefusedHere : mRefusedElsewhere).addAll(refused.keys());
-            relaySoon();
+            mRelay.refused(refused.keys(), mRelay.locals().contains(from.incarnation()));
         }
     }
 
@@ -479,7 +331,7 @@
 
     /** Sends the version in force to those this router talks to, right after it was adopted. */
     public void configurationAdopted() {
-        audience().forEach(this::sendConfiguration);
+        mRelay.audience().forEach(this::sendConfiguration);
     }
 
     /** Drops old reports, repeats what has not changed, and plans where something else has. */
@@ -489,9 +341,7 @@
             plan();
         }
         mLoads.expire(millis());
-        if (mPlan.relay() && millis() - mHandedOnAt >= UNCHANGED_MILLIS) {
-            handOn();
-        }
+        mRelay.repeat();
         if (mLoads.routers() != mHeardCount) {
             LOGGER.info("routers heard before={} now={}", mHeardCount, mLoads.routers());
             mHeardCount = mLoads.routers();
@@ -513,7 +363,7 @@
                         mMembership.live(),
                         this::points,
                         router -> mLinks.connected(router) && !mWatch.suspected(router));
-        mLoads.count(counted());
+        mLoads.count(mRelay.counted());
         mLoads.sum(millis());
         mWatch.expect(expected(), millis());
         if (!before.reportTo().equals(mPlan.reportTo()) || before.relay() != mPlan.relay()) {
@@ -527,9 +377,9 @@
         }
         mConnected = connected();
         mPlan.wanted().forEach(mLinks::connect);
-        locals().forEach(this::connectBack);
+        mRelay.locals().forEach(this::connectBack);
         if (mPlan.relay()) {
-            otherRelays().forEach(this::connectBack);
+            mRelay.otherRelays().forEach(this::connectBack);
         }
     }
 
@@ -539,7 +389,7 @@
      * @return who they are
      */
     private Set<Incarnation> connected() {
-        Set<Incarnation> connected = incarnations(mPlan.wanted());
+        Set<Incarnation> connected = LoadRelay.incarnations(mPlan.wanted());
         connected.removeIf(router -> !mLinks.connected(router));
         return connected;
     }
@@ -563,7 +413,7 @@
      * @return who they are
      */
     private Set<Incarnation> expected() {
-        Set<Incarnation> expected = incarnations(mPlan.relays());
+        Set<Incarnation> expected = LoadRelay.incarnations(mPlan.relays());
         mPlan.reportTo().ifPresent(relay -> expected.add(relay.incarnation()));
         return expected;
     }
@@ -598,7 +448,7 @@
                             mSumming = false;
                             mLoads.sum(millis());
                         },
-                        GATHER_MILLIS);
+                        LoadRelay.GATHER_MILLIS);
     }
 
     /**
@@ -612,18 +462,6 @@
         return one.incarnation().equals(other.incarnation());
     }
 
-    /**
-     * Returns members' incarnations.
-     *
-     * @param members the members
-     * @return a new set
-     */
-    private static Set<Incarnation> incarnations(Collection<Member> members) {
-        Set<Incarnation> incarnations = new HashSet<>();
-        members.forEach(member -> incarnations.add(member.incarnation()));
-        return incarnations;
-    }
-
     /**
      * Returns the monotonic clock.
      *
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodePlace.java
@@ -0,0 +1,155 @@
+package org.troutpier.daemon.serving;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.route.EngineTraits;
+
+/**
+ * Where one request runs or is going to run: the search for a decode engine with room, the place
+ * that was set aside there, and the memory that the request takes. Confined to the traffic loop.
+ * Invariants: at most one search is under way; a place is used or released; memory is freed.
+ */
+final class DecodePlace {
+
+    /** The collaborators. */
+    private final ServingContext mContext;
+
+    /** What the engines can do. */
+    private final EngineTraits mTraits;
+
+    /** The prompt's length. */
+    private final long mPromptTokens;
+
+    /** The prompt's length and the most output. */
+    private final long mMostTokens;
+
+    /** When the last search began, milliseconds. */
+    private long mSearchBegan;
+
+    /** Looks for a place, or null. */
+    private PlaceAllocator.Search mSearch;
+
+    /** The engine that was found, or null. */
+    private UpstreamEntry mEngine;
+
+    /** The place that was set aside there and not used yet. */
+    private Optional<UpstreamPort.Place> mPlace = Optional.empty();
+
+    /** What the request takes at the engine, or null. */
+    private EngineMemory mMemory;
+
+    /**
+     * Creates a place that is not found yet.
+     *
+     * @param context the collaborators
+     * @param traits what the engines can do
+     * @param promptTokens the prompt's length
+     * @param mostTokens the prompt's length and the most output
+     */
+    DecodePlace(ServingContext context, EngineTraits traits, long promptTokens, long mostTokens) {
+        mContext = context;
+        mTraits = traits;
+        mPromptTokens = promptTokens;
+        mMostTokens = mostTokens;
+    }
+
+    /**
+     * Looks for a place.
+     *
+     * @param waitMillis how long
+     * @param engines the engines that may be used, asked again for each round
+     * @param listener receives the end; it calls {@link #take} or {@link #searched}
+     */
+    void search(
+            long waitMillis,
+            Supplier<List<UpstreamEntry>> engines,
+            PlaceAllocator.Listener listener) {
+        mSearchBegan = mContext.loop().millis();
+        mContext.metrics().waitsForPlace(true);
+        mSearch =
+                mContext.places()
+                        .find(
+                                new PlaceAllocator.Wanted(
+                                        mPromptTokens,
+                                        mMostTokens,
+                                        mTraits.memoryTokens(),
+                                        mTraits.placeMillis(),
+                                        waitMillis,
+                                        engines),
+                                listener);
+    }
+
+    /** Records that the search is over. */
+    void searched() {
+        mSearch = null;
+        mContext.metrics().waitsForPlace(false);
+        mContext.metrics().stage("place", mContext.loop().millis() - mSearchBegan);
+    }
+
+    /**
+     * Takes the place that the search found.
+     *
+     * @param engine where it is
+     * @param place the place; empty where engines do not set places aside
+     * @param events how many events of the stream were made before
+     */
+    void take(UpstreamEntry engine, Optional<UpstreamPort.Place> place, long events) {
+        searched();
+        mEngine = engine;
+        mPlace = place;
+        mMemory = new EngineMemory(mContext.loads(), engine, mPromptTokens);
+        grow(events);
+    }
+
+    /**
+     * Returns the engine that was found.
+     *
+     * @return the engine
+     */
+    UpstreamEntry engine() {
+        return mEngine;
+    }
+
+    /**
+     * Hands the place over to the run that uses it.
+     *
+     * @return the place, if one was set aside
+     */
+    Optional<UpstreamPort.Place> use() {
+        Optional<UpstreamPort.Place> place = mPlace;
+        mPlace = Optional.empty();
+        return place;
+    }
+
+    /**
+     * Records that the run has grown.
+     *
+     * @param events how many events it made
+     */
+    void grow(long events) {
+        if (mMemory != null) {
+            mMemory.grow(events * mTraits.eventTokens());
+        }
+    }
+
+    /** Records that the engine's memory is no longer used. */
+    void free() {
+        if (mMemory != null) {
+            mMemory.free();
+            mMemory = null;
+        }
+    }
+
+    /** Stops the search, frees the memory and gives the place back. */
+    void release() {
+        if (mSearch != null) {
+            mSearch.stop();
+            mSearch = null;
+            mContext.metrics().waitsForPlace(false);
+        }
+        free();
+        use().ifPresent(place -> mContext.port().release(mEngine, place));
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -104,80 +104,49 @@
     }
 
     /** One call to one upstream. Confined to the traffic loop. */
-    private final class Attempt implements UpstreamPort.RunListener {
-
-        /** Where it goes. */
-        private final UpstreamEntry mUpstream;
-
-        /** When it began, milliseconds. */
-        private final long mStart = mContext.loop().millis();
-
-        /** The call. */
-        private UpstreamPort.Call mCall;
+    private final class Attempt extends UpstreamRun {
 
         /** The answer so far, or null before its head. */
         private WholeAnswer mAnswer;
 
-        /** Gives the attempt up while another can still be made, or null. */
-        private TrafficLoop.Timer mSilence;
-
         /**
          * Creates an attempt.
          *
          * @param upstream where it goes
          */
         Attempt(UpstreamEntry upstream) {
-            mUpstream = upstream;
+            super(PlainExecution.this.mContext, upstream);
         }
 
         /** Sends the call. */
         void begin() {
             mContext.loads().begin(mUpstream, 0);
-            mCall =
-                    mContext.port()
-                            .run(
-                                    mUpstream,
-                                    mRequest,
-                                    UpstreamPort.RunPlan.plain(leftMillis(), mRoute.priority()),
-                                    this);
+            send(mRequest, UpstreamPort.RunPlan.plain(leftMillis(), mRoute.priority()));
             long silence = (long) (mRoute.targetMillis() * ServingSettings.SILENCE_PART);
             boolean another =
                     mRoute.kind().repeatable()
                             && mTried.size() < mRoute.maxAttempts()
                             && silence + mRoute.targetMillis() < leftMillis();
-            if (another && mAttempt == this) {
-                mSilence = mContext.loop().later(this::silent, silence);
+            if (another) {
+                expectWithin(silence);
             }
         }
 
-        /** Gives the attempt up because the upstream is silent. */
-        private void silent() {
-            if (mAttempt != this || over()) {
-                return;
-            }
+        /** {@inheritDoc} Another upstream is asked, if there is one. */
+        @Override
+        protected void silent() {
             if (mContext.loads().pick(upstreams(UpstreamEntry.Role.PLAIN), excluded()).isEmpty()) {
                 return;
             }
-            mCall.abort();
-            close();
+            abort();
             failed(mUpstream, AttemptEnd.lost("silent"));
         }
 
-        /** Ends the call without hearing more. */
-        void abort() {
-            mCall.abort();
-            close();
-        }
-
-        /** Records that the call is over. */
-        private void close() {
-            if (mSilence != null) {
-                mSilence.stop();
-            }
-            if (mAttempt == this) {
-                mAttempt = null;
-                mContext.loads().end(mUpstream, 0);
-            }
+        /** {@inheritDoc} */
+        @Override
+        protected void closed() {
+            mAttempt = null;
+            mContext.loads().end(mUpstream, 0);
         }
 
         /** {@inheritDoc} */
@@ -204,7 +173,7 @@
             UpstreamPort.Head head = mAnswer.head();
             switch (head.verdict()) {
                 case SUCCESS -> {
-                    succeeded(mUpstream, "plain", mContext.loop().millis() - mStart);
+                    succeeded(mUpstream, "plain", millis());
                     mTrace.step("status=" + head.status());
                     lateAfter(mTrace.elapsedMillis());
                     mAnswer.sendTo(mCaller);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.directory.UpstreamEntry;
@@ -29,20 +28,8 @@
     /** The prefill engines that were tried for this run. */
     private final Set<UpstreamId> mPrefillTried = new HashSet<>();
 
-    /** When the last search for a place began, milliseconds. */
-    private long mSearchBegan;
-
-    /** Looks for a place, or null. */
-    private PlaceAllocator.Search mSearch;
-
-    /** The decode engine that was found, or null. */
-    private UpstreamEntry mDecode;
-
-    /** The place that was set aside there and not used yet. */
-    private Optional<UpstreamPort.Place> mPlace = Optional.empty();
-
-    /** What the request takes at the decode engine, or null. */
-    private EngineMemory mMemory;
+    /** Where it runs or is going to run. */
+    private final DecodePlace mPlace;
 
     /** The prompt's reading, or null. */
     private PromptReading mReading;
@@ -85,6 +72,7 @@
         super(context, request, route, service, caller);
         mEngine = engine;
         mRelay = new EventRelay(caller, request.lastEvent());
+        mPlace = new DecodePlace(context, engine, promptTokens(), tokens());
     }
 
     /** {@inheritDoc} */
@@ -105,7 +93,7 @@
                         ? ServingSettings.RETURN_WAIT_PART
                         : ServingSettings.WAIT_PART;
         long wait = (long) (mRoute.targetMillis() * part);
-        search(wait, this::engines, new PlaceFound());
+        mPlace.search(wait, this::engines, new PlaceFound());
     }
 
     /**
@@ -114,38 +102,8 @@
      * @param end how the run ended
      */
     private void searchKept(AttemptEnd end) {
-        search(0, () -> mKept.among(upstreams(UpstreamEntry.Role.DECODE)), new KeptFound(end));
-    }
-
-    /**
-     * Looks for a place.
-     *
-     * @param wait how long, milliseconds
-     * @param engines the engines that may be used
-     * @param listener receives the end
-     */
-    private void search(
-            long wait, Supplier<List<UpstreamEntry>> engines, PlaceAllocator.Listener listener) {
-        mSearchBegan = mContext.loop().millis();
-        mContext.metrics().waitsForPlace(true);
-        mSearch =
-                mContext.places()
-                        .find(
-                                new PlaceAllocator.Wanted(
-                                        promptTokens(),
-                                        tokens(),
-                                        mEngine.memoryTokens(),
-                                        mEngine.placeMillis(),
-                                        wait,
-                                        engines),
-                                listener);
-    }
-
-    /** Records that the search is over. */
-    private void searched() {
-        mSearch = null;
-        mContext.metrics().waitsForPlace(false);
-        mContext.metrics().stage("place", mContext.loop().millis() - mSearchBegan);
+        mPlace.search(
+                0, () -> mKept.among(upstreams(UpstreamEntry.Role.DECODE)), new KeptFound(end));
     }
 
     /**
@@ -155,11 +113,7 @@
      * @param place the place; empty where engines do not set places aside
      */
     private void take(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
-        searched();
-        mDecode = engine;
-        mPlace = place;
-        mMemory = new EngineMemory(mContext.loads(), engine, promptTokens());
-        mMemory.grow(mRelay.events() * mEngine.eventTokens());
+        mPlace.take(engine, place, mRelay.events());
         mContext.pacer().granted(mContext.loop().millis());
         mTrace.step("place@" + engine.id() + " known " + mContext.loads().tokens(engine));
     }
@@ -266,14 +220,13 @@
      * @param prompt where the prompt was read, if elsewhere
      */
     private void run(Optional<UpstreamPort.StoredPrompt> prompt) {
-        sent(mDecode, "decode");
+        sent(mPlace.engine(), "decode");
         mRelay.beginRun();
         UpstreamPort.RunPlan plan =
                 UpstreamPort.RunPlan.plain(leftMillis(), mRoute.priority())
-                        .withPlace(mPlace)
+                        .withPlace(mPlace.use())
                         .withResumeAfter(mRelay.last());
-        mPlace = Optional.empty();
-        mRun = new StreamRun(mDecode, prompt);
+        mRun = new StreamRun(mPlace.engine(), prompt);
         mRun.begin(prompt.map(plan::withPrompt).orElse(plan));
     }
 
@@ -319,11 +272,6 @@
     /** {@inheritDoc} */
     @Override
     protected void stopUpstream() {
-        if (mSearch != null) {
-            mSearch.stop();
-            mSearch = null;
-            mContext.metrics().waitsForPlace(false);
-        }
         if (mReading != null) {
             mReading.abort();
             mReading = null;
@@ -331,10 +279,8 @@
         if (mRun != null) {
             mRun.abort();
         }
-        freeMemory();
+        mPlace.release();
         discardStored();
-        mPlace.ifPresent(place -> mContext.port().release(mDecode, place));
-        mPlace = Optional.empty();
     }
 
     /** Frees the prompt that was read and not used. */
@@ -345,14 +291,6 @@
         }
     }
 
-    /** Records that the decode engine's memory is no longer used. */
-    private void freeMemory() {
-        if (mMemory != null) {
-            mMemory.free();
-            mMemory = null;
-        }
-    }
-
     /** {@inheritDoc} */
     @Override
     protected boolean atUpstream() {
@@ -378,7 +316,7 @@
         /** {@inheritDoc} */
         @Override
         public void refused(String detail) {
-            searched();
+            mPlace.searched();
             mTrace.step(detail + ", prompt read in " + (long) readMillis() + "ms at best");
             failedBeforeRun(ResultCode.NO_PLACE, "no place");
         }
@@ -411,7 +349,7 @@
         /** {@inheritDoc} */
         @Override
         public void refused(String detail) {
-            searched();
+            mPlace.searched();
             mTrace.step("not there again");
             if (mTried.size() < mRoute.maxAttempts()) {
                 mPrefillTried.clear();
@@ -443,13 +381,7 @@
     }
 
     /** One run at a decode engine. Confined to the traffic loop. */
-    private final class StreamRun implements UpstreamPort.RunListener {
-
-        /** Where it runs. */
-        private final UpstreamEntry mUpstream;
-
-        /** When it began, milliseconds. */
-        private final long mStart;
+    private final class StreamRun extends UpstreamRun {
 
         /** Where its prompt was read, if elsewhere. */
         private final Optional<UpstreamPort.StoredPrompt> mPrompt;
@@ -457,15 +389,9 @@
         /** When the last event came, milliseconds. */
         private long mLastEvent;
 
-        /** The call. */
-        private UpstreamPort.Call mCall;
-
         /** An answer that is no stream, or null. */
         private WholeAnswer mAnswer;
 
-        /** Gives the run up where another may go on, or null. */
-        private TrafficLoop.Timer mSilence;
-
         /**
          * Creates a run.
          *
@@ -473,8 +399,7 @@
          * @param prompt where its prompt was read, if elsewhere
          */
         StreamRun(UpstreamEntry upstream, Optional<UpstreamPort.StoredPrompt> prompt) {
-            mUpstream = upstream;
-            mStart = mContext.loop().millis();
+            super(StreamExecution.this.mContext, upstream);
             mPrompt = prompt;
         }
 
@@ -484,49 +409,35 @@
          * @param plan what goes with it
          */
         void begin(UpstreamPort.RunPlan plan) {
-            mCall = mContext.port().run(mUpstream, mRequest, plan, this);
-            mCaller.onWritable(() -> mCall.read(true));
+            send(mRequest, plan);
+            mCaller.onWritable(() -> read(true));
             watch();
         }
 
         /** Starts to wait for the next event where the stream may be continued elsewhere. */
         private void watch() {
-            if (mSilence != null) {
-                mSilence.stop();
-            }
             boolean another =
                     mRoute.kind() == Route.Kind.RESUMABLE_STREAM
                             && mTried.size() < mRoute.maxAttempts();
-            mSilence =
-                    another
-                            ? mContext.loop()
-                                    .later(this::silent, ServingSettings.STREAM_SILENCE_MILLIS)
-                            : null;
-        }
-
-        /** Gives the run up because the engine is silent. */
-        private void silent() {
-            if (mRun == this && !over()) {
-                mCall.abort();
-                onFailure(AttemptEnd.lost("stream silent"));
+            if (another) {
+                expectWithin(ServingSettings.STREAM_SILENCE_MILLIS);
+            } else {
+                expectNothing();
             }
         }
 
-        /** Ends the call without hearing more. */
-        void abort() {
-            mCall.abort();
-            close();
+        /** {@inheritDoc} */
+        @Override
+        protected void silent() {
+            abort();
+            onFailure(AttemptEnd.lost("stream silent"));
         }
 
-        /** Records that the call is over. */
-        private void close() {
-            if (mSilence != null) {
-                mSilence.stop();
-            }
-            if (mRun == this) {
-                mRun = null;
-                freeMemory();
-            }
+        /** {@inheritDoc} */
+        @Override
+        protected void closed() {
+            mRun = null;
+            mPlace.free();
         }
 
         /** {@inheritDoc} */
@@ -554,14 +465,12 @@
             try {
                 mRelay.feed(part);
             } catch (org.troutpier.common.result.TroutpierException exception) {
-                mCall.abort();
+                abort();
                 onFailure(AttemptEnd.failed(exception.code(), exception.detail()));
                 return;
             }
             notePause();
-            if (mMemory != null) {
-                mMemory.grow((mRelay.events() - before) * mEngine.eventTokens());
-            }
+            mPlace.grow(mRelay.events() - before);
             if (before == 0 && mRelay.events() > 0) {
                 mTrace.step("first event");
                 lateAfter(mTrace.elapsedMillis());
@@ -569,7 +478,7 @@
             }
             watch();
             if (!mCaller.writable()) {
-                mCall.read(false);
+                read(false);
             }
         }
 
@@ -597,10 +506,9 @@
                 return;
             }
             close();
-            long now = mContext.loop().millis();
-            succeeded(mUpstream, "stream", now - mStart);
+            succeeded(mUpstream, "stream", millis());
             double tokens = promptTokens() + mRelay.events() * mEngine.eventTokens() / 2.0;
-            mContext.demand().ran(mService, tokens * (now - mStart), now);
+            mContext.demand().ran(mService, tokens * millis(), mContext.loop().millis());
             mTrace.step("events=" + mRelay.events());
             mCaller.end();
             answered();
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRun.java
@@ -0,0 +1,117 @@
+package org.troutpier.daemon.serving;
+
+import org.troutpier.daemon.directory.UpstreamEntry;
+
+/**
+ * One run of a request at one upstream, from its call until it is over. Confined to the traffic
+ * loop. Invariants: {@link #closed()} is called once; an upstream is given up for its silence only
+ * while the run is not over.
+ */
+abstract class UpstreamRun implements UpstreamPort.RunListener {
+
+    /** The collaborators. */
+    protected final ServingContext mContext;
+
+    /** Where it runs. */
+    protected final UpstreamEntry mUpstream;
+
+    /** When it began, milliseconds. */
+    private final long mStart;
+
+    /** The call. */
+    private UpstreamPort.Call mCall;
+
+    /** Fires when the upstream was silent for too long, or null. */
+    private TrafficLoop.Timer mSilence;
+
+    /** Whether the run is over. */
+    private boolean mOver;
+
+    /**
+     * Creates a run.
+     *
+     * @param context the collaborators
+     * @param upstream where it runs
+     */
+    UpstreamRun(ServingContext context, UpstreamEntry upstream) {
+        mContext = context;
+        mUpstream = upstream;
+        mStart = context.loop().millis();
+    }
+
+    /** Called when the upstream was silent for too long. */
+    protected abstract void silent();
+
+    /** Called when the run is over, whatever its end. */
+    protected abstract void closed();
+
+    /**
+     * Sends the call.
+     *
+     * @param request the request
+     * @param plan what goes with it
+     */
+    protected void send(ServingRequest request, UpstreamPort.RunPlan plan) {
+        mCall = mContext.port().run(mUpstream, request, plan, this);
+    }
+
+    /**
+     * Waits for a sign of the upstream, instead of what it was waited for before.
+     *
+     * @param millis how long the upstream may be silent from now on
+     */
+    protected void expectWithin(long millis) {
+        expectNothing();
+        if (!mOver) {
+            mSilence = mContext.loop().later(this::fire, millis);
+        }
+    }
+
+    /** Lets the upstream be silent as long as it likes. */
+    protected void expectNothing() {
+        if (mSilence != null) {
+            mSilence.stop();
+            mSilence = null;
+        }
+    }
+
+    /** Tells of the upstream's silence. */
+    private void fire() {
+        if (!mOver) {
+            silent();
+        }
+    }
+
+    /**
+     * Lets the answer come, or holds it back.
+     *
+     * @param on whether it may come
+     */
+    protected void read(boolean on) {
+        mCall.read(on);
+    }
+
+    /** Ends the call without hearing more. */
+    void abort() {
+        mCall.abort();
+        close();
+    }
+
+    /** Records that the call is over. */
+    protected void close() {
+        expectNothing();
+        if (!mOver) {
+            mOver = true;
+            closed();
+        }
+    }
+
+    /**
+     * Returns how long the run has taken so far.
+     *
+     * @return milliseconds
+     */
+    protected long millis() {
+        return mContext.loop().millis() - mStart;
+    }
+}
