A silent engine may never have fetched the prompt, so its run goes on elsewhere

Ruled out: a prompt that the engine had dropped for want of room (known use 31,000 to 44,000 of 89,000). Conclusion: only a lost connection says that the engine had begun; silence does not. Test: ExecutionTest.aPromptThatASilentEngineMayNeverHaveFetchedIsReadElsewhere, seen to fail before.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/KeptPrompt.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/KeptPrompt.java
@@ -29,8 +29,8 @@
      *
      * @param engine where it was
      * @param end how it ended
-     * @return whether the run may go on there: its answer was lost and nothing says that the engine
-     *     is gone
+     * @return whether the run may go on there: its connection was lost and nothing says that the
+     *     engine is gone. An engine that was merely silent may never have fetched the prompt
      */
     boolean lost(UpstreamEntry engine, AttemptEnd end) {
         boolean answerLost = !end.notStarted() && end.unreachable();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -430,7 +430,7 @@
         @Override
         protected void silent() {
             abort();
-            onFailure(AttemptEnd.lost("stream silent"));
+            onFailure(AttemptEnd.failed(ResultCode.OUTCOME_UNKNOWN, "stream silent"));
         }
 
         /** {@inheritDoc} */
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -65,7 +65,7 @@
                         random);
     }
 
-    private static Route route(Route.Kind kind) {
+    private static Route route(Route.Kind kind, int attempts) {
         return new Route(
                 "r",
                 "h",
@@ -75,7 +75,7 @@
                 900,
                 300,
                 1,
-                1,
+                attempts,
                 List.of(new Route.WeightedService("service", 1)));
     }
 
@@ -99,10 +99,14 @@
     }
 
     private void stream(Route.Kind kind) {
+        stream(kind, 1);
+    }
+
+    private void stream(Route.Kind kind, int attempts) {
         new StreamExecution(
                         mContext,
                         request(),
-                        route(kind),
+                        route(kind, attempts),
                         "service",
                         new EngineTraits(10, 90_000, 4, 2000, 500, 100),
                         mCaller)
@@ -110,7 +114,8 @@
     }
 
     private void plain() {
-        new PlainExecution(mContext, request(), route(Route.Kind.ONCE), "service", mCaller).start();
+        new PlainExecution(mContext, request(), route(Route.Kind.ONCE, 1), "service", mCaller)
+                .start();
     }
 
     private UpstreamPort.Head head(UpstreamPort.Verdict verdict) {
@@ -229,6 +234,21 @@
         assertEquals(mPort.mPrefills.size(), 1);
     }
 
+    @Test
+    public void aPromptThatASilentEngineMayNeverHaveFetchedIsReadElsewhere() {
+        mContext.budget().limit(0, 10);
+        UpstreamEntry prefill = Entries.prefill("p");
+        mDirectory.replaceAll(List.of(prefill, Entries.decode("a"), Entries.decode("b")));
+        stream(Route.Kind.RESUMABLE_STREAM, 2);
+        mPort.mPrefills.get(0).onResult(new UpstreamPort.StoredPrompt(prefill, "handle"));
+        mTime.pass(ServingSettings.STREAM_SILENCE_MILLIS + 1);
+        assertTrue(mPort.mRuns.get(0).mAborted);
+        assertEquals(mPort.mRuns.size(), 1);
+        assertEquals(mPort.mPrefills.size(), 2);
+        mPort.mPrefills.get(1).onResult(new UpstreamPort.StoredPrompt(prefill, "other"));
+        assertNotEquals(mPort.mRuns.get(1).mUpstream, mPort.mRuns.get(0).mUpstream);
+    }
+
     @Test
     public void anEngineThatLosesEveryAnswerIsLeft() {
         mContext.budget().limit(0, 10);
