--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -216,7 +216,10 @@
                             + ", least used "
                             + engines.get(0).id()
                             + " known "
-                            + mLoads.tokens(engines.get(0));
+                            + mLoads.tokens(engines.get(0))
+                            + " in "
+                            + mLoads.calls(engines.get(0))
+                            + " calls";
         }
 
         /**
@@ -230,7 +233,8 @@
         }
 
         /**
-         * Returns whether an engine has room for the prompt and for the growth of what runs there.
+         * Returns whether an engine has a free slot, and room for the prompt and for the growth of
+         * what runs there.
          *
          * @param engine the engine
          * @return whether to ask it; where nobody else's use is known the engine alone decides
@@ -239,8 +243,9 @@
             if (!mLoads.peersHeard()) {
                 return true;
             }
-            return mLoads.tokens(engine) + mWanted.promptTokens() + margin()
-                    <= mWanted.memoryTokens();
+            boolean slot = mLoads.calls(engine) < engine.slots();
+            double full = mLoads.tokens(engine) + mWanted.promptTokens() + margin();
+            return slot && full <= mWanted.memoryTokens();
         }
 
         /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -230,6 +230,16 @@
         return load(engine.id()).mTokens + mPeers.use(engine.id()).tokens();
     }
 
+    /**
+     * Returns how many calls all routers are known to have under way at an upstream.
+     *
+     * @param upstream the upstream
+     * @return the count
+     */
+    public int calls(UpstreamEntry upstream) {
+        return load(upstream.id()).mCalls + mPeers.use(upstream.id()).calls();
+    }
+
     /**
      * Returns whether other routers were heard lately, so that their use is known.
      *
@@ -447,8 +457,7 @@
      * @return the part of its slots that is taken, and more for another hall
      */
     private double callCost(UpstreamEntry entry) {
-        int calls = load(entry.id()).mCalls + mPeers.use(entry.id()).calls();
-        double taken = calls / (double) Math.max(1, entry.slots());
+        double taken = calls(entry) / (double) Math.max(1, entry.slots());
         return taken + (entry.hall().equals(mHall) ? 0 : OTHER_HALL);
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/Entries.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/Entries.java
@@ -10,6 +10,9 @@
 
     static final HallId HALL = new HallId("hall-a");
 
+    /** How many requests each works on at once. */
+    static final int SLOTS = 10;
+
     private Entries() {}
 
     static UpstreamEntry plain(String id, String hall) {
@@ -30,7 +33,7 @@
                 "service",
                 new Address("127.0.0.1", 1),
                 new HallId(hall),
-                10,
+                SLOTS,
                 role,
                 false);
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
@@ -102,6 +102,17 @@
         assertNull(mGranted);
     }
 
+    @Test
+    public void anEngineWhoseSlotsAreAllKnownToBeTakenIsNotAsked() {
+        peersUse(1000, 2000);
+        for (int call = 1; call < Entries.SLOTS; call++) {
+            mLoads.begin(mFirst, 10);
+        }
+        find(200);
+        assertEquals(mPort.mAsked, List.of(mSecond));
+        assertEquals(mGranted, mSecond);
+    }
+
     @Test
     public void aRouterThatHearsNobodyReservesTheMostOutputToo() {
         find(200);
