An engine under an order is told to all also when the lease is lost

Change: without the lease RoleController still watches the changes that it ordered and tells of them until they are over or given up; it orders nothing.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -177,16 +177,16 @@
         }
         mLease.tick(mPeers.roleHolder());
         mHolds = mLease.held();
-        if (!mLease.mayOrder()) {
-            changing(Set.of());
-            return;
+        if (mLease.mayOrder()) {
+            configuration
+                    .get()
+                    .services()
+                    .forEach(
+                            (name, service) ->
+                                    service.engine().ifPresent(engine -> control(name, engine)));
+        } else {
+            mChanges.forEach(this::watch);
         }
-        configuration
-                .get()
-                .services()
-                .forEach(
-                        (name, service) ->
-                                service.engine().ifPresent(engine -> control(name, engine)));
         changing(
                 mChanges.values().stream()
                         .filter(change -> change.mOrdersBefore >= 0 && change.mEngine != null)
@@ -194,6 +194,19 @@
                         .collect(Collectors.toUnmodifiableSet()));
     }
 
+    /**
+     * Watches a change that this router ordered before it lost the lease. The engine goes on with
+     * it and refuses runs, so the others are told of it until it is over; nothing is ordered.
+     *
+     * @param service the service
+     * @param change the change
+     */
+    private void watch(String service, Change change) {
+        if (change.mEngine != null) {
+            over(change, mDirectory.usable(service));
+        }
+    }
+
     /**
      * Sets what runs when the engines that are being changed are others than before.
      *
@@ -336,19 +349,32 @@
      * @param engines the engines
      */
     private void follow(Change change, List<UpstreamEntry> engines) {
+        if (!over(change, engines) && !change.mTaken && !change.mCalling) {
+            report(change);
+        }
+    }
+
+    /**
+     * Ends a change that is done or given up.
+     *
+     * @param change the change
+     * @param engines the service's engines as they are listed
+     * @return whether it ended
+     */
+    private boolean over(Change change, List<UpstreamEntry> engines) {
         Optional<UpstreamEntry> listed =
                 engines.stream().filter(each -> each.id().equals(change.mEngine.id())).findFirst();
         boolean done = listed.isPresent() && listed.get().role() == change.mRole;
-        if (done || listed.isEmpty() || now() > change.mUntil) {
+        boolean ended = done || listed.isEmpty() || now() > change.mUntil;
+        if (ended) {
             LOGGER.info(
                     "role change ended engine={} done={} listed={}",
                     change.mEngine.id(),
                     done,
                     listed.isPresent());
             end(change);
-        } else if (!change.mTaken && !change.mCalling) {
-            report(change);
         }
+        return ended;
     }
 
     /**
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
@@ -0,0 +1,164 @@
+package org.troutpier.daemon.role;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.event.EventRing;
+import org.troutpier.common.event.HybridClock;
+import org.troutpier.common.http.ServerLimits;
+import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.common.id.InstanceId;
+import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.settings.Address;
+import org.troutpier.daemon.cluster.Demand;
+import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.directory.UpstreamDirectory;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.route.CurrentConfiguration;
+import org.troutpier.daemon.route.EngineTraits;
+import org.troutpier.daemon.route.RoutingConfiguration;
+import org.troutpier.daemon.route.Service;
+import org.troutpier.daemon.rows.FakeRowStore;
+import org.troutpier.standins.platform.VersionedRows;
+
+/** What is told of engines that change their role. */
+public final class RoleControllerTest {
+
+    private static final String SERVICE = "notes";
+    private static final int TERM = 3000;
+    private static final int SWITCH = 2000;
+    private static final long CHANGE_AT_MOST = SWITCH + 20_000;
+
+    private ManualTime mTime;
+    private FakeRowStore mStore;
+    private UpstreamDirectory mDirectory;
+    private FakeOrders mOrders;
+    private RoleController mController;
+
+    /** Engines that take each order and then take their time. */
+    private static final class FakeOrders implements EngineOrders {
+        final List<UpstreamId> mOrdered = new ArrayList<>();
+
+        @Override
+        public CompletableFuture<EngineReport> report(UpstreamEntry engine) {
+            boolean changing = mOrdered.contains(engine.id());
+            return CompletableFuture.completedFuture(
+                    new EngineReport(engine.role(), changing, changing ? 1 : 0));
+        }
+
+        @Override
+        public CompletableFuture<Outcome> order(
+                UpstreamEntry engine, UpstreamEntry.Role role, Right lease, long expectedOrders) {
+            mOrdered.add(engine.id());
+            return CompletableFuture.completedFuture(Outcome.TAKEN);
+        }
+    }
+
+    @BeforeMethod
+    void start() {
+        mTime = new ManualTime();
+        mStore = new FakeRowStore(new VersionedRows());
+        mDirectory = new UpstreamDirectory(mTime::nanos);
+        mOrders = new FakeOrders();
+        Node node =
+                new Node(
+                        Incarnation.start(new InstanceId("router")),
+                        new HallId("hall"),
+                        null,
+                        mTime.control(),
+                        null,
+                        new MetricRegistry(),
+                        new EventRing("router", 16, new HybridClock()),
+                        mTime::nanos);
+        CurrentConfiguration configuration = new CurrentConfiguration();
+        EngineTraits traits = new EngineTraits(10, 90_000, 4, 2000, 500, SWITCH);
+        configuration.offer(
+                new RoutingConfiguration(
+                        1,
+                        List.of(),
+                        List.of(new Service(SERVICE, 100, Optional.of(traits))),
+                        ServerLimits.DEFAULT,
+                        new byte[0]),
+                "test");
+        list(UpstreamEntry.Role.PREFILL);
+        mController =
+                new RoleController(
+                        node,
+                        configuration,
+                        mDirectory,
+                        new PeerLoads(),
+                        service -> Demand.NONE,
+                        mOrders,
+                        mStore,
+                        TERM);
+        mController.start();
+    }
+
+    /** Lists four engines; a third is to read prompts before anything is measured. */
+    private void list(UpstreamEntry.Role first) {
+        mDirectory.replaceAll(
+                List.of(
+                        engine("e1", first),
+                        engine("e2", UpstreamEntry.Role.PREFILL),
+                        engine("e3", UpstreamEntry.Role.DECODE),
+                        engine("e4", UpstreamEntry.Role.DECODE)));
+    }
+
+    private static UpstreamEntry engine(String id, UpstreamEntry.Role role) {
+        return new UpstreamEntry(
+                new UpstreamId(id),
+                SERVICE,
+                new Address("127.0.0.1", 1),
+                new HallId("hall"),
+                10,
+                role,
+                false);
+    }
+
+    private void orderOne() {
+        mTime.pass(4 * TERM);
+        assertEquals(mOrders.mOrdered, List.of(new UpstreamId("e1")));
+        assertEquals(mController.changing(), Set.of(new UpstreamId("e1")));
+    }
+
+    @Test
+    public void anEngineThatWasOrderedIsToldUntilItIsListedInItsNewRole() {
+        orderOne();
+        list(UpstreamEntry.Role.DECODE);
+        mTime.pass(1000);
+        assertTrue(mController.changing().isEmpty());
+    }
+
+    @Test
+    public void anEngineThatWasOrderedIsStillToldWhenTheLeaseIsLost() {
+        orderOne();
+        mStore.mAway = true;
+        mTime.pass(2 * TERM);
+        assertFalse(mController.holds());
+        assertEquals(mController.changing(), Set.of(new UpstreamId("e1")));
+        list(UpstreamEntry.Role.DECODE);
+        mTime.pass(1000);
+        assertTrue(mController.changing().isEmpty());
+        assertEquals(mOrders.mOrdered.size(), 1);
+    }
+
+    @Test
+    public void anEngineThatNeverChangesIsNotToldForEver() {
+        orderOne();
+        mStore.mAway = true;
+        mTime.pass(CHANGE_AT_MOST);
+        assertTrue(mController.changing().isEmpty());
+    }
+}
