--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -57,6 +57,16 @@
     /** What crossing to another hall counts for, in parts of an upstream's slots. */
     private static final double OTHER_HALL = 0.15;
 
+    /**
+     * What an engine that loses each answer counts for, in tokens under way. A run that is lost
+     * costs its prompt, some 5,000 tokens, once more, and where it may not be repeated the request
+     * itself, which is worth some ten times that.
+     */
+    private static final double LOSS_TOKENS = 60_000;
+
+    /** What an upstream that loses each answer counts for, in parts of its slots. */
+    private static final double LOSS_SLOTS = 1;
+
     /** Logs each upstream that is passed over or used again. */
     private static final Logger LOGGER = LogManager.getLogger(UpstreamLoads.class);
 
@@ -93,6 +103,9 @@
         /** Tokens of the calls under way. */
         private long mTokens;
 
+        /** Which part of its answers was lost. */
+        private final LossRate mLosses = new LossRate();
+
         /** Failures since the last success. */
         private int mFailures;
 
@@ -249,6 +262,15 @@
         return mPeers.routers() > 0;
     }
 
+    /**
+     * Records that an answer was lost: it began and nobody knows how it ended.
+     *
+     * @param upstream where
+     */
+    public void lost(UpstreamEntry upstream) {
+        load(upstream.id()).mLosses.note(true, mLoop.millis());
+    }
+
     /**
      * Records that a call went well.
      *
@@ -256,6 +278,7 @@
      */
     public void succeeded(UpstreamEntry upstream) {
         Load load = load(upstream.id());
+        load.mLosses.note(false, mLoop.millis());
         if (load.mEjectedUntil != 0) {
             LOGGER.info("upstream used again id={}", upstream.id());
         }
@@ -387,7 +410,8 @@
     }
 
     /**
-     * Orders engines by the tokens that all routers are known to have under way there.
+     * Orders engines by the tokens that all routers are known to have under way there, those that
+     * lost answers lately later.
      *
      * @param candidates the engines
      * @param tried where the request was already sent
@@ -395,7 +419,11 @@
      */
     public List<UpstreamEntry> byTokens(
             Collection<UpstreamEntry> candidates, Set<UpstreamId> tried) {
-        return ordered(candidates, tried, this::tokens);
+        long now = mLoop.millis();
+        return ordered(
+                candidates,
+                tried,
+                engine -> tokens(engine) + load(engine.id()).mLosses.at(now) * LOSS_TOKENS);
     }
 
     /**
@@ -458,7 +486,8 @@
      */
     private double callCost(UpstreamEntry entry) {
         double taken = calls(entry) / (double) Math.max(1, entry.slots());
-        return taken + (entry.hall().equals(mHall) ? 0 : OTHER_HALL);
+        double losses = load(entry.id()).mLosses.at(mLoop.millis()) * LOSS_SLOTS;
+        return taken + losses + (entry.hall().equals(mHall) ? 0 : OTHER_HALL);
     }
 
     /**
