--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -59,14 +59,11 @@
 
     /**
      * What an engine that loses each answer counts for, in tokens under way. A run that is lost
-     * costs its prompt, some 5,000 tokens, once more, and where it may not be repeated the request
-     * itself, which is worth some ten times that.
+     * costs its prompt, some 5,000 tokens, and the request itself, which is worth some ten times
+     * that.
      */
     private static final double LOSS_TOKENS = 60_000;
 
-    /** What an upstream that loses each answer counts for, in parts of its slots. */
-    private static final double LOSS_SLOTS = 1;
-
     /** Logs each upstream that is passed over or used again. */
     private static final Logger LOGGER = LogManager.getLogger(UpstreamLoads.class);
 
@@ -410,8 +407,7 @@
     }
 
     /**
-     * Orders engines by the tokens that all routers are known to have under way there, those that
-     * lost answers lately later.
+     * Orders engines by the tokens that all routers are known to have under way there.
      *
      * @param candidates the engines
      * @param tried where the request was already sent
@@ -419,6 +415,20 @@
      */
     public List<UpstreamEntry> byTokens(
             Collection<UpstreamEntry> candidates, Set<UpstreamId> tried) {
+        return ordered(candidates, tried, this::tokens);
+    }
+
+    /**
+     * Orders engines for a request that runs once: as {@link #byTokens}, those that lost answers
+     * lately later. A request that may be repeated does not look at losses; sparing engines for all
+     * would leave too little room elsewhere.
+     *
+     * @param candidates the engines
+     * @param tried where the request was already sent
+     * @return the engines, the best first
+     */
+    public List<UpstreamEntry> bySoundness(
+            Collection<UpstreamEntry> candidates, Set<UpstreamId> tried) {
         long now = mLoop.millis();
         return ordered(
                 candidates,
@@ -486,8 +496,7 @@
      */
     private double callCost(UpstreamEntry entry) {
         double taken = calls(entry) / (double) Math.max(1, entry.slots());
-        double losses = load(entry.id()).mLosses.at(mLoop.millis()) * LOSS_SLOTS;
-        return taken + losses + (entry.hall().equals(mHall) ? 0 : OTHER_HALL);
+        return taken + (entry.hall().equals(mHall) ? 0 : OTHER_HALL);
     }
 
     /**
