Engines that lose answers are not spared by their loss rate: tried, taken back

Tried: a fading mean of lost answers (a quarter for each, halved in 3 s) that counts as up to 60,000 tokens under way, for all requests, then only for those that run once. Conclusion: taken back.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodePlace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodePlace.java
@@ -16,9 +16,6 @@
     /** The collaborators. */
     private final ServingContext mContext;
 
-    /** Whether the request may run once only. */
-    private final boolean mOnce;
-
     /** What the engines can do. */
     private final EngineTraits mTraits;
 
@@ -47,19 +44,12 @@
      * Creates a place that is not found yet.
      *
      * @param context the collaborators
-     * @param once whether the request may run once only
      * @param traits what the engines can do
      * @param promptTokens the prompt's length
      * @param mostTokens the prompt's length and the most output
      */
-    DecodePlace(
-            ServingContext context,
-            boolean once,
-            EngineTraits traits,
-            long promptTokens,
-            long mostTokens) {
+    DecodePlace(ServingContext context, EngineTraits traits, long promptTokens, long mostTokens) {
         mContext = context;
-        mOnce = once;
         mTraits = traits;
         mPromptTokens = promptTokens;
         mMostTokens = mostTokens;
@@ -87,7 +77,6 @@
                                         mTraits.memoryTokens(),
                                         mTraits.placeMillis(),
                                         waitMillis,
-                                        mOnce,
                                         engines),
                                 listener);
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -98,8 +98,6 @@
      * @param memoryTokens how much memory an engine has
      * @param placeMillis how long engines set places aside at most; 0 where they do not
      * @param waitMillis how long to look
-     * @param once whether the request may run once only, so that engines that lose answers are
-     *     spared
      * @param engines the engines that may be used, asked again for each round
      */
     public record Wanted(
@@ -108,7 +106,6 @@
             long memoryTokens,
             int placeMillis,
             long waitMillis,
-            boolean once,
             Supplier<List<UpstreamEntry>> engines) {}
 
     /**
@@ -183,7 +180,7 @@
                 return;
             }
             long now = mLoop.millis();
-            for (UpstreamEntry engine : candidates()) {
+            for (UpstreamEntry engine : mLoads.byTokens(mWanted.engines().get(), mAsked)) {
                 if (mFullUntil.getOrDefault(engine.id(), now) <= now && hasRoom(engine)) {
                     ask(engine);
                     return;
@@ -197,18 +194,6 @@
             mLoop.later(this::round, FULL_MILLIS / 2 + mRandom.nextLong(FULL_MILLIS / 2));
         }
 
-        /**
-         * Returns the engines that were not asked in this round.
-         *
-         * @return the engines, the best first
-         */
-        private List<UpstreamEntry> candidates() {
-            List<UpstreamEntry> engines = mWanted.engines().get();
-            return mWanted.once()
-                    ? mLoads.bySoundness(engines, mAsked)
-                    : mLoads.byTokens(engines, mAsked);
-        }
-
         /**
          * Tells what the refusal was decided by.
          *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptReading.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptReading.java
@@ -158,9 +158,6 @@
         close();
         mTrace.step("prefill failed(" + end.detail() + ")");
         mContext.metrics().ended(mEngine.id(), end.notStarted());
-        if (end.lost()) {
-            mContext.loads().lost(mEngine);
-        }
         if (end.notStarted() && end.leaving()) {
             mContext.loads().replaced(mEngine);
         } else if (end.notStarted() && !end.unreachable()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -148,9 +148,6 @@
         mKnowledge.learn(end);
         mContext.metrics().ended(upstream.id(), end.notStarted());
         mTrace.step("failed@" + upstream.id() + "(" + end.detail() + ")");
-        if (end.lost()) {
-            mContext.loads().lost(upstream);
-        }
         if (end.notStarted() && end.leaving()) {
             mContext.loads().replaced(upstream);
         } else if (!end.notStarted() || end.unreachable()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -72,7 +72,7 @@
         super(context, request, route, service, caller);
         mEngine = engine;
         mRelay = new EventRelay(caller, request.lastEvent());
-        mPlace = new DecodePlace(context, runsOnce(), engine, promptTokens(), tokens());
+        mPlace = new DecodePlace(context, engine, promptTokens(), tokens());
     }
 
     /** {@inheritDoc} */
@@ -160,15 +160,6 @@
         return (mContext.loads().tokens(prefill.get(0)) + promptTokens()) / pace;
     }
 
-    /**
-     * Returns whether the request may run once only.
-     *
-     * @return whether its stream may not be taken up again
-     */
-    private boolean runsOnce() {
-        return mRoute.kind() != Route.Kind.RESUMABLE_STREAM;
-    }
-
     /**
      * Returns how much memory the request takes at most.
      *
@@ -264,11 +255,12 @@
      */
     private void runFailed(UpstreamEntry upstream, AttemptEnd end) {
         learn(upstream, end);
-        if (!runsOnce() && mKept.lost(upstream, end) && mayRepeat()) {
+        boolean resumable = mRoute.kind() == Route.Kind.RESUMABLE_STREAM;
+        if (resumable && mKept.lost(upstream, end) && mayRepeat()) {
             searchKept(end);
             return;
         }
-        boolean again = end.notStarted() || !runsOnce();
+        boolean again = end.notStarted() || resumable;
         if (again && mayTryAgain(upstream, end)) {
             mPrefillTried.clear();
             search();
@@ -424,7 +416,9 @@
 
         /** Starts to wait for the next event where the stream may be continued elsewhere. */
         private void watch() {
-            boolean another = !runsOnce() && mTried.size() < mRoute.maxAttempts();
+            boolean another =
+                    mRoute.kind() == Route.Kind.RESUMABLE_STREAM
+                            && mTried.size() < mRoute.maxAttempts();
             if (another) {
                 expectWithin(ServingSettings.STREAM_SILENCE_MILLIS);
             } else {
@@ -531,7 +525,7 @@
                 mPrompt.ifPresent(mContext.port()::discard);
             }
             boolean own = head.verdict() == UpstreamPort.Verdict.OWN_FAILURE;
-            if (own && !mBegun && runsOnce()) {
+            if (own && !mBegun && mRoute.kind() != Route.Kind.RESUMABLE_STREAM) {
                 learn(mUpstream, end);
                 mTrace.notable();
                 mTrace.step("status=" + head.status());
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -57,13 +57,6 @@
     /** What crossing to another hall counts for, in parts of an upstream's slots. */
     private static final double OTHER_HALL = 0.15;
 
-    /**
-     * What an engine that loses each answer counts for, in tokens under way. A run that is lost
-     * costs its prompt, some 5,000 tokens, and the request itself, which is worth some ten times
-     * that.
-     */
-    private static final double LOSS_TOKENS = 60_000;
-
     /** Logs each upstream that is passed over or used again. */
     private static final Logger LOGGER = LogManager.getLogger(UpstreamLoads.class);
 
@@ -100,9 +93,6 @@
         /** Tokens of the calls under way. */
         private long mTokens;
 
-        /** Which part of its answers was lost. */
-        private final LossRate mLosses = new LossRate();
-
         /** Failures since the last success. */
         private int mFailures;
 
@@ -259,15 +249,6 @@
         return mPeers.routers() > 0;
     }
 
-    /**
-     * Records that an answer was lost: it began and nobody knows how it ended.
-     *
-     * @param upstream where
-     */
-    public void lost(UpstreamEntry upstream) {
-        load(upstream.id()).mLosses.note(true, mLoop.millis());
-    }
-
     /**
      * Records that a call went well.
      *
@@ -275,7 +256,6 @@
      */
     public void succeeded(UpstreamEntry upstream) {
         Load load = load(upstream.id());
-        load.mLosses.note(false, mLoop.millis());
         if (load.mEjectedUntil != 0) {
             LOGGER.info("upstream used again id={}", upstream.id());
         }
@@ -418,24 +398,6 @@
         return ordered(candidates, tried, this::tokens);
     }
 
-    /**
-     * Orders engines for a request that runs once: as {@link #byTokens}, those that lost answers
-     * lately later. A request that may be repeated does not look at losses; sparing engines for all
-     * would leave too little room elsewhere.
-     *
-     * @param candidates the engines
-     * @param tried where the request was already sent
-     * @return the engines, the best first
-     */
-    public List<UpstreamEntry> bySoundness(
-            Collection<UpstreamEntry> candidates, Set<UpstreamId> tried) {
-        long now = mLoop.millis();
-        return ordered(
-                candidates,
-                tried,
-                engine -> tokens(engine) + load(engine.id()).mLosses.at(now) * LOSS_TOKENS);
-    }
-
     /**
      * Orders upstreams.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/AttemptEnd.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/AttemptEnd.java
@@ -56,13 +56,4 @@
     public static AttemptEnd failed(ResultCode code, String detail) {
         return new AttemptEnd(false, false, false, code, detail);
     }
-
-    /**
-     * Returns whether the answer was lost: the call may have run, and nobody knows how it ended.
-     *
-     * @return whether it was
-     */
-    public boolean lost() {
-        return !notStarted && code == ResultCode.OUTCOME_UNKNOWN;
-    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
@@ -36,7 +36,6 @@
     private PlaceAllocator mAllocator;
     private UpstreamEntry mGranted;
     private String mRefused;
-    private boolean mOnce;
 
     @BeforeMethod
     void start() {
@@ -47,19 +46,12 @@
         mAllocator = new PlaceAllocator(mTime.loop(), mPort, mLoads, new Random(1));
         mGranted = null;
         mRefused = null;
-        mOnce = false;
     }
 
     private PlaceAllocator.Search find(long waitMillis) {
         return mAllocator.find(
                 new PlaceAllocator.Wanted(
-                        PROMPT,
-                        MOST,
-                        MEMORY,
-                        2000,
-                        waitMillis,
-                        mOnce,
-                        () -> List.of(mFirst, mSecond)),
+                        PROMPT, MOST, MEMORY, 2000, waitMillis, () -> List.of(mFirst, mSecond)),
                 new PlaceAllocator.Listener() {
                     @Override
                     public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
@@ -110,23 +102,6 @@
         assertNull(mGranted);
     }
 
-    @Test
-    public void aRequestThatRunsOnceSparesAnEngineThatLostAnAnswer() {
-        peersUse(1000, 2000);
-        mLoads.lost(mFirst);
-        mOnce = true;
-        find(200);
-        assertEquals(mGranted, mSecond);
-    }
-
-    @Test
-    public void aRequestThatMayBeRepeatedDoesNot() {
-        peersUse(1000, 2000);
-        mLoads.lost(mFirst);
-        find(200);
-        assertEquals(mGranted, mFirst);
-    }
-
     @Test
     public void anEngineWhoseSlotsAreAllKnownToBeTakenIsNotAsked() {
         peersUse(1000, 2000);
@@ -177,7 +152,7 @@
     @Test
     public void withoutEnginesASearchIsRefusedAfterItsWait() {
         mAllocator.find(
-                new PlaceAllocator.Wanted(PROMPT, MOST, MEMORY, 2000, 100, false, List::of),
+                new PlaceAllocator.Wanted(PROMPT, MOST, MEMORY, 2000, 100, List::of),
                 new PlaceAllocator.Listener() {
                     @Override
                     public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -67,45 +67,6 @@
         assertEquals(pick().get(), mNear);
     }
 
-    @Test
-    public void anEngineThatLosesSomeOfItsAnswersIsSparedWhileAnotherHasLessToDo() {
-        UpstreamEntry lossy = Entries.decode("lossy");
-        UpstreamEntry sound = Entries.decode("sound");
-        mLoads.begin(sound, 10_000);
-        assertEquals(first(lossy, sound), lossy);
-        mLoads.lost(lossy);
-        assertEquals(first(lossy, sound), sound);
-        mLoads.begin(sound, 10_000);
-        assertEquals(first(lossy, sound), lossy);
-    }
-
-    @Test
-    public void anEngineThatLostAnswersIsTriedAgainAfterAWhile() {
-        UpstreamEntry lossy = Entries.decode("lossy");
-        UpstreamEntry sound = Entries.decode("sound");
-        mLoads.begin(sound, 1000);
-        mLoads.lost(lossy);
-        assertEquals(first(lossy, sound), sound);
-        mTime.pass(5 * (long) LossRate.HALF_MILLIS);
-        assertEquals(first(lossy, sound), lossy);
-    }
-
-    @Test
-    public void successesMakeUpForALoss() {
-        UpstreamEntry lossy = Entries.decode("lossy");
-        UpstreamEntry sound = Entries.decode("sound");
-        mLoads.begin(sound, 5000);
-        mLoads.lost(lossy);
-        for (int run = 0; run < 8; run++) {
-            mLoads.succeeded(lossy);
-        }
-        assertEquals(first(lossy, sound), lossy);
-    }
-
-    private UpstreamEntry first(UpstreamEntry... engines) {
-        return mLoads.bySoundness(List.of(engines), Set.of()).get(0);
-    }
-
     @Test
     public void anUnreachableUpstreamIsPassedOverAndComesBack() {
         mLoads.failed(mNear, true, "refused");
