--- a/troutpier-common/src/main/java/org/troutpier/common/id/Incarnation.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/id/Incarnation.java
@@ -6,7 +6,7 @@
 import java.util.HexFormat;
 
 /**
- * Names one life of a router process: its instance and a random part drawn at start, so that a
+ * Names one start of a router process: its instance and a random part drawn at start, so that a
  * restarted instance is never taken for its predecessor. Immutable and safe to share.
  *
  * @param value {@code instance~random}
@@ -44,7 +44,7 @@
     }
 
     /**
-     * Returns the instance whose life this is.
+     * Returns the instance whose start this is.
      *
      * @return the instance
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/caller/CallerFront.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/caller/CallerFront.java
@@ -61,7 +61,7 @@
     /** The longest key. */
     private static final int LONGEST_KEY = 200;
 
-    /** What every request's life calls on. */
+    /** What the handling of every request calls on. */
     private final ExchangeServices mServices;
 
     /** The declarations in force. */
@@ -76,7 +76,7 @@
     /**
      * Creates a front.
      *
-     * @param services what every request's life calls on
+     * @param services what the handling of every request calls on
      * @param configurations the declarations in force
      * @param readiness whether new work is taken
      * @param peers knows whether the process was just woken
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/configuration/ConfigurationRegistry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/configuration/ConfigurationRegistry.java
@@ -40,7 +40,7 @@
     private volatile Declarations mCurrent = Declarations.EMPTY;
 
     /**
-     * Creates a keeper without declarations.
+     * Creates a registry without declarations.
      *
      * @param node what every part of the router shares
      * @param table where the row stands
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/instancelist/InstanceList.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/instancelist/InstanceList.java
@@ -21,7 +21,7 @@
      * One instance as the platform sees it. Immutable and thread safe.
      *
      * @param id the instance
-     * @param incarnation which life of it, empty for an instance that is no router
+     * @param incarnation which start of it, empty for an instance that is no router
      * @param peer where its peers reach it, empty for an instance that is no router
      * @param hall its hall, empty where it does not say
      * @param state {@code live}, {@code leaving} or {@code gone}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/node/Node.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/node/Node.java
@@ -11,7 +11,7 @@
 /**
  * What every part of one router shares. Immutable; everything in it is thread safe.
  *
- * @param incarnation this life of this instance
+ * @param incarnation this start of this instance
  * @param hall the hall that it stands in
  * @param loops carries the traffic
  * @param control runs what touches control state, on one thread
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/CommandHandler.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/CommandHandler.java
@@ -217,16 +217,16 @@
         /** {@inheritDoc} */
         @Override
         public Reply visitCancel(CommandParser.CancelContext cancel) {
-            RequestExchange life = mRegistry.get(new RequestId(cancel.name.getText()));
-            if (life == null || !mRights.covers(life.declared().partner())) {
+            RequestExchange running = mRegistry.get(new RequestId(cancel.name.getText()));
+            if (running == null || !mRights.covers(running.declared().partner())) {
                 throw new TroutpierException(
                         ResultCode.MALFORMED_REQUEST,
                         "this router carries no request " + cancel.name.getText());
             }
-            life.cancelBy(mRights.toString());
+            running.cancelBy(mRights.toString());
             return new Rows(
                     List.of("id", "state"),
-                    List.of(Map.of("id", life.id().value(), "state", "cancelled")));
+                    List.of(Map.of("id", running.id().value(), "state", "cancelled")));
         }
 
         /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Inventory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Inventory.java
@@ -109,16 +109,16 @@
     private Shown requests(Rights rights) {
         List<Map<String, String>> rows = new ArrayList<>();
         long now = mNode.nanos().getAsLong();
-        for (RequestExchange life : mRegistry.all()) {
-            if (rights.covers(life.declared().partner())) {
+        for (RequestExchange running : mRegistry.all()) {
+            if (rights.covers(running.declared().partner())) {
                 rows.add(
                         row(
-                                "id", life.id(),
-                                "partner", life.declared().partner(),
-                                "class", life.declared().name(),
-                                "state", life.currentStage().label(),
-                                "upstream", life.currentUpstream(),
-                                "age_ms", (now - life.arrivalNanos()) / NANOS));
+                                "id", running.id(),
+                                "partner", running.declared().partner(),
+                                "class", running.declared().name(),
+                                "state", running.currentStage().label(),
+                                "upstream", running.currentUpstream(),
+                                "age_ms", (now - running.arrivalNanos()) / NANOS));
             }
         }
         return new Shown(List.of("id", "partner", "class", "state", "upstream", "age_ms"), rows);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Operators.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Operators.java
@@ -20,7 +20,7 @@
      * @param registry the requests that this router carries
      * @param upstreamRegistry all upstreams
      * @param membership who the routers are
-     * @param keeper the declarations in force
+     * @param declarations the declarations in force
      * @param peers knows the versions of the other routers
      * @return the handler
      */
@@ -29,11 +29,11 @@
             ExchangeRegistry registry,
             UpstreamRegistry upstreamRegistry,
             Membership membership,
-            ConfigurationRegistry keeper,
+            ConfigurationRegistry declarations,
             PeerLogic peers) {
         return new CommandHandler(
                 node,
                 registry,
-                new Inventory(node, registry, upstreamRegistry, membership, keeper, peers));
+                new Inventory(node, registry, upstreamRegistry, membership, declarations, peers));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/Membership.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/Membership.java
@@ -177,7 +177,7 @@
     }
 
     /**
-     * Returns whether the list shows this very life of this router.
+     * Returns whether the list shows this very start of this router.
      *
      * @return whether the platform, and so the others, can know of it
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/CompletionExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/CompletionExchange.java
@@ -22,9 +22,9 @@
 import org.troutpier.daemon.upstream.TokenEvent;
 
 /**
- * The life of a completion: prefill, transfer, decode, answer. Confined to the event loop of its
- * caller's connection. Invariant: the end mark is sent only after the decode engine's own end mark,
- * and an answer that was cut is continued from the token where it broke off.
+ * The handling of a completion: prefill, transfer, decode, answer. Confined to the event loop of
+ * its caller's connection. Invariant: the end mark is sent only after the decode engine's own end
+ * mark, and an answer that was cut is continued from the token where it broke off.
  */
 public final class CompletionExchange extends RequestExchange {
 
@@ -95,7 +95,7 @@
     public record CompletionOrder(String prompt, int maxTokens, boolean stream) {}
 
     /**
-     * Creates a life.
+     * Creates an exchange.
      *
      * @param services what it calls on
      * @param arrival the request as it arrived
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/ExchangeRegistry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/ExchangeRegistry.java
@@ -17,7 +17,7 @@
     public static final char ATTEMPT_SEPARATOR = '.';
 
     /** The requests by id. */
-    private final Map<String, RequestExchange> mLives = new ConcurrentHashMap<>();
+    private final Map<String, RequestExchange> mExchanges = new ConcurrentHashMap<>();
 
     /** How many requests each partner has. */
     private final Map<PartnerId, AtomicInteger> mCounts = new ConcurrentHashMap<>();
@@ -25,28 +25,28 @@
     /**
      * Adds a request unless its partner has too many.
      *
-     * @param life the request
+     * @param exchange the request
      * @param limit how many the partner may have
      * @return whether it was added
      */
-    boolean add(RequestExchange life, int limit) {
-        AtomicInteger count = count(life.declared().partner());
+    boolean add(RequestExchange exchange, int limit) {
+        AtomicInteger count = count(exchange.declared().partner());
         if (count.incrementAndGet() > limit) {
             count.decrementAndGet();
             return false;
         }
-        mLives.put(life.id().value(), life);
+        mExchanges.put(exchange.id().value(), exchange);
         return true;
     }
 
     /**
      * Takes a request out.
      *
-     * @param life the request
+     * @param exchange the request
      */
-    void remove(RequestExchange life) {
-        if (mLives.remove(life.id().value(), life)) {
-            count(life.declared().partner()).decrementAndGet();
+    void remove(RequestExchange exchange) {
+        if (mExchanges.remove(exchange.id().value(), exchange)) {
+            count(exchange.declared().partner()).decrementAndGet();
         }
     }
 
@@ -58,7 +58,7 @@
      */
     public boolean carries(String attempt) {
         int separator = attempt.indexOf(ATTEMPT_SEPARATOR);
-        return mLives.containsKey(separator < 0 ? attempt : attempt.substring(0, separator));
+        return mExchanges.containsKey(separator < 0 ? attempt : attempt.substring(0, separator));
     }
 
     /**
@@ -68,7 +68,7 @@
      * @return the request, or null
      */
     public RequestExchange get(RequestId id) {
-        return mLives.get(id.value());
+        return mExchanges.get(id.value());
     }
 
     /**
@@ -77,7 +77,7 @@
      * @return the requests, as they come and go
      */
     public Collection<RequestExchange> all() {
-        return mLives.values();
+        return mExchanges.values();
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/ExchangeServices.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/ExchangeServices.java
@@ -7,7 +7,7 @@
 import org.troutpier.daemon.upstream.Engines;
 
 /**
- * What every request's life calls on. Immutable and thread safe.
+ * What the handling of every request calls on. Immutable and thread safe.
  *
  * @param node what every part of the router shares
  * @param controller decides who starts; control thread only
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
@@ -25,7 +25,7 @@
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
- * The life of one request, from arrival to its one answer. Confined to the event loop of its
+ * The handling of one request, from arrival to its one answer. Confined to the event loop of its
  * caller's connection, but for the accessors, which may be read anywhere. Invariants: the caller
  * gets one answer or one refusal; "not run" is said only when no upstream may have run it; whatever
  * the request holds is given back in {@link #over(ResultCode)}, which every way out passes once.
@@ -41,7 +41,7 @@
     /** How long before its end a lease is no longer trusted, nanoseconds. */
     private static final long LEASE_MARGIN_NANOS = 2_000_000_000L;
 
-    /** What this life calls on. */
+    /** What this exchange calls on. */
     private final ExchangeServices mServices;
 
     /** The request as it arrived. */
@@ -50,7 +50,7 @@
     /** When it arrived, by the monotonic clock. */
     private final long mArrivalNanos;
 
-    /** Where the request is in its life. */
+    /** Where the request is in its handling. */
     private volatile Stage mStage = Stage.RECEIVED;
 
     /** The upstream that has it, for people to see; empty for none. */
@@ -81,7 +81,7 @@
     private StoredAnswer mComplete;
 
     /**
-     * Creates a life.
+     * Creates an exchange.
      *
      * @param services what it calls on
      * @param arrival the request as it arrived
@@ -93,7 +93,7 @@
     }
 
     /**
-     * Starts the life.
+     * Starts the exchange.
      *
      * @param partnerLimit how many requests the partner may have here
      */
@@ -600,7 +600,7 @@
     }
 
     /**
-     * Returns what this life calls on.
+     * Returns what this exchange calls on.
      *
      * @return the services
      */
@@ -663,7 +663,7 @@
     }
 
     /**
-     * Returns where the request is in its life.
+     * Returns where the request is in its handling.
      *
      * @return the stage
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/ServiceExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/ServiceExchange.java
@@ -26,7 +26,7 @@
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
- * The life of a call to a plain service. Confined to the event loop of its caller's connection.
+ * The handling of a call to a plain service. Confined to the event loop of its caller's connection.
  * Invariant: a call that must not be repeated goes out on a connection of its own, so that a
  * connection that the service has just closed can never leave it in doubt.
  */
@@ -86,7 +86,7 @@
     private boolean mOverflow;
 
     /**
-     * Creates a life.
+     * Creates an exchange.
      *
      * @param services what it calls on
      * @param arrival the request as it arrived
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/Stage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/Stage.java
@@ -2,7 +2,7 @@
 
 import java.util.Locale;
 
-/** Where a request is in its life. Immutable and thread safe. */
+/** Where a request is in its handling. Immutable and thread safe. */
 public enum Stage {
     /** It was read and classified. */
     RECEIVED,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/package-info.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/package-info.java
@@ -1,2 +1,2 @@
-/** The life of a request, from arrival to its one answer. */
+/** The handling of a request, from arrival to its one answer. */
 package org.troutpier.daemon.request;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
@@ -67,6 +67,9 @@
     /** How many upstreams that cannot be reached a request is tried at. */
     static final int MOST_UNREACHED = 3;
 
-    /** How much of a prefill result's life is left to the engine that fetches it, milliseconds. */
+    /**
+     * How much of the time for which a prefill result is kept is left to the engine that fetches
+     * it, milliseconds.
+     */
     static final long FETCH_MILLIS = 150;
 }
--- a/troutpier-standins/src/main/java/org/troutpier/standins/platform/InstanceListStandin.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/platform/InstanceListStandin.java
@@ -53,7 +53,7 @@
      * One line of the list.
      *
      * @param id the instance
-     * @param incarnation which life of it, empty where it does not say
+     * @param incarnation which start of it, empty where it does not say
      * @param peer where its peers reach it, empty where it has none
      * @param hall its hall
      * @param state {@code live}, {@code leaving} or {@code gone}
