--- a/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
@@ -20,7 +20,7 @@
  */
 final class ExchangeHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
-    /** Tells of faults in handlers. */
+    /** Logs faults in handlers. */
     private static final Logger LOGGER = LogManager.getLogger(ExchangeHandler.class);
 
     /** Serves the requests. */
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpCalls.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpCalls.java
@@ -151,7 +151,7 @@
     /** An exchange under way; thread safe. Invariant: the listener hears one end at most. */
     public static final class Ongoing implements AsyncHandler<Void> {
 
-        /** Hears the answer. */
+        /** Receives the answer. */
         private final ReplyListener mListener;
 
         /** The library's handle, set right after the start. */
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
@@ -342,7 +342,7 @@
         HttpUtil.setKeepAlive(answer, !mLastOfConnection);
     }
 
-    /** Is told that the connection has closed. */
+    /** Called when the connection has closed. */
     void gone() {
         if (!mEnded) {
             mEnded = true;
@@ -351,7 +351,7 @@
         }
     }
 
-    /** Is told that the connection takes more again. */
+    /** Called when the connection takes more again. */
     void becameWritable() {
         mOnWritable.run();
     }
--- a/troutpier-common/src/main/java/org/troutpier/common/http/ReplyListener.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ReplyListener.java
@@ -3,13 +3,13 @@
 import io.netty.handler.codec.http.HttpHeaders;
 
 /**
- * Hears an answer as it arrives, on one of the client's event loops. After {@link #onEnd()} or
+ * Receives an answer as it arrives, on one of the client's event loops. After {@link #onEnd()} or
  * {@link #onFailure(CallFailedException)} nothing more is said.
  */
 public interface ReplyListener {
 
     /**
-     * Hears the status and the headers.
+     * Receives the status and the headers.
      *
      * @param status the HTTP status
      * @param headers the headers
@@ -17,17 +17,17 @@
     void onHead(int status, HttpHeaders headers);
 
     /**
-     * Hears a part of the body.
+     * Receives a part of the body.
      *
      * @param part the bytes, owned by the listener
      */
     void onPart(byte[] part);
 
-    /** Hears that the answer is whole. */
+    /** Called when the answer is whole. */
     void onEnd();
 
     /**
-     * Hears that there will be no whole answer.
+     * Called when there will be no whole answer.
      *
      * @param failure why, and whether any byte may have left
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
@@ -55,7 +55,7 @@
  */
 public final class RouterDaemon {
 
-    /** Tells of starts and stops. */
+    /** Logs starts and stops. */
     private static final Logger LOGGER = LogManager.getLogger(RouterDaemon.class);
 
     /** How many events are kept. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/AdmissionController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/AdmissionController.java
@@ -44,7 +44,7 @@
         WAITS
     }
 
-    /** What every part of the router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** All upstreams. */
@@ -71,7 +71,7 @@
     /**
      * Creates a controller.
      *
-     * @param node what every part of the router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param registry all upstreams
      * @param permits how decode slots are shared among routers
      * @param selector how a pair of engines is chosen
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/CoordinatorPermits.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/CoordinatorPermits.java
@@ -40,7 +40,7 @@
     /** How long a router's wish counts at the coordinator, nanoseconds. */
     private static final long WISH_NANOS = 250_000_000L;
 
-    /** What every part of the router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** Who the routers are. */
@@ -177,7 +177,7 @@
     /**
      * Creates permits.
      *
-     * @param node what every part of the router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param membership who the routers are
      * @param registry all upstreams
      * @param sender sends a message to a router
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/Ticket.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/Ticket.java
@@ -30,18 +30,18 @@
     /** Nanoseconds in a millisecond. */
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    /** Hears what was decided; both are called on the control thread, one of them once. */
+    /** Receives what was decided; both are called on the control thread, one of them once. */
     public interface Answer {
 
         /**
-         * Hears that the request may start.
+         * Called when the request may start.
          *
          * @param grant what it may use; must be ended once
          */
         void granted(Grant grant);
 
         /**
-         * Hears that the request may not start.
+         * Called when the request may not start.
          *
          * @param why the code and the detail
          */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/caller/CallerFront.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/caller/CallerFront.java
@@ -70,7 +70,7 @@
     /** Whether new work is taken. */
     private final Readiness mReadiness;
 
-    /** Knows whether the process was just woken. */
+    /** Detects whether the process was just woken. */
     private final PeerLogic mPeers;
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/claim/ClaimStore.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/claim/ClaimStore.java
@@ -50,7 +50,7 @@
     /** How many times the same row is tried when others write it too. */
     private static final int MOST_ROUNDS = 5;
 
-    /** What every part of the router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** Where claims stand. */
@@ -74,7 +74,7 @@
     /**
      * Creates a store.
      *
-     * @param node what every part of the router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param table where claims stand
      * @param objects where large answers are kept
      * @param membership who is gone
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
@@ -38,7 +38,7 @@
     /** How long it is waited for more of what mostly comes together, milliseconds. */
     static final long GATHER_MILLIS = 5;
 
-    /** What every part of this router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** Connections to the others. */
@@ -74,7 +74,7 @@
     /**
      * Creates a relay.
      *
-     * @param node what every part of this router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param links connections to the others
      * @param loads what the others said
      * @param plan to whom this router tells what; asked each time
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
@@ -34,7 +34,7 @@
     /** Logs the registration. */
     private static final Logger LOGGER = LogManager.getLogger(MemberRegistry.class);
 
-    /** What every part of this router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** The store. */
@@ -58,7 +58,7 @@
     /**
      * Creates a registry.
      *
-     * @param node what every part of this router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param store the store
      * @param address where the others reach this router
      * @param capacity how much this router can do for the others
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -45,7 +45,7 @@
     /** Logs routers gained and lost, and changes of the plan. */
     private static final Logger LOGGER = LogManager.getLogger(PeerExchange.class);
 
-    /** What every part of this router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** The version in force. */
@@ -113,7 +113,7 @@
     /**
      * Creates an exchange and starts to listen.
      *
-     * @param node what every part of this router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param address where the others come in
      * @param opener opens connections to the others
      * @param configuration the version in force
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/configuration/ChangeProposer.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/configuration/ChangeProposer.java
@@ -51,7 +51,7 @@
     /** Nanoseconds in a millisecond. */
     private static final long NANOS = 1_000_000L;
 
-    /** What every part of the router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** Who the members are. */
@@ -131,7 +131,7 @@
     /**
      * Creates a proposer.
      *
-     * @param node what every part of the router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param membership who the members are
      * @param configurations the declarations in force here
      * @param table where the row stands
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/configuration/ConfigurationRegistry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/configuration/ConfigurationRegistry.java
@@ -24,7 +24,7 @@
     /** The row that holds the declarations. */
     public static final String ROW = "configuration";
 
-    /** What every part of the router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** Where the row stands. */
@@ -42,7 +42,7 @@
     /**
      * Creates a registry without declarations.
      *
-     * @param node what every part of the router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param table where the row stands
      * @param readiness whether the router takes new work
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -54,7 +54,7 @@
     /** The entries by service, for readers on any thread. */
     private volatile Map<String, List<UpstreamEntry>> mSnapshot = Map.of();
 
-    /** Is told of the upstreams that are listed. */
+    /** Receives the upstreams that are listed. */
     private Consumer<Set<UpstreamId>> mListener = listed -> {};
 
     /** Whether the entries were read at least once. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/node/ControlThread.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/node/ControlThread.java
@@ -11,7 +11,7 @@
  */
 public final class ControlThread implements Control {
 
-    /** Tells of tasks that threw. */
+    /** Logs tasks that threw. */
     private static final Logger LOGGER = LogManager.getLogger(ControlThread.class);
 
     /** Runs the tasks. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/node/Invariants.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/node/Invariants.java
@@ -10,7 +10,7 @@
  */
 public final class Invariants {
 
-    /** Tells of each breach. */
+    /** Logs each breach. */
     private static final Logger LOGGER = LogManager.getLogger(Invariants.class);
 
     /** How many breaches there were. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/node/Node.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/node/Node.java
@@ -9,7 +9,8 @@
 import org.troutpier.common.id.Incarnation;
 
 /**
- * What every part of one router shares. Immutable; everything in it is thread safe.
+ * The identity, threads, clock and metrics of one router. Immutable; everything in it is thread
+ * safe.
  *
  * @param incarnation this start of this instance
  * @param hall the hall that it stands in
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/node/package-info.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/node/package-info.java
@@ -1,2 +1,2 @@
-/** What every part of a router shares: threads, clock, counters, events, readiness. */
+/** The threads, clock, counters, events and readiness of a router. */
 package org.troutpier.daemon.node;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/CommandHandler.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/CommandHandler.java
@@ -33,7 +33,7 @@
  */
 public final class CommandHandler {
 
-    /** What every part of the router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** The requests that this router carries. */
@@ -45,7 +45,7 @@
     /**
      * Creates a handler.
      *
-     * @param node what every part of the router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param registry the requests that this router carries
      * @param inventory what can be shown
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Inventory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Inventory.java
@@ -31,7 +31,7 @@
     /** Nanoseconds in a millisecond. */
     private static final long NANOS = 1_000_000L;
 
-    /** What every part of the router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** The requests that this router carries. */
@@ -46,13 +46,13 @@
     /** The declarations in force. */
     private final ConfigurationRegistry mConfigurations;
 
-    /** Knows the versions of the other routers. */
+    /** Provides the versions of the other routers. */
     private final PeerLogic mPeers;
 
     /**
      * Creates an inventory.
      *
-     * @param node what every part of the router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param registry the requests that this router carries
      * @param upstreamRegistry all upstreams
      * @param membership who the routers are
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/OperatorFront.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/OperatorFront.java
@@ -46,7 +46,7 @@
     /** The status of a router that takes no new work. */
     private static final int NOT_READY = 503;
 
-    /** What every part of the router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** Whether new work is taken. */
@@ -61,7 +61,7 @@
     /** Who the routers are. */
     private final Membership mMembership;
 
-    /** Knows whether the process was just woken. */
+    /** Detects whether the process was just woken. */
     private final PeerLogic mPeers;
 
     /** Answers queries and commands. */
@@ -73,7 +73,7 @@
     /**
      * Creates a front.
      *
-     * @param node what every part of the router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param readiness whether new work is taken
      * @param configurations the declarations in force
      * @param proposer carries changes through
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Operators.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Operators.java
@@ -16,7 +16,7 @@
     /**
      * Makes the handler of queries and commands.
      *
-     * @param node what every part of the router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param registry the requests that this router carries
      * @param upstreamRegistry all upstreams
      * @param membership who the routers are
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerLogic.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerLogic.java
@@ -44,7 +44,7 @@
     /** How long everybody may be silent without a fence, nanoseconds. */
     private static final long ALONE_NANOS = 1_500_000_000L;
 
-    /** What every part of the router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** Who the others are. */
@@ -68,7 +68,7 @@
     /** The permits, where they come from coordinators. */
     private Optional<CoordinatorPermits> mPermits = Optional.empty();
 
-    /** Hears of upstreams that the list shows as leaving. */
+    /** Receives the upstreams that the list shows as leaving. */
     private Leaving mLeaving = (id, leaving) -> {};
 
     /** When the control thread last looked at the clock. */
@@ -89,11 +89,11 @@
     /** The versions that others said to have in force. */
     private final Map<Incarnation, Long> mVersions = new HashMap<>();
 
-    /** Hears of upstreams that the list shows as leaving. */
+    /** Receives the upstreams that the list shows as leaving. */
     public interface Leaving {
 
         /**
-         * Hears of one.
+         * Receives one.
          *
          * @param id the upstream
          * @param leaving whether it is leaving
@@ -104,7 +104,7 @@
     /**
      * Creates the logic; {@link #start} sets it going.
      *
-     * @param node what every part of the router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param membership who the others are
      * @param readiness whether this router takes new work
      * @param instances the platform's list
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
@@ -46,7 +46,7 @@
     /** How long a connection may take to open, milliseconds. */
     private static final int CONNECT_MILLIS = 1000;
 
-    /** What every part of the router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** Who the others are. */
@@ -55,7 +55,7 @@
     /** Proves the secret. */
     private final PeerSecret mSecret;
 
-    /** Hears messages on the control thread. */
+    /** Receives messages on the control thread. */
     private final Hearer mHearer;
 
     /** The connections that this router opened and that are ready. */
@@ -76,11 +76,11 @@
     /** Counts bytes sent and heard. */
     private final Counter mBytes;
 
-    /** Hears messages, on the control thread. */
+    /** Receives messages, on the control thread. */
     public interface Hearer {
 
         /**
-         * Hears a message.
+         * Receives a message.
          *
          * @param from who sent it
          * @param message the message
@@ -99,7 +99,7 @@
     /**
      * Creates and starts a mesh.
      *
-     * @param node what every part of the router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param address where others come in
      * @param members who the others are
      * @param secret what routers prove to each other that they know
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/CompletionExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/CompletionExchange.java
@@ -151,7 +151,9 @@
                         .prefill(grant.prefill(), order, leftMillis(), new Prefilled(attempt));
     }
 
-    /** Hears the prefill engine on any thread and passes on what is still of interest. */
+    /**
+     * Receives the prefill engine's answer on any thread and passes on what is still of interest.
+     */
     private final class Prefilled implements Engines.PrefillListener {
 
         /** The attempt that this belongs to. */
@@ -221,7 +223,9 @@
                         .decode(grant.main(), order, leftMillis(), new Decoding(mAttempt));
     }
 
-    /** Hears the decode engine on any thread and passes on what is still of interest. */
+    /**
+     * Receives the decode engine's events on any thread and passes on what is still of interest.
+     */
     private final class Decoding implements Engines.DecodeListener {
 
         /** The attempt that this belongs to. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/ExchangeServices.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/ExchangeServices.java
@@ -9,7 +9,7 @@
 /**
  * What the handling of every request calls on. Immutable and thread safe.
  *
- * @param node what every part of the router shares
+ * @param node the router's identity, threads, clock and metrics
  * @param controller decides who starts; control thread only
  * @param claims takes and settles claims
  * @param engines the model engines
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
@@ -162,7 +162,7 @@
         mServices.node().control().execute(() -> mServices.controller().submit(ticket));
     }
 
-    /** Hears the admission controller's answer on the control thread and passes it on. */
+    /** Receives the admission controller's answer on the control thread and passes it on. */
     private final class AdmissionAnswer implements Ticket.Answer {
 
         /** {@inheritDoc} */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/ServiceExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/ServiceExchange.java
@@ -143,7 +143,7 @@
         return headers;
     }
 
-    /** Hears the service on any thread and passes on what is still of interest. */
+    /** Receives the service's answer on any thread and passes on what is still of interest. */
     private final class Answering implements ReplyListener {
 
         /** The attempt that this belongs to. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -55,7 +55,7 @@
     /** Logs each decision. */
     private static final Logger LOGGER = LogManager.getLogger(RoleController.class);
 
-    /** What every part of this router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** The version in force. */
@@ -119,7 +119,7 @@
     /**
      * Creates a controller.
      *
-     * @param node what every part of this router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param configuration the version in force
      * @param directory the engines
      * @param peers what the other routers said
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
@@ -40,7 +40,7 @@
     /** Logs gain and loss. */
     private static final Logger LOGGER = LogManager.getLogger(RoleLease.class);
 
-    /** What every part of this router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** The store. */
@@ -87,7 +87,7 @@
     /**
      * Creates a lease that is not held.
      *
-     * @param node what every part of this router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param store the store
      * @param termMillis how long the lease lasts without renewal, milliseconds
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/CancellationRetrier.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/CancellationRetrier.java
@@ -25,7 +25,7 @@
     /** How many tries are made at most. */
     private static final int MOST_TRIES = 400;
 
-    /** What every part of the router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** The engines. */
@@ -58,7 +58,7 @@
     /**
      * Creates a store.
      *
-     * @param node what every part of the router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param engines the engines
      */
     public CancellationRetrier(Node node, Engines engines) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/Engines.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/Engines.java
@@ -119,11 +119,11 @@
             String handle,
             int maxTokens) {}
 
-    /** Hears what came of a prefill: one of the two, once. */
+    /** Receives what came of a prefill: one of the two, once. */
     interface PrefillListener {
 
         /**
-         * Hears that the result is there.
+         * Called when the result is there.
          *
          * @param handle names the result
          * @param lifeMillis how long it survives
@@ -131,28 +131,28 @@
         void onResult(String handle, int lifeMillis);
 
         /**
-         * Hears that there is none.
+         * Called when there is none.
          *
          * @param end how it ended
          */
         void onPrefillEnd(AttemptEnd end);
     }
 
-    /** Hears a decode stream: events, then one of the two ends, once. */
+    /** Receives a decode stream: events, then one of the two ends, once. */
     interface DecodeListener {
 
         /**
-         * Hears a token.
+         * Receives a token.
          *
          * @param event the token
          */
         void onToken(TokenEvent event);
 
-        /** Hears that the answer is whole. */
+        /** Called when the answer is whole. */
         void onWhole();
 
         /**
-         * Hears that it will not be whole.
+         * Called when it will not be whole.
          *
          * @param end how it ended
          */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/HttpEngines.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/HttpEngines.java
@@ -210,7 +210,7 @@
         /** The attempt that every event must name. */
         private final String mAttempt;
 
-        /** Hears the stream. */
+        /** Receives the stream. */
         private final DecodeListener mListener;
 
         /** Cuts the stream into events. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/LoadWatcher.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/LoadWatcher.java
@@ -18,7 +18,7 @@
     /** How often engines are asked, milliseconds. */
     private static final long ASK_MILLIS = 250;
 
-    /** What every part of the router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** All upstreams. */
@@ -30,7 +30,7 @@
     /**
      * Creates and starts a watcher.
      *
-     * @param node what every part of the router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param registry all upstreams
      * @param engines the engines
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/OrphanSweeper.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/OrphanSweeper.java
@@ -22,7 +22,7 @@
     /** How often engines are swept, milliseconds. */
     private static final long SWEEP_MILLIS = 1000;
 
-    /** What every part of the router shares. */
+    /** The router's identity, threads, clock and metrics. */
     private final Node mNode;
 
     /** All upstreams. */
@@ -43,7 +43,7 @@
     /**
      * Creates and starts a sweeper.
      *
-     * @param node what every part of the router shares
+     * @param node the router's identity, threads, clock and metrics
      * @param upstreamRegistry all upstreams
      * @param engines the engines
      * @param membership who is gone
