--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/claim/ClaimStore.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/claim/ClaimStore.java
@@ -1,17 +1,14 @@
 package org.troutpier.daemon.claim;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Base64;
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.troutpier.common.declaration.ClassDeclaration;
 import org.troutpier.common.declaration.Tokens;
-import org.troutpier.common.http.Json;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.PartnerId;
 import org.troutpier.common.result.ResultCode;
@@ -19,7 +16,6 @@
 import org.troutpier.daemon.objectstore.ObjectStore;
 import org.troutpier.daemon.peer.Membership;
 import org.troutpier.daemon.table.Table;
-import org.troutpier.daemon.table.Table.Outcome;
 import org.troutpier.daemon.table.Table.Write;
 
 /**
@@ -32,21 +28,12 @@
     /** Where claims stand in the table. */
     public static final String PREFIX = "claims/";
 
-    /** The largest answer that is kept in the row itself, bytes. */
-    private static final int INLINE_BYTES = 4096;
-
-    /** The largest answer that goes into the row when the object store is away, bytes. */
-    private static final int FALLBACK_BYTES = 65_536;
-
     /** How long a claim row stays beyond its lease at least, milliseconds. */
     private static final long MILLIS = 1000;
 
     /** How many characters of a key's hash name its row. */
     private static final int HASH_LENGTH = 40;
 
-    /** How often a write whose fate is unknown is settled again, milliseconds. */
-    private static final long SETTLE_MILLIS = 300;
-
     /** How many times the same row is tried when others write it too. */
     private static final int MOST_ROUNDS = 5;
 
@@ -68,6 +55,9 @@
     /** The wall clock, milliseconds. */
     private final LongSupplier mWallMillis;
 
+    /** Settles claims that are over. */
+    private final ClaimSettling mSettling;
+
     /** The attempts of this router that are under way. */
     private final Set<String> mAttempts = ConcurrentHashMap.newKeySet();
 
@@ -94,6 +84,7 @@
         mMembership = membership;
         mUrl = url;
         mWallMillis = wallMillis;
+        mSettling = new ClaimSettling(node, table, objects, wallMillis, this::forget);
     }
 
     /** What settling a claim came to. */
@@ -202,7 +193,7 @@
                             .thenCompose(row -> readBack(declared, wished, row, round))
                             .exceptionally(
                                     failure -> {
-                                        giveUpLater(wished);
+                                        mSettling.giveUpLater(wished);
                                         return ClaimOutcome.TableAway.INSTANCE;
                                     });
         };
@@ -219,14 +210,14 @@
      */
     private CompletableFuture<ClaimOutcome> readBack(
             ClassDeclaration declared, Claim wished, Optional<Table.Row> row, int round) {
-        if (row.isPresent() && mine(row.get(), wished)) {
+        if (row.isPresent() && ClaimSettling.mine(row.get(), wished)) {
             mNode.count("claim.acknowledgement-recovered");
             return CompletableFuture.completedFuture(granted(wished, row.get().tag()));
         }
         if (row.isPresent()) {
             return decide(declared, wished, row.get(), round);
         }
-        giveUpLater(wished);
+        mSettling.giveUpLater(wished);
         return CompletableFuture.completedFuture(ClaimOutcome.TableAway.INSTANCE);
     }
 
@@ -278,7 +269,7 @@
      */
     private CompletableFuture<ClaimOutcome> decide(
             ClassDeclaration declared, Claim wished, Table.Row found, int round) {
-        ClaimRow row = parse(found.value());
+        ClaimRow row = ClaimSettling.parse(found.value());
         Incarnation holder = row.holder();
         boolean lostHere = holder.equals(mNode.incarnation()) && !mAttempts.contains(row.attempt());
         boolean gone = lostHere || mMembership.gone(holder);
@@ -368,26 +359,7 @@
      * @return what came of it; never fails
      */
     public CompletableFuture<Settled> answered(Claim claim, Optional<StoredAnswer> answer) {
-        if (answer.isEmpty()) {
-            return settle(claim, row -> row.answered(null));
-        }
-        byte[] bytes = answer.get().bytes();
-        if (bytes.length <= INLINE_BYTES) {
-            return settle(claim, row -> row.answeredInline(bytes));
-        }
-        String object = claim.key() + "/" + claim.row().epoch();
-        return mObjects.write(object, bytes)
-                .thenCompose(
-                        written -> {
-                            if (written) {
-                                return settle(claim, row -> row.answered(object));
-                            }
-                            if (bytes.length <= FALLBACK_BYTES) {
-                                mNode.count("claim.answer-kept-in-row");
-                                return settle(claim, row -> row.answeredInline(bytes));
-                            }
-                            return CompletableFuture.completedFuture(Settled.UNKNOWN);
-                        });
+        return mSettling.answered(claim, answer);
     }
 
     /**
@@ -397,18 +369,7 @@
      * @param answer the answer to keep, or empty where it is too large
      */
     public void answeredInBackground(Claim claim, Optional<StoredAnswer> answer) {
-        answered(claim, answer)
-                .thenAccept(
-                        settled -> {
-                            if (settled == Settled.UNKNOWN && worthSettling(claim)) {
-                                mNode.control()
-                                        .later(
-                                                () -> answeredInBackground(claim, answer),
-                                                SETTLE_MILLIS);
-                            } else {
-                                forget(claim);
-                            }
-                        });
+        mSettling.answeredInBackground(claim, answer);
     }
 
     /**
@@ -417,7 +378,7 @@
      * @param claim the claim
      */
     public void released(Claim claim) {
-        inBackground(claim, ClaimRow::released);
+        mSettling.inBackground(claim, ClaimRow::released);
     }
 
     /**
@@ -427,138 +388,7 @@
      * @param code how it ended
      */
     public void ended(Claim claim, ResultCode code) {
-        inBackground(claim, row -> row.ended(code.name()));
-    }
-
-    /**
-     * Writes the row of this router's epoch once.
-     *
-     * @param claim the claim
-     * @param change what to make of the row
-     * @return what came of it
-     */
-    private CompletableFuture<Settled> settle(Claim claim, Function<ClaimRow, ClaimRow> change) {
-        ClaimRow next = change.apply(claim.row());
-        return mTable.replace(claim.key(), claim.tag(), Table.json(next))
-                .thenCompose(
-                        write ->
-                                write.outcome() == Outcome.WRITTEN
-                                        ? CompletableFuture.completedFuture(Settled.DONE)
-                                        : readSettled(claim, next, write.outcome()))
-                .whenComplete(
-                        (settled, failure) -> {
-                            if (settled != Settled.UNKNOWN) {
-                                forget(claim);
-                            }
-                        });
-    }
-
-    /**
-     * Reads what became of a row that was not written for certain.
-     *
-     * @param claim the claim
-     * @param next the row as it should be
-     * @param outcome what is known of the write
-     * @return what came of it
-     */
-    private CompletableFuture<Settled> readSettled(Claim claim, ClaimRow next, Outcome outcome) {
-        return mTable.read(claim.key())
-                .handle(
-                        (row, failure) -> {
-                            if (failure != null) {
-                                return Settled.UNKNOWN;
-                            }
-                            if (row.isEmpty() || !mine(row.get(), claim)) {
-                                return Settled.SUPERSEDED;
-                            }
-                            boolean same = parse(row.get().value()).state() == next.state();
-                            if (!same && outcome == Outcome.CONFLICT) {
-                                return Settled.SUPERSEDED;
-                            }
-                            return same ? Settled.DONE : Settled.UNKNOWN;
-                        });
-    }
-
-    /**
-     * Writes a row until its fate is known, in the background.
-     *
-     * @param claim the claim
-     * @param change what to make of the row
-     */
-    private void inBackground(Claim claim, Function<ClaimRow, ClaimRow> change) {
-        settle(claim, change)
-                .thenAccept(
-                        settled -> {
-                            if (settled == Settled.UNKNOWN && worthSettling(claim)) {
-                                mNode.control()
-                                        .later(() -> inBackground(claim, change), SETTLE_MILLIS);
-                            } else {
-                                forget(claim);
-                            }
-                        });
-    }
-
-    /**
-     * Gives up a claim that may or may not have been written, until the table says that it is not
-     * in the way: it writes a released row where there is none, so that a late write finds it.
-     *
-     * @param wished the claim as it was meant
-     */
-    private void giveUpLater(Claim wished) {
-        forget(wished);
-        mNode.control().later(() -> giveUp(wished), SETTLE_MILLIS);
-    }
-
-    /**
-     * Tries once to give up a claim that may or may not have been written.
-     *
-     * @param wished the claim as it was meant
-     */
-    private void giveUp(Claim wished) {
-        JsonNode released = Table.json(wished.row().released());
-        mTable.insert(wished.key(), released)
-                .thenCompose(
-                        write ->
-                                write.outcome() == Outcome.CONFLICT
-                                        ? releaseIfMine(wished, released)
-                                        : CompletableFuture.completedFuture(
-                                                write.outcome() == Outcome.WRITTEN))
-                .exceptionally(failure -> false)
-                .thenAccept(
-                        done -> {
-                            if (!done && worthSettling(wished)) {
-                                giveUpLater(wished);
-                            }
-                        });
-    }
-
-    /**
-     * Releases a row if it is the one that was meant.
-     *
-     * @param wished the claim as it was meant
-     * @param released the row as released
-     * @return whether the row is not in the way any more
-     */
-    private CompletableFuture<Boolean> releaseIfMine(Claim wished, JsonNode released) {
-        return mTable.read(wished.key())
-                .thenCompose(
-                        row -> {
-                            if (row.isEmpty() || !mine(row.get(), wished)) {
-                                return CompletableFuture.completedFuture(row.isPresent());
-                            }
-                            return mTable.replace(wished.key(), row.get().tag(), released)
-                                    .thenApply(write -> write.outcome() == Outcome.WRITTEN);
-                        });
-    }
-
-    /**
-     * Returns whether it still matters what became of a claim.
-     *
-     * @param claim the claim
-     * @return whether its row has not expired
-     */
-    private boolean worthSettling(Claim claim) {
-        return mWallMillis.getAsLong() < claim.row().expiresMillis();
+        mSettling.inBackground(claim, row -> row.ended(code.name()));
     }
 
     /**
@@ -594,25 +424,4 @@
     private void forget(Claim claim) {
         mAttempts.remove(claim.row().attempt());
     }
-
-    /**
-     * Returns whether a row is the one that a claim wrote.
-     *
-     * @param row the row
-     * @param claim the claim
-     * @return whether the attempt is the same
-     */
-    private static boolean mine(Table.Row row, Claim claim) {
-        return parse(row.value()).attempt().equals(claim.row().attempt());
-    }
-
-    /**
-     * Parses a row.
-     *
-     * @param value the row's value
-     * @return the claim in it
-     */
-    private static ClaimRow parse(JsonNode value) {
-        return Json.mapper().convertValue(value, ClaimRow.class);
-    }
 }
