Review: one monotonic clock in milliseconds, one address of a socket, one way to settle again

Found in reading the change: four classes turned the node's clock into milliseconds (Node.millis), the server and the listening socket both made an Address of theirs (Address.of), ClaimSettling went on in the same way twice (goOn), and a lost run that got no extra call asked the budget for it a second time in the same moment, so the refusal was counted and logged twice. What callers and upstreams see does not change.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
@@ -156,8 +156,7 @@
      * @return the address, with the port that the system chose
      */
     public Address address() {
-        InetSocketAddress local = (InetSocketAddress) mListener.localAddress();
-        return new Address(local.getAddress().getHostAddress(), local.getPort());
+        return Address.of((InetSocketAddress) mListener.localAddress());
     }
 
     /**
--- a/troutpier-common/src/main/java/org/troutpier/common/http/ListeningSocket.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ListeningSocket.java
@@ -53,8 +53,7 @@
      * @throws IOException if the socket is closed
      */
     public Address address() throws IOException {
-        InetSocketAddress local = (InetSocketAddress) mChannel.getLocalAddress();
-        return new Address(local.getAddress().getHostAddress(), local.getPort());
+        return Address.of((InetSocketAddress) mChannel.getLocalAddress());
     }
 
     /**
--- a/troutpier-common/src/main/java/org/troutpier/common/settings/Address.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/settings/Address.java
@@ -25,6 +25,16 @@
         Check.range("port", port, 0, MAX_PORT);
     }
 
+    /**
+     * Makes the address of a socket that is bound or connected.
+     *
+     * @param socket where it is
+     * @return the address, its host as an IP number
+     */
+    public static Address of(InetSocketAddress socket) {
+        return new Address(socket.getAddress().getHostAddress(), socket.getPort());
+    }
+
     /**
      * Reads an address.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/claim/ClaimSettling.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/claim/ClaimSettling.java
@@ -106,16 +106,7 @@
     void answeredInBackground(Claim claim, Optional<StoredAnswer> answer) {
         answered(claim, answer)
                 .thenAccept(
-                        settled -> {
-                            if (settled == Settled.UNKNOWN && worthSettling(claim)) {
-                                mNode.control()
-                                        .later(
-                                                () -> answeredInBackground(claim, answer),
-                                                SETTLE_MILLIS);
-                            } else {
-                                mForget.accept(claim);
-                            }
-                        });
+                        settled -> goOn(claim, settled, () -> answeredInBackground(claim, answer)));
     }
 
     /**
@@ -175,15 +166,22 @@
      */
     void inBackground(Claim claim, Function<ClaimRow, ClaimRow> change) {
         settle(claim, change)
-                .thenAccept(
-                        settled -> {
-                            if (settled == Settled.UNKNOWN && worthSettling(claim)) {
-                                mNode.control()
-                                        .later(() -> inBackground(claim, change), SETTLE_MILLIS);
-                            } else {
-                                mForget.accept(claim);
-                            }
-                        });
+                .thenAccept(settled -> goOn(claim, settled, () -> inBackground(claim, change)));
+    }
+
+    /**
+     * Settles a claim again a little later where its fate is unknown and still matters.
+     *
+     * @param claim the claim
+     * @param settled what is known
+     * @param again settles it again
+     */
+    private void goOn(Claim claim, Settled settled, Runnable again) {
+        if (settled == Settled.UNKNOWN && worthSettling(claim)) {
+            mNode.control().later(again, SETTLE_MILLIS);
+        } else {
+            mForget.accept(claim);
+        }
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.daemon.node.Node;
@@ -129,7 +128,7 @@
 
     /** Hands on what has not changed, once that is due. */
     void repeat() {
-        if (mPlan.get().relay() && millis() - mHandedOnAt >= UNCHANGED_MILLIS) {
+        if (mPlan.get().relay() && mNode.millis() - mHandedOnAt >= UNCHANGED_MILLIS) {
             handOn();
         }
     }
@@ -138,7 +137,7 @@
     private void relaySoon() {
         if (!mRelaying) {
             mRelaying = true;
-            long left = RELAY_MILLIS - (millis() - mRelayedAt);
+            long left = RELAY_MILLIS - (mNode.millis() - mRelayedAt);
             mNode.control().later(this::relay, Math.max(GATHER_MILLIS, left));
         }
     }
@@ -146,7 +145,7 @@
     /** Hands on what changed. */
     private void relay() {
         mRelaying = false;
-        mRelayedAt = millis();
+        mRelayedAt = mNode.millis();
         tellRefusals();
         if (mPlan.get().relay() && mChanged) {
             handOn();
@@ -156,7 +155,7 @@
     /** Tells the other relays of this router's group, and those that report to it of the rest. */
     private void handOn() {
         mChanged = false;
-        mHandedOnAt = millis();
+        mHandedOnAt = mNode.millis();
         LoadReport group = mOwn.plus(mLoads.reports(EnumSet.of(ReportScope.OWN), null));
         mLinks.sendAll(otherRelays(), new PeerMessage.Load(ReportScope.GROUP, group));
         for (Incarnation local : locals()) {
@@ -236,13 +235,4 @@
         members.forEach(member -> incarnations.add(member.incarnation()));
         return incarnations;
     }
-
-    /**
-     * Returns the monotonic clock.
-     *
-     * @return milliseconds
-     */
-    private long millis() {
-        return TimeUnit.NANOSECONDS.toMillis(mNode.nanos().getAsLong());
-    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -235,7 +234,7 @@
     @Override
     public void heard(Member from, PeerMessage message) {
         mMembership.heard(from);
-        mWatch.heard(from.incarnation(), millis());
+        mWatch.heard(from.incarnation(), mNode.millis());
         if (mPlan.relay() && !mLinks.connected(from.incarnation())) {
             planSoon();
         }
@@ -264,7 +263,8 @@
                 load.scope() != ReportScope.REST
                         || mPlan.reportTo().filter(relay -> same(relay, from)).isPresent();
         if (expected) {
-            boolean news = mLoads.heard(from.incarnation(), load.scope(), load.report(), millis());
+            boolean news =
+                    mLoads.heard(from.incarnation(), load.scope(), load.report(), mNode.millis());
             if (news && load.scope() != ReportScope.REST) {
                 mRelay.changed();
             }
@@ -311,7 +311,7 @@
      * @param to who has an older one
      */
     private void sendConfiguration(Incarnation to) {
-        long now = millis();
+        long now = mNode.millis();
         long version = mConfiguration.version();
         Sent before = mSent.get(to);
         if (before != null && before.version() == version && now - before.at() < RESEND_MILLIS) {
@@ -336,11 +336,11 @@
 
     /** Drops old reports, repeats what has not changed, and plans where something else has. */
     private void tick() {
-        boolean silent = mWatch.expect(expected(), millis());
+        boolean silent = mWatch.expect(expected(), mNode.millis());
         if (silent || !connected().equals(mConnected) || ++mTicks >= MOST_TICKS) {
             plan();
         }
-        mLoads.expire(millis());
+        mLoads.expire(mNode.millis());
         mRelay.repeat();
         if (mLoads.routers() != mHeardCount) {
             LOGGER.info("routers heard before={} now={}", mHeardCount, mLoads.routers());
@@ -364,8 +364,8 @@
                         this::points,
                         router -> mLinks.connected(router) && !mWatch.suspected(router));
         mLoads.count(mRelay.counted());
-        mLoads.sum(millis());
-        mWatch.expect(expected(), millis());
+        mLoads.sum(mNode.millis());
+        mWatch.expect(expected(), mNode.millis());
         if (!before.reportTo().equals(mPlan.reportTo()) || before.relay() != mPlan.relay()) {
             LOGGER.info(
                     "relay plan direct={} relay={} reader={} reportTo={} relays={}",
@@ -435,7 +435,7 @@
      */
     private void sumSoon() {
         if (!mPlan.relay()) {
-            mLoads.sum(millis());
+            mLoads.sum(mNode.millis());
             return;
         }
         if (mSumming) {
@@ -446,7 +446,7 @@
                 .later(
                         () -> {
                             mSumming = false;
-                            mLoads.sum(millis());
+                            mLoads.sum(mNode.millis());
                         },
                         LoadRelay.GATHER_MILLIS);
     }
@@ -461,13 +461,4 @@
     private static boolean same(Member one, Member other) {
         return one.incarnation().equals(other.incarnation());
     }
-
-    /**
-     * Returns the monotonic clock.
-     *
-     * @return milliseconds
-     */
-    private long millis() {
-        return TimeUnit.NANOSECONDS.toMillis(mNode.nanos().getAsLong());
-    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/node/Node.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/node/Node.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoopGroup;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.troutpier.common.event.EventRing;
 import org.troutpier.common.http.HttpCalls;
@@ -31,6 +32,15 @@
         EventRing events,
         LongSupplier nanos) {
 
+    /**
+     * Returns the monotonic clock.
+     *
+     * @return milliseconds
+     */
+    public long millis() {
+        return TimeUnit.NANOSECONDS.toMillis(nanos.getAsLong());
+    }
+
     /**
      * Counts one.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
@@ -245,7 +244,7 @@
         Demand demand = mOwnDemand.apply(service).plus(mPeers.demand(service));
         int wanted =
                 RoleSplit.prefillEngines(engines.size(), prefill, traits.memoryTokens(), demand);
-        long now = now();
+        long now = mNode.millis();
         if (wanted == prefill || now < change.mNotBefore) {
             change.mSince = 0;
             return;
@@ -336,7 +335,7 @@
         }
         change.mEngine = engine.get();
         change.mRole = toPrefill ? UpstreamEntry.Role.PREFILL : UpstreamEntry.Role.DECODE;
-        change.mUntil = now() + traits.switchMillis() + RUNS_MILLIS;
+        change.mUntil = mNode.millis() + traits.switchMillis() + RUNS_MILLIS;
         change.mOrdersBefore = -1;
         change.mTaken = false;
         report(change);
@@ -365,7 +364,7 @@
         Optional<UpstreamEntry> listed =
                 engines.stream().filter(each -> each.id().equals(change.mEngine.id())).findFirst();
         boolean done = listed.isPresent() && listed.get().role() == change.mRole;
-        boolean ended = done || listed.isEmpty() || now() > change.mUntil;
+        boolean ended = done || listed.isEmpty() || mNode.millis() > change.mUntil;
         if (ended) {
             LOGGER.info(
                     "role change ended engine={} done={} listed={}",
@@ -385,7 +384,7 @@
     private void end(Change change) {
         change.mEngine = null;
         change.mSince = 0;
-        change.mNotBefore = now() + SETTLE_MILLIS;
+        change.mNotBefore = mNode.millis() + SETTLE_MILLIS;
     }
 
     /**
@@ -462,13 +461,4 @@
             default -> change.mTaken = false;
         }
     }
-
-    /**
-     * Returns the monotonic clock.
-     *
-     * @return milliseconds
-     */
-    private long now() {
-        return TimeUnit.NANOSECONDS.toMillis(mNode.nanos().getAsLong());
-    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
@@ -1,7 +1,6 @@
 package org.troutpier.daemon.role;
 
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.http.Json;
@@ -103,7 +102,7 @@
      * @return whether it does
      */
     boolean held() {
-        return mToken != 0 && now() < mValidUntil;
+        return mToken != 0 && mNode.millis() < mValidUntil;
     }
 
     /**
@@ -112,7 +111,7 @@
      * @return whether it holds the lease and has waited out the one before it
      */
     boolean mayOrder() {
-        return held() && now() >= mOrdersFrom;
+        return held() && mNode.millis() >= mOrdersFrom;
     }
 
     /**
@@ -134,7 +133,7 @@
             LOGGER.warn("role lease lapsed token={}", mToken);
             mToken = 0;
         }
-        if (mCalling || now() < mNextCall) {
+        if (mCalling || mNode.millis() < mNextCall) {
             return;
         }
         if (held()) {
@@ -147,7 +146,7 @@
     /** Reads the row. */
     private void look() {
         mCalling = true;
-        mNextCall = now() + LOOK_MILLIS;
+        mNextCall = mNode.millis() + LOOK_MILLIS;
         mStore.read(TABLE, "")
                 .whenComplete(
                         (page, failure) -> mNode.control().execute(() -> looked(page, failure)));
@@ -170,12 +169,12 @@
         if (!mSeen || version != mVersion) {
             mSeen = true;
             mVersion = version;
-            mSeenAt = now();
+            mSeenAt = mNode.millis();
         }
         boolean own = !rows.isEmpty() && holder(rows.get(0)).equals(instance());
-        boolean rested = now() - mSeenAt >= mTermMillis + MARGIN_MILLIS;
+        boolean rested = mNode.millis() - mSeenAt >= mTermMillis + MARGIN_MILLIS;
         if (version == 0 || own || rested) {
-            mOrdersFrom = own ? now() : now() + mTermMillis;
+            mOrdersFrom = own ? mNode.millis() : mNode.millis() + mTermMillis;
             write(version, false);
         }
     }
@@ -188,7 +187,7 @@
      */
     private void write(long version, boolean renewal) {
         mCalling = true;
-        long sentAt = now();
+        long sentAt = mNode.millis();
         mNextCall = sentAt + mTermMillis / RENEWALS;
         byte[] value = Json.bytes(new Holder(instance(), ++mRenewals));
         mStore.write(new Row(TABLE, "", KEY, value, 0, false), version)
@@ -207,14 +206,14 @@
         mCalling = false;
         if (write.outcome() == Outcome.WRITTEN) {
             mVersion = write.version();
-            mSeenAt = now();
+            mSeenAt = mNode.millis();
             mValidUntil = sentAt + mTermMillis;
             if (!renewal || mToken == 0) {
                 mToken = write.version();
                 LOGGER.info(
                         "role lease acquired token={} ordersInMillis={}",
                         mToken,
-                        mOrdersFrom - now());
+                        mOrdersFrom - mNode.millis());
             }
         } else if (write.outcome() == Outcome.CONFLICT) {
             if (mToken != 0) {
@@ -243,13 +242,4 @@
     private String instance() {
         return mNode.incarnation().instance().value();
     }
-
-    /**
-     * Returns the monotonic clock.
-     *
-     * @return milliseconds
-     */
-    private long now() {
-        return TimeUnit.NANOSECONDS.toMillis(mNode.nanos().getAsLong());
-    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -256,12 +256,13 @@
     private void runFailed(UpstreamEntry upstream, AttemptEnd end) {
         learn(upstream, end);
         boolean resumable = mRoute.kind() == Route.Kind.RESUMABLE_STREAM;
-        if (resumable && mKept.lost(upstream, end) && mayRepeat()) {
-            searchKept(end);
-            return;
-        }
         boolean again = end.notStarted() || resumable;
-        if (again && mayTryAgain(upstream, end)) {
+        if (resumable && mKept.lost(upstream, end)) {
+            if (mayRepeat()) {
+                searchKept(end);
+                return;
+            }
+        } else if (again && mayTryAgain(upstream, end)) {
             mPrefillTried.clear();
             search();
             return;
