--- a/troutpier-common/src/main/java/org/troutpier/common/logging/DaemonLogging.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/logging/DaemonLogging.java
@@ -2,7 +2,6 @@
 
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.core.appender.AsyncAppender;
-import org.apache.logging.log4j.core.appender.ConsoleAppender;
 import org.apache.logging.log4j.core.config.AbstractConfiguration;
 import org.apache.logging.log4j.core.config.AppenderRef;
 import org.apache.logging.log4j.core.config.ConfigurationSource;
@@ -29,11 +28,15 @@
     /** The appender that queues. */
     private static final String QUEUE = "queue";
 
+    /** The property for which the library would ask the resolver of host names. */
+    private static final String HOST_NAME = "hostName";
+
     /** Creates a configuration. The daemon's own hook ends logging, after its last line. */
     private DaemonLogging() {
         super(null, ConfigurationSource.NULL_SOURCE);
         setName("daemon");
         isShutdownHookEnabled = false;
+        getProperties().put(HOST_NAME, "");
     }
 
     /**
@@ -53,17 +56,20 @@
         return new DaemonLogging();
     }
 
+    /**
+     * {@inheritDoc} The library's way would load each of its 270 plug-ins, none of which is named
+     * here.
+     */
+    @Override
+    public void initialize() {
+        doConfigure();
+        setState(State.INITIALIZED);
+    }
+
     /** {@inheritDoc} */
     @Override
     protected void doConfigure() {
-        ConsoleAppender output =
-                ConsoleAppender.newBuilder()
-                        .setName(OUTPUT)
-                        .setConfiguration(this)
-                        .setTarget(ConsoleAppender.Target.SYSTEM_OUT)
-                        .setLayout(new JsonLines())
-                        .build();
-        addAppender(output);
+        addAppender(new StandardOutput(OUTPUT, new JsonLines()));
         AppenderRef[] written = {AppenderRef.createAppenderRef(OUTPUT, Level.ALL, null)};
         AsyncAppender queue =
                 AsyncAppender.newBuilder()
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/Demand.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/Demand.java
@@ -1,27 +1,32 @@
 package org.troutpier.daemon.cluster;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+
 /**
  * What callers asked of one model service lately, as decaying sums that add up over routers.
  * Immutable and thread safe.
  *
- * @param promptTokens prompt tokens of the requests that came
- * @param requests requests that came
+ * @param promptTokens prompt tokens of the requests that came, each request once
+ * @param requests requests that came; one that comes back after a refusal is not counted again
  * @param memoryTime memory that completed runs took, each for as long as it ran, in tokens times
  *     milliseconds
+ * @param runMillis time that completed runs took
+ * @param outputTokens what completed runs made
  * @param runs completed runs
- * @param readTokens prompt tokens that prefill engines read without anything waiting before them
- * @param readMillis time that these took
+ * @param reading how fast prefill engines read
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record Demand(
         double promptTokens,
         double requests,
         double memoryTime,
+        double runMillis,
+        double outputTokens,
         double runs,
-        double readTokens,
-        double readMillis) {
+        ReadingPace reading) {
 
     /** No demand. */
-    public static final Demand NONE = new Demand(0, 0, 0, 0, 0, 0);
+    public static final Demand NONE = new Demand(0, 0, 0, 0, 0, 0, ReadingPace.NONE);
 
     /**
      * After which time a sum has decayed to 1/e, milliseconds: two bursts, so that one burst alone
@@ -29,6 +34,41 @@
      */
     public static final double DECAY_MILLIS = 10_000;
 
+    /** How many completed runs make a measurement. */
+    private static final double LEAST_RUNS = 5;
+
+    /**
+     * Makes the demand of one request.
+     *
+     * @param promptTokens its prompt's length
+     * @return the sums
+     */
+    static Demand ofRequest(double promptTokens) {
+        return new Demand(promptTokens, 1, 0, 0, 0, 0, ReadingPace.NONE);
+    }
+
+    /**
+     * Makes the demand that one completed run shows.
+     *
+     * @param run the run
+     * @return the sums
+     */
+    static Demand ofRun(DemandMeter.CompletedRun run) {
+        double mean = run.promptTokens() + run.outputTokens() / 2.0;
+        return new Demand(
+                0, 0, mean * run.millis(), run.millis(), run.outputTokens(), 1, ReadingPace.NONE);
+    }
+
+    /**
+     * Makes the demand that one reading shows.
+     *
+     * @param reading the reading
+     * @return the sums
+     */
+    static Demand ofReading(ReadingPace reading) {
+        return new Demand(0, 0, 0, 0, 0, 0, reading);
+    }
+
     /**
      * Returns the demand of two routers together.
      *
@@ -40,9 +80,10 @@
                 promptTokens + other.promptTokens,
                 requests + other.requests,
                 memoryTime + other.memoryTime,
+                runMillis + other.runMillis,
+                outputTokens + other.outputTokens,
                 runs + other.runs,
-                readTokens + other.readTokens,
-                readMillis + other.readMillis);
+                reading.plus(other.reading));
     }
 
     /**
@@ -57,37 +98,63 @@
                 promptTokens * left,
                 requests * left,
                 memoryTime * left,
+                runMillis * left,
+                outputTokens * left,
                 runs * left,
-                readTokens * left,
-                readMillis * left);
+                reading.times(left));
+    }
+
+    /**
+     * Returns whether enough runs were completed to go by what they took.
+     *
+     * @return whether runs are measured
+     */
+    public boolean measured() {
+        return runs >= LEAST_RUNS;
+    }
+
+    /**
+     * Returns how many requests come.
+     *
+     * @return requests a millisecond
+     */
+    public double requestsPerMilli() {
+        return requests / DECAY_MILLIS;
+    }
+
+    /**
+     * Returns the mean length of a prompt.
+     *
+     * @return tokens; 0 for unknown
+     */
+    public double promptTokensOfRequest() {
+        return requests > 0 ? promptTokens / requests : 0;
     }
 
     /**
-     * Returns the pace of a prefill engine.
+     * Returns what a run takes of a decode engine: memory times time.
      *
-     * @return prompt tokens a millisecond; 0 for unknown
+     * @return tokens times milliseconds; 0 for unknown
      */
-    public double prefillTokensPerMilli() {
-        return readMillis > 0 ? readTokens / readMillis : 0;
+    public double memoryTimeOfRun() {
+        return runs > 0 ? memoryTime / runs : 0;
     }
 
     /**
-     * Returns the demand on prefill engines.
+     * Returns how long a run takes.
      *
-     * @return prompt tokens a millisecond
+     * @return milliseconds; 0 for unknown
      */
-    public double promptTokensPerMilli() {
-        return promptTokens / DECAY_MILLIS;
+    public double millisOfRun() {
+        return runs > 0 ? runMillis / runs : 0;
     }
 
     /**
-     * Returns the demand on decode engines: the memory that all requests would take at once if none
-     * were refused.
+     * Returns what a run makes.
      *
-     * @return tokens
+     * @return tokens; 0 for unknown
      */
-    public double memoryTokens() {
-        double memoryTimeOfRun = runs > 0 ? memoryTime / runs : 0;
-        return requests / DECAY_MILLIS * memoryTimeOfRun;
+    public double outputTokensOfRun() {
+        return runs > 0 ? outputTokens / runs : 0;
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/DemandMeter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/DemandMeter.java
@@ -22,26 +22,34 @@
     private volatile Map<String, Demand> mPublished = Map.of();
 
     /**
-     * Records a request that came.
+     * A run that was completed. Immutable and thread safe.
+     *
+     * @param promptTokens its prompt's length
+     * @param outputTokens what it made
+     * @param millis how long it ran
+     */
+    public record CompletedRun(long promptTokens, long outputTokens, long millis) {}
+
+    /**
+     * Records a request that came for the first time.
      *
      * @param service its service
      * @param promptTokens its prompt's length
      * @param now the monotonic clock, milliseconds
      */
     public void came(String service, long promptTokens, long now) {
-        add(service, new Demand(promptTokens, 1, 0, 0, 0, 0), now);
+        add(service, Demand.ofRequest(promptTokens), now);
     }
 
     /**
      * Records a run that was completed.
      *
      * @param service its service
-     * @param memoryTime the memory it took on average times how long it ran, tokens times
-     *     milliseconds
+     * @param run the run
      * @param now the monotonic clock, milliseconds
      */
-    public void ran(String service, double memoryTime, long now) {
-        add(service, new Demand(0, 0, memoryTime, 1, 0, 0), now);
+    public void ran(String service, CompletedRun run, long now) {
+        add(service, Demand.ofRun(run), now);
     }
 
     /**
@@ -54,7 +62,7 @@
      */
     public void read(String service, long tokens, long millis, long now) {
         if (tokens >= LEAST_PACED && millis > 0) {
-            add(service, new Demand(0, 0, 0, 0, tokens, millis), now);
+            add(service, Demand.ofReading(ReadingPace.of(tokens, millis)), now);
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
@@ -1,5 +1,6 @@
 package org.troutpier.daemon.cluster;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -7,20 +8,24 @@
 import org.troutpier.common.id.UpstreamId;
 
 /**
- * What one or several routers tell the others of themselves. Immutable and thread safe.
+ * What one or several routers tell the others of themselves. Immutable and thread safe. It travels
+ * some twenty times a second to each router, so its fields go without their names.
  *
  * @param configuration the version of the configuration in force at the sender; -1 for none
  * @param routers how many routers it tells of
  * @param roleHolder whether one of them decides engines' roles
  * @param changing the engines that change their role by their orders
+ * @param waitingTokens the prompts' tokens of requests that wait for memory at a decode engine
  * @param refusing the engines that refused runs they had set places aside for
  * @param uses what they have under way at each upstream
  * @param demands what callers asked of each model service lately
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record LoadReport(
         long configuration,
         int routers,
         boolean roleHolder,
+        long waitingTokens,
         Set<UpstreamId> changing,
         Set<UpstreamId> refusing,
         Map<UpstreamId, UpstreamUse> uses,
@@ -28,7 +33,7 @@
 
     /** The report of no router. */
     public static final LoadReport NONE =
-            new LoadReport(-1, 0, false, Set.of(), Set.of(), Map.of(), Map.of());
+            new LoadReport(-1, 0, false, 0, Set.of(), Set.of(), Map.of(), Map.of());
 
     /** Copies the maps. */
     public LoadReport {
@@ -63,6 +68,7 @@
     public LoadReport plus(Iterable<LoadReport> others) {
         int count = routers;
         boolean holder = roleHolder;
+        long waiting = waitingTokens;
         Set<UpstreamId> changed = new HashSet<>(changing);
         Set<UpstreamId> refused = new HashSet<>(refusing);
         Map<UpstreamId, UpstreamUse> allUses = new HashMap<>(uses);
@@ -70,11 +76,13 @@
         for (LoadReport other : others) {
             count += other.routers;
             holder |= other.roleHolder;
+            waiting += other.waitingTokens;
             changed.addAll(other.changing);
             refused.addAll(other.refusing);
             other.uses.forEach((id, use) -> allUses.merge(id, use, UpstreamUse::plus));
             other.demands.forEach((name, demand) -> allDemands.merge(name, demand, Demand::plus));
         }
-        return new LoadReport(configuration, count, holder, changed, refused, allUses, allDemands);
+        return new LoadReport(
+                configuration, count, holder, waiting, changed, refused, allUses, allDemands);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -6,6 +6,7 @@
 import org.troutpier.daemon.node.Control;
 import org.troutpier.daemon.role.RoleController;
 import org.troutpier.daemon.route.CurrentConfiguration;
+import org.troutpier.daemon.serving.PlaceAllocator;
 import org.troutpier.daemon.serving.TrafficLoop;
 import org.troutpier.daemon.serving.UpstreamLoads;
 
@@ -30,6 +31,9 @@
     /** What is under way. */
     private final UpstreamLoads mLoads;
 
+    /** Who waits for places. */
+    private final PlaceAllocator mPlaces;
+
     /** What was asked lately. */
     private final DemandMeter mDemand;
 
@@ -59,6 +63,7 @@
      *
      * @param loop the traffic loop
      * @param loads what is under way
+     * @param places who waits for places
      * @param demand what was asked lately
      * @param configuration the version in force
      * @param roles decides engines' roles, if this router does
@@ -68,6 +73,7 @@
     public LoadReporter(
             TrafficLoop loop,
             UpstreamLoads loads,
+            PlaceAllocator places,
             DemandMeter demand,
             CurrentConfiguration configuration,
             RoleController roles,
@@ -75,6 +81,7 @@
             PeerExchange exchange) {
         mLoop = loop;
         mLoads = loads;
+        mPlaces = places;
         mDemand = demand;
         mConfiguration = configuration;
         mRoles = roles;
@@ -145,6 +152,7 @@
                         mConfiguration.version(),
                         1,
                         mRoles.holds(),
+                        mPlaces.waitingTokens(),
                         mRoles.changing(),
                         mLoads.refusing(),
                         uses,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -11,8 +11,8 @@
 
 /**
  * What the other routers said of their load and demand. Changes are confined to the control thread;
- * {@link #use}, {@link #demand}, {@link #changing}, {@link #refusing}, {@link #routers()} and
- * {@link #roleHolder()} are thread safe and answer as of the last {@link #sum}. Invariants: a
+ * {@link #use}, {@link #demand}, {@link #changing}, {@link #refusing}, {@link #waitingTokens()},
+ * {@link #routers()} and {@link #roleHolder()} are thread safe and answer as of the last {@link #sum}. Invariants: a
  * report counts until {@link #BELIEVED_MILLIS} after it was heard; only reports of the scopes that
  * are counted count, so that no router's load is counted twice.
  */
@@ -172,6 +172,15 @@
         return mSum.demands().getOrDefault(service, Demand.NONE);
     }
 
+    /**
+     * Returns how much the requests need that wait for memory at the others.
+     *
+     * @return the tokens of their prompts
+     */
+    public long waitingTokens() {
+        return mSum.waitingTokens();
+    }
+
     /**
      * Returns how many others were heard of lately.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/UpstreamUse.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/UpstreamUse.java
@@ -1,11 +1,14 @@
 package org.troutpier.daemon.cluster;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+
 /**
  * What one router has under way at one upstream. Immutable and thread safe.
  *
  * @param calls calls under way
  * @param tokens the tokens of these calls; 0 for plain calls
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record UpstreamUse(int calls, long tokens) {
 
     /** Nothing under way. */
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/DelayEstimate.java
@@ -0,0 +1,49 @@
+package org.troutpier.daemon.decision;
+
+/**
+ * Predicts a delay from those that were seen, as a decaying mean and the mean distance from it.
+ * Confined to the traffic loop.
+ */
+public final class DelayEstimate {
+
+    /** How much a new measurement counts. */
+    private static final double NEW = 0.1;
+
+    /** How many mean distances above the mean are predicted: about one in twenty takes longer. */
+    private static final double DISTANCES = 2;
+
+    /** The mean, milliseconds. */
+    private double mMean;
+
+    /** The mean distance from the mean, milliseconds. */
+    private double mDistance;
+
+    /**
+     * Creates an estimate.
+     *
+     * @param assumedMillis what is predicted before anything was measured, milliseconds
+     */
+    public DelayEstimate(double assumedMillis) {
+        mMean = assumedMillis / 2;
+        mDistance = assumedMillis / 2 / DISTANCES;
+    }
+
+    /**
+     * Takes a measurement.
+     *
+     * @param millis the delay; may be negative for one that is counted from a prediction
+     */
+    public void took(double millis) {
+        mDistance += NEW * (Math.abs(millis - mMean) - mDistance);
+        mMean += NEW * (millis - mMean);
+    }
+
+    /**
+     * Predicts.
+     *
+     * @return milliseconds, at least 0
+     */
+    public double millis() {
+        return Math.max(0, mMean + DISTANCES * mDistance);
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReturnPacer.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/ReturnPacer.java
@@ -1,11 +1,14 @@
-package org.troutpier.daemon.serving;
+package org.troutpier.daemon.decision;
 
 import java.util.random.RandomGenerator;
 
 /**
  * Tells refused callers when to come back, so that they come one after the other once there is room
- * rather than all at once into the same burst. Confined to the traffic loop. Invariant: the times
- * given out are at least {@link #FIRST_MILLIS} and at most the limit away.
+ * rather than into the load that they were refused in. Confined to the traffic loop. Invariant: the
+ * times given out are at least {@link #FIRST_MILLIS} and at most the limit away.
+ *
+ * <p>It answers bursts of a few seconds. Whoever was refused is late whenever it comes back, so the
+ * later of two times costs it little, and a second refusal is the worst that can happen to it.
  */
 public final class ReturnPacer {
 
@@ -14,6 +17,12 @@
      */
     private static final double FIRST_MILLIS = 400;
 
+    /**
+     * Which part of the time for which callers stay away passes at least: bursts that refuse are
+     * over by then more often than not.
+     */
+    private static final double LEAST_PART = 0.7;
+
     /** Which part of the places that become free is meant for callers that come back. */
     private static final double RETURN_PART = 0.5;
 
@@ -52,7 +61,7 @@
      *
      * @param now the monotonic clock, milliseconds
      */
-    void granted(long now) {
+    public void granted(long now) {
         mGrants = grants(now) + 1;
         mChanged = now;
     }
@@ -64,9 +73,10 @@
      * @param limitMillis how far away it may be
      * @return milliseconds from now
      */
-    long next(long now, long limitMillis) {
+    public long next(long now, long limitMillis) {
         double rate = Math.max(LEAST_RATE, grants(now) / DECAY_MILLIS * 1000) * RETURN_PART;
-        double at = Math.max(now + FIRST_MILLIS, mLast + 1000 / rate);
+        double first = Math.max(FIRST_MILLIS, limitMillis * LEAST_PART);
+        double at = Math.max(now + first, mLast + 1000 / rate);
         mLast = Math.min(at, now + limitMillis);
         double spread = 1 + SPREAD * (2 * mRandom.nextDouble() - 1);
         return (long) Math.max(FIRST_MILLIS, Math.min(limitMillis, (mLast - now) * spread));
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/StartWindow.java
@@ -0,0 +1,89 @@
+package org.troutpier.daemon.decision;
+
+/**
+ * Decides how long one request may wait for memory at a decode engine. One that can still be in time
+ * waits exactly as long as its first event is predicted to come within its target; one that is late
+ * anyway waits while its caller is likely to be there, since sending it away a second time is the
+ * worst that can happen to it. Pure. Immutable and thread safe.
+ *
+ * <p>It answers bursts of a few seconds a little above what the engines can take: waiting smooths
+ * them as long as the target allows.
+ *
+ * @param targetMillis within which time the first event is due
+ * @param elapsedMillis how long ago the request came
+ * @param leftMillis how long its caller and its route still allow
+ * @param standing whether it can still be in time
+ */
+public record StartWindow(
+        long targetMillis, long elapsedMillis, long leftMillis, Standing standing) {
+
+    /**
+     * How many targets a late request waits: callers give a stream up after four without an event,
+     * and one is left for its prompt.
+     */
+    private static final double LATE_TARGETS = 3;
+
+    /**
+     * Returns how long the request may wait.
+     *
+     * @param prediction what follows the wait
+     * @return milliseconds, at least 0
+     */
+    public long waitMillis(Prediction prediction) {
+        double wait =
+                late()
+                        ? Math.min(leftMillis, targetMillis * LATE_TARGETS - elapsedMillis)
+                        : targetMillis - elapsedMillis - prediction.millis();
+        return (long) Math.max(0, wait);
+    }
+
+    /**
+     * Returns whether a prompt may be read at all now: within the target, or, where the request is
+     * late anyway, without holding up those that are not.
+     *
+     * @param prediction what follows the wait
+     * @return whether it may
+     */
+    public boolean mayRead(Prediction prediction) {
+        double elapsed = late() ? 0 : elapsedMillis;
+        return elapsed + prediction.millis() <= targetMillis;
+    }
+
+    /**
+     * Returns whether it is known already that the wait will be too long.
+     *
+     * @param predictedMillis how long it is predicted to be
+     * @param prediction what follows the wait
+     * @return whether the request is to be refused at once
+     */
+    public boolean hopeless(double predictedMillis, Prediction prediction) {
+        return predictedMillis > waitMillis(prediction);
+    }
+
+    /**
+     * Returns whether the request is late whatever is done.
+     *
+     * @return whether it is
+     */
+    private boolean late() {
+        return standing != Standing.IN_TIME;
+    }
+
+    /**
+     * What follows once memory was found. Immutable and thread safe.
+     *
+     * @param readMillis until the prompt is read, what waits before it included
+     * @param firstEventMillis from then to the first event
+     */
+    public record Prediction(double readMillis, double firstEventMillis) {
+
+        /**
+         * Returns the sum.
+         *
+         * @return milliseconds
+         */
+        double millis() {
+            return readMillis + firstEventMillis;
+        }
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -14,6 +14,7 @@
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.daemon.cluster.Demand;
 import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.decision.RoleInvestment;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.Node;
@@ -39,9 +40,6 @@
      */
     private static final long SHORTEST_TERM_MILLIS = 3 * TICK_MILLIS;
 
-    /** How long another split must look better before a change, milliseconds. */
-    private static final long SUSTAINED_MILLIS = 2500;
-
     /** How long after a change the load is watched before the next one, milliseconds. */
     private static final long SETTLE_MILLIS = 4000;
 
@@ -90,8 +88,11 @@
     /** One service's state. */
     private static final class Change {
 
-        /** Since when another split looks better, milliseconds; 0 for not. */
-        private long mSince;
+        /** Weighs whether a change pays. */
+        private final RoleInvestment mInvestment = new RoleInvestment();
+
+        /** When the change was begun, milliseconds. */
+        private long mBegan;
 
         /** The engine that is being changed, or null. */
         private UpstreamEntry mEngine;
@@ -242,27 +243,25 @@
         }
         int prefill = (int) engines.stream().filter(RoleController::reads).count();
         Demand demand = mOwnDemand.apply(service).plus(mPeers.demand(service));
-        int wanted =
-                RoleSplit.prefillEngines(engines.size(), prefill, traits.memoryTokens(), demand);
+        RoleInvestment.Staffing staffing =
+                new RoleInvestment.Staffing(
+                        prefill,
+                        engines.size() - prefill,
+                        traits.memoryTokens(),
+                        traits.switchMillis());
         long now = mNode.millis();
-        if (wanted == prefill || now < change.mNotBefore) {
-            change.mSince = 0;
+        RoleInvestment.Step step = change.mInvestment.look(now, staffing, demand);
+        if (step == RoleInvestment.Step.STAY || now < change.mNotBefore || change.mCalling) {
             return;
         }
-        if (change.mSince == 0) {
-            change.mSince = now;
-        }
-        boolean measured = demand.runs() > 0;
-        if ((!measured || now - change.mSince >= SUSTAINED_MILLIS) && !change.mCalling) {
-            inspect(change, engines, wanted > prefill, traits);
-            LOGGER.info(
-                    "role change wanted service={} engines={} prefill={} wanted={} demand={}",
-                    service,
-                    engines.size(),
-                    prefill,
-                    wanted,
-                    demand);
-        }
+        LOGGER.info(
+                "role change wanted service={} step={} staffing={} {} demand={}",
+                service,
+                step,
+                staffing,
+                change.mInvestment.told(),
+                demand);
+        inspect(change, engines, step == RoleInvestment.Step.MORE_PREFILL, traits);
     }
 
     /**
@@ -334,6 +333,7 @@
             return;
         }
         change.mEngine = engine.get();
+        change.mBegan = mNode.millis();
         change.mRole = toPrefill ? UpstreamEntry.Role.PREFILL : UpstreamEntry.Role.DECODE;
         change.mUntil = mNode.millis() + traits.switchMillis() + RUNS_MILLIS;
         change.mOrdersBefore = -1;
@@ -371,6 +371,9 @@
                     change.mEngine.id(),
                     done,
                     listed.isPresent());
+            if (done) {
+                change.mInvestment.changed(mNode.millis() - change.mBegan);
+            }
             end(change);
         }
         return ended;
@@ -383,7 +386,7 @@
      */
     private void end(Change change) {
         change.mEngine = null;
-        change.mSince = 0;
+        change.mInvestment.restart();
         change.mNotBefore = mNode.millis() + SETTLE_MILLIS;
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodePlace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodePlace.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.troutpier.daemon.decision.RoomForecast;
+import org.troutpier.daemon.decision.Standing;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.route.EngineTraits;
 
@@ -58,12 +60,16 @@
     /**
      * Looks for a place.
      *
+     * @param service the service
      * @param waitMillis how long
+     * @param standing who goes first
      * @param engines the engines that may be used, asked again for each round
      * @param listener receives the end; it calls {@link #take} or {@link #searched}
      */
     void search(
+            String service,
             long waitMillis,
+            Standing standing,
             Supplier<List<UpstreamEntry>> engines,
             PlaceAllocator.Listener listener) {
         mSearchBegan = mContext.loop().millis();
@@ -74,18 +80,64 @@
                                 new PlaceAllocator.Wanted(
                                         mPromptTokens,
                                         mMostTokens,
+                                        marginTokens(service),
                                         mTraits.memoryTokens(),
                                         mTraits.placeMillis(),
                                         waitMillis,
+                                        standing,
                                         engines),
                                 listener);
     }
 
+    /**
+     * Predicts how long it takes until there is room.
+     *
+     * @param service the service
+     * @param engines its decode engines
+     * @return milliseconds; 0 where nothing is known
+     */
+    double predictedMillis(String service, List<UpstreamEntry> engines) {
+        UpstreamLoads loads = mContext.loads();
+        long used = engines.stream().mapToLong(loads::tokens).sum();
+        long waiting = mContext.places().waitingTokens() + mContext.peers().waitingTokens();
+        RoomForecast forecast =
+                new RoomForecast(
+                        engines.size(),
+                        used,
+                        mTraits.memoryTokens() - marginTokens(service),
+                        waiting,
+                        mContext.demanded(service).millisOfRun());
+        return forecast.millis(mPromptTokens);
+    }
+
+    /**
+     * Returns how much of an engine's memory stays free for growth.
+     *
+     * @param service the service
+     * @return tokens
+     */
+    private double marginTokens(String service) {
+        return mContext.margin()
+                .tokens(
+                        mContext.demanded(service).outputTokensOfRun(),
+                        mMostTokens - mPromptTokens,
+                        mTraits.memoryTokens());
+    }
+
+    /**
+     * Returns how long the search has taken so far.
+     *
+     * @return milliseconds
+     */
+    long searchedMillis() {
+        return mContext.loop().millis() - mSearchBegan;
+    }
+
     /** Records that the search is over. */
     void searched() {
         mSearch = null;
         mContext.metrics().waitsForPlace(false);
-        mContext.metrics().stage("place", mContext.loop().millis() - mSearchBegan);
+        mContext.metrics().stage("place", searchedMillis());
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -1,14 +1,18 @@
 package org.troutpier.daemon.serving;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.troutpier.common.id.UpstreamId;
+import org.troutpier.daemon.decision.Standing;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
@@ -29,15 +33,10 @@
     /** How long a place is kept for its prompt to be read, milliseconds. */
     private static final int PLACE_MILLIS = 1000;
 
-    /**
-     * How many times the most output of one request an engine keeps free for the growth of what
-     * runs there. Runs grow together while they leave one by one, so an engine that is filled up
-     * preempts before somebody leaves.
-     */
-    private static final double GROWTH_OUTPUTS = 1.6;
-
-    /** Which part of an engine's memory is kept free for growth at most. */
-    private static final double MOST_MARGIN = 0.5;
+    /** Who waits goes by standing, then by age. */
+    private static final Comparator<Search> ORDER =
+            Comparator.<Search, Standing>comparing(search -> search.mWanted.standing())
+                    .thenComparing(search -> search.mNumber);
 
     /** The collaborators that it shares with the executions. */
     private final TrafficLoop mLoop;
@@ -54,6 +53,15 @@
     /** Until when each engine is taken to be full, milliseconds on the loop's clock. */
     private final Map<UpstreamId, Long> mFullUntil = new HashMap<>();
 
+    /** The searches that wait for room. */
+    private final NavigableSet<Search> mWaiting = new TreeSet<>(ORDER);
+
+    /** How many searches there were. */
+    private long mSearches;
+
+    /** Whether those that wait are about to look again. */
+    private boolean mLooking;
+
     /**
      * Creates an allocator.
      *
@@ -95,17 +103,21 @@
      *
      * @param promptTokens the prompt's length
      * @param mostTokens the prompt's length and the most output
+     * @param marginTokens how much of an engine's memory stays free for growth
      * @param memoryTokens how much memory an engine has
      * @param placeMillis how long engines set places aside at most; 0 where they do not
      * @param waitMillis how long to look
+     * @param standing who goes first
      * @param engines the engines that may be used, asked again for each round
      */
     public record Wanted(
             long promptTokens,
             long mostTokens,
+            double marginTokens,
             long memoryTokens,
             int placeMillis,
             long waitMillis,
+            Standing standing,
             Supplier<List<UpstreamEntry>> engines) {}
 
     /**
@@ -121,6 +133,36 @@
         return search;
     }
 
+    /**
+     * Returns how much the requests need that wait for room here.
+     *
+     * @return the tokens of their prompts
+     */
+    public long waitingTokens() {
+        return mWaiting.stream().mapToLong(search -> search.mWanted.promptTokens()).sum();
+    }
+
+    /**
+     * Lets a search wait until there may be room.
+     *
+     * @param search the search
+     */
+    private void await(Search search) {
+        mWaiting.add(search);
+        if (!mLooking) {
+            mLooking = true;
+            mLoop.later(this::look, FULL_MILLIS / 2 + mRandom.nextLong(FULL_MILLIS / 2));
+        }
+    }
+
+    /** Has all look again that wait, in their order. */
+    private void look() {
+        mLooking = false;
+        List<Search> waiting = List.copyOf(mWaiting);
+        mWaiting.clear();
+        waiting.forEach(Search::round);
+    }
+
     /**
      * Forgets engines that are no longer listed.
      *
@@ -142,6 +184,9 @@
         /** When the search gives up, milliseconds on the loop's clock. */
         private final long mUntil;
 
+        /** Which search it is, in the order in which they began. */
+        private final long mNumber = mSearches++;
+
         /** Which engines were asked in this round. */
         private final Set<UpstreamId> mAsked = new HashSet<>();
 
@@ -166,6 +211,7 @@
         /** Stops the search; its listener receives no more. */
         public void stop() {
             mOver = true;
+            mWaiting.remove(this);
         }
 
         /** Begins a round over all engines. */
@@ -191,7 +237,7 @@
                 mListener.refused(why());
                 return;
             }
-            mLoop.later(this::round, FULL_MILLIS / 2 + mRandom.nextLong(FULL_MILLIS / 2));
+            await(this);
         }
 
         /**
@@ -206,7 +252,7 @@
                             + " refusals: "
                             + mWanted.promptTokens()
                             + "+"
-                            + (long) margin()
+                            + (long) mWanted.marginTokens()
                             + " tokens of "
                             + mWanted.memoryTokens();
             List<UpstreamEntry> engines = mLoads.byTokens(mWanted.engines().get(), Set.of());
@@ -222,16 +268,6 @@
                             + " calls";
         }
 
-        /**
-         * Returns how much memory is kept free for the growth of what runs at an engine.
-         *
-         * @return tokens
-         */
-        private double margin() {
-            long output = mWanted.mostTokens() - mWanted.promptTokens();
-            return Math.min(output * GROWTH_OUTPUTS, mWanted.memoryTokens() * MOST_MARGIN);
-        }
-
         /**
          * Returns whether an engine has a free slot, and room for the prompt and for the growth of
          * what runs there.
@@ -244,8 +280,18 @@
                 return true;
             }
             boolean slot = mLoads.calls(engine) < engine.slots();
-            double full = mLoads.tokens(engine) + mWanted.promptTokens() + margin();
-            return slot && full <= mWanted.memoryTokens();
+            double full = mLoads.tokens(engine) + mWanted.promptTokens() + mWanted.marginTokens();
+            return slot && full + leftToOthers() <= mWanted.memoryTokens();
+        }
+
+        /**
+         * Returns how much room a late request leaves to one that can be in time, which may come to
+         * any router at any moment.
+         *
+         * @return tokens
+         */
+        private long leftToOthers() {
+            return mWanted.standing() == Standing.LATE ? mWanted.promptTokens() : 0;
         }
 
         /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptReading.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptReading.java
@@ -1,5 +1,6 @@
 package org.troutpier.daemon.serving;
 
+import org.troutpier.daemon.cluster.ReadingPace;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
@@ -43,8 +44,9 @@
      * @param tokens its length
      * @param alone whether nothing is known to wait before it and it was not read before, so that
      *     its time tells the engine's pace
+     * @param predictedMillis how long it is predicted to take; 0 where the pace is not known
      */
-    record Prompt(String service, long tokens, boolean alone) {}
+    record Prompt(String service, long tokens, boolean alone, double predictedMillis) {}
 
     /** Receives how a reading ends, on the traffic loop. */
     interface Listener {
@@ -103,11 +105,12 @@
      * @return milliseconds
      */
     private long patienceMillis() {
-        double pace = mContext.prefillPace(mPrompt.service());
-        if (pace <= 0) {
+        ReadingPace reading = mContext.demanded(mPrompt.service()).reading();
+        if (reading.tokensPerMilli() <= 0) {
             return ServingSettings.PREFILL_MILLIS;
         }
-        double predicted = (mContext.loads().tokens(mEngine) + mPrompt.tokens()) / pace;
+        double predicted =
+                reading.predictedMillis(mContext.loads().tokens(mEngine) + mPrompt.tokens());
         double patience = predicted * ServingSettings.PREFILL_PATIENCE;
         return (long)
                 Math.min(
@@ -146,6 +149,10 @@
         if (mPrompt.alone()) {
             mContext.demand().read(mPrompt.service(), mPrompt.tokens(), now - mStart, now);
         }
+        if (mPrompt.predictedMillis() > 0) {
+            mContext.readingExcess().took(now - mStart - mPrompt.predictedMillis());
+            mContext.metrics().predicted("prefill", mPrompt.predictedMillis(), now - mStart);
+        }
         mContext.loads().succeeded(mEngine);
         mContext.metrics().succeeded(mEngine.id(), "prefill", now - mStart);
         mTrace.step("read");
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -1,8 +1,12 @@
 package org.troutpier.daemon.serving;
 
 import java.util.random.RandomGenerator;
+import org.troutpier.daemon.cluster.Demand;
 import org.troutpier.daemon.cluster.DemandMeter;
 import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.decision.DelayEstimate;
+import org.troutpier.daemon.decision.GrowthMargin;
+import org.troutpier.daemon.decision.ReturnPacer;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 
 /**
@@ -17,6 +21,9 @@
  * @param places gives out places at decode engines
  * @param returning which requests were refused lately
  * @param pacer tells refused callers when to come back
+ * @param margin how much memory stays free for growth
+ * @param readingExcess by how much readings take longer than predicted
+ * @param firstEvent how long runs take to their first event
  * @param peers what the other routers said
  * @param demand measures what is asked of model services
  * @param metrics counts and measures
@@ -32,6 +39,9 @@
         PlaceAllocator places,
         ReturningRequests returning,
         ReturnPacer pacer,
+        GrowthMargin margin,
+        DelayEstimate readingExcess,
+        DelayEstimate firstEvent,
         PeerLoads peers,
         DemandMeter demand,
         ServingMetrics metrics,
@@ -39,12 +49,12 @@
         RandomGenerator random) {
 
     /**
-     * Returns the pace of a service's prefill engines as all routers measured it.
+     * Returns what callers ask of a service, as all routers measured it.
      *
      * @param service the service
-     * @return prompt tokens a millisecond; 0 for unknown
+     * @return the demand
      */
-    double prefillPace(String service) {
-        return demand.published(service).plus(peers.demand(service)).prefillTokensPerMilli();
+    Demand demanded(String service) {
+        return demand.published(service).plus(peers.demand(service));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
@@ -80,6 +80,18 @@
         mMetrics.histogram("stage.millis." + stage).update(millis);
     }
 
+    /**
+     * Measures by how much a prediction was wrong.
+     *
+     * @param what what was predicted
+     * @param predictedMillis the prediction
+     * @param millis how long it took
+     */
+    void predicted(String what, double predictedMillis, long millis) {
+        long error = Math.round(Math.abs(predictedMillis - millis));
+        mMetrics.histogram("prediction.error.millis." + what).update(error);
+    }
+
     /**
      * Counts a request that is sent to be run.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
@@ -16,12 +16,6 @@
      */
     static final long ANSWER_MARGIN_MILLIS = 20;
 
-    /**
-     * Which part of its target a request waits for a place at an engine. The users price waits of
-     * over a quarter that come to nothing.
-     */
-    static final double WAIT_PART = 0.24;
-
     /**
      * How many times its target a repeatable call may be silent at one upstream while another may
      * still be asked.
@@ -49,21 +43,9 @@
     /** When a caller is asked to come back where nothing better is known, milliseconds. */
     static final long RETRY_AFTER_MILLIS = 400;
 
-    /**
-     * Which part of its target a request waits for a place that was refused before, or whose stream
-     * is to be continued: a second refusal costs more than a late answer.
-     */
-    static final double RETURN_WAIT_PART = 0.5;
-
     /** Which part of the time left callers wait at most before they come back. */
     static final double RETURN_PART = 0.32;
 
-    /**
-     * Which part of the target may pass until the prompt is read, what waits before it included.
-     * The rest is for the place and the first event.
-     */
-    static final double READ_PART = 0.6;
-
     /** How many upstreams that cannot be reached a request is tried at. */
     static final int MOST_UNREACHED = 3;
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -6,6 +6,9 @@
 import java.util.Set;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.result.ResultCode;
+import org.troutpier.daemon.cluster.DemandMeter;
+import org.troutpier.daemon.decision.Standing;
+import org.troutpier.daemon.decision.StartWindow;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.route.Route;
@@ -46,6 +49,18 @@
     /** Where the prompt of a run whose answer was lost still is. */
     private final KeptPrompt mKept = new KeptPrompt();
 
+    /** How long the wait for a place was predicted to be, milliseconds. */
+    private double mPredictedMillis;
+
+    /** Whether it was refused lately and comes back as told. */
+    private boolean mComesBack;
+
+    /** Whether a place was looked for before, so that this time something has failed. */
+    private boolean mSearchedBefore;
+
+    /** When the caller had the last event, or 0 before; milliseconds since the request came. */
+    private long mStarted;
+
     /** Whether the caller has the stream's head. */
     private boolean mBegun;
 
@@ -82,18 +97,68 @@
             refuse(ResultCode.NO_PLACE, "larger than an engine's memory", 0);
             return;
         }
-        mContext.demand().came(mService, promptTokens(), mContext.loop().millis());
+        mComesBack = comesBack();
+        if (!mComesBack) {
+            mContext.demand().came(mService, promptTokens(), mContext.loop().millis());
+        }
         search();
     }
 
-    /** Looks for a place at a decode engine. */
+    /** Looks for a place at a decode engine, or refuses at once what cannot start in time. */
     private void search() {
-        double part =
-                mBegun || comesBack()
-                        ? ServingSettings.RETURN_WAIT_PART
-                        : ServingSettings.WAIT_PART;
-        long wait = (long) (mRoute.targetMillis() * part);
-        mPlace.search(wait, this::engines, new PlaceFound());
+        if (untried().isEmpty()) {
+            failedBeforeRun(ResultCode.NO_PLACE, "no engine is left");
+            return;
+        }
+        StartWindow window = window();
+        StartWindow.Prediction prediction = prediction();
+        double room = mPlace.predictedMillis(mService, upstreams(UpstreamEntry.Role.DECODE));
+        if (window.hopeless(room, prediction)) {
+            mTrace.step("room predicted in " + (long) room + "ms");
+            failedBeforeRun(ResultCode.NO_PLACE, "no place in time");
+            return;
+        }
+        mPredictedMillis = room;
+        mSearchedBefore = true;
+        mPlace.search(
+                mService,
+                window.waitMillis(prediction),
+                window.standing(),
+                this::engines,
+                new PlaceFound());
+    }
+
+    /**
+     * Returns how long the request may wait.
+     *
+     * @return the window
+     */
+    private StartWindow window() {
+        long elapsed = mTrace.elapsedMillis() - mStarted;
+        return new StartWindow(mRoute.targetMillis(), elapsed, leftMillis(), standing());
+    }
+
+    /**
+     * Returns whether the request can still be in time.
+     *
+     * @return its standing
+     */
+    private Standing standing() {
+        if (mBegun || mRequest.lastEvent().isPresent()) {
+            return Standing.CONTINUED;
+        }
+        boolean late = mSearchedBefore && mTrace.elapsedMillis() >= mRoute.targetMillis();
+        return late || mComesBack ? Standing.LATE : Standing.IN_TIME;
+    }
+
+    /**
+     * Predicts what follows once a place was found.
+     *
+     * @return the prediction
+     */
+    private StartWindow.Prediction prediction() {
+        return new StartWindow.Prediction(
+                readMillis() + mContext.readingExcess().millis(), mContext.firstEvent().millis());
     }
 
     /**
@@ -103,7 +168,10 @@
      */
     private void searchKept(AttemptEnd end) {
         mPlace.search(
-                0, () -> mKept.among(upstreams(UpstreamEntry.Role.DECODE)), new KeptFound(end));
+                mService,
+                0,
+                Standing.CONTINUED,
+                () -> mKept.among(upstreams(UpstreamEntry.Role.DECODE)), new KeptFound(end));
     }
 
     /**
@@ -131,14 +199,20 @@
     }
 
     /**
-     * Returns the decode engines that have not had the request.
+     * Returns the decode engines that may be asked for a place now.
      *
      * @return the engines; none while the prefill engines could not read the prompt in time
      */
     private List<UpstreamEntry> engines() {
-        if (readMillis() > mRoute.targetMillis() * ServingSettings.READ_PART) {
-            return List.of();
-        }
+        return window().mayRead(prediction()) ? untried() : List.of();
+    }
+
+    /**
+     * Returns the decode engines that have not had the request.
+     *
+     * @return the engines
+     */
+    private List<UpstreamEntry> untried() {
         Set<UpstreamId> excluded = excluded();
         return upstreams(UpstreamEntry.Role.DECODE).stream()
                 .filter(entry -> !excluded.contains(entry.id()))
@@ -153,11 +227,11 @@
     private double readMillis() {
         List<UpstreamEntry> prefill =
                 mContext.loads().byTokens(upstreams(UpstreamEntry.Role.PREFILL), Set.of());
-        double pace = mContext.prefillPace(mService);
-        if (prefill.isEmpty() || pace <= 0) {
+        if (prefill.isEmpty()) {
             return 0;
         }
-        return (mContext.loads().tokens(prefill.get(0)) + promptTokens()) / pace;
+        long queue = mContext.loads().tokens(prefill.get(0));
+        return mContext.demanded(mService).reading().predictedMillis(queue + promptTokens());
     }
 
     /**
@@ -204,9 +278,10 @@
         }
         UpstreamEntry engine = engines.get(0);
         mPrefillTried.add(engine.id());
-        boolean alone = mContext.loads().tokens(engine) == 0 && !mReadBefore && !comesBack();
+        boolean alone = mContext.loads().tokens(engine) == 0 && !mReadBefore && !mComesBack;
         mReadBefore = true;
-        PromptReading.Prompt prompt = new PromptReading.Prompt(mService, promptTokens(), alone);
+        PromptReading.Prompt prompt =
+                new PromptReading.Prompt(mService, promptTokens(), alone, readMillis());
         mReading = new PromptReading(mContext, prompt, engine, mTrace, new PromptRead());
         mReading.begin(
                 mRequest,
@@ -263,13 +338,19 @@
                 return;
             }
         } else if (again && mayTryAgain(upstream, end)) {
-            mPrefillTried.clear();
-            search();
+            searchAgain();
             return;
         }
         failedBeforeRun(end.code(), end.detail());
     }
 
+    /** Looks for a place for another run, from now on. */
+    private void searchAgain() {
+        mPrefillTried.clear();
+        mStarted = mBegun ? mTrace.elapsedMillis() : 0;
+        search();
+    }
+
     /** {@inheritDoc} */
     @Override
     protected void stopUpstream() {
@@ -310,6 +391,7 @@
         /** {@inheritDoc} */
         @Override
         public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
+            mContext.metrics().predicted("place", mPredictedMillis, mPlace.searchedMillis());
             take(engine, place);
             read();
         }
@@ -318,6 +400,7 @@
         @Override
         public void refused(String detail) {
             mPlace.searched();
+            mContext.margin().refused();
             mTrace.step(detail + ", prompt read in " + (long) readMillis() + "ms at best");
             failedBeforeRun(ResultCode.NO_PLACE, "no place");
         }
@@ -353,8 +436,7 @@
             mPlace.searched();
             mTrace.step("not there again");
             if (mTried.size() < mRoute.maxAttempts()) {
-                mPrefillTried.clear();
-                search();
+                searchAgain();
             } else {
                 failedBeforeRun(mEnd.code(), mEnd.detail());
             }
@@ -474,6 +556,7 @@
             mPlace.grow(mRelay.events() - before);
             if (before == 0 && mRelay.events() > 0) {
                 mTrace.step("first event");
+                mContext.firstEvent().took(millis());
                 lateAfter(mTrace.elapsedMillis());
                 mContext.metrics().stage("first-event", mTrace.elapsedMillis());
             }
@@ -490,6 +573,7 @@
             if (mLastEvent != 0 && mRoute.eventGapMillis() > 0 && pause > mRoute.eventGapMillis()) {
                 long used = mContext.loads().tokens(mUpstream);
                 mTrace.notable();
+                mContext.margin().paused(now);
                 mTrace.step("pause " + pause + "ms@" + mUpstream.id() + " known tokens " + used);
             }
             mLastEvent = now;
@@ -508,8 +592,12 @@
             }
             close();
             succeeded(mUpstream, "stream", millis());
-            double tokens = promptTokens() + mRelay.events() * mEngine.eventTokens() / 2.0;
-            mContext.demand().ran(mService, tokens * millis(), mContext.loop().millis());
+            long output = mRelay.events() * mEngine.eventTokens();
+            mContext.demand()
+                    .ran(
+                            mService,
+                            new DemandMeter.CompletedRun(promptTokens(), output, millis()),
+                            mContext.loop().millis());
             mTrace.step("events=" + mRelay.events());
             mCaller.end();
             answered();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -99,6 +99,7 @@
                             -1,
                             1,
                             false,
+                            0,
                             Set.of(),
                             Set.of(),
                             Map.of(ENGINE, new UpstreamUse(mCalls, 10)),
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/decision/GrowthMarginTest.java
@@ -0,0 +1,56 @@
+package org.troutpier.daemon.decision;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+/** How much memory stays free for what grows. */
+public final class GrowthMarginTest {
+
+    private static final long MEMORY = 41_000;
+
+    @Test
+    public void theMarginIsCountedInMeanOutputs() {
+        GrowthMargin margin = new GrowthMargin();
+        assertEquals(margin.tokens(640, 1530, MEMORY), 4.2 * 640);
+        assertEquals(margin.tokens(0, 1530, MEMORY), 4.2 * 765);
+        assertEquals(margin.tokens(20_000, 40_000, MEMORY), MEMORY / 2.0);
+    }
+
+    @Test
+    public void refusalsWithoutPausesShrinkIt() {
+        GrowthMargin margin = new GrowthMargin();
+        for (int refusal = 0; refusal < 1000; refusal++) {
+            margin.refused();
+        }
+        assertEquals(margin.outputs(), 1.9);
+    }
+
+    @Test
+    public void pausesRaiseItAndOnePreemptionCountsOnce() {
+        GrowthMargin margin = new GrowthMargin();
+        for (int stream = 0; stream < 12; stream++) {
+            margin.paused(1000 + stream);
+        }
+        assertEquals(margin.outputs(), 4.9, 1e-9);
+        margin.paused(2000);
+        margin.paused(3000);
+        margin.paused(4000);
+        assertEquals(margin.outputs(), 6, 1e-9);
+    }
+
+    @Test
+    public void enginesThatPauseKeepMoreFreeThanThoseThatDoNot() {
+        GrowthMargin calm = new GrowthMargin();
+        GrowthMargin pausing = new GrowthMargin();
+        for (int second = 0; second < 30; second++) {
+            calm.refused();
+            pausing.refused();
+            if (second % 5 == 0) {
+                pausing.paused(second * 1000L);
+            }
+        }
+        assertTrue(calm.outputs() < pausing.outputs());
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/decision/RoleInvestmentTest.java
@@ -0,0 +1,165 @@
+package org.troutpier.daemon.decision;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Random;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.daemon.cluster.Demand;
+import org.troutpier.daemon.cluster.ReadingPace;
+import org.troutpier.daemon.decision.RoleInvestment.Staffing;
+import org.troutpier.daemon.decision.RoleInvestment.Step;
+
+/** When an engine changes its role. */
+public final class RoleInvestmentTest {
+
+    private static final long MEMORY = 41_000;
+    private static final long SWITCH = 6000;
+    private static final long TICK = 500;
+    private static final double PACE = 33;
+    private static final double OUTPUT = 640;
+    private static final double RUN = 3600;
+
+    private RoleInvestment mInvestment;
+    private long mNow;
+
+    @BeforeMethod
+    void start() {
+        mInvestment = new RoleInvestment();
+        mNow = 1000;
+    }
+
+    private static Demand demand(double perSecond, double prompt, double output, double millis) {
+        double requests = perSecond * Demand.DECAY_MILLIS / 1000;
+        return new Demand(
+                requests * prompt,
+                requests,
+                requests * (prompt + output / 2) * millis,
+                requests * millis,
+                requests * output,
+                requests,
+                new ReadingPace(1, PACE, 1, PACE * PACE, PACE));
+    }
+
+    private static Demand load(double perSecond) {
+        return demand(perSecond, 3200, OUTPUT, RUN);
+    }
+
+    /** Has the same load for some time; returns the first step other than to stay. */
+    private Step lasting(Staffing staffing, Demand demand, long millis) {
+        for (long passed = 0; passed < millis; passed += TICK) {
+            mNow += TICK;
+            Step step = mInvestment.look(mNow, staffing, demand);
+            if (step != Step.STAY) {
+                return step;
+            }
+        }
+        return Step.STAY;
+    }
+
+    private static Staffing staffing(int prefill, int decode) {
+        return new Staffing(prefill, decode, MEMORY, SWITCH);
+    }
+
+    @Test
+    public void aThirdReadsPromptsBeforeAnythingIsAsked() {
+        assertEquals(mInvestment.look(mNow, staffing(3, 3), Demand.NONE), Step.MORE_DECODE);
+        assertEquals(mInvestment.look(mNow, staffing(0, 2), Demand.NONE), Step.MORE_PREFILL);
+        assertEquals(mInvestment.look(mNow, staffing(2, 4), Demand.NONE), Step.STAY);
+        assertEquals(mInvestment.look(mNow, staffing(0, 1), Demand.NONE), Step.STAY);
+        assertEquals(mInvestment.look(mNow, staffing(1, 0), Demand.NONE), Step.MORE_DECODE);
+    }
+
+    @Test
+    public void nothingChangesUnderALoadThatIsNotMeasuredYet() {
+        Demand asked = new Demand(6400, 2, 0, 0, 0, 0, ReadingPace.NONE);
+        assertEquals(lasting(staffing(3, 3), asked, 10_000), Step.STAY);
+    }
+
+    @Test
+    public void aBurstThatIsOverBeforeItPaysChangesNothing() {
+        Staffing staffing = staffing(2, 6);
+        assertEquals(lasting(staffing, demand(9, 7000, OUTPUT, 2200), 4000), Step.STAY);
+        assertEquals(lasting(staffing, load(7), 60_000), Step.STAY);
+    }
+
+    @Test
+    public void burstsThatKeepComingAreFollowedInTheEnd() {
+        Staffing staffing = staffing(2, 6);
+        int bursts = 0;
+        while (lasting(staffing, demand(9, 7000, OUTPUT, 2200), 2000) == Step.STAY) {
+            assertEquals(lasting(staffing, load(7), 5000), Step.STAY);
+            bursts++;
+        }
+        assertTrue(bursts >= 2 && bursts < 10, "bursts " + bursts);
+    }
+
+    @Test
+    public void aMixThatHasShiftedToLongPromptsIsFollowed() {
+        Demand prompts = demand(9, 12_000, 200, 800);
+        assertEquals(lasting(staffing(1, 5), prompts, 20_000), Step.MORE_PREFILL);
+    }
+
+    @Test
+    public void aMixThatHasShiftedToLongAnswersIsFollowed() {
+        Demand answers = demand(8, 900, 6000, 9000);
+        assertEquals(lasting(staffing(3, 3), answers, 30_000), Step.MORE_DECODE);
+    }
+
+    @Test
+    public void whatIsServedAnywayIsNoReason() {
+        assertEquals(lasting(staffing(3, 3), load(3), 120_000), Step.STAY);
+    }
+
+    @Test
+    public void aChangeThatTookLongMustPayMore() {
+        Demand answers = demand(7, 3200, OUTPUT * 2, RUN * 1.5);
+        RoleInvestment slow = new RoleInvestment();
+        slow.changed(60_000);
+        long now = 0;
+        int earlier = 0;
+        int later = 0;
+        for (int tick = 1; tick < 400; tick++) {
+            now += TICK;
+            earlier += mInvestment.look(now, staffing(3, 3), answers) == Step.STAY ? 1 : 0;
+            later += slow.look(now, staffing(3, 3), answers) == Step.STAY ? 1 : 0;
+        }
+        assertTrue(later >= earlier, "ticks without a change: " + earlier + ", " + later);
+    }
+
+    @Test
+    public void atRandomBothSidesAreAlwaysServedAndAChangeServesMore() {
+        long seed = System.nanoTime();
+        System.out.println("RoleInvestmentTest seed " + seed);
+        Random random = new Random(seed);
+        int changes = 0;
+        for (int step = 0; step < 20_000; step++) {
+            RoleInvestment investment = new RoleInvestment();
+            int engines = 2 + random.nextInt(30);
+            int prefill = 1 + random.nextInt(engines - 1);
+            Staffing staffing = staffing(prefill, engines - prefill);
+            Demand demand =
+                    demand(
+                            1 + random.nextDouble() * 100,
+                            100 + random.nextInt(20_000),
+                            100 + random.nextInt(10_000),
+                            10 + random.nextInt(10_000));
+            for (int tick = 1; tick < 40; tick++) {
+                Step wanted = investment.look(tick * TICK, staffing, demand);
+                if (wanted != Step.STAY) {
+                    int more = wanted == Step.MORE_PREFILL ? 1 : -1;
+                    int then = prefill + more;
+                    assertTrue(then >= 1 && then < engines, "seed " + seed);
+                    double before =
+                            SplitCapacity.served(prefill, engines - prefill, MEMORY, demand);
+                    double after = SplitCapacity.served(then, engines - then, MEMORY, demand);
+                    assertTrue(after > before, "seed " + seed);
+                    changes++;
+                    break;
+                }
+            }
+        }
+        assertTrue(changes > 100, "changes " + changes + ", seed " + seed);
+    }
+}
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -20,6 +20,9 @@
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.cluster.DemandMeter;
 import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.decision.DelayEstimate;
+import org.troutpier.daemon.decision.GrowthMargin;
+import org.troutpier.daemon.decision.ReturnPacer;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualTime;
@@ -55,6 +58,9 @@
                         new PlaceAllocator(mTime.loop(), mPort, loads, random),
                         new ReturningRequests(),
                         new ReturnPacer(random),
+                        new GrowthMargin(),
+                        new DelayEstimate(0),
+                        new DelayEstimate(50),
                         peers,
                         new DemandMeter(),
                         new ServingMetrics(new MetricRegistry()),
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,6 +18,7 @@
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.cluster.ReportScope;
 import org.troutpier.daemon.cluster.UpstreamUse;
+import org.troutpier.daemon.decision.Standing;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualTime;
 
@@ -26,6 +28,7 @@
     private static final long MEMORY = 100_000;
     private static final long PROMPT = 5000;
     private static final long MOST = 15_000;
+    private static final double MARGIN = 16_000;
 
     private final UpstreamEntry mFirst = Entries.decode("first");
     private final UpstreamEntry mSecond = Entries.decode("second");
@@ -49,9 +52,20 @@
     }
 
     private PlaceAllocator.Search find(long waitMillis) {
+        return find(waitMillis, Standing.IN_TIME);
+    }
+
+    private PlaceAllocator.Search find(long waitMillis, Standing standing) {
         return mAllocator.find(
                 new PlaceAllocator.Wanted(
-                        PROMPT, MOST, MEMORY, 2000, waitMillis, () -> List.of(mFirst, mSecond)),
+                        PROMPT,
+                        MOST,
+                        MARGIN,
+                        MEMORY,
+                        2000,
+                        waitMillis,
+                        standing,
+                        () -> List.of(mFirst, mSecond)),
                 new PlaceAllocator.Listener() {
                     @Override
                     public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
@@ -71,6 +85,7 @@
                         1,
                         1,
                         false,
+                        0,
                         Set.of(),
                         Set.of(),
                         Map.of(
@@ -152,7 +167,8 @@
     @Test
     public void withoutEnginesASearchIsRefusedAfterItsWait() {
         mAllocator.find(
-                new PlaceAllocator.Wanted(PROMPT, MOST, MEMORY, 2000, 100, List::of),
+                new PlaceAllocator.Wanted(
+                        PROMPT, MOST, MARGIN, MEMORY, 2000, 100, Standing.IN_TIME, List::of),
                 new PlaceAllocator.Listener() {
                     @Override
                     public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
@@ -167,4 +183,41 @@
         mTime.pass(150);
         assertTrue(mRefused != null);
     }
+
+    @Test
+    public void aLateRequestLeavesRoomForOneThatCanBeInTime() {
+        long justEnough = MEMORY - PROMPT - (long) MARGIN;
+        peersUse(justEnough, justEnough);
+        find(0, Standing.LATE);
+        assertTrue(mRefused != null);
+        find(0, Standing.IN_TIME);
+        assertTrue(mGranted != null);
+    }
+
+    @Test
+    public void whoCanBeInTimeGoesBeforeWhoIsLateAndAStreamThatBrokeOffBeforeBoth() {
+        mPort.mFull.addAll(Set.of(mFirst.id(), mSecond.id()));
+        List<Standing> order = new ArrayList<>();
+        for (Standing standing : List.of(Standing.LATE, Standing.IN_TIME, Standing.CONTINUED)) {
+            mAllocator.find(
+                    new PlaceAllocator.Wanted(
+                            PROMPT, MOST, 0, MEMORY, 2000, 1000, standing, () -> List.of(mFirst)),
+                    new PlaceAllocator.Listener() {
+                        @Override
+                        public void granted(
+                                UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
+                            order.add(standing);
+                        }
+
+                        @Override
+                        public void refused(String detail) {}
+                    });
+        }
+        assertEquals(mAllocator.waitingTokens(), 3 * PROMPT);
+        mTime.pass(100);
+        mPort.mFull.clear();
+        mTime.pass(100);
+        assertEquals(order, List.of(Standing.CONTINUED, Standing.IN_TIME, Standing.LATE));
+        assertEquals(mAllocator.waitingTokens(), 0);
+    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -56,6 +56,7 @@
                         1,
                         1,
                         false,
+                        0,
                         Set.of(),
                         Set.of(),
                         Map.of(mNear.id(), new UpstreamUse(5, 0)),
@@ -121,7 +122,7 @@
         UpstreamEntry busy = Entries.decode("busy");
         mLoads.begin(busy, 5000);
         LoadReport report =
-                new LoadReport(1, 1, false, Set.of(), Set.of(idle.id()), Map.of(), Map.of());
+                new LoadReport(1, 1, false, 0, Set.of(), Set.of(idle.id()), Map.of(), Map.of());
         mPeers.heard(new Incarnation("peer~1"), ReportScope.OWN, report, mTime.millis());
         mPeers.sum(mTime.millis());
         assertEquals(mLoads.byTokens(List.of(idle, busy), Set.of()), List.of(busy));
