Silent connections, callers that left, replaced engines, engines' own reports: mechanisms with tests

Connections that go silent without a reset were noticed by nobody between routers, and cost one call each where several were kept.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.timeout.IdleStateEvent;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
@@ -23,6 +24,9 @@
     /** Logs faults in handlers. */
     private static final Logger LOGGER = LogManager.getLogger(ExchangeHandler.class);
 
+    /** After how long a task is due in the event loop's next round at the soonest, milliseconds. */
+    private static final long ROUND_MILLIS = 1;
+
     /** Serves the requests. */
     private final HttpHandler mHandler;
 
@@ -38,6 +42,9 @@
     /** Tells whether each answer is the last one of its connection. */
     private final BooleanSupplier mDraining;
 
+    /** Tells whether requests may have waited in the system's queue since before the start. */
+    private final BooleanSupplier mBacklog;
+
     /** The exchange being served, or null. */
     private HttpExchange mExchange;
 
@@ -49,18 +56,21 @@
      * @param refusals makes the answers to what cannot be read
      * @param busy counts the exchanges whose last byte has not left
      * @param draining tells whether each answer is the last one of its connection
+     * @param backlog tells whether requests may have waited since before the start
      */
     ExchangeHandler(
             HttpHandler handler,
             ArrivalTimer timer,
             ServerRefusals refusals,
             AtomicInteger busy,
-            BooleanSupplier draining) {
+            BooleanSupplier draining,
+            BooleanSupplier backlog) {
         mHandler = handler;
         mTimer = timer;
         mRefusals = refusals;
         mBusy = busy;
         mDraining = draining;
+        mBacklog = backlog;
         timer.serving(() -> mExchange != null && !mExchange.over());
     }
 
@@ -88,13 +98,42 @@
                         mDraining,
                         mBusy::decrementAndGet);
         mBusy.incrementAndGet();
+        HttpExchange exchange = mExchange;
+        if (mBacklog.getAsBoolean()) {
+            afterNextRead(context, () -> afterNextRead(context, () -> handle(exchange)));
+        } else {
+            handle(exchange);
+        }
+    }
+
+    /**
+     * Runs a task after the event loop has read its connections once more. What is scheduled while
+     * it reads may come due in the same round; what is scheduled by such a task comes due in the
+     * next.
+     *
+     * @param context the connection
+     * @param task the task
+     */
+    private static void afterNextRead(ChannelHandlerContext context, Runnable task) {
+        context.executor().schedule(task, ROUND_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Has a request served, unless its caller has left.
+     *
+     * @param exchange the request
+     */
+    private void handle(HttpExchange exchange) {
+        if (exchange.over()) {
+            return;
+        }
         try {
-            mHandler.handle(mExchange);
+            mHandler.handle(exchange);
         } catch (TroutpierException exception) {
-            mExchange.answer(Answers.refusal(exception.code(), exception.detail()));
+            exchange.answer(Answers.refusal(exception.code(), exception.detail()));
         } catch (RuntimeException exception) {
             LOGGER.error("handler failed", exception);
-            mExchange.answer(Answers.refusal(ResultCode.INTERNAL, "see the router's log"));
+            exchange.answer(Answers.refusal(ResultCode.INTERNAL, "see the router's log"));
         }
     }
 
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpCalls.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpCalls.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import javax.net.ssl.SSLEngine;
 import org.asynchttpclient.AsyncHandler;
@@ -23,6 +24,7 @@
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.netty.request.NettyRequest;
 import org.asynchttpclient.proxy.ProxyServerSelector;
+import org.asynchttpclient.uri.Uri;
 
 /**
  * Sends requests with AsyncHttpClient. Thread safe. The library's own retries, redirects, cookies
@@ -111,7 +113,7 @@
         if (call.body().length > 0) {
             request.setBody(call.body());
         }
-        Ongoing ongoing = new Ongoing(listener);
+        Ongoing ongoing = new Ongoing(listener, () -> silent(call));
         if (call.fresh()) {
             request.setHeader("Connection", "close");
             request.setChannelPoolPartitioning((uri, virtualHost, proxy) -> ongoing);
@@ -120,6 +122,21 @@
         return ongoing;
     }
 
+    /**
+     * Closes the unused connections to a host that left a call without an answer. Connections may
+     * go silent for good without a reset; each that is kept would cost one more call its time, and
+     * what is read through them (a configuration, upstreams that leave) must be known within a
+     * fixed time. Calls on connections of their own say nothing of those that are kept.
+     *
+     * @param call the call
+     */
+    private void silent(HttpCall call) {
+        if (!call.fresh()) {
+            String host = Uri.create(call.url()).getBaseUrl();
+            mClient.flushChannelPoolPartitions(host::equals);
+        }
+    }
+
     /**
      * Returns how many connections are kept open for the next call.
      *
@@ -154,6 +171,9 @@
         /** Receives the answer. */
         private final ReplyListener mListener;
 
+        /** Runs when the other side did not answer in time. */
+        private final Runnable mOnSilent;
+
         /** The library's handle, set right after the start. */
         private volatile ListenableFuture<Void> mFuture;
 
@@ -173,9 +193,11 @@
          * Creates an exchange.
          *
          * @param listener hears the answer
+         * @param onSilent runs when the other side did not answer in time
          */
-        Ongoing(ReplyListener listener) {
+        Ongoing(ReplyListener listener, Runnable onSilent) {
             mListener = listener;
+            mOnSilent = onSilent;
         }
 
         /** Stops reading, so that the sender is held back. */
@@ -302,6 +324,9 @@
         public void onThrowable(Throwable cause) {
             if (!mOver) {
                 mOver = true;
+                if (cause instanceof TimeoutException) {
+                    mOnSilent.run();
+                }
                 mListener.onFailure(new CallFailedException(mSent, cause));
             }
         }
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.common.settings.Address;
@@ -38,6 +39,12 @@
     /** The largest chunk the codec hands on, bytes. */
     private static final int MAX_CHUNK = 8192;
 
+    /**
+     * How long after connections are first accepted requests from before may still be read: the
+     * system's queue of connections is empty long before.
+     */
+    private static final long BACKLOG_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     /** What this server bounds; asked again for each new connection. */
     private final Supplier<ServerLimits> mLimits;
 
@@ -59,6 +66,9 @@
     /** Whether each answer from now on ends its connection. */
     private final AtomicBoolean mDraining = new AtomicBoolean();
 
+    /** When connections were first accepted, on the monotonic clock; 0 before. */
+    private final AtomicLong mAcceptedAt = new AtomicLong();
+
     /** The listening socket. */
     private final Channel mListener;
 
@@ -147,9 +157,30 @@
 
     /** Begins to accept connections; a second call changes nothing. */
     public void accept() {
+        mAcceptedAt.compareAndSet(0, System.nanoTime());
         mListener.config().setAutoRead(true);
     }
 
+    /**
+     * Returns whether connections are accepted.
+     *
+     * @return whether new callers come in
+     */
+    public boolean accepting() {
+        return mListener.isActive() && mListener.config().isAutoRead();
+    }
+
+    /**
+     * Returns whether requests may have waited in the system's queue since before connections were
+     * accepted, so that some of their callers have left.
+     *
+     * @return whether it is that soon after the start
+     */
+    private boolean backlog() {
+        long accepted = mAcceptedAt.get();
+        return accepted != 0 && System.nanoTime() - accepted < BACKLOG_NANOS;
+    }
+
     /**
      * Returns where the server listens.
      *
@@ -226,7 +257,13 @@
             pipeline.addLast(new HeadScreen(mHandler, mRefusals));
             pipeline.addLast(new Aggregator(limits.bodyBytes(), mRefusals));
             pipeline.addLast(
-                    new ExchangeHandler(mHandler, timer, mRefusals, mBusy, mDraining::get));
+                    new ExchangeHandler(
+                            mHandler,
+                            timer,
+                            mRefusals,
+                            mBusy,
+                            mDraining::get,
+                            HttpServer.this::backlog));
         }
     }
 
--- a/troutpier-common/src/main/java/org/troutpier/common/logging/StandardOutput.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/logging/StandardOutput.java
@@ -7,9 +7,9 @@
 import org.apache.logging.log4j.core.config.Property;
 
 /**
- * Writes lines to standard output as it is when the appender is made. Thread safe: a line is written
- * by one call. The library's own appender checks its settings by reflection, which took a sixteenth
- * of a start's processor time (class loading traced with time stamps).
+ * Writes lines to standard output as it is when the appender is made. Thread safe: a line is
+ * written by one call. The library's own appender checks its settings by reflection, which took a
+ * sixteenth of a start's processor time (class loading traced with time stamps).
  */
 final class StandardOutput extends AbstractAppender {
 
--- a/troutpier-common/src/test/java/org/troutpier/common/http/HttpCallsTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/HttpCallsTest.java
@@ -7,7 +7,18 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -109,4 +120,74 @@
         assertEquals(next.mEnd.get(5, TimeUnit.SECONDS), "whole");
         assertFalse(ended.mEnd.isDone());
     }
+
+    /** Answers on each connection until it is told that those it has go silent. */
+    private static final class SilentLater implements AutoCloseable {
+        final ServerSocket mSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final List<Socket> mOpen = new CopyOnWriteArrayList<>();
+        final Set<Socket> mSilent = ConcurrentHashMap.newKeySet();
+
+        SilentLater() throws IOException {
+            Thread accepting = new Thread(this::accept, "silent later");
+            accepting.setDaemon(true);
+            accepting.start();
+        }
+
+        private void accept() {
+            while (!mSocket.isClosed()) {
+                try {
+                    Socket socket = mSocket.accept();
+                    mOpen.add(socket);
+                    Thread serving = new Thread(() -> serve(socket), "serving");
+                    serving.setDaemon(true);
+                    serving.start();
+                } catch (IOException exception) {
+                    return;
+                }
+            }
+        }
+
+        private void serve(Socket socket) {
+            try {
+                BufferedReader lines =
+                        new BufferedReader(new InputStreamReader(socket.getInputStream()));
+                for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                    if (line.isEmpty() && !mSilent.contains(socket)) {
+                        socket.getOutputStream()
+                                .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes());
+                    }
+                }
+            } catch (IOException exception) {
+                System.out.println("connection over: " + exception.getMessage());
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            mSocket.close();
+            for (Socket socket : mOpen) {
+                socket.close();
+            }
+        }
+    }
+
+    @Test
+    public void whenOneKeptConnectionIsSilentTheOthersToItsHostAreNotUsedEither() throws Exception {
+        try (SilentLater server = new SilentLater()) {
+            String url = "http://127.0.0.1:" + server.mSocket.getLocalPort() + "/";
+            List<CompletableFuture<HttpReply>> first = new ArrayList<>();
+            for (int call = 0; call < 4; call++) {
+                first.add(mCalls.call(HttpCall.of("GET", url).withTimeout(5000)));
+            }
+            first.forEach(CompletableFuture::join);
+            assertTrue(server.mOpen.size() > 1, "connections " + server.mOpen.size());
+            server.mSilent.addAll(server.mOpen);
+            HttpCall next = HttpCall.of("GET", url).withTimeout(300);
+            int lost = 0;
+            while (mCalls.call(next).handle((reply, failure) -> failure != null).join()) {
+                lost++;
+            }
+            assertEquals(lost, 1, "calls without an answer");
+        }
+    }
 }
--- a/troutpier-common/src/test/java/org/troutpier/common/http/HttpServerTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/HttpServerTest.java
@@ -9,8 +9,10 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -70,6 +72,43 @@
         }
     }
 
+    @Test
+    public void aRequestWhoseCallerLeftBeforeTheServerAcceptsReachesNobody() throws IOException {
+        ListeningSocket socket = ListeningSocket.open(new Address("127.0.0.1", 0));
+        int port = socket.address().port();
+        List<String> handled = new CopyOnWriteArrayList<>();
+        for (int caller = 0; caller < 20; caller++) {
+            try (Socket left = new Socket("127.0.0.1", port)) {
+                left.getOutputStream().write(request("/left"));
+            }
+        }
+        try (Socket there = new Socket("127.0.0.1", port)) {
+            there.setSoTimeout(READ_MILLIS);
+            there.getOutputStream().write(request("/there"));
+            HttpServer server =
+                    new HttpServer(
+                            socket,
+                            mLoops,
+                            () -> ServerLimits.DEFAULT,
+                            ServerRefusals.AsJson.INSTANCE,
+                            exchange -> {
+                                handled.add(exchange.path());
+                                exchange.answer(Answers.json(200, Map.of()));
+                            });
+            assertFalse(server.accepting());
+            server.accept();
+            assertTrue(server.accepting());
+            byte[] first = there.getInputStream().readNBytes("HTTP/1.1 200".length());
+            assertEquals(new String(first, StandardCharsets.US_ASCII), "HTTP/1.1 200");
+            server.close();
+        }
+        assertEquals(handled, List.of("/there"));
+    }
+
+    private static byte[] request(String path) {
+        return ("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
+    }
+
     @Test
     public void anAnswerThatBeganBeforeTheServerDrainsEndsItsConnectionToo() throws IOException {
         try (Socket caller = new Socket("127.0.0.1", mServer.address().port())) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -12,9 +12,9 @@
 /**
  * What the other routers said of their load and demand. Changes are confined to the control thread;
  * {@link #use}, {@link #demand}, {@link #changing}, {@link #refusing}, {@link #waitingTokens()},
- * {@link #routers()} and {@link #roleHolder()} are thread safe and answer as of the last {@link #sum}. Invariants: a
- * report counts until {@link #BELIEVED_MILLIS} after it was heard; only reports of the scopes that
- * are counted count, so that no router's load is counted twice.
+ * {@link #routers()} and {@link #roleHolder()} are thread safe and answer as of the last {@link
+ * #sum}. Invariants: a report counts until {@link #BELIEVED_MILLIS} after it was heard; only
+ * reports of the scopes that are counted count, so that no router's load is counted twice.
  */
 public final class PeerLoads {
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/GrowthMargin.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/GrowthMargin.java
@@ -3,11 +3,11 @@
 /**
  * Decides how much of an engine's memory stays free for the growth of what runs there. Between two
  * runs' ends the others grow by the mean output of one run on average, whatever their number, and
- * the growth is spread about exponentially; so the room is counted in mean outputs, and each more of
- * them makes preemption e times rarer. How rare it should be depends on what it costs: on engines
- * whose events carry many tokens it makes all neighbours pause, on others it costs one prompt read
- * again. That shows in the pauses of streams, so the margin grows with each pause beyond what a route
- * allows and shrinks with each refusal for want of memory.
+ * the growth is spread about exponentially; so the room is counted in mean outputs, and each more
+ * of them makes preemption e times rarer. How rare it should be depends on what it costs: on
+ * engines whose events carry many tokens it makes all neighbours pause, on others it costs one
+ * prompt read again. That shows in the pauses of streams, so the margin grows with each pause
+ * beyond what a route allows and shrinks with each refusal for want of memory.
  *
  * <p>It answers loads near what the engines' memory holds. A margin that fits one kind of engine
  * halved the worth of a heavy day on another (0.30 to 0.13) or cost 0.05 of it.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/RoleInvestment.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/RoleInvestment.java
@@ -4,11 +4,11 @@
 
 /**
  * Decides when one of a service's engines should change its role. A change is an investment: the
- * engine is missing until its runs have ended and it is back, and what is gained depends on how long
- * the load lasts, which nobody knows. So the loss of staying is added up, request by request, and a
- * change is made once it has reached the price of the change. Whatever the load does, that costs at
- * most twice as much as knowing the future would have: a burst that ends before it pays changes
- * nothing, and a mix that has really shifted is followed.
+ * engine is missing until its runs have ended and it is back, and what is gained depends on how
+ * long the load lasts, which nobody knows. So the loss of staying is added up, request by request,
+ * and a change is made once it has reached the price of the change. Whatever the load does, that
+ * costs at most twice as much as knowing the future would have: a burst that ends before it pays
+ * changes nothing, and a mix that has really shifted is followed.
  *
  * <p>It answers loads that come in bursts of some seconds. With a rule that went by the busier side
  * alone, an engine was taken from decoding in a burst of five seconds and was missing for eighteen,
@@ -122,7 +122,10 @@
      * @return the losses so far, requests
      */
     public String told() {
-        return "lostReading=" + Math.round(mLostReading) + " lostDecoding=" + Math.round(mLostDecoding);
+        return "lostReading="
+                + Math.round(mLostReading)
+                + " lostDecoding="
+                + Math.round(mLostDecoding);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/RoomForecast.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/RoomForecast.java
@@ -11,11 +11,7 @@
  * @param runMillis how long a run takes; 0 for unknown
  */
 public record RoomForecast(
-        int engines,
-        long usedTokens,
-        double usableTokens,
-        long waitingTokens,
-        double runMillis) {
+        int engines, long usedTokens, double usableTokens, long waitingTokens, double runMillis) {
 
     /**
      * Predicts.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/SplitCapacity.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/SplitCapacity.java
@@ -4,8 +4,8 @@
 
 /**
  * Works out how many requests a service's engines serve for each split into those that read prompts
- * and those that decode. Pure, stateless and thread safe. Prefill engines are used by tokens read in
- * a time, decode engines by memory taken for a time; the side that serves less decides.
+ * and those that decode. Pure, stateless and thread safe. Prefill engines are used by tokens read
+ * in a time, decode engines by memory taken for a time; the side that serves less decides.
  */
 final class SplitCapacity {
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/StartWindow.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/StartWindow.java
@@ -1,10 +1,10 @@
 package org.troutpier.daemon.decision;
 
 /**
- * Decides how long one request may wait for memory at a decode engine. One that can still be in time
- * waits exactly as long as its first event is predicted to come within its target; one that is late
- * anyway waits while its caller is likely to be there, since sending it away a second time is the
- * worst that can happen to it. Pure. Immutable and thread safe.
+ * Decides how long one request may wait for memory at a decode engine. One that can still be in
+ * time waits exactly as long as its first event is predicted to come within its target; one that is
+ * late anyway waits while its caller is likely to be there, since sending it away a second time is
+ * the worst that can happen to it. Pure. Immutable and thread safe.
  *
  * <p>It answers bursts of a few seconds a little above what the engines can take: waiting smooths
  * them as long as the target allows.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -97,6 +97,19 @@
         return mSnapshot.getOrDefault(service, List.of());
     }
 
+    /**
+     * Returns the upstreams of all services that may get work.
+     *
+     * @param role what they do
+     * @return the entries
+     */
+    public List<UpstreamEntry> usable(UpstreamEntry.Role role) {
+        return mSnapshot.values().stream()
+                .flatMap(List::stream)
+                .filter(entry -> entry.role() == role)
+                .toList();
+    }
+
     /**
      * Sets who is told of the upstreams that are listed, whenever that changes.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
@@ -15,11 +15,14 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
@@ -58,6 +61,16 @@
     /** Receives messages on the control thread. */
     private final Hearer mHearer;
 
+    /**
+     * How long a connection that this router opened may be silent, milliseconds. Connections may go
+     * silent for good without a reset; a load that was told counts for this long at the other side,
+     * which then believes engines to be freer than they are.
+     */
+    static final long SILENT_MILLIS = 1500;
+
+    /** How often it is told on a connection that messages are heard, milliseconds. */
+    private static final long HEARD_MILLIS = SILENT_MILLIS / 3;
+
     /** The connections that this router opened and that are ready. */
     private final Map<Incarnation, Channel> mReady = new HashMap<>();
 
@@ -204,7 +217,11 @@
                             @Override
                             protected void initChannel(SocketChannel channel) {
                                 frames(channel);
-                                channel.pipeline().addLast(new Outgoing(member));
+                                channel.pipeline()
+                                        .addLast(
+                                                new IdleStateHandler(
+                                                        SILENT_MILLIS, 0, 0, TimeUnit.MILLISECONDS))
+                                        .addLast(new Outgoing(member));
                             }
                         })
                 .connect(new InetSocketAddress(address.host(), address.port()))
@@ -303,6 +320,9 @@
         /** {@inheritDoc} */
         @Override
         protected void channelRead0(ChannelHandlerContext context, PeerMessage message) {
+            if (message instanceof PeerMessage.Heard) {
+                return;
+            }
             boolean right =
                     message instanceof PeerMessage.Challenge challenge
                             && mSecret.proves(
@@ -323,6 +343,15 @@
                             });
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event instanceof IdleStateEvent) {
+                mNode.count("peer.silent");
+                context.close();
+            }
+        }
+
         /** {@inheritDoc} */
         @Override
         public void channelInactive(ChannelHandlerContext context) {
@@ -353,10 +382,14 @@
         /** Who is on the other side, once proved. */
         private Member mMember;
 
+        /** When it was last told that messages are heard, milliseconds. */
+        private long mTold;
+
         /** {@inheritDoc} */
         @Override
         protected void channelRead0(ChannelHandlerContext context, PeerMessage message) {
             if (mMember != null) {
+                tellHeard(context);
                 take(message);
             } else if (message instanceof PeerMessage.Hello hello && mHello == null) {
                 mHello = hello;
@@ -383,6 +416,19 @@
             }
         }
 
+        /**
+         * Tells the other side now and then that it is heard.
+         *
+         * @param context the connection
+         */
+        private void tellHeard(ChannelHandlerContext context) {
+            long now = mNode.millis();
+            if (now - mTold >= HEARD_MILLIS) {
+                mTold = now;
+                context.writeAndFlush(new PeerMessage.Heard(), context.voidPromise());
+            }
+        }
+
         /**
          * Returns whether the other side knows the secret.
          *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
@@ -27,7 +27,8 @@
     @JsonSubTypes.Type(value = PeerMessage.Load.class, name = "load"),
     @JsonSubTypes.Type(value = PeerMessage.Configuration.class, name = "configuration"),
     @JsonSubTypes.Type(value = PeerMessage.Refused.class, name = "refused"),
-    @JsonSubTypes.Type(value = PeerMessage.Page.class, name = "page")
+    @JsonSubTypes.Type(value = PeerMessage.Page.class, name = "page"),
+    @JsonSubTypes.Type(value = PeerMessage.Heard.class, name = "h")
 })
 public sealed interface PeerMessage {
 
@@ -170,4 +171,7 @@
      * @param page the changes
      */
     record Page(SharedPage page) implements PeerMessage {}
+
+    /** Says, on the connection that they came on, that messages are heard. */
+    record Heard() implements PeerMessage {}
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/EngineOrders.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/EngineOrders.java
@@ -40,8 +40,9 @@
      * @param role what it does
      * @param changing whether an order is being carried out
      * @param orders how many orders it has taken
+     * @param usedTokens how much memory its runs took, a while ago
      */
-    record EngineReport(UpstreamEntry.Role role, boolean changing, long orders) {}
+    record EngineReport(UpstreamEntry.Role role, boolean changing, long orders, long usedTokens) {}
 
     /** What is known of an order. */
     enum Outcome {
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReportedUse.java
@@ -0,0 +1,158 @@
+package org.troutpier.daemon.serving;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.troutpier.common.id.UpstreamId;
+import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.directory.UpstreamDirectory;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.role.EngineOrders;
+
+/**
+ * Learns from the engines themselves what runs there that no router tells of: runs of routers that
+ * are cut off, and runs that go on for routers that lost power. Engines report late, so a report is
+ * held against the most that was known to run there lately, and what is beyond it counts as taken.
+ * Engines are asked only while something may be unknown: after this router's own start and after a
+ * router is heard no more. Confined to the traffic loop.
+ *
+ * <p>It answers the seconds after a loss of power of all routers, and routers that are cut from
+ * each other. Without it engines were filled beyond their memory and preempted what they ran.
+ */
+public final class ReportedUse {
+
+    /** How often engines are asked, milliseconds. */
+    private static final long LOOK_MILLIS = 400;
+
+    /** How many looks back a report may lie: engines report up to a second late. */
+    private static final int LATE_LOOKS = 4;
+
+    /**
+     * How long engines are asked after a start and after a router is heard no more, milliseconds:
+     * the longest runs end within it.
+     */
+    private static final long WATCH_MILLIS = 12_000;
+
+    /**
+     * With how many other routers engines are still asked: each asks for itself, so that calls grow
+     * with routers times engines.
+     */
+    private static final int MOST_ROUTERS = 15;
+
+    /** Logs when engines begin to be asked. */
+    private static final Logger LOGGER = LogManager.getLogger(ReportedUse.class);
+
+    /** The traffic loop. */
+    private final TrafficLoop mLoop;
+
+    /** The engines. */
+    private final UpstreamDirectory mDirectory;
+
+    /** What is known to run there. */
+    private final UpstreamLoads mLoads;
+
+    /** Who is heard. */
+    private final PeerLoads mPeers;
+
+    /** Asks engines. */
+    private final EngineOrders mEngines;
+
+    /** What was known to run at each engine at the last looks, the newest last. */
+    private final Map<UpstreamId, Deque<Long>> mKnown = new HashMap<>();
+
+    /** How many other routers were heard at the last look. */
+    private int mHeard;
+
+    /** Until when engines are asked, milliseconds. */
+    private long mUntil;
+
+    /**
+     * Creates it.
+     *
+     * @param loop the traffic loop
+     * @param directory the engines
+     * @param loads what is known to run there
+     * @param peers who is heard
+     * @param engines asks engines
+     */
+    public ReportedUse(
+            TrafficLoop loop,
+            UpstreamDirectory directory,
+            UpstreamLoads loads,
+            PeerLoads peers,
+            EngineOrders engines) {
+        mLoop = loop;
+        mDirectory = directory;
+        mLoads = loads;
+        mPeers = peers;
+        mEngines = engines;
+    }
+
+    /** Starts to look; this router has just started, so it knows of nothing that runs. */
+    public void start() {
+        mLoop.execute(
+                () -> {
+                    mUntil = mLoop.millis() + WATCH_MILLIS;
+                    look();
+                });
+    }
+
+    /** Notes what is known, and asks the engines where something may be unknown. */
+    private void look() {
+        long now = mLoop.millis();
+        int heard = mPeers.routers();
+        if (heard < mHeard) {
+            LOGGER.info(
+                    "engines asked for their use: routers heard before={} now={}", mHeard, heard);
+            mUntil = now + WATCH_MILLIS;
+        }
+        mHeard = heard;
+        boolean ask = now < mUntil && heard <= MOST_ROUTERS;
+        List<UpstreamEntry> engines = mDirectory.usable(UpstreamEntry.Role.DECODE);
+        for (UpstreamEntry engine : engines) {
+            Deque<Long> known = mKnown.computeIfAbsent(engine.id(), id -> new ArrayDeque<>());
+            known.addLast(mLoads.toldTokens(engine));
+            if (known.size() > LATE_LOOKS) {
+                known.removeFirst();
+            }
+            if (ask) {
+                ask(engine);
+            }
+        }
+        mKnown.keySet().removeIf(id -> engines.stream().noneMatch(each -> each.id().equals(id)));
+        mLoop.later(this::look, LOOK_MILLIS);
+    }
+
+    /**
+     * Asks an engine.
+     *
+     * @param engine the engine
+     */
+    private void ask(UpstreamEntry engine) {
+        mEngines.report(engine)
+                .whenComplete(
+                        (report, failure) -> {
+                            if (failure == null) {
+                                mLoop.execute(() -> reported(engine, report.usedTokens()));
+                            }
+                        });
+    }
+
+    /**
+     * Takes a report.
+     *
+     * @param engine the engine
+     * @param used how much of its memory runs took a while ago
+     */
+    private void reported(UpstreamEntry engine, long used) {
+        Deque<Long> known = mKnown.get(engine.id());
+        if (known != null) {
+            long most = known.stream().mapToLong(Long::longValue).max().orElse(0);
+            mLoads.unknown(engine, Math.max(0, used - most));
+        }
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -171,7 +171,8 @@
                 mService,
                 0,
                 Standing.CONTINUED,
-                () -> mKept.among(upstreams(UpstreamEntry.Role.DECODE)), new KeptFound(end));
+                () -> mKept.among(upstreams(UpstreamEntry.Role.DECODE)),
+                new KeptFound(end));
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -54,6 +54,9 @@
      */
     private static final long FIRST_REFUSING_MILLIS = 1000;
 
+    /** How long what an engine reported counts, milliseconds: three pauses between two reports. */
+    private static final long UNKNOWN_MILLIS = 1200;
+
     /** What crossing to another hall counts for, in parts of an upstream's slots. */
     private static final double OTHER_HALL = 0.15;
 
@@ -93,6 +96,12 @@
         /** Tokens of the calls under way. */
         private long mTokens;
 
+        /** Tokens that the engine reported beyond what the routers say. */
+        private long mUnknown;
+
+        /** When it reported them, milliseconds. */
+        private long mUnknownAt;
+
         /** Failures since the last success. */
         private int mFailures;
 
@@ -114,6 +123,16 @@
         /** Until when it is taken to refuse runs, milliseconds; 0 for not. */
         private long mRefusingUntil;
 
+        /**
+         * Returns until when it is known that no run is taken.
+         *
+         * @return milliseconds; in the past for not
+         */
+        private long refusesUntil() {
+            boolean engine = mReplacedRole == UpstreamEntry.Role.DECODE;
+            return engine ? Math.max(mReplacedUntil, mRefusingUntil) : mRefusingUntil;
+        }
+
         /**
          * Returns until when the upstream is passed over.
          *
@@ -221,15 +240,40 @@
     }
 
     /**
-     * Returns the tokens that all routers are known to have under way at an engine.
+     * Returns the tokens that are known to be under way at an engine: what the routers say, and
+     * what the engine reported beyond it.
      *
      * @param engine the engine
      * @return tokens
      */
     public long tokens(UpstreamEntry engine) {
+        Load load = load(engine.id());
+        boolean fresh = mLoop.millis() - load.mUnknownAt <= UNKNOWN_MILLIS;
+        return toldTokens(engine) + (fresh ? load.mUnknown : 0);
+    }
+
+    /**
+     * Returns the tokens that the routers themselves say they have under way at an engine.
+     *
+     * @param engine the engine
+     * @return tokens
+     */
+    long toldTokens(UpstreamEntry engine) {
         return load(engine.id()).mTokens + mPeers.use(engine.id()).tokens();
     }
 
+    /**
+     * Records how much runs at an engine that no router tells of.
+     *
+     * @param engine the engine
+     * @param tokens how much, as the engine reported
+     */
+    void unknown(UpstreamEntry engine, long tokens) {
+        Load load = load(engine.id());
+        load.mUnknown = tokens;
+        load.mUnknownAt = mLoop.millis();
+    }
+
     /**
      * Returns how many calls all routers are known to have under way at an upstream.
      *
@@ -301,14 +345,15 @@
     }
 
     /**
-     * Returns the engines that are taken to refuse runs.
+     * Returns the engines that are taken to refuse runs, those included in whose place another
+     * answers: a router that finds that out by itself has a prompt read for nothing.
      *
      * @return their ids
      */
     public Set<UpstreamId> refusing() {
         long now = mLoop.millis();
         return mLoads.entrySet().stream()
-                .filter(each -> each.getValue().mRefusingUntil > now)
+                .filter(each -> each.getValue().refusesUntil() > now)
                 .map(Map.Entry::getKey)
                 .collect(Collectors.toUnmodifiableSet());
     }
@@ -332,6 +377,7 @@
         }
         load.mReplacedUntil = now + REPLACED_MILLIS;
         load.mReplacedRole = upstream.role();
+        mOnUrgent.run();
     }
 
     /**
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/decision/StartWindowTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/decision/StartWindowTest.java
@@ -16,7 +16,8 @@
     @Test
     public void aRequestWaitsAsLongAsItCanStillBeInTime() {
         assertEquals(new StartWindow(900, 0, 14_000, Standing.IN_TIME).waitMillis(READ_SOON), 700);
-        assertEquals(new StartWindow(900, 600, 13_400, Standing.IN_TIME).waitMillis(READ_SOON), 100);
+        assertEquals(
+                new StartWindow(900, 600, 13_400, Standing.IN_TIME).waitMillis(READ_SOON), 100);
         assertEquals(new StartWindow(900, 800, 13_200, Standing.IN_TIME).waitMillis(READ_SOON), 0);
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerMeshTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerMeshTest.java
@@ -25,6 +25,8 @@
 import org.troutpier.daemon.node.ControlThread;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.peer.Membership.Member;
+import org.troutpier.standins.fault.FaultProxy;
+import org.troutpier.standins.fault.LinkFault;
 
 /** Connections between routers. */
 public final class PeerMeshTest {
@@ -150,4 +152,29 @@
                                         new PeerMessage.Refused(List.of("late")))));
         await("heard", () -> mOther.mHeard.contains(new PeerMessage.Refused(List.of("late"))));
     }
+
+    @Test
+    public void aConnectionThatGoesSilentWithoutAResetIsMadeAgain() {
+        Address to = Address.parse(mOther.mSelf.peer());
+        try (FaultProxy proxy = new FaultProxy(new Address("127.0.0.1", 0), to, mLoops)) {
+            Member behind =
+                    new Member(mOther.mSelf.incarnation(), HALL, proxy.address().toString(), false);
+            await("connected", () -> connected(behind));
+            proxy.fault(LinkFault.FORGET, 1, 0).join();
+            String late = "told on a new connection";
+            await(
+                    "heard again",
+                    () -> {
+                        mOne.onControl(
+                                () -> {
+                                    mOne.mMesh.connect(behind);
+                                    mOne.mMesh.send(
+                                            behind.incarnation(),
+                                            new PeerMessage.Refused(List.of(late)));
+                                    return true;
+                                });
+                        return mOther.mHeard.contains(new PeerMessage.Refused(List.of(late)));
+                    });
+        }
+    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
@@ -55,7 +55,7 @@
         public CompletableFuture<EngineReport> report(UpstreamEntry engine) {
             boolean changing = mOrdered.contains(engine.id());
             return CompletableFuture.completedFuture(
-                    new EngineReport(engine.role(), changing, changing ? 1 : 0));
+                    new EngineReport(engine.role(), changing, changing ? 1 : 0, 0));
         }
 
         @Override
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReportedUseTest.java
@@ -0,0 +1,124 @@
+package org.troutpier.daemon.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.daemon.cluster.LoadReport;
+import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.cluster.ReportScope;
+import org.troutpier.daemon.cluster.UpstreamUse;
+import org.troutpier.daemon.directory.UpstreamDirectory;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.role.EngineOrders;
+
+/** What is learnt of runs that no router tells of. */
+public final class ReportedUseTest {
+
+    private static final Incarnation PEER = new Incarnation("peer~1");
+
+    private final UpstreamEntry mEngine = Entries.decode("engine");
+    private ManualTime mTime;
+    private PeerLoads mPeers;
+    private UpstreamLoads mLoads;
+    private FakeReports mReports;
+
+    /** An engine that reports what the test says. */
+    private static final class FakeReports implements EngineOrders {
+        long mUsed;
+        int mAsked;
+
+        @Override
+        public CompletableFuture<EngineReport> report(UpstreamEntry engine) {
+            mAsked++;
+            return CompletableFuture.completedFuture(
+                    new EngineReport(engine.role(), false, 0, mUsed));
+        }
+
+        @Override
+        public CompletableFuture<Outcome> order(
+                UpstreamEntry engine, UpstreamEntry.Role role, Right lease, long expectedOrders) {
+            throw new IllegalStateException("nothing is ordered here");
+        }
+    }
+
+    @BeforeMethod
+    void start() {
+        mTime = new ManualTime();
+        mPeers = new PeerLoads();
+        mLoads = new UpstreamLoads(mTime.loop(), new Random(1), Entries.HALL, mPeers);
+        mReports = new FakeReports();
+        UpstreamDirectory directory = new UpstreamDirectory(mTime::nanos);
+        directory.replaceAll(List.of(mEngine));
+        new ReportedUse(mTime.loop(), directory, mLoads, mPeers, mReports).start();
+    }
+
+    private void told(long tokens) {
+        LoadReport report =
+                new LoadReport(
+                        1,
+                        1,
+                        false,
+                        0,
+                        Set.of(),
+                        Set.of(),
+                        Map.of(mEngine.id(), new UpstreamUse(1, tokens)),
+                        Map.of());
+        mPeers.heard(PEER, ReportScope.OWN, report, mTime.millis());
+        mPeers.sum(mTime.millis());
+    }
+
+    @Test
+    public void afterAStartRunsThatNobodyTellsOfAreKnownFromTheEngine() {
+        mReports.mUsed = 30_000;
+        mTime.pass(500);
+        assertEquals(mLoads.tokens(mEngine), 30_000);
+        mLoads.begin(mEngine, 5000);
+        assertEquals(mLoads.tokens(mEngine), 35_000);
+        mReports.mUsed = 0;
+        mTime.pass(500);
+        assertEquals(mLoads.tokens(mEngine), 5000);
+    }
+
+    @Test
+    public void whatIsToldIsNotCountedTwice() {
+        told(20_000);
+        mReports.mUsed = 20_000;
+        mTime.pass(900);
+        assertEquals(mLoads.tokens(mEngine), 20_000);
+    }
+
+    @Test
+    public void aReportThatIsLateIsHeldAgainstWhatWasKnownThen() {
+        mLoads.begin(mEngine, 20_000);
+        mReports.mUsed = 20_000;
+        mTime.pass(900);
+        mLoads.end(mEngine, 20_000);
+        mTime.pass(400);
+        assertEquals(mLoads.tokens(mEngine), 0);
+    }
+
+    @Test
+    public void enginesAreAskedAgainWhenARouterIsHeardNoMore() {
+        mTime.pass(20_000);
+        int asked = mReports.mAsked;
+        assertTrue(asked > 10, "asked " + asked);
+        told(1000);
+        mTime.pass(1000);
+        assertEquals(mReports.mAsked, asked);
+        mTime.pass(2000);
+        mPeers.sum(mTime.millis());
+        mReports.mUsed = 40_000;
+        mTime.pass(2000);
+        assertTrue(mReports.mAsked > asked);
+        assertEquals(mLoads.tokens(mEngine), 40_000);
+    }
+}
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.troutpier.common.id.Incarnation;
@@ -164,4 +165,14 @@
         mLoads.changing(Set.of(mFar.id()));
         assertTrue(mLoads.pick(List.of(mNear, mFar), Set.of(mNear.id())).isEmpty());
     }
+
+    @Test
+    public void anEngineInWhosePlaceAnotherAnswersIsToldToAllAtOnce() {
+        UpstreamEntry engine = Entries.decode("crashed");
+        AtomicInteger told = new AtomicInteger();
+        mLoads.onUrgent(told::incrementAndGet);
+        mLoads.replaced(engine);
+        assertEquals(told.get(), 1);
+        assertEquals(mLoads.refusing(), Set.of(engine.id()));
+    }
 }
