Continued streams after those that can be in time; what has grown is not waited for

The forecast counted growth as room that had to become free first, and refused at once what could have started. A short run ends first, so in a burst the measured mean output is too low and the margin shrank when it mattered. A continued stream asked for its prompt's room only, though what was made is read again.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/GrowthMargin.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/GrowthMargin.java
@@ -16,8 +16,8 @@
  */
 public final class GrowthMargin {
 
-    /** How many mean outputs stay free at first: preemption is expected once in sixty ends. */
-    private static final double FIRST_OUTPUTS = 4.2;
+    /** How many mean outputs stay free at first: preemption is expected once in forty ends. */
+    private static final double FIRST_OUTPUTS = 3.8;
 
     /** The fewest mean outputs that stay free: preemption once in six ends. */
     private static final double LEAST_OUTPUTS = 1.9;
@@ -34,8 +34,11 @@
     /** The pause after which another one counts again: one preemption makes many streams pause. */
     private static final long PAUSE_MILLIS = 500;
 
-    /** Which part of the most output is taken for the mean before any run ended. */
-    private static final double ASSUMED_PART = 0.5;
+    /**
+     * Which part of the most output the mean is taken for at least. Short runs end first, so in a
+     * burst the measured mean is too low, which is when the margin matters.
+     */
+    private static final double LEAST_MEAN_PART = 0.42;
 
     /** Which part of an engine's memory is kept free for growth at most. */
     private static final double MOST_PART = 0.5;
@@ -55,7 +58,7 @@
      * @return tokens that stay free
      */
     public double tokens(double meanOutput, long mostOutput, long memoryTokens) {
-        double mean = meanOutput > 0 ? meanOutput : mostOutput * ASSUMED_PART;
+        double mean = Math.max(meanOutput, mostOutput * LEAST_MEAN_PART);
         return Math.min(mOutputs * mean, memoryTokens * MOST_PART);
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/RoomForecast.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/RoomForecast.java
@@ -2,7 +2,8 @@
 
 /**
  * Predicts how long it takes until there is room for a request at a service's decode engines, from
- * what runs there, how long runs take and what waits before it. Pure. Immutable and thread safe.
+ * what runs there, how long runs take and what waits before it. What has grown into the room that
+ * stays free for growth is not waited for. Pure. Immutable and thread safe.
  *
  * @param engines how many engines decode
  * @param usedTokens what runs there, in tokens
@@ -23,7 +24,7 @@
         if (runMillis <= 0 || usedTokens <= 0) {
             return 0;
         }
-        double room = engines * usableTokens - usedTokens;
+        double room = Math.max(0, engines * usableTokens - usedTokens);
         double needed = waitingTokens + promptTokens - room;
         double freedInMilli = usedTokens / runMillis;
         return Math.max(0, needed / freedInMilli);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/StartWindow.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/StartWindow.java
@@ -23,6 +23,13 @@
      */
     private static final double LATE_TARGETS = 3;
 
+    /**
+     * How many targets a stream waits that is to be continued. An engine that crashes leaves many
+     * at once, which need more memory than new ones; what is not continued its caller asks for
+     * again.
+     */
+    private static final double CONTINUED_TARGETS = 1;
+
     /**
      * Returns how long the request may wait.
      *
@@ -31,10 +38,12 @@
      */
     public long waitMillis(Prediction prediction) {
         double wait =
-                late()
-                        ? Math.min(leftMillis, targetMillis * LATE_TARGETS - elapsedMillis)
-                        : targetMillis - elapsedMillis - prediction.millis();
-        return (long) Math.max(0, wait);
+                switch (standing) {
+                    case IN_TIME -> targetMillis - elapsedMillis - prediction.millis();
+                    case CONTINUED -> targetMillis * CONTINUED_TARGETS - elapsedMillis;
+                    case LATE -> targetMillis * LATE_TARGETS - elapsedMillis;
+                };
+        return (long) Math.max(0, Math.min(leftMillis, wait));
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodePlace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodePlace.java
@@ -27,6 +27,9 @@
     /** The prompt's length and the most output. */
     private final long mMostTokens;
 
+    /** What the run needs at first: the prompt and what was made of the stream before. */
+    private long mNeededTokens;
+
     /** When the last search began, milliseconds. */
     private long mSearchBegan;
 
@@ -63,6 +66,8 @@
      * @param service the service
      * @param waitMillis how long
      * @param standing who goes first
+     * @param events how many events of the stream were made before, which are read again with the
+     *     prompt
      * @param engines the engines that may be used, asked again for each round
      * @param listener receives the end; it calls {@link #take} or {@link #searched}
      */
@@ -70,16 +75,18 @@
             String service,
             long waitMillis,
             Standing standing,
+            long events,
             Supplier<List<UpstreamEntry>> engines,
             PlaceAllocator.Listener listener) {
         mSearchBegan = mContext.loop().millis();
+        mNeededTokens = mPromptTokens + events * mTraits.eventTokens();
         mContext.metrics().waitsForPlace(true);
         mSearch =
                 mContext.places()
                         .find(
                                 new PlaceAllocator.Wanted(
-                                        mPromptTokens,
-                                        mMostTokens,
+                                        mNeededTokens,
+                                        Math.max(mMostTokens, mNeededTokens),
                                         marginTokens(service),
                                         mTraits.memoryTokens(),
                                         mTraits.placeMillis(),
@@ -145,14 +152,12 @@
      *
      * @param engine where it is
      * @param place the place; empty where engines do not set places aside
-     * @param events how many events of the stream were made before
      */
-    void take(UpstreamEntry engine, Optional<UpstreamPort.Place> place, long events) {
+    void take(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
         searched();
         mEngine = engine;
         mPlace = place;
-        mMemory = new EngineMemory(mContext.loads(), engine, mPromptTokens);
-        grow(events);
+        mMemory = new EngineMemory(mContext.loads(), engine, mNeededTokens);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -286,12 +286,13 @@
 
         /**
          * Returns how much room a late request leaves to one that can be in time, which may come to
-         * any router at any moment.
+         * any router at any moment. With a quarter of the memory left in place of one prompt, as
+         * many were in time and twice as many were refused again.
          *
          * @return tokens
          */
         private long leftToOthers() {
-            return mWanted.standing() == Standing.LATE ? mWanted.promptTokens() : 0;
+            return mWanted.standing() == Standing.IN_TIME ? 0 : mWanted.promptTokens();
         }
 
         /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -124,6 +124,7 @@
                 mService,
                 window.waitMillis(prediction),
                 window.standing(),
+                mRelay.events(),
                 this::engines,
                 new PlaceFound());
     }
@@ -171,6 +172,7 @@
                 mService,
                 0,
                 Standing.CONTINUED,
+                mRelay.events(),
                 () -> mKept.among(upstreams(UpstreamEntry.Role.DECODE)),
                 new KeptFound(end));
     }
@@ -182,7 +184,7 @@
      * @param place the place; empty where engines do not set places aside
      */
     private void take(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
-        mPlace.take(engine, place, mRelay.events());
+        mPlace.take(engine, place);
         mContext.pacer().granted(mContext.loop().millis());
         mTrace.step("place@" + engine.id() + " known " + mContext.loads().tokens(engine));
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/decision/StartWindowTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/decision/StartWindowTest.java
@@ -25,6 +25,7 @@
     public void aLateRequestWaitsWhileItsCallerIsLikelyToBeThere() {
         assertEquals(new StartWindow(900, 0, 9000, Standing.LATE).waitMillis(READ_SOON), 2700);
         assertEquals(new StartWindow(900, 0, 500, Standing.LATE).waitMillis(READ_SOON), 500);
+        assertEquals(new StartWindow(900, 0, 9000, Standing.CONTINUED).waitMillis(READ_LATE), 900);
     }
 
     @Test
@@ -50,6 +51,8 @@
         assertEquals(free.millis(3200), 0.0);
         RoomForecast full = new RoomForecast(4, 152_000, 38_000, 0, 3600);
         assertEquals(full.millis(3200), 3200 * 3600 / 152_000.0, 0.1);
+        RoomForecast grown = new RoomForecast(4, 160_000, 38_000, 0, 3600);
+        assertEquals(grown.millis(3200), 3200 * 3600 / 160_000.0, 0.1);
         RoomForecast queue = new RoomForecast(4, 152_000, 38_000, 32_000, 3600);
         assertEquals(queue.millis(3200), 35_200 * 3600 / 152_000.0, 0.1);
         assertEquals(new RoomForecast(4, 152_000, 38_000, 32_000, 0).millis(3200), 0.0);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -240,6 +240,23 @@
         assertEquals(mPort.mPrefills.size(), 1);
     }
 
+    @Test
+    public void aStreamThatGoesOnNeedsRoomForWhatWasMadeToo() {
+        mContext.budget().limit(0, 10);
+        mDirectory.replaceAll(List.of(Entries.decode("a"), Entries.decode("b")));
+        stream(Route.Kind.RESUMABLE_STREAM);
+        UpstreamPort.RunListener run = mPort.mRuns.get(0).mListener;
+        run.onHead(head(UpstreamPort.Verdict.SUCCESS));
+        for (int event = 1; event <= 10; event++) {
+            run.onPart(("id: " + event + "\ndata: a\n\n").getBytes(StandardCharsets.UTF_8));
+        }
+        long used = mContext.loads().tokens(mPort.mRuns.get(0).mUpstream);
+        run.onFailure(AttemptEnd.lost("reset"));
+        assertEquals(used, 1040);
+        assertTrue(mPort.mAskedTokens.get(1) >= used, "asked " + mPort.mAskedTokens);
+        assertEquals(mContext.loads().tokens(mPort.mRuns.get(1).mUpstream), used);
+    }
+
     @Test
     public void aPromptThatASilentEngineMayNeverHaveFetchedIsReadElsewhere() {
         mContext.budget().limit(0, 10);
