--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/RelayPlan.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/RelayPlan.java
@@ -34,7 +34,7 @@
 
     /**
      * Up to how many routers all tell each other, so that word comes in one step. Reports of seven
-     * others cost 0.042 of a core (docs/CAPACITY.md); twice as many are borne by the first sites.
+     * others cost 0.042 of a core (docs/CAPACITY.md); twice as many are borne.
      */
     static final int MOST_DIRECT = 16;
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReportedUse.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReportedUse.java
@@ -128,7 +128,7 @@
     }
 
     /**
-     * Asks an engine.
+     * Asks an engine. One that does not answer is passed over by what becomes of its runs.
      *
      * @param engine the engine
      */
@@ -136,9 +136,11 @@
         mEngines.report(engine)
                 .whenComplete(
                         (report, failure) -> {
-                            if (failure == null) {
-                                mLoop.execute(() -> reported(engine, report.usedTokens()));
+                            if (failure != null) {
+                                LOGGER.debug("engine silent id={}", engine.id(), failure);
+                                return;
                             }
+                            mLoop.execute(() -> reported(engine, report.usedTokens()));
                         });
     }
 
