Sight: a line when an entry is missing and believed on, how overdue its end is, how old the list is

Cause: when an upstream's entry is found missing after the store was not heard, nothing told that it was kept, until when, and how late its end was noticed; no figure told how old the list of upstreams is. Ruled out: nothing by this; behaviour is unchanged.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -60,6 +60,12 @@
     /** Whether the entries were read at least once. */
     private volatile boolean mLoaded;
 
+    /** When the entries were last known to be those of the store, on the monotonic clock. */
+    private volatile long mHeardAt;
+
+    /** How many entries are missing and still believed, for readers on any thread. */
+    private volatile int mMissing;
+
     /**
      * Creates an empty directory.
      *
@@ -67,6 +73,25 @@
      */
     public UpstreamDirectory(LongSupplier nanos) {
         mNanos = nanos;
+        mHeardAt = nanos.getAsLong();
+    }
+
+    /**
+     * Returns how long ago the entries were known to be those of the store.
+     *
+     * @return milliseconds; since the start where they have not been read
+     */
+    public long ageMillis() {
+        return (mNanos.getAsLong() - mHeardAt) / NANOS_PER_MILLI;
+    }
+
+    /**
+     * Returns how many entries are missing and still believed.
+     *
+     * @return the count
+     */
+    public int missing() {
+        return mMissing;
     }
 
     /**
@@ -122,7 +147,8 @@
     /** Records that the store cannot be read. */
     public void storeLost() {
         if (!mAway) {
-            LOGGER.warn("directory store lost entries={}", mEntries.size());
+            LOGGER.warn(
+                    "directory store lost entries={} ageMillis={}", mEntries.size(), ageMillis());
         }
         mAway = true;
     }
@@ -132,8 +158,12 @@
         if (mAway) {
             mAway = false;
             mGraceUntil = mNanos.getAsLong() + GRACE_MILLIS * NANOS_PER_MILLI;
-            LOGGER.info("directory store regained entries={}", mEntries.size());
+            LOGGER.info(
+                    "directory store regained entries={} ageMillis={}",
+                    mEntries.size(),
+                    ageMillis());
         }
+        mHeardAt = mNanos.getAsLong();
         expire();
     }
 
@@ -176,6 +206,7 @@
      */
     private boolean put(UpstreamEntry entry) {
         mVanished.remove(entry.id());
+        mMissing = mVanished.size();
         UpstreamEntry before = mEntries.put(entry.id(), entry);
         boolean news = !entry.equals(before);
         if (news) {
@@ -202,7 +233,10 @@
         }
         boolean doubtful = mAway || mGraceUntil != 0 && mNanos.getAsLong() - mGraceUntil < 0;
         if (doubtful && !mEntries.get(id).draining()) {
-            mVanished.putIfAbsent(id, mGraceUntil);
+            if (mVanished.putIfAbsent(id, mGraceUntil) == null) {
+                LOGGER.info("upstream missing id={} believedMillis={}", id, leftMillis());
+                mMissing = mVanished.size();
+            }
             return true;
         }
         mEntries.remove(id);
@@ -219,15 +253,28 @@
             if (mNanos.getAsLong() - vanished.getValue() >= 0) {
                 each.remove();
                 mEntries.remove(vanished.getKey());
-                LOGGER.info("upstream gone after the store's return id={}", vanished.getKey());
+                LOGGER.info(
+                        "upstream gone after the store's return id={} overdueMillis={}",
+                        vanished.getKey(),
+                        -leftMillis());
                 changed = true;
             }
         }
         if (changed) {
+            mMissing = mVanished.size();
             publish();
         }
     }
 
+    /**
+     * Returns how much longer vanished entries are believed.
+     *
+     * @return milliseconds; negative once that is over
+     */
+    private long leftMillis() {
+        return (mGraceUntil - mNanos.getAsLong()) / NANOS_PER_MILLI;
+    }
+
     /** Publishes what may get work. */
     private void publish() {
         List<UpstreamEntry> usable = new ArrayList<>(mEntries.values());
