--- /dev/null
+++ b/troutpier-testing/src/main/java/org/troutpier/testing/package-info.java
@@ -0,0 +1,2 @@
+/** What the tests of all modules share. */
+package org.troutpier.testing;
