--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/FakeRowStore.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/FakeRowStore.java
@@ -1,7 +1,9 @@
 package org.troutpier.daemon.rows;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import org.troutpier.standins.platform.VersionedRows;
@@ -20,8 +22,12 @@
             };
 
     public final VersionedRows mRows;
+    private final Queue<CompletableFuture<RowPage>> mUnanswered = new ArrayDeque<>();
     public boolean mAway;
 
+    /** Whether calls are not answered; those sent meanwhile never are. */
+    public boolean mSilent;
+
     public FakeRowStore(VersionedRows rows) {
         mRows = rows;
     }
@@ -29,6 +35,10 @@
     @Override
     public CompletableFuture<RowPage> read(String table, String part) {
         CompletableFuture<RowPage> future = new CompletableFuture<>();
+        if (mSilent) {
+            mUnanswered.add(future);
+            return future;
+        }
         if (mAway) {
             future.completeExceptionally(
                     new RowStoreException(RowStoreException.Reason.REFUSED, "away"));
@@ -44,6 +54,10 @@
     @Override
     public CompletableFuture<RowPage> feed(String table, long after, int waitMillis) {
         CompletableFuture<RowPage> future = new CompletableFuture<>();
+        if (mSilent) {
+            mUnanswered.add(future);
+            return future;
+        }
         if (mAway) {
             future.completeExceptionally(
                     new RowStoreException(RowStoreException.Reason.REFUSED, "away"));
@@ -89,6 +103,14 @@
         return future;
     }
 
+    /** Ends the oldest call that was not answered, as its time limit does. */
+    public void timeOut() {
+        mUnanswered
+                .remove()
+                .completeExceptionally(
+                        new RowStoreException(RowStoreException.Reason.SILENT, "time limit"));
+    }
+
     /** Answers with what was read; a call that is answered before it is done has failed. */
     private static void answer(CompletableFuture<RowPage> future, List<RowPage> pages) {
         if (pages.isEmpty()) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/TableFollowerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/TableFollowerTest.java
@@ -151,4 +151,23 @@
         share("b");
         assertEquals(mTold, List.of("a", "lost", "b"));
     }
+
+    /**
+     * A router could not reach the store for twelve seconds. Its call of just before the return
+     * hung for the whole limit of a second and was tried again half a second later, so the list of
+     * upstreams was read 1.4 s after the store answered others' calls and this router's other
+     * tables.
+     */
+    @Test
+    public void theReturnOfAStoreThatWasSilentIsNoticedThoughACallStillHangs() {
+        mStore.mSilent = true;
+        mTime.pass(PAUSE);
+        mTime.pass(1000);
+        mStore.timeOut();
+        mTime.pass(600);
+        put("b");
+        mStore.mSilent = false;
+        mTime.pass(500);
+        assertEquals(mTold, List.of("a", "lost", "b"));
+    }
 }
