--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
@@ -5,7 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 
 /**
  * What one or several routers tell the others of themselves. Immutable and thread safe. It travels
@@ -26,9 +26,9 @@
         int routers,
         boolean roleHolder,
         long waitingTokens,
-        Set<UpstreamId> changing,
-        Set<UpstreamId> refusing,
-        Map<UpstreamId, UpstreamUse> uses,
+        Set<UpstreamIncarnation> changing,
+        Set<UpstreamIncarnation> refusing,
+        Map<UpstreamIncarnation, UpstreamUse> uses,
         Map<String, Demand> demands) {
 
     /** The report of no router. */
@@ -69,9 +69,9 @@
         int count = routers;
         boolean holder = roleHolder;
         long waiting = waitingTokens;
-        Set<UpstreamId> changed = new HashSet<>(changing);
-        Set<UpstreamId> refused = new HashSet<>(refusing);
-        Map<UpstreamId, UpstreamUse> allUses = new HashMap<>(uses);
+        Set<UpstreamIncarnation> changed = new HashSet<>(changing);
+        Set<UpstreamIncarnation> refused = new HashSet<>(refusing);
+        Map<UpstreamIncarnation, UpstreamUse> allUses = new HashMap<>(uses);
         Map<String, Demand> allDemands = new HashMap<>(demands);
         for (LoadReport other : others) {
             count += other.routers;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.node.Control;
 import org.troutpier.daemon.role.RoleController;
 import org.troutpier.daemon.route.CurrentConfiguration;
@@ -50,7 +50,7 @@
     private final PeerExchange mExchange;
 
     /** The use that was reported last. */
-    private Map<UpstreamId, UpstreamUse> mReported = new HashMap<>();
+    private Map<UpstreamIncarnation, UpstreamUse> mReported = new HashMap<>();
 
     /** When the last report was made, milliseconds. */
     private long mReportedAt;
@@ -118,7 +118,7 @@
     /** Reports if there is something new to tell. */
     private void look() {
         mLooking = false;
-        Map<UpstreamId, UpstreamUse> uses = mLoads.uses();
+        Map<UpstreamIncarnation, UpstreamUse> uses = mLoads.uses();
         if (!uses.equals(mReported)) {
             report(uses);
         }
@@ -144,7 +144,7 @@
      *
      * @param uses what is under way
      */
-    private void report(Map<UpstreamId, UpstreamUse> uses) {
+    private void report(Map<UpstreamIncarnation, UpstreamUse> uses) {
         mReportedAt = mLoop.millis();
         mReported = uses;
         LoadReport report =
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
@@ -28,8 +28,11 @@
     /** How long to wait before a write is tried again, milliseconds. */
     private static final long RETRY_MILLIS = 400;
 
-    /** How the table is followed: it changes only when a router starts. */
-    private static final TableFollower.Pace PACE = new TableFollower.Pace(10_000, 500, 0);
+    /**
+     * How the table is followed: it changes only when a router starts, so the store's return need
+     * not be noticed at once.
+     */
+    private static final TableFollower.Pace PACE = new TableFollower.Pace(10_000, 500, 0, 2000);
 
     /** Logs the registration. */
     private static final Logger LOGGER = LogManager.getLogger(MemberRegistry.class);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.troutpier.common.id.Incarnation;
-import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 
 /**
  * What the other routers said of their load and demand. Changes are confined to the control thread;
@@ -138,7 +138,7 @@
      * @param upstream the upstream
      * @return the sum
      */
-    public UpstreamUse use(UpstreamId upstream) {
+    public UpstreamUse use(UpstreamIncarnation upstream) {
         return mSum.uses().getOrDefault(upstream, UpstreamUse.NONE);
     }
 
@@ -148,7 +148,7 @@
      * @param engine the engine
      * @return whether one said so lately
      */
-    public boolean changing(UpstreamId engine) {
+    public boolean changing(UpstreamIncarnation engine) {
         return mSum.changing().contains(engine);
     }
 
@@ -158,7 +158,7 @@
      * @param engine the engine
      * @return whether one said so
      */
-    public boolean refusing(UpstreamId engine) {
+    public boolean refusing(UpstreamIncarnation engine) {
         return mSum.refusing().contains(engine);
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -16,6 +16,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.node.Control;
 
 /**
@@ -67,8 +68,11 @@
     /** The entries by service, for readers on any thread. */
     private volatile Map<String, List<UpstreamEntry>> mSnapshot = Map.of();
 
+    /** The listed start of each upstream, for readers on any thread. */
+    private volatile Map<UpstreamId, UpstreamIncarnation> mStarts = Map.of();
+
     /** Receives the upstreams that are listed. */
-    private Consumer<Set<UpstreamId>> mListener = listed -> {};
+    private Consumer<Set<UpstreamIncarnation>> mListener = listed -> {};
 
     /** Whether the entries were read at least once. */
     private volatile boolean mLoaded;
@@ -151,12 +155,23 @@
                 .toList();
     }
 
+    /**
+     * Returns whether an upstream is known to have started again since one of its starts.
+     *
+     * @param incarnation the start
+     * @return whether what that start held is lost
+     */
+    public boolean restarted(UpstreamIncarnation incarnation) {
+        UpstreamIncarnation now = mStarts.get(incarnation.id());
+        return now != null && now.follows(incarnation);
+    }
+
     /**
      * Sets who is told of the upstreams that are listed, whenever that changes.
      *
-     * @param listener takes their ids, on the control thread
+     * @param listener takes their starts, on the control thread
      */
-    public void onChanged(Consumer<Set<UpstreamId>> listener) {
+    public void onChanged(Consumer<Set<UpstreamIncarnation>> listener) {
         mListener = listener;
     }
 
@@ -227,19 +242,21 @@
     /**
      * Stores an entry.
      *
-     * @param entry the entry
+     * @param told the entry as it is told
      * @return whether it says something new
      */
-    private boolean put(UpstreamEntry entry) {
-        if (mVanished.remove(entry.id())) {
+    private boolean put(UpstreamEntry told) {
+        if (mVanished.remove(told.id())) {
             mMissing = mVanished.size();
         }
-        UpstreamEntry before = mEntries.put(entry.id(), entry);
+        UpstreamEntry before = mEntries.get(told.id());
+        UpstreamEntry entry = before == null ? told : before.after(told);
+        mEntries.put(entry.id(), entry);
         boolean news = !entry.equals(before);
         if (news) {
             LOGGER.info(
                     "upstream listed id={} service={} address={} role={} draining={}",
-                    entry.id(),
+                    entry.incarnation(),
                     entry.service(),
                     entry.address(),
                     entry.role(),
@@ -310,6 +327,11 @@
                         .collect(
                                 Collectors.groupingBy(
                                         UpstreamEntry::service, Collectors.toUnmodifiableList()));
-        mListener.accept(Set.copyOf(mEntries.keySet()));
+        mStarts =
+                mEntries.values().stream()
+                        .collect(
+                                Collectors.toUnmodifiableMap(
+                                        UpstreamEntry::id, UpstreamEntry::incarnation));
+        mListener.accept(Set.copyOf(mStarts.values()));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamEntry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamEntry.java
@@ -2,12 +2,13 @@
 
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.settings.Address;
 
 /**
  * One incarnation of an upstream as the platform lists it. Immutable and thread safe.
  *
- * @param id names this incarnation
+ * @param incarnation names it
  * @param service the service that it belongs to
  * @param address where it listens
  * @param hall where it stands
@@ -16,7 +17,7 @@
  * @param draining whether it is about to leave
  */
 public record UpstreamEntry(
-        UpstreamId id,
+        UpstreamIncarnation incarnation,
         String service,
         Address address,
         HallId hall,
@@ -24,6 +25,41 @@
         Role role,
         boolean draining) {
 
+    /**
+     * Returns the upstream's id, whichever of its starts this is.
+     *
+     * @return the id
+     */
+    public UpstreamId id() {
+        return incarnation.id();
+    }
+
+    /**
+     * Returns what is known after this upstream was told of again. What is told of an earlier start
+     * is dropped. Within one start, a told start is kept, and an upstream that is leaving does not
+     * come back: only a later start is ready again.
+     *
+     * @param told what is told now, of the same id
+     * @return what is known
+     */
+    UpstreamEntry after(UpstreamEntry told) {
+        if (told.incarnation.follows(incarnation)) {
+            return told;
+        }
+        if (!told.incarnation.mayBe(incarnation)) {
+            return this;
+        }
+        boolean known = told.incarnation.startMillis() != UpstreamIncarnation.UNKNOWN;
+        return new UpstreamEntry(
+                known ? told.incarnation : incarnation,
+                told.service,
+                told.address,
+                told.hall,
+                told.slots,
+                told.role,
+                draining || told.draining);
+    }
+
     /** What an upstream does. */
     public enum Role {
         /** Reads prompts. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/EngineOrders.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/EngineOrders.java
@@ -1,6 +1,7 @@
 package org.troutpier.daemon.role;
 
 import java.util.concurrent.CompletableFuture;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.directory.UpstreamEntry;
 
 /** Orders engines to change their role. Implementations are thread safe. */
@@ -37,12 +38,18 @@
     /**
      * How an engine stands. Immutable and thread safe.
      *
+     * @param incarnation which start of the engine reports; as far as it says so
      * @param role what it does
      * @param changing whether an order is being carried out
      * @param orders how many orders it has taken
      * @param usedTokens how much memory its runs took, a while ago
      */
-    record EngineReport(UpstreamEntry.Role role, boolean changing, long orders, long usedTokens) {}
+    record EngineReport(
+            UpstreamIncarnation incarnation,
+            UpstreamEntry.Role role,
+            boolean changing,
+            long orders,
+            long usedTokens) {}
 
     /** What is known of an order. */
     enum Outcome {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -11,7 +11,7 @@
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.cluster.Demand;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.decision.RoleInvestment;
@@ -80,7 +80,7 @@
     private volatile boolean mHolds;
 
     /** The engines that are being changed, for other threads. */
-    private volatile Set<UpstreamId> mChanging = Set.of();
+    private volatile Set<UpstreamIncarnation> mChanging = Set.of();
 
     /** Runs when they change. */
     private Runnable mOnChanging = () -> {};
@@ -165,7 +165,7 @@
      *
      * @return their ids
      */
-    public Set<UpstreamId> changing() {
+    public Set<UpstreamIncarnation> changing() {
         return mChanging;
     }
 
@@ -190,7 +190,7 @@
         changing(
                 mChanges.values().stream()
                         .filter(change -> change.mOrdersBefore >= 0 && change.mEngine != null)
-                        .map(change -> change.mEngine.id())
+                        .map(change -> change.mEngine.incarnation())
                         .collect(Collectors.toUnmodifiableSet()));
     }
 
@@ -221,7 +221,7 @@
      *
      * @param changing their ids
      */
-    private void changing(Set<UpstreamId> changing) {
+    private void changing(Set<UpstreamIncarnation> changing) {
         if (!changing.equals(mChanging)) {
             mChanging = changing;
             mOnChanging.run();
@@ -327,8 +327,8 @@
                         .filter(each -> reads(each) != toPrefill)
                         .min(
                                 Comparator.<UpstreamEntry>comparingLong(
-                                                each -> mPeers.use(each.id()).tokens())
-                                        .thenComparing(UpstreamEntry::id));
+                                                each -> mPeers.use(each.incarnation()).tokens())
+                                        .thenComparing(UpstreamEntry::incarnation));
         if (engine.isEmpty()) {
             return;
         }
@@ -362,7 +362,9 @@
      */
     private boolean over(Change change, List<UpstreamEntry> engines) {
         Optional<UpstreamEntry> listed =
-                engines.stream().filter(each -> each.id().equals(change.mEngine.id())).findFirst();
+                engines.stream()
+                        .filter(each -> each.incarnation().equals(change.mEngine.incarnation()))
+                        .findFirst();
         boolean done = listed.isPresent() && listed.get().role() == change.mRole;
         boolean ended = done || listed.isEmpty() || mNode.millis() > change.mUntil;
         if (ended) {
@@ -406,7 +408,9 @@
                                                 () -> {
                                                     change.mCalling = false;
                                                     if (change.mEngine == engine
-                                                            && failure == null) {
+                                                            && failure == null
+                                                            && report.incarnation()
+                                                                    .mayBe(engine.incarnation())) {
                                                         reported(change, report);
                                                     }
                                                 }));
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/TableFollower.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/TableFollower.java
@@ -27,13 +27,6 @@
     /** How long to wait after the first failure, milliseconds. */
     private static final long FIRST_RETRY_MILLIS = 100;
 
-    /**
-     * How long a call is waited for before the next is made beside it, milliseconds, beyond what it
-     * may itself wait for a change. A call into a silent connection ends after a second; waited
-     * for, it let the store's return be noticed 1.1 to 1.4 s late, with the limit 0.4 s at most.
-     */
-    private static final long RETRY_MILLIS = 400;
-
     /** How long a call waits for a change while the store may be away, milliseconds. */
     private static final int PROBE_MILLIS = 1;
 
@@ -107,8 +100,10 @@
      * @param pauseMillis how long to pause between calls
      * @param sharedMillis how long after a page that another router shared no call is needed, and
      *     how old knowledge may be that is told to another; 0 where none is shared
+     * @param retryMillis how long a call is waited for, beyond what it waits for a change, before
+     *     the next is made beside it
      */
-    public record Pace(int waitMillis, long pauseMillis, long sharedMillis) {}
+    public record Pace(int waitMillis, long pauseMillis, long sharedMillis, long retryMillis) {}
 
     /** Shares with other routers what this one read itself, and asks them. */
     public interface Sharer {
@@ -316,7 +311,7 @@
         boolean whole = mWhole;
         CompletableFuture<RowPage> page =
                 whole ? mStore.read(mTable, "") : mStore.feed(mTable, mVersion, waitMillis);
-        plan(RETRY_MILLIS + (whole ? 0 : waitMillis));
+        plan(mPace.retryMillis() + (whole ? 0 : waitMillis));
         page.whenComplete(
                 (read, failure) -> mControl.execute(() -> heard(call, read, failure, whole)));
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/KeptPrompt.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/KeptPrompt.java
@@ -45,7 +45,9 @@
      * @return the engine, if it is one of them
      */
     List<UpstreamEntry> among(List<UpstreamEntry> usable) {
-        return usable.stream().filter(each -> each.id().equals(mEngine.id())).toList();
+        return usable.stream()
+                .filter(each -> each.incarnation().equals(mEngine.incarnation()))
+                .toList();
     }
 
     /** Records that the run goes on there. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -11,7 +11,7 @@
 import java.util.TreeSet;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.decision.Standing;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.upstream.AttemptEnd;
@@ -51,7 +51,7 @@
     private final RandomGenerator mRandom;
 
     /** Until when each engine is taken to be full, milliseconds on the loop's clock. */
-    private final Map<UpstreamId, Long> mFullUntil = new HashMap<>();
+    private final Map<UpstreamIncarnation, Long> mFullUntil = new HashMap<>();
 
     /** The searches that wait for room. */
     private final NavigableSet<Search> mWaiting = new TreeSet<>(ORDER);
@@ -168,7 +168,7 @@
      *
      * @param listed the ids that are listed
      */
-    public void retain(Set<UpstreamId> listed) {
+    public void retain(Set<UpstreamIncarnation> listed) {
         mFullUntil.keySet().retainAll(listed);
     }
 
@@ -188,7 +188,7 @@
         private final long mNumber = mSearches++;
 
         /** Which engines were asked in this round. */
-        private final Set<UpstreamId> mAsked = new HashSet<>();
+        private final Set<UpstreamIncarnation> mAsked = new HashSet<>();
 
         /** How many refusals there were. */
         private int mRefusals;
@@ -227,7 +227,7 @@
             }
             long now = mLoop.millis();
             for (UpstreamEntry engine : mLoads.byTokens(mWanted.engines().get(), mAsked)) {
-                if (mFullUntil.getOrDefault(engine.id(), now) <= now && hasRoom(engine)) {
+                if (mFullUntil.getOrDefault(engine.incarnation(), now) <= now && hasRoom(engine)) {
                     ask(engine);
                     return;
                 }
@@ -307,7 +307,7 @@
                 mListener.granted(engine, Optional.empty());
                 return;
             }
-            mAsked.add(engine.id());
+            mAsked.add(engine.incarnation());
             int millis = Math.min(PLACE_MILLIS, mWanted.placeMillis());
             long tokens = mLoads.peersHeard() ? mWanted.promptTokens() : mWanted.mostTokens();
             mLoads.take(engine, mWanted.promptTokens());
@@ -346,7 +346,7 @@
             public void onFailure(AttemptEnd end) {
                 mLoads.end(mEngine, mWanted.promptTokens());
                 mRefusals++;
-                mFullUntil.put(mEngine.id(), mLoop.millis() + FULL_MILLIS);
+                mFullUntil.put(mEngine.incarnation(), mLoop.millis() + FULL_MILLIS);
                 if (end.leaving()) {
                     mLoads.replaced(mEngine);
                 } else if (end.unreachable()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReportedUse.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReportedUse.java
@@ -8,7 +8,7 @@
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
@@ -63,7 +63,7 @@
     private final EngineOrders mEngines;
 
     /** What was known to run at each engine at the last looks, the newest last. */
-    private final Map<UpstreamId, Deque<Long>> mKnown = new HashMap<>();
+    private final Map<UpstreamIncarnation, Deque<Long>> mKnown = new HashMap<>();
 
     /** How many other routers were heard at the last look. */
     private int mHeard;
@@ -128,9 +128,13 @@
     private void look(boolean ask) {
         List<UpstreamEntry> engines = mDirectory.usable(UpstreamEntry.Role.DECODE);
         mKnown.keySet()
-                .retainAll(engines.stream().map(UpstreamEntry::id).collect(Collectors.toSet()));
+                .retainAll(
+                        engines.stream()
+                                .map(UpstreamEntry::incarnation)
+                                .collect(Collectors.toSet()));
         for (UpstreamEntry engine : engines) {
-            Deque<Long> known = mKnown.computeIfAbsent(engine.id(), id -> new ArrayDeque<>());
+            Deque<Long> known =
+                    mKnown.computeIfAbsent(engine.incarnation(), any -> new ArrayDeque<>());
             known.addLast(mLoads.toldTokens(engine));
             if (known.size() > LATE_LOOKS) {
                 known.removeFirst();
@@ -154,7 +158,9 @@
                                 LOGGER.debug("engine silent id={}", engine.id(), failure);
                                 return;
                             }
-                            mLoop.execute(() -> reported(engine, report.usedTokens()));
+                            if (report.incarnation().mayBe(engine.incarnation())) {
+                                mLoop.execute(() -> reported(engine, report.usedTokens()));
+                            }
                         });
     }
 
@@ -165,7 +171,7 @@
      * @param used how much of its memory runs took a while ago
      */
     private void reported(UpstreamEntry engine, long used) {
-        Deque<Long> known = mKnown.get(engine.id());
+        Deque<Long> known = mKnown.get(engine.incarnation());
         if (known != null) {
             long most = known.stream().mapToLong(Long::longValue).max().orElse(0);
             mLoads.unknown(engine, Math.max(0, used - most));
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -3,7 +3,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.request.Knowledge;
@@ -36,10 +36,10 @@
     protected final Knowledge mKnowledge = new Knowledge();
 
     /** Where it was sent to be run. */
-    protected final Set<UpstreamId> mTried = new HashSet<>();
+    protected final Set<UpstreamIncarnation> mTried = new HashSet<>();
 
     /** Which upstreams never received the request: not reached, or another stood in their place. */
-    private final Set<UpstreamId> mUnreached = new HashSet<>();
+    private final Set<UpstreamIncarnation> mUnreached = new HashSet<>();
 
     /** What happened, for the log. */
     protected final RequestTrace mTrace;
@@ -174,8 +174,8 @@
         boolean another = end.notStarted() && end.leaving();
         boolean unreached = end.notStarted() && end.unreachable();
         if (another || unreached) {
-            mTried.remove(upstream.id());
-            mUnreached.add(upstream.id());
+            mTried.remove(upstream.incarnation());
+            mUnreached.add(upstream.incarnation());
             boolean more = mUnreached.size() <= ServingSettings.MOST_UNREACHED;
             return more && (unreached || mayCallOnceMore());
         }
@@ -211,8 +211,8 @@
      *
      * @return those that had it and those that could not be reached
      */
-    protected Set<UpstreamId> excluded() {
-        Set<UpstreamId> excluded = new HashSet<>(mTried);
+    protected Set<UpstreamIncarnation> excluded() {
+        Set<UpstreamIncarnation> excluded = new HashSet<>(mTried);
         excluded.addAll(mUnreached);
         return excluded;
     }
@@ -224,7 +224,7 @@
      * @param step what it is called in the log
      */
     protected void sent(UpstreamEntry upstream, String step) {
-        mTried.add(upstream.id());
+        mTried.add(upstream.incarnation());
         mTrace.step(step + "@" + upstream.id());
         mContext.metrics().sent(upstream.id());
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.cluster.DemandMeter;
 import org.troutpier.daemon.decision.Standing;
@@ -29,7 +29,7 @@
     private final EventRelay mRelay;
 
     /** The prefill engines that were tried for this run. */
-    private final Set<UpstreamId> mPrefillTried = new HashSet<>();
+    private final Set<UpstreamIncarnation> mPrefillTried = new HashSet<>();
 
     /** Where it runs or is going to run. */
     private final DecodePlace mPlace;
@@ -214,9 +214,9 @@
      * @return the engines
      */
     private List<UpstreamEntry> untried() {
-        Set<UpstreamId> excluded = excluded();
+        Set<UpstreamIncarnation> excluded = excluded();
         return upstreams(UpstreamEntry.Role.DECODE).stream()
-                .filter(entry -> !excluded.contains(entry.id()))
+                .filter(entry -> !excluded.contains(entry.incarnation()))
                 .toList();
     }
 
@@ -258,7 +258,7 @@
      * is left: its run is the request's first all the same.
      */
     private void read() {
-        if (mStored != null && mContext.loop().millis() < mStoredUntil) {
+        if (mStored != null && storedStands()) {
             UpstreamPort.StoredPrompt stored = mStored;
             mStored = null;
             mTrace.step("prompt kept");
@@ -278,7 +278,7 @@
             return;
         }
         UpstreamEntry engine = engines.get(0);
-        mPrefillTried.add(engine.id());
+        mPrefillTried.add(engine.incarnation());
         boolean alone = mContext.loads().tokens(engine) == 0 && !mReadBefore && !mComesBack;
         mReadBefore = true;
         PromptReading.Prompt prompt = new PromptReading.Prompt(mService, promptTokens(), alone);
@@ -289,6 +289,16 @@
                         .withResumeAfter(mRelay.last()));
     }
 
+    /**
+     * Returns whether the prompt that was read and not used can still be used.
+     *
+     * @return whether its time is not over and its engine has not started again
+     */
+    private boolean storedStands() {
+        return mContext.loop().millis() < mStoredUntil
+                && !mContext.directory().restarted(mStored.upstream().incarnation());
+    }
+
     /**
      * Sends the request to the decode engine.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -14,7 +14,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.id.HallId;
-import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.cluster.UpstreamUse;
 import org.troutpier.daemon.directory.UpstreamEntry;
@@ -64,7 +64,7 @@
     private static final Logger LOGGER = LogManager.getLogger(UpstreamLoads.class);
 
     /** The state of each upstream. */
-    private final Map<UpstreamId, Load> mLoads = new HashMap<>();
+    private final Map<UpstreamIncarnation, Load> mLoads = new HashMap<>();
 
     /** The clock. */
     private final TrafficLoop mLoop;
@@ -85,7 +85,7 @@
     private Runnable mOnChanged = () -> {};
 
     /** The engines that change their role by this router's order. */
-    private volatile Set<UpstreamId> mChanging = Set.of();
+    private volatile Set<UpstreamIncarnation> mChanging = Set.of();
 
     /** One upstream's state. */
     private static final class Load {
@@ -210,7 +210,7 @@
      * @param tokens its tokens
      */
     private void add(UpstreamEntry upstream, long tokens) {
-        Load load = load(upstream.id());
+        Load load = load(upstream.incarnation());
         load.mCalls++;
         load.mTokens += tokens;
     }
@@ -222,7 +222,7 @@
      * @param tokens the tokens it began with
      */
     public void end(UpstreamEntry upstream, long tokens) {
-        Load load = load(upstream.id());
+        Load load = load(upstream.incarnation());
         load.mCalls--;
         load.mTokens -= tokens;
         mOnChanged.run();
@@ -235,7 +235,7 @@
      * @param tokens how many more
      */
     public void grow(UpstreamEntry upstream, long tokens) {
-        load(upstream.id()).mTokens += tokens;
+        load(upstream.incarnation()).mTokens += tokens;
         mOnChanged.run();
     }
 
@@ -247,7 +247,7 @@
      * @return tokens
      */
     public long tokens(UpstreamEntry engine) {
-        Load load = load(engine.id());
+        Load load = load(engine.incarnation());
         boolean fresh = mLoop.millis() - load.mUnknownAt <= UNKNOWN_MILLIS;
         return toldTokens(engine) + (fresh ? load.mUnknown : 0);
     }
@@ -259,7 +259,7 @@
      * @return tokens
      */
     long toldTokens(UpstreamEntry engine) {
-        return load(engine.id()).mTokens + mPeers.use(engine.id()).tokens();
+        return load(engine.incarnation()).mTokens + mPeers.use(engine.incarnation()).tokens();
     }
 
     /**
@@ -269,7 +269,7 @@
      * @param tokens how much, as the engine reported
      */
     void unknown(UpstreamEntry engine, long tokens) {
-        Load load = load(engine.id());
+        Load load = load(engine.incarnation());
         load.mUnknown = tokens;
         load.mUnknownAt = mLoop.millis();
     }
@@ -281,7 +281,7 @@
      * @return the count
      */
     public int calls(UpstreamEntry upstream) {
-        return load(upstream.id()).mCalls + mPeers.use(upstream.id()).calls();
+        return load(upstream.incarnation()).mCalls + mPeers.use(upstream.incarnation()).calls();
     }
 
     /**
@@ -299,7 +299,7 @@
      * @param upstream where
      */
     public void succeeded(UpstreamEntry upstream) {
-        Load load = load(upstream.id());
+        Load load = load(upstream.incarnation());
         if (load.mEjectedUntil != 0) {
             LOGGER.info("upstream used again id={}", upstream.id());
         }
@@ -316,7 +316,7 @@
      * @param upstream the engine
      */
     public void refused(UpstreamEntry upstream) {
-        Load load = load(upstream.id());
+        Load load = load(upstream.incarnation());
         load.mEjectedUntil = Math.max(load.mEjectedUntil, mLoop.millis() + REFUSED_MILLIS);
     }
 
@@ -328,7 +328,7 @@
      * @param engine the engine
      */
     public void runRefused(UpstreamEntry engine) {
-        Load load = load(engine.id());
+        Load load = load(engine.incarnation());
         load.mRefusals++;
         if (load.mRefusals < REFUSALS) {
             return;
@@ -350,7 +350,7 @@
      *
      * @return their ids
      */
-    public Set<UpstreamId> refusing() {
+    public Set<UpstreamIncarnation> refusing() {
         long now = mLoop.millis();
         return mLoads.entrySet().stream()
                 .filter(each -> each.getValue().refusesUntil() > now)
@@ -366,7 +366,7 @@
      * @param upstream the upstream as it was listed
      */
     public void replaced(UpstreamEntry upstream) {
-        Load load = load(upstream.id());
+        Load load = load(upstream.incarnation());
         long now = mLoop.millis();
         if (load.passedOverUntil(upstream) <= now) {
             LOGGER.warn(
@@ -385,7 +385,7 @@
      *
      * @param changing their ids; may be called from any thread
      */
-    public void changing(Set<UpstreamId> changing) {
+    public void changing(Set<UpstreamIncarnation> changing) {
         mChanging = changing;
     }
 
@@ -397,7 +397,7 @@
      * @param detail what happened, for the log
      */
     public void failed(UpstreamEntry upstream, boolean unreachable, String detail) {
-        Load load = load(upstream.id());
+        Load load = load(upstream.incarnation());
         load.mFailures++;
         if (!unreachable && load.mFailures < FAILURES) {
             return;
@@ -428,7 +428,7 @@
      * @return the upstream, or empty for none
      */
     public Optional<UpstreamEntry> pick(
-            Collection<UpstreamEntry> candidates, Set<UpstreamId> tried) {
+            Collection<UpstreamEntry> candidates, Set<UpstreamIncarnation> tried) {
         return ordered(candidates, tried, this::callCost).stream().findFirst();
     }
 
@@ -440,7 +440,7 @@
      * @return the engines, the least loaded first
      */
     public List<UpstreamEntry> byTokens(
-            Collection<UpstreamEntry> candidates, Set<UpstreamId> tried) {
+            Collection<UpstreamEntry> candidates, Set<UpstreamIncarnation> tried) {
         return ordered(candidates, tried, this::tokens);
     }
 
@@ -455,33 +455,35 @@
      */
     private List<UpstreamEntry> ordered(
             Collection<UpstreamEntry> candidates,
-            Set<UpstreamId> tried,
+            Set<UpstreamIncarnation> tried,
             ToDoubleFunction<UpstreamEntry> cost) {
         long now = mLoop.millis();
         List<UpstreamEntry> left = new ArrayList<>(candidates);
         left.removeIf(
                 entry ->
-                        tried.contains(entry.id())
-                                || mChanging.contains(entry.id())
-                                || mPeers.changing(entry.id()));
+                        tried.contains(entry.incarnation())
+                                || mChanging.contains(entry.incarnation())
+                                || mPeers.changing(entry.incarnation()));
         List<UpstreamEntry> there = new ArrayList<>(left);
-        there.removeIf(entry -> load(entry.id()).passedOverUntil(entry) > now);
+        there.removeIf(entry -> load(entry.incarnation()).passedOverUntil(entry) > now);
         if (there.isEmpty()) {
             return left.stream()
-                    .min(Comparator.comparingLong(entry -> load(entry.id()).passedOverUntil(entry)))
+                    .min(
+                            Comparator.comparingLong(
+                                    entry -> load(entry.incarnation()).passedOverUntil(entry)))
                     .map(List::of)
                     .orElse(List.of());
         }
         List<UpstreamEntry> sound = new ArrayList<>(there);
-        sound.removeIf(entry -> refuses(entry.id(), now));
+        sound.removeIf(entry -> refuses(entry.incarnation(), now));
         if (sound.isEmpty()) {
             sound = there;
         }
-        Map<UpstreamId, Double> costs = new HashMap<>();
+        Map<UpstreamIncarnation, Double> costs = new HashMap<>();
         for (UpstreamEntry entry : sound) {
-            costs.put(entry.id(), cost.applyAsDouble(entry) + mRandom.nextDouble() * 1e-6);
+            costs.put(entry.incarnation(), cost.applyAsDouble(entry) + mRandom.nextDouble() * 1e-6);
         }
-        sound.sort(Comparator.comparingDouble(entry -> costs.get(entry.id())));
+        sound.sort(Comparator.comparingDouble(entry -> costs.get(entry.incarnation())));
         return sound;
     }
 
@@ -492,7 +494,7 @@
      * @param now the clock, milliseconds
      * @return whether it is
      */
-    private boolean refuses(UpstreamId id, long now) {
+    private boolean refuses(UpstreamIncarnation id, long now) {
         return load(id).mRefusingUntil > now || mPeers.refusing(id);
     }
 
@@ -512,8 +514,8 @@
      *
      * @return the use of each upstream that is used
      */
-    public Map<UpstreamId, UpstreamUse> uses() {
-        Map<UpstreamId, UpstreamUse> uses = new HashMap<>();
+    public Map<UpstreamIncarnation, UpstreamUse> uses() {
+        Map<UpstreamIncarnation, UpstreamUse> uses = new HashMap<>();
         mLoads.forEach(
                 (id, load) -> {
                     if (load.mCalls > 0) {
@@ -528,7 +530,7 @@
      *
      * @param listed the ids that are listed
      */
-    public void retain(Set<UpstreamId> listed) {
+    public void retain(Set<UpstreamIncarnation> listed) {
         mLoads.entrySet()
                 .removeIf(each -> !listed.contains(each.getKey()) && each.getValue().mCalls == 0);
     }
@@ -539,7 +541,7 @@
      * @param id the upstream
      * @return its state
      */
-    private Load load(UpstreamId id) {
+    private Load load(UpstreamIncarnation id) {
         return mLoads.computeIfAbsent(id, any -> new Load());
     }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -20,7 +20,7 @@
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.InstanceId;
-import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.node.ManualTime;
 import org.troutpier.daemon.node.Node;
@@ -43,7 +43,7 @@
     private static final int HALLS = 3;
     private static final String TABLE = "table";
     private static final long ROUND_TRIP_MILLIS = 2;
-    private static final UpstreamId ENGINE = new UpstreamId("engine");
+    private static final UpstreamIncarnation ENGINE = UpstreamIncarnation.of("engine");
     private static final long SETTLED_MILLIS = 8000;
 
     private ManualTime mTime;
@@ -170,7 +170,7 @@
                             mControl,
                             mStore,
                             TABLE,
-                            new TableFollower.Pace(1, 700, 1050),
+                            new TableFollower.Pace(1, 700, 1050, 400),
                             mKeys,
                             new TableExchange.ForWholeTable(pages),
                             mTime::nanos);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/directory/UpstreamDirectoryTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/directory/UpstreamDirectoryTest.java
@@ -1,14 +1,18 @@
 package org.troutpier.daemon.directory;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.node.ManualTime;
 
@@ -20,7 +24,7 @@
 
     private static UpstreamEntry entry(String id, boolean draining) {
         return new UpstreamEntry(
-                new UpstreamId(id),
+                UpstreamIncarnation.of(id),
                 "web",
                 new Address("127.0.0.1", 1),
                 new HallId("hall"),
@@ -159,4 +163,61 @@
         mDirectory.change(new UpstreamId("a"), Optional.empty());
         assertEquals(usable(), 0);
     }
+
+    private void tell(String incarnation, boolean draining) {
+        UpstreamEntry told = entry(incarnation, draining);
+        mDirectory.change(told.id(), Optional.of(told));
+    }
+
+    private static UpstreamIncarnation start(String text) {
+        return UpstreamIncarnation.of(text);
+    }
+
+    @Test
+    public void aLaterStartTakesThePlaceOfAnEarlierOne() {
+        tell("a~1", false);
+        tell("a~2", false);
+        assertEquals(mDirectory.usable("web"), List.of(entry("a~2", false)));
+        assertTrue(mDirectory.restarted(start("a~1")));
+        assertFalse(mDirectory.restarted(start("a~2")));
+    }
+
+    @Test
+    public void whatComesLateOfAnEarlierStartIsDropped() {
+        tell("a~2", false);
+        tell("a~1", true);
+        assertEquals(mDirectory.usable("web"), List.of(entry("a~2", false)));
+    }
+
+    @Test
+    public void aStartThatIsNotToldIsNoNewsOfARestart() {
+        tell("a~2", false);
+        tell("a", false);
+        assertEquals(mDirectory.usable("web"), List.of(entry("a~2", false)));
+        assertFalse(mDirectory.restarted(start("a~2")));
+    }
+
+    @Test
+    public void whatLeavesIsReadyAgainOnlyByItsLaterStart() {
+        tell("a~1", true);
+        tell("a~1", false);
+        tell("a", false);
+        assertEquals(usable(), 0);
+        tell("a~2", false);
+        assertEquals(usable(), 1);
+    }
+
+    @Test
+    public void theStartsThatAreListedAreTold() {
+        Set<UpstreamIncarnation> told = new HashSet<>();
+        mDirectory.onChanged(
+                listed -> {
+                    told.clear();
+                    told.addAll(listed);
+                });
+        tell("a~1", false);
+        tell("b", false);
+        tell("a~2", false);
+        assertEquals(told, Set.of(start("a~2"), start("b")));
+    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
@@ -18,7 +18,7 @@
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.InstanceId;
-import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.cluster.Demand;
 import org.troutpier.daemon.cluster.PeerLoads;
@@ -49,19 +49,29 @@
 
     /** Engines that take each order and then take their time. */
     private static final class FakeOrders implements EngineOrders {
-        final List<UpstreamId> mOrdered = new ArrayList<>();
+        final List<UpstreamIncarnation> mOrdered = new ArrayList<>();
+        final List<Long> mExpected = new ArrayList<>();
+
+        /** Who speaks in place of the engine that is asked; null for itself. */
+        UpstreamIncarnation mSpeaks;
 
         @Override
         public CompletableFuture<EngineReport> report(UpstreamEntry engine) {
-            boolean changing = mOrdered.contains(engine.id());
+            boolean changing = mOrdered.contains(engine.incarnation());
             return CompletableFuture.completedFuture(
-                    new EngineReport(engine.role(), changing, changing ? 1 : 0, 0));
+                    new EngineReport(
+                            mSpeaks == null ? engine.incarnation() : mSpeaks,
+                            engine.role(),
+                            changing,
+                            changing ? 1 : 0,
+                            0));
         }
 
         @Override
         public CompletableFuture<Outcome> order(
                 UpstreamEntry engine, UpstreamEntry.Role role, Right lease, long expectedOrders) {
-            mOrdered.add(engine.id());
+            mOrdered.add(engine.incarnation());
+            mExpected.add(expectedOrders);
             return CompletableFuture.completedFuture(Outcome.TAKEN);
         }
     }
@@ -118,7 +128,7 @@
 
     private static UpstreamEntry engine(String id, UpstreamEntry.Role role) {
         return new UpstreamEntry(
-                new UpstreamId(id),
+                UpstreamIncarnation.of(id),
                 SERVICE,
                 new Address("127.0.0.1", 1),
                 new HallId("hall"),
@@ -129,8 +139,8 @@
 
     private void orderOne() {
         mTime.pass(4 * TERM);
-        assertEquals(mOrders.mOrdered, List.of(new UpstreamId("e1")));
-        assertEquals(mController.changing(), Set.of(new UpstreamId("e1")));
+        assertEquals(mOrders.mOrdered, List.of(UpstreamIncarnation.of("e1")));
+        assertEquals(mController.changing(), Set.of(UpstreamIncarnation.of("e1")));
     }
 
     @Test
@@ -147,7 +157,7 @@
         mStore.mAway = true;
         mTime.pass(2 * TERM);
         assertFalse(mController.holds());
-        assertEquals(mController.changing(), Set.of(new UpstreamId("e1")));
+        assertEquals(mController.changing(), Set.of(UpstreamIncarnation.of("e1")));
         list(UpstreamEntry.Role.DECODE);
         mTime.pass(1000);
         assertTrue(mController.changing().isEmpty());
@@ -161,4 +171,30 @@
         mTime.pass(CHANGE_AT_MOST);
         assertTrue(mController.changing().isEmpty());
     }
+
+    /** Its orders are counted from the start, so the next one expects none before it. */
+    @Test
+    public void anEngineThatStartedAgainIsOrderedAnew() {
+        orderOne();
+        UpstreamEntry again = engine("e1~2", UpstreamEntry.Role.PREFILL);
+        mDirectory.change(again.id(), Optional.of(engine("e1~1", UpstreamEntry.Role.PREFILL)));
+        mDirectory.change(again.id(), Optional.of(again));
+        mTime.pass(1000);
+        assertTrue(mController.changing().isEmpty());
+        mTime.pass(4 * TERM);
+        assertEquals(mOrders.mOrdered.get(1), again.incarnation());
+        assertEquals(mOrders.mExpected, List.of(0L, 0L));
+    }
+
+    @Test
+    public void whatAnotherStartReportsIsNotOrderedBy() {
+        mOrders.mSpeaks = UpstreamIncarnation.of("e1~1");
+        UpstreamEntry again = engine("e1~2", UpstreamEntry.Role.PREFILL);
+        mDirectory.change(again.id(), Optional.of(again));
+        mTime.pass(4 * TERM);
+        assertTrue(mOrders.mOrdered.isEmpty());
+        mOrders.mSpeaks = null;
+        mTime.pass(1000);
+        assertEquals(mOrders.mOrdered, List.of(again.incarnation()));
+    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/TableFollowerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/TableFollowerTest.java
@@ -20,6 +20,7 @@
     private static final String TABLE = "table";
     private static final long PAUSE = 700;
     private static final long SHARED = 1000;
+    private static final long RETRY = 400;
 
     private ManualTime mTime;
     private VersionedRows mRows;
@@ -45,7 +46,7 @@
                         mTime.control(),
                         mStore,
                         TABLE,
-                        new TableFollower.Pace(1, PAUSE, SHARED),
+                        new TableFollower.Pace(1, PAUSE, SHARED, RETRY),
                         new Listener(),
                         (after, version, unbrokenMillis, rows) -> {
                             mShared.add(version);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/Entries.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/Entries.java
@@ -1,7 +1,7 @@
 package org.troutpier.daemon.serving;
 
 import org.troutpier.common.id.HallId;
-import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.directory.UpstreamEntry;
 
@@ -27,9 +27,21 @@
         return entry(id, HALL.value(), UpstreamEntry.Role.PREFILL);
     }
 
+    /** The same upstream, started at a time. */
+    static UpstreamEntry startedAt(UpstreamEntry upstream, long startMillis) {
+        return new UpstreamEntry(
+                new UpstreamIncarnation(upstream.id(), startMillis),
+                upstream.service(),
+                upstream.address(),
+                upstream.hall(),
+                upstream.slots(),
+                upstream.role(),
+                upstream.draining());
+    }
+
     private static UpstreamEntry entry(String id, String hall, UpstreamEntry.Role role) {
         return new UpstreamEntry(
-                new UpstreamId(id),
+                UpstreamIncarnation.of(id),
                 "service",
                 new Address("127.0.0.1", 1),
                 new HallId(hall),
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -17,6 +17,7 @@
 import org.troutpier.common.event.EventRing;
 import org.troutpier.common.event.HybridClock;
 import org.troutpier.common.id.RequestId;
+import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.cluster.DemandMeter;
 import org.troutpier.daemon.cluster.PeerLoads;
@@ -45,17 +46,19 @@
         mPort = new FakePort();
         mCaller = new FakeCaller();
         mDirectory = new UpstreamDirectory(mTime.control(), mTime::nanos);
+        RestartAwarePort port = new RestartAwarePort(mPort);
+        mDirectory.onChanged(port::retain);
         PeerLoads peers = new PeerLoads();
         Random random = new Random(1);
         UpstreamLoads loads = new UpstreamLoads(mTime.loop(), random, Entries.HALL, peers);
         mContext =
                 new ServingContext(
                         mTime.loop(),
-                        mPort,
+                        port,
                         mDirectory,
                         loads,
                         new ExtraCallBudget(0, 0, 10_000),
-                        new PlaceAllocator(mTime.loop(), mPort, loads, random),
+                        new PlaceAllocator(mTime.loop(), port, loads, random),
                         new ReturningRequests(),
                         new ReturnPacer(random),
                         new GrowthMargin(),
@@ -299,7 +302,7 @@
         mContext.budget().limit(0, 10);
         mDirectory.replaceAll(List.of(Entries.decode("a")));
         stream(Route.Kind.RESUMABLE_STREAM);
-        mPort.mFull.add(Entries.decode("a").id());
+        mPort.mFull.add(Entries.decode("a").incarnation());
         mPort.mRuns.get(0).mListener.onFailure(AttemptEnd.lost("reset"));
         assertEquals(mPort.mRuns.size(), 1);
         assertEquals(mCaller.mRefusal, ResultCode.OUTCOME_UNKNOWN);
@@ -359,4 +362,86 @@
             assertTrue((routers + 2) * ExtraCallBudget.part(routers) <= 1, "late " + routers);
         }
     }
+
+    private void restart(UpstreamEntry upstream) {
+        UpstreamEntry later = Entries.startedAt(upstream, upstream.incarnation().startMillis() + 1);
+        mDirectory.change(later.id(), Optional.of(later));
+    }
+
+    private static UpstreamEntry started(UpstreamEntry upstream) {
+        return Entries.startedAt(upstream, 1_771_580_250_000L);
+    }
+
+    @Test
+    public void aOnceOnlyRequestOfAnEarlierStartEndsTruthfullyAtOnce() {
+        UpstreamEntry upstream = started(Entries.plain("a", "hall-a"));
+        mDirectory.replaceAll(List.of(upstream, Entries.plain("b", "hall-a")));
+        mDirectory.change(new UpstreamId("b"), Optional.empty());
+        plain();
+        restart(upstream);
+        assertEquals(mCaller.mRefusal, ResultCode.OUTCOME_UNKNOWN);
+        assertTrue(mPort.mRuns.get(0).mAborted);
+        mPort.mRuns.get(0).mListener.onFailure(AttemptEnd.lost("reset"));
+        assertEquals(mCaller.mAnswers, 1);
+        assertTrue(mContext.loads().uses().isEmpty());
+    }
+
+    @Test
+    public void aRepeatableRequestOfAnEarlierStartGoesOnElsewhereAtOnce() {
+        mContext.budget().limit(0, 10);
+        UpstreamEntry upstream = started(Entries.plain("a", "hall-a"));
+        mDirectory.replaceAll(List.of(upstream));
+        new PlainExecution(mContext, request(), route(Route.Kind.REPEATABLE, 2), "service", mCaller)
+                .start();
+        mDirectory.change(new UpstreamId("b"), Optional.of(Entries.plain("b", "hall-a")));
+        restart(upstream);
+        assertEquals(mPort.mRuns.size(), 2);
+        assertNull(mCaller.mRefusal);
+    }
+
+    @Test
+    public void aStreamOfAnEarlierStartGoesOnElsewhereAndReadsItsPromptAnew() {
+        mContext.budget().limit(0, 10);
+        UpstreamEntry prefill = Entries.prefill("p");
+        UpstreamEntry engine = started(Entries.decode("a"));
+        mDirectory.replaceAll(List.of(prefill, engine));
+        stream(Route.Kind.RESUMABLE_STREAM, 2);
+        mPort.mPrefills.get(0).onResult(new UpstreamPort.StoredPrompt(prefill, "handle"));
+        UpstreamPort.RunListener run = mPort.mRuns.get(0).mListener;
+        run.onHead(head(UpstreamPort.Verdict.SUCCESS));
+        run.onPart("id: 1\ndata: a\n\n".getBytes(StandardCharsets.UTF_8));
+        mDirectory.change(new UpstreamId("b"), Optional.of(Entries.decode("b")));
+        restart(engine);
+        mPort.mPrefills.get(1).onResult(new UpstreamPort.StoredPrompt(prefill, "other"));
+        assertEquals(mPort.mRuns.size(), 2);
+        assertEquals(mPort.mRuns.get(1).mPlan.resumeAfter(), OptionalLong.of(1));
+        run.onPart("id: 2\ndata: late\n\n".getBytes(StandardCharsets.UTF_8));
+        assertEquals(mCaller.text(), "id: 1\ndata: a\n\n");
+    }
+
+    @Test
+    public void aPromptThatAnEarlierStartReadIsNotAskedForByItsHandle() {
+        mContext.budget().limit(0, 10);
+        UpstreamEntry prefill = started(Entries.prefill("p"));
+        mDirectory.replaceAll(List.of(prefill, Entries.decode("a"), Entries.decode("b")));
+        stream(Route.Kind.RESUMABLE_STREAM, 2);
+        mPort.mPrefills.get(0).onResult(new UpstreamPort.StoredPrompt(prefill, "handle"));
+        restart(prefill);
+        mPort.mRuns.get(0).mListener.onFailure(AttemptEnd.unreached("refused"));
+        assertEquals(mPort.mPrefills.size(), 2);
+    }
+
+    @Test
+    public void whatIsToldOfAnEarlierStartEndsNothing() {
+        UpstreamEntry upstream = started(Entries.plain("a", "hall-a"));
+        mDirectory.replaceAll(List.of(upstream));
+        plain();
+        UpstreamEntry before =
+                Entries.startedAt(upstream, upstream.incarnation().startMillis() - 1);
+        mDirectory.change(before.id(), Optional.of(before));
+        UpstreamEntry untold = Entries.plain("a", "hall-a");
+        mDirectory.change(untold.id(), Optional.of(untold));
+        assertNull(mCaller.mRefusal);
+        assertEquals(mDirectory.usable("service"), List.of(upstream));
+    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakePort.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakePort.java
@@ -4,7 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
@@ -17,7 +17,7 @@
     final List<UpstreamEntry> mAsked = new ArrayList<>();
     final List<Long> mAskedTokens = new ArrayList<>();
     final List<String> mReleased = new ArrayList<>();
-    final Set<UpstreamId> mFull = new HashSet<>();
+    final Set<UpstreamIncarnation> mFull = new HashSet<>();
     boolean mHoldsBack;
     ResultListener<Place> mWaiting;
 
@@ -68,7 +68,7 @@
         mAskedTokens.add(tokens);
         if (mHoldsBack) {
             mWaiting = listener;
-        } else if (mFull.contains(upstream.id())) {
+        } else if (mFull.contains(upstream.incarnation())) {
             listener.onFailure(AttemptEnd.refused(false, "full"));
         } else {
             listener.onResult(new Place("place at " + upstream.id()));
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
@@ -89,8 +89,8 @@
                         Set.of(),
                         Set.of(),
                         Map.of(
-                                mFirst.id(), new UpstreamUse(1, first),
-                                mSecond.id(), new UpstreamUse(1, second)),
+                                mFirst.incarnation(), new UpstreamUse(1, first),
+                                mSecond.incarnation(), new UpstreamUse(1, second)),
                         Map.of());
         Incarnation peer = new Incarnation("peer~1");
         assertEquals(peer.instance(), new InstanceId("peer"));
@@ -136,7 +136,7 @@
 
     @Test
     public void aFullEngineIsFollowedByTheNext() {
-        mPort.mFull.add(mFirst.id());
+        mPort.mFull.add(mFirst.incarnation());
         mLoads.begin(mSecond, 1);
         find(200);
         assertEquals(mPort.mAsked, List.of(mFirst, mSecond));
@@ -145,11 +145,11 @@
 
     @Test
     public void aSearchGoesOnUntilThereIsRoom() {
-        mPort.mFull.addAll(Set.of(mFirst.id(), mSecond.id()));
+        mPort.mFull.addAll(Set.of(mFirst.incarnation(), mSecond.incarnation()));
         find(200);
         mTime.pass(100);
         assertNull(mGranted);
-        mPort.mFull.remove(mFirst.id());
+        mPort.mFull.remove(mFirst.incarnation());
         mTime.pass(60);
         assertEquals(mGranted, mFirst);
     }
@@ -196,7 +196,7 @@
 
     @Test
     public void whoCanBeInTimeGoesBeforeAStreamThatBrokeOffAndThatBeforeWhoIsLate() {
-        mPort.mFull.addAll(Set.of(mFirst.id(), mSecond.id()));
+        mPort.mFull.addAll(Set.of(mFirst.incarnation(), mSecond.incarnation()));
         List<Standing> order = new ArrayList<>();
         for (Standing standing : List.of(Standing.LATE, Standing.CONTINUED, Standing.IN_TIME)) {
             mAllocator.find(
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReportedUseTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReportedUseTest.java
@@ -40,7 +40,7 @@
         public CompletableFuture<EngineReport> report(UpstreamEntry engine) {
             mAsked++;
             return CompletableFuture.completedFuture(
-                    new EngineReport(engine.role(), false, 0, mUsed));
+                    new EngineReport(engine.incarnation(), engine.role(), false, 0, mUsed));
         }
 
         @Override
@@ -70,7 +70,7 @@
                         0,
                         Set.of(),
                         Set.of(),
-                        Map.of(mEngine.id(), new UpstreamUse(1, tokens)),
+                        Map.of(mEngine.incarnation(), new UpstreamUse(1, tokens)),
                         Map.of());
         mPeers.heard(PEER, ReportScope.OWN, report, mTime.millis());
         mPeers.sum(mTime.millis());
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -60,7 +60,7 @@
                         0,
                         Set.of(),
                         Set.of(),
-                        Map.of(mNear.id(), new UpstreamUse(5, 0)),
+                        Map.of(mNear.incarnation(), new UpstreamUse(5, 0)),
                         Map.of());
         mPeers.heard(new Incarnation("peer~1"), ReportScope.OWN, report, mTime.millis());
         mPeers.sum(mTime.millis());
@@ -107,7 +107,7 @@
         assertEquals(mLoads.byTokens(engines, Set.of()).get(0), idle);
         mLoads.runRefused(idle);
         assertEquals(mLoads.byTokens(engines, Set.of()), List.of(busy));
-        assertEquals(mLoads.refusing(), Set.of(idle.id()));
+        assertEquals(mLoads.refusing(), Set.of(idle.incarnation()));
         mTime.pass(1001);
         assertEquals(mLoads.byTokens(engines, Set.of()).get(0), idle);
         mLoads.runRefused(idle);
@@ -123,7 +123,8 @@
         UpstreamEntry busy = Entries.decode("busy");
         mLoads.begin(busy, 5000);
         LoadReport report =
-                new LoadReport(1, 1, false, 0, Set.of(), Set.of(idle.id()), Map.of(), Map.of());
+                new LoadReport(
+                        1, 1, false, 0, Set.of(), Set.of(idle.incarnation()), Map.of(), Map.of());
         mPeers.heard(new Incarnation("peer~1"), ReportScope.OWN, report, mTime.millis());
         mPeers.sum(mTime.millis());
         assertEquals(mLoads.byTokens(List.of(idle, busy), Set.of()), List.of(busy));
@@ -161,9 +162,9 @@
 
     @Test
     public void whatWasTriedOrChangesItsRoleIsNotChosen() {
-        assertEquals(mLoads.pick(List.of(mNear, mFar), Set.of(mNear.id())).get(), mFar);
-        mLoads.changing(Set.of(mFar.id()));
-        assertTrue(mLoads.pick(List.of(mNear, mFar), Set.of(mNear.id())).isEmpty());
+        assertEquals(mLoads.pick(List.of(mNear, mFar), Set.of(mNear.incarnation())).get(), mFar);
+        mLoads.changing(Set.of(mFar.incarnation()));
+        assertTrue(mLoads.pick(List.of(mNear, mFar), Set.of(mNear.incarnation())).isEmpty());
     }
 
     @Test
@@ -173,6 +174,6 @@
         mLoads.onUrgent(told::incrementAndGet);
         mLoads.replaced(engine);
         assertEquals(told.get(), 1);
-        assertEquals(mLoads.refusing(), Set.of(engine.id()));
+        assertEquals(mLoads.refusing(), Set.of(engine.incarnation()));
     }
 }
