Rows of another writer name nobody, and keep nothing else from being read

Ruled out: taking such a row for a deletion, which would let a missing router or upstream be mourned or believed.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntConsumer;
 import org.apache.logging.log4j.LogManager;
@@ -9,7 +10,9 @@
 import org.troutpier.common.http.Json;
 import org.troutpier.common.id.InstanceId;
 import org.troutpier.common.settings.Address;
+import org.troutpier.common.settings.Check;
 import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.rows.RowFaults;
 import org.troutpier.daemon.rows.RowStore;
 import org.troutpier.daemon.rows.RowStore.Row;
 import org.troutpier.daemon.rows.RowStore.RowWrite;
@@ -17,8 +20,9 @@
 
 /**
  * Where routers find each other: a table with one row for each instance, which its latest
- * incarnation wrote at its start. Confined to the control thread. Invariant: a row only says where
- * a router may be; whether it is there shows when it is reached.
+ * incarnation wrote at its start. Confined to the control thread. Invariants: a row only says where
+ * a router may be; whether it is there shows when it is reached. A row that cannot be read names no
+ * router and takes none away; where it stands in this instance's place, its own is written again.
  */
 public final class MemberRegistry implements TableFollower.Listener {
 
@@ -46,6 +50,9 @@
     /** Receives who is listed. */
     private final PeerExchange mExchange;
 
+    /** Tells of rows that cannot be read. */
+    private final RowFaults mFaults;
+
     /** Receives how many routers have been there. */
     private final IntConsumer mCount;
 
@@ -75,6 +82,7 @@
             RouterCapacity capacity,
             PeerExchange exchange,
             IntConsumer count) {
+        mFaults = new RowFaults(node.metrics(), node.nanos());
         mCount = count;
         mNode = node;
         mStore = store;
@@ -135,29 +143,62 @@
     /** {@inheritDoc} */
     @Override
     public void changed(List<Row> rows) {
-        for (Row row : rows) {
-            InstanceId instance = new InstanceId(row.key());
-            if (instance.equals(mNode.incarnation().instance())) {
-                mVersion = row.version();
+        rows.forEach(row -> instance(row).ifPresent(instance -> changed(instance, row)));
+        mCount.accept(mSeen.size());
+    }
+
+    /**
+     * Takes a changed row.
+     *
+     * @param instance the router that it is of
+     * @param row the row
+     */
+    private void changed(InstanceId instance, Row row) {
+        Optional<MemberRow> member = row.deleted() ? Optional.empty() : member(row);
+        if (instance.equals(mNode.incarnation().instance())) {
+            mVersion = row.deleted() ? 0 : row.version();
+            if (member.isEmpty()) {
+                mNode.control().later(this::register, RETRY_MILLIS);
             }
+        }
+        if (row.deleted()) {
+            mExchange.listed(instance, null);
+        } else if (member.isPresent()) {
             mSeen.add(instance);
-            mExchange.listed(instance, row.deleted() ? null : member(row));
+            mExchange.listed(instance, member.get());
+        }
+    }
+
+    /**
+     * Reads a row's key.
+     *
+     * @param row the row
+     * @return the router that it is of, or empty where no router has such a key
+     */
+    private Optional<InstanceId> instance(Row row) {
+        try {
+            return Optional.of(new InstanceId(row.key()));
+        } catch (RuntimeException exception) {
+            mFaults.unreadable(row, exception);
+            return Optional.empty();
         }
-        mCount.accept(mSeen.size());
     }
 
     /**
      * Reads a row.
      *
      * @param row the row
-     * @return what it says, or null where it cannot be read
+     * @return what it says, or empty where it cannot be read or is of another router
      */
-    private static MemberRow member(Row row) {
+    private Optional<MemberRow> member(Row row) {
         try {
-            return Json.read(row.value(), MemberRow.class);
+            MemberRow member = Json.read(row.value(), MemberRow.class);
+            Check.that(
+                    "instance", member.instance().equals(row.key()), "is not the key " + row.key());
+            return Optional.of(member);
         } catch (RuntimeException exception) {
-            LOGGER.error("router's row not readable key={}", row.key(), exception);
-            return null;
+            mFaults.unreadable(row, exception);
+            return Optional.empty();
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -56,6 +56,9 @@
     /** The entries that vanished and are believed until the grace is over. */
     private final Set<UpstreamId> mVanished = new HashSet<>();
 
+    /** The entries whose latest word cannot be read. */
+    private final Set<UpstreamId> mUnreadable = new HashSet<>();
+
     /** Whether this router's last call to the store was not answered. */
     private boolean mAway;
 
@@ -209,15 +212,27 @@
     }
 
     /**
-     * Takes the whole list.
+     * Takes the whole list, all of whose entries can be read.
      *
      * @param listed all entries that the platform lists
      */
     public void replaceAll(Collection<UpstreamEntry> listed) {
+        replaceAll(listed, Set.of());
+    }
+
+    /**
+     * Takes the whole list.
+     *
+     * @param listed all entries that the platform lists and that can be read
+     * @param unreadable the upstreams that it lists by a word that cannot be read
+     */
+    public void replaceAll(Collection<UpstreamEntry> listed, Set<UpstreamId> unreadable) {
         Map<UpstreamId, UpstreamEntry> next =
                 listed.stream().collect(Collectors.toMap(UpstreamEntry::id, entry -> entry));
         for (UpstreamId known : List.copyOf(mEntries.keySet())) {
-            if (!next.containsKey(known)) {
+            if (unreadable.contains(known)) {
+                unreadable(known);
+            } else if (!next.containsKey(known)) {
                 remove(known);
             }
         }
@@ -239,6 +254,20 @@
         }
     }
 
+    /**
+     * Takes note that the latest word of an upstream cannot be read, so that nobody knows whether
+     * it takes work: it gets none until it is listed again. Of its entry only the start is still
+     * believed, so that a word of an earlier one is not taken for news.
+     *
+     * @param id the upstream
+     */
+    public void unreadable(UpstreamId id) {
+        if (mEntries.containsKey(id) && mUnreadable.add(id)) {
+            LOGGER.warn("upstream withheld id={}, its entry cannot be read", id);
+            publish();
+        }
+    }
+
     /**
      * Stores an entry.
      *
@@ -252,7 +281,7 @@
         UpstreamEntry before = mEntries.get(told.id());
         UpstreamEntry entry = before == null ? told : before.after(told);
         mEntries.put(entry.id(), entry);
-        boolean news = !entry.equals(before);
+        boolean news = mUnreadable.remove(entry.id()) || !entry.equals(before);
         if (news) {
             LOGGER.info(
                     "upstream listed id={} service={} address={} role={} draining={}",
@@ -277,7 +306,7 @@
             return false;
         }
         long believed = mGraceUntil - millis();
-        if (believed > 0 && !entry.draining()) {
+        if (believed > 0 && !entry.draining() && !mUnreadable.contains(id)) {
             LOGGER.info("upstream missing id={} believedMillis={}", id, believed);
             mVanished.add(id);
             mMissing = mVanished.size();
@@ -285,6 +314,7 @@
             return false;
         }
         mEntries.remove(id);
+        mUnreadable.remove(id);
         LOGGER.info("upstream gone id={}", id);
         return true;
     }
@@ -308,6 +338,7 @@
         }
         for (UpstreamId vanished : mVanished) {
             mEntries.remove(vanished);
+            mUnreadable.remove(vanished);
             LOGGER.info(
                     "upstream gone after the store's return id={} overdueMillis={}",
                     vanished,
@@ -321,7 +352,7 @@
     private void publish() {
         mMissing = mVanished.size();
         List<UpstreamEntry> usable = new ArrayList<>(mEntries.values());
-        usable.removeIf(UpstreamEntry::draining);
+        usable.removeIf(entry -> entry.draining() || mUnreadable.contains(entry.id()));
         mSnapshot =
                 usable.stream()
                         .collect(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
@@ -4,7 +4,9 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.http.Json;
+import org.troutpier.common.result.TroutpierException;
 import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.rows.RowFaults;
 import org.troutpier.daemon.rows.RowStore;
 import org.troutpier.daemon.rows.RowStore.Outcome;
 import org.troutpier.daemon.rows.RowStore.Row;
@@ -45,6 +47,9 @@
     /** The store. */
     private final RowStore mStore;
 
+    /** Tells of rows that cannot be read. */
+    private final RowFaults mFaults;
+
     /** How long the lease lasts without renewal, milliseconds. */
     private final long mTermMillis;
 
@@ -91,6 +96,7 @@
      * @param termMillis how long the lease lasts without renewal, milliseconds
      */
     RoleLease(Node node, RowStore store, long termMillis) {
+        mFaults = new RowFaults(node.metrics(), node.nanos());
         mNode = node;
         mStore = store;
         mTermMillis = termMillis;
@@ -171,7 +177,7 @@
             mVersion = version;
             mSeenAt = mNode.millis();
         }
-        boolean own = !rows.isEmpty() && holder(rows.get(0)).equals(instance());
+        boolean own = !rows.isEmpty() && instance().equals(holder(rows.get(0)));
         boolean rested = mNode.millis() - mSeenAt >= mTermMillis + MARGIN_MILLIS;
         if (version == 0 || own || rested) {
             mOrdersFrom = own ? mNode.millis() : mNode.millis() + mTermMillis;
@@ -228,10 +234,16 @@
      * Reads who holds the lease.
      *
      * @param row the row
-     * @return the holder's instance
+     * @return the holder's instance; empty for a row that another writer left, which is waited out
+     *     like another holder's
      */
-    private static String holder(Row row) {
-        return Json.read(row.value(), Holder.class).holder();
+    private String holder(Row row) {
+        try {
+            return Json.read(row.value(), Holder.class).holder();
+        } catch (TroutpierException exception) {
+            mFaults.unreadable(row, exception);
+            return "";
+        }
     }
 
     /**
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/MemberRegistryTest.java
@@ -0,0 +1,158 @@
+package org.troutpier.daemon.cluster;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.troutpier.common.event.EventRing;
+import org.troutpier.common.event.HybridClock;
+import org.troutpier.common.http.Json;
+import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.common.id.InstanceId;
+import org.troutpier.common.settings.Address;
+import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.peer.Membership.Member;
+import org.troutpier.daemon.peer.PeerLinks;
+import org.troutpier.daemon.peer.PeerMessage;
+import org.troutpier.daemon.route.CurrentConfiguration;
+import org.troutpier.daemon.rows.FakeRowStore;
+import org.troutpier.standins.platform.VersionedRows;
+import org.troutpier.standins.platform.VersionedRows.Key;
+
+/** How a router finds the others though another writer leaves rows in their table. */
+public final class MemberRegistryTest {
+
+    private static final String TABLE = "troutpier_members";
+    private static final Address SELF = new Address("127.0.0.1", 1);
+
+    private ManualTime mTime;
+    private VersionedRows mRows;
+    private List<String> mConnected;
+    private List<Integer> mCounts;
+
+    /** Notes to whom connections are opened. */
+    private final class Links implements PeerLinks {
+
+        @Override
+        public void connect(Member member) {
+            mConnected.add(member.incarnation().instance().value());
+        }
+
+        @Override
+        public boolean connected(Incarnation to) {
+            return false;
+        }
+
+        @Override
+        public boolean send(Incarnation to, PeerMessage message) {
+            return false;
+        }
+
+        @Override
+        public void sendAll(Collection<Incarnation> to, PeerMessage message) {}
+    }
+
+    @BeforeMethod
+    void start() {
+        mTime = new ManualTime();
+        mRows = new VersionedRows();
+        mConnected = new ArrayList<>();
+        mCounts = new ArrayList<>();
+        Node node =
+                new Node(
+                        Incarnation.start(new InstanceId("self")),
+                        new HallId("hall"),
+                        null,
+                        mTime.control(),
+                        null,
+                        new MetricRegistry(),
+                        new EventRing("self", 16, new HybridClock()),
+                        mTime::nanos);
+        PeerExchange exchange =
+                new PeerExchange(
+                        node,
+                        SELF,
+                        (members, hearer) -> new Links(),
+                        new CurrentConfiguration(),
+                        bytes -> null,
+                        new PeerLoads(),
+                        keys -> {});
+        new MemberRegistry(
+                        node,
+                        new FakeRowStore(mRows),
+                        SELF,
+                        RouterCapacity.of(1, 1000),
+                        exchange,
+                        mCounts::add)
+                .start();
+        mTime.pass(1000);
+    }
+
+    private void put(String key, String value) {
+        mRows.put(new Key(TABLE, "", key), value);
+    }
+
+    private static String member(String name) {
+        return new String(Json.bytes(new MemberRow(name, name + "~1", "127.0.0.1:7", "hall", 10)));
+    }
+
+    @DataProvider
+    public static Object[][] foreign() {
+        return new Object[][] {
+            {"other", ""},
+            {"other", "no JSON"},
+            {"other", "[]"},
+            {"other", "{}"},
+            {"other", member("another")},
+            {"other", member("other").replace("other~1", "other")},
+            {"other", member("other").replace("127.0.0.1:7", "nowhere")},
+            {"other", member("other").replace("127.0.0.1:7", "127.0.0.1:0")},
+            {"other", member("other").replace("\"hall\"", "5.5e")},
+            {"other", member("other").replace("10}", "-10}")},
+            {"other", member("other").replace("10}", "1e40}")},
+            {"", member("other")},
+            {"a b", member("other")},
+        };
+    }
+
+    @Test(dataProvider = "foreign")
+    public void aRowOfAnotherWriterNamesNoRouterAndTheOthersAreFound(String key, String value) {
+        put(key, value);
+        put("third", member("third"));
+        mTime.pass(2000);
+        assertTrue(mConnected.contains("third"), "connected to " + mConnected);
+        assertTrue(!mConnected.contains("other"), "connected to " + mConnected);
+        assertEquals(mCounts.get(mCounts.size() - 1), Integer.valueOf(2));
+    }
+
+    @Test
+    public void aRouterThatIsKnownStaysSoWhenItsRowIsOverwritten() {
+        put("other", member("other"));
+        mTime.pass(2000);
+        put("other", "no JSON");
+        mTime.pass(2000);
+        mConnected.clear();
+        mTime.pass(5000);
+        assertTrue(mConnected.contains("other"), "connected to " + mConnected);
+    }
+
+    @Test
+    public void thisRoutersOwnRowIsWrittenAgain() {
+        Key self = new Key(TABLE, "", "self");
+        String own = mRows.row(self).orElseThrow().value();
+        put("self", "no JSON");
+        mTime.pass(2000);
+        assertEquals(mRows.row(self).orElseThrow().value(), own);
+        mRows.drop(self);
+        mTime.pass(2000);
+        assertEquals(mRows.row(self).orElseThrow().value(), own);
+    }
+}
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleLeaseTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleLeaseTest.java
@@ -19,6 +19,7 @@
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.rows.FakeRowStore;
 import org.troutpier.standins.platform.VersionedRows;
+import org.troutpier.standins.platform.VersionedRows.Key;
 
 /** The lease of the router that orders engines. */
 public final class RoleLeaseTest {
@@ -179,4 +180,14 @@
             }
         }
     }
+
+    @Test
+    public void aRowOfAnotherWriterIsWaitedOutAndReplaced() {
+        mRows.put(new Key("troutpier_leases", "", "engine-roles"), "no JSON");
+        Contender one = new Contender("one");
+        mTime.pass(TERM / 2);
+        assertFalse(one.mLease.held());
+        mTime.pass(3 * TERM);
+        assertTrue(one.mLease.mayOrder());
+    }
 }
