A run does not go to an engine that left while its prompt was read

Where the reading takes longer than an upstream that leaves may get work (two seconds; a silent prefill engine alone costs up to that), it came too late. Ruled out: plain calls and kept prompts, which are sent in the turn in which their upstream is chosen. Figures: two tests, seen to fail first (the run went to the engine that had left). Conclusion: the place is given back, the prompt is used at another engine. Besides: the ends of watched calls stand once.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RestartAwarePort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RestartAwarePort.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.id.UpstreamId;
@@ -102,6 +103,9 @@
         /** Where it was sent. */
         private final UpstreamIncarnation mUpstream;
 
+        /** Takes an end that is a failure. */
+        private final Consumer<AttemptEnd> mFailure;
+
         /** The call as it is carried out, or null before it is. */
         private Call mCall;
 
@@ -112,9 +116,11 @@
          * Creates a call.
          *
          * @param upstream where it is sent
+         * @param failure takes an end that is a failure
          */
-        Watched(UpstreamIncarnation upstream) {
+        Watched(UpstreamIncarnation upstream, Consumer<AttemptEnd> failure) {
             mUpstream = upstream;
+            mFailure = failure;
             mUnderWay.add(this);
         }
 
@@ -129,18 +135,11 @@
             return this;
         }
 
-        /**
-         * Tells that the call is lost.
-         *
-         * @param end how it ended
-         */
-        protected abstract void lost(AttemptEnd end);
-
         /** Ends the call as lost. */
         private void lose() {
             if (!mOver) {
                 abort();
-                lost(AttemptEnd.lost("upstream started again"));
+                mFailure.accept(AttemptEnd.lost("upstream started again"));
             }
         }
 
@@ -165,6 +164,17 @@
             return !mOver;
         }
 
+        /**
+         * Takes the call's failure.
+         *
+         * @param end how it ended
+         */
+        public void onFailure(AttemptEnd end) {
+            if (end()) {
+                mFailure.accept(end);
+            }
+        }
+
         /** {@inheritDoc} */
         @Override
         public void abort() {
@@ -194,16 +204,10 @@
          * @param listener receives the answer
          */
         WatchedRun(UpstreamIncarnation upstream, RunListener listener) {
-            super(upstream);
+            super(upstream, listener::onFailure);
             mListener = listener;
         }
 
-        /** {@inheritDoc} */
-        @Override
-        protected void lost(AttemptEnd end) {
-            mListener.onFailure(end);
-        }
-
         /** {@inheritDoc} */
         @Override
         public void onHead(Head head) {
@@ -227,14 +231,6 @@
                 mListener.onEnd();
             }
         }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onFailure(AttemptEnd end) {
-            if (end()) {
-                mListener.onFailure(end);
-            }
-        }
     }
 
     /**
@@ -254,16 +250,10 @@
          * @param listener receives the result
          */
         WatchedResult(UpstreamIncarnation upstream, ResultListener<T> listener) {
-            super(upstream);
+            super(upstream, listener::onFailure);
             mListener = listener;
         }
 
-        /** {@inheritDoc} */
-        @Override
-        protected void lost(AttemptEnd end) {
-            mListener.onFailure(end);
-        }
-
         /** {@inheritDoc} */
         @Override
         public void onResult(T result) {
@@ -271,13 +261,5 @@
                 mListener.onResult(result);
             }
         }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onFailure(AttemptEnd end) {
-            if (end()) {
-                mListener.onFailure(end);
-            }
-        }
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -300,18 +300,31 @@
     }
 
     /**
-     * Sends the request to the decode engine.
+     * Sends the request to the decode engine, or looks for another where that one has left since
+     * its place was found: reading the prompt may take longer than an upstream that leaves may get
+     * work.
      *
      * @param prompt where the prompt was read, if elsewhere
      */
     private void run(Optional<UpstreamPort.StoredPrompt> prompt) {
-        sent(mPlace.engine(), "decode");
+        UpstreamEntry engine = mPlace.engine();
+        boolean takesWork =
+                upstreams(UpstreamEntry.Role.DECODE).stream()
+                        .anyMatch(each -> each.incarnation().equals(engine.incarnation()));
+        if (!takesWork) {
+            mTrace.step("left@" + engine.id());
+            prompt.ifPresent(stored -> mStored = stored);
+            mPlace.release();
+            search();
+            return;
+        }
+        sent(engine, "decode");
         mRelay.beginRun();
         UpstreamPort.RunPlan plan =
                 UpstreamPort.RunPlan.plain(leftMillis(), mRoute.priority())
                         .withPlace(mPlace.use())
                         .withResumeAfter(mRelay.last());
-        mRun = new StreamRun(mPlace.engine(), prompt);
+        mRun = new StreamRun(engine, prompt);
         mRun.begin(prompt.map(plan::withPrompt).orElse(plan));
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -444,4 +444,37 @@
         assertNull(mCaller.mRefusal);
         assertEquals(mDirectory.usable("service"), List.of(upstream));
     }
+
+    /**
+     * A place was found, the engine said that it leaves while the prompt was read, and the run went
+     * there all the same: later than an upstream that leaves may get work, where the reading takes
+     * longer than that.
+     */
+    @Test
+    public void aRunDoesNotGoToAnEngineThatLeftWhileItsPromptWasRead() {
+        UpstreamEntry prefill = Entries.prefill("p");
+        mDirectory.replaceAll(List.of(prefill, Entries.decode("a")));
+        stream();
+        mDirectory.replaceAll(List.of(prefill, Entries.decode("b")));
+        UpstreamPort.StoredPrompt prompt = new UpstreamPort.StoredPrompt(prefill, "handle");
+        mPort.mPrefills.get(0).onResult(prompt);
+        assertEquals(mPort.mRuns.size(), 1);
+        assertEquals(mPort.mRuns.get(0).mUpstream, Entries.decode("b"));
+        assertEquals(mPort.mRuns.get(0).mPlan.prompt(), Optional.of(prompt));
+        assertEquals(mPort.mReleased, List.of("place at a"));
+        assertEquals(mContext.loads().tokens(Entries.decode("a")), 0);
+        assertEquals(mPort.mPrefills.size(), 1);
+    }
+
+    @Test
+    public void aRequestWhoseOnlyEngineLeftWhileItsPromptWasReadIsRefusedAtOnce() {
+        UpstreamEntry prefill = Entries.prefill("p");
+        mDirectory.replaceAll(List.of(prefill, Entries.decode("a")));
+        stream();
+        mDirectory.replaceAll(List.of(prefill));
+        mPort.mPrefills.get(0).onResult(new UpstreamPort.StoredPrompt(prefill, "handle"));
+        assertEquals(mCaller.mRefusal, ResultCode.NO_PLACE);
+        assertEquals(mPort.mDiscarded.size(), 1);
+        assertTrue(mContext.loads().uses().isEmpty());
+    }
 }
