Review: one clock in milliseconds, one way to read a row or tell of it, no state beside what it follows from

Ruled out: ending lost calls by UpstreamDirectory.restarted in place of the listed set: a restart and a deletion in one page would then end nothing. UpstreamDirectory.replaceAll with one argument stays for the tests. In the tests only constructor arguments changed (milliseconds for nanoseconds), no assertion. Conclusion: RowFaults.read, Node.millis and the sets themselves serve.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
@@ -82,7 +82,7 @@
             RouterCapacity capacity,
             PeerExchange exchange,
             IntConsumer count) {
-        mFaults = new RowFaults(node.metrics(), node.nanos());
+        mFaults = new RowFaults(node.metrics(), node::millis);
         mCount = count;
         mNode = node;
         mStore = store;
@@ -107,7 +107,7 @@
                         PACE,
                         this,
                         TableFollower.Sharer.NONE,
-                        mNode.nanos())
+                        mNode::millis)
                 .start();
     }
 
@@ -176,12 +176,7 @@
      * @return the router that it is of, or empty where no router has such a key
      */
     private Optional<InstanceId> instance(Row row) {
-        try {
-            return Optional.of(new InstanceId(row.key()));
-        } catch (RuntimeException exception) {
-            mFaults.unreadable(row, exception);
-            return Optional.empty();
-        }
+        return mFaults.read(row, each -> new InstanceId(each.key()));
     }
 
     /**
@@ -191,15 +186,14 @@
      * @return what it says, or empty where it cannot be read or is of another router
      */
     private Optional<MemberRow> member(Row row) {
-        try {
-            MemberRow member = Json.read(row.value(), MemberRow.class);
-            Check.that(
-                    "instance", member.instance().equals(row.key()), "is not the key " + row.key());
-            return Optional.of(member);
-        } catch (RuntimeException exception) {
-            mFaults.unreadable(row, exception);
-            return Optional.empty();
-        }
+        return mFaults.read(
+                row,
+                each -> {
+                    MemberRow member = Json.read(each.value(), MemberRow.class);
+                    boolean named = member.instance().equals(each.key());
+                    Check.that("instance", named, "is not the key " + each.key());
+                    return member;
+                });
     }
 
     /** {@inheritDoc} */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -22,9 +22,9 @@
 /**
  * Tells the other routers of this one's load and receives theirs, as the {@link RelayPlan} says;
  * hands a newer configuration to a router that has an older one, so that a router which the store
- * turns away still follows; shares what the hall's reader read. Confined to the control thread.
- * Invariant: nothing here is needed for a promise; a router that receives nobody serves by what it
- * knows itself.
+ * turns away still follows; hands what it hears of tables to the {@link TableExchange}. Confined to
+ * the control thread. Invariant: nothing here is needed for a promise; a router that receives
+ * nobody serves by what it knows itself.
  */
 public final class PeerExchange implements PeerMesh.Hearer {
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
@@ -47,14 +47,14 @@
     /** Runs what is due later. */
     private final Control mControl;
 
-    /** The monotonic clock, nanoseconds. */
-    private final LongSupplier mNanos;
+    /** The monotonic clock, milliseconds. */
+    private final LongSupplier mMillis;
 
     /** The entries by id. */
     private final Map<UpstreamId, UpstreamEntry> mEntries = new HashMap<>();
 
-    /** The entries that vanished and are believed until the grace is over. */
-    private final Set<UpstreamId> mVanished = new HashSet<>();
+    /** The entries that vanished and are believed until the grace is over; read by any thread. */
+    private final Set<UpstreamId> mVanished = ConcurrentHashMap.newKeySet();
 
     /** The entries whose latest word cannot be read. */
     private final Set<UpstreamId> mUnreadable = new HashSet<>();
@@ -83,29 +83,17 @@
     /** When the entries were last known to be those of the store, milliseconds. */
     private volatile long mKnownAt;
 
-    /** How many entries are missing and still believed, for readers on any thread. */
-    private volatile int mMissing;
-
     /**
      * Creates an empty directory.
      *
      * @param control runs what is due later, on the control thread
-     * @param nanos the monotonic clock, nanoseconds
+     * @param millis the monotonic clock, milliseconds
      */
-    public UpstreamDirectory(Control control, LongSupplier nanos) {
+    public UpstreamDirectory(Control control, LongSupplier millis) {
         mControl = control;
-        mNanos = nanos;
-        mKnownAt = millis();
-        mGraceUntil = millis();
-    }
-
-    /**
-     * Returns the time.
-     *
-     * @return milliseconds on the monotonic clock
-     */
-    private long millis() {
-        return TimeUnit.NANOSECONDS.toMillis(mNanos.getAsLong());
+        mMillis = millis;
+        mKnownAt = mMillis.getAsLong();
+        mGraceUntil = mMillis.getAsLong();
     }
 
     /**
@@ -114,7 +102,7 @@
      * @return milliseconds; since the start where they have not been read
      */
     public long ageMillis() {
-        return millis() - mKnownAt;
+        return mMillis.getAsLong() - mKnownAt;
     }
 
     /**
@@ -123,7 +111,7 @@
      * @return the count
      */
     public int missing() {
-        return mMissing;
+        return mVanished.size();
     }
 
     /**
@@ -207,7 +195,7 @@
             expireWhenDue();
         }
         mSince = OptionalLong.of(since);
-        mKnownAt = millis();
+        mKnownAt = mMillis.getAsLong();
         expire();
     }
 
@@ -275,9 +263,7 @@
      * @return whether it says something new
      */
     private boolean put(UpstreamEntry told) {
-        if (mVanished.remove(told.id())) {
-            mMissing = mVanished.size();
-        }
+        mVanished.remove(told.id());
         UpstreamEntry before = mEntries.get(told.id());
         UpstreamEntry entry = before == null ? told : before.after(told);
         mEntries.put(entry.id(), entry);
@@ -305,11 +291,10 @@
         if (entry == null || mVanished.contains(id)) {
             return false;
         }
-        long believed = mGraceUntil - millis();
+        long believed = mGraceUntil - mMillis.getAsLong();
         if (believed > 0 && !entry.draining() && !mUnreadable.contains(id)) {
             LOGGER.info("upstream missing id={} believedMillis={}", id, believed);
             mVanished.add(id);
-            mMissing = mVanished.size();
             expireWhenDue();
             return false;
         }
@@ -322,7 +307,7 @@
     /** Plans the end of the grace, if there are vanished entries. */
     private void expireWhenDue() {
         if (!mVanished.isEmpty()) {
-            mControl.later(this::expire, Math.max(0, mGraceUntil - millis()));
+            mControl.later(this::expire, Math.max(0, mGraceUntil - mMillis.getAsLong()));
         }
     }
 
@@ -331,7 +316,7 @@
      * with news, it ended up to 1.2 s late (60 ends, median 0.13 s).
      */
     private void expire() {
-        long overdue = millis() - mGraceUntil;
+        long overdue = mMillis.getAsLong() - mGraceUntil;
         boolean couldNotReturn = mAway && ageMillis() > STALE_MILLIS;
         if (mVanished.isEmpty() || overdue < 0 || couldNotReturn) {
             return;
@@ -350,7 +335,6 @@
 
     /** Publishes what may get work. */
     private void publish() {
-        mMissing = mVanished.size();
         List<UpstreamEntry> usable = new ArrayList<>(mEntries.values());
         usable.removeIf(entry -> entry.draining() || mUnreadable.contains(entry.id()));
         mSnapshot =
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
@@ -1,10 +1,10 @@
 package org.troutpier.daemon.role;
 
 import java.util.List;
+import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.http.Json;
-import org.troutpier.common.result.TroutpierException;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.rows.RowFaults;
 import org.troutpier.daemon.rows.RowStore;
@@ -96,7 +96,7 @@
      * @param termMillis how long the lease lasts without renewal, milliseconds
      */
     RoleLease(Node node, RowStore store, long termMillis) {
-        mFaults = new RowFaults(node.metrics(), node.nanos());
+        mFaults = new RowFaults(node.metrics(), node::millis);
         mNode = node;
         mStore = store;
         mTermMillis = termMillis;
@@ -177,7 +177,7 @@
             mVersion = version;
             mSeenAt = mNode.millis();
         }
-        boolean own = !rows.isEmpty() && instance().equals(holder(rows.get(0)));
+        boolean own = !rows.isEmpty() && holder(rows.get(0)).filter(instance()::equals).isPresent();
         boolean rested = mNode.millis() - mSeenAt >= mTermMillis + MARGIN_MILLIS;
         if (version == 0 || own || rested) {
             mOrdersFrom = own ? mNode.millis() : mNode.millis() + mTermMillis;
@@ -237,13 +237,8 @@
      * @return the holder's instance; empty for a row that another writer left, which is waited out
      *     like another holder's
      */
-    private String holder(Row row) {
-        try {
-            return Json.read(row.value(), Holder.class).holder();
-        } catch (TroutpierException exception) {
-            mFaults.unreadable(row, exception);
-            return "";
-        }
+    private Optional<String> holder(Row row) {
+        return mFaults.read(row, each -> Json.read(each.value(), Holder.class)).map(Holder::holder);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/RowFaults.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/RowFaults.java
@@ -3,7 +3,8 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
+import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -34,8 +35,8 @@
     /** Counts the rows. */
     private final MetricRegistry mMetrics;
 
-    /** The monotonic clock, nanoseconds. */
-    private final LongSupplier mNanos;
+    /** The monotonic clock, milliseconds. */
+    private final LongSupplier mMillis;
 
     /** Which version was told of, by table and key; the oldest are forgotten. */
     private final Map<String, Long> mTold =
@@ -64,12 +65,29 @@
      * Creates a teller.
      *
      * @param metrics counts the rows
-     * @param nanos the monotonic clock, nanoseconds
+     * @param millis the monotonic clock, milliseconds
      */
-    public RowFaults(MetricRegistry metrics, LongSupplier nanos) {
+    public RowFaults(MetricRegistry metrics, LongSupplier millis) {
         mMetrics = metrics;
-        mNanos = nanos;
-        mWindowBegan = millis();
+        mMillis = millis;
+        mWindowBegan = mMillis.getAsLong();
+    }
+
+    /**
+     * Reads a row, or tells of it.
+     *
+     * @param <T> what it says
+     * @param row the row
+     * @param reader reads it; throws where another writer left it
+     * @return what it says, or empty where it cannot be read
+     */
+    public <T> Optional<T> read(Row row, Function<Row, T> reader) {
+        try {
+            return Optional.of(reader.apply(row));
+        } catch (RuntimeException exception) {
+            unreadable(row, exception);
+            return Optional.empty();
+        }
     }
 
     /**
@@ -78,13 +96,13 @@
      * @param row the row
      * @param fault what is wrong with it
      */
-    public void unreadable(Row row, Exception fault) {
+    private void unreadable(Row row, Exception fault) {
         Long before = mTold.put(row.table() + "/" + row.key(), row.version());
         if (before != null && before == row.version()) {
             return;
         }
         mMetrics.counter("rows.unreadable." + row.table()).inc();
-        if (millis() - mWindowBegan >= WINDOW_MILLIS) {
+        if (mMillis.getAsLong() - mWindowBegan >= WINDOW_MILLIS) {
             openWindow();
         }
         if (mLines >= MOST_LINES) {
@@ -106,7 +124,7 @@
         if (mUntold > 0) {
             LOGGER.warn("rows not readable and not told of count={}", mUntold);
         }
-        mWindowBegan = millis();
+        mWindowBegan = mMillis.getAsLong();
         mLines = 0;
         mUntold = 0;
     }
@@ -121,13 +139,4 @@
         String line = text.replace('\n', ' ');
         return line.length() <= MOST_DETAIL ? line : line.substring(0, MOST_DETAIL);
     }
-
-    /**
-     * Returns the time.
-     *
-     * @return milliseconds on the monotonic clock
-     */
-    private long millis() {
-        return TimeUnit.NANOSECONDS.toMillis(mNanos.getAsLong());
-    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/TableFollower.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/TableFollower.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -51,8 +50,8 @@
     /** Shares what is read. */
     private final Sharer mSharer;
 
-    /** The monotonic clock, nanoseconds. */
-    private final LongSupplier mNanos;
+    /** The monotonic clock, milliseconds. */
+    private final LongSupplier mMillis;
 
     /** The table's rows by key, to be told to others. */
     private final Map<String, Row> mRows = new HashMap<>();
@@ -69,8 +68,8 @@
     /** Whether the table must be read whole. */
     private boolean mWhole = true;
 
-    /** Failures since the last answer of the store. */
-    private int mFailures;
+    /** Failures since the last answer of the store; read by any thread. */
+    private volatile int mFailures;
 
     /** The number of the last call. */
     private int mCall;
@@ -90,9 +89,6 @@
     /** Since when it has been known without a break, milliseconds on the monotonic clock. */
     private long mUnbrokenSince;
 
-    /** Whether the store answered the last call. Read by any thread. */
-    private volatile boolean mAnswered = true;
-
     /**
      * How a table is followed. Immutable and thread safe.
      *
@@ -175,7 +171,7 @@
      * @param pace how the table is followed
      * @param listener receives what is read, on the control thread
      * @param sharer shares what is read
-     * @param nanos the monotonic clock, nanoseconds
+     * @param millis the monotonic clock, milliseconds
      */
     public TableFollower(
             Control control,
@@ -184,11 +180,11 @@
             Pace pace,
             Listener listener,
             Sharer sharer,
-            LongSupplier nanos) {
+            LongSupplier millis) {
         mSharer = sharer;
-        mNanos = nanos;
-        mNotBefore = millis();
-        mKnownAt = millis();
+        mMillis = millis;
+        mNotBefore = mMillis.getAsLong();
+        mKnownAt = mMillis.getAsLong();
         mControl = control;
         mStore = store;
         mTable = table;
@@ -207,7 +203,7 @@
      * @return whether it did; true before the first
      */
     public boolean answered() {
-        return mAnswered;
+        return mFailures == 0;
     }
 
     /**
@@ -227,7 +223,7 @@
         if (version > mVersion) {
             take(version, rows);
         }
-        mNotBefore = millis() + mPace.sharedMillis();
+        mNotBefore = mMillis.getAsLong() + mPace.sharedMillis();
     }
 
     /**
@@ -237,7 +233,7 @@
      * @return the table, or empty where this router does not know it well enough itself
      */
     public Optional<TableState> state(long version) {
-        long age = millis() - mKnownAt;
+        long age = mMillis.getAsLong() - mKnownAt;
         if (mWhole || age > mPace.sharedMillis()) {
             return Optional.empty();
         }
@@ -288,7 +284,7 @@
      * Reads the table whole, or its next changes, unless another router's page made it needless.
      */
     private void next() {
-        long early = mNotBefore - millis();
+        long early = mNotBefore - mMillis.getAsLong();
         if (!mWhole && early > 0) {
             plan(early);
             return;
@@ -336,7 +332,6 @@
             LOGGER.info("store regained table={} failures={}", mTable, mFailures);
         }
         mFailures = 0;
-        mAnswered = true;
         mOldestCall = mCall + 1;
         plan(mPace.pauseMillis());
         if (page.version() < mVersion) {
@@ -361,7 +356,7 @@
      * @param unbrokenMillis for how long it had been known without a break there
      */
     private void known(boolean own, long ageMillis, long unbrokenMillis) {
-        long at = millis() - ageMillis;
+        long at = mMillis.getAsLong() - ageMillis;
         boolean broken = mDoubtful && at - mKnownAt > mPace.sharedMillis();
         long since = at - unbrokenMillis;
         boolean first = mVersion == 0;
@@ -421,20 +416,10 @@
             return;
         }
         mDoubtful = true;
-        mAnswered = false;
         if (mFailures++ == 0) {
             LOGGER.warn("store lost table={} cause={}", mTable, String.valueOf(cause));
             plan(FIRST_RETRY_MILLIS);
         }
         mListener.lost();
     }
-
-    /**
-     * Returns the time.
-     *
-     * @return milliseconds on the monotonic clock
-     */
-    private long millis() {
-        return TimeUnit.NANOSECONDS.toMillis(mNanos.getAsLong());
-    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -173,7 +173,7 @@
                             new TableFollower.Pace(1, 700, 1050, 400),
                             mKeys,
                             new TableExchange.ForWholeTable(pages),
-                            mTime::nanos);
+                            mTime::millis);
             mExchange.tables().follow(TABLE, follower);
             follower.start();
         }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/directory/UpstreamDirectoryTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/directory/UpstreamDirectoryTest.java
@@ -40,7 +40,7 @@
     @BeforeMethod
     void start() {
         mTime = new ManualTime();
-        mDirectory = new UpstreamDirectory(mTime.control(), mTime::nanos);
+        mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
     }
 
     @Test
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
@@ -80,7 +80,7 @@
     void start() {
         mTime = new ManualTime();
         mStore = new FakeRowStore(new VersionedRows());
-        mDirectory = new UpstreamDirectory(mTime.control(), mTime::nanos);
+        mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
         mOrders = new FakeOrders();
         Node node =
                 new Node(
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/TableFollowerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/TableFollowerTest.java
@@ -52,7 +52,7 @@
                             mShared.add(version);
                             rows.forEach(row -> mSharedKeys.add(row.key()));
                         },
-                        mTime::nanos);
+                        mTime::millis);
         put("a");
         mFollower.start();
         mTime.pass(10);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -45,7 +45,7 @@
         mTime = new ManualTime();
         mPort = new FakePort();
         mCaller = new FakeCaller();
-        mDirectory = new UpstreamDirectory(mTime.control(), mTime::nanos);
+        mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
         RestartAwarePort port = new RestartAwarePort(mPort);
         mDirectory.onChanged(port::retain);
         PeerLoads peers = new PeerLoads();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReportedUseTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReportedUseTest.java
@@ -56,7 +56,7 @@
         mPeers = new PeerLoads();
         mLoads = new UpstreamLoads(mTime.loop(), new Random(1), Entries.HALL, mPeers);
         mReports = new FakeReports();
-        UpstreamDirectory directory = new UpstreamDirectory(mTime.control(), mTime::nanos);
+        UpstreamDirectory directory = new UpstreamDirectory(mTime.control(), mTime::millis);
         directory.replaceAll(List.of(mEngine));
         new ReportedUse(mTime.loop(), directory, mLoads, mPeers, mReports).start();
     }
