Connections between routers on which nothing is sent are kept

Cause: each router of a large fleet keeps a connection to the router that stands by for its relay. Nothing is sent on it, so nothing was answered, and it was closed as silent after 1.5 s and opened again at the next plan: every two seconds a TCP connection with four proofs of the secret, on both sides, and a new plan. Seen in stack samples of 24 calm routers (PeerMesh.open, PeerSecret.prove).

Ruled out: told loads alone; the proofs stood beside them in the same samples.

Now only a message that must be answered and is not, for a second, closes a connection; an unused one is asked every five seconds. A used one is still closed 1.5 s after its last answer.

PeerMeshTest.aConnectionOnWhichNothingIsSentIsKept fails on the code before.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
@@ -15,14 +15,11 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.handler.timeout.IdleStateEvent;
-import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
@@ -63,14 +60,14 @@
     private final Hearer mHearer;
 
     /**
-     * How long a connection that this router opened may be silent, milliseconds. Connections may go
-     * silent for good without a reset; a load that was told counts for this long at the other side,
-     * which then believes engines to be freer than they are.
+     * How long a connection that this router opened and sends on may be silent, milliseconds.
+     * Connections may go silent for good without a reset; a load that was told counts for this long
+     * at the other side, which then believes engines to be freer than they are.
      */
     static final long SILENT_MILLIS = PeerLoads.BELIEVED_MILLIS;
 
     /** How often it is told on a connection that messages are heard, milliseconds. */
-    private static final long HEARD_MILLIS = SILENT_MILLIS / 3;
+    static final long HEARD_MILLIS = SILENT_MILLIS / 3;
 
     /** The connections that this router opened and that are ready. */
     private final Map<Incarnation, Channel> mReady = new HashMap<>();
@@ -219,11 +216,14 @@
                             protected void initChannel(SocketChannel channel) {
                                 frames(channel);
                                 channel.pipeline()
-                                        .addLast(
-                                                new IdleStateHandler(
-                                                        SILENT_MILLIS, 0, 0, TimeUnit.MILLISECONDS))
+                                        .addLast(new SilenceGuard(mNode::millis, this::silent))
                                         .addLast(new Outgoing(member));
                             }
+
+                            /** Counts a connection that is closed for its silence. */
+                            private void silent() {
+                                mNode.count("peer.silent");
+                            }
                         })
                 .connect(new InetSocketAddress(address.host(), address.port()))
                 .addListener(
@@ -344,15 +344,6 @@
                             });
         }
 
-        /** {@inheritDoc} */
-        @Override
-        public void userEventTriggered(ChannelHandlerContext context, Object event) {
-            if (event instanceof IdleStateEvent) {
-                mNode.count("peer.silent");
-                context.close();
-            }
-        }
-
         /** {@inheritDoc} */
         @Override
         public void channelInactive(ChannelHandlerContext context) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerMeshTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerMeshTest.java
@@ -153,6 +153,19 @@
         await("heard", () -> mOther.mHeard.contains(new PeerMessage.Refused(List.of("late"))));
     }
 
+    /** A connection that stood by was closed and opened again every two seconds before. */
+    @Test
+    public void aConnectionOnWhichNothingIsSentIsKept() {
+        await("connected", () -> connected(mOther.mSelf));
+        Awaitility.await("kept")
+                .during(Duration.ofMillis(2 * PeerMesh.SILENT_MILLIS))
+                .atMost(Duration.ofMillis(3 * PeerMesh.SILENT_MILLIS))
+                .until(
+                        () ->
+                                mOne.onControl(
+                                        () -> mOne.mMesh.connected(mOther.mSelf.incarnation())));
+    }
+
     @Test
     public void aConnectionThatGoesSilentWithoutAResetIsMadeAgain() {
         Address to = Address.parse(mOther.mSelf.peer());
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/SilenceGuardTest.java
@@ -0,0 +1,88 @@
+package org.troutpier.daemon.peer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** When a connection counts as silent. */
+public final class SilenceGuardTest {
+
+    private static final PeerMessage MESSAGE = new PeerMessage.Heard();
+    private static final long STEP_MILLIS = 50;
+
+    private long mMillis;
+    private int mSilent;
+    private EmbeddedChannel mChannel;
+
+    @BeforeMethod
+    void open() {
+        mMillis = 0;
+        mSilent = 0;
+        mChannel = new EmbeddedChannel(new SilenceGuard(() -> mMillis, () -> mSilent++));
+    }
+
+    private void pass(long millis) {
+        for (long left = millis; left > 0; left -= STEP_MILLIS) {
+            mMillis += STEP_MILLIS;
+            mChannel.advanceTimeBy(STEP_MILLIS, TimeUnit.MILLISECONDS);
+            mChannel.runScheduledPendingTasks();
+        }
+    }
+
+    /** Returns after how long a connection is closed on which messages are sent all the time. */
+    private long closedAfter(long pauseMillis) {
+        long from = mMillis;
+        while (mChannel.isActive()) {
+            mChannel.writeOutbound(MESSAGE);
+            pass(pauseMillis);
+        }
+        return mMillis - from;
+    }
+
+    @Test
+    public void aConnectionThatIsUsedIsClosedWhenItIsSilent() {
+        pass(600);
+        mChannel.writeInbound(MESSAGE);
+        long after = closedAfter(50);
+        assertTrue(after <= PeerMesh.SILENT_MILLIS + STEP_MILLIS, "closed after " + after);
+        assertEquals(mSilent, 1);
+    }
+
+    @Test
+    public void aConnectionThatAnswersIsKept() {
+        for (int round = 0; round < 40; round++) {
+            mChannel.writeOutbound(MESSAGE);
+            pass(200);
+            mChannel.writeOutbound(MESSAGE);
+            pass(300);
+            mChannel.writeInbound(MESSAGE);
+        }
+        assertTrue(mChannel.isActive());
+    }
+
+    @Test
+    public void aMessageThatNeedNotBeAnsweredClosesNothing() {
+        mChannel.writeInbound(MESSAGE);
+        pass(100);
+        mChannel.writeOutbound(MESSAGE);
+        pass(2 * PeerMesh.SILENT_MILLIS);
+        assertTrue(mChannel.isActive());
+    }
+
+    @Test
+    public void anUnusedConnectionIsAskedAndClosedWhereNobodyAnswers() {
+        pass(SilenceGuard.ASK_MILLIS - 2 * PeerMesh.SILENT_MILLIS);
+        assertNull(mChannel.readOutbound());
+        pass(3 * PeerMesh.SILENT_MILLIS);
+        assertNotNull(mChannel.readOutbound());
+        pass(PeerMesh.SILENT_MILLIS);
+        assertFalse(mChannel.isActive());
+    }
+}
