Of many routers the relay of each hall asks its hall's engines what runs there, for all

Cause: what engines still do for routers that lost power was learnt only in fleets of up to 16 routers, each asking all engines.

Now the relay asks the engines of its hall and tells what it learnt with its own use; calls grow with engines. Engines in a hall without routers are asked by nobody.

Tests: ReportedUseTest.whoAsksForTheOthers*, whoAsksForItself*, whereAnotherAsks* (before there was no such router; nobody asked with more than 15 others).

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -11,6 +11,7 @@
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.InstanceId;
 import org.troutpier.common.settings.Address;
+import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.instancelist.InstanceList.Instance;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.peer.Membership;
@@ -19,6 +20,7 @@
 import org.troutpier.daemon.peer.PeerMesh;
 import org.troutpier.daemon.peer.PeerMessage;
 import org.troutpier.daemon.route.CurrentConfiguration;
+import org.troutpier.daemon.serving.ReportedUse;
 
 /**
  * Tells the other routers of this one's load and receives theirs, as the {@link RelayPlan} says;
@@ -90,8 +92,8 @@
     /** Tables that routers read for each other. */
     private final TableExchange mTables;
 
-    /** To whom this router tells what. */
-    private RelayPlan mPlan;
+    /** To whom this router tells what; made on the control thread, read by any. */
+    private volatile RelayPlan mPlan;
 
     /** Whether the table of routers has changed since the last plan. */
     private boolean mListChanged;
@@ -226,6 +228,29 @@
         mRelay.refused(List.of(key), true);
     }
 
+    /**
+     * Returns which engines this router asks what runs there. Thread safe.
+     *
+     * @return all where routers tell each other directly; those of its hall at a relay; none else
+     */
+    public ReportedUse.Scope askedEngines() {
+        return new ReportedUse.Scope() {
+
+            /** {@inheritDoc} */
+            @Override
+            public boolean asks(UpstreamEntry engine) {
+                RelayPlan plan = mPlan;
+                return plan.direct() || plan.relay() && engine.hall().equals(mNode.hall());
+            }
+
+            /** {@inheritDoc} */
+            @Override
+            public boolean tells() {
+                return mPlan.relay();
+            }
+        };
+    }
+
     /**
      * Has the use of upstreams by the other routers known as it is now: by a sum of what they told,
      * or by the relay's answer.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReportedUse.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReportedUse.java
@@ -19,7 +19,9 @@
  * are cut off, and runs that go on for routers that lost power. Engines report late, so a report is
  * held against the most that was known to run there lately, and what is beyond it counts as taken.
  * Engines are asked only while something may be unknown: after this router's own start and after a
- * router is heard no more. Confined to the traffic loop.
+ * router is heard no more. Of few routers each asks all engines; of many the relay of each hall
+ * asks those of its hall and tells the others with its own use, so that calls grow with engines and
+ * not with routers times engines. Confined to the traffic loop.
  *
  * <p>It answers the seconds after a loss of power of all routers, and routers that are cut from
  * each other. Without it engines were filled beyond their memory and preempted what they ran.
@@ -38,12 +40,6 @@
      */
     private static final long WATCH_MILLIS = 12_000;
 
-    /**
-     * With how many other routers engines are still asked: each asks for itself, so that calls grow
-     * with routers times engines.
-     */
-    private static final int MOST_ROUTERS = 15;
-
     /** Logs when engines begin to be asked. */
     private static final Logger LOGGER = LogManager.getLogger(ReportedUse.class);
 
@@ -62,6 +58,9 @@
     /** Asks engines. */
     private final EngineOrders mEngines;
 
+    /** Which engines this router asks. */
+    private final Scope mScope;
+
     /** What was known to run at each engine at the last looks, the newest last. */
     private final Map<UpstreamIncarnation, Deque<Long>> mKnown = new HashMap<>();
 
@@ -71,6 +70,30 @@
     /** Until when engines are asked, milliseconds. */
     private long mUntil;
 
+    /** Which engines a router asks. Implementations are thread safe. */
+    public interface Scope {
+
+        /** Every router asks all. */
+        Scope ALL = engine -> true;
+
+        /**
+         * Returns whether this router asks an engine.
+         *
+         * @param engine the engine
+         * @return whether it does now
+         */
+        boolean asks(UpstreamEntry engine);
+
+        /**
+         * Returns whether this router tells the others what it learns.
+         *
+         * @return whether it does now; false where each asks for itself
+         */
+        default boolean tells() {
+            return false;
+        }
+    }
+
     /**
      * Creates it.
      *
@@ -79,13 +102,16 @@
      * @param loads what is known to run there
      * @param peers who is heard
      * @param engines asks engines
+     * @param scope which engines this router asks
      */
     public ReportedUse(
             TrafficLoop loop,
             UpstreamDirectory directory,
             UpstreamLoads loads,
             PeerLoads peers,
-            EngineOrders engines) {
+            EngineOrders engines,
+            Scope scope) {
+        mScope = scope;
         mLoop = loop;
         mDirectory = directory;
         mLoads = loads;
@@ -112,11 +138,7 @@
             mUntil = now + WATCH_MILLIS;
         }
         mHeard = heard;
-        if (heard <= MOST_ROUTERS) {
-            look(now < mUntil);
-        } else {
-            mKnown.clear();
-        }
+        look(now < mUntil);
         mLoop.later(this::look, LOOK_MILLIS);
     }
 
@@ -126,7 +148,8 @@
      * @param ask whether to ask the engines too
      */
     private void look(boolean ask) {
-        List<UpstreamEntry> engines = mDirectory.usable(UpstreamEntry.Role.DECODE);
+        List<UpstreamEntry> engines =
+                mDirectory.usable(UpstreamEntry.Role.DECODE).stream().filter(mScope::asks).toList();
         mKnown.keySet()
                 .retainAll(
                         engines.stream()
@@ -174,7 +197,7 @@
         Deque<Long> known = mKnown.get(engine.incarnation());
         if (known != null) {
             long most = known.stream().mapToLong(Long::longValue).max().orElse(0);
-            mLoads.unknown(engine, Math.max(0, used - most));
+            mLoads.unknown(engine, Math.max(0, used - most), mScope.tells());
         }
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -102,6 +102,9 @@
         /** When it reported them, milliseconds. */
         private long mUnknownAt;
 
+        /** Whether the other routers hear of them from this one. */
+        private boolean mUnknownTold;
+
         /** Failures since the last success. */
         private int mFailures;
 
@@ -247,9 +250,18 @@
      * @return tokens
      */
     public long tokens(UpstreamEntry engine) {
-        Load load = load(engine.incarnation());
+        return toldTokens(engine) + unknown(load(engine.incarnation()));
+    }
+
+    /**
+     * Returns how much runs at an engine that no router tells of.
+     *
+     * @param load the engine's state
+     * @return tokens, as far as they were reported lately
+     */
+    private long unknown(Load load) {
         boolean fresh = mLoop.millis() - load.mUnknownAt <= UNKNOWN_MILLIS;
-        return toldTokens(engine) + (fresh ? load.mUnknown : 0);
+        return fresh ? load.mUnknown : 0;
     }
 
     /**
@@ -267,10 +279,12 @@
      *
      * @param engine the engine
      * @param tokens how much, as the engine reported
+     * @param told whether the other routers are to hear of it from this one
      */
-    void unknown(UpstreamEntry engine, long tokens) {
+    void unknown(UpstreamEntry engine, long tokens, boolean told) {
         Load load = load(engine.incarnation());
         load.mUnknown = tokens;
+        load.mUnknownTold = told;
         load.mUnknownAt = mLoop.millis();
     }
 
@@ -510,7 +524,7 @@
     }
 
     /**
-     * Returns what is under way.
+     * Returns what is under way, with what this router learnt for the others.
      *
      * @return the use of each upstream that is used
      */
@@ -518,8 +532,9 @@
         Map<UpstreamIncarnation, UpstreamUse> uses = new HashMap<>();
         mLoads.forEach(
                 (id, load) -> {
-                    if (load.mCalls > 0) {
-                        uses.put(id, new UpstreamUse(load.mCalls, load.mTokens));
+                    long learnt = load.mUnknownTold ? unknown(load) : 0;
+                    if (load.mCalls > 0 || learnt > 0) {
+                        uses.put(id, new UpstreamUse(load.mCalls, load.mTokens + learnt));
                     }
                 });
         return uses;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReportedUseTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReportedUseTest.java
@@ -56,9 +56,56 @@
         mPeers = new PeerLoads();
         mLoads = new UpstreamLoads(mTime.loop(), new Random(1), Entries.HALL, mPeers);
         mReports = new FakeReports();
+    }
+
+    private void learn(ReportedUse.Scope scope) {
         UpstreamDirectory directory = new UpstreamDirectory(mTime.control(), mTime::millis);
         directory.replaceAll(List.of(mEngine));
-        new ReportedUse(mTime.loop(), directory, mLoads, mPeers, mReports).start();
+        new ReportedUse(mTime.loop(), directory, mLoads, mPeers, mReports, scope).start();
+    }
+
+    /** A scope in which one router asks for the others. */
+    private static ReportedUse.Scope forOthers(boolean asks) {
+        return new ReportedUse.Scope() {
+            @Override
+            public boolean asks(UpstreamEntry engine) {
+                return asks;
+            }
+
+            @Override
+            public boolean tells() {
+                return asks;
+            }
+        };
+    }
+
+    /** Before, no engine was asked in fleets of more than 16 routers. */
+    @Test
+    public void whoAsksForTheOthersTellsThemWhatItLearns() {
+        mReports.mUsed = 30_000;
+        learn(forOthers(true));
+        mTime.pass(500);
+        mLoads.begin(mEngine, 5000);
+        assertEquals(mLoads.uses().get(mEngine.incarnation()), new UpstreamUse(1, 35_000));
+        assertEquals(mLoads.tokens(mEngine), 35_000);
+        mTime.pass(15_000);
+        assertEquals(mLoads.uses().get(mEngine.incarnation()), new UpstreamUse(1, 5000));
+    }
+
+    @Test
+    public void whoAsksForItselfTellsNobody() {
+        learn(ReportedUse.Scope.ALL);
+        mReports.mUsed = 30_000;
+        mTime.pass(500);
+        assertEquals(mLoads.tokens(mEngine), 30_000);
+        assertEquals(mLoads.uses(), Map.of());
+    }
+
+    @Test
+    public void whereAnotherAsksNoEngineIsAsked() {
+        learn(forOthers(false));
+        mTime.pass(2000);
+        assertEquals(mReports.mAsked, 0);
     }
 
     private void told(long tokens) {
@@ -78,6 +125,7 @@
 
     @Test
     public void afterAStartRunsThatNobodyTellsOfAreKnownFromTheEngine() {
+        learn(ReportedUse.Scope.ALL);
         mReports.mUsed = 30_000;
         mTime.pass(500);
         assertEquals(mLoads.tokens(mEngine), 30_000);
@@ -90,6 +138,7 @@
 
     @Test
     public void whatIsToldIsNotCountedTwice() {
+        learn(ReportedUse.Scope.ALL);
         told(20_000);
         mReports.mUsed = 20_000;
         mTime.pass(900);
@@ -98,6 +147,7 @@
 
     @Test
     public void aReportThatIsLateIsHeldAgainstWhatWasKnownThen() {
+        learn(ReportedUse.Scope.ALL);
         mLoads.begin(mEngine, 20_000);
         mReports.mUsed = 20_000;
         mTime.pass(900);
@@ -108,6 +158,7 @@
 
     @Test
     public void enginesAreAskedAgainWhenARouterIsHeardNoMore() {
+        learn(ReportedUse.Scope.ALL);
         mTime.pass(20_000);
         int asked = mReports.mAsked;
         assertTrue(asked > 10, "asked " + asked);
