The table of routers is read by one router of each hall, and a start writes its row once

Cause: each router waited at the store for the next change of the table of routers, so each start answered all of them: calls grew with starts times routers (the term that grows with the square). A router that started again wrote its row without knowing its version, in conflict with the row of its earlier start, and wrote again.

Ruled out: a longer pause between two reads, which delays relays' knowledge of each other.

Now the hall's reader shares its pages of this table as of the others, and a router registers once it has read the table.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
@@ -34,9 +34,11 @@
 
     /**
      * How the table is followed: it changes only when a router starts, so the store's return need
-     * not be noticed at once.
+     * not be noticed at once. Each start answers all calls that wait, so with a call of its own at
+     * each router, calls grew with the square of the routers: the hall's reader reads, and its
+     * pages, at most a wait and a pause apart, save the others theirs.
      */
-    private static final TableFollower.Pace PACE = new TableFollower.Pace(10_000, 500, 0, 2000);
+    private static final TableFollower.Pace PACE = new TableFollower.Pace(3000, 500, 4000, 2000);
 
     /** Logs the registration. */
     private static final Logger LOGGER = LogManager.getLogger(MemberRegistry.class);
@@ -65,6 +67,9 @@
     /** The version of this instance's row as far as it is known. */
     private long mVersion;
 
+    /** Whether the table was read, so that this router's row can be written. */
+    private boolean mRead;
+
     /**
      * Creates a registry.
      *
@@ -97,18 +102,16 @@
                                 capacity.points()));
     }
 
-    /** Registers this router and follows the others. */
+    /**
+     * Follows the others, and registers this router once the table was read: written before that,
+     * the row of a router that started again was in conflict with the one of its earlier start.
+     */
     public void start() {
-        mNode.control().execute(this::register);
-        new TableFollower(
-                        mNode.control(),
-                        mStore,
-                        TABLE,
-                        PACE,
-                        this,
-                        TableFollower.Sharer.NONE,
-                        mNode::millis)
-                .start();
+        TableExchange.ForPages pages = new TableExchange.ForPages(mExchange.tables(), TABLE);
+        TableFollower follower =
+                new TableFollower(mNode.control(), mStore, TABLE, PACE, this, pages, mNode::millis);
+        mExchange.tables().follow(TABLE, follower);
+        follower.start();
     }
 
     /** Writes this router's row. */
@@ -138,6 +141,10 @@
     @Override
     public void whole(List<Row> rows) {
         changed(rows);
+        if (!mRead) {
+            mRead = true;
+            register();
+        }
     }
 
     /** {@inheritDoc} */
@@ -157,7 +164,7 @@
         Optional<MemberRow> member = row.deleted() ? Optional.empty() : member(row);
         if (instance.equals(mNode.incarnation().instance())) {
             mVersion = row.deleted() ? 0 : row.version();
-            if (member.isEmpty()) {
+            if (mRead && member.isEmpty()) {
                 mNode.control().later(this::register, RETRY_MILLIS);
             }
         }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/MemberRegistryTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/MemberRegistryTest.java
@@ -4,9 +4,11 @@
 import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -24,6 +26,8 @@
 import org.troutpier.daemon.peer.PeerMessage;
 import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.rows.FakeRowStore;
+import org.troutpier.daemon.rows.RowStore;
+import org.troutpier.daemon.rows.RowStore.Row;
 import org.troutpier.standins.platform.VersionedRows;
 import org.troutpier.standins.platform.VersionedRows.Key;
 
@@ -37,6 +41,33 @@
     private VersionedRows mRows;
     private List<String> mConnected;
     private List<Integer> mCounts;
+    private PeerExchange mExchange;
+    private int mReads;
+    private int mWrites;
+
+    /** A store that counts calls. */
+    private final class CountingStore implements RowStore {
+
+        private final FakeRowStore mStore = new FakeRowStore(mRows);
+
+        @Override
+        public CompletableFuture<RowPage> read(String table, String part) {
+            mReads++;
+            return mStore.read(table, part);
+        }
+
+        @Override
+        public CompletableFuture<RowPage> feed(String table, long after, int waitMillis) {
+            mReads++;
+            return mStore.feed(table, after, waitMillis);
+        }
+
+        @Override
+        public CompletableFuture<RowWrite> write(Row row, long expectedVersion) {
+            mWrites++;
+            return mStore.write(row, expectedVersion);
+        }
+    }
 
     /** Notes to whom connections are opened. */
     private final class Links implements PeerLinks {
@@ -66,6 +97,12 @@
         mRows = new VersionedRows();
         mConnected = new ArrayList<>();
         mCounts = new ArrayList<>();
+        join();
+    }
+
+    private void join() {
+        mReads = 0;
+        mWrites = 0;
         Node node =
                 new Node(
                         Incarnation.start(new InstanceId("self")),
@@ -76,7 +113,7 @@
                         new MetricRegistry(),
                         new EventRing("self", 16, new HybridClock()),
                         mTime::nanos);
-        PeerExchange exchange =
+        mExchange =
                 new PeerExchange(
                         node,
                         SELF,
@@ -87,15 +124,51 @@
                         keys -> {});
         new MemberRegistry(
                         node,
-                        new FakeRowStore(mRows),
+                        new CountingStore(),
                         SELF,
                         RouterCapacity.of(1, 1000),
-                        exchange,
+                        mExchange,
                         mCounts::add)
                 .start();
         mTime.pass(1000);
     }
 
+    /** Wrote twice before: its first write was in conflict with the row of its earlier start. */
+    @Test
+    public void aRouterThatStartsAgainWritesItsRowOnce() {
+        join();
+        assertEquals(mWrites, 1);
+        String row = mRows.row(new Key(TABLE, "", "self")).orElseThrow().value();
+        assertTrue(row.contains("self~"), row);
+    }
+
+    /** Before, each router read the table itself after each start of another. */
+    @Test
+    public void aRouterThatIsToldOfStartsDoesNotReadThemItself() {
+        Member reader =
+                new Member(new Incarnation("reader~1"), new HallId("hall"), "127.0.0.1:8", false);
+        mReads = 0;
+        for (int number = 0; number < 20; number++) {
+            long before = mRows.version();
+            String name = "other" + number;
+            put(name, member(name));
+            List<Row> rows =
+                    List.of(
+                            new Row(
+                                    TABLE,
+                                    "",
+                                    name,
+                                    member(name).getBytes(StandardCharsets.UTF_8),
+                                    mRows.version(),
+                                    false));
+            SharedPage page = new SharedPage(TABLE, before, mRows.version(), 0, rows);
+            mExchange.heard(reader, new PeerMessage.Page(page));
+            mTime.pass(400);
+            assertTrue(mConnected.contains(name), "connected to " + mConnected);
+        }
+        assertTrue(mReads <= 1, "calls " + mReads);
+    }
+
     private void put(String key, String value) {
         mRows.put(new Key(TABLE, "", key), value);
     }
