A request that ends before the load of others is known reaches nobody: two tests

Ruled out: that one whose caller left or whose deadline passed meanwhile is sent all the same (RequestExecution.begin). Both pass with the code as it is; with the check left out a request that has ended would be placed.

--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -8,6 +8,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -41,6 +42,9 @@
     private UpstreamDirectory mDirectory;
     private ServingContext mContext;
 
+    /** The decisions that wait for a fresh view; null where it is always fresh. */
+    private List<Runnable> mHeld;
+
     @BeforeMethod
     void start() {
         mTime = new ManualTime();
@@ -50,6 +54,15 @@
         RestartAwarePort port = new RestartAwarePort(mPort);
         mDirectory.onChanged(port::retain);
         PeerLoads peers = new PeerLoads();
+        mHeld = null;
+        LoadView view =
+                decision -> {
+                    if (mHeld == null) {
+                        decision.run();
+                    } else {
+                        mHeld.add(decision);
+                    }
+                };
         Random random = new Random(1);
         UpstreamLoads loads = new UpstreamLoads(mTime.loop(), random, Entries.HALL, peers);
         mContext =
@@ -59,15 +72,14 @@
                         mDirectory,
                         loads,
                         new ExtraCallBudget(0, 0, 10_000),
-                        new PlaceAllocator(
-                                mTime.loop(), port, loads, LoadView.AlwaysFresh.INSTANCE, random),
+                        new PlaceAllocator(mTime.loop(), port, loads, view, random),
                         new ReturningRequests(),
                         new ReturnPacer(random),
                         new GrowthMargin(),
                         DelayEstimate.ofExcess(),
                         DelayEstimate.ofFirstEvent(),
                         peers,
-                        LoadView.AlwaysFresh.INSTANCE,
+                        view,
                         new DemandMeter(),
                         new ServingMetrics(new MetricRegistry()),
                         new DecisionLog(
@@ -122,12 +134,12 @@
                         "service",
                         new EngineTraits(10, 90_000, 4, 2000, 500, 100),
                         mCaller)
-                .start();
+                .begin();
     }
 
     private void plain() {
         new PlainExecution(mContext, request(), route(Route.Kind.ONCE, 1), "service", mCaller)
-                .start();
+                .begin();
     }
 
     private UpstreamPort.Head head(UpstreamPort.Verdict verdict) {
@@ -345,6 +357,31 @@
         assertTrue(mContext.loads().uses().isEmpty());
     }
 
+    @Test
+    public void aCallerThatLeavesBeforeTheLoadOfOthersIsKnownReachesNobody() {
+        mDirectory.replaceAll(List.of(Entries.decode("a"), Entries.plain("b", "hall")));
+        mHeld = new ArrayList<>();
+        stream();
+        mCaller.leave();
+        plain();
+        mCaller.leave();
+        assertEquals(mHeld.size(), 2);
+        mHeld.forEach(Runnable::run);
+        assertTrue(mPort.mRuns.isEmpty());
+        assertTrue(mContext.loads().uses().isEmpty());
+    }
+
+    @Test
+    public void aRequestWhoseDeadlinePassesBeforeTheLoadOfOthersIsKnownIsRefusedAsNotRun() {
+        mDirectory.replaceAll(List.of(Entries.plain("b", "hall")));
+        mHeld = new ArrayList<>();
+        plain();
+        mTime.pass(10_000);
+        assertEquals(mCaller.mRefusal, ResultCode.NO_PLACE);
+        mHeld.forEach(Runnable::run);
+        assertTrue(mPort.mRuns.isEmpty());
+    }
+
     @Test
     public void aStreamThatEndsInsideAnEventIsCut() {
         mDirectory.replaceAll(List.of(Entries.decode("a")));
@@ -395,7 +432,7 @@
         UpstreamEntry upstream = started(Entries.plain("a", "hall-a"));
         mDirectory.replaceAll(List.of(upstream));
         new PlainExecution(mContext, request(), route(Route.Kind.REPEATABLE, 2), "service", mCaller)
-                .start();
+                .begin();
         mDirectory.change(new UpstreamId("b"), Optional.of(Entries.plain("b", "hall-a")));
         restart(upstream);
         assertEquals(mPort.mRuns.size(), 2);
