Messages between routers are counted by kind

Cause: what routers cost each other was known in all only, so which message to drop first was read from stack samples. Ruled out: counting at the receiver, which would decode to count. PeerMeshTest.aMessageToSeveral* checks both counters. No figure of cost: two counters a message.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
@@ -241,8 +241,7 @@
         if (channel == null || !channel.isActive()) {
             return false;
         }
-        mSent.inc();
-        channel.writeAndFlush(message, channel.voidPromise());
+        send(channel, message, encoded(message));
         return true;
     }
 
@@ -265,12 +264,27 @@
         for (Incarnation each : to) {
             Channel channel = mReady.get(each);
             if (channel != null && channel.isActive()) {
-                mSent.inc();
-                channel.writeAndFlush(Unpooled.wrappedBuffer(frame), channel.voidPromise());
+                send(channel, message, frame);
             }
         }
     }
 
+    /**
+     * Sends a message, and counts it by its kind: what is told to whom is most of what routers cost
+     * each other.
+     *
+     * @param channel the connection
+     * @param message the message
+     * @param frame its bytes
+     */
+    private void send(Channel channel, PeerMessage message, byte[] frame) {
+        mSent.inc();
+        String kind = "peer.sent." + message.label();
+        mNode.metrics().counter(kind + ".messages").inc();
+        mNode.metrics().counter(kind + ".bytes").inc(frame.length + LENGTH_BYTES);
+        channel.writeAndFlush(Unpooled.wrappedBuffer(frame), channel.voidPromise());
+    }
+
     /**
      * Encodes a message.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
@@ -36,6 +36,15 @@
 })
 public sealed interface PeerMessage {
 
+    /**
+     * Returns what messages are counted by.
+     *
+     * @return the kind's name
+     */
+    default String label() {
+        return getClass().getSimpleName();
+    }
+
     /**
      * Opens a connection.
      *
@@ -152,7 +161,14 @@
      * @param scope whose load it is
      * @param report the load
      */
-    record Load(ReportScope scope, LoadReport report) implements PeerMessage {}
+    record Load(ReportScope scope, LoadReport report) implements PeerMessage {
+
+        /** {@inheritDoc} */
+        @Override
+        public String label() {
+            return "Load." + scope;
+        }
+    }
 
     /** Asks a relay for the load of all others, to be sent as {@link Load}. */
     record LoadAsked() implements PeerMessage {}
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerMeshTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerMeshTest.java
@@ -1,5 +1,6 @@
 package org.troutpier.daemon.peer;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -42,6 +43,7 @@
     private final class Peer implements AutoCloseable {
         final Member mSelf;
         final ControlThread mControl = new ControlThread();
+        final MetricRegistry mMetrics = new MetricRegistry();
         final List<PeerMessage> mHeard = new CopyOnWriteArrayList<>();
         final PeerMesh mMesh;
 
@@ -55,7 +57,7 @@
                             mLoops,
                             mControl,
                             null,
-                            new MetricRegistry(),
+                            mMetrics,
                             new EventRing(incarnation, 16, new HybridClock()),
                             System::nanoTime);
             Membership membership = new Membership(mSelf, System::nanoTime);
@@ -136,6 +138,8 @@
                     return true;
                 });
         await("heard", () -> mOther.mHeard.contains(new PeerMessage.Refused(List.of("key"))));
+        assertEquals(mOne.mMetrics.counter("peer.sent.Refused.messages").getCount(), 1);
+        assertTrue(mOne.mMetrics.counter("peer.sent.Refused.bytes").getCount() > "key".length());
     }
 
     @Test
