Runs that only grow are told five times a second, not with each token

Cause: each token of a stream asked for a report, so a router that always has a stream under way made 20 reports a second, and a relay of 19 routers heard 380. Ruled out: dropping reports of begun and ended calls; plain calls of all routers would go to the same upstream.

Growth is told within 200 ms: ten runs of 180 tokens a second grow by a hundredth of an engine's memory in it. Calls that begin or end are told as before.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -16,12 +16,6 @@
  */
 public final class LoadReporter {
 
-    /**
-     * The shortest pause between a report and the next for a change that can wait, milliseconds:
-     * half the age that loads may have.
-     */
-    private static final long LEAST_MILLIS = 50;
-
     /** After how long an unchanged load is reported again, milliseconds. */
     private static final long UNCHANGED_MILLIS = 500;
 
@@ -52,11 +46,8 @@
     /** The use that was reported last. */
     private Map<UpstreamIncarnation, UpstreamUse> mReported = new HashMap<>();
 
-    /** When the last report was made, milliseconds. */
-    private long mReportedAt;
-
-    /** Whether it is about to be looked what changed. */
-    private boolean mLooking;
+    /** When it is looked what changed. */
+    private final ReportPace mPace;
 
     /**
      * Creates a reporter.
@@ -87,6 +78,7 @@
         mRoles = roles;
         mControl = control;
         mExchange = exchange;
+        mPace = new ReportPace(loop, this::look);
     }
 
     /** Starts to report. */
@@ -94,7 +86,8 @@
         mLoop.execute(
                 () -> {
                     mLoads.onUrgent(this::report);
-                    mLoads.onChanged(this::changed);
+                    mLoads.onChanged(mPace::changed);
+                    mLoads.onGrown(mPace::grown);
                     mRoles.onChanging(() -> mLoop.execute(this::rolesChange));
                     repeat();
                 });
@@ -106,18 +99,8 @@
         report();
     }
 
-    /** Has it looked what changed: at once, or once the shortest pause is over. */
-    private void changed() {
-        if (!mLooking) {
-            mLooking = true;
-            long left = LEAST_MILLIS - (mLoop.millis() - mReportedAt);
-            mLoop.later(this::look, Math.max(0, left));
-        }
-    }
-
     /** Reports if there is something new to tell. */
     private void look() {
-        mLooking = false;
         Map<UpstreamIncarnation, UpstreamUse> uses = mLoads.uses();
         if (!uses.equals(mReported)) {
             report(uses);
@@ -126,7 +109,7 @@
 
     /** Reports again what has not changed for long. */
     private void repeat() {
-        long left = UNCHANGED_MILLIS - (mLoop.millis() - mReportedAt);
+        long left = UNCHANGED_MILLIS - mPace.ageMillis();
         if (left <= 0) {
             report();
             left = UNCHANGED_MILLIS;
@@ -145,7 +128,7 @@
      * @param uses what is under way
      */
     private void report(Map<UpstreamIncarnation, UpstreamUse> uses) {
-        mReportedAt = mLoop.millis();
+        mPace.reported();
         mReported = uses;
         LoadReport report =
                 new LoadReport(
@@ -156,7 +139,7 @@
                         mRoles.changing(),
                         mLoads.refusing(),
                         uses,
-                        mDemand.publish(mReportedAt));
+                        mDemand.publish(mLoop.millis()));
         mControl.execute(() -> mExchange.tell(report));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -84,6 +84,9 @@
     /** Runs when what is under way changes in a way of which the others may hear a little later. */
     private Runnable mOnChanged = () -> {};
 
+    /** Runs when runs under way grow, of which the others may hear later still. */
+    private Runnable mOnGrown = () -> {};
+
     /** The engines that change their role by this router's order. */
     private volatile Set<UpstreamIncarnation> mChanging = Set.of();
 
@@ -183,6 +186,15 @@
         mOnChanged = action;
     }
 
+    /**
+     * Sets what runs when runs under way grow.
+     *
+     * @param action the action, run on the traffic loop
+     */
+    public void onGrown(Runnable action) {
+        mOnGrown = action;
+    }
+
     /**
      * Records that memory of an engine is taken, and tells the other routers at once: two that ask
      * for the same room at the same time would both get it.
@@ -239,7 +251,7 @@
      */
     public void grow(UpstreamEntry upstream, long tokens) {
         load(upstream.incarnation()).mTokens += tokens;
-        mOnChanged.run();
+        mOnGrown.run();
     }
 
     /**
