One router of each hall tries to get the lease of engines' roles

Cause: every router that starts looked at the lease's row, wrote it on the condition that nobody did, and looked again after the conflict: up to four calls to the store for each of 58 starts at once, 57 of them in conflict. Ruled out: a longer pause between looks, which delays a takeover.

Now the hall's reader of tables tries; a holder keeps it whoever reads. A router that knows of no other yet counts as a reader, so a fleet of one decides as before.

Tests: RoleLeaseTest.aRouterThatDoesNotContend*, aHolderThatNoLongerContends*.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -228,6 +228,15 @@
         mRelay.refused(List.of(key), true);
     }
 
+    /**
+     * Returns whether this router reads the store's tables for its hall. Thread safe.
+     *
+     * @return whether it does; true before it knows of any other
+     */
+    public boolean reader() {
+        return mPlan.reader();
+    }
+
     /**
      * Returns which engines this router asks what runs there. Thread safe.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
@@ -67,6 +68,9 @@
     /** What callers asked of this router lately, by service; thread safe. */
     private final Function<String, Demand> mOwnDemand;
 
+    /** Whether this router tries to get the lease. */
+    private final BooleanSupplier mContends;
+
     /** Gives orders. */
     private final EngineOrders mOrders;
 
@@ -116,6 +120,17 @@
         private long mNotBefore;
     }
 
+    /**
+     * How the right to decide is got. Immutable; thread safe if its parts are.
+     *
+     * @param store where the lease is kept
+     * @param leaseMillis how long the lease lasts without renewal, milliseconds
+     * @param contends whether this router tries to get it now. Where all do, each start of a fleet
+     *     is four calls to the store for each router, and all but one of their writes are in
+     *     conflict; one router of each hall is enough
+     */
+    public record Candidacy(RowStore store, long leaseMillis, BooleanSupplier contends) {}
+
     /**
      * Creates a controller.
      *
@@ -125,8 +140,7 @@
      * @param peers what the other routers said
      * @param ownDemand what callers asked of this router lately, by service; thread safe
      * @param orders gives orders
-     * @param store where the lease is kept
-     * @param leaseMillis how long the lease lasts without renewal, milliseconds
+     * @param candidacy how the right to decide is got
      */
     public RoleController(
             Node node,
@@ -135,15 +149,16 @@
             PeerLoads peers,
             Function<String, Demand> ownDemand,
             EngineOrders orders,
-            RowStore store,
-            long leaseMillis) {
+            Candidacy candidacy) {
+        mContends = candidacy.contends();
         mNode = node;
         mConfiguration = configuration;
         mDirectory = directory;
         mPeers = peers;
         mOwnDemand = ownDemand;
         mOrders = orders;
-        mLease = new RoleLease(node, store, Math.max(leaseMillis, SHORTEST_TERM_MILLIS));
+        long term = Math.max(candidacy.leaseMillis(), SHORTEST_TERM_MILLIS);
+        mLease = new RoleLease(node, candidacy.store(), term);
     }
 
     /** Starts to control. */
@@ -175,7 +190,7 @@
         if (configuration.isEmpty() || !mDirectory.loaded()) {
             return;
         }
-        mLease.tick(mPeers.roleHolder());
+        mLease.tick(mPeers.roleHolder(), mContends.getAsBoolean());
         mHolds = mLease.held();
         if (mLease.mayOrder()) {
             configuration
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
@@ -133,8 +133,9 @@
      * Renews the lease, or tries to get it.
      *
      * @param otherHolds whether another router said lately that it holds the lease
+     * @param contends whether this router tries to get it; one that holds it keeps it all the same
      */
-    void tick(boolean otherHolds) {
+    void tick(boolean otherHolds, boolean contends) {
         if (mToken != 0 && !held()) {
             LOGGER.warn("role lease lapsed token={}", mToken);
             mToken = 0;
@@ -144,7 +145,7 @@
         }
         if (held()) {
             write(mVersion, true);
-        } else if (!otherHolds || !mSeen) {
+        } else if (contends && (!otherHolds || !mSeen)) {
             look();
         }
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
@@ -111,8 +111,7 @@
                         new PeerLoads(),
                         service -> Demand.NONE,
                         mOrders,
-                        mStore,
-                        TERM);
+                        new RoleController.Candidacy(mStore, TERM, () -> true));
         mController.start();
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleLeaseTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleLeaseTest.java
@@ -36,6 +36,7 @@
         final FakeRowStore mStore = new FakeRowStore(mRows);
         final RoleLease mLease;
         boolean mOtherHolds;
+        boolean mContends = true;
 
         Contender(String name) {
             Incarnation incarnation = Incarnation.start(new InstanceId(name));
@@ -50,7 +51,7 @@
                             new EventRing(name, 16, new HybridClock()),
                             mTime::nanos);
             mLease = new RoleLease(node, mStore, TERM);
-            mControl.every(() -> mLease.tick(mOtherHolds), TICK);
+            mControl.every(() -> mLease.tick(mOtherHolds, mContends), TICK);
         }
     }
 
@@ -72,6 +73,27 @@
         assertTrue(only.mLease.mayOrder());
     }
 
+    /** Before, each router that started tried to get the lease. */
+    @Test
+    public void aRouterThatDoesNotContendLeavesTheRowAlone() {
+        Contender only = new Contender("a");
+        only.mContends = false;
+        mTime.pass(10 * TERM);
+        assertFalse(only.mLease.held());
+        assertEquals(mRows.version(), 0);
+    }
+
+    @Test
+    public void aHolderThatNoLongerContendsKeepsIt() {
+        Contender first = new Contender("a");
+        mTime.pass(2 * TERM);
+        first.mContends = false;
+        Contender second = new Contender("b");
+        mTime.pass(10 * TERM);
+        assertTrue(first.mLease.mayOrder());
+        assertFalse(second.mLease.held());
+    }
+
     @Test
     public void aHolderThatCannotRenewStopsWithinATerm() {
         Contender only = new Contender("a");
