A refusal names the engines that refused though none may be asked any more

A search looks again 15 to 29 ms after a round; where that look falls a moment behind the time in which a prompt may still be read, no engine is offered, and the line said "no engine may be asked" after eight refusals.

The search keeps the engines that were offered last and tells of those. What is decided, and when, is as before.

PlaceAllocatorTest.aRefusalNamesTheEngines* was seen to fail first; whereNoEngineMayEverBeAsked* holds the other case.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -202,6 +202,12 @@
         /** Which engines were asked in this round. */
         private final Set<UpstreamIncarnation> mAsked = new HashSet<>();
 
+        /**
+         * The engines that could be asked when any could last. A search may end a moment after the
+         * last that may be asked, and its refusal is to name who refused.
+         */
+        private List<UpstreamEntry> mOffered = List.of();
+
         /** How many refusals there were. */
         private int mRefusals;
 
@@ -238,7 +244,11 @@
                 return;
             }
             long now = mLoop.millis();
-            for (UpstreamEntry engine : mLoads.byTokens(mWanted.engines().get(), mAsked)) {
+            List<UpstreamEntry> engines = mWanted.engines().get();
+            if (!engines.isEmpty()) {
+                mOffered = engines;
+            }
+            for (UpstreamEntry engine : mLoads.byTokens(engines, mAsked)) {
                 if (mFullUntil.getOrDefault(engine.incarnation(), now) <= now && hasRoom(engine)) {
                     ask(engine);
                     return;
@@ -267,7 +277,7 @@
                             + (long) mWanted.marginTokens()
                             + " tokens of "
                             + mWanted.memoryTokens();
-            List<UpstreamEntry> engines = mLoads.byTokens(mWanted.engines().get(), Set.of());
+            List<UpstreamEntry> engines = mLoads.byTokens(mOffered, Set.of());
             return engines.isEmpty()
                     ? needed + ", no engine may be asked"
                     : needed
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
@@ -10,12 +10,12 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.InstanceId;
 import org.troutpier.daemon.cluster.LoadReport;
-import org.troutpier.daemon.cluster.LoadView;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.cluster.ReportScope;
 import org.troutpier.daemon.cluster.UpstreamUse;
@@ -47,9 +47,7 @@
         mPort = new FakePort();
         mPeers = new PeerLoads();
         mLoads = new UpstreamLoads(mTime.loop(), new Random(1), Entries.HALL, mPeers);
-        mAllocator =
-                new PlaceAllocator(
-                        mTime.loop(), mPort, mLoads, LoadView.AlwaysFresh.INSTANCE, new Random(1));
+        mAllocator = new PlaceAllocator(mTime.loop(), mPort, mLoads, Runnable::run, new Random(1));
         mGranted = null;
         mRefused = null;
     }
@@ -59,16 +57,14 @@
     }
 
     private PlaceAllocator.Search find(long waitMillis, Standing standing) {
+        return find(waitMillis, standing, () -> List.of(mFirst, mSecond));
+    }
+
+    private PlaceAllocator.Search find(
+            long waitMillis, Standing standing, Supplier<List<UpstreamEntry>> engines) {
         return mAllocator.find(
                 new PlaceAllocator.Wanted(
-                        PROMPT,
-                        MOST,
-                        MARGIN,
-                        MEMORY,
-                        2000,
-                        waitMillis,
-                        standing,
-                        () -> List.of(mFirst, mSecond)),
+                        PROMPT, MOST, MARGIN, MEMORY, 2000, waitMillis, standing, engines),
                 new PlaceAllocator.Listener() {
                     @Override
                     public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
@@ -120,6 +116,27 @@
         assertNull(mGranted);
     }
 
+    /** The last look falls behind the time in which engines may be asked by a moment at times. */
+    @Test
+    public void aRefusalNamesTheEnginesThatRefusedThoughNoneMayBeAskedAnyMore() {
+        mPort.mFull.addAll(Set.of(mFirst.incarnation(), mSecond.incarnation()));
+        long until = mTime.millis() + 150;
+        find(
+                200,
+                Standing.IN_TIME,
+                () -> mTime.millis() < until ? List.of(mFirst, mSecond) : List.of());
+        mTime.pass(300);
+        assertTrue(mRefused.matches("no place after [1-9]\\d* refusals: .*"), mRefused);
+        assertTrue(mRefused.matches(".*, least used (first|second) known 0 in 0 calls"), mRefused);
+    }
+
+    @Test
+    public void whereNoEngineMayEverBeAskedTheRefusalSaysSo() {
+        find(200, Standing.IN_TIME, List::of);
+        mTime.pass(300);
+        assertTrue(mRefused.endsWith(", no engine may be asked"), mRefused);
+    }
+
     @Test
     public void anEngineWhoseSlotsAreAllKnownToBeTakenIsNotAsked() {
         peersUse(1000, 2000);
