Lines of tries that lost a run name what was asked for

Cause: a try has a new id each time it is made, so lines could not tell whether the same request ended upstreams again and again (hypothesis 1), one try went from upstream to upstream (2), or upstreams ended by themselves (3). Change: a short hash of host, path and body, in the line of each try that lost a run. It is only computed there. Ruled out as part of a request's name: the caller's address. Conclusion: sight only.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -159,6 +159,9 @@
         mKnowledge.learn(end);
         mContext.metrics().ended(upstream.id(), end.notStarted());
         mTrace.step("failed@" + upstream.id() + "(" + end.detail() + ")");
+        if (!end.notStarted() && end.unreachable()) {
+            mTrace.content(mRequest.fingerprint());
+        }
         if (end.notStarted() && end.leaving()) {
             mContext.loads().replaced(upstream);
         } else if (!end.notStarted() || end.unreachable()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
@@ -4,6 +4,7 @@
 import java.util.TreeMap;
 import org.apache.logging.log4j.message.Message;
 import org.apache.logging.log4j.message.StringMapMessage;
+import org.troutpier.daemon.quarantine.RequestFingerprint;
 
 /**
  * What happened to one request, for its line in the log. Confined to the traffic loop. Invariant:
@@ -118,6 +119,16 @@
         mInputs.put(name, Long.toString(value));
     }
 
+    /**
+     * Notes what the request asks for, where it matters whether the same was asked before: each try
+     * has an id of its own.
+     *
+     * @param fingerprint names it
+     */
+    void content(RequestFingerprint fingerprint) {
+        mInputs.put("content", fingerprint.shortName());
+    }
+
     /**
      * Returns the request's line for the log.
      *
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/RequestFingerprintTest.java
@@ -0,0 +1,45 @@
+package org.troutpier.daemon.quarantine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import org.testng.annotations.Test;
+
+/** What makes two requests the same. */
+public final class RequestFingerprintTest {
+
+    private static RequestFingerprint of(String host, String target, String body) {
+        return RequestFingerprint.of(host, target, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    public void theSameHostPathAndBodyHaveTheSameFingerprint() {
+        assertEquals(of("h", "/a?b", "body"), of("h", "/a?b", "body"));
+    }
+
+    @Test
+    public void eachPartCountsAndNoneRunsIntoTheNext() {
+        RequestFingerprint one = of("h", "/a", "body");
+        assertNotEquals(of("i", "/a", "body"), one);
+        assertNotEquals(of("h", "/b", "body"), one);
+        assertNotEquals(of("h", "/a?c", "body"), one);
+        assertNotEquals(of("h", "/a", "Body"), one);
+        assertNotEquals(of("h/", "a", "body"), one);
+        assertNotEquals(of("h", "/abo", "dy"), one);
+    }
+
+    @Test
+    public void nothingOfTheRequestIsInItsName() {
+        assertFalse(of("h", "/a", "secret").value().contains("secret"));
+        assertEquals(of("h", "/a", "secret").toString().length(), 8);
+    }
+
+    @Test
+    public void whatIsNoHashIsRefused() {
+        assertThrows(IllegalArgumentException.class, () -> new RequestFingerprint("abc"));
+        assertThrows(IllegalArgumentException.class, () -> new RequestFingerprint(null));
+    }
+}
