--- /dev/null
+++ b/troutpier-common/src/main/java/org/troutpier/common/collection/AgingMap.java
@@ -0,0 +1,130 @@
+package org.troutpier.common.collection;
+
+import java.util.Collections;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * A map whose entries are forgotten after a time, the oldest first. Not thread safe: the owner
+ * confines it. Invariant: bounded in number and age, both counted from an entry's last change.
+ *
+ * @param <K> the keys' type
+ * @param <V> the values' type
+ */
+public final class AgingMap<K, V> {
+
+    /** How many entries are kept. */
+    private final int mMost;
+
+    /** How long an entry is kept, milliseconds. */
+    private final long mMillis;
+
+    /** The entries in the order of their last changes. */
+    private final Map<K, Aged<V>> mEntries = new LinkedHashMap<>();
+
+    /**
+     * A value and its age.
+     *
+     * @param value the value
+     * @param at when it was set, milliseconds
+     * @param <V> the value's type
+     */
+    private record Aged<V>(V value, long at) {}
+
+    /**
+     * Creates an empty map.
+     *
+     * @param most how many entries are kept
+     * @param millis how long an entry is kept, milliseconds
+     */
+    public AgingMap(int most, long millis) {
+        mMost = most;
+        mMillis = millis;
+    }
+
+    /**
+     * Sets an entry, and forgets those that are too old or too many.
+     *
+     * @param key the key
+     * @param value the value
+     * @param now the monotonic clock, milliseconds
+     */
+    public void put(K key, V value, long now) {
+        mEntries.remove(key);
+        mEntries.put(key, new Aged<>(value, now));
+        forgetOld(now);
+    }
+
+    /**
+     * Returns an entry's value.
+     *
+     * @param key the key
+     * @param now the monotonic clock, milliseconds
+     * @return the value, if it is there and not too old
+     */
+    public Optional<V> get(K key, long now) {
+        Aged<V> aged = mEntries.get(key);
+        return aged == null || old(aged, now) ? Optional.empty() : Optional.of(aged.value());
+    }
+
+    /**
+     * Removes an entry.
+     *
+     * @param key the key
+     */
+    public void remove(K key) {
+        mEntries.remove(key);
+    }
+
+    /**
+     * Returns whether there is no entry, once those that are too old are forgotten.
+     *
+     * @param now the monotonic clock, milliseconds
+     * @return whether it is empty
+     */
+    public boolean isEmpty(long now) {
+        forgetOld(now);
+        return mEntries.isEmpty();
+    }
+
+    /**
+     * Returns the values, once those that are too old are forgotten.
+     *
+     * @param now the monotonic clock, milliseconds
+     * @return a copy by key, the oldest first
+     */
+    public Map<K, V> values(long now) {
+        forgetOld(now);
+        Map<K, V> values = new LinkedHashMap<>();
+        mEntries.forEach((key, aged) -> values.put(key, aged.value()));
+        return Collections.unmodifiableMap(values);
+    }
+
+    /**
+     * Forgets what is too old or too much.
+     *
+     * @param now the monotonic clock, milliseconds
+     */
+    private void forgetOld(long now) {
+        Iterator<Aged<V>> oldest = mEntries.values().iterator();
+        while (oldest.hasNext()) {
+            if (!old(oldest.next(), now) && mEntries.size() <= mMost) {
+                return;
+            }
+            oldest.remove();
+        }
+    }
+
+    /**
+     * Returns whether a value is too old.
+     *
+     * @param aged the value
+     * @param now the monotonic clock, milliseconds
+     * @return whether it is
+     */
+    private boolean old(Aged<V> aged, long now) {
+        return now - aged.at() > mMillis;
+    }
+}
--- /dev/null
+++ b/troutpier-common/src/main/java/org/troutpier/common/collection/package-info.java
@@ -0,0 +1,2 @@
+/** Collections that the Java library lacks. */
+package org.troutpier.common.collection;
--- a/troutpier-common/src/main/java/org/troutpier/common/result/ResultCode.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/result/ResultCode.java
@@ -54,6 +54,9 @@
             127, 429, Family.NOT_RUN, 1, "The partner's requests in flight are at the limit."),
     /** No engine has memory for the request in time. */
     NO_PLACE(128, 503, Family.NOT_RUN, 1, "No engine has memory for the request now."),
+    /** What it asks for has ended several upstreams. */
+    REQUEST_QUARANTINED(
+            129, 503, Family.NOT_RUN, 0, "Upstreams ended under this request; it was not run."),
     /** The same key runs elsewhere. */
     ALREADY_RUNNING(200, 409, Family.OUTCOME_UNKNOWN, 2, "The request with this key is running."),
     /** Bytes left for an upstream and nothing proves what became of them. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
@@ -1,6 +1,5 @@
 package org.troutpier.daemon.cluster;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumSet;
 import java.util.HashSet;
@@ -12,6 +11,7 @@
 import org.troutpier.daemon.peer.Membership.Member;
 import org.troutpier.daemon.peer.PeerLinks;
 import org.troutpier.daemon.peer.PeerMessage;
+import org.troutpier.daemon.quarantine.CrashReport;
 
 /**
  * Tells other routers of this one's load and, where the {@link RelayPlan} makes this router a
@@ -50,11 +50,11 @@
     /** To whom this router tells what. */
     private final Supplier<RelayPlan> mPlan;
 
-    /** Keys of refused requests that are to be told to all. */
-    private final List<String> mRefusedHere = new ArrayList<>();
+    /** Keys of requests that were refused. */
+    private final NoticeOutbox<String> mRefused = new NoticeOutbox<>(PeerMessage.Refused::new);
 
-    /** Keys of refused requests that relays told, to be told to the hall. */
-    private final List<String> mRefusedElsewhere = new ArrayList<>();
+    /** Requests under which upstreams ended. */
+    private final NoticeOutbox<CrashReport> mCrashed = new NoticeOutbox<>(PeerMessage.Crashed::new);
 
     /** This router's latest report. */
     private LoadReport mOwn = LoadReport.NONE;
@@ -168,7 +168,7 @@
     private void relay() {
         mRelaying = false;
         mRelayedAt = mNode.millis();
-        tellRefusals();
+        mRefused.tell(mLinks, audience(), locals());
         if (mPlan.get().relay() && mChanged) {
             tellGroup();
         }
@@ -235,21 +235,21 @@
      *     otherwise only those that report to this router
      */
     void refused(List<String> keys, boolean here) {
-        (here ? mRefusedHere : mRefusedElsewhere).addAll(keys);
+        mRefused.add(keys, here);
         relaySoon();
     }
 
-    /** Tells of the requests that were refused since the last turn. */
-    private void tellRefusals() {
-        if (!mRefusedHere.isEmpty()) {
-            PeerMessage.Refused message = new PeerMessage.Refused(List.copyOf(mRefusedHere));
-            mLinks.sendAll(audience(), message);
-            mRefusedHere.clear();
-        }
-        if (!mRefusedElsewhere.isEmpty()) {
-            mLinks.sendAll(locals(), new PeerMessage.Refused(List.copyOf(mRefusedElsewhere)));
-            mRefusedElsewhere.clear();
-        }
+    /**
+     * Has it told that upstreams ended under requests: at once, since the same request may come at
+     * any router in the same moment.
+     *
+     * @param reports what is known of them
+     * @param here whether by this router or by one that reports to it, so that all are to hear it;
+     *     otherwise only those that report to this router
+     */
+    void crashed(List<CrashReport> reports, boolean here) {
+        mCrashed.add(reports, here);
+        mNode.control().execute(() -> mCrashed.tell(mLinks, audience(), locals()));
     }
 
     /**
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/NoticeListener.java
@@ -0,0 +1,22 @@
+package org.troutpier.daemon.cluster;
+
+import java.util.List;
+import org.troutpier.daemon.quarantine.CrashReport;
+
+/** Takes what other routers tell once. Called on the control thread. */
+public interface NoticeListener {
+
+    /**
+     * Takes requests that were refused and will come back.
+     *
+     * @param keys the part of each one's prompt that is its own
+     */
+    void refused(List<String> keys);
+
+    /**
+     * Takes requests under which upstreams ended.
+     *
+     * @param reports what the other router knows of them
+     */
+    void crashed(List<CrashReport> reports);
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -19,6 +19,7 @@
 import org.troutpier.daemon.peer.PeerLinks;
 import org.troutpier.daemon.peer.PeerMesh;
 import org.troutpier.daemon.peer.PeerMessage;
+import org.troutpier.daemon.quarantine.CrashReport;
 import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.serving.ReportedUse;
 
@@ -65,8 +66,8 @@
     /** What the others said. */
     private final PeerLoads mLoads;
 
-    /** Takes the keys of requests that other routers refused. */
-    private final Consumer<List<String>> mRefusals;
+    /** Takes what other routers tell once. */
+    private final NoticeListener mNotices;
 
     /** Who the others are. */
     private final Membership mMembership;
@@ -130,7 +131,7 @@
      * @param configuration the version in force
      * @param codec reads configurations of others
      * @param loads takes what the others say
-     * @param refusals takes the keys of requests that other routers refused; thread safe
+     * @param notices takes what other routers tell once
      */
     public PeerExchange(
             Node node,
@@ -139,8 +140,8 @@
             CurrentConfiguration configuration,
             ConfigurationCodec codec,
             PeerLoads loads,
-            Consumer<List<String>> refusals) {
-        mRefusals = refusals;
+            NoticeListener notices) {
+        mNotices = notices;
         mNode = node;
         mConfiguration = configuration;
         mCodec = codec;
@@ -228,6 +229,15 @@
         mRelay.refused(List.of(key), true);
     }
 
+    /**
+     * Tells the others of a request under which upstreams ended.
+     *
+     * @param report what is known of it
+     */
+    public void crashed(CrashReport report) {
+        mRelay.crashed(List.of(report), true);
+    }
+
     /**
      * Returns whether this router reads the store's tables for its hall. Thread safe.
      *
@@ -296,7 +306,11 @@
         } else if (message instanceof PeerMessage.Configuration offered) {
             take(from, offered);
         } else if (message instanceof PeerMessage.Refused refused) {
-            heard(from, refused);
+            mNotices.refused(refused.keys());
+            handOn(from, here -> mRelay.refused(refused.keys(), here));
+        } else if (message instanceof PeerMessage.Crashed crashed) {
+            mNotices.crashed(crashed.reports());
+            handOn(from, here -> mRelay.crashed(crashed.reports(), here));
         } else if (message instanceof PeerMessage.Page page) {
             mTables.heard(page.page());
         } else if (message instanceof PeerMessage.TableAsked asked) {
@@ -357,15 +371,14 @@
     }
 
     /**
-     * Takes the keys of refused requests and, at a relay, hands them on.
+     * Hands on what another router told once, where this router is a relay.
      *
-     * @param from who sent them
-     * @param refused the keys
+     * @param from who told it
+     * @param relay hands it on: to all where it came from one that reports to this router
      */
-    private void heard(Member from, PeerMessage.Refused refused) {
-        mRefusals.accept(refused.keys());
+    private void handOn(Member from, Consumer<Boolean> relay) {
         if (mPlan.relay()) {
-            mRelay.refused(refused.keys(), mRelay.locals().contains(from.incarnation()));
+            relay.accept(mRelay.locals().contains(from.incarnation()));
         }
     }
 
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/QuarantineTable.java
@@ -0,0 +1,344 @@
+package org.troutpier.daemon.cluster;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.troutpier.common.http.Json;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.quarantine.CrashRecord;
+import org.troutpier.daemon.quarantine.CrashReport;
+import org.troutpier.daemon.quarantine.Quarantine;
+import org.troutpier.daemon.quarantine.QuarantineSettings;
+import org.troutpier.daemon.quarantine.RequestFingerprint;
+import org.troutpier.daemon.rows.RowFaults;
+import org.troutpier.daemon.rows.RowStore;
+import org.troutpier.daemon.rows.RowStore.Outcome;
+import org.troutpier.daemon.rows.RowStore.Row;
+import org.troutpier.daemon.rows.RowStore.RowPage;
+import org.troutpier.daemon.rows.RowStore.RowWrite;
+import org.troutpier.daemon.rows.TableFollower;
+
+/**
+ * Has all routers know which requests are no longer run. What one finds out it tells the others at
+ * once; a row in the platform's store tells those that were cut off, frozen or not yet started, and
+ * outlasts all routers. Confined to the control thread. Invariants: a row is only written over with
+ * what is known of it merged in; nothing is lost by two routers that write at the same time.
+ */
+public final class QuarantineTable implements TableFollower.Listener {
+
+    /** The table: one row for each request, by its fingerprint. */
+    static final String TABLE = "troutpier_quarantine";
+
+    /** How long to wait before a write is tried again, milliseconds. */
+    private static final long RETRY_MILLIS = 400;
+
+    /** How often it is looked which rows are to be deleted, milliseconds. */
+    private static final long CLEAN_MILLIS = 5000;
+
+    /** How long a row stays of a request that is still run or was cleared: ten minutes, in ms. */
+    private static final long IDLE_MILLIS = 600_000;
+
+    /** How many rows stay: as many as the store tells in one page. */
+    private static final int MOST_ROWS = 500;
+
+    /** Logs deletions. */
+    private static final Logger LOGGER = LogManager.getLogger(QuarantineTable.class);
+
+    /** The router's identity, threads, clock and metrics. */
+    private final Node mNode;
+
+    /** The store. */
+    private final RowStore mStore;
+
+    /** Tells the other routers. */
+    private final PeerExchange mExchange;
+
+    /** What holds. */
+    private final QuarantineSettings mSettings;
+
+    /** What this router knows. */
+    private final Quarantine mQuarantine;
+
+    /** The thread that serves requests, to which the quarantine is confined. */
+    private final Executor mTraffic;
+
+    /** Tells of rows that cannot be read. */
+    private final RowFaults mFaults;
+
+    /** The rows as they are known. */
+    private final Map<RequestFingerprint, Stored> mStored = new HashMap<>();
+
+    /** What is to be stored, in the order in which it was found out. */
+    private final Map<RequestFingerprint, CrashRecord> mWanted = new LinkedHashMap<>();
+
+    /** Whether a write is under way or waits to be tried again. */
+    private boolean mWriting;
+
+    /**
+     * A row.
+     *
+     * @param row the row
+     * @param record what it says
+     * @param since when this router first saw it so, milliseconds
+     */
+    private record Stored(Row row, CrashRecord record, long since) {}
+
+    /**
+     * Creates a table.
+     *
+     * @param node the router's identity, threads, clock and metrics
+     * @param store the store
+     * @param exchange tells the other routers
+     * @param settings what holds
+     * @param quarantine what this router knows
+     * @param traffic the thread that serves requests
+     */
+    public QuarantineTable(
+            Node node,
+            RowStore store,
+            PeerExchange exchange,
+            QuarantineSettings settings,
+            Quarantine quarantine,
+            Executor traffic) {
+        mNode = node;
+        mStore = store;
+        mExchange = exchange;
+        mSettings = settings;
+        mQuarantine = quarantine;
+        mTraffic = traffic;
+        mFaults = new RowFaults(node.metrics(), node::millis);
+    }
+
+    /** Follows the table, and tells what this router finds out from now on. */
+    public void start() {
+        TableExchange.ForPages pages = new TableExchange.ForPages(mExchange.tables(), TABLE);
+        pages.follow(
+                mNode,
+                mStore,
+                TablePaces.quarantine(mSettings.knownMillis()),
+                this,
+                new TableExchange.ForWholeTable(pages));
+        mQuarantine.onFound(report -> mNode.control().execute(() -> found(report)));
+        mNode.control().every(this::clean, CLEAN_MILLIS);
+    }
+
+    /**
+     * Tells what this router found out. The store is told once the next end would put the request
+     * into quarantine: after an ordinary end, each request that ran there would be a row else. If
+     * all routers lose power before that, one more upstream is lost.
+     *
+     * @param report what is known
+     */
+    private void found(CrashReport report) {
+        mExchange.crashed(report);
+        boolean nearly = report.record().ended().size() >= mSettings.crashes() - 1;
+        if (nearly || mStored.containsKey(report.request())) {
+            mWanted.merge(report.request(), report.record(), CrashRecord::merge);
+            write();
+        }
+    }
+
+    /** Writes what was found out first and is not stored yet. */
+    private void write() {
+        if (mWriting || mWanted.isEmpty()) {
+            return;
+        }
+        Map.Entry<RequestFingerprint, CrashRecord> first = mWanted.entrySet().iterator().next();
+        RequestFingerprint request = first.getKey();
+        Optional<Stored> stored = Optional.ofNullable(mStored.get(request));
+        CrashRecord known = stored.map(Stored::record).orElse(CrashRecord.NONE);
+        CrashRecord merged = known.merge(first.getValue());
+        if (merged.equals(known)) {
+            mWanted.remove(request);
+            write();
+            return;
+        }
+        mWriting = true;
+        long version = stored.map(each -> each.row().version()).orElse(0L);
+        byte[] value = Json.bytes(merged);
+        mStore.write(new Row(TABLE, "", request.value(), value, 0, false), version)
+                .thenAccept(
+                        write -> mNode.control().execute(() -> written(request, merged, write)));
+    }
+
+    /**
+     * Goes on after a write.
+     *
+     * @param request the request
+     * @param record what was written
+     * @param write what is known of the write
+     */
+    private void written(RequestFingerprint request, CrashRecord record, RowWrite write) {
+        switch (write.outcome()) {
+            case WRITTEN -> {
+                byte[] value = Json.bytes(record);
+                take(request, new Row(TABLE, "", request.value(), value, write.version(), false));
+                mWriting = false;
+                write();
+            }
+            case CONFLICT -> readAgain();
+            default -> writeLater();
+        }
+    }
+
+    /** Tries a write again after a while. */
+    private void writeLater() {
+        mNode.control()
+                .later(
+                        () -> {
+                            mWriting = false;
+                            write();
+                        },
+                        RETRY_MILLIS);
+    }
+
+    /** Reads what another router wrote, to merge it in. */
+    private void readAgain() {
+        mStore.read(TABLE, "")
+                .whenComplete(
+                        (page, failure) -> mNode.control().execute(() -> read(page, failure)));
+    }
+
+    /**
+     * Goes on after a read.
+     *
+     * @param page what was read, or null
+     * @param failure why nothing was read, or null
+     */
+    private void read(RowPage page, Throwable failure) {
+        if (failure != null) {
+            LOGGER.warn("quarantine not read cause={}", String.valueOf(failure.getMessage()));
+            writeLater();
+            return;
+        }
+        whole(page.rows());
+        mWriting = false;
+        write();
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void whole(List<Row> rows) {
+        Set<RequestFingerprint> gone = new HashSet<>(mStored.keySet());
+        for (Row row : rows) {
+            request(row).ifPresent(gone::remove);
+        }
+        gone.forEach(this::dropped);
+        changed(rows);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void changed(List<Row> rows) {
+        for (Row row : rows) {
+            request(row).ifPresent(request -> take(request, row));
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void lost() {}
+
+    /**
+     * Takes a row, unless a newer one is known.
+     *
+     * @param request the request that it is of
+     * @param row the row
+     */
+    private void take(RequestFingerprint request, Row row) {
+        Stored before = mStored.get(request);
+        if (before != null && before.row().version() >= row.version()) {
+            return;
+        }
+        if (row.deleted()) {
+            dropped(request);
+            return;
+        }
+        mFaults.read(row, each -> Json.read(each.value(), CrashRecord.class))
+                .ifPresent(
+                        record -> {
+                            mStored.put(request, new Stored(row, record, mNode.millis()));
+                            CrashReport report = new CrashReport(request, record);
+                            mTraffic.execute(() -> mQuarantine.learn(report));
+                        });
+    }
+
+    /**
+     * Forgets a request whose row was deleted.
+     *
+     * @param request the request
+     */
+    private void dropped(RequestFingerprint request) {
+        if (mStored.remove(request) != null) {
+            LOGGER.info("quarantine row deleted content={}", request);
+            mTraffic.execute(() -> mQuarantine.forget(request));
+        }
+    }
+
+    /**
+     * Reads a row's key.
+     *
+     * @param row the row
+     * @return the request that it is of, or empty where another writer left it
+     */
+    private Optional<RequestFingerprint> request(Row row) {
+        return mFaults.read(row, each -> new RequestFingerprint(each.key()));
+    }
+
+    /** Deletes rows that are too old or too many, if this router reads for its hall. */
+    private void clean() {
+        if (!mExchange.reader()) {
+            return;
+        }
+        List<Stored> oldest = new ArrayList<>(mStored.values());
+        oldest.sort(Comparator.comparingLong(stored -> stored.row().version()));
+        int left = oldest.size();
+        for (Stored stored : oldest) {
+            if (old(stored) || left > MOST_ROWS) {
+                left--;
+                drop(stored);
+            }
+        }
+    }
+
+    /**
+     * Returns whether a row is too old.
+     *
+     * @param stored the row
+     * @return whether it is
+     */
+    private boolean old(Stored stored) {
+        boolean held = stored.record().ended().size() >= mSettings.crashes();
+        long most = held ? TimeUnit.SECONDS.toMillis(mSettings.seconds()) : IDLE_MILLIS;
+        return mNode.millis() - stored.since() > most;
+    }
+
+    /**
+     * Deletes a row; one that could not be deleted is tried again the next time.
+     *
+     * @param stored the row
+     */
+    private void drop(Stored stored) {
+        RequestFingerprint request = new RequestFingerprint(stored.row().key());
+        mStore.drop(stored.row())
+                .thenAccept(
+                        write ->
+                                mNode.control()
+                                        .execute(
+                                                () -> {
+                                                    if (write.outcome() == Outcome.WRITTEN) {
+                                                        dropped(request);
+                                                    }
+                                                }));
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/TablePaces.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/TablePaces.java
@@ -46,6 +46,19 @@
      */
     private static final long CONFIGURATION_RETRY_MILLIS = 700;
 
+    /**
+     * Which part of the time in which each router must know of a request that is no longer run one
+     * call waits for a change. Routers tell each other at once; the table is for those that were
+     * cut off or not there, so each hall's reader makes two calls in three seconds and no more.
+     */
+    private static final double QUARANTINE_WAIT_PART = 0.5;
+
+    /** The same for the time after a page that another router shared. */
+    private static final double QUARANTINE_SHARED_PART = 0.7;
+
+    /** The same for the time after which the next call is made beside one that hangs. */
+    private static final double QUARANTINE_RETRY_PART = 0.2;
+
     /** Not to be instantiated. */
     private TablePaces() {}
 
@@ -63,6 +76,20 @@
                 CONFIGURATION_RETRY_MILLIS);
     }
 
+    /**
+     * Returns how the table of requests is followed that are no longer run.
+     *
+     * @param knownMillis in which time each router must know of one, milliseconds
+     * @return the pace
+     */
+    public static Pace quarantine(int knownMillis) {
+        return new Pace(
+                (int) (knownMillis * QUARANTINE_WAIT_PART),
+                0,
+                (long) (knownMillis * QUARANTINE_SHARED_PART),
+                (long) (knownMillis * QUARANTINE_RETRY_PART));
+    }
+
     /**
      * Returns how the table of upstreams is followed.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -146,6 +146,17 @@
                 .toList();
     }
 
+    /**
+     * Returns whether a start of an upstream may get work.
+     *
+     * @param upstream the upstream
+     * @return whether it is listed and not leaving
+     */
+    public boolean takesWork(UpstreamEntry upstream) {
+        return usable(upstream.service()).stream()
+                .anyMatch(each -> each.incarnation().equals(upstream.incarnation()));
+    }
+
     /**
      * Returns whether an upstream is known to have started again since one of its starts.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
@@ -7,6 +7,7 @@
 import org.troutpier.daemon.cluster.LoadReport;
 import org.troutpier.daemon.cluster.ReportScope;
 import org.troutpier.daemon.cluster.SharedPage;
+import org.troutpier.daemon.quarantine.CrashReport;
 import org.troutpier.daemon.rows.TableState;
 
 /** What routers say to each other. All messages are immutable and thread safe. */
@@ -29,6 +30,7 @@
     @JsonSubTypes.Type(value = PeerMessage.LoadAsked.class, name = "loadask"),
     @JsonSubTypes.Type(value = PeerMessage.Configuration.class, name = "configuration"),
     @JsonSubTypes.Type(value = PeerMessage.Refused.class, name = "refused"),
+    @JsonSubTypes.Type(value = PeerMessage.Crashed.class, name = "crashed"),
     @JsonSubTypes.Type(value = PeerMessage.Page.class, name = "page"),
     @JsonSubTypes.Type(value = PeerMessage.TableAsked.class, name = "tableask"),
     @JsonSubTypes.Type(value = PeerMessage.TableTold.class, name = "tabletold"),
@@ -188,6 +190,13 @@
      */
     record Refused(List<String> keys) implements PeerMessage {}
 
+    /**
+     * Tells of requests under which upstreams ended, or that were cleared.
+     *
+     * @param reports what the sender knows of them
+     */
+    record Crashed(List<CrashReport> reports) implements PeerMessage {}
+
     /**
      * Shares changes of a table that the sender read.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/MeasuredRowStore.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/MeasuredRowStore.java
@@ -49,17 +49,29 @@
     /** {@inheritDoc} */
     @Override
     public CompletableFuture<RowWrite> write(Row row, long expectedVersion) {
-        return measured("write", row.table(), mStore.write(row, expectedVersion))
-                .thenApply(
-                        write -> {
-                            mMetrics.counter(
-                                            "store.write."
-                                                    + write.outcome()
-                                                            .name()
-                                                            .toLowerCase(Locale.ROOT))
-                                    .inc();
-                            return write;
-                        });
+        return counted("write", measured("write", row.table(), mStore.write(row, expectedVersion)));
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<RowWrite> drop(Row row) {
+        return counted("drop", measured("drop", row.table(), mStore.drop(row)));
+    }
+
+    /**
+     * Counts what became of a write.
+     *
+     * @param call what it does
+     * @param result its result
+     * @return the same result
+     */
+    private CompletableFuture<RowWrite> counted(String call, CompletableFuture<RowWrite> result) {
+        return result.thenApply(
+                write -> {
+                    String outcome = write.outcome().name().toLowerCase(Locale.ROOT);
+                    mMetrics.counter("store." + call + "." + outcome).inc();
+                    return write;
+                });
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/RowStore.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/RowStore.java
@@ -38,6 +38,14 @@
      */
     CompletableFuture<RowWrite> write(Row row, long expectedVersion);
 
+    /**
+     * Deletes a row on the condition that it still has the version that it has here.
+     *
+     * @param row the row
+     * @return what is known of the deletion
+     */
+    CompletableFuture<RowWrite> drop(Row row);
+
     /**
      * A row. Immutable by agreement: the value is not changed.
      *
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/CrashGuard.java
@@ -0,0 +1,267 @@
+package org.troutpier.daemon.serving;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.troutpier.common.collection.AgingMap;
+import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.directory.UpstreamDirectory;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.quarantine.Quarantine;
+import org.troutpier.daemon.quarantine.RequestFingerprint;
+
+/**
+ * Finds out which lost calls were lost because their upstream ended, holds those ends against what
+ * was asked for, and keeps from upstreams what has ended several. Confined to the traffic loop.
+ * Invariant: an end counts only where the upstream takes no connections any more and was not
+ * leaving: a lost answer, a silence, a cut path and a planned end are nobody's guilt.
+ */
+public final class CrashGuard {
+
+    /**
+     * How long a request whose call was lost waits at most to hear whether its upstream ended,
+     * milliseconds: a machine that is there answers in a few, and a stream that goes on elsewhere
+     * has hundreds between two events. Tried again before that, one request ended a fourth
+     * upstream.
+     */
+    static final long JUDGED_MILLIS = 50;
+
+    /**
+     * How long an end is remembered, milliseconds: calls that were lost with it are told within
+     * some milliseconds, those into a slow link within seconds.
+     */
+    private static final long ENDED_MILLIS = 10_000;
+
+    /** How many ends are remembered: many times what ends in that time. */
+    private static final int MOST_ENDED = 1000;
+
+    /** Logs each end. */
+    private static final Logger LOGGER = LogManager.getLogger(CrashGuard.class);
+
+    /** The clock. */
+    private final TrafficLoop mLoop;
+
+    /** Asks upstreams whether they listen. */
+    private final UpstreamPort mPort;
+
+    /** Tells which upstreams are leaving. */
+    private final UpstreamDirectory mDirectory;
+
+    /** What is held against requests. */
+    private final Quarantine mQuarantine;
+
+    /** Counts upstreams that ended. */
+    private final Counter mEnds;
+
+    /** Counts lost calls whose upstream had not ended. */
+    private final Counter mAlive;
+
+    /** Counts requests that were not run. */
+    private final Counter mWithheld;
+
+    /** The upstreams that are being asked. */
+    private final Map<UpstreamIncarnation, Check> mChecks = new HashMap<>();
+
+    /** The upstreams that have ended. */
+    private final AgingMap<UpstreamIncarnation, Boolean> mEnded =
+            new AgingMap<>(MOST_ENDED, ENDED_MILLIS);
+
+    /**
+     * Creates a guard.
+     *
+     * @param loop the clock
+     * @param port asks upstreams whether they listen
+     * @param directory tells which upstreams are leaving
+     * @param quarantine what is held against requests
+     * @param metrics counts
+     */
+    public CrashGuard(
+            TrafficLoop loop,
+            UpstreamPort port,
+            UpstreamDirectory directory,
+            Quarantine quarantine,
+            MetricRegistry metrics) {
+        mLoop = loop;
+        mPort = port;
+        mDirectory = directory;
+        mQuarantine = quarantine;
+        mEnds = metrics.counter("upstreams.ended");
+        mAlive = metrics.counter("upstreams.lost-calls-alive");
+        mWithheld = metrics.counter("quarantine.withheld");
+    }
+
+    /**
+     * Returns what is held against requests.
+     *
+     * @return the quarantine
+     */
+    public Quarantine quarantine() {
+        return mQuarantine;
+    }
+
+    /**
+     * Returns whether a request must not be run. Asked before each call, since others may have told
+     * of it while the request waited.
+     *
+     * @param request the request; only asked for where any is known
+     * @return whether it is in quarantine
+     */
+    boolean withholds(Supplier<RequestFingerprint> request) {
+        boolean withheld = !mQuarantine.isEmpty() && mQuarantine.holds(request.get());
+        if (withheld) {
+            mWithheld.inc();
+        }
+        return withheld;
+    }
+
+    /**
+     * Records that a request ran whole.
+     *
+     * @param request the request; only asked for where any is known
+     */
+    void ranWhole(Supplier<RequestFingerprint> request) {
+        if (!mQuarantine.isEmpty()) {
+            mQuarantine.ranWhole(request.get());
+        }
+    }
+
+    /**
+     * Records that an upstream worked on a request and the call was lost.
+     *
+     * @param upstream where it was
+     * @param request the request
+     * @param judged told once whether the upstream is known to have ended: as soon as that is
+     *     known, and after {@link #JUDGED_MILLIS} at the latest
+     */
+    void lost(UpstreamEntry upstream, RequestFingerprint request, Consumer<Boolean> judged) {
+        UpstreamIncarnation start = upstream.incarnation();
+        if (mEnded.get(start, mLoop.millis()).isPresent()) {
+            mQuarantine.crashed(request, start);
+            judged.accept(true);
+        } else if (mChecks.containsKey(start)) {
+            mChecks.get(start).mLate.add(new Loss(request, judged));
+        } else if (mDirectory.takesWork(upstream)) {
+            Check check = new Check(upstream);
+            check.mLost.add(new Loss(request, judged));
+            mChecks.put(start, check);
+            check.ask();
+        } else {
+            judged.accept(false);
+        }
+    }
+
+    /** One call that was lost. Confined to the traffic loop. */
+    private final class Loss {
+
+        /** The request. */
+        private final RequestFingerprint mRequest;
+
+        /** Told whether the upstream ended. */
+        private final Consumer<Boolean> mJudged;
+
+        /** Ends the wait. */
+        private final TrafficLoop.Timer mTimer;
+
+        /** Whether it was told. */
+        private boolean mTold;
+
+        /**
+         * Creates a loss.
+         *
+         * @param request the request
+         * @param judged told whether the upstream ended
+         */
+        Loss(RequestFingerprint request, Consumer<Boolean> judged) {
+            mRequest = request;
+            mJudged = judged;
+            mTimer = mLoop.later(() -> tell(false), JUDGED_MILLIS);
+        }
+
+        /**
+         * Tells whether the upstream ended, the first time.
+         *
+         * @param ended whether it is known to have
+         */
+        void tell(boolean ended) {
+            mTimer.stop();
+            if (!mTold) {
+                mTold = true;
+                mJudged.accept(ended);
+            }
+        }
+    }
+
+    /** One upstream that is asked whether it listens. Confined to the traffic loop. */
+    private final class Check {
+
+        /** The upstream. */
+        private final UpstreamEntry mUpstream;
+
+        /** The calls that were lost before it was asked. */
+        private List<Loss> mLost = new ArrayList<>();
+
+        /** The calls that were lost since, of which the answer may say nothing. */
+        private List<Loss> mLate = new ArrayList<>();
+
+        /**
+         * Creates a check.
+         *
+         * @param upstream the upstream
+         */
+        Check(UpstreamEntry upstream) {
+            mUpstream = upstream;
+        }
+
+        /** Asks the upstream. */
+        void ask() {
+            mPort.check(mUpstream, this::answered);
+        }
+
+        /**
+         * Goes on with an answer.
+         *
+         * @param listening whether it listens
+         */
+        private void answered(UpstreamPort.Listening listening) {
+            boolean restarted = mDirectory.restarted(mUpstream.incarnation());
+            if (restarted || listening == UpstreamPort.Listening.NO) {
+                ended();
+            } else {
+                alive();
+            }
+        }
+
+        /** Ends the check, or asks again for what was lost since. */
+        private void alive() {
+            mAlive.inc(mLost.size());
+            List<Loss> judged = mLost;
+            mLost = mLate;
+            mLate = new ArrayList<>();
+            if (mLost.isEmpty()) {
+                mChecks.remove(mUpstream.incarnation());
+            } else {
+                ask();
+            }
+            judged.forEach(loss -> loss.tell(false));
+        }
+
+        /** Holds the upstream's end against all that it worked on. */
+        private void ended() {
+            UpstreamIncarnation start = mUpstream.incarnation();
+            mChecks.remove(start);
+            mEnded.put(start, Boolean.TRUE, mLoop.millis());
+            mLost.addAll(mLate);
+            mEnds.inc();
+            LOGGER.warn("upstream ended id={} requests={}", start, mLost.size());
+            mLost.forEach(loss -> mQuarantine.crashed(loss.mRequest, start));
+            mLost.forEach(loss -> loss.tell(true));
+        }
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -45,6 +45,9 @@
 
     /** Sends the request to an upstream that has not had it. */
     private void send() {
+        if (withheld()) {
+            return;
+        }
         Optional<UpstreamEntry> upstream =
                 mContext.loads().pick(upstreams(UpstreamEntry.Role.PLAIN), excluded());
         if (upstream.isEmpty()) {
@@ -95,8 +98,22 @@
      */
     private void failed(UpstreamEntry upstream, AttemptEnd end) {
         learn(upstream, end);
-        boolean again = end.notStarted() || mRoute.kind().repeatable();
-        if (again && mayTryAgain(upstream, end)) {
+        if (end.notStarted() || mRoute.kind().repeatable()) {
+            whenJudged(upstream, end, ended -> sendAgain(upstream, end));
+            return;
+        }
+        whenJudged(upstream, end, ended -> {});
+        giveUp(end.code(), end.detail());
+    }
+
+    /**
+     * Sends the request again, if it may be.
+     *
+     * @param upstream where it was
+     * @param end how it ended
+     */
+    private void sendAgain(UpstreamEntry upstream, AttemptEnd end) {
+        if (mayTryAgain(upstream, end)) {
             send();
         } else {
             giveUp(end.code(), end.detail());
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptReading.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptReading.java
@@ -59,8 +59,13 @@
          */
         void read(UpstreamPort.StoredPrompt prompt);
 
-        /** Called when the engine did not read it. */
-        void failed();
+        /**
+         * Called when the engine did not read it.
+         *
+         * @param engine the engine
+         * @param end how the call ended
+         */
+        void failed(UpstreamEntry engine, AttemptEnd end);
     }
 
     /**
@@ -174,6 +179,6 @@
         } else {
             mContext.loads().failed(mEngine, end.unreachable(), end.detail());
         }
-        mListener.failed();
+        mListener.failed(mEngine, end);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -3,9 +3,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.quarantine.RequestFingerprint;
 import org.troutpier.daemon.request.Knowledge;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.upstream.AttemptEnd;
@@ -53,6 +55,9 @@
     /** Whether it has ended. */
     private boolean mOver;
 
+    /** Names what is asked for, or null before that is needed. */
+    private RequestFingerprint mFingerprint;
+
     /**
      * Creates an execution.
      *
@@ -100,7 +105,7 @@
         mContext.view()
                 .whenFresh(
                         () -> {
-                            if (!mOver) {
+                            if (!mOver && !withheld()) {
                                 start();
                             }
                         });
@@ -159,9 +164,6 @@
         mKnowledge.learn(end);
         mContext.metrics().ended(upstream.id(), end.notStarted());
         mTrace.step("failed@" + upstream.id() + "(" + end.detail() + ")");
-        if (!end.notStarted() && end.unreachable()) {
-            mTrace.content(mRequest.fingerprint());
-        }
         if (end.notStarted() && end.leaving()) {
             mContext.loads().replaced(upstream);
         } else if (!end.notStarted() || end.unreachable()) {
@@ -172,6 +174,66 @@
         }
     }
 
+    /**
+     * Goes on after a failed call, once it is known whether it was lost because its upstream ended,
+     * which may be the request's own doing: it is not to end the next before that is known.
+     *
+     * @param upstream where it was
+     * @param end how it ended
+     * @param next told whether the upstream is known to have ended; not called where the request
+     *     has ended meanwhile
+     */
+    protected void whenJudged(UpstreamEntry upstream, AttemptEnd end, Consumer<Boolean> next) {
+        if (end.notStarted() || !end.unreachable()) {
+            next.accept(false);
+            return;
+        }
+        mTrace.content(fingerprint());
+        mContext.crashes()
+                .lost(
+                        upstream,
+                        fingerprint(),
+                        ended -> {
+                            if (!mOver) {
+                                next.accept(ended);
+                            }
+                        });
+    }
+
+    /**
+     * Ends the request if what it asks for has ended several upstreams. To be asked before each
+     * call that works on it.
+     *
+     * @return whether it must not be run, and has ended
+     */
+    protected boolean withheld() {
+        if (mOver || !mContext.crashes().withholds(this::fingerprint)) {
+            return false;
+        }
+        mTrace.content(fingerprint());
+        mTrace.notable();
+        String detail = "upstreams ended under what it asks for, which is " + fingerprint();
+        if (streaming()) {
+            cut(detail);
+        } else {
+            refuse(ResultCode.REQUEST_QUARANTINED, detail, 0);
+        }
+        return true;
+    }
+
+    /**
+     * Returns the name of what is asked for: a hash of the whole body, computed once and only where
+     * something is known of any request.
+     *
+     * @return the fingerprint
+     */
+    private RequestFingerprint fingerprint() {
+        if (mFingerprint == null) {
+            mFingerprint = mRequest.fingerprint();
+        }
+        return mFingerprint;
+    }
+
     /**
      * Returns whether one more call may be sent to run the request. A call that never reached its
      * upstream is no attempt and no extra call. One that another upstream received in its place is
@@ -252,6 +314,7 @@
      */
     protected void succeeded(UpstreamEntry upstream, String stage, long millis) {
         mContext.loads().succeeded(upstream);
+        mContext.crashes().ranWhole(this::fingerprint);
         mContext.metrics().succeeded(upstream.id(), stage, millis);
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RestartAwarePort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RestartAwarePort.java
@@ -97,6 +97,12 @@
         mPort.discard(prompt);
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void check(UpstreamEntry upstream, Consumer<Listening> listener) {
+        mPort.check(upstream, listener);
+    }
+
     /** A call under way. */
     private abstract class Watched implements Call {
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReturningRequests.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReturningRequests.java
@@ -1,9 +1,7 @@
 package org.troutpier.daemon.serving;
 
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.function.Consumer;
+import org.troutpier.common.collection.AgingMap;
 
 /**
  * Remembers which requests any router refused lately, by the part of the prompt that is the
@@ -18,8 +16,8 @@
     /** How many refusals are remembered. */
     private static final int MOST = 20_000;
 
-    /** When each was refused, milliseconds, in the order of refusals. */
-    private final Map<String, Long> mRefused = new LinkedHashMap<>();
+    /** The keys that were refused. */
+    private final AgingMap<String, Boolean> mRefused = new AgingMap<>(MOST, REMEMBERED_MILLIS);
 
     /** Tells the other routers of a refusal. */
     private volatile Consumer<String> mTeller = key -> {};
@@ -54,16 +52,7 @@
      * @param now the monotonic clock, milliseconds
      */
     public void remember(String key, long now) {
-        mRefused.remove(key);
-        mRefused.put(key, now);
-        Iterator<Long> oldest = mRefused.values().iterator();
-        while (oldest.hasNext()) {
-            boolean old = now - oldest.next() > REMEMBERED_MILLIS;
-            if (!old && mRefused.size() <= MOST) {
-                return;
-            }
-            oldest.remove();
-        }
+        mRefused.put(key, Boolean.TRUE, now);
     }
 
     /**
@@ -74,7 +63,6 @@
      * @return whether it comes back
      */
     boolean comesBack(PromptShape prompt, long now) {
-        Long at = mRefused.get(prompt.ownPart());
-        return at != null && now - at <= REMEMBERED_MILLIS;
+        return mRefused.get(prompt.ownPart(), now).isPresent();
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -21,6 +21,7 @@
  * @param budget bounds extra calls
  * @param places gives out places at decode engines
  * @param returning which requests were refused lately
+ * @param crashes keeps requests from upstreams that have ended several
  * @param pacer tells refused callers when to come back
  * @param margin how much memory stays free for growth
  * @param readingExcess by how much readings take longer than predicted
@@ -40,6 +41,7 @@
         ExtraCallBudget budget,
         PlaceAllocator places,
         ReturningRequests returning,
+        CrashGuard crashes,
         ReturnPacer pacer,
         GrowthMargin margin,
         DelayEstimate readingExcess,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -258,6 +258,9 @@
      * is left: its run is the request's first all the same.
      */
     private void read() {
+        if (withheld()) {
+            return;
+        }
         if (mStored != null && storedStands()) {
             UpstreamPort.StoredPrompt stored = mStored;
             mStored = null;
@@ -307,6 +310,10 @@
      * @param prompt where the prompt was read, if elsewhere
      */
     private void run(Optional<UpstreamPort.StoredPrompt> prompt) {
+        if (withheld()) {
+            prompt.ifPresent(mContext.port()::discard);
+            return;
+        }
         UpstreamEntry engine = mPlace.engine();
         boolean takesWork =
                 upstreams(UpstreamEntry.Role.DECODE).stream()
@@ -353,14 +360,29 @@
      */
     private void runFailed(UpstreamEntry upstream, AttemptEnd end) {
         learn(upstream, end);
+        if (end.notStarted() || mRoute.kind() == Route.Kind.RESUMABLE_STREAM) {
+            whenJudged(upstream, end, ended -> runAgain(upstream, end, ended));
+            return;
+        }
+        whenJudged(upstream, end, ended -> {});
+        failedBeforeRun(end.code(), end.detail());
+    }
+
+    /**
+     * Looks for a place for another run, if there may be one.
+     *
+     * @param upstream where the last one was
+     * @param end how it ended
+     * @param ended whether that engine is known to have ended, and its memory with it
+     */
+    private void runAgain(UpstreamEntry upstream, AttemptEnd end, boolean ended) {
         boolean resumable = mRoute.kind() == Route.Kind.RESUMABLE_STREAM;
-        boolean again = end.notStarted() || resumable;
-        if (resumable && mKept.lost(upstream, end)) {
+        if (resumable && !ended && mKept.lost(upstream, end)) {
             if (mayRepeat()) {
                 searchKept(end);
                 return;
             }
-        } else if (again && mayTryAgain(upstream, end)) {
+        } else if (mayTryAgain(upstream, end)) {
             searchAgain();
             return;
         }
@@ -480,9 +502,9 @@
 
         /** {@inheritDoc} */
         @Override
-        public void failed() {
+        public void failed(UpstreamEntry engine, AttemptEnd end) {
             mReading = null;
-            StreamExecution.this.read();
+            whenJudged(engine, end, ended -> StreamExecution.this.read());
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
@@ -65,6 +66,24 @@
      */
     void discard(StoredPrompt prompt);
 
+    /**
+     * Asks an upstream whether its process still takes connections; it gets no request.
+     *
+     * @param upstream the upstream
+     * @param listener receives the answer, on the traffic loop
+     */
+    void check(UpstreamEntry upstream, Consumer<Listening> listener);
+
+    /** Whether an upstream's process takes connections. */
+    enum Listening {
+        /** A connection was taken. */
+        YES,
+        /** The upstream's machine says that nothing listens there. */
+        NO,
+        /** Nothing was heard: the machine, or the way to it, may be gone. */
+        UNKNOWN
+    }
+
     /** A call under way. */
     interface Call {
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/MemberRegistryTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/MemberRegistryTest.java
@@ -24,6 +24,7 @@
 import org.troutpier.daemon.peer.Membership.Member;
 import org.troutpier.daemon.peer.PeerLinks;
 import org.troutpier.daemon.peer.PeerMessage;
+import org.troutpier.daemon.quarantine.CrashReport;
 import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.rows.FakeRowStore;
 import org.troutpier.daemon.rows.RowStore;
@@ -68,6 +69,12 @@
             mWrites++;
             return mStore.write(row, expectedVersion);
         }
+
+        @Override
+        public CompletableFuture<RowWrite> drop(Row row) {
+            mWrites++;
+            return mStore.drop(row);
+        }
     }
 
     /** Notes to whom connections are opened. */
@@ -123,7 +130,13 @@
                         new CurrentConfiguration(),
                         bytes -> null,
                         new PeerLoads(),
-                        keys -> {});
+                        new NoticeListener() {
+                            @Override
+                            public void refused(List<String> keys) {}
+
+                            @Override
+                            public void crashed(List<CrashReport> reports) {}
+                        });
         new MemberRegistry(
                         node,
                         new CountingStore(),
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -28,6 +28,7 @@
 import org.troutpier.daemon.peer.PeerLinks;
 import org.troutpier.daemon.peer.PeerMesh;
 import org.troutpier.daemon.peer.PeerMessage;
+import org.troutpier.daemon.quarantine.CrashReport;
 import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.route.RoutingConfiguration;
 import org.troutpier.daemon.rows.FakeRowStore;
@@ -96,6 +97,7 @@
         final Set<Incarnation> mConnected = new HashSet<>();
         final List<SharedPage> mPages = new ArrayList<>();
         final List<String> mRefused = new ArrayList<>();
+        final List<CrashReport> mCrashed = new ArrayList<>();
         final PeerExchange mExchange;
         final Keys mKeys = new Keys();
         FakeRowStore mStore;
@@ -131,7 +133,17 @@
                             mConfiguration,
                             bytes -> VERSION_ONE,
                             mLoads,
-                            mRefused::addAll);
+                            new NoticeListener() {
+                                @Override
+                                public void refused(List<String> keys) {
+                                    mRefused.addAll(keys);
+                                }
+
+                                @Override
+                                public void crashed(List<CrashReport> reports) {
+                                    mCrashed.addAll(reports);
+                                }
+                            });
             mControl.every(this::report, 100);
         }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/FakeRowStore.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/FakeRowStore.java
@@ -75,20 +75,30 @@
 
     @Override
     public CompletableFuture<RowWrite> write(Row row, long expectedVersion) {
+        Key key = new Key(row.table(), row.part(), row.key());
+        return transact(
+                key, expectedVersion, List.of(new Write(key, new String(row.value()))), List.of());
+    }
+
+    @Override
+    public CompletableFuture<RowWrite> drop(Row row) {
+        Key key = new Key(row.table(), row.part(), row.key());
+        return transact(key, row.version(), List.of(), List.of(key));
+    }
+
+    private CompletableFuture<RowWrite> transact(
+            Key key, long expectedVersion, List<Write> writes, List<Key> drops) {
         CompletableFuture<RowWrite> future = new CompletableFuture<>();
         if (mAway) {
             future.complete(new RowWrite(Outcome.NOT_DONE, 0, 0));
             return future;
         }
-        Key key = new Key(row.table(), row.part(), row.key());
         List<RowWrite> result = new ArrayList<>();
         mCarrier.accept(
                 () -> {
                     boolean held =
                             mRows.transact(
-                                    List.of(new Condition(key, expectedVersion)),
-                                    List.of(new Write(key, new String(row.value()))),
-                                    List.of());
+                                    List.of(new Condition(key, expectedVersion)), writes, drops);
                     result.add(
                             new RowWrite(
                                     held ? Outcome.WRITTEN : Outcome.CONFLICT,
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -29,6 +29,8 @@
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.quarantine.Quarantine;
+import org.troutpier.daemon.quarantine.QuarantineSettings;
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.upstream.AttemptEnd;
@@ -41,6 +43,7 @@
     private FakeCaller mCaller;
     private UpstreamDirectory mDirectory;
     private ServingContext mContext;
+    private Quarantine mQuarantine;
 
     /** The decisions that wait for a fresh view; null where it is always fresh. */
     private List<Runnable> mHeld;
@@ -65,6 +68,8 @@
                 };
         Random random = new Random(1);
         UpstreamLoads loads = new UpstreamLoads(mTime.loop(), random, Entries.HALL, peers);
+        MetricRegistry metrics = new MetricRegistry();
+        mQuarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, metrics);
         mContext =
                 new ServingContext(
                         mTime.loop(),
@@ -74,6 +79,7 @@
                         new ExtraCallBudget(0, 0, 10_000),
                         new PlaceAllocator(mTime.loop(), port, loads, view, random),
                         new ReturningRequests(),
+                        new CrashGuard(mTime.loop(), port, mDirectory, mQuarantine, metrics),
                         new ReturnPacer(random),
                         new GrowthMargin(),
                         DelayEstimate.ofExcess(),
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakePort.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakePort.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.upstream.AttemptEnd;
@@ -18,6 +19,8 @@
     final List<Long> mAskedTokens = new ArrayList<>();
     final List<String> mReleased = new ArrayList<>();
     final Set<UpstreamIncarnation> mFull = new HashSet<>();
+    final List<UpstreamEntry> mChecks = new ArrayList<>();
+    Listening mListening = Listening.YES;
     boolean mHoldsBack;
     ResultListener<Place> mWaiting;
 
@@ -76,6 +79,12 @@
         return new Sent(upstream, null, null);
     }
 
+    @Override
+    public void check(UpstreamEntry upstream, Consumer<Listening> listener) {
+        mChecks.add(upstream);
+        listener.accept(mListening);
+    }
+
     @Override
     public void release(UpstreamEntry upstream, Place place) {
         mReleased.add(place.token());
