Tests of the quarantine; its table's calls pause, and a foreign row is written over

Cause: found by the tests: a row that another writer left under a request's key was never known by its version, so each write met a conflict and was tried again at once, without end; and a call that is answered without waiting was followed by the next in the same moment. Change: an unreadable row says nothing and keeps its version; 0.1 of the time in which routers must know passes between two calls.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/QuarantineTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/QuarantineTable.java
@@ -250,7 +250,8 @@
     public void lost() {}
 
     /**
-     * Takes a row, unless a newer one is known.
+     * Takes a row, unless a newer one is known. One that another writer left says nothing and is
+     * written over.
      *
      * @param request the request that it is of
      * @param row the row
@@ -264,13 +265,12 @@
             dropped(request);
             return;
         }
-        mFaults.read(row, each -> Json.read(each.value(), CrashRecord.class))
-                .ifPresent(
-                        record -> {
-                            mStored.put(request, new Stored(row, record, mNode.millis()));
-                            CrashReport report = new CrashReport(request, record);
-                            mTraffic.execute(() -> mQuarantine.learn(report));
-                        });
+        CrashRecord record =
+                mFaults.read(row, each -> Json.read(each.value(), CrashRecord.class))
+                        .orElse(CrashRecord.NONE);
+        mStored.put(request, new Stored(row, record, mNode.millis()));
+        CrashReport report = new CrashReport(request, record);
+        mTraffic.execute(() -> mQuarantine.learn(report));
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/TablePaces.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/TablePaces.java
@@ -53,6 +53,12 @@
      */
     private static final double QUARANTINE_WAIT_PART = 0.5;
 
+    /**
+     * The same for the pause between two calls: in the second in which upstreams end, several
+     * routers write, and each row would answer a call.
+     */
+    private static final double QUARANTINE_PAUSE_PART = 0.1;
+
     /** The same for the time after a page that another router shared. */
     private static final double QUARANTINE_SHARED_PART = 0.7;
 
@@ -85,7 +91,7 @@
     public static Pace quarantine(int knownMillis) {
         return new Pace(
                 (int) (knownMillis * QUARANTINE_WAIT_PART),
-                0,
+                (long) (knownMillis * QUARANTINE_PAUSE_PART),
                 (long) (knownMillis * QUARANTINE_SHARED_PART),
                 (long) (knownMillis * QUARANTINE_RETRY_PART));
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -28,7 +28,9 @@
 import org.troutpier.daemon.peer.PeerLinks;
 import org.troutpier.daemon.peer.PeerMesh;
 import org.troutpier.daemon.peer.PeerMessage;
+import org.troutpier.daemon.quarantine.CrashRecord;
 import org.troutpier.daemon.quarantine.CrashReport;
+import org.troutpier.daemon.quarantine.RequestFingerprint;
 import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.route.RoutingConfiguration;
 import org.troutpier.daemon.rows.FakeRowStore;
@@ -419,6 +421,23 @@
         assertAllKnowAll();
     }
 
+    @Test
+    public void aRequestUnderWhichAnUpstreamEndedIsToldToAllAtOnce() {
+        routers(MANY);
+        mTime.pass(2000);
+        List<Router> all = List.copyOf(mRouters.values());
+        CrashReport report =
+                new CrashReport(
+                        RequestFingerprint.of("host", "/path", new byte[0]),
+                        new CrashRecord(0, Set.of(ENGINE)));
+        Router last = all.get(MANY - 1);
+        last.mExchange.crashed(report);
+        mTime.pass(20);
+        for (Router router : all.subList(0, MANY - 1)) {
+            assertEquals(router.mCrashed, List.of(report), "told to " + router.mSelf);
+        }
+    }
+
     @Test
     public void aRefusalIsToldToAll() {
         routers(MANY);
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/QuarantineTableTest.java
@@ -0,0 +1,244 @@
+package org.troutpier.daemon.cluster;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.Collection;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.event.EventRing;
+import org.troutpier.common.event.HybridClock;
+import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.common.id.InstanceId;
+import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.common.settings.Address;
+import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.peer.Membership.Member;
+import org.troutpier.daemon.peer.PeerLinks;
+import org.troutpier.daemon.peer.PeerMessage;
+import org.troutpier.daemon.quarantine.CrashReport;
+import org.troutpier.daemon.quarantine.Quarantine;
+import org.troutpier.daemon.quarantine.QuarantineSettings;
+import org.troutpier.daemon.quarantine.RequestFingerprint;
+import org.troutpier.daemon.route.CurrentConfiguration;
+import org.troutpier.daemon.rows.FakeRowStore;
+import org.troutpier.standins.platform.VersionedRows;
+import org.troutpier.standins.platform.VersionedRows.Key;
+
+/** Routers that hear of each other through the store only know which requests are not run. */
+public final class QuarantineTableTest {
+
+    private static final QuarantineSettings SETTINGS = new QuarantineSettings(3, 60, 3000);
+    private static final RequestFingerprint GUILTY =
+            RequestFingerprint.of("host", "/guilty", new byte[0]);
+
+    private ManualTime mTime;
+    private VersionedRows mRows;
+
+    /** A router that no other reaches. */
+    private final class Router implements PeerLinks {
+
+        final FakeRowStore mStore = new FakeRowStore(mRows);
+        final Quarantine mQuarantine =
+                new Quarantine(SETTINGS, mTime::millis, new MetricRegistry());
+        final ManualTime.PausableControl mControl = mTime.control();
+
+        Router(String name) {
+            Node node =
+                    new Node(
+                            Incarnation.start(new InstanceId(name)),
+                            new HallId("hall"),
+                            null,
+                            mControl,
+                            null,
+                            new MetricRegistry(),
+                            new EventRing(name, 16, new HybridClock()),
+                            mTime::nanos);
+            PeerExchange exchange =
+                    new PeerExchange(
+                            node,
+                            new Address("127.0.0.1", 1),
+                            (members, hearer) -> this,
+                            new CurrentConfiguration(),
+                            bytes -> null,
+                            new PeerLoads(),
+                            new NoticeListener() {
+                                @Override
+                                public void refused(List<String> keys) {}
+
+                                @Override
+                                public void crashed(List<CrashReport> reports) {}
+                            });
+            new QuarantineTable(node, mStore, exchange, SETTINGS, mQuarantine, Runnable::run)
+                    .start();
+        }
+
+        void crash(int... upstreams) {
+            for (int upstream : upstreams) {
+                mQuarantine.crashed(GUILTY, UpstreamIncarnation.of("upstream-" + upstream));
+            }
+        }
+
+        boolean holds() {
+            return mQuarantine.holds(GUILTY);
+        }
+
+        @Override
+        public void connect(Member member) {}
+
+        @Override
+        public boolean connected(Incarnation to) {
+            return false;
+        }
+
+        @Override
+        public boolean send(Incarnation to, PeerMessage message) {
+            return false;
+        }
+
+        @Override
+        public void sendAll(Collection<Incarnation> to, PeerMessage message) {}
+    }
+
+    @BeforeMethod
+    void start() {
+        mTime = new ManualTime();
+        mRows = new VersionedRows();
+    }
+
+    private Router router(String name) {
+        Router router = new Router(name);
+        mTime.pass(100);
+        return router;
+    }
+
+    private int rows() {
+        return mRows.read(QuarantineTable.TABLE, "", "", 1000).rows().size();
+    }
+
+    @Test
+    public void aRouterThatNobodyToldKnowsWithinTheTimeThatIsSet() {
+        Router one = router("one");
+        Router other = router("other");
+        one.crash(1, 2, 3);
+        mTime.pass(SETTINGS.knownMillis());
+        assertTrue(other.holds());
+    }
+
+    @Test
+    public void endsThatTwoRoutersWriteAtTheSameTimeCountTogether() {
+        Router one = router("one");
+        Router other = router("other");
+        one.crash(1, 2);
+        other.crash(3, 4);
+        mTime.pass(SETTINGS.knownMillis());
+        assertTrue(one.holds() && other.holds());
+        assertEquals(one.mQuarantine.records(), other.mQuarantine.records());
+        assertEquals(one.mQuarantine.records().get(GUILTY).ended().size(), 4);
+    }
+
+    @Test
+    public void aRouterThatStartsAfterAllHaveLostTheirMemoryKnows() {
+        router("one").crash(1, 2, 3);
+        mTime.pass(SETTINGS.knownMillis());
+        assertTrue(router("later").holds());
+    }
+
+    @Test
+    public void aRouterThatStoodStillKnowsSoonAfterItGoesOn() {
+        Router one = router("one");
+        Router still = router("still");
+        still.mControl.pause(true);
+        one.crash(1, 2, 3);
+        mTime.pass(10_000);
+        assertFalse(still.holds());
+        still.mControl.pause(false);
+        mTime.pass(SETTINGS.knownMillis());
+        assertTrue(still.holds());
+    }
+
+    @Test
+    public void whatIsFoundOutWhileTheStoreIsAwayIsToldOnItsReturn() {
+        Router one = router("one");
+        one.mStore.mAway = true;
+        one.crash(1, 2, 3);
+        mTime.pass(10_000);
+        assertEquals(rows(), 0);
+        one.mStore.mAway = false;
+        mTime.pass(1000);
+        assertTrue(router("later").holds());
+    }
+
+    @Test
+    public void aWriteWhoseAnswerWasLostIsMadeSure() {
+        Router one = router("one");
+        one.mStore.mCarrier = (work, answer) -> answer.run();
+        one.crash(1, 2, 3);
+        mTime.pass(1000);
+        one.mStore.mCarrier =
+                (work, answer) -> {
+                    work.run();
+                    answer.run();
+                };
+        mTime.pass(1000);
+        assertTrue(router("later").holds());
+    }
+
+    @Test
+    public void aSingleEndIsNoRow() {
+        Router one = router("one");
+        one.crash(1);
+        mTime.pass(1000);
+        assertEquals(rows(), 0);
+        one.crash(2);
+        mTime.pass(1000);
+        assertEquals(rows(), 1);
+    }
+
+    @Test
+    public void aRequestThatIsClearedIsClearedEverywhere() {
+        Router one = router("one");
+        Router other = router("other");
+        one.crash(1, 2, 3);
+        mTime.pass(SETTINGS.knownMillis());
+        assertEquals(other.mQuarantine.clear(GUILTY.shortName()), 1);
+        mTime.pass(SETTINGS.knownMillis());
+        assertFalse(one.holds());
+        assertFalse(router("later").holds());
+    }
+
+    @Test
+    public void aRowThatAnOperatorDeletesClearsIt() {
+        Router one = router("one");
+        one.crash(1, 2, 3);
+        mTime.pass(SETTINGS.knownMillis());
+        mRows.drop(new Key(QuarantineTable.TABLE, "", GUILTY.value()));
+        mTime.pass(SETTINGS.knownMillis());
+        assertFalse(one.holds());
+    }
+
+    @Test
+    public void rowsAreDeletedWhenTheirTimeIsOver() {
+        router("one").crash(1, 2, 3);
+        mTime.pass(55_000);
+        assertEquals(rows(), 1);
+        mTime.pass(12_000);
+        assertEquals(rows(), 0);
+    }
+
+    @Test
+    public void rowsOfAnotherWriterNameNoRequest() {
+        mRows.put(new Key(QuarantineTable.TABLE, "", "foreign"), "[0,[]]");
+        mRows.put(new Key(QuarantineTable.TABLE, "", GUILTY.value()), "%%");
+        Router one = router("one");
+        assertTrue(one.mQuarantine.isEmpty());
+        one.crash(1, 2, 3);
+        mTime.pass(SETTINGS.knownMillis());
+        assertTrue(router("later").holds());
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
@@ -0,0 +1,139 @@
+package org.troutpier.daemon.quarantine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.id.UpstreamIncarnation;
+
+/** When a request is no longer run, and for how long. */
+public final class QuarantineTest {
+
+    private static final QuarantineSettings SETTINGS = new QuarantineSettings(3, 60, 3000);
+
+    private long mNow;
+    private List<CrashReport> mTold;
+    private Quarantine mQuarantine;
+
+    @BeforeMethod
+    void start() {
+        mNow = 0;
+        mTold = new ArrayList<>();
+        mQuarantine = quarantine();
+        mQuarantine.onFound(mTold::add);
+    }
+
+    private Quarantine quarantine() {
+        return new Quarantine(SETTINGS, () -> mNow, new MetricRegistry());
+    }
+
+    private static RequestFingerprint request(int number) {
+        return RequestFingerprint.of("host", "/" + number, new byte[0]);
+    }
+
+    private static UpstreamIncarnation upstream(int number) {
+        return UpstreamIncarnation.of("upstream-" + number);
+    }
+
+    private void crash(int request, int... upstreams) {
+        for (int upstream : upstreams) {
+            mQuarantine.crashed(request(request), upstream(upstream));
+        }
+    }
+
+    @Test
+    public void theThirdUpstreamThatEndsPutsARequestIntoQuarantine() {
+        assertTrue(mQuarantine.isEmpty());
+        crash(1, 1, 2, 2);
+        assertFalse(mQuarantine.holds(request(1)));
+        crash(1, 3);
+        assertTrue(mQuarantine.holds(request(1)));
+        assertFalse(mQuarantine.holds(request(2)));
+        assertEquals(mTold.size(), 3);
+    }
+
+    @Test
+    public void endsThatDifferentRoutersSawCountTogether() {
+        crash(1, 1);
+        Quarantine other = quarantine();
+        other.crashed(request(1), upstream(2));
+        other.onFound(mQuarantine::learn);
+        other.crashed(request(1), upstream(3));
+        assertTrue(mQuarantine.holds(request(1)));
+    }
+
+    @Test
+    public void aRequestThatRanWholeIsClearedEverywhere() {
+        crash(1, 1, 2);
+        Quarantine other = quarantine();
+        mTold.forEach(other::learn);
+        mQuarantine.ranWhole(request(1));
+        other.learn(mTold.get(mTold.size() - 1));
+        other.crashed(request(1), upstream(3));
+        crash(1, 3);
+        assertEquals(other.records().get(request(1)).ended(), Set.of(upstream(3)));
+        assertEquals(mQuarantine.records(), other.records());
+    }
+
+    @Test
+    public void aRequestThatRanWholeAndOfWhichNothingIsKnownIsNotTold() {
+        crash(1, 1);
+        mTold.clear();
+        mQuarantine.ranWhole(request(2));
+        assertEquals(mTold, List.of());
+    }
+
+    @Test
+    public void anOperatorClearsByTheNameInTheLines() {
+        crash(1, 1, 2, 3);
+        assertEquals(mQuarantine.clear(""), 0);
+        assertEquals(mQuarantine.clear("no such name"), 0);
+        assertEquals(mQuarantine.clear(request(1).shortName()), 1);
+        assertFalse(mQuarantine.holds(request(1)));
+        assertEquals(mTold.get(mTold.size() - 1).record().ended(), Set.of());
+    }
+
+    @Test
+    public void theTimeInQuarantineEnds() {
+        crash(1, 1, 2, 3);
+        mNow = 60_000;
+        assertTrue(mQuarantine.holds(request(1)));
+        mNow++;
+        assertFalse(mQuarantine.holds(request(1)));
+        assertTrue(mQuarantine.isEmpty());
+    }
+
+    @Test
+    public void aFloodOfSuspectsForgetsTheOldestAndNoneInQuarantine() {
+        crash(1, 1, 2, 3);
+        for (int request = 2; request < 10_000; request++) {
+            crash(request, request);
+        }
+        assertTrue(mQuarantine.holds(request(1)));
+        assertTrue(mQuarantine.records().size() < 3000);
+        assertFalse(mQuarantine.records().containsKey(request(2)));
+        assertTrue(mQuarantine.records().containsKey(request(9999)));
+    }
+
+    @Test
+    public void aFloodOfGuiltyOnesIsBounded() {
+        for (int request = 0; request < 1000; request++) {
+            crash(request, 1, 2, 3);
+        }
+        assertEquals(mQuarantine.records().size(), Quarantine.MOST_QUARANTINED);
+        assertTrue(mQuarantine.holds(request(999)));
+    }
+
+    @Test
+    public void whatTheStoreNoLongerHasIsForgotten() {
+        crash(1, 1, 2, 3);
+        mQuarantine.forget(request(1));
+        assertTrue(mQuarantine.isEmpty());
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrashGuardTest.java
@@ -0,0 +1,152 @@
+package org.troutpier.daemon.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.daemon.directory.UpstreamDirectory;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.quarantine.Quarantine;
+import org.troutpier.daemon.quarantine.QuarantineSettings;
+import org.troutpier.daemon.quarantine.RequestFingerprint;
+
+/** Which lost calls are held against what was asked for. */
+public final class CrashGuardTest {
+
+    private static final RequestFingerprint ONE = RequestFingerprint.of("h", "/1", new byte[0]);
+    private static final RequestFingerprint TWO = RequestFingerprint.of("h", "/2", new byte[0]);
+
+    private final UpstreamEntry mUpstream = Entries.decode("a");
+    private ManualTime mTime;
+    private UpstreamDirectory mDirectory;
+    private Quarantine mQuarantine;
+    private CrashGuard mGuard;
+    private List<Boolean> mJudged;
+
+    /** The checks that are not answered yet. */
+    private List<Consumer<UpstreamPort.Listening>> mAsked;
+
+    @BeforeMethod
+    void start() {
+        mTime = new ManualTime();
+        mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
+        mDirectory.replaceAll(List.of(mUpstream));
+        MetricRegistry metrics = new MetricRegistry();
+        mQuarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, metrics);
+        mAsked = new ArrayList<>();
+        mJudged = new ArrayList<>();
+        FakePort port = new FakePort();
+        port.mOnCheck = mAsked::add;
+        mGuard = new CrashGuard(mTime.loop(), port, mDirectory, mQuarantine, metrics);
+    }
+
+    private void lost(RequestFingerprint request) {
+        mGuard.lost(mUpstream, request, mJudged::add);
+    }
+
+    private void answer(UpstreamPort.Listening listening) {
+        mAsked.remove(0).accept(listening);
+    }
+
+    private int held(RequestFingerprint request) {
+        return Optional.ofNullable(mQuarantine.records().get(request))
+                .map(record -> record.ended().size())
+                .orElse(0);
+    }
+
+    @Test
+    public void anEndIsHeldAgainstAllThatWasLostWithIt() {
+        lost(ONE);
+        lost(TWO);
+        assertEquals(mAsked.size(), 1);
+        answer(UpstreamPort.Listening.NO);
+        assertEquals(mJudged, List.of(true, true));
+        assertEquals(held(ONE), 1);
+        assertEquals(held(TWO), 1);
+    }
+
+    @Test
+    public void whatIsToldLaterIsHeldAgainstItWithoutAskingAgain() {
+        lost(ONE);
+        answer(UpstreamPort.Listening.NO);
+        lost(TWO);
+        assertEquals(mAsked.size(), 0);
+        assertEquals(held(TWO), 1);
+    }
+
+    @Test
+    public void aLostAnswerOfAnUpstreamThatListensIsNobodysGuilt() {
+        lost(ONE);
+        answer(UpstreamPort.Listening.YES);
+        assertEquals(mJudged, List.of(false));
+        assertTrue(mQuarantine.isEmpty());
+    }
+
+    @Test
+    public void anAnswerFromBeforeALossSaysNothingOfIt() {
+        lost(ONE);
+        lost(TWO);
+        answer(UpstreamPort.Listening.YES);
+        assertEquals(mJudged, List.of(false));
+        answer(UpstreamPort.Listening.NO);
+        assertEquals(mJudged, List.of(false, true));
+        assertEquals(held(ONE), 0);
+        assertEquals(held(TWO), 1);
+    }
+
+    @Test
+    public void aSilentMachineOrPathIsNobodysGuiltAndHoldsNobodyUp() {
+        lost(ONE);
+        mTime.pass(CrashGuard.JUDGED_MILLIS);
+        assertEquals(mJudged, List.of(false));
+        answer(UpstreamPort.Listening.UNKNOWN);
+        assertEquals(mJudged, List.of(false));
+        assertTrue(mQuarantine.isEmpty());
+    }
+
+    @Test
+    public void anEndThatIsKnownLateIsStillHeldAgainstIt() {
+        lost(ONE);
+        mTime.pass(CrashGuard.JUDGED_MILLIS);
+        answer(UpstreamPort.Listening.NO);
+        assertEquals(mJudged, List.of(false));
+        assertEquals(held(ONE), 1);
+    }
+
+    @Test
+    public void aPlannedEndIsNobodysGuilt() {
+        mDirectory.change(mUpstream.id(), Optional.empty());
+        lost(ONE);
+        assertEquals(mJudged, List.of(false));
+        assertEquals(mAsked.size(), 0);
+        assertTrue(mQuarantine.isEmpty());
+    }
+
+    @Test
+    public void anUpstreamThatIsBackAlreadyUnderItsIdHasEnded() {
+        UpstreamEntry first = Entries.startedAt(mUpstream, 1);
+        mDirectory.replaceAll(List.of(first));
+        mGuard.lost(first, ONE, mJudged::add);
+        mDirectory.replaceAll(List.of(Entries.startedAt(mUpstream, 2)));
+        answer(UpstreamPort.Listening.YES);
+        assertEquals(mJudged, List.of(true));
+        assertEquals(held(ONE), 1);
+    }
+
+    @Test
+    public void aRequestIsNamedOnlyWhereAnyIsKnown() {
+        assertFalse(
+                mGuard.withholds(
+                        () -> {
+                            throw new AssertionError("named for nothing");
+                        }));
+    }
+}
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakePort.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakePort.java
@@ -19,8 +19,10 @@
     final List<Long> mAskedTokens = new ArrayList<>();
     final List<String> mReleased = new ArrayList<>();
     final Set<UpstreamIncarnation> mFull = new HashSet<>();
-    final List<UpstreamEntry> mChecks = new ArrayList<>();
-    Listening mListening = Listening.YES;
+
+    /** Answers whether an upstream listens. */
+    Consumer<Consumer<Listening>> mOnCheck = listener -> listener.accept(Listening.YES);
+
     boolean mHoldsBack;
     ResultListener<Place> mWaiting;
 
@@ -81,8 +83,7 @@
 
     @Override
     public void check(UpstreamEntry upstream, Consumer<Listening> listener) {
-        mChecks.add(upstream);
-        listener.accept(mListening);
+        mOnCheck.accept(listener);
     }
 
     @Override
