Ages and leases count the time for which the machine was suspended

Cause: all times come from the monotonic clock, which stands still while a machine is suspended. A holder of the lease of engines' roles that was suspended for five terms believed for the rest of its term that it held it, beside the router that had taken it (test, seen to fail: it may order, as may the other). Change: the clock of the control state adds what the time of day moved on beyond the monotonic clock between two looks, from half a second on: a suspension then counts as a freeze, which all parts are made for. Set ahead, the time of day makes what is known look older than it is: it is read anew. The traffic loop keeps the monotonic clock: a caller's deadline is not to end by a step of the time of day. Ruled out: the time since boot by the system's files (not the machine's own where it is confined); a watch beside the clock that each part asks (one is forgotten). Figures: ElapsedClockTest, RoleLeaseTest.aHolderWhoseMachineWasSuspended*: red with the system's clock.

--- /dev/null
+++ b/troutpier-common/src/main/java/org/troutpier/common/time/package-info.java
@@ -0,0 +1,2 @@
+/** Clocks. */
+package org.troutpier.common.time;
--- /dev/null
+++ b/troutpier-common/src/test/java/org/troutpier/common/time/ElapsedClockTest.java
@@ -0,0 +1,86 @@
+package org.troutpier.common.time;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What counts as time that has passed. */
+public final class ElapsedClockTest {
+
+    private long mMonotonicMillis;
+    private long mWallMillis;
+    private ElapsedClock mClock;
+    private long mBegan;
+
+    @BeforeMethod
+    void start() {
+        mMonotonicMillis = 77;
+        mWallMillis = 1_000_000;
+        mClock =
+                new ElapsedClock(
+                        () -> TimeUnit.MILLISECONDS.toNanos(mMonotonicMillis), () -> mWallMillis);
+        mBegan = mClock.getAsLong();
+    }
+
+    private void pass(long monotonic, long wall) {
+        mMonotonicMillis += monotonic;
+        mWallMillis += wall;
+    }
+
+    private long passed() {
+        return TimeUnit.NANOSECONDS.toMillis(mClock.getAsLong() - mBegan);
+    }
+
+    @Test
+    public void theTimeOfASuspensionCounts() {
+        pass(100, 100);
+        assertEquals(passed(), 100);
+        pass(1, 10_001);
+        assertEquals(passed(), 10_101);
+        pass(50, 50);
+        assertEquals(passed(), 10_151);
+    }
+
+    @Test
+    public void aFreezeInWhichBothClocksGoOnCountsOnce() {
+        pass(10_000, 10_000);
+        assertEquals(passed(), 10_000);
+    }
+
+    @Test
+    public void correctionsOfTheTimeOfDayDoNotCount() {
+        for (int look = 0; look < 100; look++) {
+            pass(100, 120);
+            passed();
+        }
+        assertEquals(passed(), 10_000);
+        pass(100, 599);
+        assertEquals(passed(), 10_100);
+    }
+
+    @Test
+    public void aTimeOfDayThatIsSetBackTakesNothingAway() {
+        pass(100, -20_000);
+        assertEquals(passed(), 100);
+        pass(100, 100);
+        assertEquals(passed(), 200);
+    }
+
+    @Test
+    public void itNeverGoesBackWhateverIsDoneToTheTimeOfDay() {
+        long seed = System.nanoTime();
+        System.out.println("ElapsedClockTest seed " + seed);
+        Random random = new Random(seed);
+        long last = mClock.getAsLong();
+        for (int look = 0; look < 10_000; look++) {
+            pass(random.nextInt(50), random.nextInt(10_000) - 5000);
+            long now = mClock.getAsLong();
+            assertTrue(now >= last);
+            last = now;
+        }
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
@@ -18,6 +18,7 @@
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.settings.Address;
+import org.troutpier.common.time.ElapsedClock;
 import org.troutpier.daemon.admission.AdmissionController;
 import org.troutpier.daemon.admission.CoordinatorPermits;
 import org.troutpier.daemon.admission.DecodePermits;
@@ -307,7 +308,7 @@
                 new HttpCalls(loops),
                 new MetricRegistry(),
                 new EventRing(settings.instance().value(), RING, new HybridClock()),
-                System::nanoTime);
+                new ElapsedClock());
     }
 
     /**
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleLeaseTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleLeaseTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.troutpier.common.event.EventRing;
@@ -15,6 +16,7 @@
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.InstanceId;
+import org.troutpier.common.time.ElapsedClock;
 import org.troutpier.daemon.node.ManualTime;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.rows.FakeRowStore;
@@ -37,6 +39,7 @@
         final RoleLease mLease;
         boolean mOtherHolds;
         boolean mContends = true;
+        long mSuspendedMillis;
 
         Contender(String name) {
             Incarnation incarnation = Incarnation.start(new InstanceId(name));
@@ -49,10 +52,22 @@
                             null,
                             new MetricRegistry(),
                             new EventRing(name, 16, new HybridClock()),
-                            mTime::nanos);
+                            new ElapsedClock(this::monotonicNanos, mTime::millis));
             mLease = new RoleLease(node, mStore, TERM);
             mControl.every(() -> mLease.tick(mOtherHolds, mContends), TICK);
         }
+
+        /** The system's monotonic clock, which stands still while the machine is suspended. */
+        private long monotonicNanos() {
+            return mTime.nanos() - TimeUnit.MILLISECONDS.toNanos(mSuspendedMillis);
+        }
+
+        /** Has the machine suspended while time passes for the others. */
+        void suspend(long millis) {
+            mControl.pause(true);
+            mTime.pass(millis);
+            mSuspendedMillis += millis;
+        }
     }
 
     @BeforeMethod
@@ -73,6 +88,22 @@
         assertTrue(only.mLease.mayOrder());
     }
 
+    /** With the system's monotonic clock alone it believed so for the rest of its term. */
+    @Test
+    public void aHolderWhoseMachineWasSuspendedDoesNotBelieveThatItStillHoldsIt() {
+        Contender first = new Contender("a");
+        mTime.pass(3 * TERM);
+        assertTrue(first.mLease.mayOrder());
+        Contender second = new Contender("b");
+        first.suspend(5 * TERM);
+        assertTrue(second.mLease.mayOrder());
+        assertFalse(first.mLease.mayOrder());
+        first.mControl.pause(false);
+        mTime.pass(2 * TERM);
+        assertFalse(first.mLease.held());
+        assertTrue(second.mLease.mayOrder());
+    }
+
     /** Before, each router that started tried to get the lease. */
     @Test
     public void aRouterThatDoesNotContendLeavesTheRowAlone() {
