Operators see and clear requests under which upstreams ended; tests with several routers

Cause: a request in quarantine could neither be looked at nor let go. Settings for the count, the time and the token.

--- /dev/null
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/QuarantineCommand.java
@@ -0,0 +1,76 @@
+package org.troutpier.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import org.troutpier.common.settings.Address;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/** Shows the requests under which upstreams ended, or clears one. Confined to one thread. */
+@Command(
+        name = "quarantine",
+        mixinStandardHelpOptions = true,
+        description = "Shows requests under which upstreams ended, or clears one of them.",
+        footer = {
+            "",
+            "Each router knows the same within seconds; --router names the port of its figures.",
+            "  troutpier quarantine --router 10.1.0.35:9464",
+            "  troutpier quarantine --router 10.1.0.35:9464 --clear 3fa09c41"
+        })
+final class QuarantineCommand implements Callable<Integer> {
+
+    /** How a request is shown: its name, whether it is held, cleared how often, what ended. */
+    private static final String LINE = "%-10s %-6s %7s  %s%n";
+
+    /** Where the routers are. */
+    @Mixin private CliMain.Connection mConnection;
+
+    /** The request to be cleared. */
+    @Option(
+            names = "--clear",
+            defaultValue = "",
+            description = "the request to be cleared, by its name in the list or in log lines")
+    private String mClear;
+
+    /** {@inheritDoc} */
+    @Override
+    public Integer call() {
+        CliSettings settings = mConnection.settings();
+        try (RouterClient client = new RouterClient(settings.token())) {
+            if (mClear.isEmpty()) {
+                show(client, settings.routers());
+                return 0;
+            }
+            String path = "/quarantine/clear?content=" + mClear;
+            JsonNode answer = client.post(settings.routers(), path, List.of());
+            int cleared = answer.path("cleared").asInt();
+            System.out.printf("cleared: %d%n", cleared);
+            return cleared > 0 ? 0 : ExitCode.REFUSED.number();
+        }
+    }
+
+    /**
+     * Shows what the first router that is reached knows.
+     *
+     * @param client asks the routers
+     * @param routers where they are
+     */
+    private static void show(RouterClient client, List<Address> routers) {
+        System.out.printf(LINE, "content", "held", "cleared", "upstreams that ended");
+        for (JsonNode each : client.ask(routers, "/quarantine")) {
+            List<String> ended = new ArrayList<>();
+            each.path("ended").forEach(upstream -> ended.add(upstream.asText()));
+            System.out.printf(
+                    Locale.ROOT,
+                    LINE,
+                    each.path("content").asText(),
+                    each.path("held").asBoolean() ? "yes" : "no",
+                    each.path("generation").asText(),
+                    String.join(" ", ended));
+        }
+    }
+}
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/QuarantineTableTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/QuarantineTableTest.java
@@ -33,7 +33,7 @@
 /** Routers that hear of each other through the store only know which requests are not run. */
 public final class QuarantineTableTest {
 
-    private static final QuarantineSettings SETTINGS = new QuarantineSettings(3, 60, 3000);
+    private static final QuarantineSettings SETTINGS = new QuarantineSettings(3, 60, 3000, "");
     private static final RequestFingerprint GUILTY =
             RequestFingerprint.of("host", "/guilty", new byte[0]);
 
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineSettingsTest.java
@@ -0,0 +1,48 @@
+package org.troutpier.daemon.quarantine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+import org.troutpier.common.declaration.Tokens;
+import org.troutpier.common.result.TroutpierException;
+import org.troutpier.common.settings.CheckedYaml;
+
+/** Which settings of the quarantine are taken. */
+public final class QuarantineSettingsTest {
+
+    private static QuarantineSettings parse(String yaml) {
+        return CheckedYaml.parse("settings.yaml", yaml, QuarantineSettings.class);
+    }
+
+    @Test
+    public void theTokenMayBeLeftOutAndThenNobodyMayClear() {
+        QuarantineSettings settings = parse("crashes: 2\nseconds: 5\nknownMillis: 3000\n");
+        assertEquals(settings.crashes(), 2);
+        assertFalse(settings.mayClear(Tokens.hash("")));
+    }
+
+    @Test
+    public void whoHasTheTokenMayClear() {
+        QuarantineSettings settings =
+                new QuarantineSettings(3, 60, 3000, Tokens.hash("the operator's"));
+        assertTrue(settings.mayClear(Tokens.hash("the operator's")));
+        assertFalse(settings.mayClear(Tokens.hash("another's")));
+    }
+
+    @Test
+    public void wrongValuesAreRefusedWithTheirField() {
+        for (String yaml :
+                new String[] {
+                    "crashes: 0\nseconds: 5\nknownMillis: 3000\n",
+                    "crashes: 3\nseconds: 0\nknownMillis: 3000\n",
+                    "crashes: 3\nseconds: 5\nknownMillis: 1\n",
+                    "crashes: 3\nseconds: 5\nknownMillis: 3000\noperatorTokenHash: abc\n",
+                    "crashes: 3\nseconds: 5\n"
+                }) {
+            assertThrows(TroutpierException.class, () -> parse(yaml));
+        }
+    }
+}
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
@@ -15,7 +15,7 @@
 /** When a request is no longer run, and for how long. */
 public final class QuarantineTest {
 
-    private static final QuarantineSettings SETTINGS = new QuarantineSettings(3, 60, 3000);
+    private static final QuarantineSettings SETTINGS = new QuarantineSettings(3, 60, 3000, "");
 
     private long mNow;
     private List<CrashReport> mTold;
