--- /dev/null
+++ b/troutpier-cli/src/test/java/org/troutpier/cli/QuarantineCommandTest.java
@@ -0,0 +1,112 @@
+package org.troutpier.cli;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.declaration.Tokens;
+import org.troutpier.common.http.HttpServer;
+import org.troutpier.common.http.ServerLimits;
+import org.troutpier.common.http.ServerRefusals;
+import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.common.settings.Address;
+import org.troutpier.daemon.quarantine.Quarantine;
+import org.troutpier.daemon.quarantine.QuarantineHandler;
+import org.troutpier.daemon.quarantine.QuarantineSettings;
+import org.troutpier.daemon.quarantine.RequestFingerprint;
+
+/** How operators look at the quarantine and clear it. */
+public final class QuarantineCommandTest {
+
+    private static final QuarantineSettings SETTINGS =
+            new QuarantineSettings(2, 60, 3000, Tokens.hash("secret"));
+    private static final RequestFingerprint HELD =
+            RequestFingerprint.of("host", "/held", new byte[0]);
+    private static final RequestFingerprint SUSPECT =
+            RequestFingerprint.of("host", "/suspect", new byte[0]);
+
+    private EventLoopGroup mLoop;
+    private Quarantine mQuarantine;
+    private HttpServer mServer;
+
+    @BeforeMethod
+    void start() {
+        mLoop = new NioEventLoopGroup(1);
+        mQuarantine = new Quarantine(SETTINGS, () -> 0, new MetricRegistry());
+        mQuarantine.crashed(HELD, UpstreamIncarnation.of("engine-1"));
+        mQuarantine.crashed(HELD, UpstreamIncarnation.of("engine-2"));
+        mQuarantine.crashed(SUSPECT, UpstreamIncarnation.of("engine-2"));
+        mServer =
+                new HttpServer(
+                        new Address("127.0.0.1", 0),
+                        mLoop,
+                        ServerLimits.DEFAULT,
+                        ServerRefusals.AsJson.INSTANCE,
+                        new QuarantineHandler(SETTINGS, mQuarantine));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    void stop() {
+        mServer.close();
+        mLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /** Runs the tool and returns what a person sees, with the exit code in the last line. */
+    private String run(String token, String... words) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
+        PrintStream before = System.out;
+        System.setOut(out);
+        try {
+            String[] all = new String[words.length + 5];
+            all[0] = "quarantine";
+            all[1] = "--router";
+            all[2] = mServer.address().toString();
+            all[3] = "--token";
+            all[4] = token;
+            System.arraycopy(words, 0, all, 5, words.length);
+            int exit =
+                    CliMain.commandLine()
+                            .setErr(new PrintWriter(out, true))
+                            .setOut(new PrintWriter(out, true))
+                            .execute(all);
+            return bytes.toString(StandardCharsets.UTF_8) + "exit " + exit;
+        } finally {
+            System.setOut(before);
+        }
+    }
+
+    @Test
+    public void theListNamesEachRequestAndTheUpstreamsThatEndedUnderIt() {
+        String shown = run("any");
+        assertTrue(shown.contains(SUSPECT.shortName() + "   no           0  engine-2\n"), shown);
+        assertTrue(shown.contains(HELD.shortName() + "   yes          0  engine-1 engine-2\n"));
+        assertTrue(shown.endsWith("exit 0"), shown);
+    }
+
+    @Test
+    public void aRequestIsClearedByItsShortNameAndTheToken() {
+        assertEquals(run("secret", "--clear", HELD.shortName()), "cleared: 1\nexit 0");
+        assertFalse(mQuarantine.holds(HELD));
+        assertEquals(run("secret", "--clear", "00000000"), "cleared: 0\nexit 1");
+    }
+
+    @Test
+    public void withoutTheTokenNothingIsCleared() {
+        String told = run("another", "--clear", HELD.shortName());
+        assertTrue(told.contains("TP-102 clearing needs the token"), told);
+        assertTrue(told.endsWith("exit 1"), told);
+        assertTrue(mQuarantine.holds(HELD));
+    }
+}
