Ends that several routers find in one moment are stored; an older table forgets nothing

Cause: found while the change was read again. (1) Three routers that find one end each in the same moment know of one each, so none of them stored it: after a loss of all routers the request was unknown. (2) A whole table that another router told may be older than the row that this one wrote: it took the row for deleted and forgot the request. (3) An operator's name of one digit cleared all that begin with it. Change: a router that told of a part stores what it comes to with the others'; a row that was seen within the time in which all must know stays; a name has eight digits or more, and the tool says so. Ruled out: each router that hears of it storing it (as many writes as routers).

--- a/troutpier-cli/src/main/java/org/troutpier/cli/QuarantineCommand.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/QuarantineCommand.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.regex.Pattern;
 import org.troutpier.common.settings.Address;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
@@ -26,6 +27,9 @@
     /** How a request is shown: its name, whether it is held, cleared how often, what ended. */
     private static final String LINE = "%-10s %-6s %7s  %s%n";
 
+    /** What names a request: its short name, or more of its fingerprint. */
+    private static final Pattern NAME = Pattern.compile("[0-9a-f]{8,32}");
+
     /** Where the routers are. */
     @Mixin private CliMain.Connection mConnection;
 
@@ -45,6 +49,10 @@
                 show(client, settings.routers());
                 return 0;
             }
+            if (!NAME.matcher(mClear).matches()) {
+                throw new CliException(
+                        ExitCode.WRONG_INPUT, "--clear takes 8 to 32 hexadecimal digits");
+            }
             String path = "/quarantine/clear?content=" + mClear;
             JsonNode answer = client.post(settings.routers(), path, List.of());
             int cleared = answer.path("cleared").asInt();
--- a/troutpier-cli/src/test/java/org/troutpier/cli/QuarantineCommandTest.java
+++ b/troutpier-cli/src/test/java/org/troutpier/cli/QuarantineCommandTest.java
@@ -102,6 +102,13 @@
         assertEquals(run("secret", "--clear", "00000000"), "cleared: 0\nexit 1");
     }
 
+    @Test
+    public void aNameThatIsNoneIsToldAndSentNowhere() {
+        String told = run("secret", "--clear", "a name & more");
+        assertTrue(told.contains("--clear takes 8 to 32 hexadecimal digits"), told);
+        assertTrue(told.endsWith("exit 2"), told);
+    }
+
     @Test
     public void withoutTheTokenNothingIsCleared() {
         String told = run("another", "--clear", HELD.shortName());
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/QuarantineTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/QuarantineTable.java
@@ -129,18 +129,28 @@
                 this,
                 new TableExchange.ForWholeTable(pages));
         mQuarantine.onFound(report -> mNode.control().execute(() -> found(report)));
+        mQuarantine.onMerged(report -> mNode.control().execute(() -> store(report)));
         mNode.control().every(this::clean, CLEAN_MILLIS);
     }
 
     /**
-     * Tells what this router found out. The store is told once the next end would put the request
-     * into quarantine: after an ordinary end, each request that ran there would be a row else. If
-     * all routers lose power before that, one more upstream is lost.
+     * Tells what this router found out.
      *
      * @param report what is known
      */
     private void found(CrashReport report) {
         mExchange.crashed(report);
+        store(report);
+    }
+
+    /**
+     * Has it stored what is known of a request of which this router found out a part, once the next
+     * end would put it into quarantine: after an ordinary end, each request that ran there would be
+     * a row else. If all routers lose power before that, one more upstream is lost.
+     *
+     * @param report what is known
+     */
+    private void store(CrashReport report) {
         boolean nearly = report.record().ended().size() >= mSettings.crashes() - 1;
         if (nearly || mStored.containsKey(report.request())) {
             mWanted.merge(report.request(), report.record(), CrashRecord::merge);
@@ -150,27 +160,46 @@
 
     /** Writes what was found out first and is not stored yet. */
     private void write() {
-        if (mWriting || mWanted.isEmpty()) {
+        if (mWriting) {
             return;
         }
-        Map.Entry<RequestFingerprint, CrashRecord> first = mWanted.entrySet().iterator().next();
-        RequestFingerprint request = first.getKey();
-        Optional<Stored> stored = Optional.ofNullable(mStored.get(request));
-        CrashRecord known = stored.map(Stored::record).orElse(CrashRecord.NONE);
-        CrashRecord merged = known.merge(first.getValue());
-        if (merged.equals(known)) {
-            mWanted.remove(request);
-            write();
+        mWanted.entrySet().removeIf(each -> merged(each).equals(known(each.getKey())));
+        if (mWanted.isEmpty()) {
             return;
         }
         mWriting = true;
-        long version = stored.map(each -> each.row().version()).orElse(0L);
+        Map.Entry<RequestFingerprint, CrashRecord> first = mWanted.entrySet().iterator().next();
+        RequestFingerprint request = first.getKey();
+        CrashRecord merged = merged(first);
+        Stored stored = mStored.get(request);
+        long version = stored == null ? 0 : stored.row().version();
         byte[] value = Json.bytes(merged);
         mStore.write(new Row(TABLE, "", request.value(), value, 0, false), version)
                 .thenAccept(
                         write -> mNode.control().execute(() -> written(request, merged, write)));
     }
 
+    /**
+     * Returns what a row is known to say.
+     *
+     * @param request the request that it is of
+     * @return its record
+     */
+    private CrashRecord known(RequestFingerprint request) {
+        Stored stored = mStored.get(request);
+        return stored == null ? CrashRecord.NONE : stored.record();
+    }
+
+    /**
+     * Returns what a row is to say.
+     *
+     * @param wanted the request that it is of and what is to be stored
+     * @return that, with what the row says merged in
+     */
+    private CrashRecord merged(Map.Entry<RequestFingerprint, CrashRecord> wanted) {
+        return known(wanted.getKey()).merge(wanted.getValue());
+    }
+
     /**
      * Goes on after a write.
      *
@@ -226,13 +255,17 @@
         write();
     }
 
-    /** {@inheritDoc} */
+    /**
+     * {@inheritDoc} A row that this router saw just now stays: what another router told of the
+     * table may be older.
+     */
     @Override
     public void whole(List<Row> rows) {
         Set<RequestFingerprint> gone = new HashSet<>(mStored.keySet());
         for (Row row : rows) {
             request(row).ifPresent(gone::remove);
         }
+        gone.removeIf(request -> ageMillis(mStored.get(request)) <= mSettings.knownMillis());
         gone.forEach(this::dropped);
         changed(rows);
     }
@@ -320,7 +353,17 @@
     private boolean old(Stored stored) {
         boolean held = stored.record().ended().size() >= mSettings.crashes();
         long most = held ? TimeUnit.SECONDS.toMillis(mSettings.seconds()) : IDLE_MILLIS;
-        return mNode.millis() - stored.since() > most;
+        return ageMillis(stored) > most;
+    }
+
+    /**
+     * Returns for how long a row has been as it is.
+     *
+     * @param stored the row
+     * @return milliseconds since this router first saw it so
+     */
+    private long ageMillis(Stored stored) {
+        return mNode.millis() - stored.since();
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
@@ -72,9 +72,16 @@
     /** Counts requests that were cleared here. */
     private final Counter mCleared;
 
+    /** The requests of which this router found out a part. */
+    private final AgingMap<RequestFingerprint, Boolean> mFoundHere =
+            new AgingMap<>(MOST_SUSPECTS, SUSPECT_MILLIS);
+
     /** Takes what this router found out. */
     private Consumer<CrashReport> mTeller = report -> {};
 
+    /** Takes what is known together with others of a request that this router told of. */
+    private Consumer<CrashReport> mMerged = report -> {};
+
     /**
      * Creates a quarantine without requests.
      *
@@ -101,6 +108,16 @@
         mTeller = teller;
     }
 
+    /**
+     * Sets who is told when others knew more of a request of which this router found out a part:
+     * several may find one end each in the same moment, and none of them knows of more then.
+     *
+     * @param listener takes each report, on the traffic loop
+     */
+    public void onMerged(Consumer<CrashReport> listener) {
+        mMerged = listener;
+    }
+
     /**
      * Returns whether no request is known.
      *
@@ -164,13 +181,16 @@
     /**
      * Clears all requests that a name stands for.
      *
-     * @param name the fingerprint or its first digits
+     * @param name the fingerprint, or at least the digits of its short name
      * @return how many there were
      */
     public int clear(String name) {
+        if (name.length() < RequestFingerprint.SHORT_DIGITS) {
+            return 0;
+        }
         List<RequestFingerprint> named = new ArrayList<>();
         for (RequestFingerprint request : records().keySet()) {
-            if (!name.isEmpty() && request.value().startsWith(name)) {
+            if (request.value().startsWith(name)) {
                 named.add(request);
             }
         }
@@ -201,6 +221,7 @@
      */
     private void found(RequestFingerprint request, CrashRecord record) {
         keep(request, record);
+        mFoundHere.put(request, Boolean.TRUE, mMillis.getAsLong());
         mTeller.accept(new CrashReport(request, record));
     }
 
@@ -212,8 +233,12 @@
     public void learn(CrashReport report) {
         CrashRecord before = record(report.request());
         CrashRecord after = before.merge(report.record());
-        if (!after.equals(before)) {
-            keep(report.request(), after);
+        if (after.equals(before)) {
+            return;
+        }
+        keep(report.request(), after);
+        if (mFoundHere.get(report.request(), mMillis.getAsLong()).isPresent()) {
+            mMerged.accept(new CrashReport(report.request(), after));
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/RequestFingerprint.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/RequestFingerprint.java
@@ -34,7 +34,7 @@
     private static final int OUTLINE_DIGITS = DIGITS_OF_BYTE * HALF;
 
     /** How many digits name a fingerprint in lines for people. */
-    private static final int SHORT_DIGITS = 8;
+    static final int SHORT_DIGITS = 8;
 
     /** What a value looks like. */
     private static final Pattern DIGITS = Pattern.compile("[0-9a-f]{" + 2 * OUTLINE_DIGITS + "}");
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/QuarantineTableTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/QuarantineTableTest.java
@@ -21,6 +21,7 @@
 import org.troutpier.daemon.peer.Membership.Member;
 import org.troutpier.daemon.peer.PeerLinks;
 import org.troutpier.daemon.peer.PeerMessage;
+import org.troutpier.daemon.quarantine.CrashRecord;
 import org.troutpier.daemon.quarantine.CrashReport;
 import org.troutpier.daemon.quarantine.Quarantine;
 import org.troutpier.daemon.quarantine.QuarantineSettings;
@@ -47,6 +48,7 @@
         final Quarantine mQuarantine =
                 new Quarantine(SETTINGS, mTime::millis, new MetricRegistry());
         final ManualTime.PausableControl mControl = mTime.control();
+        final QuarantineTable mTable;
 
         Router(String name) {
             Node node =
@@ -74,8 +76,10 @@
                                 @Override
                                 public void crashed(List<CrashReport> reports) {}
                             });
-            new QuarantineTable(node, mStore, exchange, SETTINGS, mQuarantine, Runnable::run)
-                    .start();
+            mTable =
+                    new QuarantineTable(
+                            node, mStore, exchange, SETTINGS, mQuarantine, Runnable::run);
+            mTable.start();
         }
 
         void crash(int... upstreams) {
@@ -189,6 +193,32 @@
         assertTrue(router("later").holds());
     }
 
+    /** Each knows of one end when it finds it, so none of them stored it. */
+    @Test
+    public void endsThatThreeRoutersFindInTheSameMomentAreStoredToo() {
+        List<Router> routers = List.of(router("one"), router("two"), router("three"));
+        for (int number = 0; number < routers.size(); number++) {
+            routers.get(number).crash(number);
+        }
+        for (Router router : routers) {
+            CrashRecord found = router.mQuarantine.records().get(GUILTY);
+            routers.forEach(each -> each.mQuarantine.learn(new CrashReport(GUILTY, found)));
+        }
+        mTime.pass(SETTINGS.knownMillis());
+        assertTrue(router("later").holds());
+    }
+
+    /** What another router tells of the table may be older than what this one wrote. */
+    @Test
+    public void aTableFromBeforeTheRowWasWrittenForgetsNothing() {
+        Router one = router("one");
+        one.crash(1, 2, 3);
+        mTime.pass(SETTINGS.knownMillis() / 10);
+        assertEquals(rows(), 1);
+        one.mTable.whole(List.of());
+        assertTrue(one.holds());
+    }
+
     @Test
     public void aSingleEndIsNoRow() {
         Router one = router("one");
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
@@ -93,6 +93,8 @@
     public void anOperatorClearsByTheNameInTheLines() {
         crash(1, 1, 2, 3);
         assertEquals(mQuarantine.clear(""), 0);
+        assertEquals(mQuarantine.clear(request(1).shortName().substring(1)), 0);
+        assertEquals(mQuarantine.clear(request(1).shortName().substring(0, 4)), 0);
         assertEquals(mQuarantine.clear("no such name"), 0);
         assertEquals(mQuarantine.clear(request(1).shortName()), 1);
         assertFalse(mQuarantine.holds(request(1)));
