--- a/troutpier-cli/src/test/java/org/troutpier/cli/OperatorSessionGoldenTest.java
+++ b/troutpier-cli/src/test/java/org/troutpier/cli/OperatorSessionGoldenTest.java
@@ -2,15 +2,13 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
-import java.io.PrintWriter;
 import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.approvaltests.Approvals;
 import org.approvaltests.core.Options;
@@ -87,34 +85,18 @@
 
     /** Runs the tool and returns what a person sees. */
     private String run(String token, String... words) {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
-        PrintStream before = System.out;
-        System.setOut(out);
-        String[] all = new String[words.length + (token.isEmpty() ? 0 : 4)];
-        System.arraycopy(words, 0, all, 0, words.length);
+        List<String> all = new ArrayList<>(List.of(words));
         if (!token.isEmpty()) {
-            all[words.length] = "--router";
-            all[words.length + 1] = mRouter.operatorAddress().toString();
-            all[words.length + 2] = "--token";
-            all[words.length + 3] = token;
-        }
-        int exit;
-        try {
-            exit =
-                    CliMain.commandLine()
-                            .setErr(new PrintWriter(out, true))
-                            .setOut(new PrintWriter(out, true))
-                            .execute(all);
-        } finally {
-            System.setOut(before);
+            all.addAll(List.of("--router", mRouter.operatorAddress().toString()));
+            all.addAll(List.of("--token", token));
         }
+        CliRun run = CliRun.of(all.toArray(String[]::new));
         return "$ troutpier "
                 + String.join(" ", words)
                 + "\n"
-                + bytes.toString(StandardCharsets.UTF_8)
+                + run.shown()
                 + "(exit "
-                + exit
+                + run.exit()
                 + ")\n\n";
     }
 
--- a/troutpier-cli/src/test/java/org/troutpier/cli/QuarantineCommandTest.java
+++ b/troutpier-cli/src/test/java/org/troutpier/cli/QuarantineCommandTest.java
@@ -7,10 +7,8 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
-import java.io.ByteArrayOutputStream;
-import java.io.PrintStream;
-import java.io.PrintWriter;
-import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -64,27 +62,11 @@
 
     /** Runs the tool and returns what a person sees, with the exit code in the last line. */
     private String run(String token, String... words) {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
-        PrintStream before = System.out;
-        System.setOut(out);
-        try {
-            String[] all = new String[words.length + 5];
-            all[0] = "quarantine";
-            all[1] = "--router";
-            all[2] = mServer.address().toString();
-            all[3] = "--token";
-            all[4] = token;
-            System.arraycopy(words, 0, all, 5, words.length);
-            int exit =
-                    CliMain.commandLine()
-                            .setErr(new PrintWriter(out, true))
-                            .setOut(new PrintWriter(out, true))
-                            .execute(all);
-            return bytes.toString(StandardCharsets.UTF_8) + "exit " + exit;
-        } finally {
-            System.setOut(before);
-        }
+        List<String> all = new ArrayList<>(List.of("quarantine", "--router"));
+        all.addAll(List.of(mServer.address().toString(), "--token", token));
+        all.addAll(List.of(words));
+        CliRun run = CliRun.of(all.toArray(String[]::new));
+        return run.shown() + "exit " + run.exit();
     }
 
     @Test
--- a/troutpier-common/src/main/java/org/troutpier/common/collection/AgingMap.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/collection/AgingMap.java
@@ -69,6 +69,17 @@
         return aged == null || old(aged, now) ? Optional.empty() : Optional.of(aged.value());
     }
 
+    /**
+     * Returns whether there is an entry.
+     *
+     * @param key the key
+     * @param now the monotonic clock, milliseconds
+     * @return whether it is there and not too old
+     */
+    public boolean contains(K key, long now) {
+        return get(key, now).isPresent();
+    }
+
     /**
      * Removes an entry.
      *
--- a/troutpier-common/src/main/java/org/troutpier/common/declaration/PartnerDeclaration.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/declaration/PartnerDeclaration.java
@@ -57,6 +57,6 @@
      * @param hash the text
      */
     private static void checkHash(String field, String hash) {
-        Check.that(field, hash.matches("[0-9a-f]{64}"), "must hold SHA-256 hashes: " + hash);
+        Check.that(field, Tokens.isHash(hash), "must hold SHA-256 hashes: " + hash);
     }
 }
--- a/troutpier-common/src/main/java/org/troutpier/common/declaration/Tokens.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/declaration/Tokens.java
@@ -4,10 +4,18 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.Optional;
+import java.util.regex.Pattern;
 
 /** Hashes tokens, so that declarations need not hold them. Stateless and thread safe. */
 public final class Tokens {
 
+    /** What comes before a token in the authorization header. */
+    private static final String BEARER = "Bearer ";
+
+    /** What a hash looks like. */
+    private static final Pattern HASH = Pattern.compile("[0-9a-f]{64}");
+
     /** Not to be instantiated. */
     private Tokens() {}
 
@@ -21,6 +29,27 @@
         return hash(text.getBytes(StandardCharsets.UTF_8));
     }
 
+    /**
+     * Returns whether a text looks like a hash.
+     *
+     * @param text the text
+     * @return whether it has the digits of one
+     */
+    public static boolean isHash(String text) {
+        return HASH.matcher(text).matches();
+    }
+
+    /**
+     * Returns the token that an authorization header carries.
+     *
+     * @param authorization the header's value, or null
+     * @return the token, if it carries one
+     */
+    public static Optional<String> bearer(String authorization) {
+        boolean carries = authorization != null && authorization.startsWith(BEARER);
+        return carries ? Optional.of(authorization.substring(BEARER.length())) : Optional.empty();
+    }
+
     /**
      * Hashes bytes.
      *
--- /dev/null
+++ b/troutpier-common/src/test/java/org/troutpier/common/declaration/TokensTest.java
@@ -0,0 +1,27 @@
+package org.troutpier.common.declaration;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Locale;
+import java.util.Optional;
+import org.testng.annotations.Test;
+
+/** What carries a token, and what looks like the hash of one. */
+public final class TokensTest {
+
+    @Test
+    public void aTokenIsCarriedByABearerHeaderOnly() {
+        assertEquals(Tokens.bearer("Bearer abc"), Optional.of("abc"));
+        assertEquals(Tokens.bearer("Basic abc"), Optional.empty());
+        assertEquals(Tokens.bearer(null), Optional.empty());
+    }
+
+    @Test
+    public void aHashLooksLikeOne() {
+        assertTrue(Tokens.isHash(Tokens.hash("abc")));
+        assertFalse(Tokens.isHash("abc"));
+        assertFalse(Tokens.isHash(Tokens.hash("abc").toUpperCase(Locale.ROOT)));
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/caller/CallerFront.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/caller/CallerFront.java
@@ -49,9 +49,6 @@
     /** The path of plain services. */
     private static final String SERVICES = "/services/";
 
-    /** What comes before a token. */
-    private static final String BEARER = "Bearer ";
-
     /** How many tokens an answer has unless the caller says so. */
     private static final int DEFAULT_TOKENS = 16;
 
@@ -176,10 +173,14 @@
      * @return the partner
      */
     private static PartnerDeclaration partner(Declarations declarations, String authorization) {
-        if (authorization == null || !authorization.startsWith(BEARER)) {
-            throw new TroutpierException(ResultCode.UNKNOWN_TOKEN, "no bearer token was sent");
-        }
-        String hash = Tokens.hash(authorization.substring(BEARER.length()));
+        String hash =
+                Tokens.bearer(authorization)
+                        .map(Tokens::hash)
+                        .orElseThrow(
+                                () ->
+                                        new TroutpierException(
+                                                ResultCode.UNKNOWN_TOKEN,
+                                                "no bearer token was sent"));
         return declarations.partners().stream()
                 .filter(partner -> partner.callerTokenHashes().contains(hash))
                 .findFirst()
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/QuarantineTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/QuarantineTable.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.http.Json;
@@ -45,9 +44,6 @@
     /** How often it is looked which rows are to be deleted, milliseconds. */
     private static final long CLEAN_MILLIS = 5000;
 
-    /** How long a row stays of a request that is still run or was cleared: ten minutes, in ms. */
-    private static final long IDLE_MILLIS = 600_000;
-
     /** How many rows stay: as many as the store tells in one page. */
     private static final int MOST_ROWS = 500;
 
@@ -87,11 +83,11 @@
     /**
      * A row.
      *
-     * @param row the row
+     * @param version its version
      * @param record what it says
      * @param since when this router first saw it so, milliseconds
      */
-    private record Stored(Row row, CrashRecord record, long since) {}
+    private record Stored(long version, CrashRecord record, long since) {}
 
     /**
      * Creates a table.
@@ -151,7 +147,7 @@
      * @param report what is known
      */
     private void store(CrashReport report) {
-        boolean nearly = report.record().ended().size() >= mSettings.crashes() - 1;
+        boolean nearly = mSettings.nearlyHolds(report.record());
         if (nearly || mStored.containsKey(report.request())) {
             mWanted.merge(report.request(), report.record(), CrashRecord::merge);
             write();
@@ -172,9 +168,8 @@
         RequestFingerprint request = first.getKey();
         CrashRecord merged = merged(first);
         Stored stored = mStored.get(request);
-        long version = stored == null ? 0 : stored.row().version();
-        byte[] value = Json.bytes(merged);
-        mStore.write(new Row(TABLE, "", request.value(), value, 0, false), version)
+        long version = stored == null ? 0 : stored.version();
+        mStore.write(row(request, Json.bytes(merged), version), version)
                 .thenAccept(
                         write -> mNode.control().execute(() -> written(request, merged, write)));
     }
@@ -210,8 +205,7 @@
     private void written(RequestFingerprint request, CrashRecord record, RowWrite write) {
         switch (write.outcome()) {
             case WRITTEN -> {
-                byte[] value = Json.bytes(record);
-                take(request, new Row(TABLE, "", request.value(), value, write.version(), false));
+                note(request, write.version(), record);
                 mWriting = false;
                 write();
             }
@@ -290,8 +284,7 @@
      * @param row the row
      */
     private void take(RequestFingerprint request, Row row) {
-        Stored before = mStored.get(request);
-        if (before != null && before.row().version() >= row.version()) {
+        if (!news(request, row.version())) {
             return;
         }
         if (row.deleted()) {
@@ -301,11 +294,48 @@
         CrashRecord record =
                 mFaults.read(row, each -> Json.read(each.value(), CrashRecord.class))
                         .orElse(CrashRecord.NONE);
-        mStored.put(request, new Stored(row, record, mNode.millis()));
+        note(request, row.version(), record);
         CrashReport report = new CrashReport(request, record);
         mTraffic.execute(() -> mQuarantine.learn(report));
     }
 
+    /**
+     * Notes what a row says, unless a newer version of it is known.
+     *
+     * @param request the request that it is of
+     * @param version its version
+     * @param record what it says
+     */
+    private void note(RequestFingerprint request, long version, CrashRecord record) {
+        if (news(request, version)) {
+            mStored.put(request, new Stored(version, record, mNode.millis()));
+        }
+    }
+
+    /**
+     * Returns whether a version of a row is newer than what is known of it.
+     *
+     * @param request the request that it is of
+     * @param version the version
+     * @return whether it is
+     */
+    private boolean news(RequestFingerprint request, long version) {
+        Stored known = mStored.get(request);
+        return known == null || known.version() < version;
+    }
+
+    /**
+     * Makes a row.
+     *
+     * @param request the request that it is of
+     * @param value what it says, as encoded
+     * @param version its version
+     * @return the row
+     */
+    private static Row row(RequestFingerprint request, byte[] value, long version) {
+        return new Row(TABLE, "", request.value(), value, version, false);
+    }
+
     /**
      * Forgets a request whose row was deleted.
      *
@@ -333,13 +363,14 @@
         if (!mExchange.reader()) {
             return;
         }
-        List<Stored> oldest = new ArrayList<>(mStored.values());
-        oldest.sort(Comparator.comparingLong(stored -> stored.row().version()));
+        List<RequestFingerprint> oldest = new ArrayList<>(mStored.keySet());
+        oldest.sort(Comparator.comparingLong(request -> mStored.get(request).version()));
         int left = oldest.size();
-        for (Stored stored : oldest) {
+        for (RequestFingerprint request : oldest) {
+            Stored stored = mStored.get(request);
             if (old(stored) || left > MOST_ROWS) {
                 left--;
-                drop(stored);
+                drop(request, stored);
             }
         }
     }
@@ -351,9 +382,7 @@
      * @return whether it is
      */
     private boolean old(Stored stored) {
-        boolean held = stored.record().ended().size() >= mSettings.crashes();
-        long most = held ? TimeUnit.SECONDS.toMillis(mSettings.seconds()) : IDLE_MILLIS;
-        return ageMillis(stored) > most;
+        return ageMillis(stored) > mSettings.rememberedMillis(stored.record());
     }
 
     /**
@@ -369,11 +398,11 @@
     /**
      * Deletes a row; one that could not be deleted is tried again the next time.
      *
+     * @param request the request that it is of
      * @param stored the row
      */
-    private void drop(Stored stored) {
-        RequestFingerprint request = new RequestFingerprint(stored.row().key());
-        mStore.drop(stored.row())
+    private void drop(RequestFingerprint request, Stored stored) {
+        mStore.drop(row(request, new byte[0], stored.version()))
                 .thenAccept(
                         write ->
                                 mNode.control()
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -147,14 +147,15 @@
     }
 
     /**
-     * Returns whether a start of an upstream may get work.
+     * Returns what is listed now of a start of an upstream.
      *
-     * @param upstream the upstream
-     * @return whether it is listed and not leaving
+     * @param upstream the upstream as it was listed before
+     * @return its entry; empty where it is listed no more or leaving
      */
-    public boolean takesWork(UpstreamEntry upstream) {
+    public Optional<UpstreamEntry> usable(UpstreamEntry upstream) {
         return usable(upstream.service()).stream()
-                .anyMatch(each -> each.incarnation().equals(upstream.incarnation()));
+                .filter(each -> each.incarnation().equals(upstream.incarnation()))
+                .findFirst();
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Rights.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/operator/Rights.java
@@ -19,9 +19,6 @@
     /** The administrator's rights. */
     private static final Rights ADMINISTRATOR = new Rights(Optional.empty());
 
-    /** What comes before a token. */
-    private static final String BEARER = "Bearer ";
-
     /**
      * Finds an operator's rights.
      *
@@ -32,8 +29,9 @@
      */
     public static Rights of(
             String authorization, String administratorHash, Declarations declarations) {
-        if (authorization != null && authorization.startsWith(BEARER)) {
-            String hash = Tokens.hash(authorization.substring(BEARER.length()));
+        Optional<String> token = Tokens.bearer(authorization);
+        if (token.isPresent()) {
+            String hash = Tokens.hash(token.get());
             if (hash.equals(administratorHash)) {
                 return ADMINISTRATOR;
             }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
@@ -26,12 +25,6 @@
  */
 public final class Quarantine {
 
-    /**
-     * How long a request is remembered that is still run, milliseconds: ten minutes, in which a
-     * caller has given up or come back.
-     */
-    private static final long SUSPECT_MILLIS = 600_000;
-
     /**
      * How many such requests are remembered: each end of an upstream names those that ran there, at
      * most some tens, so it takes a hundred ends to forget the first.
@@ -55,7 +48,7 @@
 
     /** The requests under which upstreams ended that are still run, and those that were cleared. */
     private final AgingMap<RequestFingerprint, CrashRecord> mSuspects =
-            new AgingMap<>(MOST_SUSPECTS, SUSPECT_MILLIS);
+            new AgingMap<>(MOST_SUSPECTS, QuarantineSettings.SUSPECT_MILLIS);
 
     /** The requests that are no longer run. */
     private final AgingMap<RequestFingerprint, CrashRecord> mQuarantined;
@@ -74,7 +67,7 @@
 
     /** The requests of which this router found out a part. */
     private final AgingMap<RequestFingerprint, Boolean> mFoundHere =
-            new AgingMap<>(MOST_SUSPECTS, SUSPECT_MILLIS);
+            new AgingMap<>(MOST_SUSPECTS, QuarantineSettings.SUSPECT_MILLIS);
 
     /** Takes what this router found out. */
     private Consumer<CrashReport> mTeller = report -> {};
@@ -92,8 +85,7 @@
     public Quarantine(QuarantineSettings settings, LongSupplier millis, MetricRegistry metrics) {
         mSettings = settings;
         mMillis = millis;
-        mQuarantined =
-                new AgingMap<>(MOST_QUARANTINED, TimeUnit.SECONDS.toMillis(settings.seconds()));
+        mQuarantined = new AgingMap<>(MOST_QUARANTINED, settings.heldMillis());
         mCrashes = metrics.counter("quarantine.crashes");
         mEntered = metrics.counter("quarantine.entered");
         mCleared = metrics.counter("quarantine.cleared");
@@ -145,7 +137,7 @@
      * @return whether it is in quarantine
      */
     public boolean holds(RequestFingerprint request) {
-        return mQuarantined.get(request, mMillis.getAsLong()).isPresent();
+        return mQuarantined.contains(request, mMillis.getAsLong());
     }
 
     /**
@@ -237,7 +229,7 @@
             return;
         }
         keep(report.request(), after);
-        if (mFoundHere.get(report.request(), mMillis.getAsLong()).isPresent()) {
+        if (mFoundHere.contains(report.request(), mMillis.getAsLong())) {
             mMerged.accept(new CrashReport(report.request(), after));
         }
     }
@@ -267,7 +259,7 @@
             records().keySet().forEach(each -> mOutlines.add(each.outline()));
         }
         mOutlines.add(request.outline());
-        if (record.ended().size() < mSettings.crashes()) {
+        if (!mSettings.holds(record)) {
             mSuspects.put(request, record, now);
             return;
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/QuarantineHandler.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/QuarantineHandler.java
@@ -23,9 +23,6 @@
     /** Names the request to be cleared. */
     public static final String CONTENT = "content";
 
-    /** How the authorization header begins. */
-    private static final String BEARER = "Bearer ";
-
     /** What holds. */
     private final QuarantineSettings mSettings;
 
@@ -100,10 +97,11 @@
      * @param exchange the operator's request
      */
     private void clear(HttpExchange exchange) {
-        String authorization = String.valueOf(exchange.header("Authorization"));
-        boolean told = authorization.startsWith(BEARER);
-        String token = told ? authorization.substring(BEARER.length()) : "";
-        if (!mSettings.mayClear(Tokens.hash(token))) {
+        boolean allowed =
+                Tokens.bearer(exchange.header("Authorization"))
+                        .filter(token -> mSettings.mayClear(Tokens.hash(token)))
+                        .isPresent();
+        if (!allowed) {
             exchange.answer(Answers.refusal(ResultCode.UNKNOWN_TOKEN, "clearing needs the token"));
             return;
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/QuarantineSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/QuarantineSettings.java
@@ -1,6 +1,7 @@
 package org.troutpier.daemon.quarantine;
 
-import java.util.regex.Pattern;
+import java.util.concurrent.TimeUnit;
+import org.troutpier.common.declaration.Tokens;
 import org.troutpier.common.settings.Check;
 
 /**
@@ -15,15 +16,18 @@
 public record QuarantineSettings(
         int crashes, int seconds, int knownMillis, String operatorTokenHash) {
 
-    /** What a hash looks like, or its absence; set before the first settings are made. */
-    private static final Pattern HASH = Pattern.compile("([0-9a-f]{64})?");
-
     /**
      * What holds where nothing is set: one end happens to any request of an ordinary crash, two to
      * one that is tried again in a bad minute, and three are what operators accept to lose.
      */
     public static final QuarantineSettings DEFAULT = new QuarantineSettings(3, 3600, 3000, "");
 
+    /**
+     * How long a request is remembered that is still run, milliseconds: ten minutes, in which a
+     * caller has given up or come back.
+     */
+    static final long SUSPECT_MILLIS = 600_000;
+
     /** The most upstreams that may be lost to one request. */
     private static final int MOST_CRASHES = CrashRecord.MOST_NAMED;
 
@@ -42,8 +46,49 @@
         Check.range("seconds", seconds, 1, MOST_SECONDS);
         Check.range("knownMillis", knownMillis, LEAST_KNOWN_MILLIS, MOST_KNOWN_MILLIS);
         operatorTokenHash = operatorTokenHash == null ? "" : operatorTokenHash;
-        boolean hash = HASH.matcher(operatorTokenHash).matches();
-        Check.that("operatorTokenHash", hash, "must be a SHA-256 hash in hexadecimal digits");
+        Check.that(
+                "operatorTokenHash",
+                operatorTokenHash.isEmpty() || Tokens.isHash(operatorTokenHash),
+                "must be a SHA-256 hash in hexadecimal digits");
+    }
+
+    /**
+     * Returns whether a request is no longer run.
+     *
+     * @param record the upstreams that ended under it
+     * @return whether there are as many as put it into quarantine
+     */
+    public boolean holds(CrashRecord record) {
+        return record.ended().size() >= crashes;
+    }
+
+    /**
+     * Returns whether the next end puts a request into quarantine.
+     *
+     * @param record the upstreams that ended under it
+     * @return whether it does, or has been put there
+     */
+    public boolean nearlyHolds(CrashRecord record) {
+        return record.ended().size() >= crashes - 1;
+    }
+
+    /**
+     * Returns for how long a request is remembered, from the last word of it.
+     *
+     * @param record the upstreams that ended under it
+     * @return milliseconds
+     */
+    public long rememberedMillis(CrashRecord record) {
+        return holds(record) ? heldMillis() : SUSPECT_MILLIS;
+    }
+
+    /**
+     * Returns for how long a request stays in quarantine.
+     *
+     * @return milliseconds
+     */
+    long heldMillis() {
+        return TimeUnit.SECONDS.toMillis(seconds);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/RequestFingerprint.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/RequestFingerprint.java
@@ -2,12 +2,8 @@
 
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.regex.Pattern;
+import org.troutpier.common.declaration.Tokens;
 import org.troutpier.common.settings.Check;
 
 /**
@@ -18,26 +14,23 @@
  * of 11 KB takes 0.26 ms in the compiler's mode that routers run in, one of 4 MB 75 ms, the outline
  * 0.01 ms (processor time, one run on a busy machine).
  *
- * @param value {@value #HALF} bytes of a SHA-256 hash of host, path, query and the body's length,
- *     then as many of the body's, in hexadecimal digits: nobody can make a request that is taken
- *     for another's
+ * @param value {@value #HALF_DIGITS} hexadecimal digits of a SHA-256 hash of host, path, query and
+ *     the body's length, then as many of the body's: nobody can make a request that is taken for
+ *     another's
  */
 public record RequestFingerprint(@JsonValue String value) {
 
-    /** How many bytes of each hash are kept: enough that no two requests meet by chance. */
-    static final int HALF = 8;
+    /** How many digits of each hash are kept: enough that no two requests meet by chance. */
+    static final int HALF_DIGITS = 16;
 
-    /** How many hexadecimal digits a byte has. */
-    private static final int DIGITS_OF_BYTE = 2;
-
-    /** How many digits the outline has. */
-    private static final int OUTLINE_DIGITS = DIGITS_OF_BYTE * HALF;
+    /** Parts what is hashed together; no host and no target has it. */
+    private static final char SEPARATOR = 0;
 
     /** How many digits name a fingerprint in lines for people. */
     static final int SHORT_DIGITS = 8;
 
     /** What a value looks like. */
-    private static final Pattern DIGITS = Pattern.compile("[0-9a-f]{" + 2 * OUTLINE_DIGITS + "}");
+    private static final Pattern DIGITS = Pattern.compile("[0-9a-f]{" + 2 * HALF_DIGITS + "}");
 
     /**
      * Checks the value.
@@ -48,7 +41,7 @@
     @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
     public RequestFingerprint {
         boolean hash = value != null && DIGITS.matcher(value).matches();
-        Check.that("fingerprint", hash, "must have " + 2 * OUTLINE_DIGITS + " hexadecimal digits");
+        Check.that("fingerprint", hash, "must have " + 2 * HALF_DIGITS + " hexadecimal digits");
     }
 
     /**
@@ -60,7 +53,7 @@
      * @return the fingerprint
      */
     public static RequestFingerprint of(String host, String target, byte[] body) {
-        return new RequestFingerprint(outline(host, target, body.length) + half(digest(), body));
+        return new RequestFingerprint(outline(host, target, body.length) + half(Tokens.hash(body)));
     }
 
     /**
@@ -72,23 +65,17 @@
      * @return what the fingerprint begins with
      */
     public static String outline(String host, String target, int bodyLength) {
-        MessageDigest digest = digest();
-        digest.update(host.getBytes(StandardCharsets.UTF_8));
-        digest.update((byte) 0);
-        digest.update(target.getBytes(StandardCharsets.UTF_8));
-        digest.update((byte) 0);
-        return half(digest, ByteBuffer.allocate(Integer.BYTES).putInt(bodyLength).array());
+        return half(Tokens.hash(host + SEPARATOR + target + SEPARATOR + bodyLength));
     }
 
     /**
-     * Ends a hash.
+     * Returns what is kept of a hash.
      *
-     * @param digest the hash so far
-     * @param rest what is hashed last
-     * @return its first bytes, in hexadecimal digits
+     * @param hash the hash, in hexadecimal digits
+     * @return its first digits
      */
-    private static String half(MessageDigest digest, byte[] rest) {
-        return HexFormat.of().formatHex(digest.digest(rest), 0, HALF);
+    private static String half(String hash) {
+        return hash.substring(0, HALF_DIGITS);
     }
 
     /**
@@ -97,20 +84,7 @@
      * @return what the fingerprint begins with
      */
     String outline() {
-        return value.substring(0, OUTLINE_DIGITS);
-    }
-
-    /**
-     * Makes the hash function.
-     *
-     * @return the function, in its first state
-     */
-    private static MessageDigest digest() {
-        try {
-            return MessageDigest.getInstance("SHA-256");
-        } catch (NoSuchAlgorithmException exception) {
-            throw new IllegalStateException("every Java platform has SHA-256", exception);
-        }
+        return value.substring(0, HALF_DIGITS);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/CrashGuard.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/CrashGuard.java
@@ -76,7 +76,7 @@
     private final Map<UpstreamIncarnation, Check> mChecks = new HashMap<>();
 
     /** The upstreams that have ended. */
-    private final AgingMap<UpstreamIncarnation, Boolean> mEnded =
+    private final AgingMap<UpstreamIncarnation, Boolean> mEndedStarts =
             new AgingMap<>(MOST_ENDED, ENDED_MILLIS);
 
     /**
@@ -160,12 +160,12 @@
      */
     void lost(UpstreamEntry upstream, RequestFingerprint request, Consumer<Boolean> judged) {
         UpstreamIncarnation start = upstream.incarnation();
-        if (mEnded.get(start, mLoop.millis()).isPresent()) {
+        if (mEndedStarts.contains(start, mLoop.millis())) {
             mQuarantine.crashed(request, start);
             new Loss(request, judged).ended();
         } else if (mChecks.containsKey(start)) {
             mChecks.get(start).mLate.add(new Loss(request, judged));
-        } else if (mDirectory.takesWork(upstream)) {
+        } else if (mDirectory.usable(upstream).isPresent()) {
             Check check = new Check(upstream);
             check.mLost.add(new Loss(request, judged));
             mChecks.put(start, check);
@@ -280,7 +280,7 @@
         private void ended() {
             UpstreamIncarnation start = mUpstream.incarnation();
             mChecks.remove(start);
-            mEnded.put(start, Boolean.TRUE, mLoop.millis());
+            mEndedStarts.put(start, Boolean.TRUE, mLoop.millis());
             mLost.addAll(mLate);
             mEnds.inc();
             LOGGER.warn("upstream ended id={} requests={}", start, mLost.size());
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -105,7 +105,7 @@
         mContext.view()
                 .whenFresh(
                         () -> {
-                            if (!mOver && !withheld()) {
+                            if (!mOver) {
                                 start();
                             }
                         });
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReturningRequests.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReturningRequests.java
@@ -63,6 +63,6 @@
      * @return whether it comes back
      */
     boolean comesBack(PromptShape prompt, long now) {
-        return mRefused.get(prompt.ownPart(), now).isPresent();
+        return mRefused.contains(prompt.ownPart(), now);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -93,6 +93,9 @@
     /** {@inheritDoc} */
     @Override
     void start() {
+        if (withheld()) {
+            return;
+        }
         if (promptTokens() > mEngine.memoryTokens()) {
             refuse(ResultCode.NO_PLACE, "larger than an engine's memory", 0);
             return;
@@ -316,8 +319,10 @@
         }
         UpstreamEntry engine = mPlace.engine();
         boolean takesWork =
-                upstreams(UpstreamEntry.Role.DECODE).stream()
-                        .anyMatch(each -> each.incarnation().equals(engine.incarnation()));
+                mContext.directory()
+                        .usable(engine)
+                        .filter(listed -> listed.role() == UpstreamEntry.Role.DECODE)
+                        .isPresent();
         if (!takesWork) {
             mTrace.step("left@" + engine.id());
             prompt.ifPresent(stored -> mStored = stored);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/settings/DaemonSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/settings/DaemonSettings.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.net.URI;
+import org.troutpier.common.declaration.Tokens;
 import org.troutpier.common.http.ServerLimits;
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.InstanceId;
@@ -73,7 +74,7 @@
                 "must have at least " + SHORTEST_SECRET + " characters");
         Check.that(
                 "administratorTokenHash",
-                administratorTokenHash == null || administratorTokenHash.matches("[0-9a-f]{64}"),
+                administratorTokenHash == null || Tokens.isHash(administratorTokenHash),
                 "must be a SHA-256 hash: " + administratorTokenHash);
         Check.present("platform", platform);
         callerLimits = callerLimits == null ? DEFAULT_LIMITS : callerLimits;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/admission/CoordinatorPermitsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/admission/CoordinatorPermitsTest.java
@@ -3,7 +3,6 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -14,14 +13,13 @@
 import org.troutpier.common.declaration.PartnerDeclaration;
 import org.troutpier.common.declaration.Role;
 import org.troutpier.common.declaration.UpstreamDeclaration;
-import org.troutpier.common.event.EventRing;
-import org.troutpier.common.event.HybridClock;
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.PartnerId;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.node.TestNode;
 import org.troutpier.daemon.peer.Membership;
 import org.troutpier.daemon.peer.Membership.Member;
 import org.troutpier.daemon.peer.PeerMessage;
@@ -57,16 +55,7 @@
                             "127.0.0.1:" + number,
                             false);
             mMembership = new Membership(mMember, mNow::get);
-            Node node =
-                    new Node(
-                            mMember.incarnation(),
-                            mMember.hall(),
-                            null,
-                            mControl,
-                            null,
-                            new MetricRegistry(),
-                            new EventRing("r", 16, new HybridClock()),
-                            mNow::get);
+            Node node = TestNode.of(mMember.incarnation(), mMember.hall(), mControl, mNow::get);
             mUpstreamRegistry.apply(declarations());
             mPermits =
                     new CoordinatorPermits(
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/MemberRegistryTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/MemberRegistryTest.java
@@ -3,29 +3,21 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import com.codahale.metrics.MetricRegistry;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.troutpier.common.event.EventRing;
-import org.troutpier.common.event.HybridClock;
 import org.troutpier.common.http.Json;
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
-import org.troutpier.common.id.InstanceId;
-import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.node.ManualTime;
 import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.node.TestNode;
 import org.troutpier.daemon.peer.Membership.Member;
-import org.troutpier.daemon.peer.PeerLinks;
 import org.troutpier.daemon.peer.PeerMessage;
-import org.troutpier.daemon.quarantine.CrashReport;
-import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.rows.FakeRowStore;
 import org.troutpier.daemon.rows.RowStore;
 import org.troutpier.daemon.rows.RowStore.Row;
@@ -36,13 +28,11 @@
 public final class MemberRegistryTest {
 
     private static final String TABLE = "troutpier_members";
-    private static final Address SELF = new Address("127.0.0.1", 1);
 
     private ManualTime mTime;
     private VersionedRows mRows;
-    private List<String> mConnected;
     private List<Integer> mCounts;
-    private PeerExchange mExchange;
+    private LoneRouter mRouter;
     private int mReads;
     private int mWrites;
     private int mFirstStarts;
@@ -77,33 +67,10 @@
         }
     }
 
-    /** Notes to whom connections are opened. */
-    private final class Links implements PeerLinks {
-
-        @Override
-        public void connect(Member member) {
-            mConnected.add(member.incarnation().instance().value());
-        }
-
-        @Override
-        public boolean connected(Incarnation to) {
-            return false;
-        }
-
-        @Override
-        public boolean send(Incarnation to, PeerMessage message) {
-            return false;
-        }
-
-        @Override
-        public void sendAll(Collection<Incarnation> to, PeerMessage message) {}
-    }
-
     @BeforeMethod
     void start() {
         mTime = new ManualTime();
         mRows = new VersionedRows();
-        mConnected = new ArrayList<>();
         mCounts = new ArrayList<>();
         join();
     }
@@ -112,37 +79,14 @@
         mReads = 0;
         mWrites = 0;
         mFirstStarts = 0;
-        Node node =
-                new Node(
-                        Incarnation.start(new InstanceId("self")),
-                        new HallId("hall"),
-                        null,
-                        mTime.control(),
-                        null,
-                        new MetricRegistry(),
-                        new EventRing("self", 16, new HybridClock()),
-                        mTime::nanos);
-        mExchange =
-                new PeerExchange(
-                        node,
-                        SELF,
-                        (members, hearer) -> new Links(),
-                        new CurrentConfiguration(),
-                        bytes -> null,
-                        new PeerLoads(),
-                        new NoticeListener() {
-                            @Override
-                            public void refused(List<String> keys) {}
-
-                            @Override
-                            public void crashed(List<CrashReport> reports) {}
-                        });
+        Node node = TestNode.of("self", mTime.control(), mTime::nanos);
+        mRouter = new LoneRouter(node);
         new MemberRegistry(
                         node,
                         new CountingStore(),
-                        SELF,
+                        LoneRouter.ADDRESS,
                         RouterCapacity.of(1, 1000),
-                        mExchange,
+                        mRouter.mExchange,
                         mCounts::add,
                         () -> mFirstStarts++)
                 .start();
@@ -185,9 +129,9 @@
                                     mRows.version(),
                                     false));
             SharedPage page = new SharedPage(TABLE, before, mRows.version(), 0, rows);
-            mExchange.heard(reader, new PeerMessage.Page(page));
+            mRouter.mExchange.heard(reader, new PeerMessage.Page(page));
             mTime.pass(400);
-            assertTrue(mConnected.contains(name), "connected to " + mConnected);
+            assertTrue(mRouter.mConnected.contains(name), "connected to " + mRouter.mConnected);
         }
         assertTrue(mReads <= 1, "calls " + mReads);
     }
@@ -224,8 +168,8 @@
         put(key, value);
         put("third", member("third"));
         mTime.pass(2000);
-        assertTrue(mConnected.contains("third"), "connected to " + mConnected);
-        assertTrue(!mConnected.contains("other"), "connected to " + mConnected);
+        assertTrue(mRouter.mConnected.contains("third"), "connected to " + mRouter.mConnected);
+        assertTrue(!mRouter.mConnected.contains("other"), "connected to " + mRouter.mConnected);
         assertEquals(mCounts.get(mCounts.size() - 1), Integer.valueOf(2));
     }
 
@@ -235,9 +179,9 @@
         mTime.pass(2000);
         put("other", "no JSON");
         mTime.pass(2000);
-        mConnected.clear();
+        mRouter.mConnected.clear();
         mTime.pass(5000);
-        assertTrue(mConnected.contains("other"), "connected to " + mConnected);
+        assertTrue(mRouter.mConnected.contains("other"), "connected to " + mRouter.mConnected);
     }
 
     @Test
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -3,7 +3,6 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -14,8 +13,6 @@
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import org.troutpier.common.event.EventRing;
-import org.troutpier.common.event.HybridClock;
 import org.troutpier.common.http.ServerLimits;
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
@@ -24,6 +21,7 @@
 import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.node.ManualTime;
 import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.node.TestNode;
 import org.troutpier.daemon.peer.Membership.Member;
 import org.troutpier.daemon.peer.PeerLinks;
 import org.troutpier.daemon.peer.PeerMesh;
@@ -114,16 +112,7 @@
             HallId hall = new HallId("hall-" + number % HALLS);
             Address address = new Address("127.0.0.1", 1000 + number);
             mSelf = new Member(incarnation, hall, address.toString(), false);
-            Node node =
-                    new Node(
-                            incarnation,
-                            hall,
-                            null,
-                            mControl,
-                            null,
-                            new MetricRegistry(),
-                            new EventRing(name, 16, new HybridClock()),
-                            mTime::nanos);
+            Node node = TestNode.of(incarnation, hall, mControl, mTime::nanos);
             mExchange =
                     new PeerExchange(
                             node,
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/QuarantineTableTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/QuarantineTableTest.java
@@ -5,28 +5,18 @@
 import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
-import java.util.Collection;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import org.troutpier.common.event.EventRing;
-import org.troutpier.common.event.HybridClock;
-import org.troutpier.common.id.HallId;
-import org.troutpier.common.id.Incarnation;
-import org.troutpier.common.id.InstanceId;
 import org.troutpier.common.id.UpstreamIncarnation;
-import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.node.ManualTime;
 import org.troutpier.daemon.node.Node;
-import org.troutpier.daemon.peer.Membership.Member;
-import org.troutpier.daemon.peer.PeerLinks;
-import org.troutpier.daemon.peer.PeerMessage;
+import org.troutpier.daemon.node.TestNode;
 import org.troutpier.daemon.quarantine.CrashRecord;
 import org.troutpier.daemon.quarantine.CrashReport;
 import org.troutpier.daemon.quarantine.Quarantine;
 import org.troutpier.daemon.quarantine.QuarantineSettings;
 import org.troutpier.daemon.quarantine.RequestFingerprint;
-import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.rows.FakeRowStore;
 import org.troutpier.standins.platform.VersionedRows;
 import org.troutpier.standins.platform.VersionedRows.Key;
@@ -42,7 +32,7 @@
     private VersionedRows mRows;
 
     /** A router that no other reaches. */
-    private final class Router implements PeerLinks {
+    private final class Router {
 
         final FakeRowStore mStore = new FakeRowStore(mRows);
         final Quarantine mQuarantine =
@@ -51,31 +41,8 @@
         final QuarantineTable mTable;
 
         Router(String name) {
-            Node node =
-                    new Node(
-                            Incarnation.start(new InstanceId(name)),
-                            new HallId("hall"),
-                            null,
-                            mControl,
-                            null,
-                            new MetricRegistry(),
-                            new EventRing(name, 16, new HybridClock()),
-                            mTime::nanos);
-            PeerExchange exchange =
-                    new PeerExchange(
-                            node,
-                            new Address("127.0.0.1", 1),
-                            (members, hearer) -> this,
-                            new CurrentConfiguration(),
-                            bytes -> null,
-                            new PeerLoads(),
-                            new NoticeListener() {
-                                @Override
-                                public void refused(List<String> keys) {}
-
-                                @Override
-                                public void crashed(List<CrashReport> reports) {}
-                            });
+            Node node = TestNode.of(name, mControl, mTime::nanos);
+            PeerExchange exchange = new LoneRouter(node).mExchange;
             mTable =
                     new QuarantineTable(
                             node, mStore, exchange, SETTINGS, mQuarantine, Runnable::run);
@@ -91,22 +58,6 @@
         boolean holds() {
             return mQuarantine.holds(GUILTY);
         }
-
-        @Override
-        public void connect(Member member) {}
-
-        @Override
-        public boolean connected(Incarnation to) {
-            return false;
-        }
-
-        @Override
-        public boolean send(Incarnation to, PeerMessage message) {
-            return false;
-        }
-
-        @Override
-        public void sendAll(Collection<Incarnation> to, PeerMessage message) {}
     }
 
     @BeforeMethod
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
@@ -4,7 +4,6 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -12,12 +11,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import org.troutpier.common.event.EventRing;
-import org.troutpier.common.event.HybridClock;
 import org.troutpier.common.http.ServerLimits;
 import org.troutpier.common.id.HallId;
-import org.troutpier.common.id.Incarnation;
-import org.troutpier.common.id.InstanceId;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.cluster.Demand;
@@ -26,6 +21,7 @@
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualTime;
 import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.node.TestNode;
 import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.route.RoutingConfiguration;
@@ -82,16 +78,7 @@
         mStore = new FakeRowStore(new VersionedRows());
         mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
         mOrders = new FakeOrders();
-        Node node =
-                new Node(
-                        Incarnation.start(new InstanceId("router")),
-                        new HallId("hall"),
-                        null,
-                        mTime.control(),
-                        null,
-                        new MetricRegistry(),
-                        new EventRing("router", 16, new HybridClock()),
-                        mTime::nanos);
+        Node node = TestNode.of("router", mTime.control(), mTime::nanos);
         CurrentConfiguration configuration = new CurrentConfiguration();
         EngineTraits traits = new EngineTraits(10, 90_000, 4, 2000, 500, SWITCH);
         configuration.offer(
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleLeaseTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleLeaseTest.java
@@ -4,21 +4,17 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import org.troutpier.common.event.EventRing;
-import org.troutpier.common.event.HybridClock;
-import org.troutpier.common.id.HallId;
-import org.troutpier.common.id.Incarnation;
-import org.troutpier.common.id.InstanceId;
 import org.troutpier.common.time.ElapsedClock;
 import org.troutpier.daemon.node.ManualTime;
 import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.node.TestNode;
 import org.troutpier.daemon.rows.FakeRowStore;
 import org.troutpier.standins.platform.VersionedRows;
 import org.troutpier.standins.platform.VersionedRows.Key;
@@ -42,17 +38,8 @@
         long mSuspendedMillis;
 
         Contender(String name) {
-            Incarnation incarnation = Incarnation.start(new InstanceId(name));
-            Node node =
-                    new Node(
-                            incarnation,
-                            new HallId("hall"),
-                            null,
-                            mControl,
-                            null,
-                            new MetricRegistry(),
-                            new EventRing(name, 16, new HybridClock()),
-                            new ElapsedClock(this::monotonicNanos, mTime::millis));
+            LongSupplier clock = new ElapsedClock(this::monotonicNanos, mTime::millis);
+            Node node = TestNode.of(name, mControl, clock);
             mLease = new RoleLease(node, mStore, TERM);
             mControl.every(() -> mLease.tick(mOtherHolds, mContends), TICK);
         }
