--- a/troutpier-cli/src/main/java/org/troutpier/cli/CliMain.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/CliMain.java
@@ -42,6 +42,7 @@
             CliMain.Run.class,
             CliMain.Status.class,
             CliMain.ShowTimeline.class,
+            OrganisationsCommand.class,
             QuarantineCommand.class,
             GenerateCompletion.class
         })
--- /dev/null
+++ b/troutpier-cli/src/test/java/org/troutpier/cli/OrganisationsCommandTest.java
@@ -0,0 +1,107 @@
+package org.troutpier.cli;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.declaration.KeyHash;
+import org.troutpier.common.http.HttpServer;
+import org.troutpier.common.http.ServerLimits;
+import org.troutpier.common.http.ServerRefusals;
+import org.troutpier.common.id.PartnerId;
+import org.troutpier.common.settings.Address;
+import org.troutpier.daemon.organisation.OrganisationUse;
+import org.troutpier.daemon.organisation.OrganisationsHandler;
+import org.troutpier.daemon.organisation.OthersUse;
+import org.troutpier.daemon.organisation.UseReport;
+import org.troutpier.daemon.organisation.UseSettings;
+import org.troutpier.daemon.route.Organisation;
+import org.troutpier.daemon.route.RoutingConfiguration;
+import org.troutpier.daemon.route.UseLimit;
+
+/** How operators look at what organisations use. */
+public final class OrganisationsCommandTest {
+
+    private static final String KEY = "a-callers-key";
+
+    private EventLoopGroup mLoop;
+    private HttpServer mServer;
+    private long mNow;
+
+    @BeforeMethod
+    void start() {
+        mLoop = new NioEventLoopGroup(1);
+        OthersUse nobody =
+                new OthersUse() {
+                    @Override
+                    public UseReport organisations() {
+                        return UseReport.NONE;
+                    }
+
+                    @Override
+                    public int routers() {
+                        return 0;
+                    }
+                };
+        OrganisationUse use =
+                new OrganisationUse(
+                        new UseSettings(10, 0, 0),
+                        () -> mNow,
+                        new Random(1),
+                        nobody,
+                        () -> 1,
+                        new MetricRegistry());
+        Organisation coast =
+                new Organisation(
+                        new PartnerId("coast"),
+                        Set.of(KeyHash.of(KEY)),
+                        OptionalInt.empty(),
+                        new UseLimit(UseLimit.Unit.TOKENS, 0, 1, 90));
+        use.configured(
+                new RoutingConfiguration(
+                        1,
+                        List.of(),
+                        List.of(),
+                        List.of(coast),
+                        ServerLimits.DEFAULT,
+                        new byte[0]));
+        mNow = 20_000;
+        use.take(coast, 60);
+        use.take(coast, 4000);
+        mServer =
+                new HttpServer(
+                        new Address("127.0.0.1", 0),
+                        mLoop,
+                        ServerLimits.DEFAULT,
+                        ServerRefusals.AsJson.INSTANCE,
+                        new OrganisationsHandler(use));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    void stop() {
+        mServer.close();
+        mLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Test
+    public void eachRouterShowsUseLimitRefusalsAndNoKey() {
+        String router = mServer.address().toString();
+        CliRun run = CliRun.of("organisations", "--router", router, "--token", "any");
+        assertEquals(run.exit(), 0);
+        String line = run.shown().lines().filter(each -> each.contains("coast")).findFirst().get();
+        assertTrue(line.startsWith(router), line);
+        assertTrue(line.matches(".*coast +tokens +100 +100 +60 +0 +1 +[0-9a-f]{8}"), line);
+        assertFalse(run.shown().contains(KEY), run.shown());
+    }
+}
--- a/troutpier-common/src/main/java/org/troutpier/common/declaration/Tokens.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/declaration/Tokens.java
@@ -40,14 +40,19 @@
     }
 
     /**
-     * Returns the token that an authorization header carries.
+     * Returns the token that an authorization header carries. The scheme may be written in any
+     * case, as the standard of HTTP authentication (RFC 9110) has it.
      *
      * @param authorization the header's value, or null
      * @return the token, if it carries one
      */
     public static Optional<String> bearer(String authorization) {
-        boolean carries = authorization != null && authorization.startsWith(BEARER);
-        return carries ? Optional.of(authorization.substring(BEARER.length())) : Optional.empty();
+        boolean carries =
+                authorization != null
+                        && authorization.regionMatches(true, 0, BEARER, 0, BEARER.length());
+        return carries
+                ? Optional.of(authorization.substring(BEARER.length()).strip())
+                : Optional.empty();
     }
 
     /**
--- a/troutpier-common/src/main/java/org/troutpier/common/http/ArrivalTimer.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ArrivalTimer.java
@@ -22,6 +22,9 @@
     /** The running timer, or null between requests. */
     private Future<?> mTimer;
 
+    /** Whether the request that is arriving was answered before it has come whole. */
+    private boolean mAnswered;
+
     /** Whether an exchange is being served, during which bytes start no timer. */
     private BooleanSupplier mServing = () -> false;
 
@@ -48,12 +51,16 @@
     }
 
     /**
-     * Refuses the request that did not arrive.
+     * Refuses the request that did not arrive, or ends the connection of one that was answered.
      *
      * @param context the connection
      */
     private void expire(ChannelHandlerContext context) {
         mTimer = null;
+        if (mAnswered) {
+            context.close();
+            return;
+        }
         Refusing.refuseAndClose(context.channel(), mRefusals, ResultCode.REQUEST_TOO_SLOW);
     }
 
@@ -66,8 +73,14 @@
         mServing = serving;
     }
 
+    /** Takes note that the request was answered, though the rest of it is still to come. */
+    void answered() {
+        mAnswered = true;
+    }
+
     /** Stops the timer: the request has arrived whole, or never will. */
     void stop() {
+        mAnswered = false;
         if (mTimer != null) {
             mTimer.cancel(false);
             mTimer = null;
--- a/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
@@ -71,13 +71,22 @@
         mBusy = busy;
         mDraining = draining;
         mBacklog = backlog;
-        timer.serving(() -> mExchange != null && !mExchange.over());
+        timer.serving(this::serving);
+    }
+
+    /**
+     * Returns whether a request waits for its answer.
+     *
+     * @return whether an exchange is being served
+     */
+    boolean serving() {
+        return mExchange != null && !mExchange.over();
     }
 
     /** {@inheritDoc} */
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-        if (mExchange != null && !mExchange.over()) {
+        if (serving()) {
             mExchange.gone();
             context.close();
             return;
@@ -156,7 +165,7 @@
     /** {@inheritDoc} */
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        boolean idle = mExchange == null || mExchange.over();
+        boolean idle = !serving();
         boolean asked = event instanceof IdleStateEvent || event == HttpServer.Idle.CLOSE;
         if (asked && idle) {
             context.close();
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
@@ -254,16 +254,24 @@
                 pipeline.addLast(new RefuseAll(ResultCode.TOO_MANY_CONNECTIONS, mRefusals));
                 return;
             }
-            pipeline.addLast(new HeadScreen(mHandler, mRefusals));
-            pipeline.addLast(new Aggregator(limits.bodyBytes(), mRefusals));
-            pipeline.addLast(
+            ExchangeHandler exchanges =
                     new ExchangeHandler(
                             mHandler,
                             timer,
                             mRefusals,
                             mBusy,
                             mDraining::get,
-                            HttpServer.this::backlog));
+                            HttpServer.this::backlog);
+            pipeline.addLast(
+                    new HeadScreen(
+                            mHandler,
+                            mRefusals,
+                            timer,
+                            limits.bodyBytes(),
+                            mDraining::get,
+                            exchanges::serving));
+            pipeline.addLast(new Aggregator(limits.bodyBytes(), mRefusals));
+            pipeline.addLast(exchanges);
         }
     }
 
--- a/troutpier-common/src/main/java/org/troutpier/common/result/ResultCode.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/result/ResultCode.java
@@ -57,6 +57,11 @@
     /** What it asks for has ended several upstreams. */
     REQUEST_QUARANTINED(
             129, 503, Family.NOT_RUN, 0, "Upstreams ended under this request; it was not run."),
+    /** The organisation has used what it may use in a window of time. */
+    USE_LIMIT(130, 429, Family.NOT_RUN, 1, "The organisation has used what it may for now."),
+    /** Nothing has confirmed the keys for too long. */
+    KEYS_UNCONFIRMED(
+            131, 503, Family.NOT_RUN, 1, "The router has not heard lately which keys hold."),
     /** The same key runs elsewhere. */
     ALREADY_RUNNING(200, 409, Family.OUTCOME_UNKNOWN, 2, "The request with this key is running."),
     /** Bytes left for an upstream and nothing proves what became of them. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/FairQueue.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/admission/FairQueue.java
@@ -1,7 +1,9 @@
 package org.troutpier.daemon.admission;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
@@ -84,14 +86,14 @@
     }
 
     /**
-     * Charges a partner for one that was served.
+     * Charges a partner for one that was served, also one that did not wait.
      *
      * @param partner the partner
      * @param cost how much of its share was taken
      * @param weight the weight of each partner
      */
     public void charge(PartnerId partner, double cost, Weights weight) {
-        Lane<T> lane = mLanes.get(partner);
+        Lane<T> lane = mLanes.computeIfAbsent(partner, id -> new Lane<>());
         mVirtualTime = Math.max(mVirtualTime, lane.mServed);
         lane.mServed += cost / weight.of(partner);
     }
@@ -113,6 +115,26 @@
         return Optional.of(first.item());
     }
 
+    /**
+     * Takes out all that wait, in the order in which they would be served, without charging anyone:
+     * those that find no room are added again.
+     *
+     * @param weight the weight of each partner
+     * @return all that waited
+     */
+    public List<T> drain(Weights weight) {
+        List<T> order = new ArrayList<>();
+        Map<PartnerId, Double> served = new HashMap<>();
+        mLanes.forEach((partner, lane) -> served.put(partner, lane.mServed));
+        double before = mVirtualTime;
+        for (Optional<T> next = poll(weight); next.isPresent(); next = poll(weight)) {
+            order.add(next.get());
+        }
+        mVirtualTime = before;
+        served.forEach((partner, charged) -> mLanes.get(partner).mServed = charged);
+        return order;
+    }
+
     /**
      * Shows all that wait, in no order.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
@@ -178,7 +178,8 @@
     private void tellGroup() {
         mChanged = false;
         mGroupToldAt = mNode.millis();
-        LoadReport group = mOwn.plus(mLoads.reports(EnumSet.of(ReportScope.OWN), null));
+        LoadReport group =
+                mOwn.plus(mLoads.reports(EnumSet.of(ReportScope.OWN), null, mNode.millis()));
         mLinks.sendAll(otherRelays(), new PeerMessage.Load(ReportScope.GROUP, group));
     }
 
@@ -188,7 +189,7 @@
      * @param local whom to tell
      */
     private void tellRest(Incarnation local) {
-        LoadReport rest = mOwn.plus(mLoads.reports(counted(), local));
+        LoadReport rest = mOwn.plus(mLoads.reports(counted(), local, mNode.millis()));
         mLinks.send(local, new PeerMessage.Load(ReportScope.REST, rest));
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
@@ -1,11 +1,14 @@
 package org.troutpier.daemon.cluster;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.organisation.UseReport;
 
 /**
  * What one or several routers tell the others of themselves. Immutable and thread safe. Each router
@@ -19,6 +22,7 @@
  * @param refusing the engines that refused runs they had set places aside for
  * @param uses what they have under way at each upstream
  * @param demands what callers asked of each model service lately
+ * @param organisations what organisations with a limit used lately
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record LoadReport(
@@ -29,11 +33,12 @@
         Set<UpstreamIncarnation> changing,
         Set<UpstreamIncarnation> refusing,
         Map<UpstreamIncarnation, UpstreamUse> uses,
-        Map<String, Demand> demands) {
+        Map<String, Demand> demands,
+        UseReport organisations) {
 
     /** The report of no router. */
     public static final LoadReport NONE =
-            new LoadReport(-1, 0, false, 0, Set.of(), Set.of(), Map.of(), Map.of());
+            new LoadReport(-1, 0, false, 0, Set.of(), Set.of(), Map.of(), Map.of(), UseReport.NONE);
 
     /** Copies the maps. */
     public LoadReport {
@@ -41,11 +46,42 @@
         refusing = Set.copyOf(refusing);
         uses = Map.copyOf(uses);
         demands = Map.copyOf(demands);
+        organisations = organisations == null ? UseReport.NONE : organisations;
+    }
+
+    /**
+     * Returns the report of nothing but organisations' use.
+     *
+     * @param use the use
+     * @return a report that tells of no router
+     */
+    static LoadReport of(UseReport use) {
+        return NONE.with(use);
+    }
+
+    /**
+     * Returns this report with other use of organisations.
+     *
+     * @param use the use
+     * @return a new report
+     */
+    LoadReport with(UseReport use) {
+        return new LoadReport(
+                configuration,
+                routers,
+                roleHolder,
+                waitingTokens,
+                changing,
+                refusing,
+                uses,
+                demands,
+                use);
     }
 
     /**
      * Returns whether another report says the same but for the demand, which drifts all the time
-     * and matters to the decisions of seconds only.
+     * and matters to the decisions of seconds only, and for organisations' use, which rises with
+     * what is under way and falls by itself.
      *
      * @param other the other report
      * @return whether it does
@@ -73,6 +109,7 @@
         Set<UpstreamIncarnation> refused = new HashSet<>(refusing);
         Map<UpstreamIncarnation, UpstreamUse> allUses = new HashMap<>(uses);
         Map<String, Demand> allDemands = new HashMap<>(demands);
+        List<UseReport> allUse = new ArrayList<>();
         for (LoadReport other : others) {
             count += other.routers;
             holder |= other.roleHolder;
@@ -81,8 +118,17 @@
             refused.addAll(other.refusing);
             other.uses.forEach((id, use) -> allUses.merge(id, use, UpstreamUse::plus));
             other.demands.forEach((name, demand) -> allDemands.merge(name, demand, Demand::plus));
+            allUse.add(other.organisations);
         }
         return new LoadReport(
-                configuration, count, holder, waiting, changed, refused, allUses, allDemands);
+                configuration,
+                count,
+                holder,
+                waiting,
+                changed,
+                refused,
+                allUses,
+                allDemands,
+                organisations.plus(allUse));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.node.Control;
+import org.troutpier.daemon.organisation.OrganisationUse;
 import org.troutpier.daemon.role.RoleController;
 import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.serving.PlaceAllocator;
@@ -31,6 +32,9 @@
     /** What was asked lately. */
     private final DemandMeter mDemand;
 
+    /** What organisations used here. */
+    private final OrganisationUse mOrganisations;
+
     /** The version in force. */
     private final CurrentConfiguration mConfiguration;
 
@@ -56,6 +60,7 @@
      * @param loads what is under way
      * @param places who waits for places
      * @param demand what was asked lately
+     * @param organisations what organisations used here
      * @param configuration the version in force
      * @param roles decides engines' roles, if this router does
      * @param control the control thread
@@ -66,6 +71,7 @@
             UpstreamLoads loads,
             PlaceAllocator places,
             DemandMeter demand,
+            OrganisationUse organisations,
             CurrentConfiguration configuration,
             RoleController roles,
             Control control,
@@ -74,6 +80,7 @@
         mLoads = loads;
         mPlaces = places;
         mDemand = demand;
+        mOrganisations = organisations;
         mConfiguration = configuration;
         mRoles = roles;
         mControl = control;
@@ -130,6 +137,7 @@
     private void report(Map<UpstreamIncarnation, UpstreamUse> uses) {
         mPace.reported();
         mReported = uses;
+        mConfiguration.current().ifPresent(mOrganisations::configured);
         LoadReport report =
                 new LoadReport(
                         mConfiguration.version(),
@@ -139,7 +147,8 @@
                         mRoles.changing(),
                         mLoads.refusing(),
                         uses,
-                        mDemand.publish(mLoop.millis()));
+                        mDemand.publish(mLoop.millis()),
+                        mOrganisations.report());
         mControl.execute(() -> mExchange.tell(report));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -332,7 +332,12 @@
                         || mPlan.reportTo().filter(relay -> same(relay, from)).isPresent();
         if (expected) {
             boolean news =
-                    mLoads.heard(from.incarnation(), load.scope(), load.report(), mNode.millis());
+                    mLoads.heard(
+                            from.incarnation(),
+                            from.hall(),
+                            load.scope(),
+                            load.report(),
+                            mNode.millis());
             if (news && load.scope() != ReportScope.REST) {
                 mRelay.changed();
             }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -1,26 +1,36 @@
 package org.troutpier.daemon.cluster;
 
+import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
+import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.organisation.OthersUse;
+import org.troutpier.daemon.organisation.UseReport;
+import org.troutpier.daemon.organisation.UseSettings;
 
 /**
  * What the other routers said of their load and demand. Changes are confined to the control thread;
- * {@link #use}, {@link #demand}, {@link #changing}, {@link #refusing}, {@link #waitingTokens()},
- * {@link #routers()} and {@link #roleHolder()} are thread safe and answer as of the last {@link
- * #sum}. Invariants: a report counts until {@link #BELIEVED_MILLIS} after it was heard; only
- * reports of the scopes that are counted count, so that no router's load is counted twice.
+ * {@link #use}, {@link #demand}, {@link #organisations()}, {@link #changing}, {@link #refusing},
+ * {@link #waitingTokens()}, {@link #routers()} and {@link #roleHolder()} are thread safe and answer
+ * as of the last {@link #sum}. Invariants: a report counts until {@link #BELIEVED_MILLIS} after it
+ * was heard; only reports of the scopes that are counted count, so that no router's load is counted
+ * twice.
  */
-public final class PeerLoads {
+public final class PeerLoads implements OthersUse {
 
     /** How long a report counts, milliseconds: three of the longest pauses between two. */
     public static final long BELIEVED_MILLIS = 1500;
 
+    /** What routers used that have fallen silent. */
+    private final RetainedUse mRetained;
+
     /** The latest report of each router. */
     private final Map<Incarnation, Heard> mHeard = new HashMap<>();
 
@@ -36,34 +46,95 @@
     /**
      * A report and when it came.
      *
-     * @param scope whose load it tells of
+     * @param source whose load it tells of
      * @param report the report
      * @param at when it came, milliseconds
      */
-    private record Heard(ReportScope scope, LoadReport report, long at) {}
+    private record Heard(RetainedUse.Source source, LoadReport report, long at) {
+
+        /**
+         * Returns whose load it tells of.
+         *
+         * @return the scope
+         */
+        ReportScope scope() {
+            return source.scope();
+        }
+    }
+
+    /** Creates a view in which nobody has said anything, with the limits' default window. */
+    public PeerLoads() {
+        this(UseSettings.DEFAULT);
+    }
+
+    /**
+     * Creates a view in which nobody has said anything.
+     *
+     * @param use how long organisations' use counts
+     */
+    public PeerLoads(UseSettings use) {
+        mRetained = new RetainedUse(use.windowMillis());
+    }
 
     /**
      * Takes a report. It shows once {@link #sum} was called.
      *
      * @param from who sent it
+     * @param hall the sender's hall
      * @param scope whose load it tells of
      * @param report the report
      * @param now the monotonic clock, milliseconds
      * @return whether it says something new of the load
      */
-    public boolean heard(Incarnation from, ReportScope scope, LoadReport report, long now) {
+    public boolean heard(
+            Incarnation from, HallId hall, ReportScope scope, LoadReport report, long now) {
         mNews = true;
-        Heard before = mHeard.put(from, new Heard(scope, report, now));
+        Heard before = mHeard.get(from);
         if (before == null) {
-            mHeard.keySet()
-                    .removeIf(
-                            other ->
-                                    !other.equals(from)
-                                            && other.instance().equals(from.instance()));
+            forgetEarlierStarts(from);
+        }
+        boolean own = scope == ReportScope.OWN;
+        String name = own ? from.instance().value() : hall.value();
+        RetainedUse.Source source = new RetainedUse.Source(scope, name);
+        boolean started = own && report.organisations().forgotten() > 0;
+        boolean remembered = started && mRetained.keeps(source);
+        if (!started) {
+            mRetained.forget(source);
         }
+        LoadReport told = remembered ? report.with(report.organisations().remembered()) : report;
+        mHeard.put(from, new Heard(source, told, now));
         return before == null || before.scope() != scope || !before.report().sameLoad(report);
     }
 
+    /**
+     * Drops what earlier starts of a router said, and keeps what they used.
+     *
+     * @param router the start that counts
+     */
+    private void forgetEarlierStarts(Incarnation router) {
+        drop(each -> !each.equals(router) && each.instance().equals(router.instance()));
+    }
+
+    /**
+     * Drops what some routers said, and keeps what they used.
+     *
+     * @param gone which routers
+     * @return whether there were any
+     */
+    private boolean drop(Predicate<Incarnation> gone) {
+        return mHeard.entrySet()
+                .removeIf(
+                        each -> {
+                            boolean dropped = gone.test(each.getKey());
+                            if (dropped && each.getValue().scope() != ReportScope.REST) {
+                                Heard heard = each.getValue();
+                                UseReport use = heard.report().organisations();
+                                mRetained.keep(heard.source(), use, heard.at());
+                            }
+                            return dropped;
+                        });
+    }
+
     /**
      * Sets which scopes count.
      *
@@ -82,11 +153,12 @@
         mNews = false;
         dropOld(now);
         mSum =
-                LoadReport.NONE.plus(
-                        mHeard.values().stream()
-                                .filter(heard -> mCounted.contains(heard.scope()))
-                                .map(Heard::report)
-                                .toList());
+                LoadReport.of(retained(mCounted, now))
+                        .plus(
+                                mHeard.values().stream()
+                                        .filter(heard -> mCounted.contains(heard.scope()))
+                                        .map(Heard::report)
+                                        .toList());
     }
 
     /**
@@ -107,7 +179,24 @@
      * @return whether there was any
      */
     private boolean dropOld(long now) {
-        return mHeard.values().removeIf(heard -> now - heard.at() > BELIEVED_MILLIS);
+        return drop(router -> now - mHeard.get(router).at() > BELIEVED_MILLIS);
+    }
+
+    /**
+     * Returns what organisations used at routers that have fallen silent.
+     *
+     * @param scopes the scopes that count
+     * @param now the monotonic clock, milliseconds
+     * @return the use; of a hall whose group another router tells of, nothing
+     */
+    private UseReport retained(Set<ReportScope> scopes, long now) {
+        Set<RetainedUse.Source> groups = new HashSet<>();
+        for (Heard heard : mHeard.values()) {
+            if (heard.scope() == ReportScope.GROUP) {
+                groups.add(heard.source());
+            }
+        }
+        return mRetained.sum(scopes, groups::contains, now);
     }
 
     /**
@@ -132,14 +221,19 @@
      *
      * @param scopes the scopes
      * @param without a router to leave out, or null
-     * @return the reports
+     * @param now the monotonic clock, milliseconds
+     * @return the reports, and one of the use of those that have fallen silent
      */
-    List<LoadReport> reports(Set<ReportScope> scopes, Incarnation without) {
-        return mHeard.entrySet().stream()
-                .filter(each -> scopes.contains(each.getValue().scope()))
-                .filter(each -> !each.getKey().equals(without))
-                .map(each -> each.getValue().report())
-                .toList();
+    List<LoadReport> reports(Set<ReportScope> scopes, Incarnation without, long now) {
+        List<LoadReport> reports = new ArrayList<>();
+        mHeard.forEach(
+                (router, heard) -> {
+                    if (scopes.contains(heard.scope()) && !router.equals(without)) {
+                        reports.add(heard.report());
+                    }
+                });
+        reports.add(LoadReport.of(retained(scopes, now)));
+        return reports;
     }
 
     /**
@@ -191,11 +285,14 @@
         return mSum.waitingTokens();
     }
 
-    /**
-     * Returns how many others were heard of lately.
-     *
-     * @return the count
-     */
+    /** {@inheritDoc} */
+    @Override
+    public UseReport organisations() {
+        return mSum.organisations();
+    }
+
+    /** {@inheritDoc} */
+    @Override
     public int routers() {
         return mSum.routers();
     }
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationUse.java
@@ -0,0 +1,473 @@
+package org.troutpier.daemon.organisation;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.troutpier.common.id.PartnerId;
+import org.troutpier.daemon.decision.LimitShare;
+import org.troutpier.daemon.route.Organisation;
+import org.troutpier.daemon.route.RoutingConfiguration;
+import org.troutpier.daemon.route.UseLimit;
+
+/**
+ * Keeps organisations to their limits over all routers: each counts what it lets in and tells it
+ * with its load, and lets in what the sum leaves room for. Confined to the traffic loop. Invariant:
+ * what this router lets in stays, with what it heard of the others, under the {@link LimitShare}.
+ *
+ * <p>It answers limits that hold a few requests for each router in a window: a fixed part of such a
+ * limit is less than one request, and refuses nearly all that the whole would let in.
+ */
+public final class OrganisationUse {
+
+    /** How soon a caller beyond a limit is told to come back at the earliest, milliseconds. */
+    private static final long LEAST_RETURN_MILLIS = 250;
+
+    /** How often at most a line tells that an organisation is refused, milliseconds. */
+    private static final long LINE_MILLIS = 10_000;
+
+    /** What the names of an organisation's figures begin with. */
+    private static final String FIGURES = "organisation.";
+
+    /** Logs refusals and changed limits. */
+    private static final Logger LOGGER = LogManager.getLogger(OrganisationUse.class);
+
+    /** How strictly limits are kept. */
+    private final UseSettings mSettings;
+
+    /** The monotonic clock, milliseconds. */
+    private final LongSupplier mMillis;
+
+    /** Draws whether a request is let in that fits only in part. */
+    private final RandomGenerator mRandom;
+
+    /** What the other routers used. */
+    private final OthersUse mOthers;
+
+    /** Tells how many routers there may be. */
+    private final IntSupplier mKnown;
+
+    /** Counts by organisation. */
+    private final MetricRegistry mMetrics;
+
+    /** When this router began to count, milliseconds. */
+    private final long mStartedAt;
+
+    /** The accounts of the organisations in force. */
+    private final Map<PartnerId, Account> mAccounts = new HashMap<>();
+
+    /** The version that the accounts are of. */
+    private long mVersion = -1;
+
+    /** Whether fewer than all routers are heard, as it was told last. */
+    private boolean mPartToldOf;
+
+    /**
+     * Why a request is not let in. Immutable and thread safe.
+     *
+     * @param detail what it was decided by
+     * @param returnMillis when there will be room, milliseconds from now
+     */
+    public record Refusal(String detail, long returnMillis) {}
+
+    /**
+     * What is known of one organisation, as operators see it. Immutable and thread safe.
+     *
+     * @param organisation its name
+     * @param unit what its use is counted in
+     * @param limit what it may use in a window over all routers; 0 for no limit
+     * @param most what the routers that hear each other let in of that now
+     * @param here what it used here in the window
+     * @param elsewhere what it used at the others
+     * @param refused how many requests were refused here since the start
+     * @param keys the fingerprints of its keys
+     */
+    public record Standing(
+            String organisation,
+            String unit,
+            long limit,
+            long most,
+            long here,
+            long elsewhere,
+            long refused,
+            List<String> keys) {}
+
+    /** One organisation's use at this router, and its limit over time. */
+    private static final class Account {
+
+        /** What it used here. */
+        private final UseWindow mUsed;
+
+        /** The organisation as the version in force has it. */
+        private Organisation mOrganisation;
+
+        /** What it may use in a window, by the version in force. */
+        private double mLimit;
+
+        /** What it might use in a window when its limit was last lowered. */
+        private double mLimitBefore;
+
+        /** When its limit was last lowered, milliseconds. */
+        private long mLoweredAt;
+
+        /** How many requests were refused. */
+        private long mRefused;
+
+        /** When a refusal was last told of, milliseconds. */
+        private long mToldAt = Long.MIN_VALUE / 2;
+
+        /**
+         * Creates an account.
+         *
+         * @param windowMillis how long the window is, milliseconds
+         */
+        Account(long windowMillis) {
+            mUsed = new UseWindow(windowMillis);
+        }
+    }
+
+    /**
+     * Creates a count that begins now.
+     *
+     * @param settings how strictly limits are kept
+     * @param millis the monotonic clock, milliseconds
+     * @param random draws whether a request is let in that fits only in part
+     * @param others what the other routers used
+     * @param known tells how many routers there may be, this one included
+     * @param metrics counts by organisation
+     */
+    public OrganisationUse(
+            UseSettings settings,
+            LongSupplier millis,
+            RandomGenerator random,
+            OthersUse others,
+            IntSupplier known,
+            MetricRegistry metrics) {
+        mSettings = settings;
+        mMillis = millis;
+        mRandom = random;
+        mOthers = others;
+        mKnown = known;
+        mMetrics = metrics;
+        mStartedAt = millis.getAsLong();
+    }
+
+    /**
+     * Takes the organisations of a version, unless it is the one that counts already.
+     *
+     * @param configuration the version in force
+     */
+    public void configured(RoutingConfiguration configuration) {
+        if (configuration.version() == mVersion) {
+            return;
+        }
+        mVersion = configuration.version();
+        Map<PartnerId, Organisation> organisations = configuration.organisations();
+        if (mAccounts.keySet().retainAll(organisations.keySet())) {
+            mMetrics.removeMatching((name, metric) -> name.startsWith(FIGURES) && !counted(name));
+        }
+        organisations.values().forEach(this::configured);
+    }
+
+    /**
+     * Returns whether a figure belongs to an organisation in force.
+     *
+     * @param name the figure's name
+     * @return whether it does
+     */
+    private boolean counted(String name) {
+        String id = name.substring(FIGURES.length(), name.lastIndexOf('.'));
+        return mAccounts.containsKey(new PartnerId(id));
+    }
+
+    /**
+     * Takes one organisation of a version. Of a lowered limit the difference is taken away over a
+     * window: use that the limit before allowed would else refuse all that the new one allows.
+     *
+     * @param organisation the organisation
+     */
+    private void configured(Organisation organisation) {
+        long now = mMillis.getAsLong();
+        double limit = organisation.limit().within(mSettings.windowSeconds());
+        Account account = mAccounts.get(organisation.id());
+        if (account == null) {
+            account = new Account(mSettings.windowMillis());
+            account.mLimitBefore = limit;
+            mAccounts.put(organisation.id(), account);
+        } else if (limit != account.mLimit) {
+            account.mLimitBefore = Math.max(limit, limit(account, now));
+            account.mLoweredAt = now;
+            LOGGER.info(
+                    "limit changed organisation={} before={} now={}",
+                    organisation.id(),
+                    (long) account.mLimit,
+                    (long) limit);
+        }
+        account.mLimit = limit;
+        account.mOrganisation = organisation;
+    }
+
+    /**
+     * Returns what an organisation may use in a window.
+     *
+     * @param account its account
+     * @param now the monotonic clock, milliseconds
+     * @return use in the limit's unit
+     */
+    private double limit(Account account, long now) {
+        double passed = (now - account.mLoweredAt) / (double) mSettings.windowMillis();
+        double left = Math.max(0, 1 - passed);
+        return account.mLimit + (account.mLimitBefore - account.mLimit) * left;
+    }
+
+    /**
+     * Lets a request in and counts it, or refuses it. An organisation without a limit is counted
+     * too, so that operators see what it uses.
+     *
+     * @param organisation whose request it is
+     * @param cost what it uses, in the limit's unit
+     * @return why it is refused, or empty where it is let in
+     */
+    public Optional<Refusal> take(Organisation organisation, double cost) {
+        Account account = mAccounts.get(organisation.id());
+        if (account == null) {
+            return Optional.empty();
+        }
+        long now = mMillis.getAsLong();
+        if (organisation.limit().bounded()) {
+            Room room = room(account, now);
+            if (!fits(room.left(), cost)) {
+                return Optional.of(refuse(account, cost, room, now));
+            }
+        }
+        account.mUsed.add(cost, now);
+        count(organisation.id(), "used", Math.round(cost));
+        return Optional.empty();
+    }
+
+    /**
+     * Returns whether a request fits. One that fits in part is let in by chance: a router that is
+     * alone may use less than one request in a window, and would else never let one in.
+     *
+     * @param room what may still be used
+     * @param cost what the request uses
+     * @return whether it is let in
+     */
+    private boolean fits(double room, double cost) {
+        return cost <= room || room > 0 && mRandom.nextDouble() * cost < room;
+    }
+
+    /**
+     * How much more an organisation may use now. Immutable.
+     *
+     * @param here what it used here
+     * @param elsewhere what it used at the others
+     * @param most what may be used in the window
+     * @param mostPaced what may be used in the window's newest part
+     */
+    private record Room(RecentUse here, RecentUse elsewhere, double most, double mostPaced) {
+
+        /**
+         * Returns what may still be used.
+         *
+         * @return use in the limit's unit; not above 0 where nothing may
+         */
+        double left() {
+            return Math.min(
+                    most - here.window() - elsewhere.window(),
+                    mostPaced - here.pace() - elsewhere.pace());
+        }
+    }
+
+    /**
+     * Looks how much more an organisation may use.
+     *
+     * @param account its account
+     * @param now the monotonic clock, milliseconds
+     * @return the room
+     */
+    private Room room(Account account, long now) {
+        double limit = limit(account, now);
+        double paced = account.mOrganisation.limit().within(mSettings.paceSeconds());
+        return new Room(
+                account.mUsed.used(now),
+                elsewhere(account.mOrganisation.id()),
+                share(limit, Math.min(limit, forgottenUse(paced, now))).most(),
+                share(paced, 0).most());
+    }
+
+    /**
+     * Returns what may have been used in the window that nobody remembers: what the pace allowed.
+     *
+     * @param paced what may be used in the part of the window over which use is paced
+     * @param now the monotonic clock, milliseconds
+     * @return use in the limit's unit
+     */
+    private double forgottenUse(double paced, long now) {
+        double routers = mOthers.organisations().forgotten() + forgotten(now);
+        int known = Math.max(mOthers.routers() + 1, mKnown.getAsInt());
+        return paced / UseSettings.PACE_PART * routers / known;
+    }
+
+    /**
+     * Refuses a request.
+     *
+     * @param account its organisation's account
+     * @param cost what it would use
+     * @param room what may be used
+     * @param now the monotonic clock, milliseconds
+     * @return the refusal
+     */
+    private Refusal refuse(Account account, double cost, Room room, long now) {
+        PartnerId id = account.mOrganisation.id();
+        account.mRefused++;
+        count(id, "refused", 1);
+        String detail =
+                "%s used %d here and %d elsewhere of %d in %d ms"
+                        .formatted(
+                                id,
+                                room.here().window(),
+                                room.elsewhere().window(),
+                                (long) room.most(),
+                                mSettings.windowMillis());
+        if (now - account.mToldAt >= LINE_MILLIS) {
+            account.mToldAt = now;
+            LOGGER.info("organisation beyond its limit: {}", detail);
+        }
+        double beyond = cost - room.left();
+        double freedPerMilli = Math.max(1, account.mLimit) / mSettings.windowMillis();
+        long wait = Math.round(beyond / freedPerMilli);
+        long returnMillis = Math.max(LEAST_RETURN_MILLIS, Math.min(mSettings.windowMillis(), wait));
+        return new Refusal(detail, returnMillis);
+    }
+
+    /**
+     * Gives back what a request used that certainly did not run.
+     *
+     * @param organisation whose request it was
+     * @param cost what it used
+     * @param at when it was let in, milliseconds
+     */
+    public void giveBack(Organisation organisation, double cost, long at) {
+        Account account = mAccounts.get(organisation.id());
+        if (account != null) {
+            account.mUsed.giveBack(cost, at, mMillis.getAsLong());
+            count(organisation.id(), "given-back", Math.round(cost));
+        }
+    }
+
+    /**
+     * Counts for an organisation.
+     *
+     * @param organisation the organisation
+     * @param what what is counted
+     * @param more how much
+     */
+    private void count(PartnerId organisation, String what, long more) {
+        mMetrics.counter(FIGURES + organisation + "." + what).inc(more);
+    }
+
+    /**
+     * Returns how much of a limit the routers that hear each other may use.
+     *
+     * @param limit the limit
+     * @param assumed what may have been used that nobody remembers
+     * @return the share
+     */
+    private LimitShare share(double limit, double assumed) {
+        int heard = mOthers.routers() + 1;
+        int known = Math.max(heard, mKnown.getAsInt());
+        boolean part = heard < known;
+        if (part != mPartToldOf) {
+            mPartToldOf = part;
+            LOGGER.info("limits are kept with part={} heard={} known={}", part, heard, known);
+        }
+        return new LimitShare(limit, mSettings.tolerance(limit), heard, known, assumed);
+    }
+
+    /**
+     * Returns what an organisation used at the others.
+     *
+     * @param organisation the organisation
+     * @return its use
+     */
+    private RecentUse elsewhere(PartnerId organisation) {
+        return mOthers.organisations().used().getOrDefault(organisation, RecentUse.NONE);
+    }
+
+    /**
+     * Returns which part of the window lies before this router's start.
+     *
+     * @param now the monotonic clock, milliseconds
+     * @return the part, 0 to 1
+     */
+    private double forgotten(long now) {
+        return Math.max(0, 1 - (now - mStartedAt) / (double) mSettings.windowMillis());
+    }
+
+    /**
+     * Returns what is to be told to the others.
+     *
+     * @return what each organisation with a limit used here
+     */
+    public UseReport report() {
+        long now = mMillis.getAsLong();
+        if (mAccounts.isEmpty()) {
+            return UseReport.NONE;
+        }
+        Map<PartnerId, RecentUse> used = new HashMap<>();
+        mAccounts.forEach(
+                (id, account) -> {
+                    RecentUse sum = account.mUsed.used(now);
+                    if (sum.window() > 0 && account.mOrganisation.limit().bounded()) {
+                        used.put(id, sum);
+                    }
+                });
+        return new UseReport(forgotten(now), used);
+    }
+
+    /**
+     * Returns what is known of each organisation.
+     *
+     * @return the organisations by name
+     */
+    public List<Standing> standings() {
+        long now = mMillis.getAsLong();
+        return mAccounts.values().stream()
+                .map(account -> standing(account, now))
+                .sorted((one, other) -> one.organisation().compareTo(other.organisation()))
+                .toList();
+    }
+
+    /**
+     * Returns what is known of one organisation.
+     *
+     * @param account its account
+     * @param now the monotonic clock, milliseconds
+     * @return what operators see
+     */
+    private Standing standing(Account account, long now) {
+        UseLimit limit = account.mOrganisation.limit();
+        boolean bounded = limit.bounded();
+        Room room = room(account, now);
+        return new Standing(
+                account.mOrganisation.id().value(),
+                limit.unit().name().toLowerCase(Locale.ROOT),
+                bounded ? Math.round(account.mLimit) : 0,
+                bounded ? Math.round(room.most()) : 0,
+                room.here().window(),
+                room.elsewhere().window(),
+                account.mRefused,
+                account.mOrganisation.keys().stream()
+                        .map(key -> key.fingerprint())
+                        .sorted()
+                        .toList());
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OthersUse.java
@@ -0,0 +1,19 @@
+package org.troutpier.daemon.organisation;
+
+/** What the other routers told of organisations' use. Thread safe. */
+public interface OthersUse {
+
+    /**
+     * Returns what the others used, and those that have fallen silent since.
+     *
+     * @return the sum, as it was known last
+     */
+    UseReport organisations();
+
+    /**
+     * Returns how many others were heard of lately.
+     *
+     * @return the count
+     */
+    int routers();
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/RecentUse.java
@@ -0,0 +1,38 @@
+package org.troutpier.daemon.organisation;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+
+/**
+ * What an organisation used lately, in its limit's unit. Immutable and thread safe.
+ *
+ * @param window in the whole window of limits
+ * @param pace in the newest {@link UseSettings#PACE_PART} of it
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record RecentUse(long window, long pace) {
+
+    /** No use. */
+    public static final RecentUse NONE = new RecentUse(0, 0);
+
+    /**
+     * Returns this use and another together.
+     *
+     * @param other the other
+     * @return the sum
+     */
+    public RecentUse plus(RecentUse other) {
+        return new RecentUse(window + other.window, pace + other.pace);
+    }
+
+    /**
+     * Returns what of this use still counts after some time without any more.
+     *
+     * @param passed the time, as a part of the window
+     * @return what is left, where it was even
+     */
+    public RecentUse after(double passed) {
+        double leftOfPace = Math.max(0, 1 - passed / UseSettings.PACE_PART);
+        return new RecentUse(
+                Math.round(window * Math.max(0, 1 - passed)), Math.round(pace * leftOfPace));
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/UseReport.java
@@ -0,0 +1,63 @@
+package org.troutpier.daemon.organisation;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.HashMap;
+import java.util.Map;
+import org.troutpier.common.id.PartnerId;
+
+/**
+ * What organisations with a limit used lately at one or several routers. Immutable and thread safe.
+ * It travels with each report of load, so its fields go without their names.
+ *
+ * @param forgotten of how many routers nobody remembers what they used in the window, in routers
+ *     times the part of the window
+ * @param used what each organisation used lately
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record UseReport(double forgotten, Map<PartnerId, RecentUse> used) {
+
+    /** The report of no router. */
+    public static final UseReport NONE = new UseReport(0, Map.of());
+
+    /** Copies the map. */
+    public UseReport {
+        used = Map.copyOf(used);
+    }
+
+    /**
+     * Returns the use of these and other routers together.
+     *
+     * @param others the others' reports
+     * @return a new report
+     */
+    public UseReport plus(Iterable<UseReport> others) {
+        double routers = forgotten;
+        Map<PartnerId, RecentUse> sum = new HashMap<>(used);
+        for (UseReport other : others) {
+            routers += other.forgotten;
+            other.used.forEach((id, more) -> sum.merge(id, more, RecentUse::plus));
+        }
+        return new UseReport(routers, sum);
+    }
+
+    /**
+     * Returns the report of routers whose earlier use somebody remembers.
+     *
+     * @return the same use, with nothing forgotten
+     */
+    public UseReport remembered() {
+        return new UseReport(0, used);
+    }
+
+    /**
+     * Returns what still counts of the use of routers that use no more.
+     *
+     * @param passed how long ago that was, as a part of the window
+     * @return a new report
+     */
+    public UseReport after(double passed) {
+        Map<PartnerId, RecentUse> left = new HashMap<>();
+        used.forEach((organisation, use) -> left.put(organisation, use.after(passed)));
+        return new UseReport(0, left);
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/route/Route.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/route/Route.java
@@ -16,6 +16,7 @@
  * @param priority the rank, 0 is the most urgent
  * @param maxAttempts the most upstreams that one request may be sent to
  * @param services where requests go, by weight; not empty
+ * @param open whether it asks for no key
  */
 public record Route(
         String name,
@@ -27,7 +28,8 @@
         int eventGapMillis,
         int priority,
         int maxAttempts,
-        List<WeightedService> services) {
+        List<WeightedService> services,
+        boolean open) {
 
     /** What may be repeated on a route. */
     public enum Kind {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/route/RoutingConfiguration.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/route/RoutingConfiguration.java
@@ -1,18 +1,26 @@
 package org.troutpier.daemon.route;
 
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import org.troutpier.common.declaration.KeyHash;
 import org.troutpier.common.http.ServerLimits;
+import org.troutpier.common.id.PartnerId;
+import org.troutpier.common.result.ResultCode;
+import org.troutpier.common.result.TroutpierException;
 import org.troutpier.common.settings.Check;
 
 /**
- * One version of all routes, services and callers' limits. Immutable and thread safe. Invariant:
- * the routes of a host are kept with the longest prefix first, so the first match is the route.
+ * One version of all routes, services, organisations and callers' limits. Immutable and thread
+ * safe. Invariant: the routes of a host are kept with the longest prefix first, so the first match
+ * is the route.
  */
 public final class RoutingConfiguration {
 
@@ -25,25 +33,35 @@
     /** The services by name. */
     private final Map<String, Service> mServices;
 
+    /** The organisations by name. */
+    private final Map<PartnerId, Organisation> mOrganisations;
+
+    /** Whose each key is. */
+    private final Map<KeyHash, Organisation> mKeys;
+
     /** What callers are held to. */
     private final ServerLimits mLimits;
 
-    /** The configuration as the operator wrote it. */
+    /** The configuration as the operator wrote it, without callers' keys. */
     private final byte[] mEncoded;
 
     /**
-     * Creates a version.
+     * Creates a version. It fails with {@link ResultCode#INVALID_DECLARATION} where two
+     * organisations have one name or one key.
      *
      * @param version the version
      * @param routes all routes
      * @param services all services
+     * @param organisations all organisations; empty where requests need no key
      * @param limits what callers are held to
-     * @param encoded the configuration as the operator wrote it, for other routers
+     * @param encoded the configuration as the operator wrote it, for other routers; it holds no
+     *     callers' keys, only their hashes
      */
     public RoutingConfiguration(
             long version,
             List<Route> routes,
             List<Service> services,
+            List<Organisation> organisations,
             ServerLimits limits,
             byte[] encoded) {
         mVersion = version;
@@ -52,11 +70,41 @@
         mServices =
                 services.stream()
                         .collect(Collectors.toUnmodifiableMap(Service::name, Function.identity()));
+        mOrganisations = new LinkedHashMap<>();
+        mKeys = new HashMap<>();
+        organisations.forEach(this::add);
         Comparator<Route> longestFirst =
                 Comparator.<Route>comparingInt(route -> route.pathPrefix().length()).reversed();
         mRoutes = routes.stream().sorted(longestFirst).collect(Collectors.groupingBy(Route::host));
     }
 
+    /**
+     * Adds an organisation.
+     *
+     * @param organisation the organisation
+     */
+    private void add(Organisation organisation) {
+        if (mOrganisations.put(organisation.id(), organisation) != null) {
+            throw invalid("two organisations are named " + organisation.id());
+        }
+        for (KeyHash key : organisation.keys()) {
+            Organisation other = mKeys.put(key, organisation);
+            if (other != null) {
+                throw invalid(key + " is of " + other.id() + " and of " + organisation.id());
+            }
+        }
+    }
+
+    /**
+     * Makes the failure of a version that contradicts itself.
+     *
+     * @param detail what is wrong
+     * @return the failure
+     */
+    private static TroutpierException invalid(String detail) {
+        return new TroutpierException(ResultCode.INVALID_DECLARATION, detail);
+    }
+
     /**
      * Returns the version.
      *
@@ -76,7 +124,7 @@
     }
 
     /**
-     * Returns the configuration as the operator wrote it.
+     * Returns the configuration as the operator wrote it, with hashes in place of callers' keys.
      *
      * @return a copy of the bytes
      */
@@ -117,4 +165,32 @@
     public Map<String, Service> services() {
         return mServices;
     }
+
+    /**
+     * Returns whether requests need a key, unless their route is open.
+     *
+     * @return whether there is any organisation
+     */
+    public boolean asksForKeys() {
+        return !mOrganisations.isEmpty();
+    }
+
+    /**
+     * Finds who has a key.
+     *
+     * @param key the key
+     * @return the organisation, or empty for a key that is not known
+     */
+    public Optional<Organisation> organisation(KeyHash key) {
+        return Optional.ofNullable(mKeys.get(key));
+    }
+
+    /**
+     * Returns the organisations by name.
+     *
+     * @return all organisations, in the operator's order
+     */
+    public Map<PartnerId, Organisation> organisations() {
+        return Collections.unmodifiableMap(mOrganisations);
+    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodePlace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodePlace.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.troutpier.common.id.PartnerId;
 import org.troutpier.daemon.decision.RoomForecast;
 import org.troutpier.daemon.decision.Standing;
 import org.troutpier.daemon.directory.UpstreamEntry;
@@ -24,6 +25,9 @@
     /** What the engines can do. */
     private final EngineTraits mTraits;
 
+    /** In whose name the request is made. */
+    private final Optional<PartnerId> mOrganisation;
+
     /** The prompt's length. */
     private final long mPromptTokens;
 
@@ -54,6 +58,7 @@
      * @param context the collaborators
      * @param service the service whose engines are looked at
      * @param traits what the engines can do
+     * @param organisation in whose name the request is made, if it has one
      * @param promptTokens the prompt's length
      * @param mostTokens the prompt's length and the most output
      */
@@ -61,11 +66,13 @@
             ServingContext context,
             String service,
             EngineTraits traits,
+            Optional<PartnerId> organisation,
             long promptTokens,
             long mostTokens) {
         mContext = context;
         mService = service;
         mTraits = traits;
+        mOrganisation = organisation;
         mPromptTokens = promptTokens;
         mMostTokens = mostTokens;
     }
@@ -93,6 +100,7 @@
                 mContext.places()
                         .find(
                                 new PlaceAllocator.Wanted(
+                                        mOrganisation.orElse(PlaceAllocator.NO_PARTNER),
                                         mNeededTokens,
                                         Math.max(mMostTokens, mNeededTokens),
                                         marginTokens(),
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -1,17 +1,18 @@
 package org.troutpier.daemon.serving;
 
-import java.util.Comparator;
+import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.troutpier.common.id.PartnerId;
 import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.admission.FairQueue;
 import org.troutpier.daemon.cluster.LoadView;
 import org.troutpier.daemon.decision.Standing;
 import org.troutpier.daemon.directory.UpstreamEntry;
@@ -34,10 +35,11 @@
     /** How long a place is kept for its prompt to be read, milliseconds. */
     private static final int PLACE_MILLIS = 1000;
 
-    /** Who waits goes by standing, then by age. */
-    private static final Comparator<Search> ORDER =
-            Comparator.<Search, Standing>comparing(search -> search.mWanted.standing())
-                    .thenComparing(search -> search.mNumber);
+    /** Whose requests are that are made in no organisation's name. */
+    public static final PartnerId NO_PARTNER = new PartnerId("none");
+
+    /** Organisations share places evenly. */
+    private static final FairQueue.Weights EVENLY = partner -> 1;
 
     /** The collaborators that it shares with the executions. */
     private final TrafficLoop mLoop;
@@ -57,8 +59,12 @@
     /** Until when each engine is taken to be full, milliseconds on the loop's clock. */
     private final Map<UpstreamIncarnation, Long> mFullUntil = new HashMap<>();
 
-    /** The searches that wait for room. */
-    private final NavigableSet<Search> mWaiting = new TreeSet<>(ORDER);
+    /**
+     * The searches that wait for room, by standing. Within one, organisations take turns by the
+     * tokens that they were given, so that one's flood does not take the room of the others; an
+     * organisation's own go by age.
+     */
+    private final Map<Standing, FairQueue<Search>> mWaiting = new EnumMap<>(Standing.class);
 
     /** How many searches there were. */
     private long mSearches;
@@ -86,6 +92,9 @@
         mPort = port;
         mLoads = loads;
         mRandom = random;
+        for (Standing standing : Standing.values()) {
+            mWaiting.put(standing, new FairQueue<>());
+        }
     }
 
     /** Receives how a search ends, on the traffic loop. */
@@ -111,6 +120,7 @@
     /**
      * What is looked for. Immutable.
      *
+     * @param organisation in whose name the request is made, or {@link #NO_PARTNER}
      * @param promptTokens the prompt's length
      * @param mostTokens the prompt's length and the most output
      * @param marginTokens how much of an engine's memory stays free for growth
@@ -121,6 +131,7 @@
      * @param engines the engines that may be used, asked again for each round
      */
     public record Wanted(
+            PartnerId organisation,
             long promptTokens,
             long mostTokens,
             double marginTokens,
@@ -149,7 +160,11 @@
      * @return the tokens of their prompts
      */
     public long waitingTokens() {
-        return mWaiting.stream().mapToLong(search -> search.mWanted.promptTokens()).sum();
+        long[] tokens = new long[1];
+        for (FairQueue<Search> queue : mWaiting.values()) {
+            queue.forEach(search -> tokens[0] += search.mWanted.promptTokens());
+        }
+        return tokens[0];
     }
 
     /**
@@ -158,7 +173,8 @@
      * @param search the search
      */
     private void await(Search search) {
-        mWaiting.add(search);
+        Wanted wanted = search.mWanted;
+        queue(search).add(wanted.organisation(), search, search.mNumber, wanted.promptTokens());
         if (!mLooking) {
             mLooking = true;
             mLoop.later(
@@ -170,11 +186,21 @@
     /** Has all look again that wait, in their order. */
     private void look() {
         mLooking = false;
-        List<Search> waiting = List.copyOf(mWaiting);
-        mWaiting.clear();
+        List<Search> waiting = new ArrayList<>();
+        mWaiting.values().forEach(queue -> waiting.addAll(queue.drain(EVENLY)));
         waiting.forEach(Search::round);
     }
 
+    /**
+     * Returns where a search waits.
+     *
+     * @param search the search
+     * @return the queue of its standing
+     */
+    private FairQueue<Search> queue(Search search) {
+        return mWaiting.get(search.mWanted.standing());
+    }
+
     /**
      * Forgets engines that are no longer listed.
      *
@@ -229,7 +255,7 @@
         /** Stops the search; its listener receives no more. */
         public void stop() {
             mOver = true;
-            mWaiting.remove(this);
+            queue(this).remove(mWanted.organisation(), this);
         }
 
         /** Begins a round over all engines. */
@@ -325,6 +351,7 @@
         private void ask(UpstreamEntry engine) {
             if (mWanted.placeMillis() == 0) {
                 mOver = true;
+                charge();
                 mLoads.take(engine, mWanted.promptTokens());
                 mListener.granted(engine, Optional.empty());
                 return;
@@ -336,6 +363,11 @@
             mPort.reserve(engine, tokens, millis, new Answer(engine));
         }
 
+        /** Counts the place against the organisation's turn. */
+        private void charge() {
+            queue(this).charge(mWanted.organisation(), mWanted.promptTokens(), EVENLY);
+        }
+
         /** Receives an engine's answer. Confined to the traffic loop. */
         private final class Answer implements UpstreamPort.ResultListener<UpstreamPort.Place> {
 
@@ -360,6 +392,7 @@
                     return;
                 }
                 mOver = true;
+                charge();
                 mListener.granted(mEngine, Optional.of(place));
             }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -138,7 +138,7 @@
         /** Sends the call. */
         void begin() {
             mContext.loads().begin(mUpstream, 0);
-            send(mRequest, UpstreamPort.RunPlan.plain(leftMillis(), mRoute.priority()));
+            send(mRequest, UpstreamPort.RunPlan.plain(leftMillis(), priority()));
             long silence = (long) (mRoute.targetMillis() * ServingSettings.SILENCE_PART);
             boolean another =
                     mRoute.kind().repeatable()
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -2,12 +2,15 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.organisation.OrganisationUse;
 import org.troutpier.daemon.request.Knowledge;
+import org.troutpier.daemon.route.Organisation;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
@@ -57,6 +60,18 @@
     /** Names what is asked for. */
     private final RequestContent mContent;
 
+    /** Whether it was sent to be run. */
+    private boolean mSent;
+
+    /** Whether it was refused as certainly not run. */
+    private boolean mNotRun;
+
+    /** What it counts as against its organisation's limit, or 0 where it was not counted. */
+    private double mCost;
+
+    /** When it was counted, milliseconds on the loop's clock. */
+    private long mCountedAt;
+
     /**
      * Creates an execution.
      *
@@ -86,6 +101,7 @@
         mDeadline = context.loop().millis() + Math.max(1, held);
         mTimer = context.loop().later(this::expire, Math.max(1, held));
         mTrace.input("routersHeard", context.peers().routers());
+        request.organisation().ifPresent(organisation -> mTrace.organisation(organisation.id()));
         context.metrics().began();
         caller.onGone(this::callerGone);
         context.budget().request(service, context.loop().millis());
@@ -105,12 +121,53 @@
         mContext.view()
                 .whenFresh(
                         () -> {
-                            if (!mOver) {
+                            if (!mOver && withinLimit()) {
                                 start();
                             }
                         });
     }
 
+    /**
+     * Counts the request against its organisation's limit, or refuses it.
+     *
+     * @return whether it may be served
+     */
+    private boolean withinLimit() {
+        Optional<Organisation> organisation = mRequest.organisation();
+        if (organisation.isEmpty()) {
+            return true;
+        }
+        double cost = organisation.get().limit().cost(mRequest.tokens());
+        Optional<OrganisationUse.Refusal> refusal = mContext.use().take(organisation.get(), cost);
+        if (refusal.isPresent()) {
+            long returnMillis = refusal.get().returnMillis();
+            refuse(ResultCode.USE_LIMIT, refusal.get().detail(), returnMillis);
+            return false;
+        }
+        mCost = cost;
+        mCountedAt = mContext.loop().millis();
+        return true;
+    }
+
+    /** Gives back what the request counted as, where it certainly did not run. */
+    private void giveBackUse() {
+        if (mCost > 0 && (!mSent || mNotRun)) {
+            mRequest.organisation()
+                    .ifPresent(each -> mContext.use().giveBack(each, mCost, mCountedAt));
+        }
+    }
+
+    /**
+     * Returns the request's rank: its organisation's, or its route's where that has none.
+     *
+     * @return the rank, 0 is the most urgent
+     */
+    protected int priority() {
+        return mRequest.organisation()
+                .map(organisation -> organisation.priority().orElse(mRoute.priority()))
+                .orElse(mRoute.priority());
+    }
+
     /** Looks for an upstream for the first time. */
     abstract void start();
 
@@ -287,6 +344,7 @@
      * @param step what it is called in the log
      */
     protected void sent(UpstreamEntry upstream, String step) {
+        mSent = true;
         mTried.add(upstream.incarnation());
         mTrace.step(step + "@" + upstream.id());
         mContext.metrics().sent(upstream.id());
@@ -333,7 +391,8 @@
             return;
         }
         ResultCode code = mKnowledge.truthful(wished);
-        boolean comeBack = code.family() == ResultCode.Family.NOT_RUN || mRoute.kind().repeatable();
+        mNotRun = code.family() == ResultCode.Family.NOT_RUN;
+        boolean comeBack = mNotRun || mRoute.kind().repeatable();
         mTrace.step(code.label() + "(" + detail + ")");
         stopUpstream();
         mCaller.refuse(code, detail, comeBack ? retryAfterMillis : 0);
@@ -400,6 +459,7 @@
     private void close(String outcome) {
         mOver = true;
         mTimer.stop();
+        giveBackUse();
         mContext.metrics().ended(mRoute.name(), outcome, mTrace.elapsedMillis());
         mContext.decisions().ended(mTrace, outcome);
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
@@ -1,7 +1,11 @@
 package org.troutpier.daemon.serving;
 
 import java.util.Optional;
+import org.troutpier.common.declaration.KeyHash;
 import org.troutpier.common.result.ResultCode;
+import org.troutpier.common.result.TroutpierException;
+import org.troutpier.daemon.organisation.KeyTrust;
+import org.troutpier.daemon.organisation.Requester;
 import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.route.RoutingConfiguration;
@@ -16,9 +20,15 @@
     /** How long until a router that starts has a configuration, milliseconds, roughly. */
     private static final long START_MILLIS = 500;
 
+    /** How many milliseconds a second has. */
+    private static final long MILLIS_PER_SECOND = 1000;
+
     /** The version in force. */
     private final CurrentConfiguration mConfiguration;
 
+    /** Whether keys count. */
+    private final KeyTrust mKeys;
+
     /** The collaborators of executions. */
     private final ServingContext mContext;
 
@@ -26,10 +36,13 @@
      * Creates a router.
      *
      * @param configuration the version in force
+     * @param keys whether keys count
      * @param context the collaborators of executions
      */
-    public RequestRouter(CurrentConfiguration configuration, ServingContext context) {
+    public RequestRouter(
+            CurrentConfiguration configuration, KeyTrust keys, ServingContext context) {
         mConfiguration = configuration;
+        mKeys = keys;
         mContext = context;
     }
 
@@ -50,13 +63,74 @@
             refuse(request, caller, ResultCode.NO_ROUTE, 0);
             return;
         }
+        Optional<TroutpierException> stranger =
+                stranger(configuration.get(), route.get(), request.key());
+        if (stranger.isPresent()) {
+            ResultCode code = stranger.get().code();
+            refuse(request, caller, code, code.retryAfterSeconds() * MILLIS_PER_SECOND);
+            return;
+        }
+        mContext.use().configured(configuration.get());
+        Requester requester =
+                Requester.of(configuration.get(), route.get(), request.key()).orElseThrow();
         String name = route.get().service(mContext.random().nextDouble());
         Optional<Service> service = configuration.get().service(name);
-        RequestExecution execution = execution(request, route.get(), name, service, caller);
+        RequestExecution execution =
+                execution(request.by(requester), route.get(), name, service, caller);
         execution.trace().input("configuration", configuration.get().version());
         execution.begin();
     }
 
+    /**
+     * Looks at a request's head, before its body has come, for whether the caller is let in.
+     *
+     * @param host the host as the caller sent it
+     * @param target path and query
+     * @param key the caller's key, if it sent one that can be read
+     * @return why the request is refused, or empty to wait for its body
+     */
+    public Optional<TroutpierException> screen(String host, String target, Optional<KeyHash> key) {
+        Optional<RoutingConfiguration> configuration = mConfiguration.current();
+        Optional<TroutpierException> stranger =
+                configuration
+                        .flatMap(each -> each.route(host, path(target)))
+                        .flatMap(route -> stranger(configuration.get(), route, key));
+        stranger.ifPresent(why -> mContext.metrics().ended(why.code().label()));
+        return stranger;
+    }
+
+    /**
+     * Returns why a caller is not let in.
+     *
+     * @param configuration the version in force
+     * @param route the request's route
+     * @param key the caller's key, if it sent one that can be read
+     * @return the refusal, or empty where the caller is let in
+     */
+    private Optional<TroutpierException> stranger(
+            RoutingConfiguration configuration, Route route, Optional<KeyHash> key) {
+        if (!configuration.asksForKeys() || route.open()) {
+            return Optional.empty();
+        }
+        if (!mKeys.keysCount()) {
+            return refusal(ResultCode.KEYS_UNCONFIRMED);
+        }
+        if (Requester.of(configuration, route, key).isEmpty()) {
+            return refusal(ResultCode.UNKNOWN_TOKEN);
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Makes a refusal that says nothing but its code's meaning.
+     *
+     * @param code the code
+     * @return the refusal
+     */
+    private static Optional<TroutpierException> refusal(ResultCode code) {
+        return Optional.of(new TroutpierException(code, code.meaning()));
+    }
+
     /**
      * Makes the execution that fits the service.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
@@ -4,6 +4,7 @@
 import java.util.TreeMap;
 import org.apache.logging.log4j.message.Message;
 import org.apache.logging.log4j.message.StringMapMessage;
+import org.troutpier.common.id.PartnerId;
 import org.troutpier.daemon.quarantine.RequestFingerprint;
 
 /**
@@ -119,6 +120,15 @@
         mInputs.put(name, Long.toString(value));
     }
 
+    /**
+     * Notes in whose name the request is made.
+     *
+     * @param organisation the organisation
+     */
+    void organisation(PartnerId organisation) {
+        mInputs.put("organisation", organisation.value());
+    }
+
     /**
      * Notes what the request asks for, where it matters whether the same was asked before: each try
      * has an id of its own.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -9,6 +9,7 @@
 import org.troutpier.daemon.decision.GrowthMargin;
 import org.troutpier.daemon.decision.ReturnPacer;
 import org.troutpier.daemon.directory.UpstreamDirectory;
+import org.troutpier.daemon.organisation.OrganisationUse;
 
 /**
  * The collaborators of each request's execution. Immutable; confined to the traffic loop, as are
@@ -20,6 +21,7 @@
  * @param loads what is under way at each upstream
  * @param budget bounds extra calls
  * @param places gives out places at decode engines
+ * @param use keeps organisations to their limits
  * @param returning which requests were refused lately
  * @param crashes keeps requests from upstreams that have ended several
  * @param pacer tells refused callers when to come back
@@ -40,6 +42,7 @@
         UpstreamLoads loads,
         ExtraCallBudget budget,
         PlaceAllocator places,
+        OrganisationUse use,
         ReturningRequests returning,
         CrashGuard crashes,
         ReturnPacer pacer,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -11,6 +11,7 @@
 import org.troutpier.daemon.decision.StartWindow;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.route.EngineTraits;
+import org.troutpier.daemon.route.Organisation;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
@@ -87,7 +88,14 @@
         super(context, request, route, service, caller);
         mEngine = engine;
         mRelay = new EventRelay(caller, request.lastEvent());
-        mPlace = new DecodePlace(context, service, engine, promptTokens(), tokens());
+        mPlace =
+                new DecodePlace(
+                        context,
+                        service,
+                        engine,
+                        request.organisation().map(Organisation::id),
+                        promptTokens(),
+                        tokens());
     }
 
     /** {@inheritDoc} */
@@ -291,7 +299,7 @@
         mReading = new PromptReading(mContext, prompt, engine, mTrace, new PromptRead());
         mReading.begin(
                 mRequest,
-                UpstreamPort.RunPlan.plain(leftMillis(), mRoute.priority())
+                UpstreamPort.RunPlan.plain(leftMillis(), priority())
                         .withResumeAfter(mRelay.last()));
     }
 
@@ -333,7 +341,7 @@
         sent(engine, "decode");
         mRelay.beginRun();
         UpstreamPort.RunPlan plan =
-                UpstreamPort.RunPlan.plain(leftMillis(), mRoute.priority())
+                UpstreamPort.RunPlan.plain(leftMillis(), priority())
                         .withPlace(mPlace.use())
                         .withResumeAfter(mRelay.last());
         mRun = new StreamRun(engine, prompt);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -22,6 +22,7 @@
 import org.troutpier.daemon.node.ManualTime;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.node.TestNode;
+import org.troutpier.daemon.organisation.UseReport;
 import org.troutpier.daemon.peer.Membership.Member;
 import org.troutpier.daemon.peer.PeerLinks;
 import org.troutpier.daemon.peer.PeerMesh;
@@ -49,7 +50,8 @@
 
     private ManualTime mTime;
     private static final RoutingConfiguration VERSION_ONE =
-            new RoutingConfiguration(1, List.of(), List.of(), ServerLimits.DEFAULT, new byte[] {1});
+            new RoutingConfiguration(
+                    1, List.of(), List.of(), List.of(), ServerLimits.DEFAULT, new byte[] {1});
 
     private Map<Incarnation, Router> mRouters;
     private Set<Set<Incarnation>> mCuts;
@@ -140,6 +142,9 @@
 
         int mCalls = 1;
 
+        /** What organisations used here. */
+        UseReport mUse = UseReport.NONE;
+
         private void report() {
             mExchange.tell(
                     new LoadReport(
@@ -150,7 +155,8 @@
                             Set.of(),
                             Set.of(),
                             Map.of(ENGINE, new UpstreamUse(mCalls, 10)),
-                            Map.of()));
+                            Map.of(),
+                            mUse));
         }
 
         private boolean reaches(Router other) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
@@ -86,6 +86,7 @@
                         1,
                         List.of(),
                         List.of(new Service(SERVICE, 100, Optional.of(traits))),
+                        List.of(),
                         ServerLimits.DEFAULT,
                         new byte[0]),
                 "test");
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/route/RoutingConfigurationTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/route/RoutingConfigurationTest.java
@@ -4,10 +4,19 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import java.util.List;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.testng.annotations.Test;
+import org.troutpier.common.declaration.KeyHash;
 import org.troutpier.common.http.ServerLimits;
+import org.troutpier.common.id.PartnerId;
+import org.troutpier.common.result.ResultCode;
+import org.troutpier.common.result.TroutpierException;
 import org.troutpier.common.settings.FieldException;
 
 /** Which route takes a request. */
@@ -27,12 +36,13 @@
                 List.of(
                         new Route.WeightedService("a", 9),
                         new Route.WeightedService("b", 1),
-                        new Route.WeightedService("c", 0)));
+                        new Route.WeightedService("c", 0)),
+                false);
     }
 
     private static RoutingConfiguration version(long version, Route... routes) {
         return new RoutingConfiguration(
-                version, List.of(routes), List.of(), ServerLimits.DEFAULT, new byte[0]);
+                version, List.of(routes), List.of(), List.of(), ServerLimits.DEFAULT, new byte[0]);
     }
 
     @Test
@@ -64,6 +74,50 @@
         assertThrows(FieldException.class, () -> route("r", "h", "/a"));
     }
 
+    private static Organisation organisation(String name, String... keys) {
+        Set<KeyHash> hashes = Stream.of(keys).map(KeyHash::of).collect(Collectors.toSet());
+        return new Organisation(new PartnerId(name), hashes, OptionalInt.empty(), UseLimit.NONE);
+    }
+
+    private static RoutingConfiguration of(Organisation... organisations) {
+        return new RoutingConfiguration(
+                1, List.of(), List.of(), List.of(organisations), ServerLimits.DEFAULT, new byte[0]);
+    }
+
+    @Test
+    public void aKeyNamesItsOrganisationAndNoOther() {
+        RoutingConfiguration configuration =
+                of(organisation("one", "a", "b"), organisation("two", "c"), organisation("none"));
+        assertEquals(configuration.organisation(KeyHash.of("b")).get().id().value(), "one");
+        assertEquals(configuration.organisation(KeyHash.of("c")).get().id().value(), "two");
+        assertTrue(configuration.organisation(KeyHash.of("d")).isEmpty());
+        assertTrue(configuration.asksForKeys());
+        assertFalse(of().asksForKeys());
+    }
+
+    @Test
+    public void aVersionInWhichTwoOrganisationsHaveOneKeyOrOneNameIsRefusedWithACode() {
+        TroutpierException key =
+                expectThrows(
+                        TroutpierException.class,
+                        () -> of(organisation("one", "a"), organisation("two", "a")));
+        assertEquals(key.code(), ResultCode.INVALID_DECLARATION);
+        assertFalse(key.getMessage().contains(KeyHash.of("a").value()), key.getMessage());
+        TroutpierException name =
+                expectThrows(
+                        TroutpierException.class,
+                        () -> of(organisation("one", "a"), organisation("one", "b")));
+        assertEquals(name.code(), ResultCode.INVALID_DECLARATION);
+    }
+
+    @Test
+    public void aLimitBelowZeroIsRefused() {
+        UseLimit.Unit unit = UseLimit.Unit.TOKENS;
+        assertThrows(FieldException.class, () -> new UseLimit(unit, 0, -1, 0));
+        assertThrows(FieldException.class, () -> new UseLimit(unit, 0, 1, -1));
+        assertThrows(FieldException.class, () -> new UseLimit(unit, -1, 1, 1));
+    }
+
     @Test
     public void versionsOnlyRise() {
         CurrentConfiguration current = new CurrentConfiguration();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrashGuardTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrashGuardTest.java
@@ -18,6 +18,7 @@
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.organisation.Requester;
 import org.troutpier.daemon.quarantine.Quarantine;
 import org.troutpier.daemon.quarantine.QuarantineSettings;
 import org.troutpier.daemon.quarantine.RequestFingerprint;
@@ -162,7 +163,9 @@
                         body,
                         9000,
                         OptionalLong.empty(),
-                        Optional.empty()));
+                        Optional.empty(),
+                        Optional.empty(),
+                        new Requester.Unchecked()));
     }
 
     private void end(RequestFingerprint request, int number) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -29,6 +29,9 @@
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.organisation.OrganisationUse;
+import org.troutpier.daemon.organisation.Requester;
+import org.troutpier.daemon.organisation.UseSettings;
 import org.troutpier.daemon.quarantine.Quarantine;
 import org.troutpier.daemon.quarantine.QuarantineSettings;
 import org.troutpier.daemon.route.EngineTraits;
@@ -45,6 +48,9 @@
     private ServingContext mContext;
     private Quarantine mQuarantine;
 
+    /** Who asks. */
+    private Requester mRequester;
+
     /** The decisions that wait for a fresh view; null where it is always fresh. */
     private List<Runnable> mHeld;
 
@@ -57,6 +63,7 @@
         RestartAwarePort port = new RestartAwarePort(mPort);
         mDirectory.onChanged(port::retain);
         PeerLoads peers = new PeerLoads();
+        mRequester = new Requester.Unchecked();
         mHeld = null;
         LoadView view =
                 decision -> {
@@ -78,6 +85,13 @@
                         loads,
                         new ExtraCallBudget(0, 0, 10_000),
                         new PlaceAllocator(mTime.loop(), port, loads, view, random),
+                        new OrganisationUse(
+                                UseSettings.DEFAULT,
+                                mTime::millis,
+                                random,
+                                peers,
+                                () -> 1,
+                                metrics),
                         new ReturningRequests(),
                         new CrashGuard(mTime.loop(), port, mDirectory, mQuarantine, metrics),
                         new ReturnPacer(random),
@@ -106,10 +120,11 @@
                 300,
                 1,
                 attempts,
-                List.of(new Route.WeightedService("service", 1)));
+                List.of(new Route.WeightedService("service", 1)),
+                false);
     }
 
-    private static ServingRequest request() {
+    private ServingRequest request() {
         PromptShape prompt =
                 new PromptShape("m", 1000, 500, List.of(new PromptShape.Part("own", 1000)));
         return new ServingRequest(
@@ -121,7 +136,9 @@
                 new byte[0],
                 9000,
                 OptionalLong.empty(),
-                Optional.of(prompt));
+                Optional.of(prompt),
+                Optional.empty(),
+                mRequester);
     }
 
     private void stream() {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
@@ -15,6 +15,7 @@
 import org.testng.annotations.Test;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.InstanceId;
+import org.troutpier.common.id.PartnerId;
 import org.troutpier.daemon.cluster.LoadReport;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.cluster.ReportScope;
@@ -22,6 +23,7 @@
 import org.troutpier.daemon.decision.Standing;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.organisation.UseReport;
 
 /** How places at decode engines are found. */
 public final class PlaceAllocatorTest {
@@ -64,7 +66,15 @@
             long waitMillis, Standing standing, Supplier<List<UpstreamEntry>> engines) {
         return mAllocator.find(
                 new PlaceAllocator.Wanted(
-                        PROMPT, MOST, MARGIN, MEMORY, 2000, waitMillis, standing, engines),
+                        PlaceAllocator.NO_PARTNER,
+                        PROMPT,
+                        MOST,
+                        MARGIN,
+                        MEMORY,
+                        2000,
+                        waitMillis,
+                        standing,
+                        engines),
                 new PlaceAllocator.Listener() {
                     @Override
                     public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
@@ -90,10 +100,11 @@
                         Map.of(
                                 mFirst.incarnation(), new UpstreamUse(1, first),
                                 mSecond.incarnation(), new UpstreamUse(1, second)),
-                        Map.of());
+                        Map.of(),
+                        UseReport.NONE);
         Incarnation peer = new Incarnation("peer~1");
         assertEquals(peer.instance(), new InstanceId("peer"));
-        mPeers.heard(peer, ReportScope.OWN, report, mTime.millis());
+        mPeers.heard(peer, Entries.HALL, ReportScope.OWN, report, mTime.millis());
         mPeers.sum(mTime.millis());
     }
 
@@ -188,7 +199,15 @@
     public void withoutEnginesASearchIsRefusedAfterItsWait() {
         mAllocator.find(
                 new PlaceAllocator.Wanted(
-                        PROMPT, MOST, MARGIN, MEMORY, 2000, 100, Standing.IN_TIME, List::of),
+                        PlaceAllocator.NO_PARTNER,
+                        PROMPT,
+                        MOST,
+                        MARGIN,
+                        MEMORY,
+                        2000,
+                        100,
+                        Standing.IN_TIME,
+                        List::of),
                 new PlaceAllocator.Listener() {
                     @Override
                     public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
@@ -221,7 +240,15 @@
         for (Standing standing : List.of(Standing.LATE, Standing.CONTINUED, Standing.IN_TIME)) {
             mAllocator.find(
                     new PlaceAllocator.Wanted(
-                            PROMPT, MOST, 0, MEMORY, 2000, 1000, standing, () -> List.of(mFirst)),
+                            PlaceAllocator.NO_PARTNER,
+                            PROMPT,
+                            MOST,
+                            0,
+                            MEMORY,
+                            2000,
+                            1000,
+                            standing,
+                            () -> List.of(mFirst)),
                     new PlaceAllocator.Listener() {
                         @Override
                         public void granted(
@@ -240,4 +267,42 @@
         assertEquals(order, List.of(Standing.IN_TIME, Standing.CONTINUED, Standing.LATE));
         assertEquals(mAllocator.waitingTokens(), 0);
     }
+
+    /** Engines with room for one prompt at a time, which one organisation asks for ten times. */
+    @Test
+    public void aFloodOfOneOrganisationTakesNoTurnOfAnother() {
+        mPort.mFull.add(mFirst.incarnation());
+        List<String> order = new ArrayList<>();
+        for (int request = 0; request < 10; request++) {
+            wait("flood", order);
+        }
+        wait("calm", order);
+        mPort.mFull.clear();
+        mTime.pass(200);
+        assertEquals(order.size(), 11);
+        assertTrue(order.indexOf("calm") <= 1, order.toString());
+    }
+
+    private void wait(String organisation, List<String> order) {
+        mAllocator.find(
+                new PlaceAllocator.Wanted(
+                        new PartnerId(organisation),
+                        PROMPT,
+                        MOST,
+                        0,
+                        MEMORY,
+                        2000,
+                        1000,
+                        Standing.IN_TIME,
+                        () -> List.of(mFirst)),
+                new PlaceAllocator.Listener() {
+                    @Override
+                    public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
+                        order.add(organisation);
+                    }
+
+                    @Override
+                    public void refused(String detail) {}
+                });
+    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReportedUseTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReportedUseTest.java
@@ -18,6 +18,7 @@
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.organisation.UseReport;
 import org.troutpier.daemon.role.EngineOrders;
 
 /** What is learnt of runs that no router tells of. */
@@ -120,8 +121,9 @@
                         Set.of(),
                         Set.of(),
                         Map.of(mEngine.incarnation(), new UpstreamUse(1, tokens)),
-                        Map.of());
-        mPeers.heard(PEER, ReportScope.OWN, report, mTime.millis());
+                        Map.of(),
+                        UseReport.NONE);
+        mPeers.heard(PEER, Entries.HALL, ReportScope.OWN, report, mTime.millis());
         mPeers.sum(mTime.millis());
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -18,6 +18,7 @@
 import org.troutpier.daemon.cluster.UpstreamUse;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.organisation.UseReport;
 
 /** Which upstream a call goes to. */
 public final class UpstreamLoadsTest {
@@ -61,8 +62,10 @@
                         Set.of(),
                         Set.of(),
                         Map.of(mNear.incarnation(), new UpstreamUse(5, 0)),
-                        Map.of());
-        mPeers.heard(new Incarnation("peer~1"), ReportScope.OWN, report, mTime.millis());
+                        Map.of(),
+                        UseReport.NONE);
+        mPeers.heard(
+                new Incarnation("peer~1"), Entries.HALL, ReportScope.OWN, report, mTime.millis());
         mPeers.sum(mTime.millis());
         assertEquals(pick().get(), mFar);
         mPeers.sum(mTime.millis() + 10_000);
@@ -124,8 +127,17 @@
         mLoads.begin(busy, 5000);
         LoadReport report =
                 new LoadReport(
-                        1, 1, false, 0, Set.of(), Set.of(idle.incarnation()), Map.of(), Map.of());
-        mPeers.heard(new Incarnation("peer~1"), ReportScope.OWN, report, mTime.millis());
+                        1,
+                        1,
+                        false,
+                        0,
+                        Set.of(),
+                        Set.of(idle.incarnation()),
+                        Map.of(),
+                        Map.of(),
+                        UseReport.NONE);
+        mPeers.heard(
+                new Incarnation("peer~1"), Entries.HALL, ReportScope.OWN, report, mTime.millis());
         mPeers.sum(mTime.millis());
         assertEquals(mLoads.byTokens(List.of(idle, busy), Set.of()), List.of(busy));
     }
