Readers that would be full in no burst decode: several engines at once, before anything is lost

Cause: the split moved one engine at a time and only after requests had been lost for want of it, so on the shifted deployment nine of 27 engines read prompts through every burst, where three engines' work was asked, and decode memory bound. Ruled out: another first split (a number that fits one load). The late second step came of what runs take being measured by those that have ended: 5.0e6, 10.9e6, 18.3e6, 20e6 tokens x ms at 5, 8, 19, 30 s; so what is under way counts too, as the greater of both.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/RoleInvestment.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/RoleInvestment.java
@@ -14,8 +14,11 @@
  * alone, an engine was taken from decoding in a burst of five seconds and was missing for eighteen,
  * through two more bursts (quiet-day worth 0.59; without any change 0.75).
  *
+ * <p>Readers that would be full in no burst are spare, and change without that ({@link
+ * RoleLevelling}): nothing is lost while they are missing.
+ *
  * <p>Confined to the control thread. Invariants: no side is left without an engine; a change always
- * serves more of the load that is measured; before anything was asked changes cost nothing.
+ * makes room for more of the mix that is measured; before anything was asked changes cost nothing.
  */
 public final class RoleInvestment {
 
@@ -42,12 +45,21 @@
      */
     private static final double TRUSTED_MILLIS = Demand.DECAY_MILLIS;
 
+    /**
+     * For how long there must have been requests before spare readers are taken away, milliseconds.
+     * As long as the longer runs take, so that as many end as begin.
+     */
+    private static final double LEVELLED_MILLIS = 5000;
+
     /** For how long there have been requests, milliseconds. */
     private double mAsked;
 
     /** When the demand was last looked at, milliseconds; 0 for never. */
     private long mLooked;
 
+    /** How many engines that read prompts are spare, as of the last look. */
+    private int mSpare;
+
     /** What was lost for want of one more engine that reads, requests. */
     private double mLostReading;
 
@@ -74,8 +86,10 @@
      * @param decode how many decode
      * @param memoryTokens how much memory each has
      * @param switchMillis how long a change takes once an engine is empty, milliseconds
+     * @param usedTokens what runs at those that decode, tokens
      */
-    public record Staffing(int prefill, int decode, long memoryTokens, long switchMillis) {
+    public record Staffing(
+            int prefill, int decode, long memoryTokens, long switchMillis, long usedTokens) {
 
         /**
          * Returns how many engines there are.
@@ -96,6 +110,7 @@
      * @return what to do
      */
     public Step look(long now, Staffing staffing, Demand demand) {
+        mSpare = 0;
         double passed = mLooked == 0 ? 0 : Math.min(LONGEST_LOOK_MILLIS, now - mLooked);
         mLooked = now;
         if (staffing.decode() == 0) {
@@ -107,12 +122,27 @@
         boolean idle = demand.requests() < 1;
         mAsked = idle ? 0 : mAsked + passed;
         boolean measured = demand.measured() && demand.reading().measured();
+        if (!idle && measured && mAsked >= LEVELLED_MILLIS) {
+            mSpare = RoleLevelling.spare(staffing, demand, mAsked);
+            if (mSpare > 0) {
+                return Step.MORE_DECODE;
+            }
+        }
         if (!idle && measured && mAsked >= TRUSTED_MILLIS) {
             return weigh(passed, staffing, demand);
         }
         return idle || staffing.prefill() == 0 ? first(staffing) : Step.STAY;
     }
 
+    /**
+     * Returns how many engines are to change at once.
+     *
+     * @return as many as are spare; otherwise one, since each change is paid for
+     */
+    public int engines() {
+        return Math.max(1, mSpare);
+    }
+
     /**
      * Records how long a change took, from its order until the engine was back.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/SplitCapacity.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/SplitCapacity.java
@@ -58,7 +58,19 @@
      * @return requests a millisecond
      */
     static double made(int decode, long memoryTokens, Demand demand) {
-        return decode * memoryTokens * USABLE_MEMORY / demand.memoryTimeOfRun();
+        return made(decode, memoryTokens, demand.memoryTimeOfRun());
+    }
+
+    /**
+     * Returns how many runs decode engines have room for.
+     *
+     * @param decode how many engines decode
+     * @param memoryTokens how much memory an engine has
+     * @param memoryTime what a run takes, tokens times milliseconds
+     * @return requests a millisecond
+     */
+    static double made(int decode, long memoryTokens, double memoryTime) {
+        return decode * memoryTokens * USABLE_MEMORY / memoryTime;
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -1,5 +1,6 @@
 package org.troutpier.daemon.role;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -26,9 +27,10 @@
 
 /**
  * Keeps the engines' roles in step with the load. Confined to the control thread; {@link #holds()}
- * and {@link #changing()} are thread safe. Invariants: orders are given only under the lease; a
- * service has at most one change under way; an order whose fate is unknown is only ever repeated,
- * never followed by another, until the engine's report tells what came of it.
+ * and {@link #changing()} are thread safe. Invariants: orders are given only under the lease; all
+ * changes that are under way for a service began together and are to the same role; an order whose
+ * fate is unknown is only ever repeated, never followed by another, until the engine's report tells
+ * what came of it.
  */
 public final class RoleController {
 
@@ -78,7 +80,7 @@
     private final RoleLease mLease;
 
     /** The state of each service. */
-    private final Map<String, Change> mChanges = new HashMap<>();
+    private final Map<String, ServiceRoles> mServices = new HashMap<>();
 
     /** Whether this router holds the lease, for other threads. */
     private volatile boolean mHolds;
@@ -90,22 +92,35 @@
     private Runnable mOnChanging = () -> {};
 
     /** One service's state. */
-    private static final class Change {
+    private static final class ServiceRoles {
 
         /** Weighs whether a change pays. */
         private final RoleInvestment mInvestment = new RoleInvestment();
 
-        /** When the change was begun, milliseconds. */
-        private long mBegan;
+        /** The changes that are under way. */
+        private final List<Change> mChanges = new ArrayList<>();
+
+        /** Whether all engines are being asked how they stand. */
+        private boolean mInspecting;
 
-        /** The engine that is being changed, or null. */
-        private UpstreamEntry mEngine;
+        /** Before when no change is begun, milliseconds. */
+        private long mNotBefore;
+    }
+
+    /** One engine's change. */
+    private static final class Change {
+
+        /** The engine that is being changed. */
+        private final UpstreamEntry mEngine;
 
         /** What it is to do. */
-        private UpstreamEntry.Role mRole;
+        private final UpstreamEntry.Role mRole;
+
+        /** When the change was begun, milliseconds. */
+        private final long mBegan;
 
         /** When the change is given up, milliseconds. */
-        private long mUntil;
+        private final long mUntil;
 
         /** How many orders the engine had taken before; -1 for not yet known. */
         private long mOrdersBefore = -1;
@@ -116,8 +131,23 @@
         /** Whether a call to the engine is under way. */
         private boolean mCalling;
 
-        /** Before when no change is begun, milliseconds. */
-        private long mNotBefore;
+        /** Whether it is over. */
+        private boolean mOver;
+
+        /**
+         * Begins a change.
+         *
+         * @param engine the engine
+         * @param role what it is to do
+         * @param began when the change was begun, milliseconds
+         * @param until when it is given up, milliseconds
+         */
+        Change(UpstreamEntry engine, UpstreamEntry.Role role, long began, long until) {
+            mEngine = engine;
+            mRole = role;
+            mBegan = began;
+            mUntil = until;
+        }
     }
 
     /**
@@ -200,25 +230,28 @@
                             (name, service) ->
                                     service.engine().ifPresent(engine -> control(name, engine)));
         } else {
-            mChanges.forEach(this::watch);
+            mServices.forEach(this::watch);
         }
         changing(
-                mChanges.values().stream()
-                        .filter(change -> change.mOrdersBefore >= 0 && change.mEngine != null)
+                mServices.values().stream()
+                        .flatMap(service -> service.mChanges.stream())
+                        .filter(change -> change.mOrdersBefore >= 0)
                         .map(change -> change.mEngine.incarnation())
                         .collect(Collectors.toUnmodifiableSet()));
     }
 
     /**
-     * Watches a change that this router ordered before it lost the lease. The engine goes on with
-     * it and refuses runs, so the others are told of it until it is over; nothing is ordered.
+     * Watches changes that this router ordered before it lost the lease. The engines go on with
+     * them and refuse runs, so the others are told of them until they are over; nothing is ordered.
      *
      * @param service the service
-     * @param change the change
+     * @param roles its state
      */
-    private void watch(String service, Change change) {
-        if (change.mEngine != null) {
-            over(change, mDirectory.usable(service));
+    private void watch(String service, ServiceRoles roles) {
+        if (!roles.mChanges.isEmpty()) {
+            List<UpstreamEntry> engines = mDirectory.usable(service);
+            roles.mChanges.forEach(change -> look(roles, change, engines));
+            settle(roles);
         }
     }
 
@@ -250,10 +283,11 @@
      * @param traits what its engines can do
      */
     private void control(String service, EngineTraits traits) {
-        Change change = mChanges.computeIfAbsent(service, name -> new Change());
+        ServiceRoles roles = mServices.computeIfAbsent(service, name -> new ServiceRoles());
         List<UpstreamEntry> engines = mDirectory.usable(service);
-        if (change.mEngine != null) {
-            follow(change, engines);
+        if (!roles.mChanges.isEmpty()) {
+            roles.mChanges.forEach(change -> follow(roles, change, engines));
+            settle(roles);
             return;
         }
         int prefill = (int) engines.stream().filter(RoleController::reads).count();
@@ -263,20 +297,35 @@
                         prefill,
                         engines.size() - prefill,
                         traits.memoryTokens(),
-                        traits.switchMillis());
+                        traits.switchMillis(),
+                        decoding(engines));
         long now = mNode.millis();
-        RoleInvestment.Step step = change.mInvestment.look(now, staffing, demand);
-        if (step == RoleInvestment.Step.STAY || now < change.mNotBefore || change.mCalling) {
+        RoleInvestment.Step step = roles.mInvestment.look(now, staffing, demand);
+        if (step == RoleInvestment.Step.STAY || now < roles.mNotBefore || roles.mInspecting) {
             return;
         }
         LOGGER.info(
-                "role change wanted service={} step={} staffing={} {} demand={}",
+                "role change wanted service={} step={} engines={} staffing={} {} demand={}",
                 service,
                 step,
+                roles.mInvestment.engines(),
                 staffing,
-                change.mInvestment.told(),
+                roles.mInvestment.told(),
                 demand);
-        inspect(change, engines, step == RoleInvestment.Step.MORE_PREFILL, traits);
+        inspect(roles, engines, step == RoleInvestment.Step.MORE_PREFILL, traits);
+    }
+
+    /**
+     * Returns what the other routers have under way at engines that decode.
+     *
+     * @param engines the engines
+     * @return tokens
+     */
+    private long decoding(List<UpstreamEntry> engines) {
+        return engines.stream()
+                .filter(engine -> !reads(engine))
+                .mapToLong(engine -> mPeers.use(engine.incarnation()).tokens())
+                .sum();
     }
 
     /**
@@ -293,14 +342,18 @@
      * Asks all engines how they stand, so that no change is begun beside one that an earlier holder
      * of the lease ordered.
      *
-     * @param change the service's state
+     * @param roles the service's state
      * @param engines the engines
-     * @param toPrefill whether one more engine is to read prompts
+     * @param toPrefill whether more engines are to read prompts
      * @param traits what the engines can do
      */
     private void inspect(
-            Change change, List<UpstreamEntry> engines, boolean toPrefill, EngineTraits traits) {
-        change.mCalling = true;
+            ServiceRoles roles,
+            List<UpstreamEntry> engines,
+            boolean toPrefill,
+            EngineTraits traits) {
+        roles.mInspecting = true;
+        int count = roles.mInvestment.engines();
         List<CompletableFuture<Boolean>> idle =
                 engines.stream()
                         .map(
@@ -317,65 +370,82 @@
                                 mNode.control()
                                         .execute(
                                                 () -> {
-                                                    change.mCalling = false;
+                                                    roles.mInspecting = false;
                                                     if (idle.stream()
                                                             .allMatch(CompletableFuture::join)) {
-                                                        begin(change, engines, toPrefill, traits);
-                                                    } else {
-                                                        end(change);
+                                                        begin(
+                                                                roles, engines, count, toPrefill,
+                                                                traits);
                                                     }
+                                                    settle(roles);
                                                 }));
     }
 
     /**
-     * Begins a change at the least used engine.
+     * Begins changes at the least used engines.
      *
-     * @param change the service's state
+     * @param roles the service's state
      * @param engines the engines
-     * @param toPrefill whether one more engine is to read prompts
+     * @param count how many are to change
+     * @param toPrefill whether they are to read prompts
      * @param traits what the engines can do
      */
     private void begin(
-            Change change, List<UpstreamEntry> engines, boolean toPrefill, EngineTraits traits) {
-        Optional<UpstreamEntry> engine =
-                engines.stream()
-                        .filter(each -> reads(each) != toPrefill)
-                        .min(
-                                Comparator.<UpstreamEntry>comparingLong(
-                                                each -> mPeers.use(each.incarnation()).tokens())
-                                        .thenComparing(UpstreamEntry::incarnation));
-        if (engine.isEmpty()) {
-            return;
-        }
-        change.mEngine = engine.get();
-        change.mBegan = mNode.millis();
-        change.mRole = toPrefill ? UpstreamEntry.Role.PREFILL : UpstreamEntry.Role.DECODE;
-        change.mUntil = mNode.millis() + traits.switchMillis() + RUNS_MILLIS;
-        change.mOrdersBefore = -1;
-        change.mTaken = false;
-        report(change);
+            ServiceRoles roles,
+            List<UpstreamEntry> engines,
+            int count,
+            boolean toPrefill,
+            EngineTraits traits) {
+        long now = mNode.millis();
+        UpstreamEntry.Role role =
+                toPrefill ? UpstreamEntry.Role.PREFILL : UpstreamEntry.Role.DECODE;
+        engines.stream()
+                .filter(each -> reads(each) != toPrefill)
+                .sorted(
+                        Comparator.<UpstreamEntry>comparingLong(
+                                        each -> mPeers.use(each.incarnation()).tokens())
+                                .thenComparing(UpstreamEntry::incarnation))
+                .limit(count)
+                .map(each -> new Change(each, role, now, now + traits.switchMillis() + RUNS_MILLIS))
+                .forEach(roles.mChanges::add);
+        roles.mChanges.forEach(this::report);
     }
 
     /**
      * Follows a change that was begun.
      *
-     * @param change the service's state
-     * @param engines the engines
+     * @param roles the service's state
+     * @param change the change
+     * @param engines the service's engines as they are listed
      */
-    private void follow(Change change, List<UpstreamEntry> engines) {
-        if (!over(change, engines) && !change.mTaken && !change.mCalling) {
+    private void follow(ServiceRoles roles, Change change, List<UpstreamEntry> engines) {
+        look(roles, change, engines);
+        if (!change.mOver && !change.mTaken && !change.mCalling) {
             report(change);
         }
     }
 
+    /**
+     * Drops the changes that are over. After the last one the load is watched for a while.
+     *
+     * @param roles the service's state
+     */
+    private void settle(ServiceRoles roles) {
+        roles.mChanges.removeIf(change -> change.mOver);
+        if (roles.mChanges.isEmpty()) {
+            roles.mInvestment.restart();
+            roles.mNotBefore = mNode.millis() + SETTLE_MILLIS;
+        }
+    }
+
     /**
      * Ends a change that is done or given up.
      *
+     * @param roles the service's state
      * @param change the change
      * @param engines the service's engines as they are listed
-     * @return whether it ended
      */
-    private boolean over(Change change, List<UpstreamEntry> engines) {
+    private void look(ServiceRoles roles, Change change, List<UpstreamEntry> engines) {
         Optional<UpstreamEntry> listed =
                 engines.stream()
                         .filter(each -> each.incarnation().equals(change.mEngine.incarnation()))
@@ -389,28 +459,16 @@
                     done,
                     listed.isPresent());
             if (done) {
-                change.mInvestment.changed(mNode.millis() - change.mBegan);
+                roles.mInvestment.changed(mNode.millis() - change.mBegan);
             }
-            end(change);
+            change.mOver = true;
         }
-        return ended;
-    }
-
-    /**
-     * Ends a change.
-     *
-     * @param change the service's state
-     */
-    private void end(Change change) {
-        change.mEngine = null;
-        change.mInvestment.restart();
-        change.mNotBefore = mNode.millis() + SETTLE_MILLIS;
     }
 
     /**
      * Asks the engine how it stands, to order with what it says.
      *
-     * @param change the service's state
+     * @param change the change
      */
     private void report(Change change) {
         change.mCalling = true;
@@ -422,7 +480,7 @@
                                         .execute(
                                                 () -> {
                                                     change.mCalling = false;
-                                                    if (change.mEngine == engine
+                                                    if (!change.mOver
                                                             && failure == null
                                                             && report.incarnation()
                                                                     .mayBe(engine.incarnation())) {
@@ -434,7 +492,7 @@
     /**
      * Orders, unless the engine changes already.
      *
-     * @param change the service's state
+     * @param change the change
      * @param report how the engine stands
      */
     private void reported(Change change, EngineOrders.EngineReport report) {
@@ -463,23 +521,23 @@
                                         .execute(
                                                 () -> {
                                                     change.mCalling = false;
-                                                    if (change.mEngine == engine) {
+                                                    if (!change.mOver) {
                                                         ordered(change, outcome);
                                                     }
                                                 }));
     }
 
     /**
-     * Takes what is known of the order.
+     * Takes what is known of the order. What was refused is over, and dropped with the next look.
      *
-     * @param change the service's state
+     * @param change the change
      * @param outcome what is known
      */
     private void ordered(Change change, EngineOrders.Outcome outcome) {
         LOGGER.info("order engine={} outcome={}", change.mEngine.id(), outcome);
         switch (outcome) {
             case TAKEN, ALREADY -> change.mTaken = true;
-            case REFUSED -> end(change);
+            case REFUSED -> change.mOver = true;
             default -> change.mTaken = false;
         }
     }
