--- a/troutpier-cli/src/test/java/org/troutpier/cli/OperatorSessionGoldenTest.java
+++ b/troutpier-cli/src/test/java/org/troutpier/cli/OperatorSessionGoldenTest.java
@@ -21,6 +21,7 @@
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.InstanceId;
 import org.troutpier.common.settings.Address;
+import org.troutpier.common.settings.Secret;
 import org.troutpier.daemon.RouterDaemon;
 import org.troutpier.daemon.settings.DaemonSettings;
 import org.troutpier.standins.platform.InstanceListStandin;
@@ -56,7 +57,7 @@
                                 any,
                                 any,
                                 new Address("127.0.0.1", peerPort),
-                                "a-secret-for-tests-only",
+                                new Secret("a-secret-for-tests-only"),
                                 Tokens.hash("administrator"),
                                 new DaemonSettings.PlatformSettings(
                                         mTable.server().address().url(""),
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
@@ -128,7 +128,7 @@
                         mNode,
                         settings.peer(),
                         new PeerMesh.Members(mMembership, mMembership::live),
-                        settings.peerSecret(),
+                        settings.peerSecret().value(),
                         mPeers::heard);
         ControllerReference holder = new ControllerReference();
         Optional<CoordinatorPermits> coordinator = coordinatorPermits(holder);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/settings/DaemonSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/settings/DaemonSettings.java
@@ -8,6 +8,7 @@
 import org.troutpier.common.id.InstanceId;
 import org.troutpier.common.settings.Address;
 import org.troutpier.common.settings.Check;
+import org.troutpier.common.settings.Secret;
 
 /**
  * The daemon's settings. Immutable and thread safe. What is routed where is never set here but
@@ -33,7 +34,7 @@
         Address caller,
         Address operator,
         Address peer,
-        String peerSecret,
+        Secret peerSecret,
         String administratorTokenHash,
         PlatformSettings platform,
         ServerLimits callerLimits,
@@ -41,9 +42,6 @@
         Integer threads,
         Integer drainMillis) {
 
-    /** The shortest secret that is taken. */
-    private static final int SHORTEST_SECRET = 16;
-
     /** How many threads carry traffic unless said otherwise. */
     private static final int DEFAULT_THREADS = 2;
 
@@ -67,11 +65,7 @@
         Check.present("caller", caller);
         Check.present("operator", operator);
         Check.present("peer", peer);
-        Check.present("peerSecret", peerSecret);
-        Check.that(
-                "peerSecret",
-                peerSecret.length() >= SHORTEST_SECRET,
-                "must have at least " + SHORTEST_SECRET + " characters");
+        Check.present("peerSecret", peerSecret).require("peerSecret");
         Check.that(
                 "administratorTokenHash",
                 administratorTokenHash == null || Tokens.isHash(administratorTokenHash),
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/Rig.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/Rig.java
@@ -36,6 +36,7 @@
 import org.troutpier.common.id.PartnerId;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.settings.Address;
+import org.troutpier.common.settings.Secret;
 import org.troutpier.daemon.settings.DaemonSettings;
 import org.troutpier.daemon.settings.DaemonSettings.AdmissionSettings;
 import org.troutpier.daemon.settings.DaemonSettings.PairRule;
@@ -135,7 +136,7 @@
                         local(0),
                         local(0),
                         local(peerPort),
-                        "a-secret-for-tests-only",
+                        new Secret("a-secret-for-tests-only"),
                         Tokens.hash(ADMINISTRATOR),
                         new DaemonSettings.PlatformSettings(
                                 url(mTable.server()),
