--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Predicate;
+import java.util.function.BiPredicate;
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.UpstreamIncarnation;
@@ -112,7 +112,7 @@
      * @param router the start that counts
      */
     private void forgetEarlierStarts(Incarnation router) {
-        drop(each -> !each.equals(router) && each.instance().equals(router.instance()));
+        drop((each, heard) -> !each.equals(router) && each.instance().equals(router.instance()));
     }
 
     /**
@@ -121,13 +121,13 @@
      * @param gone which routers
      * @return whether there were any
      */
-    private boolean drop(Predicate<Incarnation> gone) {
+    private boolean drop(BiPredicate<Incarnation, Heard> gone) {
         return mHeard.entrySet()
                 .removeIf(
                         each -> {
-                            boolean dropped = gone.test(each.getKey());
-                            if (dropped && each.getValue().scope() != ReportScope.REST) {
-                                Heard heard = each.getValue();
+                            Heard heard = each.getValue();
+                            boolean dropped = gone.test(each.getKey(), heard);
+                            if (dropped && heard.scope() != ReportScope.REST) {
                                 UseReport use = heard.report().organisations();
                                 mRetained.keep(heard.source(), use, heard.at());
                             }
@@ -179,7 +179,7 @@
      * @return whether there was any
      */
     private boolean dropOld(long now) {
-        return drop(router -> now - mHeard.get(router).at() > BELIEVED_MILLIS);
+        return drop((router, heard) -> now - heard.at() > BELIEVED_MILLIS);
     }
 
     /**
@@ -190,13 +190,18 @@
      * @return the use; of a hall whose group another router tells of, nothing
      */
     private UseReport retained(Set<ReportScope> scopes, long now) {
-        Set<RetainedUse.Source> groups = new HashSet<>();
-        for (Heard heard : mHeard.values()) {
-            if (heard.scope() == ReportScope.GROUP) {
-                groups.add(heard.source());
-            }
-        }
-        return mRetained.sum(scopes, groups::contains, now);
+        return mRetained.sum(scopes, this::tellsOfGroup, now);
+    }
+
+    /**
+     * Returns whether a router tells of the group of a hall.
+     *
+     * @param source the hall's group, or a router's own load, of which no other tells
+     * @return whether one does
+     */
+    private boolean tellsOfGroup(RetainedUse.Source source) {
+        return source.scope() == ReportScope.GROUP
+                && mHeard.values().stream().anyMatch(heard -> heard.source().equals(source));
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/RoleLevelling.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/RoleLevelling.java
@@ -30,16 +30,15 @@
      */
     static int spare(RoleInvestment.Staffing staffing, Demand demand, double askedMillis) {
         double memoryTime = memoryTime(staffing, demand, askedMillis);
-        int spare = 0;
-        while (staffing.prefill() - spare > 1) {
-            int moved = spare + 1;
-            double read = SplitCapacity.read(staffing.prefill() - moved, demand);
-            int decode = staffing.decode() + moved;
-            if (read < SplitCapacity.made(decode, staffing.memoryTokens(), memoryTime)) {
-                break;
-            }
-            spare = moved;
+        int readers = staffing.prefill();
+        int decode = staffing.decode();
+        while (readers > 1
+                && SplitCapacity.read(readers - 1, demand)
+                        >= SplitCapacity.made(decode + 1, staffing.memoryTokens(), memoryTime)) {
+            readers--;
+            decode++;
         }
+        int spare = staffing.prefill() - readers;
         return spare >= staffing.decode() * LEAST_GAIN ? spare : 0;
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationUse.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationUse.java
@@ -11,6 +11,7 @@
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.troutpier.common.declaration.KeyHash;
 import org.troutpier.common.id.PartnerId;
 import org.troutpier.daemon.decision.LimitShare;
 import org.troutpier.daemon.decision.SlidingSum;
@@ -366,8 +367,7 @@
      */
     private double forgottenUse(Account account, double limit, long now) {
         double routers = mOthers.organisations().forgotten() + forgotten(now);
-        int known = Math.max(mOthers.routers() + 1, mKnown.getAsInt());
-        double part = Math.min(1, routers / known);
+        double part = Math.min(1, routers / known());
         double burst = account.mOrganisation.limit().burst();
         double held = burst * FORGOTTEN_BURSTS * Math.min(1, part * BURST_PARTS);
         return (limit - burst) * part + held;
@@ -440,7 +440,7 @@
      */
     private LimitShare share(double limit, double assumed) {
         int heard = mOthers.routers() + 1;
-        int known = Math.max(heard, mKnown.getAsInt());
+        int known = known();
         boolean part = heard < known;
         if (part != mPartToldOf) {
             mPartToldOf = part;
@@ -449,6 +449,15 @@
         return new LimitShare(limit, mSettings.tolerance(limit), heard, known, assumed);
     }
 
+    /**
+     * Returns how many routers there may be.
+     *
+     * @return the count, this one included
+     */
+    private int known() {
+        return Math.max(mOthers.routers() + 1, mKnown.getAsInt());
+    }
+
     /**
      * Returns what an organisation used at the others.
      *
@@ -523,9 +532,6 @@
                 room.here().window(),
                 room.elsewhere().window(),
                 account.mRefused,
-                account.mOrganisation.keys().stream()
-                        .map(key -> key.fingerprint())
-                        .sorted()
-                        .toList());
+                account.mOrganisation.keys().stream().map(KeyHash::fingerprint).sorted().toList());
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
@@ -63,20 +63,19 @@
             refuse(request, caller, ResultCode.NO_ROUTE, 0);
             return;
         }
-        Optional<TroutpierException> stranger =
-                stranger(configuration.get(), route.get(), request.key());
+        Optional<Requester> requester =
+                Requester.of(configuration.get(), route.get(), request.key());
+        Optional<TroutpierException> stranger = stranger(requester);
         if (stranger.isPresent()) {
             ResultCode code = stranger.get().code();
             refuse(request, caller, code, code.retryAfterSeconds() * MILLIS_PER_SECOND);
             return;
         }
         mContext.use().configured(configuration.get());
-        Requester requester =
-                Requester.of(configuration.get(), route.get(), request.key()).orElseThrow();
         String name = route.get().service(mContext.random().nextDouble());
         Optional<Service> service = configuration.get().service(name);
         RequestExecution execution =
-                execution(request.by(requester), route.get(), name, service, caller);
+                execution(request.by(requester.orElseThrow()), route.get(), name, service, caller);
         execution.trace().input("configuration", configuration.get().version());
         execution.begin();
     }
@@ -94,7 +93,8 @@
         Optional<TroutpierException> stranger =
                 configuration
                         .flatMap(each -> each.route(host, path(target)))
-                        .flatMap(route -> stranger(configuration.get(), route, key));
+                        .map(route -> Requester.of(configuration.get(), route, key))
+                        .flatMap(this::stranger);
         stranger.ifPresent(why -> mContext.metrics().ended(why.code().label()));
         return stranger;
     }
@@ -102,23 +102,18 @@
     /**
      * Returns why a caller is not let in.
      *
-     * @param configuration the version in force
-     * @param route the request's route
-     * @param key the caller's key, if it sent one that can be read
+     * @param requester who asks; empty where a key is needed and is missing or not known
      * @return the refusal, or empty where the caller is let in
      */
-    private Optional<TroutpierException> stranger(
-            RoutingConfiguration configuration, Route route, Optional<KeyHash> key) {
-        if (!configuration.asksForKeys() || route.open()) {
+    private Optional<TroutpierException> stranger(Optional<Requester> requester) {
+        boolean keyless = requester.isPresent() && requester.get().organisation().isEmpty();
+        if (keyless) {
             return Optional.empty();
         }
         if (!mKeys.keysCount()) {
             return refusal(ResultCode.KEYS_UNCONFIRMED);
         }
-        if (Requester.of(configuration, route, key).isEmpty()) {
-            return refusal(ResultCode.UNKNOWN_TOKEN);
-        }
-        return Optional.empty();
+        return requester.isEmpty() ? refusal(ResultCode.UNKNOWN_TOKEN) : Optional.empty();
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -484,7 +484,8 @@
     }
 
     /**
-     * Passes an upstream over if most of the calls fail that all routers sent it lately.
+     * Passes an upstream over if most of the calls fail that all routers sent it lately. It is
+     * asked for each upstream whenever one is chosen, and mostly none has failed.
      *
      * @param upstream the upstream
      * @param now the clock, milliseconds
@@ -492,10 +493,12 @@
     private void judge(UpstreamEntry upstream, long now) {
         UpstreamUse others = mPeers.use(upstream.incarnation());
         Load load = load(upstream.incarnation());
-        FailureShare share =
-                new FailureShare(
-                        others.failed() + (int) Math.round(load.mFailedLately.sum(now)),
-                        others.succeeded() + (int) Math.round(load.mSucceededLately.sum(now)));
+        int failed = others.failed() + (int) Math.round(load.mFailedLately.sum(now));
+        if (failed == 0) {
+            return;
+        }
+        int succeeded = others.succeeded() + (int) Math.round(load.mSucceededLately.sum(now));
+        FailureShare share = new FailureShare(failed, succeeded);
         if (share.failing()) {
             double spread = 1 + SPREAD * (2 * mRandom.nextDouble() - 1);
             passOver(upstream, load, (long) (ENDS_MILLIS * spread), share.toString());
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
@@ -197,28 +197,7 @@
 
     @Test
     public void withoutEnginesASearchIsRefusedAfterItsWait() {
-        mAllocator.find(
-                new PlaceAllocator.Wanted(
-                        PlaceAllocator.NO_PARTNER,
-                        PROMPT,
-                        MOST,
-                        MARGIN,
-                        MEMORY,
-                        2000,
-                        100,
-                        Standing.IN_TIME,
-                        List::of),
-                new PlaceAllocator.Listener() {
-                    @Override
-                    public void granted(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
-                        mGranted = engine;
-                    }
-
-                    @Override
-                    public void refused(String detail) {
-                        mRefused = detail;
-                    }
-                });
+        find(100, Standing.IN_TIME, List::of);
         mTime.pass(150);
         assertTrue(mRefused != null);
     }
