Limits: what a shared limit is made of stands in a package of its own

Cause: the limit of a second kind of thing, of upstreams, needs the same meter, the same decision on stale views and the same lowering as that of organisations. Taken out of OrganisationUse: UseMeter, LoweredLimit, SharedRoom; RecentUse and UseSettings moved.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -11,9 +11,9 @@
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.limit.UseSettings;
 import org.troutpier.daemon.organisation.OthersUse;
 import org.troutpier.daemon.organisation.UseReport;
-import org.troutpier.daemon.organisation.UseSettings;
 
 /**
  * What the other routers said of their load and demand. Changes are confined to the control thread;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/SlidingSum.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/SlidingSum.java
@@ -56,6 +56,20 @@
         }
     }
 
+    /**
+     * Forgets what was added before a moment, by whole steps.
+     *
+     * @param at the moment, milliseconds
+     * @param now the monotonic clock, milliseconds
+     */
+    public void forgetBefore(long at, long now) {
+        advance(now);
+        long first = at / mStepMillis;
+        for (long step = mStep - mSteps; step < Math.min(first, mStep + 1); step++) {
+            mAdded[slot(step)] = 0;
+        }
+    }
+
     /**
      * Sums up the whole window.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/RecentUse.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/limit/RecentUse.java
@@ -1,13 +1,13 @@
-package org.troutpier.daemon.organisation;
+package org.troutpier.daemon.limit;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 
 /**
- * What an organisation used and asked lately, in its limit's unit. Immutable and thread safe.
+ * What was used and asked of a limit lately, in its unit. Immutable and thread safe.
  *
  * @param window in the whole window of limits
  * @param pace in the newest {@link UseSettings#PACE_PART} of it
- * @param asked what it asked in that part, let in or not
+ * @param asked what was asked in that part, admitted or not
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record RecentUse(long window, long pace, long asked) {
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/limit/UseMeter.java
@@ -0,0 +1,86 @@
+package org.troutpier.daemon.limit;
+
+import org.troutpier.daemon.decision.SlidingSum;
+
+/**
+ * Measures what was used and asked of one limit at this router. Confined to one thread. Invariant:
+ * what is older than the window counts no more.
+ */
+public final class UseMeter {
+
+    /** How many steps a window is divided into. */
+    private static final int STEPS = 16;
+
+    /** How long the window is, milliseconds. */
+    private final long mWindowMillis;
+
+    /** What was used. */
+    private final SlidingSum mUsed;
+
+    /** What was asked, admitted or not. */
+    private final SlidingSum mAsked;
+
+    /**
+     * Creates a meter that has measured nothing.
+     *
+     * @param windowMillis how long the window is, milliseconds
+     */
+    public UseMeter(long windowMillis) {
+        mWindowMillis = windowMillis;
+        mUsed = new SlidingSum(windowMillis, STEPS);
+        mAsked = new SlidingSum(windowMillis, STEPS);
+    }
+
+    /**
+     * Records that something is asked.
+     *
+     * @param cost how much, in the limit's unit
+     * @param now the monotonic clock, milliseconds
+     */
+    public void asked(double cost, long now) {
+        mAsked.add(cost, now);
+    }
+
+    /**
+     * Records that something is used.
+     *
+     * @param cost how much, in the limit's unit
+     * @param now the monotonic clock, milliseconds
+     */
+    public void used(double cost, long now) {
+        mUsed.add(cost, now);
+    }
+
+    /**
+     * Takes back what was recorded as used.
+     *
+     * @param cost how much, in the limit's unit
+     * @param at when it was recorded, milliseconds
+     * @param now the monotonic clock, milliseconds
+     */
+    public void takeBack(double cost, long at, long now) {
+        mUsed.takeBack(cost, at, now);
+    }
+
+    /**
+     * Forgets what was used before the newest {@link UseSettings#PACE_PART} of the window.
+     *
+     * @param now the monotonic clock, milliseconds
+     */
+    public void keepNewest(long now) {
+        mUsed.forgetBefore(now - Math.round(mWindowMillis * UseSettings.PACE_PART), now);
+    }
+
+    /**
+     * Returns what was used and asked lately.
+     *
+     * @param now the monotonic clock, milliseconds
+     * @return the use
+     */
+    public RecentUse recent(long now) {
+        return new RecentUse(
+                Math.round(mUsed.sum(now)),
+                Math.round(mUsed.sum(now, UseSettings.PACE_PART)),
+                Math.round(mAsked.sum(now, UseSettings.PACE_PART)));
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/UseSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/limit/UseSettings.java
@@ -1,9 +1,9 @@
-package org.troutpier.daemon.organisation;
+package org.troutpier.daemon.limit;
 
 import org.troutpier.common.settings.Check;
 
 /**
- * How strictly organisations' limits are kept over all routers. Immutable and thread safe.
+ * How strictly a limit is kept over all routers. Immutable and thread safe.
  *
  * @param windowSeconds over which time use is summed up, seconds
  * @param overage which part of a limit may be used beyond it while routers do not hear each other
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationUse.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationUse.java
@@ -14,7 +14,11 @@
 import org.troutpier.common.declaration.KeyHash;
 import org.troutpier.common.id.PartnerId;
 import org.troutpier.daemon.decision.LimitShare;
-import org.troutpier.daemon.decision.SlidingSum;
+import org.troutpier.daemon.limit.LoweredLimit;
+import org.troutpier.daemon.limit.RecentUse;
+import org.troutpier.daemon.limit.SharedRoom;
+import org.troutpier.daemon.limit.UseMeter;
+import org.troutpier.daemon.limit.UseSettings;
 import org.troutpier.daemon.route.Organisation;
 import org.troutpier.daemon.route.RoutingConfiguration;
 import org.troutpier.daemon.route.UseLimit;
@@ -32,12 +36,6 @@
     /** How soon a caller beyond a limit is told to come back at the earliest, milliseconds. */
     private static final long LEAST_RETURN_MILLIS = 250;
 
-    /**
-     * How late a view of the others is, milliseconds: their report, two relays and the question, of
-     * which each takes up to a pause between two reports.
-     */
-    private static final double LATE_MILLIS = 200;
-
     /**
      * How many bursts are not let in soon after a start: that of the limit, and what may have been
      * let in beyond it before while views of the others were late.
@@ -50,9 +48,6 @@
      */
     private static final double BURST_PARTS = 4;
 
-    /** How many steps a window is divided into. */
-    private static final int STEPS = 16;
-
     /** How often at most a line tells that an organisation is refused, milliseconds. */
     private static final long LINE_MILLIS = 10_000;
 
@@ -125,24 +120,15 @@
     /** One organisation's use at this router, and its limit over time. */
     private static final class Account {
 
-        /** What it used here. */
-        private final SlidingSum mUsed;
+        /** What it used and asked here. */
+        private final UseMeter mMeter;
 
-        /** What it asked here, let in or not. */
-        private final SlidingSum mAsked;
+        /** What it may use in a window. */
+        private final LoweredLimit mLimit;
 
         /** The organisation as the version in force has it. */
         private Organisation mOrganisation;
 
-        /** What it may use in a window, by the version in force. */
-        private double mLimit;
-
-        /** What it might use in a window when its limit was last lowered. */
-        private double mLimitBefore;
-
-        /** When its limit was last lowered, milliseconds. */
-        private long mLoweredAt;
-
         /** How many requests were refused. */
         private long mRefused;
 
@@ -152,24 +138,12 @@
         /**
          * Creates an account.
          *
+         * @param limit what the organisation may use in a window
          * @param windowMillis how long the window is, milliseconds
          */
-        Account(long windowMillis) {
-            mUsed = new SlidingSum(windowMillis, STEPS);
-            mAsked = new SlidingSum(windowMillis, STEPS);
-        }
-
-        /**
-         * Returns what it used and asked here.
-         *
-         * @param now the monotonic clock, milliseconds
-         * @return its use in the window and in the part over which use is paced
-         */
-        RecentUse used(long now) {
-            return new RecentUse(
-                    Math.round(mUsed.sum(now)),
-                    Math.round(mUsed.sum(now, UseSettings.PACE_PART)),
-                    Math.round(mAsked.sum(now, UseSettings.PACE_PART)));
+        Account(double limit, long windowMillis) {
+            mMeter = new UseMeter(windowMillis);
+            mLimit = new LoweredLimit(limit, windowMillis);
         }
     }
 
@@ -239,35 +213,19 @@
         double limit = organisation.limit().within(mSettings.windowSeconds());
         Account account = mAccounts.get(organisation.id());
         if (account == null) {
-            account = new Account(mSettings.windowMillis());
-            account.mLimitBefore = limit;
+            account = new Account(limit, mSettings.windowMillis());
             mAccounts.put(organisation.id(), account);
-        } else if (limit != account.mLimit) {
-            account.mLimitBefore = Math.max(limit, limit(account, now));
-            account.mLoweredAt = now;
+        } else if (limit != account.mLimit.inForce()) {
             LOGGER.info(
                     "limit changed organisation={} before={} now={}",
                     organisation.id(),
-                    (long) account.mLimit,
+                    (long) account.mLimit.inForce(),
                     (long) limit);
+            account.mLimit.set(limit, now);
         }
-        account.mLimit = limit;
         account.mOrganisation = organisation;
     }
 
-    /**
-     * Returns what an organisation may use in a window.
-     *
-     * @param account its account
-     * @param now the monotonic clock, milliseconds
-     * @return use in the limit's unit
-     */
-    private double limit(Account account, long now) {
-        double passed = (now - account.mLoweredAt) / (double) mSettings.windowMillis();
-        double left = Math.max(0, 1 - passed);
-        return account.mLimit + (account.mLimitBefore - account.mLimit) * left;
-    }
-
     /**
      * Lets a request in and counts it, or refuses it. An organisation without a limit is counted
      * too, so that operators see what it uses.
@@ -282,59 +240,18 @@
             return Optional.empty();
         }
         long now = mMillis.getAsLong();
-        account.mAsked.add(cost, now);
+        account.mMeter.asked(cost, now);
         if (organisation.limit().bounded()) {
-            Room room = room(account, now);
-            if (!fits(room, cost)) {
+            SharedRoom room = room(account, now);
+            if (!room.fits(cost, mRandom)) {
                 return Optional.of(refuse(account, cost, room, now));
             }
         }
-        account.mUsed.add(cost, now);
+        account.mMeter.used(cost, now);
         count(organisation.id(), "used", Math.round(cost));
         return Optional.empty();
     }
 
-    /**
-     * Returns whether a request fits. All routers see the same room until they hear of each other's
-     * use, so where more is asked in that time than there is room for, each lets in by chance as
-     * much as makes that room in the sum. A request that fits only in part is let in by chance too,
-     * since a router that is alone may use less than one request in a window; of many that ask,
-     * one.
-     *
-     * @param room what may still be used
-     * @param cost what the request uses
-     * @return whether it is let in
-     */
-    private boolean fits(Room room, double cost) {
-        double asked = room.here().asked() + (double) room.elsewhere().asked();
-        double paceMillis = mSettings.windowMillis() * UseSettings.PACE_PART;
-        double untold = asked / paceMillis * LATE_MILLIS;
-        double wanted = Math.max(cost, cost <= room.left() ? untold : asked);
-        return wanted <= room.left() || mRandom.nextDouble() * wanted < room.left();
-    }
-
-    /**
-     * How much more an organisation may use now. Immutable.
-     *
-     * @param here what it used here
-     * @param elsewhere what it used at the others
-     * @param most what may be used in the window
-     * @param mostPaced what may be used in the window's newest part
-     */
-    private record Room(RecentUse here, RecentUse elsewhere, double most, double mostPaced) {
-
-        /**
-         * Returns what may still be used.
-         *
-         * @return use in the limit's unit; not above 0 where nothing may
-         */
-        double left() {
-            return Math.min(
-                    most - here.window() - elsewhere.window(),
-                    mostPaced - here.pace() - elsewhere.pace());
-        }
-    }
-
     /**
      * Looks how much more an organisation may use.
      *
@@ -342,16 +259,17 @@
      * @param now the monotonic clock, milliseconds
      * @return the room
      */
-    private Room room(Account account, long now) {
-        double limit = limit(account, now);
+    private SharedRoom room(Account account, long now) {
+        double limit = account.mLimit.at(now);
         UseLimit inForce = account.mOrganisation.limit();
-        double burst = limit > account.mLimit ? inForce.burst() : 0;
+        double burst = limit > account.mLimit.inForce() ? inForce.burst() : 0;
         double paced = inForce.within(mSettings.paceSeconds()) - burst;
-        return new Room(
-                account.used(now),
+        return new SharedRoom(
+                account.mMeter.recent(now),
                 elsewhere(account.mOrganisation.id()),
                 share(limit, forgottenUse(account, limit, now)).most(),
-                share(paced, 0).most());
+                share(paced, 0).most(),
+                mSettings.windowMillis() * UseSettings.PACE_PART);
     }
 
     /**
@@ -382,7 +300,7 @@
      * @param now the monotonic clock, milliseconds
      * @return the refusal
      */
-    private Refusal refuse(Account account, double cost, Room room, long now) {
+    private Refusal refuse(Account account, double cost, SharedRoom room, long now) {
         PartnerId id = account.mOrganisation.id();
         account.mRefused++;
         count(id, "refused", 1);
@@ -399,7 +317,7 @@
             LOGGER.info("organisation beyond its limit: {}", detail);
         }
         double beyond = cost - room.left();
-        double freedPerMilli = Math.max(1, account.mLimit) / mSettings.windowMillis();
+        double freedPerMilli = Math.max(1, account.mLimit.inForce()) / mSettings.windowMillis();
         long wait = Math.round(beyond / freedPerMilli);
         long returnMillis = Math.max(LEAST_RETURN_MILLIS, Math.min(mSettings.windowMillis(), wait));
         return new Refusal(detail, returnMillis);
@@ -415,7 +333,7 @@
     public void giveBack(Organisation organisation, double cost, long at) {
         Account account = mAccounts.get(organisation.id());
         if (account != null) {
-            account.mUsed.takeBack(cost, at, mMillis.getAsLong());
+            account.mMeter.takeBack(cost, at, mMillis.getAsLong());
             count(organisation.id(), "given-back", Math.round(cost));
         }
     }
@@ -491,7 +409,7 @@
         Map<PartnerId, RecentUse> used = new HashMap<>();
         mAccounts.forEach(
                 (id, account) -> {
-                    RecentUse sum = account.used(now);
+                    RecentUse sum = account.mMeter.recent(now);
                     if ((sum.window() > 0 || sum.asked() > 0)
                             && account.mOrganisation.limit().bounded()) {
                         used.put(id, sum);
@@ -523,11 +441,11 @@
     private Standing standing(Account account, long now) {
         UseLimit limit = account.mOrganisation.limit();
         boolean bounded = limit.bounded();
-        Room room = room(account, now);
+        SharedRoom room = room(account, now);
         return new Standing(
                 account.mOrganisation.id().value(),
                 limit.unit().name().toLowerCase(Locale.ROOT),
-                bounded ? Math.round(account.mLimit) : 0,
+                bounded ? Math.round(account.mLimit.inForce()) : 0,
                 bounded ? Math.round(room.most()) : 0,
                 room.here().window(),
                 room.elsewhere().window(),
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/UseReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/UseReport.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.troutpier.common.id.PartnerId;
+import org.troutpier.daemon.limit.RecentUse;
 
 /**
  * What organisations with a limit used lately at one or several routers. Immutable and thread safe.
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/organisation/OrganisationUseTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/organisation/OrganisationUseTest.java
@@ -15,6 +15,8 @@
 import org.troutpier.common.declaration.KeyHash;
 import org.troutpier.common.http.ServerLimits;
 import org.troutpier.common.id.PartnerId;
+import org.troutpier.daemon.limit.RecentUse;
+import org.troutpier.daemon.limit.UseSettings;
 import org.troutpier.daemon.route.Organisation;
 import org.troutpier.daemon.route.RoutingConfiguration;
 import org.troutpier.daemon.route.UseLimit;
