Rates that upstreams name are noticed, logged, reported to the other routers and shown

Now: a line for each change of a rate with its source, counters upstream.ID.rate-named and rate-unreadable, and 'troutpier rates' with what each upstream was sent here and by the others in the last four seconds. Nothing is limited by it yet.

Ruled out on the way: statements with times (routers' clocks are not compared, so they carry ages); routers that hand on what they heard of others (each hop would make a statement younger by its delay, and it would never lapse).

--- a/troutpier-cli/src/main/java/org/troutpier/cli/CliMain.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/CliMain.java
@@ -44,6 +44,7 @@
             CliMain.ShowTimeline.class,
             OrganisationsCommand.class,
             QuarantineCommand.class,
+            RatesCommand.class,
             GenerateCompletion.class
         })
 public final class CliMain {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
@@ -59,6 +59,9 @@
     /** This router's latest report. */
     private LoadReport mOwn = LoadReport.NONE;
 
+    /** When that was made, milliseconds. */
+    private long mOwnAt;
+
     /** Whether there is something to tell the other relays. */
     private boolean mChanged;
 
@@ -119,6 +122,7 @@
     void tell(LoadReport report) {
         boolean news = !report.sameLoad(mOwn);
         mOwn = report;
+        mOwnAt = mNode.millis();
         if (news) {
             changed();
         }
@@ -179,7 +183,7 @@
         mChanged = false;
         mGroupToldAt = mNode.millis();
         LoadReport group =
-                mOwn.plus(mLoads.reports(EnumSet.of(ReportScope.OWN), null, mNode.millis()));
+                own().plus(mLoads.reports(EnumSet.of(ReportScope.OWN), null, mNode.millis()));
         mLinks.sendAll(otherRelays(), new PeerMessage.Load(ReportScope.GROUP, group));
     }
 
@@ -189,10 +193,19 @@
      * @param local whom to tell
      */
     private void tellRest(Incarnation local) {
-        LoadReport rest = mOwn.plus(mLoads.reports(counted(), local, mNode.millis()));
+        LoadReport rest = own().plus(mLoads.reports(counted(), local, mNode.millis()));
         mLinks.send(local, new PeerMessage.Load(ReportScope.REST, rest));
     }
 
+    /**
+     * Returns this router's latest report as it is now.
+     *
+     * @return the report
+     */
+    private LoadReport own() {
+        return mOwn.later(mNode.millis() - mOwnAt);
+    }
+
     /** Notes that the other relays are to be told, where this router does that. */
     void changed() {
         mChanged = true;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.limit.RateReport;
 import org.troutpier.daemon.organisation.UseReport;
 
 /**
@@ -23,6 +24,7 @@
  * @param uses what they have under way at each upstream
  * @param demands what callers asked of each model service lately
  * @param organisations what organisations with a limit used lately
+ * @param rates the upstreams that name rates, and what they were sent lately
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record LoadReport(
@@ -34,11 +36,22 @@
         Set<UpstreamIncarnation> refusing,
         Map<UpstreamIncarnation, UpstreamUse> uses,
         Map<String, Demand> demands,
-        UseReport organisations) {
+        UseReport organisations,
+        Map<UpstreamIncarnation, RateReport> rates) {
 
     /** The report of no router. */
     public static final LoadReport NONE =
-            new LoadReport(-1, 0, false, 0, Set.of(), Set.of(), Map.of(), Map.of(), UseReport.NONE);
+            new LoadReport(
+                    -1,
+                    0,
+                    false,
+                    0,
+                    Set.of(),
+                    Set.of(),
+                    Map.of(),
+                    Map.of(),
+                    UseReport.NONE,
+                    Map.of());
 
     /** Copies the maps. */
     public LoadReport {
@@ -47,6 +60,7 @@
         uses = Map.copyOf(uses);
         demands = Map.copyOf(demands);
         organisations = organisations == null ? UseReport.NONE : organisations;
+        rates = rates == null ? Map.of() : Map.copyOf(rates);
     }
 
     /**
@@ -75,12 +89,38 @@
                 refusing,
                 uses,
                 demands,
-                use);
+                use,
+                rates);
+    }
+
+    /**
+     * Returns this report as it is some time later.
+     *
+     * @param millis how much later, milliseconds
+     * @return a report whose named rates are older
+     */
+    LoadReport later(long millis) {
+        if (rates.isEmpty()) {
+            return this;
+        }
+        Map<UpstreamIncarnation, RateReport> older = new HashMap<>();
+        rates.forEach((upstream, report) -> older.put(upstream, report.later(millis)));
+        return new LoadReport(
+                configuration,
+                routers,
+                roleHolder,
+                waitingTokens,
+                changing,
+                refusing,
+                uses,
+                demands,
+                organisations,
+                older);
     }
 
     /**
      * Returns whether another report says the same but for the demand, which drifts all the time
-     * and matters to the decisions of seconds only, and for organisations' use, which rises with
+     * and matters to the decisions of seconds only, and for use against limits, which rises with
      * what is under way and falls by itself.
      *
      * @param other the other report
@@ -92,7 +132,26 @@
                 && roleHolder == other.roleHolder
                 && changing.equals(other.changing)
                 && refusing.equals(other.refusing)
-                && uses.equals(other.uses);
+                && uses.equals(other.uses)
+                && namesSameRates(other);
+    }
+
+    /**
+     * Returns whether another report names the same rates, whatever their age and use.
+     *
+     * @param other the other report
+     * @return whether it does
+     */
+    private boolean namesSameRates(LoadReport other) {
+        return rates.keySet().equals(other.rates.keySet())
+                && rates.entrySet().stream()
+                        .allMatch(
+                                each ->
+                                        each.getValue().named().perSecond()
+                                                == other.rates
+                                                        .get(each.getKey())
+                                                        .named()
+                                                        .perSecond());
     }
 
     /**
@@ -110,6 +169,7 @@
         Map<UpstreamIncarnation, UpstreamUse> allUses = new HashMap<>(uses);
         Map<String, Demand> allDemands = new HashMap<>(demands);
         List<UseReport> allUse = new ArrayList<>();
+        Map<UpstreamIncarnation, RateReport> allRates = new HashMap<>(rates);
         for (LoadReport other : others) {
             count += other.routers;
             holder |= other.roleHolder;
@@ -119,6 +179,7 @@
             other.uses.forEach((id, use) -> allUses.merge(id, use, UpstreamUse::plus));
             other.demands.forEach((name, demand) -> allDemands.merge(name, demand, Demand::plus));
             allUse.add(other.organisations);
+            other.rates.forEach((id, rate) -> allRates.merge(id, rate, RateReport::plus));
         }
         return new LoadReport(
                 configuration,
@@ -129,6 +190,7 @@
                 refused,
                 allUses,
                 allDemands,
-                organisations.plus(allUse));
+                organisations.plus(allUse),
+                allRates);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -10,6 +10,7 @@
 import org.troutpier.daemon.serving.PlaceAllocator;
 import org.troutpier.daemon.serving.TrafficLoop;
 import org.troutpier.daemon.serving.UpstreamLoads;
+import org.troutpier.daemon.serving.UpstreamRates;
 
 /**
  * Reports this router's load to the others: soon after it changed, and now and then when it did
@@ -35,6 +36,9 @@
     /** What organisations used here. */
     private final OrganisationUse mOrganisations;
 
+    /** The rates that upstreams name. */
+    private final UpstreamRates mRates;
+
     /** The version in force. */
     private final CurrentConfiguration mConfiguration;
 
@@ -61,6 +65,7 @@
      * @param places who waits for places
      * @param demand what was asked lately
      * @param organisations what organisations used here
+     * @param rates the rates that upstreams name
      * @param configuration the version in force
      * @param roles decides engines' roles, if this router does
      * @param control the control thread
@@ -72,6 +77,7 @@
             PlaceAllocator places,
             DemandMeter demand,
             OrganisationUse organisations,
+            UpstreamRates rates,
             CurrentConfiguration configuration,
             RoleController roles,
             Control control,
@@ -81,6 +87,7 @@
         mPlaces = places;
         mDemand = demand;
         mOrganisations = organisations;
+        mRates = rates;
         mConfiguration = configuration;
         mRoles = roles;
         mControl = control;
@@ -148,7 +155,8 @@
                         mLoads.refusing(),
                         uses,
                         mDemand.publish(mLoop.millis()),
-                        mOrganisations.report());
+                        mOrganisations.report(),
+                        mRates.report());
         mControl.execute(() -> mExchange.tell(report));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -11,19 +11,21 @@
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.limit.OthersRates;
+import org.troutpier.daemon.limit.RateReport;
 import org.troutpier.daemon.limit.UseSettings;
 import org.troutpier.daemon.organisation.OthersUse;
 import org.troutpier.daemon.organisation.UseReport;
 
 /**
  * What the other routers said of their load and demand. Changes are confined to the control thread;
- * {@link #use}, {@link #demand}, {@link #organisations()}, {@link #changing}, {@link #refusing},
- * {@link #waitingTokens()}, {@link #routers()} and {@link #roleHolder()} are thread safe and answer
- * as of the last {@link #sum}. Invariants: a report counts until {@link #BELIEVED_MILLIS} after it
- * was heard; only reports of the scopes that are counted count, so that no router's load is counted
- * twice.
+ * {@link #use}, {@link #demand}, {@link #organisations()}, {@link #rate}, {@link #changing}, {@link
+ * #refusing}, {@link #waitingTokens()}, {@link #routers()} and {@link #roleHolder()} are thread
+ * safe and answer as of the last {@link #sum}. Invariants: a report counts until {@link
+ * #BELIEVED_MILLIS} after it was heard; only reports of the scopes that are counted count, so that
+ * no router's load is counted twice.
  */
-public final class PeerLoads implements OthersUse {
+public final class PeerLoads implements OthersUse, OthersRates {
 
     /** How long a report counts, milliseconds: three of the longest pauses between two. */
     public static final long BELIEVED_MILLIS = 1500;
@@ -41,7 +43,15 @@
     private boolean mNews;
 
     /** The sum over all reports that count. */
-    private volatile LoadReport mSum = LoadReport.NONE;
+    private volatile Summed mSum = new Summed(LoadReport.NONE, 0);
+
+    /**
+     * A sum over reports.
+     *
+     * @param report the sum
+     * @param at when it was made, milliseconds
+     */
+    private record Summed(LoadReport report, long at) {}
 
     /**
      * A report and when it came.
@@ -60,6 +70,16 @@
         ReportScope scope() {
             return source.scope();
         }
+
+        /**
+         * Returns the report as it is now.
+         *
+         * @param now the monotonic clock, milliseconds
+         * @return the report, older by the time since it came
+         */
+        LoadReport reportAt(long now) {
+            return report.later(now - at);
+        }
     }
 
     /** Creates a view in which nobody has said anything, with the limits' default window. */
@@ -152,13 +172,14 @@
     public void sum(long now) {
         mNews = false;
         dropOld(now);
-        mSum =
+        LoadReport sum =
                 LoadReport.of(retained(mCounted, now))
                         .plus(
                                 mHeard.values().stream()
                                         .filter(heard -> mCounted.contains(heard.scope()))
-                                        .map(Heard::report)
+                                        .map(heard -> heard.reportAt(now))
                                         .toList());
+        mSum = new Summed(sum, now);
     }
 
     /**
@@ -234,7 +255,7 @@
         mHeard.forEach(
                 (router, heard) -> {
                     if (scopes.contains(heard.scope()) && !router.equals(without)) {
-                        reports.add(heard.report());
+                        reports.add(heard.reportAt(now));
                     }
                 });
         reports.add(LoadReport.of(retained(scopes, now)));
@@ -248,7 +269,7 @@
      * @return the sum
      */
     public UpstreamUse use(UpstreamIncarnation upstream) {
-        return mSum.uses().getOrDefault(upstream, UpstreamUse.NONE);
+        return mSum.report().uses().getOrDefault(upstream, UpstreamUse.NONE);
     }
 
     /**
@@ -258,7 +279,7 @@
      * @return whether one said so lately
      */
     public boolean changing(UpstreamIncarnation engine) {
-        return mSum.changing().contains(engine);
+        return mSum.report().changing().contains(engine);
     }
 
     /**
@@ -268,7 +289,7 @@
      * @return whether one said so
      */
     public boolean refusing(UpstreamIncarnation engine) {
-        return mSum.refusing().contains(engine);
+        return mSum.report().refusing().contains(engine);
     }
 
     /**
@@ -278,7 +299,7 @@
      * @return the sum
      */
     public Demand demand(String service) {
-        return mSum.demands().getOrDefault(service, Demand.NONE);
+        return mSum.report().demands().getOrDefault(service, Demand.NONE);
     }
 
     /**
@@ -287,19 +308,27 @@
      * @return the tokens of their prompts
      */
     public long waitingTokens() {
-        return mSum.waitingTokens();
+        return mSum.report().waitingTokens();
     }
 
     /** {@inheritDoc} */
     @Override
     public UseReport organisations() {
-        return mSum.organisations();
+        return mSum.report().organisations();
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public RateReport rate(UpstreamIncarnation upstream, long now) {
+        Summed sum = mSum;
+        RateReport rate = sum.report().rates().get(upstream);
+        return rate == null ? RateReport.NONE : rate.later(now - sum.at());
     }
 
     /** {@inheritDoc} */
     @Override
     public int routers() {
-        return mSum.routers();
+        return mSum.report().routers();
     }
 
     /**
@@ -308,6 +337,6 @@
      * @return whether one said so lately
      */
     public boolean roleHolder() {
-        return mSum.roleHolder();
+        return mSum.report().roleHolder();
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptReading.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptReading.java
@@ -1,6 +1,7 @@
 package org.troutpier.daemon.serving;
 
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.limit.AnnouncedRate;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
@@ -105,6 +106,7 @@
     void begin(ServingRequest request, UpstreamPort.RunPlan plan) {
         mTrace.step("prefill@" + mEngine.id());
         mContext.loads().begin(mEngine, mPrompt.tokens());
+        mContext.rates().sent(mEngine);
         mCall = mContext.port().prefill(mEngine, request, plan, this);
     }
 
@@ -148,6 +150,12 @@
         }
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void onRate(AnnouncedRate rate, UpstreamPort.Verdict verdict) {
+        mContext.rates().heard(mEngine, rate, verdict, mContext.loop().millis() - mStart);
+    }
+
     /** {@inheritDoc} */
     @Override
     public void onResult(UpstreamPort.StoredPrompt prompt) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RestartAwarePort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RestartAwarePort.java
@@ -12,6 +12,7 @@
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.limit.AnnouncedRate;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
@@ -214,6 +215,14 @@
             mListener = listener;
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void onRate(AnnouncedRate rate, Verdict verdict) {
+            if (open()) {
+                mListener.onRate(rate, verdict);
+            }
+        }
+
         /** {@inheritDoc} */
         @Override
         public void onHead(Head head) {
@@ -260,6 +269,14 @@
             mListener = listener;
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void onRate(AnnouncedRate rate, Verdict verdict) {
+            if (open()) {
+                mListener.onRate(rate, verdict);
+            }
+        }
+
         /** {@inheritDoc} */
         @Override
         public void onResult(T result) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -19,6 +19,7 @@
  * @param port sends calls to upstreams
  * @param directory the upstreams
  * @param loads what is under way at each upstream
+ * @param rates the rates that upstreams name
  * @param budget bounds extra calls
  * @param places gives out places at decode engines
  * @param use keeps organisations to their limits
@@ -40,6 +41,7 @@
         UpstreamPort port,
         UpstreamDirectory directory,
         UpstreamLoads loads,
+        UpstreamRates rates,
         ExtraCallBudget budget,
         PlaceAllocator places,
         OrganisationUse use,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.limit.AnnouncedRate;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
@@ -199,8 +200,20 @@
         FOREIGN
     }
 
+    /** Receives what an upstream says in its answers of the rate that it takes. */
+    interface RateListener {
+
+        /**
+         * Receives the rate that an answer names, if any, before anything else of it.
+         *
+         * @param rate what the answer says
+         * @param verdict what its head proves
+         */
+        default void onRate(AnnouncedRate rate, Verdict verdict) {}
+    }
+
     /** Receives the answer to a run. */
-    interface RunListener {
+    interface RunListener extends RateListener {
 
         /**
          * Receives the head.
@@ -232,7 +245,7 @@
      *
      * @param <T> the result's type
      */
-    interface ResultListener<T> {
+    interface ResultListener<T> extends RateListener {
 
         /**
          * Receives the result.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRun.java
@@ -1,6 +1,7 @@
 package org.troutpier.daemon.serving;
 
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.limit.AnnouncedRate;
 
 /**
  * One run of a request at one upstream, from its call until it is over. Confined to the traffic
@@ -52,6 +53,7 @@
      * @param plan what goes with it
      */
     protected void send(ServingRequest request, UpstreamPort.RunPlan plan) {
+        mContext.rates().sent(mUpstream);
         mCall = mContext.port().run(mUpstream, request, plan, this);
     }
 
@@ -97,6 +99,12 @@
         close();
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void onRate(AnnouncedRate rate, UpstreamPort.Verdict verdict) {
+        mContext.rates().heard(mUpstream, rate, verdict, millis());
+    }
+
     /** Records that the call is over. */
     protected void close() {
         expectNothing();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/LimitSimulation.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/LimitSimulation.java
@@ -287,7 +287,16 @@
             Told told = group.mOnTheWay.poll();
             LoadReport report =
                     new LoadReport(
-                            1, 1, false, 0, Set.of(), Set.of(), Map.of(), Map.of(), told.use());
+                            1,
+                            1,
+                            false,
+                            0,
+                            Set.of(),
+                            Set.of(),
+                            Map.of(),
+                            Map.of(),
+                            told.use(),
+                            Map.of());
             group.mLoads.heard(told.from(), HALL, ReportScope.OWN, report, mNow);
             group.mHeard.put(told.from(), told.use());
         }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -156,7 +156,8 @@
                             Set.of(),
                             Map.of(ENGINE, UpstreamUse.of(mCalls, 10)),
                             Map.of(),
-                            mUse));
+                            mUse,
+                            Map.of()));
         }
 
         private boolean reaches(Router other) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -83,6 +83,7 @@
                         port,
                         mDirectory,
                         loads,
+                        new UpstreamRates(mTime.loop(), mTime::millis, peers, metrics),
                         new ExtraCallBudget(0, 0, 10_000),
                         new PlaceAllocator(mTime.loop(), port, loads, view, random),
                         new OrganisationUse(
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FailingEnginesTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FailingEnginesTest.java
@@ -113,7 +113,8 @@
                             Set.of(),
                             loads.uses(),
                             Map.of(),
-                            UseReport.NONE));
+                            UseReport.NONE,
+                            Map.of()));
         }
         for (int router = 0; router < ROUTERS; router++) {
             List<LoadReport> others = new ArrayList<>(reports);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
@@ -101,7 +101,8 @@
                                 mFirst.incarnation(), UpstreamUse.of(1, first),
                                 mSecond.incarnation(), UpstreamUse.of(1, second)),
                         Map.of(),
-                        UseReport.NONE);
+                        UseReport.NONE,
+                        Map.of());
         Incarnation peer = new Incarnation("peer~1");
         assertEquals(peer.instance(), new InstanceId("peer"));
         mPeers.heard(peer, Entries.HALL, ReportScope.OWN, report, mTime.millis());
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReportedUseTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReportedUseTest.java
@@ -122,7 +122,8 @@
                         Set.of(),
                         Map.of(mEngine.incarnation(), UpstreamUse.of(1, tokens)),
                         Map.of(),
-                        UseReport.NONE);
+                        UseReport.NONE,
+                        Map.of());
         mPeers.heard(PEER, Entries.HALL, ReportScope.OWN, report, mTime.millis());
         mPeers.sum(mTime.millis());
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -63,7 +63,8 @@
                         Set.of(),
                         Map.of(mNear.incarnation(), UpstreamUse.of(5, 0)),
                         Map.of(),
-                        UseReport.NONE);
+                        UseReport.NONE,
+                        Map.of());
         mPeers.heard(
                 new Incarnation("peer~1"), Entries.HALL, ReportScope.OWN, report, mTime.millis());
         mPeers.sum(mTime.millis());
@@ -135,7 +136,8 @@
                         Set.of(idle.incarnation()),
                         Map.of(),
                         Map.of(),
-                        UseReport.NONE);
+                        UseReport.NONE,
+                        Map.of());
         mPeers.heard(
                 new Incarnation("peer~1"), Entries.HALL, ReportScope.OWN, report, mTime.millis());
         mPeers.sum(mTime.millis());
