Upstreams get no more than the rate that they name, from all routers together

Cause: nothing in a router read what an upstream says of itself in its answers; the header went on to the caller as any other. Class: a word of a peer that is passed on and not heeded, and that no single router could keep alone, as it holds for the sum.

Why this works: each router counts what it sends, reports it with its load, and sends what the sum of all leaves room for (the same SharedRoom and LimitShare as for organisations); calls are admitted before they are sent, at plain services, prefill and decode engines alike, second tries too.

--- a/troutpier-cli/src/main/java/org/troutpier/cli/RatesCommand.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/RatesCommand.java
@@ -16,14 +16,14 @@
         footer = {
             "",
             "Here and elsewhere are what an upstream was sent by this router and by the others in the",
-            "last four seconds. An upstream that names no rate isn't listed. --router names the port",
-            "of a router's figures.",
+            "last four seconds; withheld counts requests that this router did not send to it. An",
+            "upstream that names no rate is not listed. --router names the port of a router's figures.",
             "  troutpier rates --router 10.1.0.35:9464,10.1.0.36:9464"
         })
 final class RatesCommand implements Callable<Integer> {
 
     /** How an upstream is shown. */
-    private static final String LINE = "%-20s %-20s %10s %10s %10s %10s%n";
+    private static final String LINE = "%-20s %-20s %10s %10s %10s %10s %10s%n";
 
     /** Where the routers are. */
     @Mixin private CliMain.Connection mConnection;
@@ -33,7 +33,8 @@
     public Integer call() {
         CliSettings settings = mConnection.settings();
         try (RouterClient client = new RouterClient(settings.token())) {
-            System.out.printf(LINE, "router", "upstream", "rate", "age ms", "here", "elsewhere");
+            System.out.printf(
+                    LINE, "router", "upstream", "rate", "age ms", "here", "elsewhere", "withheld");
             for (Address router : settings.routers()) {
                 for (JsonNode each : client.ask(List.of(router), "/rates")) {
                     show(router, each);
@@ -58,6 +59,7 @@
                 upstream.path("perSecond").asText(),
                 upstream.path("ageMillis").asText(),
                 upstream.path("here").asText(),
-                upstream.path("elsewhere").asText());
+                upstream.path("elsewhere").asText(),
+                upstream.path("withheld").asText());
     }
 }
--- a/troutpier-cli/src/test/java/org/troutpier/cli/RatesCommandTest.java
+++ b/troutpier-cli/src/test/java/org/troutpier/cli/RatesCommandTest.java
@@ -28,7 +28,7 @@
     void start() {
         mLoop = new NioEventLoopGroup(1);
         List<UpstreamRates.Standing> rates =
-                List.of(new UpstreamRates.Standing("web-1", 3.6, 120, 4, 9));
+                List.of(new UpstreamRates.Standing("web-1", 3.6, 120, 4, 9, 31));
         mServer =
                 new HttpServer(
                         new Address("127.0.0.1", 0),
@@ -54,6 +54,6 @@
         CliRun run = CliRun.of("rates", "--router", router, "--token", "any");
         assertEquals(run.exit(), 0);
         String line = run.shown().lines().filter(each -> each.contains("web-1")).findFirst().get();
-        assertTrue(line.matches(router + " +web-1 +3.6 +120 +4 +9"), line);
+        assertTrue(line.matches(router + " +web-1 +3.6 +120 +4 +9 +31"), line);
     }
 }
--- a/troutpier-common/src/main/java/org/troutpier/common/result/ResultCode.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/result/ResultCode.java
@@ -62,6 +62,9 @@
     /** Nothing has confirmed the keys for too long. */
     KEYS_UNCONFIRMED(
             131, 503, Family.NOT_RUN, 1, "The router has not heard lately which keys hold."),
+    /** All upstreams that could take the request get as many as they say they take. */
+    UPSTREAM_RATE(
+            132, 503, Family.NOT_RUN, 1, "The upstreams get as many requests as they take now."),
     /** The same key runs elsewhere. */
     ALREADY_RUNNING(200, 409, Family.OUTCOME_UNKNOWN, 2, "The request with this key is running."),
     /** Bytes left for an upstream and nothing proves what became of them. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/limit/UseMeter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/limit/UseMeter.java
@@ -63,12 +63,13 @@
     }
 
     /**
-     * Forgets what was used before the newest {@link UseSettings#PACE_PART} of the window.
+     * Forgets what was used before the newest part of the window.
      *
+     * @param part which part, above 0 and at most 1
      * @param now the monotonic clock, milliseconds
      */
-    public void keepNewest(long now) {
-        mUsed.forgetBefore(now - Math.round(mWindowMillis * UseSettings.PACE_PART), now);
+    public void keepNewest(double part, long now) {
+        mUsed.forgetBefore(now - Math.round(mWindowMillis * part), now);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -16,6 +16,7 @@
 import org.troutpier.daemon.cluster.LoadView;
 import org.troutpier.daemon.decision.Standing;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.limit.AnnouncedRate;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
@@ -50,6 +51,9 @@
     /** What is under way at each engine. */
     private final UpstreamLoads mLoads;
 
+    /** Keeps engines to the rates that they name. */
+    private final UpstreamRates mRates;
+
     /** Has engines chosen by what the other routers have under way now. */
     private final LoadView mView;
 
@@ -78,6 +82,7 @@
      * @param loop the traffic loop
      * @param port asks engines for places
      * @param loads what is under way at each engine
+     * @param rates keeps engines to the rates that they name
      * @param view has engines chosen by what the other routers have under way now
      * @param random spreads repeated questions
      */
@@ -85,12 +90,14 @@
             TrafficLoop loop,
             UpstreamPort port,
             UpstreamLoads loads,
+            UpstreamRates rates,
             LoadView view,
             RandomGenerator random) {
         mView = view;
         mLoop = loop;
         mPort = port;
         mLoads = loads;
+        mRates = rates;
         mRandom = random;
         for (Standing standing : Standing.values()) {
             mWaiting.put(standing, new FairQueue<>());
@@ -101,8 +108,8 @@
     public interface Listener {
 
         /**
-         * Receives a place. The prompt's tokens are taken at the engine from now on; the listener
-         * gives them back.
+         * Receives a place. The prompt's tokens are taken at the engine from now on, and the run is
+         * admitted there; the listener gives back what it does not use.
          *
          * @param engine where it is
          * @param place the place; empty where engines do not set places aside
@@ -275,7 +282,8 @@
                 mOffered = engines;
             }
             for (UpstreamEntry engine : mLoads.byTokens(engines, mAsked)) {
-                if (mFullUntil.getOrDefault(engine.incarnation(), now) <= now && hasRoom(engine)) {
+                boolean full = mFullUntil.getOrDefault(engine.incarnation(), now) > now;
+                if (!full && hasRoom(engine) && mRates.tryTake(engine)) {
                     ask(engine);
                     return;
                 }
@@ -374,6 +382,9 @@
             /** Who answers. */
             private final UpstreamEntry mEngine;
 
+            /** When it was asked, milliseconds. */
+            private final long mAskedAt = mLoop.millis();
+
             /**
              * Creates a listener.
              *
@@ -383,11 +394,25 @@
                 mEngine = engine;
             }
 
+            /** Gives back the memory and the run that are not used. */
+            private void giveBack() {
+                mLoads.end(mEngine, mWanted.promptTokens());
+                mRates.giveBack(mEngine, mAskedAt);
+            }
+
+            /** {@inheritDoc} */
+            @Override
+            public void onRate(AnnouncedRate rate, UpstreamPort.Verdict verdict) {
+                if (rate.kind() != AnnouncedRate.Kind.NONE) {
+                    mRates.heard(mEngine, rate, verdict, mLoop.millis() - mAskedAt);
+                }
+            }
+
             /** {@inheritDoc} */
             @Override
             public void onResult(UpstreamPort.Place place) {
                 if (mOver) {
-                    mLoads.end(mEngine, mWanted.promptTokens());
+                    giveBack();
                     mPort.release(mEngine, place);
                     return;
                 }
@@ -399,7 +424,7 @@
             /** {@inheritDoc} */
             @Override
             public void onFailure(AttemptEnd end) {
-                mLoads.end(mEngine, mWanted.promptTokens());
+                giveBack();
                 mRefusals++;
                 mFullUntil.put(mEngine.incarnation(), mLoop.millis() + FULL_MILLIS);
                 if (end.leaving()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -1,6 +1,6 @@
 package org.troutpier.daemon.serving;
 
-import java.util.Optional;
+import java.util.List;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.route.Route;
@@ -16,6 +16,12 @@
     /** The attempt under way, or null. */
     private Attempt mAttempt;
 
+    /** Where the request goes next, admitted there already; or null where that is not known. */
+    private UpstreamEntry mNext;
+
+    /** When it was admitted where it goes next, milliseconds. */
+    private long mAdmittedAt;
+
     /** An upstream's own failure, told if nothing better comes; or null. */
     private WholeAnswer mFailure;
 
@@ -48,24 +54,72 @@
         if (withheld()) {
             return;
         }
-        Optional<UpstreamEntry> upstream =
-                mContext.loads().pick(upstreams(UpstreamEntry.Role.PLAIN), excluded());
-        if (upstream.isEmpty()) {
-            giveUp(ResultCode.NO_UPSTREAM, "no upstream is left for " + mService);
+        if (!findNext()) {
+            giveUpUnsent();
             return;
         }
-        sent(upstream.get(), "sent");
-        mAttempt = new Attempt(upstream.get());
+        UpstreamEntry upstream = mNext;
+        mNext = null;
+        sent(upstream, "sent");
+        mAttempt = new Attempt(upstream);
         mAttempt.begin();
     }
 
+    /**
+     * Finds where the request goes next, and has it admitted there.
+     *
+     * @return whether there is such an upstream
+     */
+    private boolean findNext() {
+        if (mNext == null) {
+            mNext = mContext.rates().takeFirst(candidates()).orElse(null);
+            mAdmittedAt = mContext.loop().millis();
+        }
+        return mNext != null;
+    }
+
+    /** Gives back that the request was admitted where it is not going to be sent. */
+    private void forgetNext() {
+        if (mNext != null) {
+            mContext.rates().giveBack(mNext, mAdmittedAt);
+            mNext = null;
+        }
+    }
+
+    /**
+     * Returns where the request may be sent.
+     *
+     * @return the upstreams that have not had it, the least loaded first
+     */
+    private List<UpstreamEntry> candidates() {
+        return mContext.loads().byCalls(upstreams(UpstreamEntry.Role.PLAIN), excluded());
+    }
+
+    /** Gives the request up that no upstream takes. */
+    private void giveUpUnsent() {
+        List<UpstreamEntry> candidates = candidates();
+        if (candidates.isEmpty()) {
+            giveUp(
+                    ResultCode.NO_UPSTREAM,
+                    "no upstream is left for " + mService,
+                    ServingSettings.RETRY_AFTER_MILLIS);
+            return;
+        }
+        long limit = (long) (leftMillis() * ServingSettings.RETURN_PART);
+        giveUp(
+                ResultCode.UPSTREAM_RATE,
+                candidates.size() + " upstreams of " + mService + " are at their rates",
+                Math.min(limit, mContext.rates().returnMillis(candidates)));
+    }
+
     /**
      * Tells the best that is known: an upstream's own failure, or a refusal.
      *
      * @param code the code that fits the last step
      * @param detail what exactly
+     * @param returnMillis when to come back, milliseconds
      */
-    private void giveUp(ResultCode code, String detail) {
+    private void giveUp(ResultCode code, String detail, long returnMillis) {
         if (mFailure != null && !over()) {
             mFailure.sendTo(mCaller);
             mTrace.notable();
@@ -73,12 +127,13 @@
             answered();
             return;
         }
-        refuse(code, detail, ServingSettings.RETRY_AFTER_MILLIS);
+        refuse(code, detail, returnMillis);
     }
 
     /** {@inheritDoc} */
     @Override
     protected void stopUpstream() {
+        forgetNext();
         if (mAttempt != null) {
             mAttempt.abort();
         }
@@ -103,7 +158,16 @@
             return;
         }
         whenJudged(upstream, end, ended -> {});
-        giveUp(end.code(), end.detail());
+        giveUp(end);
+    }
+
+    /**
+     * Tells the best that is known after an attempt that failed.
+     *
+     * @param end how it ended
+     */
+    private void giveUp(AttemptEnd end) {
+        giveUp(end.code(), end.detail(), ServingSettings.RETRY_AFTER_MILLIS);
     }
 
     /**
@@ -116,7 +180,8 @@
         if (mayTryAgain(upstream, end)) {
             send();
         } else {
-            giveUp(end.code(), end.detail());
+            forgetNext();
+            giveUp(end);
         }
     }
 
@@ -152,7 +217,7 @@
         /** {@inheritDoc} Another upstream is asked, if there is one. */
         @Override
         protected void silent() {
-            if (mContext.loads().pick(upstreams(UpstreamEntry.Role.PLAIN), excluded()).isEmpty()) {
+            if (!findNext()) {
                 return;
             }
             abort();
@@ -211,6 +276,7 @@
         @Override
         public void onFailure(AttemptEnd end) {
             close();
+            giveBackUnreached(end);
             failed(mUpstream, end);
         }
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptReading.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptReading.java
@@ -106,7 +106,6 @@
     void begin(ServingRequest request, UpstreamPort.RunPlan plan) {
         mTrace.step("prefill@" + mEngine.id());
         mContext.loads().begin(mEngine, mPrompt.tokens());
-        mContext.rates().sent(mEngine);
         mCall = mContext.port().prefill(mEngine, request, plan, this);
     }
 
@@ -178,6 +177,9 @@
     @Override
     public void onFailure(AttemptEnd end) {
         close();
+        if (end.notStarted() && end.unreachable()) {
+            mContext.rates().giveBack(mEngine, mStart);
+        }
         mTrace.step("prefill failed(" + end.detail() + ")");
         mContext.metrics().ended(mEngine.id(), end.notStarted());
         if (end.notStarted() && end.leaving()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -291,7 +291,13 @@
             run(Optional.empty());
             return;
         }
-        UpstreamEntry engine = engines.get(0);
+        Optional<UpstreamEntry> admitted = mContext.rates().takeFirst(engines);
+        if (admitted.isEmpty()) {
+            mTrace.step("prefill engines at their rates");
+            run(Optional.empty());
+            return;
+        }
+        UpstreamEntry engine = admitted.get();
         mPrefillTried.add(engine.incarnation());
         boolean alone = mContext.loads().tokens(engine) == 0 && !mReadBefore && !mComesBack;
         mReadBefore = true;
@@ -339,6 +345,7 @@
             return;
         }
         sent(engine, "decode");
+        mPlace.sent();
         mRelay.beginRun();
         UpstreamPort.RunPlan plan =
                 UpstreamPort.RunPlan.plain(leftMillis(), priority())
@@ -687,6 +694,7 @@
         @Override
         public void onFailure(AttemptEnd end) {
             close();
+            giveBackUnreached(end);
             if (end.notStarted()) {
                 mPrompt.ifPresent(prompt -> mStored = prompt);
             }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
@@ -506,16 +505,16 @@
     }
 
     /**
-     * Chooses where a call goes: the upstream with the fewest known calls for its slots, own hall
-     * first, passing over those that failed.
+     * Orders upstreams of a plain service by the calls that are known to be under way for their
+     * slots, own hall first, passing over those that failed.
      *
      * @param candidates the upstreams
      * @param tried where the request was already sent
-     * @return the upstream, or empty for none
+     * @return the upstreams, the least loaded first
      */
-    public Optional<UpstreamEntry> pick(
+    public List<UpstreamEntry> byCalls(
             Collection<UpstreamEntry> candidates, Set<UpstreamIncarnation> tried) {
-        return ordered(candidates, tried, this::callCost).stream().findFirst();
+        return ordered(candidates, tried, this::callCost);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
@@ -4,23 +4,31 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.decision.LimitShare;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.limit.AnnouncedRate;
+import org.troutpier.daemon.limit.LoweredLimit;
 import org.troutpier.daemon.limit.NamedRate;
 import org.troutpier.daemon.limit.OthersRates;
 import org.troutpier.daemon.limit.RateReport;
 import org.troutpier.daemon.limit.RecentUse;
+import org.troutpier.daemon.limit.SharedRoom;
 import org.troutpier.daemon.limit.UseMeter;
 import org.troutpier.daemon.limit.UseSettings;
 
 /**
- * The rates that upstreams in need name in their answers, and what they were sent lately. Confined
- * to the traffic loop. Invariants: a rate belongs to one start of an upstream; it holds until an
+ * Keeps upstreams in need to the rates that they name in their answers, over all routers: each
+ * counts what it sends, reports it with its load, and sends what the sum leaves room for. Confined
+ * to the traffic loop. Invariants: what this router sends stays, with what it heard of the others,
+ * under the {@link LimitShare}; a rate belongs to one start of an upstream; it holds until an
  * answer to a later call names another or none, or until nothing was heard of it for {@link
  * #LAPSE_MILLIS}.
  */
@@ -35,6 +43,40 @@
      */
     static final long LAPSE_MILLIS = 30_000;
 
+    /**
+     * Which part of what upstreams bear beyond their rate may be used in the first window, by calls
+     * that were sent before the rate was known.
+     */
+    private static final double FIRST_TOLERANCE = 0.5;
+
+    /**
+     * Which part of the window's calls counts that were sent before the rate was known: the time
+     * before it was named that still lies in a window once the rate binds, and the time until it
+     * was known here.
+     */
+    private static final double KEPT_PART = 0.375;
+
+    /**
+     * By which factor the rate may be passed in the window's newest part. The window alone keeps
+     * the rate; evenly paced, a part of it would be lost whenever callers pause.
+     */
+    private static final double PACE_FACTOR = 1.25;
+
+    /** What may be sent beyond that: a rate below one request in that part is sent whole ones. */
+    private static final double PACE_REQUESTS = 1;
+
+    /** How soon a caller that no upstream takes is told to come back, milliseconds. */
+    private static final long LEAST_RETURN_MILLIS = 100;
+
+    /**
+     * The least rate that upstreams are sent requests at, requests a second: without any, no answer
+     * would say that the rate has ended.
+     */
+    private static final double LEAST_PER_SECOND = 0.1;
+
+    /** How many milliseconds a second has. */
+    private static final double MILLIS = 1000;
+
     /** How often at most a line tells the same of an upstream, milliseconds. */
     private static final long LINE_MILLIS = 10_000;
 
@@ -53,6 +95,12 @@
     /** What the other routers reported. */
     private final OthersRates mOthers;
 
+    /** Draws whether a request is sent that fits only in part. */
+    private final RandomGenerator mRandom;
+
+    /** Tells how many routers there may be. */
+    private final IntSupplier mKnown;
+
     /** Counts by upstream. */
     private final MetricRegistry mMetrics;
 
@@ -71,7 +119,13 @@
         /** The rate that holds, requests a second. */
         private double mPerSecond = NamedRate.UNLIMITED;
 
-        /** Whether it was ever named. */
+        /** What it may be sent in a window; meaningless where no rate holds. */
+        private final LoweredLimit mLimit = new LoweredLimit(0, SETTINGS.windowMillis());
+
+        /** How many requests were not sent. */
+        private long mWithheld;
+
+        /** Whether anything is known of it. */
         private boolean mNamed;
 
         /** Whether an answer here said so, which the other routers are to hear. */
@@ -128,12 +182,50 @@
                         text(mPerSecond),
                         here ? "answer" : "router");
             }
+            limit(perSecond);
             mPerSecond = perSecond;
             mNamed = true;
             mSaidAt = saidAt;
             mHeardHere = here;
         }
 
+        /**
+         * Sets what the upstream may be sent in a window. What it was sent before it named its
+         * first rate counts where it may still be at work on it.
+         *
+         * @param perSecond the rate
+         */
+        private void limit(double perSecond) {
+            if (perSecond == NamedRate.UNLIMITED || perSecond == mPerSecond) {
+                return;
+            }
+            long now = mLoop.millis();
+            double limit = Math.max(LEAST_PER_SECOND, perSecond) * SETTINGS.windowSeconds();
+            if (limited()) {
+                mLimit.set(limit, now);
+            } else {
+                double beyond = FIRST_TOLERANCE * SETTINGS.tolerance(limit);
+                mLimit.set(limit, limit + beyond, now);
+                mMeter.keepNewest(KEPT_PART, now);
+            }
+        }
+
+        /**
+         * Returns how much more the upstream may be sent.
+         *
+         * @return the room, requests
+         */
+        SharedRoom room() {
+            long now = mLoop.millis();
+            double paced = mLimit.inForce() * UseSettings.PACE_PART * PACE_FACTOR + PACE_REQUESTS;
+            return new SharedRoom(
+                    mMeter.recent(now),
+                    reported(this).use(),
+                    share(mLimit.at(now)),
+                    share(paced),
+                    SETTINGS.windowMillis() * UseSettings.PACE_PART);
+        }
+
         /** Forgets a statement of which nothing was heard for long. */
         void lapse() {
             if (mNamed && mElapsed.getAsLong() - mSaidAt >= LAPSE_MILLIS) {
@@ -173,23 +265,38 @@
      * @param ageMillis how long ago it was named last, milliseconds
      * @param here what it was sent here in the window
      * @param elsewhere what it was sent by the other routers
+     * @param withheld how many requests were not sent to it since it first named a rate
      */
     public record Standing(
-            String upstream, double perSecond, long ageMillis, long here, long elsewhere) {}
+            String upstream,
+            double perSecond,
+            long ageMillis,
+            long here,
+            long elsewhere,
+            long withheld) {}
 
     /**
      * Creates a view in which no upstream names a rate.
      *
      * @param loop the traffic loop
      * @param elapsed the clock of the control state, milliseconds
+     * @param random draws whether a request is sent that fits only in part
      * @param others what the other routers reported
+     * @param known tells how many routers there may be, this one included
      * @param metrics counts by upstream
      */
     public UpstreamRates(
-            TrafficLoop loop, LongSupplier elapsed, OthersRates others, MetricRegistry metrics) {
+            TrafficLoop loop,
+            LongSupplier elapsed,
+            RandomGenerator random,
+            OthersRates others,
+            IntSupplier known,
+            MetricRegistry metrics) {
         mLoop = loop;
         mElapsed = elapsed;
+        mRandom = random;
         mOthers = others;
+        mKnown = known;
         mMetrics = metrics;
     }
 
@@ -236,12 +343,99 @@
     }
 
     /**
-     * Records that a request is sent.
+     * Admits a request to an upstream and counts it, unless that would pass the upstream's rate.
+     *
+     * @param upstream where it is to be sent
+     * @return whether it may be sent
+     */
+    public boolean tryTake(UpstreamEntry upstream) {
+        Account account = updated(upstream.incarnation());
+        long now = mLoop.millis();
+        if (account.limited()) {
+            account.mMeter.asked(1, now);
+            SharedRoom room = account.room();
+            if (!room.fits(1, mRandom)) {
+                withhold(account, room);
+                return false;
+            }
+        }
+        account.mMeter.used(1, now);
+        return true;
+    }
+
+    /**
+     * Admits a request to the first of several upstreams that may be sent it.
+     *
+     * @param upstreams the upstreams, the best first
+     * @return the upstream; empty where all are at their rates
+     */
+    Optional<UpstreamEntry> takeFirst(List<UpstreamEntry> upstreams) {
+        return upstreams.stream().filter(this::tryTake).findFirst();
+    }
+
+    /**
+     * Gives back a request that was admitted and never reached the upstream.
+     *
+     * @param upstream where it was to be sent
+     * @param at when it was admitted, milliseconds
+     */
+    void giveBack(UpstreamEntry upstream, long at) {
+        account(upstream.incarnation()).mMeter.takeBack(1, at, mLoop.millis());
+    }
+
+    /**
+     * Predicts when one of several upstreams that are at their rates takes a request, where those
+     * that were withheld lately come back too.
+     *
+     * @param upstreams the upstreams
+     * @return milliseconds from now
+     */
+    long returnMillis(List<UpstreamEntry> upstreams) {
+        double perSecond = 0;
+        double asked = 0;
+        for (UpstreamEntry upstream : upstreams) {
+            Account account = updated(upstream.incarnation());
+            if (account.limited()) {
+                SharedRoom room = account.room();
+                perSecond += account.mPerSecond;
+                asked = Math.max(asked, room.here().asked() + (double) room.elsewhere().asked());
+            }
+        }
+        double ahead = Math.max(1, asked - perSecond * SETTINGS.paceSeconds());
+        double seconds = ahead / Math.max(LEAST_PER_SECOND, perSecond);
+        return LEAST_RETURN_MILLIS + Math.round(seconds * mRandom.nextDouble() * MILLIS);
+    }
+
+    /**
+     * Counts a request that is not sent.
+     *
+     * @param account the upstream's account
+     * @param room how much more it may be sent
+     */
+    private void withhold(Account account, SharedRoom room) {
+        account.mWithheld++;
+        account.count("rate-withheld");
+        if (account.lineDue()) {
+            LOGGER.info(
+                    "upstream at its rate id={} perSecond={} here={} elsewhere={} withheld={}",
+                    account.mUpstream,
+                    text(account.mPerSecond),
+                    room.here().window(),
+                    room.elsewhere().window(),
+                    account.mWithheld);
+        }
+    }
+
+    /**
+     * Returns how much of a limit the routers that hear each other may use.
      *
-     * @param upstream where to
+     * @param limit the limit
+     * @return the share
      */
-    void sent(UpstreamEntry upstream) {
-        account(upstream.incarnation()).mMeter.used(1, mLoop.millis());
+    private double share(double limit) {
+        int heard = mOthers.routers() + 1;
+        int known = Math.max(heard, mKnown.getAsInt());
+        return new LimitShare(limit, SETTINGS.tolerance(limit), heard, known, 0).most();
     }
 
     /**
@@ -290,7 +484,8 @@
                 account.mPerSecond,
                 account.named().ageMillis(),
                 account.mMeter.recent(mLoop.millis()).window(),
-                reported(account).use().window());
+                reported(account).use().window(),
+                account.mWithheld);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRun.java
@@ -2,6 +2,7 @@
 
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.limit.AnnouncedRate;
+import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
  * One run of a request at one upstream, from its call until it is over. Confined to the traffic
@@ -53,7 +54,6 @@
      * @param plan what goes with it
      */
     protected void send(ServingRequest request, UpstreamPort.RunPlan plan) {
-        mContext.rates().sent(mUpstream);
         mCall = mContext.port().run(mUpstream, request, plan, this);
     }
 
@@ -105,6 +105,17 @@
         mContext.rates().heard(mUpstream, rate, verdict, millis());
     }
 
+    /**
+     * Gives back that the run was admitted, where it never reached its upstream.
+     *
+     * @param end how it ended
+     */
+    protected void giveBackUnreached(AttemptEnd end) {
+        if (end.notStarted() && end.unreachable()) {
+            mContext.rates().giveBack(mUpstream, mStart);
+        }
+    }
+
     /** Records that the call is over. */
     protected void close() {
         expectNothing();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -28,6 +28,7 @@
 import org.troutpier.daemon.decision.ReturnPacer;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.limit.AnnouncedRate;
 import org.troutpier.daemon.limit.UseSettings;
 import org.troutpier.daemon.node.ManualTime;
 import org.troutpier.daemon.organisation.OrganisationUse;
@@ -76,6 +77,8 @@
         Random random = new Random(1);
         UpstreamLoads loads = new UpstreamLoads(mTime.loop(), random, Entries.HALL, peers);
         MetricRegistry metrics = new MetricRegistry();
+        UpstreamRates rates =
+                new UpstreamRates(mTime.loop(), mTime::millis, random, peers, () -> 1, metrics);
         mQuarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, metrics);
         mContext =
                 new ServingContext(
@@ -83,9 +86,9 @@
                         port,
                         mDirectory,
                         loads,
-                        new UpstreamRates(mTime.loop(), mTime::millis, peers, metrics),
+                        rates,
                         new ExtraCallBudget(0, 0, 10_000),
-                        new PlaceAllocator(mTime.loop(), port, loads, view, random),
+                        new PlaceAllocator(mTime.loop(), port, loads, rates, view, random),
                         new OrganisationUse(
                                 UseSettings.DEFAULT,
                                 mTime::millis,
@@ -552,4 +555,85 @@
         assertEquals(mPort.mDiscarded.size(), 1);
         assertNothingHeld();
     }
+
+    /** Sends an upstream more than it takes, and has it name its rate. */
+    private void fill(UpstreamEntry upstream) {
+        for (int call = 0; call < 20; call++) {
+            mContext.rates().tryTake(upstream);
+        }
+        mContext.rates().heard(upstream, AnnouncedRate.of(1), UpstreamPort.Verdict.SUCCESS, 0);
+    }
+
+    private void repeatable() {
+        new PlainExecution(mContext, request(), route(Route.Kind.REPEATABLE, 2), "service", mCaller)
+                .begin();
+    }
+
+    @Test
+    public void aRequestGoesToAnUpstreamThatIsNotAtItsRate() {
+        UpstreamEntry need = Entries.plain("need", "hall-a");
+        UpstreamEntry other = Entries.plain("other", "hall-b");
+        mDirectory.replaceAll(List.of(need, other));
+        fill(need);
+        for (int call = 0; call < 5; call++) {
+            plain();
+        }
+        assertTrue(mPort.mRuns.stream().allMatch(run -> run.mUpstream.equals(other)));
+        assertNull(mCaller.mRefusal);
+    }
+
+    @Test
+    public void whereAllUpstreamsAreAtTheirRatesARequestIsRefusedAtOnce() {
+        UpstreamEntry need = Entries.plain("need", "hall-a");
+        mDirectory.replaceAll(List.of(need));
+        fill(need);
+        plain();
+        assertEquals(mPort.mRuns.size(), 0);
+        assertEquals(mCaller.mRefusal, ResultCode.UPSTREAM_RATE);
+        assertTrue(mCaller.mRetryAfterMillis > 0, "returns in " + mCaller.mRetryAfterMillis);
+        assertTrue(mCaller.mRetryAfterMillis <= 5000 / 3, "callers stay away a third of the time");
+    }
+
+    @Test
+    public void aSilentCallIsKeptWhereTheOtherUpstreamIsAtItsRate() {
+        UpstreamEntry silent = Entries.plain("silent", "hall-a");
+        UpstreamEntry need = Entries.plain("need", "hall-b");
+        mContext.budget().limit(0, 1);
+        mDirectory.replaceAll(List.of(silent, need));
+        fill(need);
+        repeatable();
+        mTime.pass(1801);
+        assertEquals(mPort.mRuns.size(), 1);
+        assertTrue(!mPort.mRuns.get(0).mAborted);
+        assertNull(mCaller.mRefusal);
+    }
+
+    @Test
+    public void aRunThatWasAdmittedAndNotSentIsGivenBack() {
+        UpstreamEntry prefill = Entries.prefill("p");
+        UpstreamEntry decode = Entries.decode("d");
+        mDirectory.replaceAll(List.of(prefill, decode));
+        mContext.rates().heard(decode, AnnouncedRate.of(1), UpstreamPort.Verdict.SUCCESS, 0);
+        stream();
+        assertEquals(sent("d"), 1);
+        mCaller.leave();
+        assertEquals(sent("d"), 0);
+    }
+
+    @Test
+    public void aPromptIsReadAtAnEngineThatIsNotAtItsRate() {
+        UpstreamEntry need = Entries.prefill("need");
+        mDirectory.replaceAll(List.of(need, Entries.decode("d")));
+        fill(need);
+        stream();
+        assertEquals(mPort.mPrefills.size(), 0);
+        assertEquals(mPort.mRuns.size(), 1, "the decode engine reads it");
+    }
+
+    private long sent(String upstream) {
+        return mContext.rates().standings().stream()
+                .filter(each -> each.upstream().equals(upstream))
+                .mapToLong(UpstreamRates.Standing::here)
+                .sum();
+    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +23,7 @@
 import org.troutpier.daemon.cluster.UpstreamUse;
 import org.troutpier.daemon.decision.Standing;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.limit.AnnouncedRate;
 import org.troutpier.daemon.node.ManualTime;
 import org.troutpier.daemon.organisation.UseReport;
 
@@ -39,6 +41,7 @@
     private FakePort mPort;
     private PeerLoads mPeers;
     private UpstreamLoads mLoads;
+    private UpstreamRates mRates;
     private PlaceAllocator mAllocator;
     private UpstreamEntry mGranted;
     private String mRefused;
@@ -49,7 +52,17 @@
         mPort = new FakePort();
         mPeers = new PeerLoads();
         mLoads = new UpstreamLoads(mTime.loop(), new Random(1), Entries.HALL, mPeers);
-        mAllocator = new PlaceAllocator(mTime.loop(), mPort, mLoads, Runnable::run, new Random(1));
+        mRates =
+                new UpstreamRates(
+                        mTime.loop(),
+                        mTime::millis,
+                        new Random(1),
+                        mPeers,
+                        () -> 1,
+                        new MetricRegistry());
+        mAllocator =
+                new PlaceAllocator(
+                        mTime.loop(), mPort, mLoads, mRates, Runnable::run, new Random(1));
         mGranted = null;
         mRefused = null;
     }
@@ -285,4 +298,17 @@
                     public void refused(String detail) {}
                 });
     }
+
+    @Test
+    public void anEngineAtItsRateIsNotAskedAndARefusedPlaceIsGivenBack() {
+        for (int call = 0; call < 20; call++) {
+            mRates.tryTake(mFirst);
+        }
+        mRates.heard(mFirst, AnnouncedRate.of(1), UpstreamPort.Verdict.SUCCESS, 0);
+        mRates.heard(mSecond, AnnouncedRate.of(1), UpstreamPort.Verdict.SUCCESS, 0);
+        mPort.mFull.add(mSecond.incarnation());
+        find(0);
+        assertEquals(mPort.mAsked, List.of(mSecond));
+        assertEquals(mRates.standings().get(1).here(), 0);
+    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -37,7 +37,7 @@
     }
 
     private Optional<UpstreamEntry> pick() {
-        return mLoads.pick(List.of(mFar, mNear), Set.of());
+        return mLoads.byCalls(List.of(mFar, mNear), Set.of()).stream().findFirst();
     }
 
     @Test
@@ -176,9 +176,10 @@
 
     @Test
     public void whatWasTriedOrChangesItsRoleIsNotChosen() {
-        assertEquals(mLoads.pick(List.of(mNear, mFar), Set.of(mNear.incarnation())).get(), mFar);
+        assertEquals(
+                mLoads.byCalls(List.of(mNear, mFar), Set.of(mNear.incarnation())), List.of(mFar));
         mLoads.changing(Set.of(mFar.incarnation()));
-        assertTrue(mLoads.pick(List.of(mNear, mFar), Set.of(mNear.incarnation())).isEmpty());
+        assertTrue(mLoads.byCalls(List.of(mNear, mFar), Set.of(mNear.incarnation())).isEmpty());
     }
 
     @Test
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamRatesTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamRatesTest.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -29,6 +30,7 @@
     private MetricRegistry mMetrics;
     private RateReport mReported;
     private int mRouters;
+    private int mKnown;
     private UpstreamRates mRates;
 
     @BeforeMethod
@@ -38,6 +40,7 @@
         mMetrics = new MetricRegistry();
         mReported = RateReport.NONE;
         mRouters = 0;
+        mKnown = 1;
         OthersRates others =
                 new OthersRates() {
                     @Override
@@ -50,7 +53,9 @@
                         return mRouters;
                     }
                 };
-        mRates = new UpstreamRates(mTime.loop(), mTime::millis, others, mMetrics);
+        mRates =
+                new UpstreamRates(
+                        mTime.loop(), mTime::millis, new Random(1), others, () -> mKnown, mMetrics);
     }
 
     private void answer(AnnouncedRate rate, UpstreamPort.Verdict verdict, long tookMillis) {
@@ -143,10 +148,10 @@
         mReported = new RateReport(new NamedRate(2, 100), RecentUse.NONE);
         assertEquals(rates(), List.of(2.0));
         assertEquals(mRates.report(), Map.of());
-        mRates.sent(UPSTREAM);
+        assertTrue(mRates.tryTake(UPSTREAM));
         assertEquals(
                 mRates.report(),
-                Map.of(ID, new RateReport(NamedRate.NEVER, new RecentUse(1, 1, 0))));
+                Map.of(ID, new RateReport(NamedRate.NEVER, new RecentUse(1, 1, 1))));
     }
 
     @Test
