--- a/troutpier-cli/src/main/java/org/troutpier/cli/RatesCommand.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/RatesCommand.java
@@ -15,9 +15,10 @@
         description = "Shows upstreams that name how many requests a second they take.",
         footer = {
             "",
-            "Here and elsewhere are what an upstream was sent by this router and by the others in the",
-            "last four seconds; withheld counts requests that this router did not send to it. An",
-            "upstream that names no rate is not listed. --router names the port of a router's figures.",
+            "Here and elsewhere are what an upstream was sent by this router and by the others in",
+            "the last four seconds; withheld counts requests that this router did not send to it.",
+            "Only upstreams that name a rate are listed. --router names the port of a router's",
+            "figures.",
             "  troutpier rates --router 10.1.0.35:9464,10.1.0.36:9464"
         })
 final class RatesCommand implements Callable<Integer> {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -109,7 +109,7 @@
         giveUp(
                 ResultCode.UPSTREAM_RATE,
                 candidates.size() + " upstreams of " + mService + " are at their rates",
-                Math.min(limit, mContext.rates().returnMillis(candidates)));
+                Math.max(1, Math.min(limit, mContext.rates().returnMillis(candidates))));
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
@@ -329,23 +329,18 @@
         }
         long now = mElapsed.getAsLong();
         Account account = updated(upstream.incarnation());
-        switch (rate.kind()) {
-            case NAMED -> {
-                account.count("rate-named");
-                account.learn(rate.perSecond(), now, true);
-            }
-            case UNREADABLE -> {
-                account.count("rate-unreadable");
-                if (account.lineDue()) {
-                    LOGGER.warn("upstream rate not readable id={}", upstream.incarnation());
-                }
-            }
-            case NONE -> {
-                boolean served = verdict == UpstreamPort.Verdict.SUCCESS;
-                if (served && account.limited() && now - tookMillis > account.mSaidAt) {
-                    account.learn(NamedRate.UNLIMITED, now, true);
-                }
+        if (rate.kind() == AnnouncedRate.Kind.NAMED) {
+            account.count("rate-named");
+            account.learn(rate.perSecond(), now, true);
+        } else if (rate.kind() == AnnouncedRate.Kind.UNREADABLE) {
+            account.count("rate-unreadable");
+            if (account.lineDue()) {
+                LOGGER.warn("upstream rate not readable id={}", upstream.incarnation());
             }
+        } else if (verdict == UpstreamPort.Verdict.SUCCESS
+                && account.limited()
+                && now - tookMillis > account.mSaidAt) {
+            account.learn(NamedRate.UNLIMITED, now, true);
         }
     }
 
