--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -19,6 +19,9 @@
 import org.troutpier.common.id.InstanceId;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.settings.Address;
+import org.troutpier.daemon.limit.NamedRate;
+import org.troutpier.daemon.limit.RateReport;
+import org.troutpier.daemon.limit.RecentUse;
 import org.troutpier.daemon.node.ManualTime;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.node.TestNode;
@@ -145,6 +148,9 @@
         /** What organisations used here. */
         UseReport mUse = UseReport.NONE;
 
+        /** What was heard and sent here of upstreams that name rates. */
+        Map<UpstreamIncarnation, RateReport> mRates = Map.of();
+
         private void report() {
             mExchange.tell(
                     new LoadReport(
@@ -157,7 +163,7 @@
                             Map.of(ENGINE, UpstreamUse.of(mCalls, 10)),
                             Map.of(),
                             mUse,
-                            Map.of()));
+                            mRates));
         }
 
         private boolean reaches(Router other) {
@@ -434,6 +440,31 @@
         }
     }
 
+    @Test
+    public void aRateThatOneRouterHeardAndWhatAllSentIsKnownToAllOnce() {
+        routers(MANY);
+        mTime.pass(2000);
+        List<Router> all = List.copyOf(mRouters.values());
+        RecentUse one = new RecentUse(1, 1, 2);
+        RateReport sent = new RateReport(NamedRate.NEVER, one, List.of(2L));
+        all.forEach(router -> router.mRates = Map.of(ENGINE, sent));
+        all.get(MANY - 1).mRates =
+                Map.of(ENGINE, new RateReport(new NamedRate(3.6, 100), one, List.of(2L)));
+        mTime.pass(1000);
+        for (Router router : all) {
+            router.mExchange.refresh(() -> {});
+        }
+        mTime.pass(20);
+        for (Router router : all.subList(0, MANY - 1)) {
+            RateReport rate = router.mLoads.rate(ENGINE, mTime.millis());
+            assertEquals(rate.named().perSecond(), 3.6, "named at " + router.mSelf);
+            assertTrue(rate.named().ageMillis() >= 100, "age " + rate.named());
+            assertTrue(rate.named().ageMillis() < 1000, "age " + rate.named());
+            assertEquals(rate.use(), new RecentUse(MANY - 1, MANY - 1, 2 * (MANY - 1)));
+            assertEquals(rate.asked(), List.of(2L * (MANY - 1)));
+        }
+    }
+
     @Test
     public void aRefusalIsToldToAll() {
         routers(MANY);
