--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodePlace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodePlace.java
@@ -52,12 +52,6 @@
     /** What the request takes at the engine, or null. */
     private EngineMemory mMemory;
 
-    /** Whether a run was admitted at the engine and not sent. */
-    private boolean mAdmitted;
-
-    /** When it was admitted, milliseconds. */
-    private long mAdmittedAt;
-
     /**
      * Creates a place that is not found yet.
      *
@@ -175,8 +169,6 @@
      */
     void take(UpstreamEntry engine, Optional<UpstreamPort.Place> place) {
         searched();
-        mAdmitted = true;
-        mAdmittedAt = mContext.loop().millis();
         mEngine = engine;
         mPlace = place;
         mMemory = new EngineMemory(mContext.loads(), engine, mNeededTokens);
@@ -191,11 +183,6 @@
         return mEngine;
     }
 
-    /** Records that the run was sent, which was admitted with the place. */
-    void sent() {
-        mAdmitted = false;
-    }
-
     /**
      * Hands the place over to the run that uses it.
      *
@@ -234,10 +221,6 @@
             mContext.metrics().waitsForPlace(false);
         }
         free();
-        if (mAdmitted) {
-            mAdmitted = false;
-            mContext.rates().giveBack(mEngine, mAdmittedAt);
-        }
         use().ifPresent(place -> mContext.port().release(mEngine, place));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -105,8 +105,8 @@
     public interface Listener {
 
         /**
-         * Receives a place. The prompt's tokens are taken at the engine from now on, and the run is
-         * admitted there; the listener gives back what it does not use.
+         * Receives a place. The run is admitted at the engine, and the prompt's tokens are taken
+         * there from now on; the listener gives these back.
          *
          * @param engine where it is
          * @param place the place; empty where engines do not set places aside
@@ -392,12 +392,6 @@
                 mEngine = engine;
             }
 
-            /** Gives back the memory and the run that are not used. */
-            private void giveBack() {
-                mLoads.end(mEngine, mWanted.promptTokens());
-                mRates.giveBack(mEngine, mAskedAt);
-            }
-
             /** {@inheritDoc} */
             @Override
             public void onRate(AnnouncedRate rate, UpstreamPort.Verdict verdict) {
@@ -410,7 +404,7 @@
             @Override
             public void onResult(UpstreamPort.Place place) {
                 if (mOver) {
-                    giveBack();
+                    mLoads.end(mEngine, mWanted.promptTokens());
                     mPort.release(mEngine, place);
                     return;
                 }
@@ -422,12 +416,13 @@
             /** {@inheritDoc} */
             @Override
             public void onFailure(AttemptEnd end) {
-                giveBack();
+                mLoads.end(mEngine, mWanted.promptTokens());
                 mRefusals++;
                 mFullUntil.put(mEngine.incarnation(), mLoop.millis() + FULL_MILLIS);
                 if (end.leaving()) {
                     mLoads.replaced(mEngine);
                 } else if (end.unreachable()) {
+                    mRates.giveBack(mEngine, mAskedAt);
                     mLoads.failed(mEngine, true, "no place: " + end.detail());
                 }
                 next();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -337,7 +337,6 @@
             return;
         }
         sent(engine, "decode");
-        mPlace.sent();
         mRelay.beginRun();
         UpstreamPort.RunPlan plan =
                 UpstreamPort.RunPlan.plain(leftMillis(), priority())
