--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
@@ -12,19 +12,14 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.id.UpstreamIncarnation;
-import org.troutpier.daemon.decision.EvenTurns;
 import org.troutpier.daemon.decision.LimitShare;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.limit.AnnouncedRate;
-import org.troutpier.daemon.limit.AskMeter;
 import org.troutpier.daemon.limit.Asker;
-import org.troutpier.daemon.limit.LoweredLimit;
 import org.troutpier.daemon.limit.NamedRate;
 import org.troutpier.daemon.limit.OthersRates;
 import org.troutpier.daemon.limit.RateReport;
 import org.troutpier.daemon.limit.RecentUse;
-import org.troutpier.daemon.limit.SharedRoom;
-import org.troutpier.daemon.limit.UseMeter;
 import org.troutpier.daemon.limit.UseSettings;
 
 /**
@@ -33,60 +28,20 @@
  * to the traffic loop. Invariants: what this router sends stays, with what it heard of the others,
  * under the {@link LimitShare}; a rate belongs to one start of an upstream; it holds until an
  * answer to a later call names another or none, or until nothing was heard of it for {@link
- * #LAPSE_MILLIS}.
+ * UpstreamRate#LAPSE_MILLIS}.
  */
 public final class UpstreamRates {
 
-    /** Over which window a rate is kept, and what upstreams bear beyond it. */
-    public static final UseSettings SETTINGS = new UseSettings(4, 0.5, 5);
-
-    /**
-     * After how long without a word a rate holds no more, milliseconds: long enough that an
-     * upstream which takes one request in some seconds has said it again.
-     */
-    static final long LAPSE_MILLIS = 30_000;
-
-    /**
-     * Which part of what upstreams bear beyond their rate may be used in the first window, by calls
-     * that were sent before the rate was known.
-     */
-    private static final double FIRST_TOLERANCE = 0.5;
-
-    /**
-     * Which part of the window's calls counts that were sent before the rate was known: the time
-     * before it was named that still lies in a window once the rate binds, and the time until it
-     * was known here.
-     */
-    private static final double KEPT_PART = 0.375;
-
-    /**
-     * By which factor the rate may be passed in the window's newest part. The window alone keeps
-     * the rate; evenly paced, a part of it would be lost whenever callers pause.
-     */
-    private static final double PACE_FACTOR = 1.25;
-
-    /** What may be sent beyond that: a rate below one request in that part is sent whole ones. */
-    private static final double PACE_REQUESTS = 1;
-
     /** How soon a caller that no upstream takes is told to come back, milliseconds. */
     private static final long LEAST_RETURN_MILLIS = 100;
 
-    /**
-     * The least rate that upstreams are sent requests at, requests a second: without any, no answer
-     * would say that the rate has ended.
-     */
-    private static final double LEAST_PER_SECOND = 0.1;
-
     /** How many milliseconds a second has. */
     private static final double MILLIS = 1000;
 
-    /** How often at most a line tells the same of an upstream, milliseconds. */
-    private static final long LINE_MILLIS = 10_000;
-
     /** What the names of an upstream's figures begin with. */
     private static final String FIGURES = "upstream.";
 
-    /** Logs rates that are named, change or end. */
+    /** Logs requests that are not sent. */
     private static final Logger LOGGER = LogManager.getLogger(UpstreamRates.class);
 
     /** The traffic loop. */
@@ -108,160 +63,7 @@
     private final MetricRegistry mMetrics;
 
     /** What is known of each upstream. */
-    private final Map<UpstreamIncarnation, Account> mAccounts = new HashMap<>();
-
-    /** One upstream's rate, and what it was sent here. */
-    private final class Account {
-
-        /** The upstream. */
-        private final UpstreamIncarnation mUpstream;
-
-        /** What it was sent. */
-        private final UseMeter mMeter = new UseMeter(SETTINGS.windowMillis());
-
-        /** The rate that holds, requests a second. */
-        private double mPerSecond = NamedRate.UNLIMITED;
-
-        /** Who asked for it. */
-        private final AskMeter mAsked =
-                new AskMeter(Math.round(SETTINGS.windowMillis() * UseSettings.PACE_PART));
-
-        /** What it may be sent in a window; meaningless where no rate holds. */
-        private final LoweredLimit mLimit = new LoweredLimit(0, SETTINGS.windowMillis());
-
-        /** How many requests were not sent. */
-        private long mWithheld;
-
-        /** Whether anything is known of it. */
-        private boolean mNamed;
-
-        /** Whether an answer here said so, which the other routers are to hear. */
-        private boolean mHeardHere;
-
-        /** When it was said last, milliseconds on the clock of the control state. */
-        private long mSaidAt;
-
-        /** When a line last told of something that may come often, milliseconds. */
-        private long mLineAt = Long.MIN_VALUE / 2;
-
-        /**
-         * Creates an account of an upstream that names no rate.
-         *
-         * @param upstream the upstream
-         */
-        Account(UpstreamIncarnation upstream) {
-            mUpstream = upstream;
-        }
-
-        /**
-         * Returns whether the upstream names a rate.
-         *
-         * @return whether one holds
-         */
-        boolean limited() {
-            return mPerSecond != NamedRate.UNLIMITED;
-        }
-
-        /**
-         * Returns what is known of the rate.
-         *
-         * @return the statement, as old as it is now
-         */
-        NamedRate named() {
-            return mNamed
-                    ? new NamedRate(mPerSecond, mElapsed.getAsLong() - mSaidAt)
-                    : NamedRate.NEVER;
-        }
-
-        /**
-         * Takes a statement.
-         *
-         * @param perSecond the rate
-         * @param saidAt when it was said, milliseconds on the clock of the control state
-         * @param here whether an answer here said so
-         */
-        void learn(double perSecond, long saidAt, boolean here) {
-            if (perSecond != mPerSecond) {
-                LOGGER.info(
-                        "upstream rate changed id={} perSecond={} before={} source={}",
-                        mUpstream,
-                        text(perSecond),
-                        text(mPerSecond),
-                        here ? "answer" : "router");
-            }
-            limit(perSecond);
-            mPerSecond = perSecond;
-            mNamed = true;
-            mSaidAt = saidAt;
-            mHeardHere = here;
-        }
-
-        /**
-         * Sets what the upstream may be sent in a window. What it was sent before it named its
-         * first rate counts where it may still be at work on it.
-         *
-         * @param perSecond the rate
-         */
-        private void limit(double perSecond) {
-            if (perSecond == NamedRate.UNLIMITED || perSecond == mPerSecond) {
-                return;
-            }
-            long now = mLoop.millis();
-            double limit = Math.max(LEAST_PER_SECOND, perSecond) * SETTINGS.windowSeconds();
-            if (limited()) {
-                mLimit.set(limit, now);
-            } else {
-                double beyond = FIRST_TOLERANCE * SETTINGS.tolerance(limit);
-                mLimit.set(limit, limit + beyond, now);
-                mMeter.keepNewest(KEPT_PART, now);
-            }
-        }
-
-        /**
-         * Returns how much more the upstream may be sent.
-         *
-         * @return the room, requests
-         */
-        SharedRoom room() {
-            long now = mLoop.millis();
-            double paced = mLimit.inForce() * UseSettings.PACE_PART * PACE_FACTOR + PACE_REQUESTS;
-            return new SharedRoom(
-                    mMeter.recent(now),
-                    reported(this).use(),
-                    share(mLimit.at(now)),
-                    share(paced),
-                    SETTINGS.windowMillis() * UseSettings.PACE_PART);
-        }
-
-        /** Forgets a statement of which nothing was heard for long. */
-        void lapse() {
-            if (mNamed && mElapsed.getAsLong() - mSaidAt >= LAPSE_MILLIS) {
-                learn(NamedRate.UNLIMITED, mSaidAt, false);
-                mNamed = false;
-            }
-        }
-
-        /**
-         * Returns whether a line may tell of something that may come often.
-         *
-         * @return whether none did lately; one does from now on
-         */
-        boolean lineDue() {
-            long now = mLoop.millis();
-            boolean due = now - mLineAt >= LINE_MILLIS;
-            mLineAt = due ? now : mLineAt;
-            return due;
-        }
-
-        /**
-         * Counts for the upstream.
-         *
-         * @param what what is counted
-         */
-        void count(String what) {
-            mMetrics.counter(FIGURES + mUpstream.id() + "." + what).inc();
-        }
-    }
+    private final Map<UpstreamIncarnation, UpstreamRate> mRates = new HashMap<>();
 
     /**
      * What is known of one upstream that names a rate, as operators see it. Immutable and thread
@@ -312,35 +114,33 @@
      * after the rate was last named: answers on different connections overtake each other.
      *
      * @param upstream whose answer it is
-     * @param rate what it says
+     * @param announced what it says
      * @param verdict what its head proves
      * @param tookMillis how long ago the call was sent, milliseconds
      */
     public void heard(
             UpstreamEntry upstream,
-            AnnouncedRate rate,
+            AnnouncedRate announced,
             UpstreamPort.Verdict verdict,
             long tookMillis) {
-        boolean own =
-                verdict != UpstreamPort.Verdict.FOREIGN
-                        && verdict != UpstreamPort.Verdict.OTHER_UPSTREAM;
-        if (!own) {
+        if (verdict == UpstreamPort.Verdict.FOREIGN
+                || verdict == UpstreamPort.Verdict.OTHER_UPSTREAM) {
             return;
         }
-        long now = mElapsed.getAsLong();
-        Account account = updated(upstream.incarnation());
-        if (rate.kind() == AnnouncedRate.Kind.NAMED) {
-            account.count("rate-named");
-            account.learn(rate.perSecond(), now, true);
-        } else if (rate.kind() == AnnouncedRate.Kind.UNREADABLE) {
-            account.count("rate-unreadable");
-            if (account.lineDue()) {
+        long elapsed = mElapsed.getAsLong();
+        UpstreamRate rate = updated(upstream.incarnation());
+        if (announced.kind() == AnnouncedRate.Kind.NAMED) {
+            count(rate, "rate-named");
+            rate.learn(announced.perSecond(), elapsed, true, mLoop.millis());
+        } else if (announced.kind() == AnnouncedRate.Kind.UNREADABLE) {
+            count(rate, "rate-unreadable");
+            if (rate.lineDue(mLoop.millis())) {
                 LOGGER.warn("upstream rate not readable id={}", upstream.incarnation());
             }
         } else if (verdict == UpstreamPort.Verdict.SUCCESS
-                && account.limited()
-                && now - tookMillis > account.mSaidAt) {
-            account.learn(NamedRate.UNLIMITED, now, true);
+                && rate.limited()
+                && rate.namedBefore(elapsed - tookMillis)) {
+            rate.learn(NamedRate.UNLIMITED, elapsed, true, mLoop.millis());
         }
     }
 
@@ -353,57 +153,20 @@
      * @return whether it may be sent
      */
     public boolean tryTake(UpstreamEntry upstream, Asker asker) {
-        Account account = updated(upstream.incarnation());
+        UpstreamRate rate = updated(upstream.incarnation());
         long now = mLoop.millis();
-        if (account.limited()) {
-            account.mMeter.asked(1, now);
-            account.mAsked.asked(asker, now);
-            SharedRoom room = account.room();
-            double chance = chance(account, room, asker, now);
+        if (rate.limited()) {
+            rate.asked(asker, now);
+            double chance = rate.chance(asker, reported(rate), this::share, now);
             if (chance < 1 && mRandom.nextDouble() >= chance) {
-                withhold(account, room);
+                withhold(rate, now);
                 return false;
             }
         }
-        account.mMeter.used(1, now);
+        rate.sent(now);
         return true;
     }
 
-    /**
-     * Returns with what chance a request is admitted.
-     *
-     * @param account the upstream's account
-     * @param room how much more it may be sent
-     * @param asker who asks
-     * @param now the monotonic clock, milliseconds
-     * @return the chance; 0 or less for none, 1 or more for certain
-     */
-    private double chance(Account account, SharedRoom room, Asker asker, long now) {
-        List<Long> here = account.mAsked.byRank(now);
-        List<Long> elsewhere = reported(account).asked();
-        double ahead = 0;
-        for (int rank = 0; rank < asker.rank(); rank++) {
-            ahead += asked(here, rank) + asked(elsewhere, rank);
-        }
-        double own = asked(here, asker.rank()) + asked(elsewhere, asker.rank());
-        double chance = room.chance(1, ahead, own);
-        return chance <= 0 || chance >= 1
-                ? chance
-                : new EvenTurns<>(account.mAsked.byOrganisation(asker.rank(), now), chance)
-                        .of(asker.organisation());
-    }
-
-    /**
-     * Returns what was asked of one rank.
-     *
-     * @param asked what was asked by rank
-     * @param rank the rank
-     * @return requests
-     */
-    private static double asked(List<Long> asked, int rank) {
-        return rank < asked.size() ? asked.get(rank) : 0;
-    }
-
     /**
      * Admits a request to the first of several upstreams that may be sent it.
      *
@@ -422,52 +185,56 @@
      * @param at when it was admitted, milliseconds
      */
     void giveBack(UpstreamEntry upstream, long at) {
-        account(upstream.incarnation()).mMeter.takeBack(1, at, mLoop.millis());
+        rate(upstream.incarnation()).takeBack(at, mLoop.millis());
     }
 
     /**
-     * Predicts when one of several upstreams that are at their rates takes a request, where those
-     * that were withheld lately come back too.
+     * Draws when a caller should come back that no upstream takes: by then the upstreams have taken
+     * as many as ask beyond their rates, of which it is any.
      *
-     * @param upstreams the upstreams
+     * @param upstreams the upstreams, all at their rates
      * @return milliseconds from now
      */
     long returnMillis(List<UpstreamEntry> upstreams) {
         double perSecond = 0;
         double asked = 0;
         for (UpstreamEntry upstream : upstreams) {
-            Account account = updated(upstream.incarnation());
-            if (account.limited()) {
-                SharedRoom room = account.room();
-                perSecond += account.mPerSecond;
-                asked = Math.max(asked, room.here().asked() + (double) room.elsewhere().asked());
+            UpstreamRate rate = updated(upstream.incarnation());
+            if (rate.limited()) {
+                RecentUse use = rate.recent(mLoop.millis()).plus(reported(rate).use());
+                perSecond += rate.perSecond();
+                asked = Math.max(asked, use.asked());
             }
         }
-        double ahead = Math.max(1, asked - perSecond * SETTINGS.paceSeconds());
-        double seconds = ahead / Math.max(LEAST_PER_SECOND, perSecond);
+        double ahead = Math.max(1, asked - perSecond * UpstreamRate.PACE_MILLIS / MILLIS);
+        double seconds = ahead / Math.max(UpstreamRate.LEAST_PER_SECOND, perSecond);
         return LEAST_RETURN_MILLIS + Math.round(seconds * mRandom.nextDouble() * MILLIS);
     }
 
     /**
      * Counts a request that is not sent.
      *
-     * @param account the upstream's account
-     * @param room how much more it may be sent
+     * @param rate the upstream's rate
+     * @param now the traffic loop's clock, milliseconds
      */
-    private void withhold(Account account, SharedRoom room) {
-        account.mWithheld++;
-        account.count("rate-withheld");
-        if (account.lineDue()) {
-            LOGGER.info(
-                    "upstream at its rate id={} perSecond={} here={} elsewhere={} withheld={}",
-                    account.mUpstream,
-                    text(account.mPerSecond),
-                    room.here().window(),
-                    room.elsewhere().window(),
-                    account.mWithheld);
+    private void withhold(UpstreamRate rate, long now) {
+        rate.withhold();
+        count(rate, "rate-withheld");
+        if (rate.lineDue(now)) {
+            LOGGER.info("upstream at its rate {}", standing(rate));
         }
     }
 
+    /**
+     * Counts for an upstream.
+     *
+     * @param rate the upstream's rate
+     * @param what what is counted
+     */
+    private void count(UpstreamRate rate, String what) {
+        mMetrics.counter(FIGURES + rate.upstream().id() + "." + what).inc();
+    }
+
     /**
      * Returns how much of a limit the routers that hear each other may use.
      *
@@ -477,7 +244,8 @@
     private double share(double limit) {
         int heard = mOthers.routers() + 1;
         int known = Math.max(heard, mKnown.getAsInt());
-        return new LimitShare(limit, SETTINGS.tolerance(limit), heard, known, 0).most();
+        UseSettings settings = UpstreamRate.SETTINGS;
+        return new LimitShare(limit, settings.tolerance(limit), heard, known, 0).most();
     }
 
     /**
@@ -486,16 +254,14 @@
      * @return the upstreams that name a rate, or named one lately
      */
     public Map<UpstreamIncarnation, RateReport> report() {
+        long elapsed = mElapsed.getAsLong();
         long now = mLoop.millis();
         Map<UpstreamIncarnation, RateReport> reports = new HashMap<>();
-        for (Account account : mAccounts.values()) {
-            account.lapse();
-            RecentUse use = account.mMeter.recent(now);
-            boolean used = account.limited() && !use.equals(RecentUse.NONE);
-            if (account.mNamed && account.mHeardHere || used) {
-                NamedRate named = account.mHeardHere ? account.named() : NamedRate.NEVER;
-                reports.put(
-                        account.mUpstream, new RateReport(named, use, account.mAsked.byRank(now)));
+        for (UpstreamRate rate : mRates.values()) {
+            rate.lapse(elapsed, now);
+            boolean used = rate.limited() && !rate.recent(now).equals(RecentUse.NONE);
+            if (used || rate.heardHere()) {
+                reports.put(rate.upstream(), rate.report(elapsed, now));
             }
         }
         return reports;
@@ -507,9 +273,9 @@
      * @return the upstreams, by name
      */
     public List<Standing> standings() {
-        return List.copyOf(mAccounts.keySet()).stream()
+        return List.copyOf(mRates.keySet()).stream()
                 .map(this::updated)
-                .filter(Account::limited)
+                .filter(UpstreamRate::limited)
                 .map(this::standing)
                 .sorted((one, other) -> one.upstream().compareTo(other.upstream()))
                 .toList();
@@ -518,75 +284,67 @@
     /**
      * Returns what is known of one upstream.
      *
-     * @param account its account
+     * @param rate its rate
      * @return what operators see
      */
-    private Standing standing(Account account) {
+    private Standing standing(UpstreamRate rate) {
         return new Standing(
-                account.mUpstream.toString(),
-                account.mPerSecond,
-                account.named().ageMillis(),
-                account.mMeter.recent(mLoop.millis()).window(),
-                reported(account).use().window(),
-                account.mWithheld);
+                rate.upstream().toString(),
+                rate.perSecond(),
+                rate.named(mElapsed.getAsLong()).ageMillis(),
+                rate.recent(mLoop.millis()).window(),
+                reported(rate).use().window(),
+                rate.withheld());
     }
 
     /**
-     * Forgets upstreams that are no longer listed and name no rate. One that does may be listed
-     * again, where the list was away.
+     * Forgets upstreams that are no longer listed and of whose rates nothing is known. One that
+     * names a rate may be listed again, where the list was away.
      *
      * @param listed the ids that are listed
      */
     public void retain(Set<UpstreamIncarnation> listed) {
-        mAccounts.values().forEach(Account::lapse);
-        mAccounts
-                .values()
-                .removeIf(account -> !account.mNamed && !listed.contains(account.mUpstream));
+        long elapsed = mElapsed.getAsLong();
+        mRates.values().forEach(rate -> rate.lapse(elapsed, mLoop.millis()));
+        mRates.values().removeIf(rate -> !rate.known() && !listed.contains(rate.upstream()));
     }
 
     /**
-     * Returns an upstream's account with what the other routers learnt.
+     * Returns an upstream's rate with what the other routers learnt.
      *
      * @param upstream the upstream
-     * @return its account
+     * @return its rate
      */
-    private Account updated(UpstreamIncarnation upstream) {
-        Account account = account(upstream);
-        account.lapse();
-        NamedRate told = reported(account).named();
-        if (told.ageMillis() < LAPSE_MILLIS && account.named().latest(told) == told) {
-            account.learn(told.perSecond(), mElapsed.getAsLong() - told.ageMillis(), false);
+    private UpstreamRate updated(UpstreamIncarnation upstream) {
+        UpstreamRate rate = rate(upstream);
+        long elapsed = mElapsed.getAsLong();
+        rate.lapse(elapsed, mLoop.millis());
+        NamedRate reported = mOthers.rate(upstream, elapsed).named();
+        boolean lapsed = reported.ageMillis() >= UpstreamRate.LAPSE_MILLIS;
+        if (!lapsed && rate.named(elapsed).latest(reported) == reported) {
+            long saidAt = elapsed - reported.ageMillis();
+            rate.learn(reported.perSecond(), saidAt, false, mLoop.millis());
         }
-        return account;
+        return rate;
     }
 
     /**
      * Returns what the other routers reported of an upstream.
      *
-     * @param account its account
+     * @param rate the upstream's rate
      * @return the report
      */
-    private RateReport reported(Account account) {
-        return mOthers.rate(account.mUpstream, mElapsed.getAsLong());
+    private RateReport reported(UpstreamRate rate) {
+        return mOthers.rate(rate.upstream(), mElapsed.getAsLong());
     }
 
     /**
-     * Returns an upstream's account.
+     * Returns an upstream's rate.
      *
      * @param upstream the upstream
-     * @return its account
-     */
-    private Account account(UpstreamIncarnation upstream) {
-        return mAccounts.computeIfAbsent(upstream, Account::new);
-    }
-
-    /**
-     * Returns a rate as lines tell it.
-     *
-     * @param perSecond the rate
-     * @return the text
+     * @return its rate, made where there is none
      */
-    private static String text(double perSecond) {
-        return perSecond == NamedRate.UNLIMITED ? "none" : Double.toString(perSecond);
+    private UpstreamRate rate(UpstreamIncarnation upstream) {
+        return mRates.computeIfAbsent(upstream, UpstreamRate::new);
     }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamRatesTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamRatesTest.java
@@ -165,7 +165,7 @@
     @Test
     public void aRateOfWhichNothingIsHeardForLongLapses() {
         answer(AnnouncedRate.of(3.6));
-        mTime.pass(UpstreamRates.LAPSE_MILLIS - 1);
+        mTime.pass(UpstreamRate.LAPSE_MILLIS - 1);
         assertEquals(rates(), List.of(3.6));
         mTime.pass(1);
         assertEquals(rates(), List.of());
@@ -177,7 +177,7 @@
         answer(AnnouncedRate.of(3.6));
         mRates.retain(Set.of());
         assertEquals(rates(), List.of(3.6), "the list may be away");
-        mTime.pass(UpstreamRates.LAPSE_MILLIS);
+        mTime.pass(UpstreamRate.LAPSE_MILLIS);
         mRates.retain(Set.of());
         assertTrue(mRates.standings().isEmpty());
     }
@@ -284,4 +284,16 @@
         double ahead = 1000.0 / STEP_MILLIS - 5;
         assertEquals(seconds, ahead / 5 / 2, ahead / 5 / 4);
     }
+
+    @Test
+    public void aChangedRateTakesTheDifferenceAwayOverAWindow() {
+        answer(AnnouncedRate.of(20));
+        mTime.pass(5000);
+        press(5000, ASKER);
+        answer(AnnouncedRate.of(5));
+        long sent = press(4000, ASKER)[0];
+        assertTrue(sent <= 30, "sent " + sent + " of 20 in the window after it");
+        long later = press(8000, ASKER)[0];
+        assertTrue(later >= 30 && later <= 45, "sent " + later + " of 40");
+    }
 }
