Short calls to upstreams that name rates are reported within 50 ms, not half a second

What callers and upstreams would have seen: routers that send short calls see each other's use half a second late, so more is sent than the decision counts on (200 ms).

Cause: a report is made where what is under way has changed since the last one. A call that begins and ends between two looks changes nothing there, and its use of the rate waited for the next unchanged report.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
@@ -65,6 +65,9 @@
     /** What is known of each upstream. */
     private final Map<UpstreamIncarnation, UpstreamRate> mRates = new HashMap<>();
 
+    /** Whether there is something that the other routers have not been told. */
+    private boolean mUnreported;
+
     /**
      * What is known of one upstream that names a rate, as operators see it. Immutable and thread
      * safe.
@@ -131,6 +134,7 @@
         UpstreamRate rate = updated(upstream.incarnation());
         if (announced.kind() == AnnouncedRate.Kind.NAMED) {
             count(rate, "rate-named");
+            mUnreported |= announced.perSecond() != rate.perSecond();
             rate.learn(announced.perSecond(), elapsed, true, mLoop.millis());
         } else if (announced.kind() == AnnouncedRate.Kind.UNREADABLE) {
             count(rate, "rate-unreadable");
@@ -140,6 +144,7 @@
         } else if (verdict == UpstreamPort.Verdict.SUCCESS
                 && rate.limited()
                 && rate.namedBefore(elapsed - tookMillis)) {
+            mUnreported = true;
             rate.learn(NamedRate.UNLIMITED, elapsed, true, mLoop.millis());
         }
     }
@@ -162,6 +167,7 @@
                 withhold(rate, now);
                 return false;
             }
+            mUnreported = true;
         }
         rate.sent(now);
         return true;
@@ -248,6 +254,17 @@
         return new LimitShare(limit, settings.tolerance(limit), heard, known, 0).most();
     }
 
+    /**
+     * Returns whether there is something that was not reported yet: a rate that changed, or a
+     * request to an upstream that names one, which may be over before it is looked what is under
+     * way.
+     *
+     * @return whether the others should hear of it
+     */
+    public boolean unreported() {
+        return mUnreported;
+    }
+
     /**
      * Returns what is to be reported to the others.
      *
@@ -256,6 +273,7 @@
     public Map<UpstreamIncarnation, RateReport> report() {
         long elapsed = mElapsed.getAsLong();
         long now = mLoop.millis();
+        mUnreported = false;
         Map<UpstreamIncarnation, RateReport> reports = new HashMap<>();
         for (UpstreamRate rate : mRates.values()) {
             rate.lapse(elapsed, now);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamRatesTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamRatesTest.java
@@ -1,6 +1,7 @@
 package org.troutpier.daemon.serving;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
@@ -296,4 +297,21 @@
         long later = press(8000, ASKER)[0];
         assertTrue(later >= 30 && later <= 45, "sent " + later + " of 40");
     }
+
+    @Test
+    public void whatIsSentAndWhatChangesIsToBeReportedOnce() {
+        mRates.tryTake(UPSTREAM, ASKER);
+        assertFalse(mRates.unreported(), "it names no rate");
+        answer(AnnouncedRate.of(5));
+        assertTrue(mRates.unreported(), "a rate that was named");
+        mRates.report();
+        answer(AnnouncedRate.of(5));
+        assertFalse(mRates.unreported(), "the same rate");
+        mTime.pass(5000);
+        assertTrue(mRates.tryTake(UPSTREAM, ASKER));
+        assertTrue(mRates.unreported(), "a request that was sent");
+        mRates.report();
+        answer(AnnouncedRate.NONE);
+        assertTrue(mRates.unreported(), "a rate that ended");
+    }
 }
