Review: one copy of a load report, one sum of what was heard

LoadReport listed its ten fields twice to change use and named rates; PeerLoads filtered, aged and added up the reports for its own sum as well as for the relays. with() and reports() serve both now. What is summed is the same; PeerExchangeTest, LimitOverRoutersTest and the tests of loads pass.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
@@ -80,17 +80,7 @@
      * @return a new report
      */
     LoadReport with(UseReport use) {
-        return new LoadReport(
-                configuration,
-                routers,
-                roleHolder,
-                waitingTokens,
-                changing,
-                refusing,
-                uses,
-                demands,
-                use,
-                rates);
+        return with(use, rates);
     }
 
     /**
@@ -105,6 +95,17 @@
         }
         Map<UpstreamIncarnation, RateReport> older = new HashMap<>();
         rates.forEach((upstream, report) -> older.put(upstream, report.later(millis)));
+        return with(organisations, older);
+    }
+
+    /**
+     * Returns this report with other use against limits.
+     *
+     * @param use the use of organisations
+     * @param named the upstreams that name rates, and what they were sent
+     * @return a new report
+     */
+    private LoadReport with(UseReport use, Map<UpstreamIncarnation, RateReport> named) {
         return new LoadReport(
                 configuration,
                 routers,
@@ -114,8 +115,8 @@
                 refusing,
                 uses,
                 demands,
-                organisations,
-                older);
+                use,
+                named);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -172,14 +172,7 @@
     public void sum(long now) {
         mNews = false;
         dropOld(now);
-        LoadReport sum =
-                LoadReport.of(retained(mCounted, now))
-                        .plus(
-                                mHeard.values().stream()
-                                        .filter(heard -> mCounted.contains(heard.scope()))
-                                        .map(heard -> heard.reportAt(now))
-                                        .toList());
-        mSum = new Summed(sum, now);
+        mSum = new Summed(LoadReport.NONE.plus(reports(mCounted, null, now)), now);
     }
 
     /**
