--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
@@ -294,7 +294,7 @@
                 .control()
                 .execute(
                         () -> {
-                            if (end.notStarted() && end.unreachable()) {
+                            if (end.neverReached()) {
                                 mServices.controller().unreached(blamed);
                             } else if (end.notStarted()) {
                                 mServices.controller().refusedBy(blamed, end.leaving());
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptReading.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptReading.java
@@ -177,7 +177,7 @@
     @Override
     public void onFailure(AttemptEnd end) {
         close();
-        if (end.notStarted() && end.unreachable()) {
+        if (end.neverReached()) {
             mContext.rates().giveBack(mEngine, mStart);
         }
         mTrace.step("prefill failed(" + end.detail() + ")");
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -235,8 +235,7 @@
         if (end.notStarted() && end.leaving()) {
             mContext.loads().replaced(upstream);
         } else if (!end.notStarted() || end.unreachable()) {
-            boolean unreached = end.notStarted() && end.unreachable();
-            mContext.loads().failed(upstream, unreached, end.detail());
+            mContext.loads().failed(upstream, end.neverReached(), end.detail());
         } else if (upstream.role() == UpstreamEntry.Role.DECODE) {
             mContext.loads().runRefused(upstream);
         }
@@ -303,7 +302,7 @@
             return false;
         }
         boolean another = end.notStarted() && end.leaving();
-        boolean unreached = end.notStarted() && end.unreachable();
+        boolean unreached = end.neverReached();
         if (another || unreached) {
             mTried.remove(upstream.incarnation());
             mUnreached.add(upstream.incarnation());
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRun.java
@@ -111,7 +111,7 @@
      * @param end how it ended
      */
     protected void giveBackUnreached(AttemptEnd end) {
-        if (end.notStarted() && end.unreachable()) {
+        if (end.neverReached()) {
             mContext.rates().giveBack(mUpstream, mStart);
         }
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/AttemptEnd.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/AttemptEnd.java
@@ -56,4 +56,13 @@
     public static AttemptEnd failed(ResultCode code, String detail) {
         return new AttemptEnd(false, false, false, code, detail);
     }
+
+    /**
+     * Returns whether it is proved that no byte reached the upstream.
+     *
+     * @return whether the upstream knows nothing of the attempt
+     */
+    public boolean neverReached() {
+        return notStarted && unreachable;
+    }
 }
