Review: what decides about a rate is looked up once

A decision asked twice what the other routers reported of an upstream, and a plain request that no upstream takes ordered the upstreams twice, which on a busy service is most requests. AskMeter kept sums by rank beside the sums by rank and organisation that they follow from. LimitShare already takes the larger of routers heard and known.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/limit/AskMeter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/limit/AskMeter.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.troutpier.common.id.PartnerId;
 import org.troutpier.daemon.decision.SlidingSum;
 
@@ -20,10 +19,7 @@
     /** How long the window is, milliseconds. */
     private final long mWindowMillis;
 
-    /** What was asked, by rank. */
-    private final Map<Integer, SlidingSum> mRanks = new TreeMap<>();
-
-    /** What was asked, by organisation within a rank. */
+    /** What was asked, by rank and organisation. */
     private final Map<Asker, SlidingSum> mAskers = new HashMap<>();
 
     /**
@@ -43,8 +39,7 @@
      */
     public void asked(Asker asker, long now) {
         mAskers.values().removeIf(sum -> sum.sum(now) <= 0);
-        sum(mRanks, asker.rank()).add(1, now);
-        sum(mAskers, asker).add(1, now);
+        mAskers.computeIfAbsent(asker, any -> new SlidingSum(mWindowMillis, STEPS)).add(1, now);
     }
 
     /**
@@ -54,10 +49,11 @@
      * @return requests, the most urgent rank first; as many entries as are needed
      */
     public List<Long> byRank(long now) {
+        double[] sums = new double[Asker.LEAST_URGENT + 1];
+        mAskers.forEach((asker, sum) -> sums[asker.rank()] += sum.sum(now));
         List<Long> asked = new ArrayList<>();
-        for (int rank = 0; rank <= Asker.LEAST_URGENT; rank++) {
-            SlidingSum sum = mRanks.get(rank);
-            asked.add(sum == null ? 0 : Math.round(sum.sum(now)));
+        for (double sum : sums) {
+            asked.add(Math.round(sum));
         }
         while (!asked.isEmpty() && asked.get(asked.size() - 1) == 0) {
             asked.remove(asked.size() - 1);
@@ -82,16 +78,4 @@
                 });
         return asked;
     }
-
-    /**
-     * Returns a sum, made where there is none.
-     *
-     * @param sums the sums
-     * @param key whose it is
-     * @param <K> the key's type
-     * @return the sum
-     */
-    private <K> SlidingSum sum(Map<K, SlidingSum> sums, K key) {
-        return sums.computeIfAbsent(key, any -> new SlidingSum(mWindowMillis, STEPS));
-    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -54,9 +54,12 @@
         if (withheld()) {
             return;
         }
-        if (!findNext()) {
-            giveUpUnsent();
-            return;
+        if (mNext == null) {
+            List<UpstreamEntry> candidates = candidates();
+            if (!findNext(candidates)) {
+                giveUpUnsent(candidates);
+                return;
+            }
         }
         UpstreamEntry upstream = mNext;
         mNext = null;
@@ -68,13 +71,12 @@
     /**
      * Finds where the request goes next, and has it admitted there.
      *
+     * @param candidates where it may be sent
      * @return whether there is such an upstream
      */
-    private boolean findNext() {
-        if (mNext == null) {
-            mNext = mContext.rates().takeFirst(candidates(), asker()).orElse(null);
-            mAdmittedAt = mContext.loop().millis();
-        }
+    private boolean findNext(List<UpstreamEntry> candidates) {
+        mNext = mContext.rates().takeFirst(candidates, asker()).orElse(null);
+        mAdmittedAt = mContext.loop().millis();
         return mNext != null;
     }
 
@@ -95,9 +97,12 @@
         return mContext.loads().byCalls(upstreams(UpstreamEntry.Role.PLAIN), excluded());
     }
 
-    /** Gives the request up that no upstream takes. */
-    private void giveUpUnsent() {
-        List<UpstreamEntry> candidates = candidates();
+    /**
+     * Gives the request up that no upstream takes.
+     *
+     * @param candidates where it might have been sent
+     */
+    private void giveUpUnsent(List<UpstreamEntry> candidates) {
         if (candidates.isEmpty()) {
             giveUp(
                     ResultCode.NO_UPSTREAM,
@@ -217,7 +222,7 @@
         /** {@inheritDoc} Another upstream is asked, if there is one. */
         @Override
         protected void silent() {
-            if (!findNext()) {
+            if (!findNext(candidates())) {
                 return;
             }
             abort();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
@@ -1,6 +1,8 @@
 package org.troutpier.daemon.serving;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,7 +22,6 @@
 import org.troutpier.daemon.limit.OthersRates;
 import org.troutpier.daemon.limit.RateReport;
 import org.troutpier.daemon.limit.RecentUse;
-import org.troutpier.daemon.limit.UseSettings;
 
 /**
  * Keeps upstreams in need to the rates that they name in their answers, over all routers: each
@@ -131,7 +132,7 @@
             return;
         }
         long elapsed = mElapsed.getAsLong();
-        UpstreamRate rate = updated(upstream.incarnation());
+        UpstreamRate rate = updated(upstream.incarnation(), reported(upstream.incarnation()));
         if (announced.kind() == AnnouncedRate.Kind.NAMED) {
             count(rate, "rate-named");
             mUnreported |= announced.perSecond() != rate.perSecond();
@@ -158,13 +159,14 @@
      * @return whether it may be sent
      */
     public boolean tryTake(UpstreamEntry upstream, Asker asker) {
-        UpstreamRate rate = updated(upstream.incarnation());
+        RateReport others = reported(upstream.incarnation());
+        UpstreamRate rate = updated(upstream.incarnation(), others);
         long now = mLoop.millis();
         if (rate.limited()) {
             rate.asked(asker, now);
-            double chance = rate.chance(asker, reported(rate), this::share, now);
+            double chance = rate.chance(asker, others, this::share, now);
             if (chance < 1 && mRandom.nextDouble() >= chance) {
-                withhold(rate, now);
+                withhold(rate, others, now);
                 return false;
             }
             mUnreported = true;
@@ -205,9 +207,10 @@
         double perSecond = 0;
         double asked = 0;
         for (UpstreamEntry upstream : upstreams) {
-            UpstreamRate rate = updated(upstream.incarnation());
+            RateReport others = reported(upstream.incarnation());
+            UpstreamRate rate = updated(upstream.incarnation(), others);
             if (rate.limited()) {
-                RecentUse use = rate.recent(mLoop.millis()).plus(reported(rate).use());
+                RecentUse use = rate.recent(mLoop.millis()).plus(others.use());
                 perSecond += rate.perSecond();
                 asked = Math.max(asked, use.asked());
             }
@@ -221,13 +224,14 @@
      * Counts a request that is not sent.
      *
      * @param rate the upstream's rate
+     * @param others what the other routers reported of it
      * @param now the traffic loop's clock, milliseconds
      */
-    private void withhold(UpstreamRate rate, long now) {
+    private void withhold(UpstreamRate rate, RateReport others, long now) {
         rate.withhold();
         count(rate, "rate-withheld");
         if (rate.lineDue(now)) {
-            LOGGER.info("upstream at its rate {}", standing(rate));
+            LOGGER.info("upstream at its rate {}", standing(rate, others));
         }
     }
 
@@ -248,10 +252,9 @@
      * @return the share
      */
     private double share(double limit) {
+        double tolerance = UpstreamRate.SETTINGS.tolerance(limit);
         int heard = mOthers.routers() + 1;
-        int known = Math.max(heard, mKnown.getAsInt());
-        UseSettings settings = UpstreamRate.SETTINGS;
-        return new LimitShare(limit, settings.tolerance(limit), heard, known, 0).most();
+        return new LimitShare(limit, tolerance, heard, mKnown.getAsInt(), 0).most();
     }
 
     /**
@@ -291,27 +294,32 @@
      * @return the upstreams, by name
      */
     public List<Standing> standings() {
-        return List.copyOf(mRates.keySet()).stream()
-                .map(this::updated)
-                .filter(UpstreamRate::limited)
-                .map(this::standing)
-                .sorted((one, other) -> one.upstream().compareTo(other.upstream()))
-                .toList();
+        List<Standing> standings = new ArrayList<>();
+        for (UpstreamIncarnation upstream : mRates.keySet()) {
+            RateReport others = reported(upstream);
+            UpstreamRate rate = updated(upstream, others);
+            if (rate.limited()) {
+                standings.add(standing(rate, others));
+            }
+        }
+        standings.sort(Comparator.comparing(Standing::upstream));
+        return standings;
     }
 
     /**
      * Returns what is known of one upstream.
      *
      * @param rate its rate
+     * @param others what the other routers reported of it
      * @return what operators see
      */
-    private Standing standing(UpstreamRate rate) {
+    private Standing standing(UpstreamRate rate, RateReport others) {
         return new Standing(
                 rate.upstream().toString(),
                 rate.perSecond(),
                 rate.named(mElapsed.getAsLong()).ageMillis(),
                 rate.recent(mLoop.millis()).window(),
-                reported(rate).use().window(),
+                others.use().window(),
                 rate.withheld());
     }
 
@@ -331,13 +339,14 @@
      * Returns an upstream's rate with what the other routers learnt.
      *
      * @param upstream the upstream
+     * @param others what they reported of it
      * @return its rate
      */
-    private UpstreamRate updated(UpstreamIncarnation upstream) {
+    private UpstreamRate updated(UpstreamIncarnation upstream, RateReport others) {
         UpstreamRate rate = rate(upstream);
         long elapsed = mElapsed.getAsLong();
         rate.lapse(elapsed, mLoop.millis());
-        NamedRate reported = mOthers.rate(upstream, elapsed).named();
+        NamedRate reported = others.named();
         boolean lapsed = reported.ageMillis() >= UpstreamRate.LAPSE_MILLIS;
         if (!lapsed && rate.named(elapsed).latest(reported) == reported) {
             long saidAt = elapsed - reported.ageMillis();
@@ -349,11 +358,11 @@
     /**
      * Returns what the other routers reported of an upstream.
      *
-     * @param rate the upstream's rate
+     * @param upstream the upstream
      * @return the report
      */
-    private RateReport reported(UpstreamRate rate) {
-        return mOthers.rate(rate.upstream(), mElapsed.getAsLong());
+    private RateReport reported(UpstreamIncarnation upstream) {
+        return mOthers.rate(upstream, mElapsed.getAsLong());
     }
 
     /**
