Review: one pause between lines that may come often

Three fields with the same comparison kept lines apart, in OrganisationUse and twice in UpstreamRate. LinePause serves them; lines come as they did.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationUse.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationUse.java
@@ -13,6 +13,7 @@
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.declaration.KeyHash;
 import org.troutpier.common.id.PartnerId;
+import org.troutpier.common.logging.LinePause;
 import org.troutpier.daemon.decision.LimitShare;
 import org.troutpier.daemon.limit.LoweredLimit;
 import org.troutpier.daemon.limit.RecentUse;
@@ -132,8 +133,8 @@
         /** How many requests were refused. */
         private long mRefused;
 
-        /** When a refusal was last told of, milliseconds. */
-        private long mToldAt = Long.MIN_VALUE / 2;
+        /** Keeps lines of refusals apart. */
+        private final LinePause mLines = new LinePause(LINE_MILLIS);
 
         /**
          * Creates an account.
@@ -312,8 +313,7 @@
                                 room.elsewhere().window(),
                                 (long) room.most(),
                                 mSettings.windowMillis());
-        if (now - account.mToldAt >= LINE_MILLIS) {
-            account.mToldAt = now;
+        if (account.mLines.over(now)) {
             LOGGER.info("organisation beyond its limit: {}", detail);
         }
         double beyond = cost - room.left();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRate.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRate.java
@@ -5,6 +5,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.common.logging.LinePause;
 import org.troutpier.daemon.decision.EvenTurns;
 import org.troutpier.daemon.limit.AskMeter;
 import org.troutpier.daemon.limit.Asker;
@@ -98,11 +99,11 @@
     /** When it was said last, milliseconds on the clock of the control state. */
     private long mSaidAt;
 
-    /** When a line last told of a changed rate, milliseconds on the traffic loop's clock. */
-    private long mChangeLineAt = Long.MIN_VALUE / 2;
+    /** Keeps lines of changed rates apart. */
+    private final LinePause mChangeLines = new LinePause(CHANGE_LINE_MILLIS);
 
-    /** When a line last told of something else, milliseconds on the traffic loop's clock. */
-    private long mLineAt = Long.MIN_VALUE / 2;
+    /** Keeps other lines apart. */
+    private final LinePause mLines = new LinePause(LINE_MILLIS);
 
     /**
      * Creates an upstream that names no rate.
@@ -221,8 +222,7 @@
      * @param now the traffic loop's clock, milliseconds
      */
     private void changed(double perSecond, String source, long now) {
-        if (now - mChangeLineAt >= CHANGE_LINE_MILLIS) {
-            mChangeLineAt = now;
+        if (mChangeLines.over(now)) {
             LOGGER.info(
                     "upstream rate changed id={} perSecond={} before={} source={}",
                     mUpstream,
@@ -367,9 +367,7 @@
      * @return whether none did lately; one does from now on
      */
     boolean lineDue(long now) {
-        boolean due = now - mLineAt >= LINE_MILLIS;
-        mLineAt = due ? now : mLineAt;
-        return due;
+        return mLines.over(now);
     }
 
     /**
