Review: lists for operators are one mechanism

Each new list took a handler of its own, a parameter and a branch of StatusHandler, and in the tool the same loop over routers. Three tests of the tool share the router that they ask. Paths, answers and what the tool prints stay; no assertion was changed.

--- a/troutpier-cli/src/main/java/org/troutpier/cli/CliMain.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/CliMain.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.function.BiConsumer;
 import org.troutpier.common.declaration.DeclarationPart;
 import org.troutpier.common.http.CallFailedException;
 import org.troutpier.common.result.TroutpierException;
@@ -124,6 +125,23 @@
             }
             return new CliSettings(routers.stream().map(Address::parse).toList(), token);
         }
+
+        /**
+         * Shows a list as each router reports it.
+         *
+         * @param path the list's path
+         * @param heading what is shown above it
+         * @param show shows one entry, with the router that reports it
+         */
+        void list(String path, String heading, BiConsumer<Address, JsonNode> show) {
+            CliSettings settings = settings();
+            try (RouterClient client = new RouterClient(settings.token())) {
+                System.out.print(heading);
+                for (Address router : settings.routers()) {
+                    client.ask(List.of(router), path).forEach(entry -> show.accept(router, entry));
+                }
+            }
+        }
     }
 
     /** Checks declarations in files. */
--- a/troutpier-cli/src/main/java/org/troutpier/cli/OrganisationsCommand.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/OrganisationsCommand.java
@@ -32,33 +32,26 @@
     /** {@inheritDoc} */
     @Override
     public Integer call() {
-        CliSettings settings = mConnection.settings();
-        try (RouterClient client = new RouterClient(settings.token())) {
-            System.out.printf(
-                    LINE,
-                    "router",
-                    "organisation",
-                    "unit",
-                    "limit",
-                    "most",
-                    "here",
-                    "elsewhere",
-                    "refused",
-                    "keys");
-            for (Address router : settings.routers()) {
-                for (JsonNode each : client.ask(List.of(router), "/organisations")) {
-                    show(router, each);
-                }
-            }
-        }
+        String heading =
+                LINE.formatted(
+                        "router",
+                        "organisation",
+                        "unit",
+                        "limit",
+                        "most",
+                        "here",
+                        "elsewhere",
+                        "refused",
+                        "keys");
+        mConnection.list("/organisations", heading, OrganisationsCommand::show);
         return 0;
     }
 
     /**
      * Shows one organisation.
      *
-     * @param router who tells
-     * @param organisation what it tells
+     * @param router who reports it
+     * @param organisation what it reports
      */
     private static void show(Address router, JsonNode organisation) {
         List<String> keys = new ArrayList<>();
--- a/troutpier-cli/src/main/java/org/troutpier/cli/RatesCommand.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/RatesCommand.java
@@ -1,7 +1,6 @@
 package org.troutpier.cli;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import org.troutpier.common.settings.Address;
@@ -32,24 +31,18 @@
     /** {@inheritDoc} */
     @Override
     public Integer call() {
-        CliSettings settings = mConnection.settings();
-        try (RouterClient client = new RouterClient(settings.token())) {
-            System.out.printf(
-                    LINE, "router", "upstream", "rate", "age ms", "here", "elsewhere", "withheld");
-            for (Address router : settings.routers()) {
-                for (JsonNode each : client.ask(List.of(router), "/rates")) {
-                    show(router, each);
-                }
-            }
-        }
+        String heading =
+                LINE.formatted(
+                        "router", "upstream", "rate", "age ms", "here", "elsewhere", "withheld");
+        mConnection.list("/rates", heading, RatesCommand::show);
         return 0;
     }
 
     /**
      * Shows one upstream.
      *
-     * @param router who tells
-     * @param upstream what it tells
+     * @param router who reports it
+     * @param upstream what it reports
      */
     private static void show(Address router, JsonNode upstream) {
         System.out.printf(
--- a/troutpier-cli/src/test/java/org/troutpier/cli/OrganisationsCommandTest.java
+++ b/troutpier-cli/src/test/java/org/troutpier/cli/OrganisationsCommandTest.java
@@ -5,25 +5,19 @@
 import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
 import java.util.List;
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.troutpier.common.declaration.KeyHash;
-import org.troutpier.common.http.HttpServer;
+import org.troutpier.common.http.Answers;
 import org.troutpier.common.http.ServerLimits;
-import org.troutpier.common.http.ServerRefusals;
 import org.troutpier.common.id.PartnerId;
-import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.limit.UseSettings;
 import org.troutpier.daemon.organisation.OrganisationUse;
-import org.troutpier.daemon.organisation.OrganisationsHandler;
 import org.troutpier.daemon.organisation.OthersUse;
 import org.troutpier.daemon.organisation.UseReport;
 import org.troutpier.daemon.route.Organisation;
@@ -35,13 +29,11 @@
 
     private static final String KEY = "a-callers-key";
 
-    private EventLoopGroup mLoop;
-    private HttpServer mServer;
+    private RouterStandin mRouter;
     private long mNow;
 
     @BeforeMethod
     void start() {
-        mLoop = new NioEventLoopGroup(1);
         OthersUse nobody =
                 new OthersUse() {
                     @Override
@@ -79,24 +71,18 @@
         mNow = 20_000;
         use.take(coast, 60);
         use.take(coast, 4000);
-        mServer =
-                new HttpServer(
-                        new Address("127.0.0.1", 0),
-                        mLoop,
-                        ServerLimits.DEFAULT,
-                        ServerRefusals.AsJson.INSTANCE,
-                        new OrganisationsHandler(use));
+        mRouter =
+                new RouterStandin(exchange -> exchange.answer(Answers.json(200, use.standings())));
     }
 
     @AfterMethod(alwaysRun = true)
     void stop() {
-        mServer.close();
-        mLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        mRouter.close();
     }
 
     @Test
     public void eachRouterShowsUseLimitRefusalsAndNoKey() {
-        String router = mServer.address().toString();
+        String router = mRouter.address();
         CliRun run = CliRun.of("organisations", "--router", router, "--token", "any");
         assertEquals(run.exit(), 0);
         String line = run.shown().lines().filter(each -> each.contains("coast")).findFirst().get();
--- a/troutpier-cli/src/test/java/org/troutpier/cli/QuarantineCommandTest.java
+++ b/troutpier-cli/src/test/java/org/troutpier/cli/QuarantineCommandTest.java
@@ -5,20 +5,13 @@
 import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.troutpier.common.declaration.Tokens;
-import org.troutpier.common.http.HttpServer;
-import org.troutpier.common.http.ServerLimits;
-import org.troutpier.common.http.ServerRefusals;
 import org.troutpier.common.id.UpstreamIncarnation;
-import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.quarantine.Quarantine;
 import org.troutpier.daemon.quarantine.QuarantineHandler;
 import org.troutpier.daemon.quarantine.QuarantineSettings;
@@ -34,36 +27,27 @@
     private static final RequestFingerprint SUSPECT =
             RequestFingerprint.of("host", "/suspect", new byte[0]);
 
-    private EventLoopGroup mLoop;
     private Quarantine mQuarantine;
-    private HttpServer mServer;
+    private RouterStandin mRouter;
 
     @BeforeMethod
     void start() {
-        mLoop = new NioEventLoopGroup(1);
         mQuarantine = new Quarantine(SETTINGS, () -> 0, new MetricRegistry());
         mQuarantine.crashed(HELD, UpstreamIncarnation.of("engine-1"));
         mQuarantine.crashed(HELD, UpstreamIncarnation.of("engine-2"));
         mQuarantine.crashed(SUSPECT, UpstreamIncarnation.of("engine-2"));
-        mServer =
-                new HttpServer(
-                        new Address("127.0.0.1", 0),
-                        mLoop,
-                        ServerLimits.DEFAULT,
-                        ServerRefusals.AsJson.INSTANCE,
-                        new QuarantineHandler(SETTINGS, mQuarantine));
+        mRouter = new RouterStandin(new QuarantineHandler(SETTINGS, mQuarantine));
     }
 
     @AfterMethod(alwaysRun = true)
     void stop() {
-        mServer.close();
-        mLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        mRouter.close();
     }
 
     /** Runs the tool and returns what a person sees, with the exit code in the last line. */
     private String run(String token, String... words) {
         List<String> all = new ArrayList<>(List.of("quarantine", "--router"));
-        all.addAll(List.of(mServer.address().toString(), "--token", token));
+        all.addAll(List.of(mRouter.address(), "--token", token));
         all.addAll(List.of(words));
         CliRun run = CliRun.of(all.toArray(String[]::new));
         return run.shown() + "exit " + run.exit();
--- a/troutpier-cli/src/test/java/org/troutpier/cli/RatesCommandTest.java
+++ b/troutpier-cli/src/test/java/org/troutpier/cli/RatesCommandTest.java
@@ -3,54 +3,39 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.troutpier.common.http.Answers;
-import org.troutpier.common.http.HttpServer;
-import org.troutpier.common.http.ServerLimits;
-import org.troutpier.common.http.ServerRefusals;
-import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.serving.UpstreamRates;
-import org.troutpier.daemon.serving.UpstreamRatesHandler;
 
 /** How operators look at the rates that upstreams name. */
 public final class RatesCommandTest {
 
-    private EventLoopGroup mLoop;
-    private HttpServer mServer;
+    private RouterStandin mRouter;
 
     @BeforeMethod
     void start() {
-        mLoop = new NioEventLoopGroup(1);
         List<UpstreamRates.Standing> rates =
                 List.of(new UpstreamRates.Standing("web-1", 3.6, 120, 4, 9, 31));
-        mServer =
-                new HttpServer(
-                        new Address("127.0.0.1", 0),
-                        mLoop,
-                        ServerLimits.DEFAULT,
-                        ServerRefusals.AsJson.INSTANCE,
+        mRouter =
+                new RouterStandin(
                         exchange ->
                                 exchange.answer(
-                                        exchange.path().equals(UpstreamRatesHandler.PATH)
+                                        exchange.path().equals(UpstreamRates.PATH)
                                                 ? Answers.json(200, rates)
                                                 : Answers.json(404, List.of())));
     }
 
     @AfterMethod(alwaysRun = true)
     void stop() {
-        mServer.close();
-        mLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        mRouter.close();
     }
 
     @Test
     public void eachRouterShowsRateAgeAndUse() {
-        String router = mServer.address().toString();
+        String router = mRouter.address();
         CliRun run = CliRun.of("rates", "--router", router, "--token", "any");
         assertEquals(run.exit(), 0);
         String line = run.shown().lines().filter(each -> each.contains("web-1")).findFirst().get();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationUse.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationUse.java
@@ -34,6 +34,9 @@
  */
 public final class OrganisationUse {
 
+    /** Where operators list the organisations. */
+    public static final String PATH = "/organisations";
+
     /** How soon a caller beyond a limit is told to come back at the earliest, milliseconds. */
     private static final long LEAST_RETURN_MILLIS = 250;
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
@@ -33,6 +33,9 @@
  */
 public final class UpstreamRates {
 
+    /** Where operators list the upstreams that name rates. */
+    public static final String PATH = "/rates";
+
     /** How soon a caller that no upstream takes is told to come back, milliseconds. */
     private static final long LEAST_RETURN_MILLIS = 100;
 
