--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/SessionGoldenTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/SessionGoldenTest.java
@@ -1,10 +1,7 @@
 package org.troutpier.daemon;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.approvaltests.Approvals;
@@ -16,13 +13,12 @@
 import org.testng.annotations.Test;
 import org.troutpier.common.settings.Address;
 import org.troutpier.standins.fault.Fault;
+import org.troutpier.testing.RawSession;
 
 /** Whole sessions as they go over the wire, held against files. */
 @UseReporter(QuietReporter.class)
 public class SessionGoldenTest {
 
-    private static final int QUIET_MILLIS = 10_000;
-
     private Rig mRig;
 
     @BeforeClass
@@ -35,17 +31,9 @@
         mRig.close();
     }
 
-    /** Sends a text as it stands and reads until the router closes. */
-    private String session(String request) throws IOException {
+    private String session(String request) {
         Address address = mRig.mRouters.get(0).callerAddress();
-        try (Socket socket = new Socket(address.host(), address.port())) {
-            socket.setSoTimeout(QUIET_MILLIS);
-            OutputStream out = socket.getOutputStream();
-            out.write(request.replace("\n", "\r\n").getBytes(StandardCharsets.UTF_8));
-            out.flush();
-            InputStream in = socket.getInputStream();
-            return new String(in.readAllBytes(), StandardCharsets.UTF_8).replace("\r\n", "\n");
-        }
+        return RawSession.ask(address.host(), address.port(), request);
     }
 
     private void verify(String request) throws IOException {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/LimitSimulation.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/LimitSimulation.java
@@ -15,6 +15,7 @@
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.PartnerId;
+import org.troutpier.daemon.limit.Arrivals;
 import org.troutpier.daemon.limit.RecentUse;
 import org.troutpier.daemon.limit.UseSettings;
 import org.troutpier.daemon.organisation.OrganisationUse;
@@ -329,7 +330,7 @@
     private void ask(Asking asking) {
         double mean = asking.mAskedPerSecond * STEP_MILLIS / 1000.0 / asking.mMeanCost;
         double run = 0;
-        for (int left = poisson(mean); left > 0; left--) {
+        for (int left = Arrivals.poisson(mRandom, mean); left > 0; left--) {
             Router router = mAll.get((int) (mRouters * Math.pow(mRandom.nextDouble(), 1.5)));
             if (!router.works()) {
                 continue;
@@ -390,15 +391,4 @@
         given.add(new double[] {mNow, cost});
         return true;
     }
-
-    private int poisson(double mean) {
-        double limit = Math.exp(-mean);
-        int count = 0;
-        for (double product = mRandom.nextDouble();
-                product > limit;
-                product *= mRandom.nextDouble()) {
-            count++;
-        }
-        return count;
-    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamRateSimulation.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamRateSimulation.java
@@ -13,6 +13,7 @@
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.limit.AnnouncedRate;
+import org.troutpier.daemon.limit.Arrivals;
 import org.troutpier.daemon.limit.Asker;
 import org.troutpier.daemon.limit.OthersRates;
 import org.troutpier.daemon.limit.RateReport;
@@ -272,7 +273,7 @@
                 report(now);
             }
             double due = perSecond * STEP_MILLIS / 1000;
-            for (int left = poisson(due); left > 0; left--) {
+            for (int left = Arrivals.poisson(mRandom, due); left > 0; left--) {
                 ask(now, mRandom.nextDouble() < mUrgentPart ? 0 : 1);
             }
             for (Upstream upstream : mUpstreams) {
@@ -359,15 +360,4 @@
                                             id, rate.later(now - heard.at()), RateReport::plus));
         }
     }
-
-    private int poisson(double mean) {
-        double limit = Math.exp(-mean);
-        int count = 0;
-        for (double product = mRandom.nextDouble();
-                product > limit;
-                product *= mRandom.nextDouble()) {
-            count++;
-        }
-        return count;
-    }
 }
