--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/KeyTrust.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/KeyTrust.java
@@ -35,7 +35,7 @@
     }
 
     /**
-     * Returns whether requests are let in by their keys.
+     * Returns whether requests are admitted by their keys.
      *
      * @return whether the keys were confirmed lately, or count without that
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationUse.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationUse.java
@@ -25,12 +25,12 @@
 import org.troutpier.daemon.route.UseLimit;
 
 /**
- * Keeps organisations to their limits over all routers: each counts what it lets in and tells it
- * with its load, and lets in what the sum leaves room for. Confined to the traffic loop. Invariant:
- * what this router lets in stays, with what it heard of the others, under the {@link LimitShare}.
+ * Keeps organisations to their limits over all routers: each counts what it admits and reports it
+ * with its load, and admits what the sum leaves room for. Confined to the traffic loop. Invariant:
+ * what this router admits stays, with what it heard of the others, under the {@link LimitShare}.
  *
  * <p>It answers limits that hold a few requests for each router in a window: a fixed part of such a
- * limit is less than one request, and refuses nearly all that the whole would let in.
+ * limit is less than one request, and rejects nearly all that the whole would admit.
  */
 public final class OrganisationUse {
 
@@ -41,13 +41,13 @@
     private static final long LEAST_RETURN_MILLIS = 250;
 
     /**
-     * How many bursts are not let in soon after a start: that of the limit, and what may have been
-     * let in beyond it before while views of the others were late.
+     * How many bursts are not admitted soon after a start: that of the limit, and what may have
+     * been admitted beyond it before while views of the others were stale.
      */
     private static final double FORGOTTEN_BURSTS = 1.25;
 
     /**
-     * Which part of the window's end lets the burst in again after a start: the last quarter, when
+     * Which part of the window's end admits the burst again after a start: the last quarter, when
      * most of what was used before has left the window.
      */
     private static final double BURST_PARTS = 4;
@@ -67,7 +67,7 @@
     /** The monotonic clock, milliseconds. */
     private final LongSupplier mMillis;
 
-    /** Draws whether a request is let in that fits only in part. */
+    /** Draws whether a request is admitted that fits only in part. */
     private final RandomGenerator mRandom;
 
     /** What the other routers used. */
@@ -88,11 +88,11 @@
     /** The version that the accounts are of. */
     private long mVersion = -1;
 
-    /** Whether fewer than all routers are heard, as it was told last. */
+    /** Whether fewer than all routers are heard, as it was reported last. */
     private boolean mPartToldOf;
 
     /**
-     * Why a request is not let in. Immutable and thread safe.
+     * Why a request is not admitted. Immutable and thread safe.
      *
      * @param detail what it was decided by
      * @param returnMillis when there will be room, milliseconds from now
@@ -105,7 +105,7 @@
      * @param organisation its name
      * @param unit what its use is counted in
      * @param limit what it may use in a window over all routers; 0 for no limit
-     * @param most what the routers that hear each other let in of that now
+     * @param most what the routers that hear each other admit of that now
      * @param here what it used here in the window
      * @param elsewhere what it used at the others
      * @param refused how many requests were refused here since the start
@@ -156,7 +156,7 @@
      *
      * @param settings how strictly limits are kept
      * @param millis the monotonic clock, milliseconds
-     * @param random draws whether a request is let in that fits only in part
+     * @param random draws whether a request is admitted that fits only in part
      * @param others what the other routers used
      * @param known tells how many routers there may be, this one included
      * @param metrics counts by organisation
@@ -231,12 +231,12 @@
     }
 
     /**
-     * Lets a request in and counts it, or refuses it. An organisation without a limit is counted
+     * Admits a request and counts it, or rejects it. An organisation without a limit is counted
      * too, so that operators see what it uses.
      *
      * @param organisation whose request it is
      * @param cost what it uses, in the limit's unit
-     * @return why it is refused, or empty where it is let in
+     * @return why it is rejected, or empty where it is admitted
      */
     public Optional<Refusal> take(Organisation organisation, double cost) {
         Account account = mAccounts.get(organisation.id());
@@ -331,7 +331,7 @@
      *
      * @param organisation whose request it was
      * @param cost what it used
-     * @param at when it was let in, milliseconds
+     * @param at when it was admitted, milliseconds
      */
     public void giveBack(Organisation organisation, double cost, long at) {
         Account account = mAccounts.get(organisation.id());
@@ -400,7 +400,7 @@
     }
 
     /**
-     * Returns what is to be told to the others.
+     * Returns what is to be reported to the others.
      *
      * @return what each organisation with a limit used here
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OthersUse.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OthersUse.java
@@ -1,6 +1,6 @@
 package org.troutpier.daemon.organisation;
 
-/** What the other routers told of organisations' use. Thread safe. */
+/** What the other routers reported of organisations' usage. Thread safe. */
 public interface OthersUse {
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/Requester.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/Requester.java
@@ -6,7 +6,7 @@
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.route.RoutingConfiguration;
 
-/** Who asks, as far as the configuration can tell. Immutable and thread safe. */
+/** A caller as the configuration knows it. Immutable and thread safe. */
 public sealed interface Requester {
 
     /**
@@ -25,7 +25,7 @@
     Optional<Organisation> organisation();
 
     /**
-     * Finds who asks, by the version in force when the request came.
+     * Authenticates the caller against the active configuration.
      *
      * @param configuration the version
      * @param route the request's route
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
@@ -81,7 +81,7 @@
     }
 
     /**
-     * Looks at a request's head, before its body has come, for whether the caller is let in.
+     * Authenticates a caller by the request's head, before its body has come.
      *
      * @param host the host as the caller sent it
      * @param target path and query
@@ -100,10 +100,10 @@
     }
 
     /**
-     * Returns why a caller is not let in.
+     * Returns why a caller is rejected.
      *
      * @param requester who asks; empty where a key is needed and is missing or not known
-     * @return the refusal, or empty where the caller is let in
+     * @return the refusal, or empty where the caller is admitted
      */
     private Optional<TroutpierException> stranger(Optional<Requester> requester) {
         boolean keyless = requester.isPresent() && requester.get().organisation().isEmpty();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/organisation/OrganisationUseTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/organisation/OrganisationUseTest.java
@@ -21,7 +21,7 @@
 import org.troutpier.daemon.route.RoutingConfiguration;
 import org.troutpier.daemon.route.UseLimit;
 
-/** What one router lets in, by what it counts and hears. */
+/** What one router admits, by what it counts and receives. */
 public final class OrganisationUseTest {
 
     private static final PartnerId COAST = new PartnerId("coast");
