Answers of upstreams are decoded into one notice, logged, counted and listed

Cause: nothing told on call whether an upstream had said that it leaves, or asked for a back-off, to which router, and what that router sent it afterwards. A rate travelled as one word through five classes. An adapter now makes one UpstreamNotice of each answer: of runs, readings, places, what is given back, reports and orders. /notices lists who leaves or wants no call and how many calls were sent since; a line for the first of each, counters leaving-said, back-off-asked, notice-unreadable.

--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/notice/Announced.java
@@ -0,0 +1,44 @@
+package org.troutpier.daemon.notice;
+
+import java.util.List;
+
+/** Whether an answer says a certain word of its upstream. Immutable and thread safe. */
+public enum Announced {
+    /** It does not say it. */
+    NONE,
+    /** It says it. */
+    NAMED,
+    /** It says something that cannot be read, which changes nothing. */
+    UNREADABLE;
+
+    /** The values by which a header says its word. */
+    private static final List<String> YES = List.of("1", "true");
+
+    /** The values by which a header says that its word does not apply. */
+    private static final List<String> NO = List.of("0", "false");
+
+    /**
+     * Reads the values of a header that says its word by {@code 1} or {@code true}.
+     *
+     * @param values the values, as they came
+     * @return whether any of them says it; unreadable where none does and one is no such value
+     */
+    public static Announced flag(List<String> values) {
+        List<String> parts = HeaderValues.parts(values);
+        if (parts.stream().anyMatch(part -> contains(YES, part))) {
+            return NAMED;
+        }
+        return parts.stream().allMatch(part -> contains(NO, part)) ? NONE : UNREADABLE;
+    }
+
+    /**
+     * Returns whether a list has a value in any case.
+     *
+     * @param values the list
+     * @param part the value
+     * @return whether it has
+     */
+    private static boolean contains(List<String> values, String part) {
+        return values.stream().anyMatch(part::equalsIgnoreCase);
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/notice/UpstreamNotice.java
@@ -0,0 +1,27 @@
+package org.troutpier.daemon.notice;
+
+/**
+ * All that one answer of an upstream says of the upstream. An adapter makes it of every answer,
+ * whatever the call was for and however it ended; an answer that is not the upstream's own says
+ * nothing. Immutable and thread safe.
+ *
+ * @param rate the requests a second that it takes from all routers together
+ * @param backOff for how long it wants no call from this router
+ * @param leaving whether its start is about to end
+ */
+public record UpstreamNotice(AnnouncedRate rate, AnnouncedBackOff backOff, Announced leaving) {
+
+    /** An answer that says nothing of its upstream. */
+    public static final UpstreamNotice NONE =
+            new UpstreamNotice(AnnouncedRate.NONE, AnnouncedBackOff.NONE, Announced.NONE);
+
+    /**
+     * Returns an answer that names a rate and nothing else.
+     *
+     * @param rate the rate
+     * @return the notice
+     */
+    public static UpstreamNotice of(AnnouncedRate rate) {
+        return new UpstreamNotice(rate, AnnouncedBackOff.NONE, Announced.NONE);
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlaceAllocator.java
@@ -15,8 +15,8 @@
 import org.troutpier.daemon.cluster.LoadView;
 import org.troutpier.daemon.decision.Standing;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.limit.AnnouncedRate;
 import org.troutpier.daemon.limit.Asker;
+import org.troutpier.daemon.notice.UpstreamNotice;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
@@ -48,8 +48,8 @@
     /** What is under way at each engine. */
     private final UpstreamLoads mLoads;
 
-    /** Keeps engines to the rates that they name. */
-    private final UpstreamRates mRates;
+    /** Admits calls to engines. */
+    private final UpstreamAdmission mAdmission;
 
     /** Has engines chosen by what the other routers have under way now. */
     private final LoadView mView;
@@ -79,7 +79,7 @@
      * @param loop the traffic loop
      * @param port asks engines for places
      * @param loads what is under way at each engine
-     * @param rates keeps engines to the rates that they name
+     * @param admission admits calls to engines
      * @param view has engines chosen by what the other routers have under way now
      * @param random spreads repeated questions
      */
@@ -87,14 +87,14 @@
             TrafficLoop loop,
             UpstreamPort port,
             UpstreamLoads loads,
-            UpstreamRates rates,
+            UpstreamAdmission admission,
             LoadView view,
             RandomGenerator random) {
         mView = view;
         mLoop = loop;
         mPort = port;
         mLoads = loads;
-        mRates = rates;
+        mAdmission = admission;
         mRandom = random;
         for (Standing standing : Standing.values()) {
             mWaiting.put(standing, new FairQueue<>());
@@ -281,7 +281,7 @@
             }
             for (UpstreamEntry engine : mLoads.byTokens(engines, mAsked)) {
                 boolean full = mFullUntil.getOrDefault(engine.incarnation(), now) > now;
-                if (!full && hasRoom(engine) && mRates.tryTake(engine, mWanted.asker())) {
+                if (!full && hasRoom(engine) && mAdmission.tryTake(engine, mWanted.asker())) {
                     ask(engine);
                     return;
                 }
@@ -394,10 +394,8 @@
 
             /** {@inheritDoc} */
             @Override
-            public void onRate(AnnouncedRate rate, UpstreamPort.Verdict verdict) {
-                if (rate.kind() != AnnouncedRate.Kind.NONE) {
-                    mRates.heard(mEngine, rate, verdict, mLoop.millis() - mAskedAt);
-                }
+            public void onNotice(UpstreamNotice notice, UpstreamPort.Verdict verdict) {
+                mAdmission.received(mEngine, notice);
             }
 
             /** {@inheritDoc} */
@@ -422,7 +420,7 @@
                 if (end.leaving()) {
                     mLoads.replaced(mEngine);
                 } else if (end.unreachable()) {
-                    mRates.giveBack(mEngine, mAskedAt);
+                    mAdmission.giveBack(mEngine, mAskedAt);
                     mLoads.failed(mEngine, true, "no place: " + end.detail());
                 }
                 next();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -75,7 +75,7 @@
      * @return whether there is such an upstream
      */
     private boolean findNext(List<UpstreamEntry> candidates) {
-        mNext = mContext.rates().takeFirst(candidates, asker()).orElse(null);
+        mNext = mContext.admission().takeFirst(candidates, asker()).orElse(null);
         mAdmittedAt = mContext.loop().millis();
         return mNext != null;
     }
@@ -83,7 +83,7 @@
     /** Gives back that the request was admitted where it is not going to be sent. */
     private void forgetNext() {
         if (mNext != null) {
-            mContext.rates().giveBack(mNext, mAdmittedAt);
+            mContext.admission().giveBack(mNext, mAdmittedAt);
             mNext = null;
         }
     }
@@ -114,7 +114,7 @@
         giveUp(
                 ResultCode.UPSTREAM_RATE,
                 candidates.size() + " upstreams of " + mService + " are at their rates",
-                Math.max(1, Math.min(limit, mContext.rates().returnMillis(candidates))));
+                Math.max(1, Math.min(limit, mContext.admission().returnMillis(candidates))));
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptReading.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptReading.java
@@ -1,7 +1,7 @@
 package org.troutpier.daemon.serving;
 
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.limit.AnnouncedRate;
+import org.troutpier.daemon.notice.UpstreamNotice;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
@@ -151,8 +151,9 @@
 
     /** {@inheritDoc} */
     @Override
-    public void onRate(AnnouncedRate rate, UpstreamPort.Verdict verdict) {
-        mContext.rates().heard(mEngine, rate, verdict, mContext.loop().millis() - mStart);
+    public void onNotice(UpstreamNotice notice, UpstreamPort.Verdict verdict) {
+        long tookMillis = mContext.loop().millis() - mStart;
+        mContext.admission().answered(mEngine, notice, verdict, tookMillis);
     }
 
     /** {@inheritDoc} */
@@ -178,7 +179,7 @@
     public void onFailure(AttemptEnd end) {
         close();
         if (end.neverReached()) {
-            mContext.rates().giveBack(mEngine, mStart);
+            mContext.admission().giveBack(mEngine, mStart);
         }
         mTrace.step("prefill failed(" + end.detail() + ")");
         mContext.metrics().ended(mEngine.id(), end.notStarted());
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RestartAwarePort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RestartAwarePort.java
@@ -12,7 +12,7 @@
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.limit.AnnouncedRate;
+import org.troutpier.daemon.notice.UpstreamNotice;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
@@ -217,9 +217,9 @@
 
         /** {@inheritDoc} */
         @Override
-        public void onRate(AnnouncedRate rate, Verdict verdict) {
+        public void onNotice(UpstreamNotice notice, Verdict verdict) {
             if (open()) {
-                mListener.onRate(rate, verdict);
+                mListener.onNotice(notice, verdict);
             }
         }
 
@@ -271,9 +271,9 @@
 
         /** {@inheritDoc} */
         @Override
-        public void onRate(AnnouncedRate rate, Verdict verdict) {
+        public void onNotice(UpstreamNotice notice, Verdict verdict) {
             if (open()) {
-                mListener.onRate(rate, verdict);
+                mListener.onNotice(notice, verdict);
             }
         }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -19,7 +19,7 @@
  * @param port sends calls to upstreams
  * @param directory the upstreams
  * @param loads what is under way at each upstream
- * @param rates the rates that upstreams name
+ * @param admission admits calls to upstreams by what these say of themselves
  * @param budget bounds extra calls
  * @param places gives out places at decode engines
  * @param use keeps organisations to their limits
@@ -41,7 +41,7 @@
         UpstreamPort port,
         UpstreamDirectory directory,
         UpstreamLoads loads,
-        UpstreamRates rates,
+        UpstreamAdmission admission,
         ExtraCallBudget budget,
         PlaceAllocator places,
         OrganisationUse use,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -283,7 +283,7 @@
             run(Optional.empty());
             return;
         }
-        Optional<UpstreamEntry> admitted = mContext.rates().takeFirst(engines, asker());
+        Optional<UpstreamEntry> admitted = mContext.admission().takeFirst(engines, asker());
         if (admitted.isEmpty()) {
             mTrace.step("prefill engines at their rates");
             run(Optional.empty());
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamNotices.java
@@ -0,0 +1,201 @@
+package org.troutpier.daemon.serving;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.notice.Announced;
+import org.troutpier.daemon.notice.UpstreamNotice;
+
+/**
+ * What upstreams have said of themselves to this router: that they leave, and for how long they
+ * want no call. Confined to the traffic loop. Invariants: a word belongs to one start of an
+ * upstream; leaving is final for that start; a back-off ends by itself and is never shortened.
+ */
+public final class UpstreamNotices {
+
+    /** Where operators list what upstreams have said. */
+    public static final String PATH = "/notices";
+
+    /** What the names of an upstream's figures begin with. */
+    private static final String FIGURES = "upstream.";
+
+    /** Logs what is said for the first time. */
+    private static final Logger LOGGER = LogManager.getLogger(UpstreamNotices.class);
+
+    /** The clock. */
+    private final TrafficLoop mLoop;
+
+    /** Counts by upstream. */
+    private final MetricRegistry mMetrics;
+
+    /** What each upstream has said that said something. */
+    private final Map<UpstreamIncarnation, Said> mSaid = new HashMap<>();
+
+    /** What one upstream has said. */
+    private static final class Said {
+
+        /** Whether it leaves. */
+        private boolean mLeaving;
+
+        /**
+         * Until when it wants no call, milliseconds on the loop's clock; 0 where it never asked.
+         */
+        private long mBackOffUntil;
+
+        /** Calls that were sent to it since it said the last word that was new. */
+        private long mSentSince;
+    }
+
+    /**
+     * What one upstream has said, as operators see it. Immutable and thread safe.
+     *
+     * @param upstream the upstream
+     * @param leaving whether it leaves
+     * @param backOffMillis for how long it still wants no call, milliseconds
+     * @param sentSince calls that were sent to it since it last said something new
+     */
+    public record Standing(String upstream, boolean leaving, long backOffMillis, long sentSince) {}
+
+    /**
+     * Creates a view in which no upstream has said anything.
+     *
+     * @param loop the clock
+     * @param metrics counts by upstream
+     */
+    public UpstreamNotices(TrafficLoop loop, MetricRegistry metrics) {
+        mLoop = loop;
+        mMetrics = metrics;
+    }
+
+    /**
+     * Takes what an answer says.
+     *
+     * @param upstream whose answer it is
+     * @param notice what it says
+     */
+    void received(UpstreamEntry upstream, UpstreamNotice notice) {
+        if (notice.leaving() == Announced.NAMED) {
+            leaves(upstream);
+        }
+        if (notice.backOff().kind() == Announced.NAMED) {
+            backsOff(upstream, notice.backOff().millis());
+        }
+        if (notice.leaving() == Announced.UNREADABLE
+                || notice.backOff().kind() == Announced.UNREADABLE) {
+            count(upstream, "notice-unreadable");
+            LOGGER.debug("upstream notice not readable id={}", upstream.incarnation());
+        }
+    }
+
+    /**
+     * Takes note that an upstream leaves.
+     *
+     * @param upstream the upstream
+     */
+    private void leaves(UpstreamEntry upstream) {
+        Said said = said(upstream.incarnation());
+        count(upstream, "leaving-said");
+        if (!said.mLeaving) {
+            said.mLeaving = true;
+            said.mSentSince = 0;
+            LOGGER.info(
+                    "upstream says that it leaves id={} service={} address={}",
+                    upstream.incarnation(),
+                    upstream.service(),
+                    upstream.address());
+        }
+    }
+
+    /**
+     * Takes note that an upstream wants no call for a while.
+     *
+     * @param upstream the upstream
+     * @param millis for how long, milliseconds
+     */
+    private void backsOff(UpstreamEntry upstream, long millis) {
+        Said said = said(upstream.incarnation());
+        count(upstream, "back-off-asked");
+        long now = mLoop.millis();
+        if (said.mBackOffUntil <= now) {
+            said.mSentSince = 0;
+            LOGGER.info(
+                    "upstream asks for a back-off id={} millis={}", upstream.incarnation(), millis);
+        }
+        said.mBackOffUntil = Math.max(said.mBackOffUntil, now + millis);
+    }
+
+    /**
+     * Counts a call that is sent.
+     *
+     * @param upstream where to
+     */
+    void sent(UpstreamEntry upstream) {
+        Said said = mSaid.get(upstream.incarnation());
+        if (said != null) {
+            said.mSentSince++;
+        }
+    }
+
+    /**
+     * Returns what is known of each upstream that leaves or wants no call now.
+     *
+     * @return the upstreams, by name
+     */
+    public List<Standing> standings() {
+        long now = mLoop.millis();
+        List<Standing> standings = new ArrayList<>();
+        mSaid.forEach(
+                (upstream, said) -> {
+                    long left = Math.max(0, said.mBackOffUntil - now);
+                    if (said.mLeaving || left > 0) {
+                        standings.add(
+                                new Standing(
+                                        upstream.toString(), said.mLeaving, left, said.mSentSince));
+                    }
+                });
+        standings.sort(Comparator.comparing(Standing::upstream));
+        return standings;
+    }
+
+    /**
+     * Forgets upstreams that are no longer listed and whose back-off is over.
+     *
+     * @param listed the starts that are listed
+     */
+    void retain(Set<UpstreamIncarnation> listed) {
+        long now = mLoop.millis();
+        mSaid.entrySet()
+                .removeIf(
+                        each ->
+                                !listed.contains(each.getKey())
+                                        && each.getValue().mBackOffUntil <= now);
+    }
+
+    /**
+     * Counts for an upstream.
+     *
+     * @param upstream the upstream
+     * @param what what is counted
+     */
+    private void count(UpstreamEntry upstream, String what) {
+        mMetrics.counter(FIGURES + upstream.id() + "." + what).inc();
+    }
+
+    /**
+     * Returns what an upstream has said.
+     *
+     * @param upstream the upstream
+     * @return what it has said, made where it has said nothing yet
+     */
+    private Said said(UpstreamIncarnation upstream) {
+        return mSaid.computeIfAbsent(upstream, any -> new Said());
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
@@ -5,7 +5,7 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.limit.AnnouncedRate;
+import org.troutpier.daemon.notice.UpstreamNotice;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
@@ -200,20 +200,20 @@
         FOREIGN
     }
 
-    /** Receives what an upstream says in its answers of the rate that it takes. */
-    interface RateListener {
+    /** Receives what an upstream says of itself in its answers. */
+    interface NoticeListener {
 
         /**
-         * Receives the rate that an answer names, if any, before anything else of it.
+         * Receives what an answer says of its upstream, before anything else of it.
          *
-         * @param rate what the answer says
+         * @param notice what the answer says
          * @param verdict what its head proves
          */
-        default void onRate(AnnouncedRate rate, Verdict verdict) {}
+        default void onNotice(UpstreamNotice notice, Verdict verdict) {}
     }
 
     /** Receives the answer to a run. */
-    interface RunListener extends RateListener {
+    interface RunListener extends NoticeListener {
 
         /**
          * Receives the head.
@@ -245,7 +245,7 @@
      *
      * @param <T> the result's type
      */
-    interface ResultListener<T> extends RateListener {
+    interface ResultListener<T> extends NoticeListener {
 
         /**
          * Receives the result.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
@@ -16,12 +15,13 @@
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.decision.LimitShare;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.limit.AnnouncedRate;
 import org.troutpier.daemon.limit.Asker;
 import org.troutpier.daemon.limit.NamedRate;
 import org.troutpier.daemon.limit.OthersRates;
 import org.troutpier.daemon.limit.RateReport;
 import org.troutpier.daemon.limit.RecentUse;
+import org.troutpier.daemon.notice.Announced;
+import org.troutpier.daemon.notice.AnnouncedRate;
 
 /**
  * Keeps upstreams in need to the rates that they name in their answers, over all routers: each
@@ -136,11 +136,11 @@
         }
         long elapsed = mElapsed.getAsLong();
         UpstreamRate rate = updated(upstream.incarnation(), reported(upstream.incarnation()));
-        if (announced.kind() == AnnouncedRate.Kind.NAMED) {
+        if (announced.kind() == Announced.NAMED) {
             count(rate, "rate-named");
             mUnreported |= announced.perSecond() != rate.perSecond();
             rate.learn(announced.perSecond(), elapsed, true, mLoop.millis());
-        } else if (announced.kind() == AnnouncedRate.Kind.UNREADABLE) {
+        } else if (announced.kind() == Announced.UNREADABLE) {
             count(rate, "rate-unreadable");
             if (rate.lineDue(mLoop.millis())) {
                 LOGGER.warn("upstream rate not readable id={}", upstream.incarnation());
@@ -178,17 +178,6 @@
         return true;
     }
 
-    /**
-     * Admits a request to the first of several upstreams that may be sent it.
-     *
-     * @param upstreams the upstreams, the best first
-     * @param asker who asks
-     * @return the upstream; empty where all are at their rates
-     */
-    Optional<UpstreamEntry> takeFirst(List<UpstreamEntry> upstreams, Asker asker) {
-        return upstreams.stream().filter(each -> tryTake(each, asker)).findFirst();
-    }
-
     /**
      * Gives back a request that was admitted and never reached the upstream.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRun.java
@@ -1,7 +1,7 @@
 package org.troutpier.daemon.serving;
 
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.limit.AnnouncedRate;
+import org.troutpier.daemon.notice.UpstreamNotice;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
@@ -101,8 +101,8 @@
 
     /** {@inheritDoc} */
     @Override
-    public void onRate(AnnouncedRate rate, UpstreamPort.Verdict verdict) {
-        mContext.rates().heard(mUpstream, rate, verdict, millis());
+    public void onNotice(UpstreamNotice notice, UpstreamPort.Verdict verdict) {
+        mContext.admission().answered(mUpstream, notice, verdict, millis());
     }
 
     /**
@@ -112,7 +112,7 @@
      */
     protected void giveBackUnreached(AttemptEnd end) {
         if (end.neverReached()) {
-            mContext.rates().giveBack(mUpstream, mStart);
+            mContext.admission().giveBack(mUpstream, mStart);
         }
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/limit/AnnouncedRateTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/notice/AnnouncedRateTest.java
@@ -1,4 +1,4 @@
-package org.troutpier.daemon.limit;
+package org.troutpier.daemon.notice;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -28,10 +28,10 @@
 import org.troutpier.daemon.decision.ReturnPacer;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.limit.AnnouncedRate;
 import org.troutpier.daemon.limit.Asker;
 import org.troutpier.daemon.limit.UseSettings;
 import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.notice.AnnouncedRate;
 import org.troutpier.daemon.organisation.OrganisationUse;
 import org.troutpier.daemon.organisation.Requester;
 import org.troutpier.daemon.quarantine.Quarantine;
@@ -80,6 +80,8 @@
         MetricRegistry metrics = new MetricRegistry();
         UpstreamRates rates =
                 new UpstreamRates(mTime.loop(), mTime::millis, random, peers, () -> 1, metrics);
+        UpstreamAdmission admission =
+                new UpstreamAdmission(rates, new UpstreamNotices(mTime.loop(), metrics));
         mQuarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, metrics);
         mContext =
                 new ServingContext(
@@ -87,9 +89,9 @@
                         port,
                         mDirectory,
                         loads,
-                        rates,
+                        admission,
                         new ExtraCallBudget(0, 0, 10_000),
-                        new PlaceAllocator(mTime.loop(), port, loads, rates, view, random),
+                        new PlaceAllocator(mTime.loop(), port, loads, admission, view, random),
                         new OrganisationUse(
                                 UseSettings.DEFAULT,
                                 mTime::millis,
@@ -560,9 +562,11 @@
     /** Sends an upstream more than it takes, and has it name its rate. */
     private void fill(UpstreamEntry upstream) {
         for (int call = 0; call < 20; call++) {
-            mContext.rates().tryTake(upstream, new Asker(0, Asker.NOBODY));
+            mContext.admission().rates().tryTake(upstream, new Asker(0, Asker.NOBODY));
         }
-        mContext.rates().heard(upstream, AnnouncedRate.of(1), UpstreamPort.Verdict.SUCCESS, 0);
+        mContext.admission()
+                .rates()
+                .heard(upstream, AnnouncedRate.of(1), UpstreamPort.Verdict.SUCCESS, 0);
     }
 
     private void repeatable() {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
@@ -23,9 +23,9 @@
 import org.troutpier.daemon.cluster.UpstreamUse;
 import org.troutpier.daemon.decision.Standing;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.limit.AnnouncedRate;
 import org.troutpier.daemon.limit.Asker;
 import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.notice.AnnouncedRate;
 import org.troutpier.daemon.organisation.UseReport;
 
 /** How places at decode engines are found. */
@@ -62,9 +62,12 @@
                         mPeers,
                         () -> 1,
                         new MetricRegistry());
+        UpstreamAdmission admission =
+                new UpstreamAdmission(
+                        mRates, new UpstreamNotices(mTime.loop(), new MetricRegistry()));
         mAllocator =
                 new PlaceAllocator(
-                        mTime.loop(), mPort, mLoads, mRates, Runnable::run, new Random(1));
+                        mTime.loop(), mPort, mLoads, admission, Runnable::run, new Random(1));
         mGranted = null;
         mRefused = null;
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamRateSimulation.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamRateSimulation.java
@@ -12,12 +12,12 @@
 import java.util.Random;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.limit.AnnouncedRate;
 import org.troutpier.daemon.limit.Arrivals;
 import org.troutpier.daemon.limit.Asker;
 import org.troutpier.daemon.limit.OthersRates;
 import org.troutpier.daemon.limit.RateReport;
 import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.notice.AnnouncedRate;
 
 /**
  * Routers under upstreams that name rates, in virtual time: the real count and decision at each,
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamRatesTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamRatesTest.java
@@ -14,13 +14,13 @@
 import org.troutpier.common.id.PartnerId;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.limit.AnnouncedRate;
 import org.troutpier.daemon.limit.Asker;
 import org.troutpier.daemon.limit.NamedRate;
 import org.troutpier.daemon.limit.OthersRates;
 import org.troutpier.daemon.limit.RateReport;
 import org.troutpier.daemon.limit.RecentUse;
 import org.troutpier.daemon.node.ManualTime;
+import org.troutpier.daemon.notice.AnnouncedRate;
 
 /** What is known of the rates that upstreams name. */
 public final class UpstreamRatesTest {
