An upstream that says in its answers that it leaves gets no more work

Cause: only an upstream's row was believed. The answers' word went to the caller as any header; while the store was away the row said ready for 13 s. Class: a word of an upstream about itself that is passed on and not heeded. Why this works: the directory keeps what an upstream said itself, by its start, for ten minutes: whatever its row says, gone and listed again too, that start gets no work, and every choice of an upstream asks the directory. The router that receives the word reports it to all others at once, as it does crashed requests, so that one answer is enough for all. The next start, and what an earlier start says late, are told apart by the start. Ruled out: reporting it with each load (a fact that is final needs no repeating); dropping the entry (the row would bring it back).

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.troutpier.common.id.Incarnation;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.peer.Membership.Member;
 import org.troutpier.daemon.peer.PeerLinks;
@@ -56,6 +57,10 @@
     /** Requests under which upstreams ended. */
     private final NoticeOutbox<CrashReport> mCrashed = new NoticeOutbox<>(PeerMessage.Crashed::new);
 
+    /** Upstreams that have said that they leave. */
+    private final NoticeOutbox<UpstreamIncarnation> mLeaving =
+            new NoticeOutbox<>(PeerMessage.Leaving::new);
+
     /** This router's latest report. */
     private LoadReport mOwn = LoadReport.NONE;
 
@@ -266,6 +271,19 @@
         mNode.control().execute(() -> mCrashed.tell(mLinks, audience(), locals()));
     }
 
+    /**
+     * Has it reported that upstreams have said that they leave: at once, since each router goes on
+     * sending to them until it knows.
+     *
+     * @param upstreams their starts
+     * @param here whether by this router or by one that reports to it, so that all are to receive
+     *     it; otherwise only those that report to this router
+     */
+    void leaving(List<UpstreamIncarnation> upstreams, boolean here) {
+        mLeaving.add(upstreams, here);
+        mNode.control().execute(() -> mLeaving.tell(mLinks, audience(), locals()));
+    }
+
     /**
      * Returns members' incarnations.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/NoticeListener.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/NoticeListener.java
@@ -1,6 +1,7 @@
 package org.troutpier.daemon.cluster;
 
 import java.util.List;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.quarantine.CrashReport;
 
 /** Takes what other routers tell once. Called on the control thread. */
@@ -19,4 +20,11 @@
      * @param reports what the other router knows of them
      */
     void crashed(List<CrashReport> reports);
+
+    /**
+     * Takes upstreams that have said in their answers that they leave.
+     *
+     * @param upstreams their starts
+     */
+    void leaving(List<UpstreamIncarnation> upstreams);
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -10,6 +10,7 @@
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.InstanceId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.instancelist.InstanceList.Instance;
@@ -238,6 +239,15 @@
         mRelay.crashed(List.of(report), true);
     }
 
+    /**
+     * Reports to the others that an upstream has said that it leaves.
+     *
+     * @param upstream its start
+     */
+    public void leaving(UpstreamIncarnation upstream) {
+        mRelay.leaving(List.of(upstream), true);
+    }
+
     /**
      * Returns whether this router reads the store's tables for its hall. Thread safe.
      *
@@ -311,6 +321,9 @@
         } else if (message instanceof PeerMessage.Crashed crashed) {
             mNotices.crashed(crashed.reports());
             handOn(from, here -> mRelay.crashed(crashed.reports(), here));
+        } else if (message instanceof PeerMessage.Leaving leaving) {
+            mNotices.leaving(leaving.upstreams());
+            handOn(from, here -> mRelay.leaving(leaving.upstreams(), here));
         } else if (message instanceof PeerMessage.Page page) {
             mTables.heard(page.page());
         } else if (message instanceof PeerMessage.TableAsked asked) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -15,6 +15,7 @@
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.troutpier.common.collection.AgingMap;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.node.Control;
@@ -25,7 +26,9 @@
  * entry that the platform lists as draining or no longer lists gets no work, except that an entry
  * which vanished in a time that nobody read is believed until {@link #GRACE_MILLIS} after the
  * reading went on: the store may have been away, and entries of live upstreams lapse then. Where
- * another router read all the time, the store was not away and a missing entry is gone at once.
+ * another router read all the time, the store was not away and a missing entry is gone at once. An
+ * upstream that has said itself that it leaves gets no work whatever its entry says, until it
+ * starts again.
  */
 public final class UpstreamDirectory {
 
@@ -41,6 +44,15 @@
      */
     private static final long STALE_MILLIS = 1000;
 
+    /** How many upstreams are remembered that have said that they leave. */
+    private static final int MOST_LEAVING = 4096;
+
+    /**
+     * How long that is remembered, milliseconds: an upstream ends long before, and its entry may be
+     * back until then.
+     */
+    private static final long LEAVING_MILLIS = 600_000;
+
     /** Logs each change. */
     private static final Logger LOGGER = LogManager.getLogger(UpstreamDirectory.class);
 
@@ -59,6 +71,10 @@
     /** The entries whose latest word cannot be read. */
     private final Set<UpstreamId> mUnreadable = new HashSet<>();
 
+    /** The starts of upstreams that have said that they leave. */
+    private final AgingMap<UpstreamId, UpstreamIncarnation> mLeaving =
+            new AgingMap<>(MOST_LEAVING, LEAVING_MILLIS);
+
     /** Whether this router's last call to the store was not answered. */
     private boolean mAway;
 
@@ -254,6 +270,40 @@
         }
     }
 
+    /**
+     * Takes note that an upstream has said itself that it leaves. Its entry may say so later, or
+     * say the contrary for as long as the store is away.
+     *
+     * @param start the start that leaves, whether it is listed or not
+     * @return whether that was not known
+     */
+    public boolean leaving(UpstreamIncarnation start) {
+        boolean news =
+                mLeaving.get(start.id(), mMillis.getAsLong()).filter(start::equals).isEmpty();
+        mLeaving.put(start.id(), start, mMillis.getAsLong());
+        UpstreamEntry entry = mEntries.get(start.id());
+        if (entry != null && !entry.draining() && entry.incarnation().mayBe(start)) {
+            LOGGER.info("upstream leaves id={}", start);
+            mEntries.put(start.id(), entry.leaving());
+            publish();
+        }
+        return news;
+    }
+
+    /**
+     * Returns an entry as it holds with what its upstream has said itself.
+     *
+     * @param entry the entry as it is listed
+     * @return an entry that gets no work where the same start has said that it leaves
+     */
+    private UpstreamEntry heeding(UpstreamEntry entry) {
+        boolean leaving =
+                mLeaving.get(entry.id(), mMillis.getAsLong())
+                        .filter(entry.incarnation()::mayBe)
+                        .isPresent();
+        return leaving && !entry.draining() ? entry.leaving() : entry;
+    }
+
     /**
      * Takes note that the latest word of an upstream cannot be read, so that nobody knows whether
      * it takes work: it gets none until it is listed again. Of its entry only the start is still
@@ -277,7 +327,7 @@
     private boolean put(UpstreamEntry told) {
         mVanished.remove(told.id());
         UpstreamEntry before = mEntries.get(told.id());
-        UpstreamEntry entry = before == null ? told : before.after(told);
+        UpstreamEntry entry = heeding(before == null ? told : before.after(told));
         mEntries.put(entry.id(), entry);
         boolean news = mUnreadable.remove(entry.id()) || !entry.equals(before);
         if (news) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamEntry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamEntry.java
@@ -34,6 +34,15 @@
         return incarnation.id();
     }
 
+    /**
+     * Returns this entry of an upstream that leaves.
+     *
+     * @return an entry that gets no work
+     */
+    UpstreamEntry leaving() {
+        return new UpstreamEntry(incarnation, service, address, hall, slots, role, true);
+    }
+
     /**
      * Returns what is known after this upstream was told of again. What is told of an earlier start
      * is dropped. Within one start, a told start is kept, and an upstream that is leaving does not
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import org.troutpier.common.declaration.Declarations;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.cluster.LoadReport;
 import org.troutpier.daemon.cluster.ReportScope;
 import org.troutpier.daemon.cluster.SharedPage;
@@ -31,6 +32,7 @@
     @JsonSubTypes.Type(value = PeerMessage.Configuration.class, name = "configuration"),
     @JsonSubTypes.Type(value = PeerMessage.Refused.class, name = "refused"),
     @JsonSubTypes.Type(value = PeerMessage.Crashed.class, name = "crashed"),
+    @JsonSubTypes.Type(value = PeerMessage.Leaving.class, name = "leaving"),
     @JsonSubTypes.Type(value = PeerMessage.Page.class, name = "page"),
     @JsonSubTypes.Type(value = PeerMessage.TableAsked.class, name = "tableask"),
     @JsonSubTypes.Type(value = PeerMessage.TableTold.class, name = "tabletold"),
@@ -197,6 +199,13 @@
      */
     record Crashed(List<CrashReport> reports) implements PeerMessage {}
 
+    /**
+     * Reports upstreams that have said in their answers that they leave.
+     *
+     * @param upstreams their starts
+     */
+    record Leaving(List<UpstreamIncarnation> upstreams) implements PeerMessage {}
+
     /**
      * Shares changes of a table that the sender read.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamNotices.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamNotices.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.id.UpstreamIncarnation;
@@ -39,6 +40,9 @@
     /** What each upstream has said that said something. */
     private final Map<UpstreamIncarnation, Said> mSaid = new HashMap<>();
 
+    /** Receives the starts that leave. */
+    private Consumer<UpstreamIncarnation> mOnLeaving = start -> {};
+
     /** What one upstream has said. */
     private static final class Said {
 
@@ -75,6 +79,15 @@
         mMetrics = metrics;
     }
 
+    /**
+     * Sets who receives the starts of upstreams that say that they leave, each once.
+     *
+     * @param listener receives them on the traffic loop
+     */
+    public void onLeaving(Consumer<UpstreamIncarnation> listener) {
+        mOnLeaving = listener;
+    }
+
     /**
      * Takes what an answer says.
      *
@@ -111,6 +124,7 @@
                     upstream.incarnation(),
                     upstream.service(),
                     upstream.address());
+            mOnLeaving.accept(upstream.incarnation());
         }
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/LoneRouter.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/LoneRouter.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import org.troutpier.common.id.Incarnation;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.peer.Membership.Member;
@@ -58,4 +59,7 @@
 
     @Override
     public void crashed(List<CrashReport> reports) {}
+
+    @Override
+    public void leaving(List<UpstreamIncarnation> upstreams) {}
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -103,6 +103,10 @@
         final List<SharedPage> mPages = new ArrayList<>();
         final List<String> mRefused = new ArrayList<>();
         final List<CrashReport> mCrashed = new ArrayList<>();
+
+        /** Upstreams that leave as others reported. */
+        final List<UpstreamIncarnation> mLeaving = new ArrayList<>();
+
         final PeerExchange mExchange;
         final Keys mKeys = new Keys();
         FakeRowStore mStore;
@@ -139,6 +143,11 @@
                                 public void crashed(List<CrashReport> reports) {
                                     mCrashed.addAll(reports);
                                 }
+
+                                @Override
+                                public void leaving(List<UpstreamIncarnation> upstreams) {
+                                    mLeaving.addAll(upstreams);
+                                }
                             });
             mControl.every(this::report, 100);
         }
@@ -440,6 +449,19 @@
         }
     }
 
+    @Test
+    public void anUpstreamThatSaysThatItLeavesIsReportedToAllAtOnce() {
+        routers(MANY);
+        mTime.pass(2000);
+        List<Router> all = List.copyOf(mRouters.values());
+        Router last = all.get(MANY - 1);
+        last.mExchange.leaving(ENGINE);
+        mTime.pass(20);
+        for (Router router : all.subList(0, MANY - 1)) {
+            assertEquals(router.mLeaving, List.of(ENGINE), "reported to " + router.mSelf);
+        }
+    }
+
     @Test
     public void aRateThatOneRouterHeardAndWhatAllSentIsKnownToAllOnce() {
         routers(MANY);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/directory/UpstreamDirectoryTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/directory/UpstreamDirectoryTest.java
@@ -51,6 +51,48 @@
         assertEquals(mDirectory.usable("web"), List.of(entry("c", false)));
     }
 
+    private boolean leaves(String start) {
+        return mDirectory.leaving(UpstreamIncarnation.of(start));
+    }
+
+    @Test
+    public void whatSaysThatItLeavesGetsNoWorkWhateverItsEntrySays() {
+        mDirectory.replaceAll(List.of(entry("a", false), entry("b", false)));
+        assertTrue(leaves("a"));
+        assertFalse(leaves("a"), "it is known");
+        assertEquals(mDirectory.usable("web"), List.of(entry("b", false)));
+        mDirectory.change(new UpstreamId("a"), Optional.of(entry("a", false)));
+        assertEquals(usable(), 1);
+        mDirectory.change(new UpstreamId("a"), Optional.empty());
+        mDirectory.replaceAll(List.of(entry("a", false), entry("b", false)));
+        assertEquals(usable(), 1, "its entry went and came back");
+    }
+
+    @Test
+    public void whatLeavesBeforeItIsListedGetsNoWork() {
+        assertTrue(leaves("a"));
+        mDirectory.replaceAll(List.of(entry("a", false)));
+        assertEquals(usable(), 0);
+    }
+
+    @Test
+    public void theNextStartOfWhatHasLeftGetsWork() {
+        mDirectory.replaceAll(List.of(entry("a~1", false)));
+        leaves("a~1");
+        assertEquals(usable(), 0);
+        mDirectory.change(new UpstreamId("a"), Optional.of(entry("a~2", false)));
+        assertEquals(usable(), 1);
+        assertTrue(leaves("a~2"));
+        assertEquals(usable(), 0);
+    }
+
+    @Test
+    public void anEarlierStartThatSaysThatItLeavesTakesNothingFromTheNext() {
+        mDirectory.replaceAll(List.of(entry("a~2", false)));
+        leaves("a~1");
+        assertEquals(usable(), 1);
+    }
+
     /** The list is read without a break from now on. */
     private void readFromNowOn() {
         mDirectory.known(true, mTime.millis());
