An upstream that asks for a back-off is left alone until its end and returned to gently

Cause: Retry-After of a refusal was not read. One that refuses at once has nothing under way, so it looked least loaded and got more than twice its part. Class: a word of an upstream about itself that is passed on and not heeded. Why this works: every call that an upstream works on is admitted in one place, and none is before the latest end that was asked for: runs, second tries, continued streams, readings, places. A place that was found before is not run, and reports, orders and what is given back are left out too. Afterwards calls are admitted one at a time, and twice as many with each success, for two seconds; routers put the end off by up to a tenth so as not to return together. Weighed: reporting a back-off to the other routers. It is asked of one router, and an upstream that sheds a router's load may still take that of others; each learns of its own by one refusal. Ruled out: a cap on the time (the word binds as it stands; it ends with the start).

--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/BackOffAwareOrders.java
@@ -0,0 +1,41 @@
+package org.troutpier.daemon.serving;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.ToLongFunction;
+import org.troutpier.common.result.ResultCode;
+import org.troutpier.common.result.TroutpierException;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.role.EngineOrders;
+
+/**
+ * Orders engines and asks for their reports, except those that have asked for a back-off. Thread
+ * safe if both parts are.
+ *
+ * @param orders carries out what the engines want
+ * @param backOffMillis tells for how long an engine wants no call, milliseconds
+ */
+public record BackOffAwareOrders(EngineOrders orders, ToLongFunction<UpstreamEntry> backOffMillis)
+        implements EngineOrders {
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<EngineReport> report(UpstreamEntry engine) {
+        long left = backOffMillis.applyAsLong(engine);
+        if (left > 0) {
+            return CompletableFuture.failedFuture(
+                    new TroutpierException(
+                            ResultCode.UPSTREAM_RATE,
+                            engine.id() + " asked for a back-off of " + left + " ms"));
+        }
+        return orders.report(engine);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<Outcome> order(
+            UpstreamEntry engine, UpstreamEntry.Role role, Right lease, long expectedOrders) {
+        return backOffMillis.applyAsLong(engine) > 0
+                ? CompletableFuture.completedFuture(Outcome.REFUSED)
+                : orders.order(engine, role, lease, expectedOrders);
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -113,8 +113,19 @@
         long limit = (long) (leftMillis() * ServingSettings.RETURN_PART);
         giveUp(
                 ResultCode.UPSTREAM_RATE,
-                candidates.size() + " upstreams of " + mService + " are at their rates",
-                Math.max(1, Math.min(limit, mContext.admission().returnMillis(candidates))));
+                candidates.size() + " upstreams of " + mService + why(candidates),
+                mContext.admission().returnMillis(candidates, limit));
+    }
+
+    /**
+     * Says why none of several upstreams takes the request.
+     *
+     * @param candidates the upstreams
+     * @return the end of the refusal's detail
+     */
+    private String why(List<UpstreamEntry> candidates) {
+        long backOff = mContext.admission().backOffMillis(candidates);
+        return backOff > 0 ? " asked for a back-off of " + backOff + " ms" : " are at their rates";
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -115,13 +115,16 @@
         }
         StartWindow window = window();
         StartWindow.Prediction prediction = prediction();
-        double room = mPlace.predictedMillis(upstreams(UpstreamEntry.Role.DECODE));
-        if (window.hopeless(room, prediction)) {
-            mTrace.step("room predicted in " + (long) room + "ms");
+        if (mContext.admission().backOffMillis(untried()) > window.waitMillis(prediction)) {
+            failedBeforeRun(ResultCode.NO_PLACE, "engines asked for a back-off");
+            return;
+        }
+        mPredictedMillis = mPlace.predictedMillis(upstreams(UpstreamEntry.Role.DECODE));
+        if (window.hopeless(mPredictedMillis, prediction)) {
+            mTrace.step("room predicted in " + (long) mPredictedMillis + "ms");
             failedBeforeRun(ResultCode.NO_PLACE, "no place in time");
             return;
         }
-        mPredictedMillis = room;
         mSearchedBefore = true;
         mPlace.search(
                 window.waitMillis(prediction),
@@ -285,7 +288,7 @@
         }
         Optional<UpstreamEntry> admitted = mContext.admission().takeFirst(engines, asker());
         if (admitted.isEmpty()) {
-            mTrace.step("prefill engines at their rates");
+            mTrace.step("no prefill engine takes a call now");
             run(Optional.empty());
             return;
         }
@@ -328,6 +331,7 @@
                 mContext.directory()
                         .usable(engine)
                         .filter(listed -> listed.role() == UpstreamEntry.Role.DECODE)
+                        .filter(mContext.admission()::stillAdmits)
                         .isPresent();
         if (!takesWork) {
             mTrace.step("left@" + engine.id());
@@ -359,7 +363,8 @@
             long now = mContext.loop().millis();
             mRequest.prompt().ifPresent(own -> mContext.returning().refused(own, now));
             long limit = (long) (leftMillis() * ServingSettings.RETURN_PART);
-            refuse(code, detail, mContext.pacer().next(now, limit));
+            long backOff = mContext.admission().backOffMillis(untried());
+            refuse(code, detail, backOff + mContext.pacer().next(now, limit));
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamAdmission.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamAdmission.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.limit.Asker;
@@ -11,12 +12,22 @@
 
 /**
  * Admits calls to upstreams by what these say of themselves in their answers. Confined to the
- * traffic loop. Invariant: each call that an upstream works on is admitted here before it is sent.
+ * traffic loop. Invariants: each call that an upstream works on is admitted here before it is sent;
+ * none is admitted to an upstream that leaves or has asked for a back-off.
  *
+ * @param loads what is under way at each upstream
  * @param rates keeps upstreams to the rates that they name
  * @param notices what upstreams say beside rates
+ * @param random spreads the returns of callers
  */
-public record UpstreamAdmission(UpstreamRates rates, UpstreamNotices notices) {
+public record UpstreamAdmission(
+        UpstreamLoads loads, UpstreamRates rates, UpstreamNotices notices, RandomGenerator random) {
+
+    /** Within which time callers return that come back after a back-off, milliseconds. */
+    private static final long RETURN_SPREAD_MILLIS = 1000;
+
+    /** How soon callers return to upstreams that were returned to just now, milliseconds. */
+    private static final long SOON_MILLIS = 100;
 
     /**
      * Takes what the answer to a call says that the upstream worked on.
@@ -33,6 +44,9 @@
             long tookMillis) {
         notices.received(upstream, notice);
         rates.heard(upstream, notice.rate(), verdict, tookMillis);
+        if (verdict == UpstreamPort.Verdict.SUCCESS) {
+            notices.succeeded(upstream, tookMillis);
+        }
     }
 
     /**
@@ -56,13 +70,33 @@
      * @return whether it may be sent
      */
     boolean tryTake(UpstreamEntry upstream, Asker asker) {
-        boolean taken = rates.tryTake(upstream, asker);
+        boolean taken = admits(upstream) && rates.tryTake(upstream, asker);
         if (taken) {
             notices.sent(upstream);
         }
         return taken;
     }
 
+    /**
+     * Returns whether an upstream takes calls by what it has said, whatever its rate.
+     *
+     * @param upstream the upstream
+     * @return whether it does
+     */
+    private boolean admits(UpstreamEntry upstream) {
+        return notices.admits(upstream, loads.ownCalls(upstream));
+    }
+
+    /**
+     * Returns whether a call that was admitted before may still be sent.
+     *
+     * @param upstream where to
+     * @return whether the upstream has not asked for a back-off since
+     */
+    boolean stillAdmits(UpstreamEntry upstream) {
+        return notices.backOffMillis(upstream) == 0;
+    }
+
     /**
      * Admits a call to the first of several upstreams that may be sent it.
      *
@@ -85,13 +119,34 @@
     }
 
     /**
-     * Draws when a caller should come back that no upstream takes.
+     * Returns for how long none of several upstreams wants a call.
+     *
+     * @param upstreams the upstreams
+     * @return milliseconds until the first back-off ends; 0 where one takes calls or there is none
+     */
+    long backOffMillis(List<UpstreamEntry> upstreams) {
+        return upstreams.stream().mapToLong(notices::backOffMillis).min().orElse(0);
+    }
+
+    /**
+     * Draws when a caller should come back that no upstream takes. After a back-off, callers return
+     * one after the other.
      *
      * @param upstreams the upstreams, none of which may be sent a call now
+     * @param mostMillis the latest time that is of use to the caller; a back-off may last longer
      * @return milliseconds from now
      */
-    long returnMillis(List<UpstreamEntry> upstreams) {
-        return rates.returnMillis(upstreams);
+    long returnMillis(List<UpstreamEntry> upstreams, long mostMillis) {
+        long backOff = backOffMillis(upstreams);
+        if (backOff > 0) {
+            return backOff + random.nextLong(RETURN_SPREAD_MILLIS);
+        }
+        List<UpstreamEntry> open = upstreams.stream().filter(this::stillAdmits).toList();
+        long drawn =
+                open.stream().allMatch(rates::limits)
+                        ? rates.returnMillis(open)
+                        : SOON_MILLIS + random.nextLong(SOON_MILLIS);
+        return Math.max(1, Math.min(mostMillis, drawn));
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -332,6 +332,16 @@
         return load(upstream.incarnation()).mCalls + mPeers.use(upstream.incarnation()).calls();
     }
 
+    /**
+     * Returns how many calls this router has under way at an upstream.
+     *
+     * @param upstream the upstream
+     * @return the count
+     */
+    int ownCalls(UpstreamEntry upstream) {
+        return load(upstream.incarnation()).mCalls;
+    }
+
     /**
      * Returns whether other routers were heard lately, so that their use is known.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamNotices.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamNotices.java
@@ -3,11 +3,12 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.id.UpstreamIncarnation;
@@ -17,8 +18,9 @@
 
 /**
  * What upstreams have said of themselves to this router: that they leave, and for how long they
- * want no call. Confined to the traffic loop. Invariants: a word belongs to one start of an
- * upstream; leaving is final for that start; a back-off ends by itself and is never shortened.
+ * want no call. Confined to the traffic loop, except for {@link #backOffMillis}. Invariants: a word
+ * belongs to one start of an upstream; leaving is final for that start; a back-off ends by itself
+ * and is never shortened.
  */
 public final class UpstreamNotices {
 
@@ -34,11 +36,14 @@
     /** The clock. */
     private final TrafficLoop mLoop;
 
+    /** Spreads the returns to upstreams. */
+    private final RandomGenerator mRandom;
+
     /** Counts by upstream. */
     private final MetricRegistry mMetrics;
 
     /** What each upstream has said that said something. */
-    private final Map<UpstreamIncarnation, Said> mSaid = new HashMap<>();
+    private final Map<UpstreamIncarnation, Said> mSaid = new ConcurrentHashMap<>();
 
     /** Receives the starts that leave. */
     private Consumer<UpstreamIncarnation> mOnLeaving = start -> {};
@@ -49,10 +54,8 @@
         /** Whether it leaves. */
         private boolean mLeaving;
 
-        /**
-         * Until when it wants no call, milliseconds on the loop's clock; 0 where it never asked.
-         */
-        private long mBackOffUntil;
+        /** The back-off that it has asked for. */
+        private final UpstreamBackOff mBackOff = new UpstreamBackOff();
 
         /** Calls that were sent to it since it said the last word that was new. */
         private long mSentSince;
@@ -65,17 +68,21 @@
      * @param leaving whether it leaves
      * @param backOffMillis for how long it still wants no call, milliseconds
      * @param sentSince calls that were sent to it since it last said something new
+     * @param withheld calls that were not sent to it for a back-off
      */
-    public record Standing(String upstream, boolean leaving, long backOffMillis, long sentSince) {}
+    public record Standing(
+            String upstream, boolean leaving, long backOffMillis, long sentSince, long withheld) {}
 
     /**
      * Creates a view in which no upstream has said anything.
      *
      * @param loop the clock
+     * @param random spreads the returns to upstreams
      * @param metrics counts by upstream
      */
-    public UpstreamNotices(TrafficLoop loop, MetricRegistry metrics) {
+    public UpstreamNotices(TrafficLoop loop, RandomGenerator random, MetricRegistry metrics) {
         mLoop = loop;
+        mRandom = random;
         mMetrics = metrics;
     }
 
@@ -138,12 +145,48 @@
         Said said = said(upstream.incarnation());
         count(upstream, "back-off-asked");
         long now = mLoop.millis();
-        if (said.mBackOffUntil <= now) {
+        if (said.mBackOff.endsAt() <= now) {
             said.mSentSince = 0;
             LOGGER.info(
                     "upstream asks for a back-off id={} millis={}", upstream.incarnation(), millis);
         }
-        said.mBackOffUntil = Math.max(said.mBackOffUntil, now + millis);
+        said.mBackOff.asked(millis, now, mRandom);
+    }
+
+    /**
+     * Returns whether an upstream may be sent a call that it works on.
+     *
+     * @param upstream the upstream
+     * @param underWay how many calls of this router are under way there
+     * @return whether it may; false while it leaves or wants no call
+     */
+    boolean admits(UpstreamEntry upstream, int underWay) {
+        Said said = mSaid.get(upstream.incarnation());
+        return said == null || !said.mLeaving && said.mBackOff.admits(underWay, mLoop.millis());
+    }
+
+    /**
+     * Returns for how long an upstream wants no call. Thread safe.
+     *
+     * @param upstream the upstream
+     * @return milliseconds; 0 where it takes calls
+     */
+    public long backOffMillis(UpstreamEntry upstream) {
+        Said said = mSaid.get(upstream.incarnation());
+        return said == null ? 0 : Math.max(0, said.mBackOff.endsAt() - mLoop.millis());
+    }
+
+    /**
+     * Takes note that an upstream worked on a call and was successful.
+     *
+     * @param upstream the upstream
+     * @param tookMillis how long ago the call was sent, milliseconds
+     */
+    void succeeded(UpstreamEntry upstream, long tookMillis) {
+        Said said = mSaid.get(upstream.incarnation());
+        if (said != null) {
+            said.mBackOff.succeeded(mLoop.millis() - tookMillis);
+        }
     }
 
     /**
@@ -168,11 +211,15 @@
         List<Standing> standings = new ArrayList<>();
         mSaid.forEach(
                 (upstream, said) -> {
-                    long left = Math.max(0, said.mBackOffUntil - now);
+                    long left = Math.max(0, said.mBackOff.endsAt() - now);
                     if (said.mLeaving || left > 0) {
                         standings.add(
                                 new Standing(
-                                        upstream.toString(), said.mLeaving, left, said.mSentSince));
+                                        upstream.toString(),
+                                        said.mLeaving,
+                                        left,
+                                        said.mSentSince,
+                                        said.mBackOff.withheld()));
                     }
                 });
         standings.sort(Comparator.comparing(Standing::upstream));
@@ -190,7 +237,7 @@
                 .removeIf(
                         each ->
                                 !listed.contains(each.getKey())
-                                        && each.getValue().mBackOffUntil <= now);
+                                        && each.getValue().mBackOff.returned(now));
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRates.java
@@ -178,6 +178,16 @@
         return true;
     }
 
+    /**
+     * Returns whether an upstream names a rate.
+     *
+     * @param upstream the upstream
+     * @return whether one is known that holds
+     */
+    boolean limits(UpstreamEntry upstream) {
+        return updated(upstream.incarnation(), reported(upstream.incarnation())).limited();
+    }
+
     /**
      * Gives back a request that was admitted and never reached the upstream.
      *
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -81,7 +81,8 @@
         UpstreamRates rates =
                 new UpstreamRates(mTime.loop(), mTime::millis, random, peers, () -> 1, metrics);
         UpstreamAdmission admission =
-                new UpstreamAdmission(rates, new UpstreamNotices(mTime.loop(), metrics));
+                new UpstreamAdmission(
+                        loads, rates, new UpstreamNotices(mTime.loop(), random, metrics), random);
         mQuarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, metrics);
         mContext =
                 new ServingContext(
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlaceAllocatorTest.java
@@ -64,7 +64,10 @@
                         new MetricRegistry());
         UpstreamAdmission admission =
                 new UpstreamAdmission(
-                        mRates, new UpstreamNotices(mTime.loop(), new MetricRegistry()));
+                        mLoads,
+                        mRates,
+                        new UpstreamNotices(mTime.loop(), new Random(1), new MetricRegistry()),
+                        new Random(1));
         mAllocator =
                 new PlaceAllocator(
                         mTime.loop(), mPort, mLoads, admission, Runnable::run, new Random(1));
