--- a/troutpier-standins/src/main/java/org/troutpier/standins/platform/VersionedRows.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/platform/VersionedRows.java
@@ -26,6 +26,19 @@
     /** The newest version whose history is forgotten. */
     private long mForgotten;
 
+    /** How many times the rows have come back from a copy, and one. */
+    private long mEra = 1;
+
+    /**
+     * All that is kept, as it stood at one moment. Immutable and thread safe.
+     *
+     * @param rows the live rows
+     * @param history the changes in order
+     * @param version the newest version
+     * @param forgotten the newest version whose history is forgotten
+     */
+    public record Copy(List<Row> rows, List<Row> history, long version, long forgotten) {}
+
     /**
      * Names a row. Immutable and thread safe.
      *
@@ -176,10 +189,10 @@
      * @param table the table
      * @param after the version
      * @return the changes in order and the version up to which they go, or empty where that history
-     *     is forgotten
+     *     is forgotten or that version was not given out
      */
     public synchronized Optional<Page> changes(String table, long after) {
-        if (after < mForgotten) {
+        if (after < mForgotten || after > mVersion) {
             return Optional.empty();
         }
         List<Row> rows =
@@ -189,6 +202,39 @@
         return Optional.of(new Page(rows, mVersion));
     }
 
+    /**
+     * Copies all that is kept.
+     *
+     * @return the copy
+     */
+    public synchronized Copy copy() {
+        return new Copy(List.copyOf(mRows.values()), List.copyOf(mHistory), mVersion, mForgotten);
+    }
+
+    /**
+     * Comes back from a copy: what was changed since is gone, and its versions are given out again.
+     *
+     * @param copy the copy
+     */
+    public synchronized void restore(Copy copy) {
+        mRows.clear();
+        copy.rows().forEach(row -> mRows.put(row.key(), row));
+        mHistory.clear();
+        mHistory.addAll(copy.history());
+        mVersion = copy.version();
+        mForgotten = copy.forgotten();
+        mEra++;
+    }
+
+    /**
+     * Returns how many times the rows have come back from a copy, and one.
+     *
+     * @return the era
+     */
+    public synchronized long era() {
+        return mEra;
+    }
+
     /** Forgets the history. */
     public synchronized void forget() {
         mForgotten = mVersion;
