States of the store are ordered by era, then version, and a copy takes nothing back

What callers saw: requests served by a configuration that had been replaced more than two seconds before (CONFIG), and sent to an upstream that had said more than two seconds before that it leaves (DRAIN), for eight to ten seconds after each return of the store; its versions were then past the old ones, and what had changed in between was lost until it changed again. Meanwhile eight routers called the store 1200 times a second. Cause: versions were compared without the era that gave them out, so all that was read after the return was older and thrown away, and read again at once. Class: a number that is given out again, compared as if it rose for ever. Evidence: 'older page known=55 read=41' from the return to the catching up; the test fails the same way: not in force after 15 s, 1358 calls a second. Why this works: a version is the era and the number in one (StoreVersion), made where answers are read, so that every comparison, what routers tell each other and the fencing token follow it. A feed or a condition of an era before is not sent; answered in a later era, the feed is read whole again, and a write counts as no proof of its condition. The store's return is a break in the reading, so missing upstreams are believed for two seconds; an upstream that left or was gone before stays so until its row changes; the configuration in force never goes back; each router's row, and what is known of quarantined requests, are written again within three seconds; a lease's holder that finds its own row in a copy waits out a term, since another may have held it since. An older page is asked for again after 100 ms, not at once. Ruled out: a peer that keeps the old state alive (no router had taken the new one). Before: three tests red; now green.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
@@ -1,9 +1,11 @@
 package org.troutpier.daemon.cluster;
 
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.IntConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -16,6 +18,7 @@
 import org.troutpier.daemon.rows.RowStore;
 import org.troutpier.daemon.rows.RowStore.Row;
 import org.troutpier.daemon.rows.RowStore.RowWrite;
+import org.troutpier.daemon.rows.StoreVersion;
 import org.troutpier.daemon.rows.TableFollower;
 
 /**
@@ -29,6 +32,12 @@
     /** The table. */
     private static final String TABLE = "troutpier_members";
 
+    /**
+     * Within which time routers write their rows again that a copy lacks, milliseconds: they know
+     * each other meanwhile.
+     */
+    private static final long RESTORE_MILLIS = 3000;
+
     /** How long to wait before a write is tried again, milliseconds. */
     private static final long RETRY_MILLIS = 400;
 
@@ -70,6 +79,9 @@
     /** The version of this instance's row as far as it is known. */
     private long mVersion;
 
+    /** Whether the next whole table is from a copy. */
+    private boolean mRestored;
+
     /** Whether the table was read, so that this router's row can be written. */
     private boolean mRead;
 
@@ -133,7 +145,7 @@
     private void written(RowWrite write) {
         switch (write.outcome()) {
             case WRITTEN -> LOGGER.info("router registered version={}", write.version());
-            case CONFLICT -> {
+            case CONFLICT, OUTDATED -> {
                 mVersion = write.version();
                 register();
             }
@@ -143,7 +155,21 @@
 
     /** {@inheritDoc} */
     @Override
+    public void restored() {
+        mRestored = true;
+    }
+
+    /**
+     * {@inheritDoc} A copy says nothing new of routers that are known: their rows may be those of
+     * earlier starts, or missing until they are written again.
+     */
+    @Override
     public void whole(List<Row> rows) {
+        if (mRestored) {
+            mRestored = false;
+            restore(rows);
+            return;
+        }
         changed(rows);
         if (!mRead) {
             mRead = true;
@@ -154,6 +180,31 @@
         }
     }
 
+    /**
+     * Takes the routers of a copy that are not known, and writes this one's row again where the
+     * copy has another or none.
+     *
+     * @param rows the rows of the copy
+     */
+    private void restore(List<Row> rows) {
+        String self = mNode.incarnation().instance().value();
+        mVersion = StoreVersion.NONE;
+        boolean current = false;
+        for (Row row : rows) {
+            if (row.key().equals(self)) {
+                mVersion = row.version();
+                current = Arrays.equals(row.value(), mSelf);
+            } else if (instance(row).filter(each -> !mSeen.contains(each)).isPresent()) {
+                changed(List.of(row));
+            }
+        }
+        if (!current) {
+            long millis = ThreadLocalRandom.current().nextLong(RESTORE_MILLIS);
+            LOGGER.info("router registers again inMillis={}", millis);
+            mNode.control().later(this::register, millis);
+        }
+    }
+
     /** {@inheritDoc} */
     @Override
     public void changed(List<Row> rows) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/QuarantineTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/QuarantineTable.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadLocalRandom;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.http.Json;
@@ -38,6 +39,9 @@
     /** The table: one row for each request, by its fingerprint. */
     static final String TABLE = "troutpier_quarantine";
 
+    /** Within which time rows are written again that a copy lacks, milliseconds. */
+    private static final long RESTORE_MILLIS = 3000;
+
     /** How long to wait before a write is tried again, milliseconds. */
     private static final long RETRY_MILLIS = 400;
 
@@ -209,7 +213,7 @@
                 mWriting = false;
                 write();
             }
-            case CONFLICT -> readAgain();
+            case CONFLICT, OUTDATED -> readAgain();
             default -> writeLater();
         }
     }
@@ -249,6 +253,21 @@
         write();
     }
 
+    /**
+     * {@inheritDoc} What the rows said stays known, and the hall's reader has it stored again where
+     * the copy lacks it.
+     */
+    @Override
+    public void restored() {
+        if (mExchange.reader()) {
+            mStored.forEach(
+                    (request, stored) ->
+                            mWanted.merge(request, stored.record(), CrashRecord::merge));
+        }
+        mStored.clear();
+        mNode.control().later(this::write, ThreadLocalRandom.current().nextLong(RESTORE_MILLIS));
+    }
+
     /**
      * {@inheritDoc} A row that this router saw just now stays: what another router told of the
      * table may be older.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -71,10 +71,17 @@
     /** The entries whose latest word cannot be read. */
     private final Set<UpstreamId> mUnreadable = new HashSet<>();
 
-    /** The starts of upstreams that have said that they leave. */
+    /** The starts of upstreams that have said that they leave, in answers or by their entries. */
     private final AgingMap<UpstreamId, UpstreamIncarnation> mLeaving =
             new AgingMap<>(MOST_LEAVING, LEAVING_MILLIS);
 
+    /** The starts that were listed and are no longer. */
+    private final AgingMap<UpstreamId, UpstreamIncarnation> mGone =
+            new AgingMap<>(MOST_LEAVING, LEAVING_MILLIS);
+
+    /** The starts that were gone before the store came back from a copy, which may list them. */
+    private final Map<UpstreamId, UpstreamIncarnation> mGoneBefore = new HashMap<>();
+
     /** Whether this router's last call to the store was not answered. */
     private boolean mAway;
 
@@ -227,6 +234,27 @@
         expire();
     }
 
+    /**
+     * Takes note that the next list is from a copy of the store that lacks what was written last.
+     * An upstream that was gone before and is listed there gets no work until its entry changes,
+     * which that of one that runs soon does.
+     */
+    public void restored() {
+        mGoneBefore.clear();
+        mGoneBefore.putAll(mGone.values(mMillis.getAsLong()));
+    }
+
+    /**
+     * Returns whether an entry says nothing, since it was gone and a copy brought it back.
+     *
+     * @param listed the entry as a whole list has it
+     * @return whether it is not to be taken
+     */
+    private boolean broughtBack(UpstreamEntry listed) {
+        UpstreamIncarnation gone = mGoneBefore.get(listed.id());
+        return gone != null && listed.incarnation().mayBe(gone);
+    }
+
     /**
      * Takes the whole list, all of whose entries can be read.
      *
@@ -244,7 +272,9 @@
      */
     public void replaceAll(Collection<UpstreamEntry> listed, Set<UpstreamId> unreadable) {
         Map<UpstreamId, UpstreamEntry> next =
-                listed.stream().collect(Collectors.toMap(UpstreamEntry::id, entry -> entry));
+                listed.stream()
+                        .filter(entry -> !broughtBack(entry))
+                        .collect(Collectors.toMap(UpstreamEntry::id, entry -> entry));
         for (UpstreamId known : List.copyOf(mEntries.keySet())) {
             if (unreadable.contains(known)) {
                 unreadable(known);
@@ -264,6 +294,7 @@
      * @param entry the entry, or empty where it was deleted
      */
     public void change(UpstreamId id, Optional<UpstreamEntry> entry) {
+        mGoneBefore.remove(id);
         boolean news = entry.isPresent() ? put(entry.get()) : remove(id);
         if (news) {
             publish();
@@ -326,9 +357,13 @@
      */
     private boolean put(UpstreamEntry told) {
         mVanished.remove(told.id());
+        mGone.remove(told.id());
         UpstreamEntry before = mEntries.get(told.id());
         UpstreamEntry entry = heeding(before == null ? told : before.after(told));
         mEntries.put(entry.id(), entry);
+        if (entry.draining()) {
+            mLeaving.put(entry.id(), entry.incarnation(), mMillis.getAsLong());
+        }
         boolean news = mUnreadable.remove(entry.id()) || !entry.equals(before);
         if (news) {
             LOGGER.info(
@@ -360,12 +395,24 @@
             expireWhenDue();
             return false;
         }
-        mEntries.remove(id);
-        mUnreadable.remove(id);
+        forget(id);
         LOGGER.info("upstream gone id={}", id);
         return true;
     }
 
+    /**
+     * Forgets an entry, and remembers that its upstream is gone.
+     *
+     * @param id the upstream
+     */
+    private void forget(UpstreamId id) {
+        UpstreamEntry entry = mEntries.remove(id);
+        mUnreadable.remove(id);
+        if (entry != null) {
+            mGone.put(id, entry.incarnation(), mMillis.getAsLong());
+        }
+    }
+
     /** Plans the end of the grace, if there are vanished entries. */
     private void expireWhenDue() {
         if (!mVanished.isEmpty()) {
@@ -384,8 +431,7 @@
             return;
         }
         for (UpstreamId vanished : mVanished) {
-            mEntries.remove(vanished);
-            mUnreadable.remove(vanished);
+            forget(vanished);
             LOGGER.info(
                     "upstream gone after the store's return id={} overdueMillis={}",
                     vanished,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
@@ -12,6 +12,7 @@
 import org.troutpier.daemon.rows.RowStore.Row;
 import org.troutpier.daemon.rows.RowStore.RowPage;
 import org.troutpier.daemon.rows.RowStore.RowWrite;
+import org.troutpier.daemon.rows.StoreVersion;
 
 /**
  * The lease of the one router that orders engines: a row that its holder renews. Confined to the
@@ -19,7 +20,8 @@
  * it sent the last renewal that was acknowledged, on the monotonic clock; another takes it only
  * after the row has not changed for a term and a margin, and then orders nothing for one more term,
  * since engines do not check who orders; the fencing token is the row's version at the acquisition,
- * so it rises.
+ * so it rises, also where the store comes back from a copy. A router that finds its own row in a
+ * copy waits like any other.
  */
 final class RoleLease {
 
@@ -77,6 +79,9 @@
     /** Whether a call is under way. */
     private boolean mCalling;
 
+    /** The store's era when the row was read last. */
+    private long mEra;
+
     /** Counts renewals, so that each changes the row. */
     private long mRenewals;
 
@@ -85,8 +90,10 @@
      *
      * @param holder the instance that holds the lease
      * @param renewals counts its renewals
+     * @param era the store's era when it was written, as far as its writer knew; a row of an era
+     *     before is from a copy, and another may have held the lease since
      */
-    record Holder(String holder, long renewals) {}
+    record Holder(String holder, long renewals, long era) {}
 
     /**
      * Creates a lease that is not held.
@@ -178,7 +185,8 @@
             mVersion = version;
             mSeenAt = mNode.millis();
         }
-        boolean own = !rows.isEmpty() && holder(rows.get(0)).filter(instance()::equals).isPresent();
+        mEra = StoreVersion.era(page.version());
+        boolean own = !rows.isEmpty() && holder(rows.get(0)).filter(this::own).isPresent();
         boolean rested = mNode.millis() - mSeenAt >= mTermMillis + MARGIN_MILLIS;
         if (version == 0 || own || rested) {
             mOrdersFrom = own ? mNode.millis() : mNode.millis() + mTermMillis;
@@ -196,7 +204,7 @@
         mCalling = true;
         long sentAt = mNode.millis();
         mNextCall = sentAt + mTermMillis / RENEWALS;
-        byte[] value = Json.bytes(new Holder(instance(), ++mRenewals));
+        byte[] value = Json.bytes(new Holder(instance(), ++mRenewals, mEra));
         mStore.write(new Row(TABLE, "", KEY, value, 0, false), version)
                 .thenAccept(
                         write -> mNode.control().execute(() -> written(write, sentAt, renewal)));
@@ -222,7 +230,7 @@
                         mToken,
                         mOrdersFrom - mNode.millis());
             }
-        } else if (write.outcome() == Outcome.CONFLICT) {
+        } else if (write.outcome() == Outcome.CONFLICT || write.outcome() == Outcome.OUTDATED) {
             if (mToken != 0) {
                 LOGGER.warn("role lease lost token={} rowVersion={}", mToken, write.version());
             }
@@ -235,11 +243,21 @@
      * Reads who holds the lease.
      *
      * @param row the row
-     * @return the holder's instance; empty for a row that another writer left, which is waited out
-     *     like another holder's
+     * @return the holder; empty for a row that another writer left, which is waited out like
+     *     another holder's
+     */
+    private Optional<Holder> holder(Row row) {
+        return mFaults.read(row, each -> Json.read(each.value(), Holder.class));
+    }
+
+    /**
+     * Returns whether this instance holds the lease by its row.
+     *
+     * @param holder what the row says
+     * @return whether it names this instance and was not brought back by a copy
      */
-    private Optional<String> holder(Row row) {
-        return mFaults.read(row, each -> Json.read(each.value(), Holder.class)).map(Holder::holder);
+    private boolean own(Holder holder) {
+        return holder.holder().equals(instance()) && holder.era() == mEra;
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/RowStore.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/RowStore.java
@@ -4,8 +4,10 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * A table service with versions, conditions and a change feed. Implementations are thread safe.
- * Reads fail with {@link RowStoreException}; a write tells what is known of it.
+ * A table service with versions, conditions and a change feed. It may come back from a copy that
+ * lacks what was written last; all versions here are {@link StoreVersion}s, which rise all the
+ * same, and a version of an era before is no condition and no place to go on from. Implementations
+ * are thread safe. Reads fail with {@link RowStoreException}; a write tells what is known of it.
  */
 public interface RowStore {
 
@@ -25,7 +27,7 @@
      * @param after the version after which changes are wanted
      * @param waitMillis how long to wait for the first one
      * @return the changed rows in order; fails with {@link RowStoreException.Reason#HISTORY_GONE}
-     *     where the table must be read whole again
+     *     where the table must be read whole again, as it must in each new era
      */
     CompletableFuture<RowPage> feed(String table, long after, int waitMillis);
 
@@ -83,6 +85,11 @@
         WRITTEN,
         /** Its condition failed; it took no effect. */
         CONFLICT,
+        /**
+         * It took effect under a version of an era before, which says nothing of the row that was
+         * written over.
+         */
+        OUTDATED,
         /** The store refused it, or it was not sent; it took no effect. */
         NOT_DONE,
         /** It may have taken effect, now or later. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/TableFollower.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/TableFollower.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -26,6 +27,12 @@
     /** How long to wait after the first failure, milliseconds. */
     private static final long FIRST_RETRY_MILLIS = 100;
 
+    /**
+     * Within which time routers read a table whole that learn from each other that the store came
+     * back from a copy, milliseconds.
+     */
+    private static final long RESTORED_SPREAD_MILLIS = 300;
+
     /** How long a call waits for a change while the store may be away, milliseconds. */
     private static final int PROBE_MILLIS = 1;
 
@@ -141,6 +148,12 @@
          */
         default void known(boolean own, long since) {}
 
+        /**
+         * Called before the whole table is received where the store has come back from a copy: what
+         * was written to it last may be missing, and rows that were deleted may be back.
+         */
+        default void restored() {}
+
         /**
          * Receives the whole table.
          *
@@ -213,10 +226,14 @@
      * @param rows the changed rows
      */
     public void shared(long after, long version, long unbrokenMillis, List<Row> rows) {
+        if (StoreVersion.era(version) > StoreVersion.era(mVersion) && !mWhole) {
+            mWhole = true;
+            plan(ThreadLocalRandom.current().nextLong(RESTORED_SPREAD_MILLIS));
+        }
         if (mWhole || after > mVersion || version < mVersion) {
             return;
         }
-        known(false, 0, unbrokenMillis);
+        known(false, 0, unbrokenMillis, version);
         if (version > mVersion) {
             take(version, rows);
         }
@@ -253,7 +270,7 @@
         if (state.version() < mVersion || mWhole && !state.whole()) {
             return;
         }
-        known(false, state.ageMillis(), state.unbrokenMillis());
+        known(false, state.ageMillis(), state.unbrokenMillis(), state.version());
         if (state.whole()) {
             takeWhole(state.version(), state.rows());
         } else {
@@ -333,9 +350,10 @@
         plan(mPace.pauseMillis());
         if (page.version() < mVersion) {
             LOGGER.info("older page table={} known={} read={}", mTable, mVersion, page.version());
+            plan(Math.max(FIRST_RETRY_MILLIS, mPace.pauseMillis()));
             return;
         }
-        known(true, 0, 0);
+        known(true, 0, 0, page.version());
         if (whole) {
             takeWhole(page.version(), page.rows());
         } else {
@@ -351,10 +369,12 @@
      * @param own whether this router read it itself
      * @param ageMillis how long ago that was
      * @param unbrokenMillis for how long it had been known without a break there
+     * @param version the version at which it is known
      */
-    private void known(boolean own, long ageMillis, long unbrokenMillis) {
+    private void known(boolean own, long ageMillis, long unbrokenMillis, long version) {
         long at = mMillis.getAsLong() - ageMillis;
-        boolean broken = mDoubtful && at - mKnownAt > mPace.sharedMillis();
+        boolean away = mDoubtful && at - mKnownAt > mPace.sharedMillis();
+        boolean broken = away || restored(version);
         long since = at - unbrokenMillis;
         boolean first = mVersion == 0;
         mUnbrokenSince = broken || first ? since : Math.min(mUnbrokenSince, since);
@@ -363,6 +383,17 @@
         mListener.known(own, mUnbrokenSince);
     }
 
+    /**
+     * Returns whether the store has come back from a copy since the table was read last.
+     *
+     * @param version the version at which it is read now
+     * @return whether that is of a later era
+     */
+    private boolean restored(long version) {
+        return mVersion != StoreVersion.NONE
+                && StoreVersion.era(version) > StoreVersion.era(mVersion);
+    }
+
     /**
      * Takes changes.
      *
@@ -389,6 +420,16 @@
      * @param rows all rows
      */
     private void takeWhole(long version, List<Row> rows) {
+        if (restored(version)) {
+            LOGGER.warn(
+                    "store came back from a copy table={} known={}/{} read={}/{}",
+                    mTable,
+                    StoreVersion.era(mVersion),
+                    StoreVersion.number(mVersion),
+                    StoreVersion.era(version),
+                    StoreVersion.number(version));
+            mListener.restored();
+        }
         mWhole = false;
         mVersion = version;
         mChangedVersion = version;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/FakeRowStore.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/FakeRowStore.java
@@ -63,7 +63,12 @@
                     new RowStoreException(RowStoreException.Reason.REFUSED, "away"));
             return future;
         }
-        mRows.changes(table, after)
+        if (!StoreVersion.holdsIn(after, era())) {
+            future.completeExceptionally(
+                    new RowStoreException(RowStoreException.Reason.HISTORY_GONE, "another era"));
+            return future;
+        }
+        mRows.changes(table, StoreVersion.number(after))
                 .ifPresentOrElse(
                         page -> future.complete(page(page)),
                         () ->
@@ -89,7 +94,7 @@
     private CompletableFuture<RowWrite> transact(
             Key key, long expectedVersion, List<Write> writes, List<Key> drops) {
         CompletableFuture<RowWrite> future = new CompletableFuture<>();
-        if (mAway) {
+        if (mAway || !StoreVersion.holdsIn(expectedVersion, era())) {
             future.complete(new RowWrite(Outcome.NOT_DONE, 0, 0));
             return future;
         }
@@ -98,11 +103,15 @@
                 () -> {
                     boolean held =
                             mRows.transact(
-                                    List.of(new Condition(key, expectedVersion)), writes, drops);
+                                    List.of(
+                                            new Condition(
+                                                    key, StoreVersion.number(expectedVersion))),
+                                    writes,
+                                    drops);
                     result.add(
                             new RowWrite(
                                     held ? Outcome.WRITTEN : Outcome.CONFLICT,
-                                    mRows.version(key),
+                                    StoreVersion.of(era(), mRows.version(key)),
                                     0));
                 },
                 () ->
@@ -131,17 +140,25 @@
         }
     }
 
-    private static RowPage page(VersionedRows.Page page) {
-        return new RowPage(page.rows().stream().map(FakeRowStore::row).toList(), page.version(), 0);
+    /** Returns how many times the rows have come back from a copy. */
+    private long era() {
+        return mRows.era() - 1;
+    }
+
+    private RowPage page(VersionedRows.Page page) {
+        return new RowPage(
+                page.rows().stream().map(this::row).toList(),
+                StoreVersion.of(era(), page.version()),
+                0);
     }
 
-    private static Row row(VersionedRows.Row row) {
+    private Row row(VersionedRows.Row row) {
         return new Row(
                 row.key().table(),
                 row.key().part(),
                 row.key().key(),
                 row.value().getBytes(),
-                row.version(),
+                StoreVersion.of(era(), row.version()),
                 row.deleted());
     }
 }
