--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/StoreVersion.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/StoreVersion.java
@@ -29,13 +29,24 @@
      * Makes a version.
      *
      * @param era the store's era; 0 for a store that names none
-     * @param number the number that the store gave; 0 for a row that is not there
+     * @param number the number that the store gave; 0 for a store without any change
      * @return the version, greater than all of earlier eras
      */
     public static long of(long era, long number) {
         Check.range("store era", era, 0, MOST_ERA);
         Check.range("store version", number, 0, MOST_NUMBER);
-        return number == NONE ? NONE : era << NUMBER_BITS | number;
+        return era << NUMBER_BITS | number;
+    }
+
+    /**
+     * Makes the version of a row.
+     *
+     * @param era the store's era; 0 for a store that names none
+     * @param number the number that the store gave; 0 for a row that is not there
+     * @return the version; {@link #NONE} for a row that is not there
+     */
+    public static long ofRow(long era, long number) {
+        return number == NONE ? NONE : of(era, number);
     }
 
     /**
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/MemberRegistryTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/MemberRegistryTest.java
@@ -100,6 +100,25 @@
         assertEquals(mFirstStarts, 0);
     }
 
+    @Test
+    public void aRowThatACopyLacksIsWrittenAgain() {
+        VersionedRows.Copy empty = new VersionedRows().copy();
+        mRows.restore(empty);
+        mTime.pass(8000);
+        assertTrue(mRows.row(new Key(TABLE, "", "self")).isPresent());
+        assertEquals(mWrites, 2);
+    }
+
+    @Test
+    public void aRowThatACopyHasIsNotWrittenAgain() {
+        VersionedRows.Copy copy = mRows.copy();
+        put("other", member("other"));
+        mTime.pass(6000);
+        mRows.restore(copy);
+        mTime.pass(8000);
+        assertEquals(mWrites, 1);
+    }
+
     /** Wrote twice before: its first write was in conflict with the row of its earlier start. */
     @Test
     public void aRouterThatStartsAgainWritesItsRowOnce() {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/QuarantineTableTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/QuarantineTableTest.java
@@ -104,6 +104,21 @@
         assertTrue(router("later").holds());
     }
 
+    @Test
+    public void whatACopyLacksStaysKnownAndIsStoredAgain() {
+        Router one = router("one");
+        VersionedRows.Copy copy = mRows.copy();
+        one.crash(1, 2, 3);
+        mTime.pass(2L * SETTINGS.knownMillis());
+        assertEquals(rows(), 1);
+        mRows.restore(copy);
+        assertEquals(rows(), 0);
+        mTime.pass(3L * SETTINGS.knownMillis());
+        assertTrue(one.holds());
+        assertEquals(rows(), 1);
+        assertTrue(router("later").holds());
+    }
+
     @Test
     public void aRouterThatStoodStillKnowsSoonAfterItGoesOn() {
         Router one = router("one");
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/directory/UpstreamDirectoryTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/directory/UpstreamDirectoryTest.java
@@ -93,6 +93,31 @@
         assertEquals(usable(), 1);
     }
 
+    @Test
+    public void whatDrainedAndWentGetsNoWorkThoughACopyListsItAsReady() {
+        mDirectory.replaceAll(List.of(entry("a", false), entry("b", false)));
+        mDirectory.change(new UpstreamId("a"), Optional.of(entry("a", true)));
+        mDirectory.change(new UpstreamId("a"), Optional.empty());
+        mDirectory.restored();
+        mDirectory.replaceAll(List.of(entry("a", false), entry("b", false)));
+        mDirectory.change(new UpstreamId("a"), Optional.of(entry("a", false)));
+        assertEquals(mDirectory.usable("web"), List.of(entry("b", false)));
+    }
+
+    @Test
+    public void whatWentWithoutAWordGetsNoWorkByACopyUntilItsEntryChanges() {
+        mTime.pass(10_000);
+        mDirectory.replaceAll(List.of(entry("a", false), entry("b", false)));
+        mDirectory.change(new UpstreamId("a"), Optional.empty());
+        assertEquals(usable(), 1);
+        mDirectory.restored();
+        mDirectory.replaceAll(List.of(entry("a", false), entry("b", false)));
+        mDirectory.replaceAll(List.of(entry("a", false), entry("b", false)));
+        assertEquals(usable(), 1);
+        mDirectory.change(new UpstreamId("a"), Optional.of(entry("a", false)));
+        assertEquals(usable(), 2, "it runs");
+    }
+
     /** The list is read without a break from now on. */
     private void readFromNowOn() {
         mDirectory.known(true, mTime.millis());
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleLeaseTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleLeaseTest.java
@@ -63,6 +63,45 @@
         mRows = new VersionedRows();
     }
 
+    @Test
+    public void aRouterThatFindsItsOwnRowInACopyWaitsLikeAnyOther() {
+        Contender first = new Contender("a");
+        mTime.pass(3 * TERM);
+        VersionedRows.Copy copy = mRows.copy();
+        first.mControl.pause(true);
+        Contender second = new Contender("b");
+        mTime.pass(4 * TERM);
+        assertTrue(second.mLease.mayOrder());
+        long token = second.mLease.right().fencingToken();
+        mRows.restore(copy);
+        Contender again = new Contender("a");
+        mTime.pass(TERM);
+        assertFalse(again.mLease.mayOrder(), "another has held it since the copy was made");
+        mTime.pass(3 * TERM);
+        assertTrue(again.mLease.mayOrder());
+        assertFalse(second.mLease.held());
+        assertTrue(again.mLease.right().fencingToken() > token, "tokens rise over eras");
+    }
+
+    @Test
+    public void twoRoutersNeverOrderAtTheSameTimeOverReturnsOfTheStore() {
+        Contender first = new Contender("a");
+        mTime.pass(2 * TERM);
+        VersionedRows.Copy copy = mRows.copy();
+        Contender second = new Contender("b");
+        for (int round = 0; round < 4; round++) {
+            mTime.pass(TERM / 2);
+            mRows.restore(copy);
+            for (int tick = 0; tick < 3 * TERM / TICK; tick++) {
+                mTime.pass(TICK);
+                boolean both = first.mLease.mayOrder() && second.mLease.mayOrder();
+                assertFalse(both, "round " + round + " tick " + tick);
+            }
+        }
+        mTime.pass(3 * TERM);
+        assertTrue(first.mLease.mayOrder() != second.mLease.mayOrder());
+    }
+
     @Test
     public void theFirstRouterGetsItAndWaitsATermBeforeItOrders() {
         Contender only = new Contender("a");
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/FakeRowStore.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/FakeRowStore.java
@@ -111,7 +111,7 @@
                     result.add(
                             new RowWrite(
                                     held ? Outcome.WRITTEN : Outcome.CONFLICT,
-                                    StoreVersion.of(era(), mRows.version(key)),
+                                    StoreVersion.ofRow(era(), mRows.version(key)),
                                     0));
                 },
                 () ->
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/TableFollowerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/TableFollowerTest.java
@@ -66,6 +66,11 @@
             mSince = since;
         }
 
+        @Override
+        public void restored() {
+            mTold.add("restored");
+        }
+
         @Override
         public void whole(List<Row> rows) {
             rows.forEach(row -> mTold.add(row.key()));
@@ -181,6 +186,66 @@
         assertEquals(mTold, List.of("a", "lost", "b"));
     }
 
+    @Test
+    public void aTableOfALaterEraIsReadWholeThoughItsVersionsAreLower() {
+        VersionedRows.Copy copy = mRows.copy();
+        put("b");
+        put("c");
+        mTime.pass(PAUSE);
+        long returned = mTime.millis();
+        mRows.restore(copy);
+        put("d");
+        mTime.pass(3 * PAUSE);
+        assertEquals(mTold, List.of("a", "b", "c", "restored", "a", "d"));
+        assertTrue(mSince >= returned, "the reading was broken");
+    }
+
+    @Test
+    public void twoReturnsInARowAreBothTaken() {
+        VersionedRows.Copy copy = mRows.copy();
+        put("b");
+        mTime.pass(PAUSE);
+        mRows.restore(copy);
+        mRows.restore(copy);
+        mTime.pass(2 * PAUSE);
+        mRows.restore(copy);
+        mTime.pass(2 * PAUSE);
+        assertEquals(mTold, List.of("a", "b", "restored", "a", "restored", "a"));
+    }
+
+    @Test
+    public void aPeersPageOfALaterEraHasTheTableReadWhole() {
+        VersionedRows.Copy copy = mRows.copy();
+        put("b");
+        mTime.pass(PAUSE);
+        mRows.restore(copy);
+        long version = StoreVersion.of(1, mRows.version());
+        mFollower.shared(version, version, 0, List.of());
+        mTime.pass(310);
+        assertEquals(mTold, List.of("a", "b", "restored", "a"));
+    }
+
+    @Test
+    public void aTableThatAPeerReportsOfAnEarlierEraIsNotTaken() {
+        VersionedRows.Copy copy = mRows.copy();
+        put("b");
+        mTime.pass(PAUSE);
+        mRows.restore(copy);
+        mTime.pass(2 * PAUSE);
+        mFollower.told(state(mRows.version() + 100, 0, 5000, "z"));
+        assertEquals(mTold, List.of("a", "b", "restored", "a"));
+    }
+
+    @Test
+    public void anOlderAnswerIsNotAskedForAgainAtOnce() {
+        put("b");
+        mTime.pass(PAUSE);
+        mFollower.told(state(mRows.version() + 100, 0, 5000, "b"));
+        int before = mPages;
+        mTime.pass(10 * PAUSE);
+        assertTrue(mPages - before <= 10, "reads " + (mPages - before));
+    }
+
     private static TableState state(long version, long age, long unbroken, String... keys) {
         List<Row> rows = Stream.of(keys).map(key -> row(key, version)).toList();
         return new TableState(version, age, unbroken, keys.length > 0, rows);
