--- a/troutpier-cli/src/main/java/org/troutpier/cli/CliMain.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/CliMain.java
@@ -46,6 +46,7 @@
             OrganisationsCommand.class,
             QuarantineCommand.class,
             RatesCommand.class,
+            NoticesCommand.class,
             GenerateCompletion.class
         })
 public final class CliMain {
--- /dev/null
+++ b/troutpier-cli/src/test/java/org/troutpier/cli/NoticesCommandTest.java
@@ -0,0 +1,44 @@
+package org.troutpier.cli;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.http.Answers;
+import org.troutpier.daemon.serving.UpstreamNotices;
+
+/** How operators look at what upstreams say of themselves. */
+public final class NoticesCommandTest {
+
+    private RouterStandin mRouter;
+
+    @BeforeMethod
+    void start() {
+        List<UpstreamNotices.Standing> notices =
+                List.of(new UpstreamNotices.Standing("web-1", true, 1200, 4, 31));
+        mRouter =
+                new RouterStandin(
+                        exchange ->
+                                exchange.answer(
+                                        exchange.path().equals(UpstreamNotices.PATH)
+                                                ? Answers.json(200, notices)
+                                                : Answers.json(404, List.of())));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    void stop() {
+        mRouter.close();
+    }
+
+    @Test
+    public void eachRouterShowsWhatUpstreamsSaid() {
+        String router = mRouter.address();
+        CliRun run = CliRun.of("notices", "--router", router, "--token", "any");
+        assertEquals(run.exit(), 0);
+        String line = run.shown().lines().filter(each -> each.contains("web-1")).findFirst().get();
+        assertTrue(line.matches(router + " +web-1 +true +1200 +4 +31"), line);
+    }
+}
