--- a/troutpier-cli/src/main/java/org/troutpier/cli/NoticesCommand.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/NoticesCommand.java
@@ -7,15 +7,15 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
-/** Shows what upstreams say of themselves. Confined to one thread. */
+/** Shows what upstreams announce of themselves. Confined to one thread. */
 @Command(
         name = "notices",
         mixinStandardHelpOptions = true,
-        description = "Shows upstreams that say that they leave, or want no call for a while.",
+        description = "Shows upstreams that announce that they leave, or ask for a back-off.",
         footer = {
             "",
             "A back-off binds the router that was asked for it; a leaving binds all. Sent counts",
-            "calls since an upstream last said something new, withheld those that were not sent.",
+            "calls since an upstream last announced something new, withheld those that were not sent.",
             "--router names the port of a router's figures.",
             "  troutpier notices --router 10.1.0.35:9464,10.1.0.36:9464"
         })
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
@@ -57,7 +57,7 @@
     /** Requests under which upstreams ended. */
     private final NoticeOutbox<CrashReport> mCrashed = new NoticeOutbox<>(PeerMessage.Crashed::new);
 
-    /** Upstreams that have said that they leave. */
+    /** Upstreams that have announced that they leave. */
     private final NoticeOutbox<UpstreamIncarnation> mLeaving =
             new NoticeOutbox<>(PeerMessage.Leaving::new);
 
@@ -272,8 +272,8 @@
     }
 
     /**
-     * Has it reported that upstreams have said that they leave: at once, since each router goes on
-     * sending to them until it knows.
+     * Has it reported that upstreams have announced that they leave: at once, since each router
+     * goes on sending to them until it knows.
      *
      * @param upstreams their starts
      * @param here whether by this router or by one that reports to it, so that all are to receive
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
@@ -160,7 +160,7 @@
     }
 
     /**
-     * {@inheritDoc} A copy says nothing new of routers that are known: their rows may be those of
+     * {@inheritDoc} A copy brings nothing new of routers that are known: their rows may be those of
      * earlier starts, or missing until they are written again.
      */
     @Override
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/NoticeListener.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/NoticeListener.java
@@ -22,7 +22,7 @@
     void crashed(List<CrashReport> reports);
 
     /**
-     * Takes upstreams that have said in their answers that they leave.
+     * Takes upstreams that have announced in their answers that they leave.
      *
      * @param upstreams their starts
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -240,7 +240,7 @@
     }
 
     /**
-     * Reports to the others that an upstream has said that it leaves.
+     * Reports to the others that an upstream has announced that it leaves.
      *
      * @param upstream its start
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/QuarantineTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/QuarantineTable.java
@@ -254,7 +254,7 @@
     }
 
     /**
-     * {@inheritDoc} What the rows said stays known, and the hall's reader has it stored again where
+     * {@inheritDoc} What the rows held stays known, and the hall's reader has it stored again where
      * the copy lacks it.
      */
     @Override
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -27,7 +27,7 @@
  * which vanished in a time that nobody read is believed until {@link #GRACE_MILLIS} after the
  * reading went on: the store may have been away, and entries of live upstreams lapse then. Where
  * another router read all the time, the store was not away and a missing entry is gone at once. An
- * upstream that has said itself that it leaves gets no work whatever its entry says, until it
+ * upstream that has announced itself that it leaves gets no work whatever its entry, until it
  * starts again.
  */
 public final class UpstreamDirectory {
@@ -44,7 +44,7 @@
      */
     private static final long STALE_MILLIS = 1000;
 
-    /** How many upstreams are remembered that have said that they leave. */
+    /** How many upstreams are remembered that have announced that they leave. */
     private static final int MOST_LEAVING = 4096;
 
     /**
@@ -71,7 +71,9 @@
     /** The entries whose latest word cannot be read. */
     private final Set<UpstreamId> mUnreadable = new HashSet<>();
 
-    /** The starts of upstreams that have said that they leave, in answers or by their entries. */
+    /**
+     * The starts of upstreams that have announced that they leave, in answers or by their entries.
+     */
     private final AgingMap<UpstreamId, UpstreamIncarnation> mLeaving =
             new AgingMap<>(MOST_LEAVING, LEAVING_MILLIS);
 
@@ -245,7 +247,7 @@
     }
 
     /**
-     * Returns whether an entry says nothing, since it was gone and a copy brought it back.
+     * Returns whether an entry is void, since it was gone and a copy brought it back.
      *
      * @param listed the entry as a whole list has it
      * @return whether it is not to be taken
@@ -302,8 +304,8 @@
     }
 
     /**
-     * Takes note that an upstream has said itself that it leaves. Its entry may say so later, or
-     * say the contrary for as long as the store is away.
+     * Takes note that an upstream has announced itself that it leaves. Its entry may follow later,
+     * or state the contrary for as long as the store is away.
      *
      * @param start the start that leaves, whether it is listed or not
      * @return whether that was not known
@@ -322,10 +324,10 @@
     }
 
     /**
-     * Returns an entry as it holds with what its upstream has said itself.
+     * Returns an entry as it holds with what its upstream has announced itself.
      *
      * @param entry the entry as it is listed
-     * @return an entry that gets no work where the same start has said that it leaves
+     * @return an entry that gets no work where the same start has announced that it leaves
      */
     private UpstreamEntry heeding(UpstreamEntry entry) {
         boolean leaving =
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/notice/Announced.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/notice/Announced.java
@@ -2,26 +2,26 @@
 
 import java.util.List;
 
-/** Whether an answer says a certain word of its upstream. Immutable and thread safe. */
+/** Whether an answer announces something of its upstream. Immutable and thread safe. */
 public enum Announced {
-    /** It does not say it. */
+    /** It does not announce it. */
     NONE,
-    /** It says it. */
+    /** It announces it. */
     NAMED,
-    /** It says something that cannot be read, which changes nothing. */
+    /** It announces something that cannot be read, which changes nothing. */
     UNREADABLE;
 
-    /** The values by which a header says its word. */
+    /** The values by which a header announces it. */
     private static final List<String> YES = List.of("1", "true");
 
-    /** The values by which a header says that its word does not apply. */
+    /** The values by which a header announces that it does not apply. */
     private static final List<String> NO = List.of("0", "false");
 
     /**
-     * Reads the values of a header that says its word by {@code 1} or {@code true}.
+     * Reads the values of a header that announces something by {@code 1} or {@code true}.
      *
      * @param values the values, as they came
-     * @return whether any of them says it; unreadable where none does and one is no such value
+     * @return whether any of them announces it; unreadable where none does and one is no such value
      */
     public static Announced flag(List<String> values) {
         List<String> parts = HeaderValues.parts(values);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/notice/AnnouncedRate.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/notice/AnnouncedRate.java
@@ -4,7 +4,7 @@
 import java.util.OptionalDouble;
 
 /**
- * What one answer of an upstream says of the requests a second that it takes from all routers
+ * What one answer of an upstream announces of the requests a second that it takes from all routers
  * together. Immutable and thread safe.
  *
  * @param kind whether the answer names a rate
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/notice/package-info.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/notice/package-info.java
@@ -1,2 +1,2 @@
-/** What upstreams say of themselves in their answers, beside the answers themselves. */
+/** What upstreams announce of themselves in their answers, beside the answers themselves. */
 package org.troutpier.daemon.notice;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
@@ -200,7 +200,7 @@
     record Crashed(List<CrashReport> reports) implements PeerMessage {}
 
     /**
-     * Reports upstreams that have said in their answers that they leave.
+     * Reports upstreams that have announced in their answers that they leave.
      *
      * @param upstreams their starts
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
@@ -253,7 +253,7 @@
     /**
      * Returns whether this instance holds the lease by its row.
      *
-     * @param holder what the row says
+     * @param holder what the row holds
      * @return whether it names this instance and was not brought back by a copy
      */
     private boolean own(Holder holder) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/RowStore.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/RowStore.java
@@ -86,7 +86,7 @@
         /** Its condition failed; it took no effect. */
         CONFLICT,
         /**
-         * It took effect under a version of an era before, which says nothing of the row that was
+         * It took effect under a version of an era before, which proves nothing of the row that was
          * written over.
          */
         OUTDATED,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/BackOffAwareOrders.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/BackOffAwareOrders.java
@@ -12,7 +12,7 @@
  * safe if both parts are.
  *
  * @param orders carries out what the engines want
- * @param backOffMillis tells for how long an engine wants no call, milliseconds
+ * @param backOffMillis returns for how long an engine wants no call, milliseconds
  */
 public record BackOffAwareOrders(EngineOrders orders, ToLongFunction<UpstreamEntry> backOffMillis)
         implements EngineOrders {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/BackOffAwarePort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/BackOffAwarePort.java
@@ -10,7 +10,7 @@
  * Confined to the traffic loop.
  *
  * @param port carries the calls out
- * @param backOffMillis tells for how long an upstream wants no call, milliseconds
+ * @param backOffMillis returns for how long an upstream wants no call, milliseconds
  */
 public record BackOffAwarePort(UpstreamPort port, ToLongFunction<UpstreamEntry> backOffMillis)
         implements UpstreamPort {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -19,7 +19,7 @@
  * @param port sends calls to upstreams
  * @param directory the upstreams
  * @param loads what is under way at each upstream
- * @param admission admits calls to upstreams by what these say of themselves
+ * @param admission admits calls to upstreams by what these announce
  * @param budget bounds extra calls
  * @param places gives out places at decode engines
  * @param use keeps organisations to their limits
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamAdmission.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamAdmission.java
@@ -11,13 +11,13 @@
 import org.troutpier.daemon.notice.UpstreamNotice;
 
 /**
- * Admits calls to upstreams by what these say of themselves in their answers. Confined to the
- * traffic loop. Invariants: each call that an upstream works on is admitted here before it is sent;
- * none is admitted to an upstream that leaves or has asked for a back-off.
+ * Admits calls to upstreams by what these announce in their answers. Confined to the traffic loop.
+ * Invariants: each call that an upstream works on is admitted here before it is sent; none is
+ * admitted to an upstream that leaves or has asked for a back-off.
  *
  * @param loads what is under way at each upstream
  * @param rates keeps upstreams to the rates that they name
- * @param notices what upstreams say beside rates
+ * @param notices what upstreams announce beside rates
  * @param random spreads the returns of callers
  */
 public record UpstreamAdmission(
@@ -30,10 +30,10 @@
     private static final long SOON_MILLIS = 100;
 
     /**
-     * Takes what the answer to a call says that the upstream worked on.
+     * Takes what the answer to a call announces that the upstream worked on.
      *
      * @param upstream whose answer it is
-     * @param notice what it says
+     * @param notice what it announces
      * @param verdict what its head proves
      * @param tookMillis how long ago the call was sent, milliseconds
      */
@@ -50,10 +50,10 @@
     }
 
     /**
-     * Takes what the answer to any other call says: what it does not say means nothing.
+     * Takes what the answer to any other call announces: what it leaves out means nothing.
      *
      * @param upstream whose answer it is
-     * @param notice what it says
+     * @param notice what it announces
      */
     public void received(UpstreamEntry upstream, UpstreamNotice notice) {
         notices.received(upstream, notice);
@@ -66,7 +66,7 @@
      * Admits a call to an upstream and counts it.
      *
      * @param upstream where it is to be sent
-     * @param asker who asks
+     * @param asker the request's rank and organisation
      * @return whether it may be sent
      */
     boolean tryTake(UpstreamEntry upstream, Asker asker) {
@@ -78,7 +78,7 @@
     }
 
     /**
-     * Returns whether an upstream takes calls by what it has said, whatever its rate.
+     * Returns whether an upstream takes calls by what it has announced, whatever its rate.
      *
      * @param upstream the upstream
      * @return whether it does
@@ -101,7 +101,7 @@
      * Admits a call to the first of several upstreams that may be sent it.
      *
      * @param upstreams the upstreams, the best first
-     * @param asker who asks
+     * @param asker the request's rank and organisation
      * @return the upstream; empty where none may be sent it
      */
     Optional<UpstreamEntry> takeFirst(List<UpstreamEntry> upstreams, Asker asker) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamNotices.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamNotices.java
@@ -17,20 +17,20 @@
 import org.troutpier.daemon.notice.UpstreamNotice;
 
 /**
- * What upstreams have said of themselves to this router: that they leave, and for how long they
- * want no call. Confined to the traffic loop, except for {@link #backOffMillis}. Invariants: a word
- * belongs to one start of an upstream; leaving is final for that start; a back-off ends by itself
- * and is never shortened.
+ * What upstreams have announced of themselves to this router: that they leave, and for how long
+ * they want no call. Confined to the traffic loop, except for {@link #backOffMillis}. Invariants: a
+ * word belongs to one start of an upstream; leaving is final for that start; a back-off ends by
+ * itself and is never shortened.
  */
 public final class UpstreamNotices {
 
-    /** Where operators list what upstreams have said. */
+    /** Where operators list what upstreams have announced. */
     public static final String PATH = "/notices";
 
     /** What the names of an upstream's figures begin with. */
     private static final String FIGURES = "upstream.";
 
-    /** Logs what is said for the first time. */
+    /** Logs what is announced for the first time. */
     private static final Logger LOGGER = LogManager.getLogger(UpstreamNotices.class);
 
     /** The clock. */
@@ -42,14 +42,14 @@
     /** Counts by upstream. */
     private final MetricRegistry mMetrics;
 
-    /** What each upstream has said that said something. */
-    private final Map<UpstreamIncarnation, Said> mSaid = new ConcurrentHashMap<>();
+    /** What is known of each upstream that has announced something. */
+    private final Map<UpstreamIncarnation, State> mStates = new ConcurrentHashMap<>();
 
     /** Receives the starts that leave. */
     private Consumer<UpstreamIncarnation> mOnLeaving = start -> {};
 
-    /** What one upstream has said. */
-    private static final class Said {
+    /** What one upstream has announced. */
+    private static final class State {
 
         /** Whether it leaves. */
         private boolean mLeaving;
@@ -57,24 +57,24 @@
         /** The back-off that it has asked for. */
         private final UpstreamBackOff mBackOff = new UpstreamBackOff();
 
-        /** Calls that were sent to it since it said the last word that was new. */
+        /** Calls that were sent to it since it last announced something new. */
         private long mSentSince;
     }
 
     /**
-     * What one upstream has said, as operators see it. Immutable and thread safe.
+     * What one upstream has announced, as operators see it. Immutable and thread safe.
      *
      * @param upstream the upstream
      * @param leaving whether it leaves
      * @param backOffMillis for how long it still wants no call, milliseconds
-     * @param sentSince calls that were sent to it since it last said something new
+     * @param sentSince calls that were sent to it since it last announced something new
      * @param withheld calls that were not sent to it for a back-off
      */
     public record Standing(
             String upstream, boolean leaving, long backOffMillis, long sentSince, long withheld) {}
 
     /**
-     * Creates a view in which no upstream has said anything.
+     * Creates a view in which no upstream has announced anything.
      *
      * @param loop the clock
      * @param random spreads the returns to upstreams
@@ -87,7 +87,7 @@
     }
 
     /**
-     * Sets who receives the starts of upstreams that say that they leave, each once.
+     * Sets who receives the starts of upstreams that announce that they leave, each once.
      *
      * @param listener receives them on the traffic loop
      */
@@ -96,10 +96,10 @@
     }
 
     /**
-     * Takes what an answer says.
+     * Takes what an answer announces.
      *
      * @param upstream whose answer it is
-     * @param notice what it says
+     * @param notice what it announces
      */
     void received(UpstreamEntry upstream, UpstreamNotice notice) {
         if (notice.leaving() == Announced.NAMED) {
@@ -121,13 +121,13 @@
      * @param upstream the upstream
      */
     private void leaves(UpstreamEntry upstream) {
-        Said said = said(upstream.incarnation());
-        count(upstream, "leaving-said");
-        if (!said.mLeaving) {
-            said.mLeaving = true;
-            said.mSentSince = 0;
+        State state = state(upstream.incarnation());
+        count(upstream, "leaving-announced");
+        if (!state.mLeaving) {
+            state.mLeaving = true;
+            state.mSentSince = 0;
             LOGGER.info(
-                    "upstream says that it leaves id={} service={} address={}",
+                    "upstream announces that it leaves id={} service={} address={}",
                     upstream.incarnation(),
                     upstream.service(),
                     upstream.address());
@@ -142,15 +142,15 @@
      * @param millis for how long, milliseconds
      */
     private void backsOff(UpstreamEntry upstream, long millis) {
-        Said said = said(upstream.incarnation());
+        State state = state(upstream.incarnation());
         count(upstream, "back-off-asked");
         long now = mLoop.millis();
-        if (said.mBackOff.endsAt() <= now) {
-            said.mSentSince = 0;
+        if (state.mBackOff.endsAt() <= now) {
+            state.mSentSince = 0;
             LOGGER.info(
                     "upstream asks for a back-off id={} millis={}", upstream.incarnation(), millis);
         }
-        said.mBackOff.asked(millis, now, mRandom);
+        state.mBackOff.asked(millis, now, mRandom);
     }
 
     /**
@@ -161,8 +161,8 @@
      * @return whether it may; false while it leaves or wants no call
      */
     boolean admits(UpstreamEntry upstream, int underWay) {
-        Said said = mSaid.get(upstream.incarnation());
-        return said == null || !said.mLeaving && said.mBackOff.admits(underWay, mLoop.millis());
+        State state = mStates.get(upstream.incarnation());
+        return state == null || !state.mLeaving && state.mBackOff.admits(underWay, mLoop.millis());
     }
 
     /**
@@ -172,8 +172,8 @@
      * @return milliseconds; 0 where it takes calls
      */
     public long backOffMillis(UpstreamEntry upstream) {
-        Said said = mSaid.get(upstream.incarnation());
-        return said == null ? 0 : Math.max(0, said.mBackOff.endsAt() - mLoop.millis());
+        State state = mStates.get(upstream.incarnation());
+        return state == null ? 0 : Math.max(0, state.mBackOff.endsAt() - mLoop.millis());
     }
 
     /**
@@ -183,9 +183,9 @@
      * @param tookMillis how long ago the call was sent, milliseconds
      */
     void succeeded(UpstreamEntry upstream, long tookMillis) {
-        Said said = mSaid.get(upstream.incarnation());
-        if (said != null) {
-            said.mBackOff.succeeded(mLoop.millis() - tookMillis);
+        State state = mStates.get(upstream.incarnation());
+        if (state != null) {
+            state.mBackOff.succeeded(mLoop.millis() - tookMillis);
         }
     }
 
@@ -195,9 +195,9 @@
      * @param upstream where to
      */
     void sent(UpstreamEntry upstream) {
-        Said said = mSaid.get(upstream.incarnation());
-        if (said != null) {
-            said.mSentSince++;
+        State state = mStates.get(upstream.incarnation());
+        if (state != null) {
+            state.mSentSince++;
         }
     }
 
@@ -209,17 +209,17 @@
     public List<Standing> standings() {
         long now = mLoop.millis();
         List<Standing> standings = new ArrayList<>();
-        mSaid.forEach(
-                (upstream, said) -> {
-                    long left = Math.max(0, said.mBackOff.endsAt() - now);
-                    if (said.mLeaving || left > 0) {
+        mStates.forEach(
+                (upstream, state) -> {
+                    long left = Math.max(0, state.mBackOff.endsAt() - now);
+                    if (state.mLeaving || left > 0) {
                         standings.add(
                                 new Standing(
                                         upstream.toString(),
-                                        said.mLeaving,
+                                        state.mLeaving,
                                         left,
-                                        said.mSentSince,
-                                        said.mBackOff.withheld()));
+                                        state.mSentSince,
+                                        state.mBackOff.withheld()));
                     }
                 });
         standings.sort(Comparator.comparing(Standing::upstream));
@@ -233,7 +233,7 @@
      */
     void retain(Set<UpstreamIncarnation> listed) {
         long now = mLoop.millis();
-        mSaid.entrySet()
+        mStates.entrySet()
                 .removeIf(
                         each ->
                                 !listed.contains(each.getKey())
@@ -251,12 +251,12 @@
     }
 
     /**
-     * Returns what an upstream has said.
+     * Returns what is known of an upstream.
      *
      * @param upstream the upstream
-     * @return what it has said, made where it has said nothing yet
+     * @return its state, made where it has announced nothing yet
      */
-    private Said said(UpstreamIncarnation upstream) {
-        return mSaid.computeIfAbsent(upstream, any -> new Said());
+    private State state(UpstreamIncarnation upstream) {
+        return mStates.computeIfAbsent(upstream, any -> new State());
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
@@ -200,13 +200,13 @@
         FOREIGN
     }
 
-    /** Receives what an upstream says of itself in its answers. */
+    /** Receives what an upstream announces in its answers. */
     interface NoticeListener {
 
         /**
-         * Receives what an answer says of its upstream, before anything else of it.
+         * Receives what an answer announces of its upstream, before anything else of it.
          *
-         * @param notice what the answer says
+         * @param notice what the answer announces
          * @param verdict what its head proves
          */
         default void onNotice(UpstreamNotice notice, Verdict verdict) {}
