--- a/troutpier-cli/src/main/java/org/troutpier/cli/NoticesCommand.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/NoticesCommand.java
@@ -15,7 +15,7 @@
         footer = {
             "",
             "A back-off binds the router that was asked for it; a leaving binds all. Sent counts",
-            "calls since an upstream last announced something new, withheld those that were not sent.",
+            "calls since the last new announcement, withheld those that were not sent.",
             "--router names the port of a router's figures.",
             "  troutpier notices --router 10.1.0.35:9464,10.1.0.36:9464"
         })
