--- a/troutpier-cli/src/main/java/org/troutpier/cli/CliMain.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/CliMain.java
@@ -4,9 +4,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.function.BiConsumer;
+import java.util.stream.Stream;
 import org.troutpier.common.declaration.DeclarationPart;
 import org.troutpier.common.http.CallFailedException;
 import org.troutpier.common.result.TroutpierException;
@@ -127,6 +129,28 @@
             return new CliSettings(routers.stream().map(Address::parse).toList(), token);
         }
 
+        /**
+         * Shows a list as a table, whose first column is the router that reports the entry.
+         *
+         * @param path the list's path
+         * @param line how a line is shown, router first
+         * @param columns the other columns
+         */
+        void table(String path, String line, List<Column> columns) {
+            Stream<String> headings = columns.stream().map(Column::heading);
+            list(
+                    path,
+                    line.formatted(Stream.concat(Stream.of("router"), headings).toArray()),
+                    (router, entry) -> {
+                        Stream<String> shown =
+                                columns.stream().map(each -> entry.path(each.field()).asText());
+                        System.out.printf(
+                                Locale.ROOT,
+                                line,
+                                Stream.concat(Stream.of(router), shown).toArray());
+                    });
+        }
+
         /**
          * Shows a list as each router reports it.
          *
@@ -145,6 +169,14 @@
         }
     }
 
+    /**
+     * A column of a list.
+     *
+     * @param heading what is shown above it
+     * @param field which field of an entry it shows
+     */
+    record Column(String heading, String field) {}
+
     /** Checks declarations in files. */
     @Command(
             name = "validate",
--- a/troutpier-cli/src/main/java/org/troutpier/cli/NoticesCommand.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/NoticesCommand.java
@@ -1,9 +1,7 @@
 package org.troutpier.cli;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import java.util.Locale;
+import java.util.List;
 import java.util.concurrent.Callable;
-import org.troutpier.common.settings.Address;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
@@ -24,33 +22,22 @@
     /** How an upstream is shown. */
     private static final String LINE = "%-20s %-20s %8s %12s %8s %10s%n";
 
+    /** What is shown of an upstream. */
+    private static final List<CliMain.Column> COLUMNS =
+            List.of(
+                    new CliMain.Column("upstream", "upstream"),
+                    new CliMain.Column("leaving", "leaving"),
+                    new CliMain.Column("back-off ms", "backOffMillis"),
+                    new CliMain.Column("sent", "sentSince"),
+                    new CliMain.Column("withheld", "withheld"));
+
     /** Where the routers are. */
     @Mixin private CliMain.Connection mConnection;
 
     /** {@inheritDoc} */
     @Override
     public Integer call() {
-        String heading =
-                LINE.formatted("router", "upstream", "leaving", "back-off ms", "sent", "withheld");
-        mConnection.list("/notices", heading, NoticesCommand::show);
+        mConnection.table("/notices", LINE, COLUMNS);
         return 0;
     }
-
-    /**
-     * Shows one upstream.
-     *
-     * @param router who reports it
-     * @param upstream what it reports
-     */
-    private static void show(Address router, JsonNode upstream) {
-        System.out.printf(
-                Locale.ROOT,
-                LINE,
-                router,
-                upstream.path("upstream").asText(),
-                upstream.path("leaving").asText(),
-                upstream.path("backOffMillis").asText(),
-                upstream.path("sentSince").asText(),
-                upstream.path("withheld").asText());
-    }
 }
--- a/troutpier-cli/src/main/java/org/troutpier/cli/RatesCommand.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/RatesCommand.java
@@ -1,9 +1,7 @@
 package org.troutpier.cli;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import java.util.Locale;
+import java.util.List;
 import java.util.concurrent.Callable;
-import org.troutpier.common.settings.Address;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
@@ -25,35 +23,23 @@
     /** How an upstream is shown. */
     private static final String LINE = "%-20s %-20s %10s %10s %10s %10s %10s%n";
 
+    /** What is shown of an upstream. */
+    private static final List<CliMain.Column> COLUMNS =
+            List.of(
+                    new CliMain.Column("upstream", "upstream"),
+                    new CliMain.Column("rate", "perSecond"),
+                    new CliMain.Column("age ms", "ageMillis"),
+                    new CliMain.Column("here", "here"),
+                    new CliMain.Column("elsewhere", "elsewhere"),
+                    new CliMain.Column("withheld", "withheld"));
+
     /** Where the routers are. */
     @Mixin private CliMain.Connection mConnection;
 
     /** {@inheritDoc} */
     @Override
     public Integer call() {
-        String heading =
-                LINE.formatted(
-                        "router", "upstream", "rate", "age ms", "here", "elsewhere", "withheld");
-        mConnection.list("/rates", heading, RatesCommand::show);
+        mConnection.table("/rates", LINE, COLUMNS);
         return 0;
     }
-
-    /**
-     * Shows one upstream.
-     *
-     * @param router who reports it
-     * @param upstream what it reports
-     */
-    private static void show(Address router, JsonNode upstream) {
-        System.out.printf(
-                Locale.ROOT,
-                LINE,
-                router,
-                upstream.path("upstream").asText(),
-                upstream.path("perSecond").asText(),
-                upstream.path("ageMillis").asText(),
-                upstream.path("here").asText(),
-                upstream.path("elsewhere").asText(),
-                upstream.path("withheld").asText());
-    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
@@ -267,8 +267,7 @@
      *     otherwise only those that report to this router
      */
     void crashed(List<CrashReport> reports, boolean here) {
-        mCrashed.add(reports, here);
-        mNode.control().execute(() -> mCrashed.tell(mLinks, audience(), locals()));
+        atOnce(mCrashed, reports, here);
     }
 
     /**
@@ -280,8 +279,20 @@
      *     it; otherwise only those that report to this router
      */
     void leaving(List<UpstreamIncarnation> upstreams, boolean here) {
-        mLeaving.add(upstreams, here);
-        mNode.control().execute(() -> mLeaving.tell(mLinks, audience(), locals()));
+        atOnce(mLeaving, upstreams, here);
+    }
+
+    /**
+     * Has notices reported once what is under way on the control thread is done.
+     *
+     * @param outbox where they wait
+     * @param notices the notices
+     * @param here whether all are to receive them; otherwise only those that report to this router
+     * @param <T> the notices' type
+     */
+    private <T> void atOnce(NoticeOutbox<T> outbox, List<T> notices, boolean here) {
+        outbox.add(notices, here);
+        mNode.control().execute(() -> outbox.tell(mLinks, audience(), locals()));
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/MemberRegistry.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.IntConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -32,12 +31,6 @@
     /** The table. */
     private static final String TABLE = "troutpier_members";
 
-    /**
-     * Within which time routers write their rows again that a copy lacks, milliseconds: they know
-     * each other meanwhile.
-     */
-    private static final long RESTORE_MILLIS = 3000;
-
     /** How long to wait before a write is tried again, milliseconds. */
     private static final long RETRY_MILLIS = 400;
 
@@ -199,7 +192,7 @@
             }
         }
         if (!current) {
-            long millis = ThreadLocalRandom.current().nextLong(RESTORE_MILLIS);
+            long millis = TablePaces.restoreMillis();
             LOGGER.info("router registers again inMillis={}", millis);
             mNode.control().later(this::register, millis);
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/QuarantineTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/QuarantineTable.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
-import java.util.concurrent.ThreadLocalRandom;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.http.Json;
@@ -39,9 +38,6 @@
     /** The table: one row for each request, by its fingerprint. */
     static final String TABLE = "troutpier_quarantine";
 
-    /** Within which time rows are written again that a copy lacks, milliseconds. */
-    private static final long RESTORE_MILLIS = 3000;
-
     /** How long to wait before a write is tried again, milliseconds. */
     private static final long RETRY_MILLIS = 400;
 
@@ -265,7 +261,7 @@
                             mWanted.merge(request, stored.record(), CrashRecord::merge));
         }
         mStored.clear();
-        mNode.control().later(this::write, ThreadLocalRandom.current().nextLong(RESTORE_MILLIS));
+        mNode.control().later(this::write, TablePaces.restoreMillis());
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/TablePaces.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/TablePaces.java
@@ -1,5 +1,6 @@
 package org.troutpier.daemon.cluster;
 
+import java.util.concurrent.ThreadLocalRandom;
 import org.troutpier.daemon.rows.TableFollower.Pace;
 
 /**
@@ -65,9 +66,24 @@
     /** The same for the time after which the next call is made beside one that hangs. */
     private static final double QUARANTINE_RETRY_PART = 0.2;
 
+    /**
+     * Within which time routers write rows again that a copy of the store lacks, milliseconds: they
+     * know what the rows held meanwhile.
+     */
+    private static final long RESTORE_MILLIS = 3000;
+
     /** Not to be instantiated. */
     private TablePaces() {}
 
+    /**
+     * Draws when rows are written again that a copy of the store lacks.
+     *
+     * @return milliseconds from now
+     */
+    static long restoreMillis() {
+        return ThreadLocalRandom.current().nextLong(RESTORE_MILLIS);
+    }
+
     /**
      * Returns how the operator's table is followed.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/notice/AnnouncedBackOff.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/notice/AnnouncedBackOff.java
@@ -1,9 +1,7 @@
 package org.troutpier.daemon.notice;
 
-import java.time.DateTimeException;
 import java.time.Duration;
 import java.time.Instant;
-import java.time.format.DateTimeFormatter;
 import java.util.List;
 import java.util.OptionalLong;
 
@@ -52,9 +50,9 @@
     public static AnnouncedBackOff parse(List<String> values, Instant now) {
         OptionalLong longest = OptionalLong.empty();
         for (String value : values) {
-            OptionalLong millis = date(value, now);
+            OptionalLong millis = seconds(value);
             if (millis.isEmpty()) {
-                millis = seconds(value);
+                millis = date(value, now);
             }
             if (millis.isPresent()) {
                 longest = OptionalLong.of(Math.max(longest.orElse(0), millis.getAsLong()));
@@ -74,12 +72,9 @@
      * @return how long until then, milliseconds; 0 for one that is past; empty where it is no date
      */
     private static OptionalLong date(String value, Instant now) {
-        try {
-            Instant then = DateTimeFormatter.RFC_1123_DATE_TIME.parse(value.strip(), Instant::from);
-            return OptionalLong.of(Math.max(0, Duration.between(now, then).toMillis()));
-        } catch (DateTimeException exception) {
-            return OptionalLong.empty();
-        }
+        return HeaderValues.date(value).stream()
+                .mapToLong(then -> Math.max(0, Duration.between(now, then).toMillis()))
+                .findFirst();
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/notice/HeaderValues.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/notice/HeaderValues.java
@@ -1,12 +1,16 @@
 package org.troutpier.daemon.notice;
 
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.time.format.DateTimeFormatter;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.regex.Pattern;
 
 /** Reads values of HTTP headers. Stateless and thread safe. */
-final class HeaderValues {
+public final class HeaderValues {
 
     /** A decimal number that is not negative, of a bounded length. */
     private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,12}(\\.[0-9]{1,12})?");
@@ -41,4 +45,19 @@
                 ? OptionalDouble.of(Double.parseDouble(part))
                 : OptionalDouble.empty();
     }
+
+    /**
+     * Reads a date.
+     *
+     * @param value the value
+     * @return the time; empty where the value is no date
+     */
+    public static Optional<Instant> date(String value) {
+        try {
+            return Optional.of(
+                    DateTimeFormatter.RFC_1123_DATE_TIME.parse(value.strip(), Instant::from));
+        } catch (DateTimeException exception) {
+            return Optional.empty();
+        }
+    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/notice/UpstreamNotice.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/notice/UpstreamNotice.java
@@ -14,14 +14,4 @@
     /** An answer that announces nothing. */
     public static final UpstreamNotice NONE =
             new UpstreamNotice(AnnouncedRate.NONE, AnnouncedBackOff.NONE, Announced.NONE);
-
-    /**
-     * Returns an answer that names a rate and nothing else.
-     *
-     * @param rate the rate
-     * @return the notice
-     */
-    public static UpstreamNotice of(AnnouncedRate rate) {
-        return new UpstreamNotice(rate, AnnouncedBackOff.NONE, Announced.NONE);
-    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -11,6 +11,8 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.troutpier.common.http.ServerLimits;
@@ -432,34 +434,31 @@
         assertAllKnowAll();
     }
 
-    @Test
-    public void aRequestUnderWhichAnUpstreamEndedIsToldToAllAtOnce() {
+    /** Has one router report something, and expects that all others have it at once. */
+    private <T> void assertReachesAllAtOnce(
+            T notice, BiConsumer<PeerExchange, T> report, Function<Router, List<T>> received) {
         routers(MANY);
         mTime.pass(2000);
         List<Router> all = List.copyOf(mRouters.values());
+        report.accept(all.get(MANY - 1).mExchange, notice);
+        mTime.pass(20);
+        for (Router router : all.subList(0, MANY - 1)) {
+            assertEquals(received.apply(router), List.of(notice), "reported to " + router.mSelf);
+        }
+    }
+
+    @Test
+    public void aRequestUnderWhichAnUpstreamEndedIsToldToAllAtOnce() {
         CrashReport report =
                 new CrashReport(
                         RequestFingerprint.of("host", "/path", new byte[0]),
                         new CrashRecord(0, Set.of(ENGINE)));
-        Router last = all.get(MANY - 1);
-        last.mExchange.crashed(report);
-        mTime.pass(20);
-        for (Router router : all.subList(0, MANY - 1)) {
-            assertEquals(router.mCrashed, List.of(report), "told to " + router.mSelf);
-        }
+        assertReachesAllAtOnce(report, PeerExchange::crashed, router -> router.mCrashed);
     }
 
     @Test
     public void anUpstreamThatSaysThatItLeavesIsReportedToAllAtOnce() {
-        routers(MANY);
-        mTime.pass(2000);
-        List<Router> all = List.copyOf(mRouters.values());
-        Router last = all.get(MANY - 1);
-        last.mExchange.leaving(ENGINE);
-        mTime.pass(20);
-        for (Router router : all.subList(0, MANY - 1)) {
-            assertEquals(router.mLeaving, List.of(ENGINE), "reported to " + router.mSelf);
-        }
+        assertReachesAllAtOnce(ENGINE, PeerExchange::leaving, router -> router.mLeaving);
     }
 
     @Test
