--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
@@ -10,6 +10,8 @@
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.limit.RateReport;
 import org.troutpier.daemon.organisation.UsageReport;
+import org.troutpier.daemon.pace.PaceReport;
+import org.troutpier.daemon.waiting.WaitingReport;
 
 /**
  * The load that one or several routers report to the others. Immutable and thread safe. Each router
@@ -26,6 +28,8 @@
  * @param demands recent demand for each model service
  * @param organisations recent usage by organisations that have a limit
  * @param rates the upstreams that announce rates, and what was recently sent to them
+ * @param waiting the requests that wait for capacity
+ * @param paces how long the upstreams recently took
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record LoadReport(
@@ -38,7 +42,9 @@
         Map<UpstreamIncarnation, UpstreamUsage> uses,
         Map<String, Demand> demands,
         UsageReport organisations,
-        Map<UpstreamIncarnation, RateReport> rates) {
+        Map<UpstreamIncarnation, RateReport> rates,
+        WaitingReport waiting,
+        Map<UpstreamIncarnation, PaceReport> paces) {
 
     /** A report that covers no router. */
     public static final LoadReport NONE =
@@ -52,9 +58,11 @@
                     Map.of(),
                     Map.of(),
                     UsageReport.NONE,
+                    Map.of(),
+                    WaitingReport.NONE,
                     Map.of());
 
-    /** Copies the collections; null organisations or rates stand for none. */
+    /** Copies the collections; null for any of the last four components stands for none. */
     public LoadReport {
         changing = Set.copyOf(changing);
         refusing = Set.copyOf(refusing);
@@ -62,6 +70,8 @@
         demands = Map.copyOf(demands);
         organisations = organisations == null ? UsageReport.NONE : organisations;
         rates = rates == null ? Map.of() : Map.copyOf(rates);
+        waiting = waiting == null ? WaitingReport.NONE : waiting;
+        paces = paces == null ? Map.of() : Map.copyOf(paces);
     }
 
     /** Creates a report that covers no router and holds only usage by organisations. */
@@ -70,25 +80,27 @@
     }
 
     LoadReport withUsage(UsageReport usage) {
-        return withUsage(usage, rates);
+        return with(usage, rates, waiting);
     }
 
     /**
-     * Returns this report with its announced rates aged by a time.
+     * Returns this report with its announced rates and its waiting requests aged by a time.
      *
      * @param millis the time, milliseconds
      */
     LoadReport aged(long millis) {
-        if (rates.isEmpty()) {
+        if (rates.isEmpty() && waiting.entries().isEmpty()) {
             return this;
         }
         Map<UpstreamIncarnation, RateReport> agedRates = new HashMap<>();
         rates.forEach((upstream, report) -> agedRates.put(upstream, report.aged(millis)));
-        return withUsage(organisations, agedRates);
+        return with(organisations, agedRates, waiting.aged(millis));
     }
 
-    private LoadReport withUsage(
-            UsageReport usage, Map<UpstreamIncarnation, RateReport> announcedRates) {
+    private LoadReport with(
+            UsageReport usage,
+            Map<UpstreamIncarnation, RateReport> announcedRates,
+            WaitingReport waitingRequests) {
         return new LoadReport(
                 configuration,
                 routers,
@@ -99,14 +111,16 @@
                 uses,
                 demands,
                 usage,
-                announcedRates);
+                announcedRates,
+                waitingRequests,
+                paces);
     }
 
     /**
      * Returns whether another report has the same load. Demand is not compared, since it drifts all
      * the time and affects only decisions on a scale of seconds; neither is usage against limits,
-     * which rises with the calls in progress and falls by itself. The waiting tokens are not
-     * compared either.
+     * which rises with the calls in progress and falls by itself. Neither are waiting requests and
+     * paces, which are sent with the reports that are due anyway.
      */
     boolean hasSameLoad(LoadReport other) {
         return configuration == other.configuration
@@ -144,6 +158,8 @@
         Map<String, Demand> allDemands = new HashMap<>(demands);
         List<UsageReport> otherUsage = new ArrayList<>();
         Map<UpstreamIncarnation, RateReport> allRates = new HashMap<>(rates);
+        List<WaitingReport> otherWaiting = new ArrayList<>();
+        Map<UpstreamIncarnation, PaceReport> allPaces = new HashMap<>(paces);
         for (LoadReport other : others) {
             routerCount += other.routers;
             anyRoleHolder |= other.roleHolder;
@@ -154,6 +170,8 @@
             other.demands.forEach((name, demand) -> allDemands.merge(name, demand, Demand::plus));
             otherUsage.add(other.organisations);
             other.rates.forEach((id, rate) -> allRates.merge(id, rate, RateReport::plus));
+            otherWaiting.add(other.waiting);
+            other.paces.forEach((id, pace) -> allPaces.merge(id, pace, PaceReport::plus));
         }
         return new LoadReport(
                 configuration,
@@ -165,6 +183,8 @@
                 allUses,
                 allDemands,
                 organisations.plus(otherUsage),
-                allRates);
+                allRates,
+                waiting.plus(otherWaiting),
+                allPaces);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -11,6 +11,7 @@
 import org.troutpier.daemon.serving.TrafficLoop;
 import org.troutpier.daemon.serving.UpstreamLoads;
 import org.troutpier.daemon.serving.UpstreamRates;
+import org.troutpier.daemon.waiting.WaitingReport;
 
 /**
  * Reports this router's load to the others, shortly after each change and at a fixed interval
@@ -135,7 +136,9 @@
                         usage,
                         mDemand.publish(mLoop.millis()),
                         mOrganisations.report(),
-                        mRates.report());
+                        mRates.report(),
+                        WaitingReport.NONE,
+                        Map.of());
         mControl.execute(() -> mExchange.publishLoad(report));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -16,14 +16,17 @@
 import org.troutpier.daemon.limit.UsageSettings;
 import org.troutpier.daemon.organisation.PeerUsage;
 import org.troutpier.daemon.organisation.UsageReport;
+import org.troutpier.daemon.pace.PaceReport;
+import org.troutpier.daemon.waiting.WaitingReport;
 
 /**
  * Aggregates the load and demand that the other routers report. Changes are confined to the control
  * thread; {@link #upstreamUsage}, {@link #demand}, {@link #organisations()}, {@link #rate}, {@link
- * #isChangingRole}, {@link #isRefusing}, {@link #waitingTokens()}, {@link #peerCount()} and {@link
- * #hasRoleHolder()} are thread safe and answer as of the last {@link #aggregate}. Invariants: a
- * report expires {@link #REPORT_TTL_MILLIS} after it was received; only reports of the counted
- * scopes enter the aggregate, so that no router's load is counted twice.
+ * #isChangingRole}, {@link #isRefusing}, {@link #waitingTokens()}, {@link #waiting()}, {@link
+ * #pace}, {@link #peerCount()} and {@link #hasRoleHolder()} are thread safe and answer as of the
+ * last {@link #aggregate}. Invariants: a report expires {@link #REPORT_TTL_MILLIS} after it was
+ * received; only reports of the counted scopes enter the aggregate, so that no router's load is
+ * counted twice.
  */
 public final class PeerLoads implements PeerUsage, PeerRates {
 
@@ -263,6 +266,16 @@
         return mAggregate.report().waitingTokens();
     }
 
+    /** Returns the requests that wait for capacity at the other routers. */
+    public WaitingReport waiting() {
+        return mAggregate.report().waiting();
+    }
+
+    /** Returns how long an upstream recently took, as measured by the other routers. */
+    public PaceReport pace(UpstreamIncarnation upstream) {
+        return mAggregate.report().paces().getOrDefault(upstream, PaceReport.NONE);
+    }
+
     /** {@inheritDoc} */
     @Override
     public UsageReport organisations() {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
@@ -6,8 +6,10 @@
 import org.troutpier.daemon.decision.MemoryWaitForecast;
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.growth.EngineRoom;
 import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.route.EngineTraits;
+import org.troutpier.daemon.waiting.Claim;
 
 /**
  * The decode engine of one request: the search for an engine with room, the slot and memory
@@ -91,14 +93,18 @@
                 mContext.reservations()
                         .search(
                                 new ReservationAllocator.Requirements(
-                                        mFlowKey,
+                                        mService,
+                                        new Claim(
+                                                tier,
+                                                mFlowKey,
+                                                mSearchStart + waitMillis,
+                                                mInitialTokens),
                                         mInitialTokens,
                                         Math.max(mMaxTokens, mInitialTokens),
-                                        growthMarginTokens(),
-                                        mTraits.memoryTokens(),
+                                        new EngineRoom.ForMargin(
+                                                growthMarginTokens(), mTraits.memoryTokens()),
                                         mTraits.reservationMillis(),
                                         waitMillis,
-                                        tier,
                                         engines),
                                 listener);
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReservationAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReservationAllocator.java
@@ -1,7 +1,5 @@
 package org.troutpier.daemon.serving;
 
-import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -11,13 +9,14 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.troutpier.common.id.UpstreamIncarnation;
-import org.troutpier.daemon.admission.FairQueue;
 import org.troutpier.daemon.cluster.LoadView;
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.limit.FlowKey;
+import org.troutpier.daemon.growth.EngineRoom;
 import org.troutpier.daemon.notice.UpstreamNotice;
 import org.troutpier.daemon.upstream.AttemptEnd;
+import org.troutpier.daemon.waiting.Claim;
+import org.troutpier.daemon.waiting.WaitingQueue;
 
 /**
  * Reserves slots and memory at decode engines before the prompts are processed. The engines
@@ -40,8 +39,6 @@
      */
     private static final int RESERVATION_MILLIS = 1000;
 
-    private static final FairQueue.Weights EQUAL_WEIGHTS = partner -> 1;
-
     private final TrafficLoop mLoop;
 
     private final UpstreamPort mPort;
@@ -57,14 +54,8 @@
     /** Until when each engine is assumed to be full, milliseconds on the loop's clock. */
     private final Map<UpstreamIncarnation, Long> mFullUntil = new HashMap<>();
 
-    /**
-     * The searches that wait for room, by queue tier. Within a tier organisations are served in
-     * turn, by the tokens that they were granted, so that a burst of one cannot take all room from
-     * the others; the searches of one organisation are served by age.
-     */
-    private final Map<QueueTier, FairQueue<Search>> mWaiting = new EnumMap<>(QueueTier.class);
-
-    private long mNextSequence;
+    /** The searches that wait for room. */
+    private final WaitingQueue<Search> mWaiting = new WaitingQueue<>();
 
     /** Whether the waiting searches are scheduled to try again. */
     private boolean mRetryScheduled;
@@ -87,9 +78,6 @@
         mLoads = loads;
         mAdmission = admission;
         mRandom = random;
-        for (QueueTier tier : QueueTier.values()) {
-            mWaiting.put(tier, new FairQueue<>());
-        }
     }
 
     /** Receives the outcome of a search, on the traffic loop. */
@@ -114,26 +102,24 @@
     /**
      * The requirements of a search. Immutable.
      *
-     * @param flowKey the rank and organisation of the request
+     * @param service the service whose engines are searched
+     * @param claim the claim of the request
      * @param promptTokens the prompt's length
      * @param maxTokens the prompt's length and the maximum output
-     * @param growthMarginTokens how much of an engine's memory stays free for growth
-     * @param memoryTokens an engine's memory
+     * @param room decides whether an engine has memory for the request
      * @param maxReservationMillis the longest time for which engines keep a reservation; 0 where
      *     they do not support reservations
      * @param waitMillis how long to search
-     * @param tier the queue tier of the request
      * @param engines the engines that may be used, queried again in each round
      */
     public record Requirements(
-            FlowKey flowKey,
+            String service,
+            Claim claim,
             long promptTokens,
             long maxTokens,
-            double growthMarginTokens,
-            long memoryTokens,
+            EngineRoom room,
             int maxReservationMillis,
             long waitMillis,
-            QueueTier tier,
             Supplier<List<UpstreamEntry>> engines) {}
 
     /** Starts a search. */
@@ -150,9 +136,7 @@
      */
     public long waitingTokens() {
         long[] tokens = new long[1];
-        for (FairQueue<Search> queue : mWaiting.values()) {
-            queue.forEach(search -> tokens[0] += search.mRequirements.promptTokens());
-        }
+        mWaiting.forEach(search -> tokens[0] += search.mRequirements.promptTokens());
         return tokens[0];
     }
 
@@ -161,13 +145,7 @@
      * requests to the engines are spread.
      */
     private void enqueue(Search search) {
-        Requirements requirements = search.mRequirements;
-        queue(search)
-                .add(
-                        requirements.flowKey().organisation(),
-                        search,
-                        search.mSequence,
-                        requirements.promptTokens());
+        mWaiting.add(search.mRequirements.claim(), search);
         if (!mRetryScheduled) {
             mRetryScheduled = true;
             mLoop.schedule(
@@ -179,13 +157,7 @@
     /** Starts another round of all waiting searches, in their order. */
     private void retryWaiting() {
         mRetryScheduled = false;
-        List<Search> waiting = new ArrayList<>();
-        mWaiting.values().forEach(queue -> waiting.addAll(queue.drain(EQUAL_WEIGHTS)));
-        waiting.forEach(Search::startRound);
-    }
-
-    private FairQueue<Search> queue(Search search) {
-        return mWaiting.get(search.mRequirements.tier());
+        mWaiting.drain().forEach(Search::startRound);
     }
 
     /** Discards the state of engines that are no longer listed. */
@@ -203,9 +175,6 @@
         /** When the search gives up, milliseconds on the loop's clock. */
         private final long mDeadline;
 
-        /** Orders searches by age. */
-        private final long mSequence = mNextSequence++;
-
         /** The engines that were tried in the current round. */
         private final Set<UpstreamIncarnation> mTriedEngines = new HashSet<>();
 
@@ -229,7 +198,7 @@
         /** Cancels the search; its listener is not called again. */
         public void cancel() {
             mEnded = true;
-            queue(this).remove(mRequirements.flowKey().organisation(), this);
+            mWaiting.remove(mRequirements.claim(), this);
         }
 
         /** Starts a round over all engines. */
@@ -252,7 +221,7 @@
                 boolean full = mFullUntil.getOrDefault(engine.incarnation(), now) > now;
                 if (!full
                         && hasRoom(engine)
-                        && mAdmission.tryAcquire(engine, mRequirements.flowKey())) {
+                        && mAdmission.tryAcquire(engine, mRequirements.claim().flow())) {
                     reserve(engine);
                     return;
                 }
@@ -274,11 +243,7 @@
                     "no place after "
                             + mRefusalCount
                             + " refusals: "
-                            + mRequirements.promptTokens()
-                            + "+"
-                            + (long) mRequirements.growthMarginTokens()
-                            + " tokens of "
-                            + mRequirements.memoryTokens();
+                            + mRequirements.room().requirement(mRequirements.promptTokens());
             List<UpstreamEntry> engines = mLoads.byTokens(mLastCandidates, Set.of());
             return engines.isEmpty()
                     ? requirement + ", no engine may be asked"
@@ -302,11 +267,8 @@
                 return true;
             }
             boolean hasSlot = mLoads.calls(engine) < engine.slots();
-            double required =
-                    mLoads.tokens(engine)
-                            + mRequirements.promptTokens()
-                            + mRequirements.growthMarginTokens();
-            return hasSlot && required + headroomTokens() <= mRequirements.memoryTokens();
+            long required = mRequirements.promptTokens() + headroomTokens();
+            return hasSlot && mRequirements.room().holds(engine, mLoads.tokens(engine), required);
         }
 
         /**
@@ -315,14 +277,16 @@
          * prompt brings no more requests in time and has twice as many refused again.
          */
         private long headroomTokens() {
-            return mRequirements.tier() == QueueTier.IN_TIME ? 0 : mRequirements.promptTokens();
+            return mRequirements.claim().tier() == QueueTier.IN_TIME
+                    ? 0
+                    : mRequirements.promptTokens();
         }
 
         /** Requests a reservation from one engine. */
         private void reserve(UpstreamEntry engine) {
             if (mRequirements.maxReservationMillis() == 0) {
                 mEnded = true;
-                chargeOrganisation();
+                mWaiting.charge(mRequirements.claim());
                 mLoads.reserve(engine, mRequirements.promptTokens());
                 mListener.onGranted(engine, Optional.empty());
                 return;
@@ -337,15 +301,6 @@
             mPort.reserve(engine, tokens, millis, new ReservationListener(engine));
         }
 
-        /** Charges the granted tokens to the organisation, so that others get their turn first. */
-        private void chargeOrganisation() {
-            queue(this)
-                    .charge(
-                            mRequirements.flowKey().organisation(),
-                            mRequirements.promptTokens(),
-                            EQUAL_WEIGHTS);
-        }
-
         /** Receives an engine's answer. Confined to the traffic loop. */
         private final class ReservationListener
                 implements UpstreamPort.ResultListener<UpstreamPort.Reservation> {
@@ -374,7 +329,7 @@
                     return;
                 }
                 mEnded = true;
-                chargeOrganisation();
+                mWaiting.charge(mRequirements.claim());
                 mListener.onGranted(mEngine, Optional.of(reservation));
             }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -34,6 +34,7 @@
  * @param demandMeter measures the demand for model services
  * @param metrics the metrics of requests
  * @param decisionLog logs decisions about requests
+ * @param load which decisions under load are made over all routers
  * @param random selects among weighted services
  */
 public record ServingContext(
@@ -56,6 +57,7 @@
         DemandMeter demandMeter,
         ServingMetrics metrics,
         DecisionLog decisionLog,
+        LoadSettings load,
         RandomGenerator random) {
 
     /** Returns the demand for a service, as measured by all routers. */
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingQueue.java
@@ -0,0 +1,77 @@
+package org.troutpier.daemon.waiting;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.troutpier.daemon.admission.FairQueue;
+import org.troutpier.daemon.decision.QueueTier;
+
+/**
+ * The requests that wait at this router for one kind of capacity: by queue tier, then by urgency,
+ * then by organisation in turn, by what each was granted, and within an organisation by the latest
+ * start. Not thread safe; confined to the traffic loop. Invariant: an item is in the queue under
+ * the claim with which it was added.
+ *
+ * @param <T> type of the queued items
+ */
+public final class WaitingQueue<T> {
+
+    private static final FairQueue.Weights EQUAL_WEIGHTS = organisation -> 1;
+
+    /** The items of each tier and urgency, in the order in which they are served. */
+    private final Map<Level, FairQueue<T>> mLevels =
+            new TreeMap<>(Comparator.comparing(Level::tier).thenComparingInt(Level::rank));
+
+    /**
+     * Items that differ only by organisation and latest start. Immutable and thread safe.
+     *
+     * @param tier the queue tier
+     * @param rank the urgency; 0 is the most urgent
+     */
+    private record Level(QueueTier tier, int rank) {}
+
+    /** Adds an item. */
+    public void add(Claim claim, T item) {
+        level(claim)
+                .add(claim.flow().organisation(), item, claim.latestStartMillis(), claim.cost());
+    }
+
+    /** Removes all items, in the order in which they are served, and charges no organisation. */
+    public List<T> drain() {
+        List<T> order = new ArrayList<>();
+        mLevels.values().forEach(queue -> order.addAll(queue.drain(EQUAL_WEIGHTS)));
+        return order;
+    }
+
+    /** Charges an organisation for a claim that was granted, so that others get their turn. */
+    public void charge(Claim claim) {
+        level(claim).charge(claim.flow().organisation(), claim.cost(), EQUAL_WEIGHTS);
+    }
+
+    /**
+     * Removes an item.
+     *
+     * @return whether it was in the queue
+     */
+    public boolean remove(Claim claim, T item) {
+        return level(claim).remove(claim.flow().organisation(), item);
+    }
+
+    /** Calls an action for all items, in no particular order. */
+    public void forEach(Consumer<T> action) {
+        mLevels.values().forEach(queue -> queue.forEach(action));
+    }
+
+    /** Returns the number of items. */
+    public int size() {
+        return mLevels.values().stream().mapToInt(FairQueue::size).sum();
+    }
+
+    private FairQueue<T> level(Claim claim) {
+        return mLevels.computeIfAbsent(
+                new Level(claim.tier(), claim.flow().rank()), level -> new FairQueue<>());
+    }
+}
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/LimitSimulation.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/LimitSimulation.java
@@ -24,6 +24,7 @@
 import org.troutpier.daemon.route.Organisation;
 import org.troutpier.daemon.route.RoutingConfiguration;
 import org.troutpier.daemon.route.UsageLimit;
+import org.troutpier.daemon.waiting.WaitingReport;
 
 /**
  * Simulates routers that enforce usage limits, in virtual time: the real limiter at each router,
@@ -303,6 +304,8 @@
                             Map.of(),
                             Map.of(),
                             delayed.usage(),
+                            Map.of(),
+                            WaitingReport.NONE,
                             Map.of());
             partition.mLoads.update(delayed.from(), HALL, ReportScope.OWN, report, mNow);
             partition.mUsage.put(delayed.from(), delayed.usage());
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -40,6 +40,7 @@
 import org.troutpier.daemon.rows.FakeRowStore;
 import org.troutpier.daemon.rows.RowStore.Row;
 import org.troutpier.daemon.rows.TableFollower;
+import org.troutpier.daemon.waiting.WaitingReport;
 import org.troutpier.standins.platform.VersionedRows;
 import org.troutpier.standins.platform.VersionedRows.Key;
 
@@ -175,7 +176,9 @@
                             Map.of(ENGINE, UpstreamUsage.of(mCalls, 10)),
                             Map.of(),
                             mUsage,
-                            mRates));
+                            mRates,
+                            WaitingReport.NONE,
+                            Map.of()));
         }
 
         private boolean reaches(Router other) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/EngineUsageReconcilerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/EngineUsageReconcilerTest.java
@@ -20,6 +20,7 @@
 import org.troutpier.daemon.node.ManualClock;
 import org.troutpier.daemon.organisation.UsageReport;
 import org.troutpier.daemon.role.EngineRoleClient;
+import org.troutpier.daemon.waiting.WaitingReport;
 
 /** Tests the accounting for runs that no router reports. */
 public final class EngineUsageReconcilerTest {
@@ -127,6 +128,8 @@
                         Map.of(mEngine.incarnation(), UpstreamUsage.of(1, tokens)),
                         Map.of(),
                         UsageReport.NONE,
+                        Map.of(),
+                        WaitingReport.NONE,
                         Map.of());
         mPeers.update(PEER, TestUpstreams.HALL, ReportScope.OWN, report, mTime.millis());
         mPeers.aggregate(mTime.millis());
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -66,14 +66,7 @@
         PeerLoads peers = new PeerLoads();
         mRequester = new Requester.Unchecked();
         mDeferredDecisions = null;
-        LoadView view =
-                decision -> {
-                    if (mDeferredDecisions == null) {
-                        decision.run();
-                    } else {
-                        mDeferredDecisions.add(decision);
-                    }
-                };
+        LoadView view = this::decideOrDefer;
         Random random = new Random(1);
         UpstreamLoads loads = new UpstreamLoads(mTime.loop(), random, TestUpstreams.HALL, peers);
         MetricRegistry metrics = new MetricRegistry();
@@ -114,9 +107,18 @@
                                 new MetricRegistry(),
                                 new EventRing("router", 16, new HybridClock()),
                                 mTime.loop()),
+                        LoadSettings.DEFAULT,
                         random);
     }
 
+    private void decideOrDefer(Runnable decision) {
+        if (mDeferredDecisions == null) {
+            decision.run();
+        } else {
+            mDeferredDecisions.add(decision);
+        }
+    }
+
     private static Route route(Route.Kind kind, int attempts) {
         return new Route(
                 "r",
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FailingEnginesTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FailingEnginesTest.java
@@ -15,6 +15,7 @@
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualClock;
 import org.troutpier.daemon.organisation.UsageReport;
+import org.troutpier.daemon.waiting.WaitingReport;
 
 /**
  * Engines that report to be healthy and fail every run at once, used by many routers of which each
@@ -116,6 +117,8 @@
                             loads.usage(),
                             Map.of(),
                             UsageReport.NONE,
+                            Map.of(),
+                            WaitingReport.NONE,
                             Map.of()));
         }
         for (int router = 0; router < ROUTERS; router++) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReservationAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReservationAllocatorTest.java
@@ -23,10 +23,13 @@
 import org.troutpier.daemon.cluster.UpstreamUsage;
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.growth.EngineRoom;
 import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.node.ManualClock;
 import org.troutpier.daemon.notice.AnnouncedRate;
 import org.troutpier.daemon.organisation.UsageReport;
+import org.troutpier.daemon.waiting.Claim;
+import org.troutpier.daemon.waiting.WaitingReport;
 
 /** Searches for reservations at decode engines. */
 public final class ReservationAllocatorTest {
@@ -87,14 +90,13 @@
             long waitMillis, QueueTier standing, Supplier<List<UpstreamEntry>> engines) {
         return mAllocator.search(
                 new ReservationAllocator.Requirements(
-                        ASKER,
+                        "model",
+                        claim(standing, ASKER, waitMillis),
                         PROMPT,
                         MAX_TOKENS,
-                        MARGIN,
-                        MEMORY,
+                        new EngineRoom.ForMargin(MARGIN, MEMORY),
                         2000,
                         waitMillis,
-                        standing,
                         engines),
                 new ReservationAllocator.Listener() {
                     @Override
@@ -110,6 +112,10 @@
                 });
     }
 
+    private Claim claim(QueueTier tier, FlowKey flow, long waitMillis) {
+        return new Claim(tier, flow, mTime.millis() + waitMillis, PROMPT);
+    }
+
     private void reportPeerUsage(long first, long second) {
         LoadReport report =
                 new LoadReport(
@@ -124,6 +130,8 @@
                                 mSecond.incarnation(), UpstreamUsage.of(1, second)),
                         Map.of(),
                         UsageReport.NONE,
+                        Map.of(),
+                        WaitingReport.NONE,
                         Map.of());
         Incarnation peer = new Incarnation("peer~1");
         assertEquals(peer.instance(), new InstanceId("peer"));
@@ -242,14 +250,13 @@
         for (QueueTier standing : List.of(QueueTier.LATE, QueueTier.CONTINUED, QueueTier.IN_TIME)) {
             mAllocator.search(
                     new ReservationAllocator.Requirements(
-                            ASKER,
+                            "model",
+                            claim(standing, ASKER, 1000),
                             PROMPT,
                             MAX_TOKENS,
-                            0,
-                            MEMORY,
+                            new EngineRoom.ForMargin(0, MEMORY),
                             2000,
                             1000,
-                            standing,
                             () -> List.of(mFirst)),
                     new ReservationAllocator.Listener() {
                         @Override
@@ -289,14 +296,13 @@
     private void search(String organisation, List<String> order) {
         mAllocator.search(
                 new ReservationAllocator.Requirements(
-                        new FlowKey(1, new PartnerId(organisation)),
+                        "model",
+                        claim(QueueTier.IN_TIME, new FlowKey(1, new PartnerId(organisation)), 1000),
                         PROMPT,
                         MAX_TOKENS,
-                        0,
-                        MEMORY,
+                        new EngineRoom.ForMargin(0, MEMORY),
                         2000,
                         1000,
-                        QueueTier.IN_TIME,
                         () -> List.of(mFirst)),
                 new ReservationAllocator.Listener() {
                     @Override
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -19,6 +19,7 @@
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualClock;
 import org.troutpier.daemon.organisation.UsageReport;
+import org.troutpier.daemon.waiting.WaitingReport;
 
 /** Tests the choice of upstreams by load, and their ejection. */
 public final class UpstreamLoadsTest {
@@ -64,6 +65,8 @@
                         Map.of(mNear.incarnation(), UpstreamUsage.of(5, 0)),
                         Map.of(),
                         UsageReport.NONE,
+                        Map.of(),
+                        WaitingReport.NONE,
                         Map.of());
         mPeers.update(
                 new Incarnation("peer~1"),
@@ -141,6 +144,8 @@
                         Map.of(),
                         Map.of(),
                         UsageReport.NONE,
+                        Map.of(),
+                        WaitingReport.NONE,
                         Map.of());
         mPeers.update(
                 new Incarnation("peer~1"),
