--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/DistributedLimitTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/DistributedLimitTest.java
@@ -133,6 +133,13 @@
         return flood;
     }
 
+    /** A sequence of faults during a flood that reached 1.040 of the bound. */
+    @Test
+    public void aLargeFloodOverSixtyRoutersStaysUnderTheBound() {
+        Workload flood = simulateFlood(3483311064977391828L, Strategy.TOLD, 60, -1, LARGE_RATE);
+        assertTrue(flood.mMaxBoundRatio <= 1, summary("flood", flood));
+    }
+
     /** Measures how much of the bound each fault takes. */
     @Test(groups = "measurement")
     public void compareFaults() {
