Forecast of a wait by what is served before it, and return times over all routers

Late requests that waited had new ones refused at once, so a burst of five seconds beyond the engines' memory was refused again for as long as it had lasted.

With load.orderedForecast, ServedBefore counts only what is served before a claim (tier, urgency, latest start, other organisations by their turns), and RoomForecast the whole prompts for which engines have room. A late request is refused at once only if it could not start even without further arrivals. ReturnSchedule gives return times by the memory that arrivals in time leave, after what all routers told to return; without reports RetryPacer does, as before. Demand has the current rate of prompts besides.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/Demand.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/Demand.java
@@ -14,6 +14,8 @@
  * @param outputTokens output tokens of completed runs
  * @param runs completed runs
  * @param reading samples of prefill time
+ * @param recentPromptTokens prompt tokens like {@code promptTokens}, decaying within {@link
+ *     #RECENT_MILLIS}; 0 from routers that do not report them
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record Demand(
@@ -23,10 +25,11 @@
         double runMillis,
         double outputTokens,
         double runs,
-        PrefillLatencyModel reading) {
+        PrefillLatencyModel reading,
+        double recentPromptTokens) {
 
     /** No demand. */
-    public static final Demand NONE = new Demand(0, 0, 0, 0, 0, 0, PrefillLatencyModel.NONE);
+    public static final Demand NONE = new Demand(0, 0, 0, 0, 0, 0, PrefillLatencyModel.NONE, 0);
 
     /**
      * Time in which a sum decays to 1/e, milliseconds: the length of two bursts, so that one burst
@@ -34,11 +37,17 @@
      */
     public static final double DECAY_MILLIS = 10_000;
 
+    /**
+     * Time in which the sum of recent prompts decays to 1/e, milliseconds: a third of a burst, so
+     * that its end shows while those that were refused in it are still to return.
+     */
+    public static final double RECENT_MILLIS = 1500;
+
     /** Number of completed runs from which means are used. */
     private static final double MIN_RUNS = 5;
 
     static Demand ofRequest(double promptTokens) {
-        return new Demand(promptTokens, 1, 0, 0, 0, 0, PrefillLatencyModel.NONE);
+        return new Demand(promptTokens, 1, 0, 0, 0, 0, PrefillLatencyModel.NONE, promptTokens);
     }
 
     /**
@@ -54,11 +63,12 @@
                 run.millis(),
                 run.outputTokens(),
                 1,
-                PrefillLatencyModel.NONE);
+                PrefillLatencyModel.NONE,
+                0);
     }
 
     static Demand ofPrefill(PrefillLatencyModel prefill) {
-        return new Demand(0, 0, 0, 0, 0, 0, prefill);
+        return new Demand(0, 0, 0, 0, 0, 0, prefill, 0);
     }
 
     /** Returns the sum of this demand and another. */
@@ -70,7 +80,8 @@
                 runMillis + other.runMillis,
                 outputTokens + other.outputTokens,
                 runs + other.runs,
-                reading.plus(other.reading));
+                reading.plus(other.reading),
+                recentPromptTokens + other.recentPromptTokens);
     }
 
     /**
@@ -87,7 +98,8 @@
                 runMillis * factor,
                 outputTokens * factor,
                 runs * factor,
-                reading.scaled(factor));
+                reading.scaled(factor),
+                recentPromptTokens * Math.exp(-millis / RECENT_MILLIS));
     }
 
     /** Returns whether enough runs were completed for their means to be used. */
@@ -100,6 +112,20 @@
         return requests / DECAY_MILLIS;
     }
 
+    /** Returns the current rate of prompts, in tokens per millisecond. */
+    public double recentPromptTokensPerMilli() {
+        return recentPromptTokens / RECENT_MILLIS;
+    }
+
+    /**
+     * Returns the rate of prompts that is likely to last, in tokens per millisecond: the lower one
+     * of the current rate and that over the last seconds, so that neither the beginning of a burst
+     * nor its end is taken for lasting.
+     */
+    public double sustainedPromptTokensPerMilli() {
+        return Math.min(promptTokens / DECAY_MILLIS, recentPromptTokensPerMilli());
+    }
+
     /**
      * Returns the mean length of a prompt.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -11,6 +11,7 @@
 import org.troutpier.daemon.serving.TrafficLoop;
 import org.troutpier.daemon.serving.UpstreamLoads;
 import org.troutpier.daemon.serving.UpstreamRates;
+import org.troutpier.daemon.waiting.ReturnSchedule;
 import org.troutpier.daemon.waiting.WaitingReport;
 
 /**
@@ -28,6 +29,8 @@
 
     private final ReservationAllocator mReservations;
 
+    private final ReturnSchedule mReturns;
+
     private final DemandMeter mDemand;
 
     private final OrganisationLimiter mOrganisations;
@@ -51,6 +54,7 @@
      *
      * @param loads the usage of upstreams by this router
      * @param reservations requests that wait for reservations
+     * @param returns the return times given to refused requests
      * @param demand the demand at this router
      * @param organisations the usage by organisations at this router
      * @param rates the rates that upstreams announce
@@ -62,6 +66,7 @@
             TrafficLoop loop,
             UpstreamLoads loads,
             ReservationAllocator reservations,
+            ReturnSchedule returns,
             DemandMeter demand,
             OrganisationLimiter organisations,
             UpstreamRates rates,
@@ -72,6 +77,7 @@
         mLoop = loop;
         mLoads = loads;
         mReservations = reservations;
+        mReturns = returns;
         mDemand = demand;
         mOrganisations = organisations;
         mRates = rates;
@@ -137,7 +143,7 @@
                         mDemand.publish(mLoop.millis()),
                         mOrganisations.report(),
                         mRates.report(),
-                        WaitingReport.NONE,
+                        WaitingReport.NONE.withReturning(mReturns.returningCost(mLoop.millis())),
                         Map.of());
         mControl.execute(() -> mExchange.publishLoad(report));
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
@@ -3,13 +3,18 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.troutpier.daemon.cluster.Demand;
+import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.decision.MemoryWaitForecast;
 import org.troutpier.daemon.decision.QueueTier;
+import org.troutpier.daemon.decision.RoomForecast;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.growth.EngineRoom;
 import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.waiting.Claim;
+import org.troutpier.daemon.waiting.ReturnSchedule;
+import org.troutpier.daemon.waiting.ServedBefore;
 
 /**
  * The decode engine of one request: the search for an engine with room, the slot and memory
@@ -94,15 +99,10 @@
                         .search(
                                 new ReservationAllocator.Requirements(
                                         mService,
-                                        new Claim(
-                                                tier,
-                                                mFlowKey,
-                                                mSearchStart + waitMillis,
-                                                mInitialTokens),
+                                        claim(tier, waitMillis, mInitialTokens),
                                         mInitialTokens,
                                         Math.max(mMaxTokens, mInitialTokens),
-                                        new EngineRoom.ForMargin(
-                                                growthMarginTokens(), mTraits.memoryTokens()),
+                                        engineRoom(),
                                         mTraits.reservationMillis(),
                                         waitMillis,
                                         engines),
@@ -113,9 +113,15 @@
      * Predicts how long it takes until an engine has room.
      *
      * @param engines the decode engines of the service
+     * @param tier the queue tier of the request
+     * @param waitMillis how long the request may wait
      * @return milliseconds; 0 where nothing is known
      */
-    double predictedWaitMillis(List<UpstreamEntry> engines) {
+    double predictedWaitMillis(List<UpstreamEntry> engines, QueueTier tier, long waitMillis) {
+        if (mContext.load().orderedForecast()) {
+            return roomForecast(engines, claim(tier, waitMillis, mPromptTokens))
+                    .waitMillis(mPromptTokens);
+        }
         UpstreamLoads loads = mContext.loads();
         long used = engines.stream().mapToLong(loads::tokens).sum();
         long waiting =
@@ -130,6 +136,69 @@
         return forecast.waitMillis(mPromptTokens);
     }
 
+    /**
+     * Determines when the caller should retry after a refusal.
+     *
+     * @param engines the decode engines of the service
+     * @param limitMillis the maximum delay, milliseconds
+     * @return the delay in milliseconds
+     */
+    long retryDelayMillis(List<UpstreamEntry> engines, long limitMillis) {
+        long now = mContext.loop().millis();
+        if (!mContext.load().orderedForecast() || !mContext.loads().hasPeerReports()) {
+            return mContext.retryPacer().nextDelayMillis(now, limitMillis);
+        }
+        Claim claim = claim(QueueTier.LATE, limitMillis, mPromptTokens);
+        RoomForecast forecast = roomForecast(engines, claim);
+        if (forecast.freedPerMilli() <= 0) {
+            return mContext.retryPacer().nextDelayMillis(now, limitMillis);
+        }
+        double arrivingPerMilli = mContext.demandFor(mService).recentPromptTokensPerMilli();
+        ReturnSchedule.Outlook outlook =
+                new ReturnSchedule.Outlook(
+                        forecast.leftPerMilli(),
+                        arrivingPerMilli >= forecast.freedPerMilli(),
+                        forecast.lackingTokens(),
+                        mContext.peerLoads().waiting().returning());
+        return mContext.returnSchedule().assignDelayMillis(claim, outlook, now, limitMillis);
+    }
+
+    /** Forecasts the room at the engines for a claim. */
+    private RoomForecast roomForecast(List<UpstreamEntry> engines, Claim claim) {
+        EngineRoom room = engineRoom();
+        long required = claim.tier() == QueueTier.IN_TIME ? mPromptTokens : 2 * mPromptTokens;
+        long usedTokens = 0;
+        long roomTokens = 0;
+        for (UpstreamEntry engine : engines) {
+            long tokens = mContext.loads().tokens(engine);
+            usedTokens += tokens;
+            int freeSlots = engine.slots() - mContext.loads().calls(engine);
+            for (int run = 0; run < freeSlots && room.holds(engine, tokens, required); run++) {
+                tokens += mPromptTokens;
+                roomTokens += mPromptTokens;
+            }
+        }
+        ServedBefore servedBefore = new ServedBefore(claim, mContext.loop().millis());
+        mContext.reservations().addWaiting(mService, servedBefore);
+        PeerLoads peers = mContext.peerLoads();
+        servedBefore.add(peers.waiting(), mService, peers.waitingTokens());
+        Demand demand = mContext.demandFor(mService);
+        double runMillis = demand.meanRunMillis();
+        return new RoomForecast(
+                roomTokens,
+                servedBefore.cost(),
+                runMillis > 0 ? usedTokens / runMillis : 0,
+                demand.sustainedPromptTokensPerMilli());
+    }
+
+    private Claim claim(QueueTier tier, long waitMillis, long tokens) {
+        return new Claim(tier, mFlowKey, mContext.loop().millis() + waitMillis, tokens);
+    }
+
+    private EngineRoom engineRoom() {
+        return new EngineRoom.ForMargin(growthMarginTokens(), mTraits.memoryTokens());
+    }
+
     /** Returns how much of an engine's memory stays free for the growth of running requests. */
     private double growthMarginTokens() {
         return mContext.growthMargin()
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReservationAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReservationAllocator.java
@@ -16,6 +16,7 @@
 import org.troutpier.daemon.notice.UpstreamNotice;
 import org.troutpier.daemon.upstream.AttemptEnd;
 import org.troutpier.daemon.waiting.Claim;
+import org.troutpier.daemon.waiting.ServedBefore;
 import org.troutpier.daemon.waiting.WaitingQueue;
 
 /**
@@ -140,6 +141,16 @@
         return tokens[0];
     }
 
+    /** Adds the searches that wait for engines of a service to what is served before a claim. */
+    void addWaiting(String service, ServedBefore servedBefore) {
+        mWaiting.addTo(
+                servedBefore,
+                search ->
+                        search.mRequirements.service().equals(service)
+                                ? search.mRequirements.claim()
+                                : null);
+    }
+
     /**
      * Lets a search wait for the next round. The time until then is random, so that repeated
      * requests to the engines are spread.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -10,6 +10,7 @@
 import org.troutpier.daemon.decision.RetryPacer;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.organisation.OrganisationLimiter;
+import org.troutpier.daemon.waiting.ReturnSchedule;
 
 /**
  * The shared collaborators of all executions. Immutable; confined to the traffic loop, as are the
@@ -26,6 +27,7 @@
  * @param recentRefusals the requests that were refused recently
  * @param crashGuard withholds requests that have crashed several upstreams
  * @param retryPacer determines when refused callers should retry
+ * @param returnSchedule the return times given to refused callers, in view of all routers
  * @param growthMargin how much memory stays free for the growth of running requests
  * @param prefillExcess by how much prefills take longer than predicted
  * @param firstEventDelay how long runs take to their first event
@@ -49,6 +51,7 @@
         RecentRefusals recentRefusals,
         CrashGuard crashGuard,
         RetryPacer retryPacer,
+        ReturnSchedule returnSchedule,
         GrowthMargin growthMargin,
         LatencyEstimator prefillExcess,
         LatencyEstimator firstEventDelay,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
@@ -2,8 +2,10 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import java.util.Locale;
 import java.util.Set;
 import org.troutpier.common.id.UpstreamId;
+import org.troutpier.daemon.decision.QueueTier;
 
 /**
  * Metrics of requests by outcome, route, stage and upstream. Thread safe. Invariant: metrics of
@@ -125,6 +127,21 @@
         }
     }
 
+    /** Counts a request that is refused at once because its predicted wait is too long. */
+    void refusedAtOnce(QueueTier tier) {
+        mMetrics.counter("refused.at.once." + tier.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
+    /**
+     * Records when a refused caller should retry.
+     *
+     * @param again whether the request had been refused before
+     */
+    void recordRetryDelay(boolean again, long millis) {
+        mMetrics.counter(again ? "refused.again" : "refused.first").inc();
+        mMetrics.histogram("retry.delay.millis").update(millis);
+    }
+
     /** Removes the metrics of upstreams that are no longer listed. */
     public void retain(Set<UpstreamId> listed) {
         mMetrics.removeMatching(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -113,8 +113,12 @@
             return;
         }
         mPredictedWaitMillis =
-                mReservation.predictedWaitMillis(upstreams(UpstreamEntry.Role.DECODE));
+                mReservation.predictedWaitMillis(
+                        upstreams(UpstreamEntry.Role.DECODE),
+                        budget.tier(),
+                        budget.waitMillis(prediction));
         if (budget.isExceededBy(mPredictedWaitMillis, prediction)) {
+            mContext.metrics().refusedAtOnce(budget.tier());
             mTrace.addStep("predicted wait for memory " + (long) mPredictedWaitMillis + "ms");
             failWithoutRun(ResultCode.NO_PLACE, "no place in time");
             return;
@@ -333,7 +337,9 @@
                     .ifPresent(prompt -> mContext.recentRefusals().recordRefusal(prompt, now));
             long limit = (long) (remainingMillis() * ServingSettings.MAX_RETRY_AFTER_RATIO);
             long backOff = mContext.admission().backOffMillis(untriedEngines());
-            refuse(code, detail, backOff + mContext.retryPacer().nextDelayMillis(now, limit));
+            long delay = mReservation.retryDelayMillis(upstreams(UpstreamEntry.Role.DECODE), limit);
+            mContext.metrics().recordRetryDelay(mReturning, delay);
+            refuse(code, detail, backOff + delay);
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingQueue.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingQueue.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.troutpier.daemon.admission.FairQueue;
 import org.troutpier.daemon.decision.QueueTier;
 
@@ -65,6 +66,21 @@
         mLevels.values().forEach(queue -> queue.forEach(action));
     }
 
+    /**
+     * Adds the items to a sum of what is served before a claim.
+     *
+     * @param claims returns the claim of an item, or null if the item waits for other capacity
+     */
+    public void addTo(ServedBefore servedBefore, Function<T, Claim> claims) {
+        forEach(
+                item -> {
+                    Claim claim = claims.apply(item);
+                    if (claim != null) {
+                        servedBefore.add(claim);
+                    }
+                });
+    }
+
     /** Returns the number of items. */
     public int size() {
         return mLevels.values().stream().mapToInt(FairQueue::size).sum();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingReport.java
@@ -79,6 +79,15 @@
         }
     }
 
+    /**
+     * Returns this report with another amount that is to return.
+     *
+     * @param tokens what refused requests need that were told to return and have not yet, tokens
+     */
+    public WaitingReport withReturning(double tokens) {
+        return tokens == returning ? this : new WaitingReport(entries, granted, tokens);
+    }
+
     /** Returns the sum of this report and others. */
     public WaitingReport plus(Iterable<WaitingReport> others) {
         Map<Key, Entry> allEntries = new HashMap<>();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -39,6 +39,7 @@
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.upstream.AttemptEnd;
+import org.troutpier.daemon.waiting.ReturnSchedule;
 
 /** Executions whose upstreams fail, leave, restart or refuse work. */
 public final class ExecutionTest {
@@ -96,6 +97,7 @@
                         new RecentRefusals(),
                         new CrashGuard(mTime.loop(), port, mDirectory, mQuarantine, metrics),
                         new RetryPacer(random),
+                        new ReturnSchedule(random),
                         new GrowthMargin(),
                         LatencyEstimator.forPrefillExcess(),
                         LatencyEstimator.forFirstEvent(),
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/OrderedForecastTest.java
@@ -0,0 +1,176 @@
+package org.troutpier.daemon.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.common.id.PartnerId;
+import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.cluster.Demand;
+import org.troutpier.daemon.cluster.DemandMeter;
+import org.troutpier.daemon.cluster.LoadReport;
+import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.cluster.PrefillLatencyModel;
+import org.troutpier.daemon.cluster.ReportScope;
+import org.troutpier.daemon.cluster.UpstreamUsage;
+import org.troutpier.daemon.decision.GrowthMargin;
+import org.troutpier.daemon.decision.QueueTier;
+import org.troutpier.daemon.decision.RetryPacer;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.limit.FlowKey;
+import org.troutpier.daemon.node.ManualClock;
+import org.troutpier.daemon.organisation.UsageReport;
+import org.troutpier.daemon.route.EngineTraits;
+import org.troutpier.daemon.waiting.ReturnSchedule;
+import org.troutpier.daemon.waiting.WaitingReport;
+
+/** The forecast of a request's wait, and its return time, from the reports of other routers. */
+public final class OrderedForecastTest {
+
+    private static final LoadSettings ORDERED = new LoadSettings(false, true, false, false, false);
+    private static final FlowKey FLOW = new FlowKey(1, FlowKey.NO_ORGANISATION);
+    private static final long WAIT = 700;
+    private static final long PROMPT = 5000;
+    private static final long LIMIT = 4500;
+
+    private final UpstreamEntry mEngine = TestUpstreams.decode("engine");
+    private ManualClock mTime;
+    private PeerLoads mPeers;
+    private ReturnSchedule mReturns;
+
+    @BeforeMethod
+    void setUp() {
+        mTime = new ManualClock();
+        mPeers = new PeerLoads();
+        mReturns = new ReturnSchedule(new Random(1));
+    }
+
+    private DecodeReservation reservation(LoadSettings settings) {
+        Random random = new Random(1);
+        MetricRegistry metrics = new MetricRegistry();
+        UpstreamLoads loads = new UpstreamLoads(mTime.loop(), random, TestUpstreams.HALL, mPeers);
+        UpstreamAdmission admission =
+                new UpstreamAdmission(
+                        loads,
+                        new UpstreamRates(
+                                mTime.loop(), mTime::millis, random, mPeers, () -> 1, metrics),
+                        new UpstreamNotices(mTime.loop(), random, metrics),
+                        random);
+        ServingContext context =
+                new ServingContext(
+                        mTime.loop(),
+                        new FakePort(),
+                        null,
+                        loads,
+                        admission,
+                        null,
+                        new ReservationAllocator(
+                                mTime.loop(),
+                                new FakePort(),
+                                loads,
+                                admission,
+                                Runnable::run,
+                                random),
+                        null,
+                        null,
+                        null,
+                        new RetryPacer(random),
+                        mReturns,
+                        new GrowthMargin(),
+                        null,
+                        null,
+                        mPeers,
+                        Runnable::run,
+                        new DemandMeter(),
+                        new ServingMetrics(metrics),
+                        null,
+                        settings,
+                        random);
+        EngineTraits traits = new EngineTraits(10, 70_000, 60, 2000, 2000, 500);
+        return new DecodeReservation(context, "service", traits, FLOW, PROMPT, PROMPT + 8000);
+    }
+
+    /** Reports a full engine and late requests that wait at another router. */
+    private void reportLateRequests(double promptsPerMilli, double returning) {
+        Demand demand =
+                new Demand(
+                        promptsPerMilli * Demand.DECAY_MILLIS,
+                        10,
+                        7000 * 4000 * 10,
+                        4000 * 10,
+                        4000 * 10,
+                        10,
+                        PrefillLatencyModel.NONE,
+                        promptsPerMilli * Demand.RECENT_MILLIS);
+        PartnerId none = FlowKey.NO_ORGANISATION;
+        WaitingReport waiting =
+                new WaitingReport(
+                        List.of(
+                                new WaitingReport.Entry(
+                                        "service", QueueTier.LATE, 1, none, 40_000, -500)),
+                        Map.of(),
+                        returning);
+        Map<UpstreamIncarnation, UpstreamUsage> uses =
+                Map.of(mEngine.incarnation(), UpstreamUsage.of(7, 60_000));
+        LoadReport report =
+                new LoadReport(
+                        1,
+                        1,
+                        false,
+                        40_000,
+                        Set.of(),
+                        Set.of(),
+                        uses,
+                        Map.of("service", demand),
+                        UsageReport.NONE,
+                        Map.of(),
+                        waiting,
+                        Map.of());
+        mPeers.update(
+                new Incarnation("peer~1"),
+                TestUpstreams.HALL,
+                ReportScope.OWN,
+                report,
+                mTime.millis());
+        mPeers.aggregate(mTime.millis());
+    }
+
+    private double predictedWait(LoadSettings settings, QueueTier tier) {
+        return reservation(settings).predictedWaitMillis(List.of(mEngine), tier, WAIT);
+    }
+
+    @Test
+    public void lateRequestsElsewhereDoNotDelayOneInTime() {
+        reportLateRequests(5, 0);
+        assertTrue(predictedWait(LoadSettings.DEFAULT, QueueTier.IN_TIME) > WAIT);
+        assertEquals(predictedWait(ORDERED, QueueTier.IN_TIME), PROMPT / 15.0, 1);
+        assertEquals(predictedWait(ORDERED, QueueTier.LATE), (40_000 + PROMPT) / 15.0, 1);
+    }
+
+    @Test
+    public void returnTimeCountsReturnsAtOtherRouters() {
+        reportLateRequests(5, 0);
+        long first = reservation(ORDERED).retryDelayMillis(List.of(mEngine), 60_000);
+        assertEquals(mReturns.returningCost(mTime.millis()), (double) PROMPT);
+        mReturns = new ReturnSchedule(new Random(1));
+        reportLateRequests(5, 100_000);
+        long second = reservation(ORDERED).retryDelayMillis(List.of(mEngine), 60_000);
+        assertEquals(second - first, 100_000 / 10, 1000);
+    }
+
+    @Test
+    public void withoutReportsOrTheSettingReturnsArePacedByOwnGrants() {
+        long alone = reservation(ORDERED).retryDelayMillis(List.of(mEngine), LIMIT);
+        assertTrue(alone > LIMIT * 0.64 && alone <= LIMIT, "delay " + alone);
+        reportLateRequests(5, 0);
+        reservation(LoadSettings.DEFAULT).retryDelayMillis(List.of(mEngine), LIMIT);
+        assertEquals(mReturns.returningCost(mTime.millis()), 0.0);
+    }
+}
