--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -10,6 +10,7 @@
 import org.troutpier.daemon.decision.RetryPacer;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.organisation.OrganisationLimiter;
+import org.troutpier.daemon.waiting.ReturnSchedule;
 
 /**
  * The shared collaborators of all executions. Immutable; confined to the traffic loop, as are the
@@ -26,6 +27,7 @@
  * @param recentRefusals the requests that were refused recently
  * @param crashGuard withholds requests that have crashed several upstreams
  * @param retryPacer determines when refused callers should retry
+ * @param returnSchedule the return times given to refused callers, in view of all routers
  * @param growthMargin how much memory stays free for the growth of running requests
  * @param prefillExcess by how much prefills take longer than predicted
  * @param firstEventDelay how long runs take to their first event
@@ -34,6 +36,7 @@
  * @param demandMeter measures the demand for model services
  * @param metrics the metrics of requests
  * @param decisionLog logs decisions about requests
+ * @param load which decisions under load are made over all routers
  * @param random selects among weighted services
  */
 public record ServingContext(
@@ -48,6 +51,7 @@
         RecentRefusals recentRefusals,
         CrashGuard crashGuard,
         RetryPacer retryPacer,
+        ReturnSchedule returnSchedule,
         GrowthMargin growthMargin,
         LatencyEstimator prefillExcess,
         LatencyEstimator firstEventDelay,
@@ -56,6 +60,7 @@
         DemandMeter demandMeter,
         ServingMetrics metrics,
         DecisionLog decisionLog,
+        LoadSettings load,
         RandomGenerator random) {
 
     /** Returns the demand for a service, as measured by all routers. */
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -39,6 +39,7 @@
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.upstream.AttemptEnd;
+import org.troutpier.daemon.waiting.ReturnSchedule;
 
 /** Executions whose upstreams fail, leave, restart or refuse work. */
 public final class ExecutionTest {
@@ -66,14 +67,7 @@
         PeerLoads peers = new PeerLoads();
         mRequester = new Requester.Unchecked();
         mDeferredDecisions = null;
-        LoadView view =
-                decision -> {
-                    if (mDeferredDecisions == null) {
-                        decision.run();
-                    } else {
-                        mDeferredDecisions.add(decision);
-                    }
-                };
+        LoadView view = this::decideOrDefer;
         Random random = new Random(1);
         UpstreamLoads loads = new UpstreamLoads(mTime.loop(), random, TestUpstreams.HALL, peers);
         MetricRegistry metrics = new MetricRegistry();
@@ -103,6 +97,7 @@
                         new RecentRefusals(),
                         new CrashGuard(mTime.loop(), port, mDirectory, mQuarantine, metrics),
                         new RetryPacer(random),
+                        new ReturnSchedule(random),
                         new GrowthMargin(),
                         LatencyEstimator.forPrefillExcess(),
                         LatencyEstimator.forFirstEvent(),
@@ -114,9 +109,18 @@
                                 new MetricRegistry(),
                                 new EventRing("router", 16, new HybridClock()),
                                 mTime.loop()),
+                        LoadSettings.DEFAULT,
                         random);
     }
 
+    private void decideOrDefer(Runnable decision) {
+        if (mDeferredDecisions == null) {
+            decision.run();
+        } else {
+            mDeferredDecisions.add(decision);
+        }
+    }
+
     private static Route route(Route.Kind kind, int attempts) {
         return new Route(
                 "r",
