Room for growth from the runs of each engine

A fixed fifth of an engine's memory stays free, whatever runs there: too little if all runs have just begun or there are many, too much if some are about to end or there are few.

With load.growthForecast, GrowthForecast admits a run if the memory is unlikely to run out before enough of the runs have ended. Own runs count with their progress, those of other routers with number, memory and a correction that UpstreamUsage reports (rounded to 500 tokens; older routers count as 0). The distribution of outputs is measured over all routers (OutputSums in Demand), and the caller's Length-Hint counts as far as earlier ones were right. Pauses lower the accepted chance as they raised the margin.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/Demand.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/Demand.java
@@ -1,6 +1,7 @@
 package org.troutpier.daemon.cluster;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
+import org.troutpier.daemon.growth.OutputSample;
 
 /**
  * The recent demand for a model service, as exponentially decaying sums that can be added over
@@ -16,6 +17,7 @@
  * @param reading samples of prefill time
  * @param recentPromptTokens prompt tokens like {@code promptTokens}, decaying within {@link
  *     #RECENT_MILLIS}; 0 from routers that do not report them
+ * @param outputs the spread of outputs; null where nothing is recorded of it
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record Demand(
@@ -26,10 +28,12 @@
         double outputTokens,
         double runs,
         PrefillLatencyModel reading,
-        double recentPromptTokens) {
+        double recentPromptTokens,
+        OutputSums outputs) {
 
     /** No demand. */
-    public static final Demand NONE = new Demand(0, 0, 0, 0, 0, 0, PrefillLatencyModel.NONE, 0);
+    public static final Demand NONE =
+            new Demand(0, 0, 0, 0, 0, 0, PrefillLatencyModel.NONE, 0, null);
 
     /**
      * Time in which a sum decays to 1/e, milliseconds: the length of two bursts, so that one burst
@@ -47,7 +51,8 @@
     private static final double MIN_RUNS = 5;
 
     static Demand ofRequest(double promptTokens) {
-        return new Demand(promptTokens, 1, 0, 0, 0, 0, PrefillLatencyModel.NONE, promptTokens);
+        return new Demand(
+                promptTokens, 1, 0, 0, 0, 0, PrefillLatencyModel.NONE, promptTokens, null);
     }
 
     /**
@@ -64,11 +69,16 @@
                 run.outputTokens(),
                 1,
                 PrefillLatencyModel.NONE,
-                0);
+                0,
+                null);
     }
 
     static Demand ofPrefill(PrefillLatencyModel prefill) {
-        return new Demand(0, 0, 0, 0, 0, 0, prefill, 0);
+        return new Demand(0, 0, 0, 0, 0, 0, prefill, 0, null);
+    }
+
+    static Demand ofOutput(OutputSums outputs) {
+        return new Demand(0, 0, 0, 0, 0, 0, PrefillLatencyModel.NONE, 0, outputs);
     }
 
     /** Returns the sum of this demand and another. */
@@ -81,7 +91,8 @@
                 outputTokens + other.outputTokens,
                 runs + other.runs,
                 reading.plus(other.reading),
-                recentPromptTokens + other.recentPromptTokens);
+                recentPromptTokens + other.recentPromptTokens,
+                OutputSums.sum(outputs, other.outputs));
     }
 
     /**
@@ -99,7 +110,8 @@
                 outputTokens * factor,
                 runs * factor,
                 reading.scaled(factor),
-                recentPromptTokens * Math.exp(-millis / RECENT_MILLIS));
+                recentPromptTokens * Math.exp(-millis / RECENT_MILLIS),
+                outputs == null ? null : outputs.scaled(factor));
     }
 
     /** Returns whether enough runs were completed for their means to be used. */
@@ -153,6 +165,19 @@
         return runs > 0 ? runMillis / runs : 0;
     }
 
+    /** Returns the means over the completed runs whose output was recorded. */
+    public OutputSample outputSample() {
+        if (outputs == null || outputs.runs() <= 0) {
+            return OutputSample.NONE;
+        }
+        return new OutputSample(
+                outputs.runs(),
+                outputs.tokens() / outputs.runs(),
+                outputs.squares() / outputs.runs(),
+                outputs.hintedRuns(),
+                outputs.hintedRuns() > 0 ? outputs.hintErrors() / outputs.hintedRuns() : 0);
+    }
+
     /**
      * Returns the mean output of a run.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/DemandMeter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/DemandMeter.java
@@ -48,6 +48,17 @@
         add(service, Demand.ofRun(run), now);
     }
 
+    /**
+     * Records the output of a completed run.
+     *
+     * @param outputTokens the output, tokens
+     * @param hintTokens the caller's guess, tokens; 0 if there is none
+     * @param now the monotonic clock, milliseconds
+     */
+    public void recordOutput(String service, long outputTokens, long hintTokens, long now) {
+        add(service, Demand.ofOutput(OutputSums.of(outputTokens, hintTokens)), now);
+    }
+
     /**
      * Records a prefill that did not wait behind other prompts.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/UpstreamUsage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/UpstreamUsage.java
@@ -10,12 +10,15 @@
  * @param tokens the tokens of these calls; 0 for plain calls
  * @param failed recent calls that failed
  * @param succeeded recent calls that succeeded
+ * @param restCorrection by how much these calls' expected output exceeds that of usual ones,
+ *     tokens; see {@link org.troutpier.daemon.growth.ActiveRuns#restCorrection}
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record UpstreamUsage(int calls, long tokens, int failed, int succeeded) {
+public record UpstreamUsage(
+        int calls, long tokens, int failed, int succeeded, long restCorrection) {
 
     /** No usage. */
-    public static final UpstreamUsage NONE = new UpstreamUsage(0, 0, 0, 0);
+    public static final UpstreamUsage NONE = new UpstreamUsage(0, 0, 0, 0, 0);
 
     /**
      * Returns the usage of an upstream none of whose calls has ended recently.
@@ -24,7 +27,7 @@
      * @param tokens the tokens of these calls
      */
     public static UpstreamUsage of(int calls, long tokens) {
-        return new UpstreamUsage(calls, tokens, 0, 0);
+        return new UpstreamUsage(calls, tokens, 0, 0, 0);
     }
 
     /** Returns the sum of this usage and another. */
@@ -33,6 +36,7 @@
                 calls + other.calls,
                 tokens + other.tokens,
                 failed + other.failed,
-                succeeded + other.succeeded);
+                succeeded + other.succeeded,
+                restCorrection + other.restCorrection);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/GrowthMargin.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/GrowthMargin.java
@@ -84,6 +84,14 @@
         mMeanOutputs = Math.max(MIN_OUTPUTS, mMeanOutputs - REFUSAL_DECREMENT);
     }
 
+    /**
+     * Returns by which factor preemption has to be rarer than at first, at least 1, because streams
+     * have paused.
+     */
+    public double caution() {
+        return Math.exp(Math.max(0, mMeanOutputs - INITIAL_OUTPUTS));
+    }
+
     /** Returns the margin in mean outputs. */
     public double meanOutputs() {
         return mMeanOutputs;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
@@ -5,11 +5,15 @@
 import java.util.function.Supplier;
 import org.troutpier.daemon.cluster.Demand;
 import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.cluster.ReportedRuns;
 import org.troutpier.daemon.decision.MemoryWaitForecast;
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.decision.RoomForecast;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.growth.ActiveRuns;
 import org.troutpier.daemon.growth.EngineRoom;
+import org.troutpier.daemon.growth.GrowthForecast;
+import org.troutpier.daemon.growth.OutputDistribution;
 import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.waiting.Claim;
@@ -36,6 +40,15 @@
     /** The prompt's length and the maximum output, in tokens. */
     private final long mMaxTokens;
 
+    /** The caller's guess of the output, in tokens; 0 if there is none. */
+    private final long mHintTokens;
+
+    /** The distribution of the output of any run of the service, or null. */
+    private OutputDistribution mUsualOutput;
+
+    /** The distribution of the request's output, or null. */
+    private OutputDistribution mOutput;
+
     /** What the run needs at its start, in tokens: the prompt and the output of earlier runs. */
     private long mInitialTokens;
 
@@ -60,6 +73,7 @@
      * @param service the service whose engines are searched
      * @param traits the capabilities of the engines
      * @param maxTokens the prompt's length and the maximum output
+     * @param hintTokens the caller's guess of the output; 0 if there is none
      */
     DecodeReservation(
             ServingContext context,
@@ -67,13 +81,15 @@
             EngineTraits traits,
             FlowKey flowKey,
             long promptTokens,
-            long maxTokens) {
+            long maxTokens,
+            long hintTokens) {
         mContext = context;
         mService = service;
         mTraits = traits;
         mFlowKey = flowKey;
         mPromptTokens = promptTokens;
         mMaxTokens = maxTokens;
+        mHintTokens = hintTokens;
     }
 
     /**
@@ -196,7 +212,47 @@
     }
 
     private EngineRoom engineRoom() {
-        return new EngineRoom.ForMargin(growthMarginTokens(), mTraits.memoryTokens());
+        if (!mContext.load().growthForecast()) {
+            return new EngineRoom.ForMargin(growthMarginTokens(), mTraits.memoryTokens());
+        }
+        return new GrowthForecast(
+                mContext.loads().activeRuns(),
+                new ReportedRuns(mContext.peerLoads()),
+                usualOutput(),
+                output(),
+                mTraits.memoryTokens(),
+                mContext.growthMargin().caution());
+    }
+
+    /** Returns the distribution of the output of any run of the service, as of the first call. */
+    private OutputDistribution usualOutput() {
+        if (mUsualOutput == null) {
+            mUsualOutput = outputDistribution(0);
+        }
+        return mUsualOutput;
+    }
+
+    /** Returns the distribution of the request's output, as of the first call. */
+    private OutputDistribution output() {
+        if (mOutput == null) {
+            mOutput = mHintTokens == 0 ? usualOutput() : outputDistribution(mHintTokens);
+        }
+        return mOutput;
+    }
+
+    private OutputDistribution outputDistribution(long hintTokens) {
+        return new OutputDistribution(
+                mContext.demandFor(mService).outputSample(),
+                mMaxTokens - mPromptTokens,
+                hintTokens);
+    }
+
+    /** Records the output of the request after its run was completed. */
+    void recordOutput(long outputTokens) {
+        if (mContext.load().growthForecast()) {
+            long now = mContext.loop().millis();
+            mContext.demandMeter().recordOutput(mService, outputTokens, mHintTokens, now);
+        }
     }
 
     /** Returns how much of an engine's memory stays free for the growth of running requests. */
@@ -230,7 +286,21 @@
         endSearch();
         mEngine = engine;
         mReservation = reservation;
-        mMemory = new EngineMemory(mContext.loads(), engine, mInitialTokens);
+        mMemory = new EngineMemory(mContext.loads(), engine, mInitialTokens, beginRun(engine));
+    }
+
+    private Optional<ActiveRuns.Run> beginRun(UpstreamEntry engine) {
+        if (!mContext.load().growthForecast()) {
+            return Optional.empty();
+        }
+        ActiveRuns runs = mContext.loads().activeRuns();
+        return Optional.of(
+                runs.begin(
+                        engine.incarnation(),
+                        output(),
+                        usualOutput().residualMean(),
+                        mPromptTokens,
+                        mInitialTokens - mPromptTokens));
     }
 
     /** Returns the engine of the reservation that was accepted last. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptMetadata.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptMetadata.java
@@ -9,10 +9,12 @@
  * @param model the requested model
  * @param promptTokens the prompt's length
  * @param outputTokens the maximum output
+ * @param hintTokens the caller's guess of the output; 0 if there is none
  * @param parts the parts of the prompt in order; the last one is specific to the request or its
  *     session
  */
-public record PromptMetadata(String model, int promptTokens, int outputTokens, List<Part> parts) {
+public record PromptMetadata(
+        String model, int promptTokens, int outputTokens, int hintTokens, List<Part> parts) {
 
     /**
      * A part of a prompt, which other prompts may share. Immutable and thread safe.
@@ -26,9 +28,15 @@
     public PromptMetadata {
         Check.range("promptTokens", promptTokens, 0, Integer.MAX_VALUE);
         Check.range("outputTokens", outputTokens, 0, Integer.MAX_VALUE);
+        Check.range("hintTokens", hintTokens, 0, Integer.MAX_VALUE);
         parts = List.copyOf(parts);
     }
 
+    /** Creates metadata without a guess of the output. */
+    public PromptMetadata(String model, int promptTokens, int outputTokens, List<Part> parts) {
+        this(model, promptTokens, outputTokens, 0, parts);
+    }
+
     /**
      * Returns the most memory that the request can take.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -79,7 +79,13 @@
         mRelay = new EventRelay(caller, request.lastEventId());
         mReservation =
                 new DecodeReservation(
-                        context, service, engineTraits, flowKey(), promptTokens(), maxTokens());
+                        context,
+                        service,
+                        engineTraits,
+                        flowKey(),
+                        promptTokens(),
+                        maxTokens(),
+                        hintTokens());
     }
 
     /** {@inheritDoc} */
@@ -227,6 +233,11 @@
         return mRequest.prompt().map(PromptMetadata::maxTokens).orElse(0L);
     }
 
+    /** Returns the caller's guess of the output, in tokens; 0 if there is none. */
+    private long hintTokens() {
+        return mRequest.prompt().map(PromptMetadata::hintTokens).orElse(0);
+    }
+
     private long promptTokens() {
         return mRequest.prompt().map(PromptMetadata::promptTokens).orElse(0);
     }
@@ -637,6 +648,7 @@
                             mService,
                             new DemandMeter.CompletedRun(promptTokens(), output, elapsedMillis()),
                             mContext.loop().millis());
+            mReservation.recordOutput(output);
             mTrace.addStep("events=" + mRelay.eventCount());
             mCaller.endStream();
             finishAnswered();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -19,6 +19,7 @@
 import org.troutpier.daemon.decision.FailureRate;
 import org.troutpier.daemon.decision.SlidingWindowSum;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.growth.ActiveRuns;
 
 /**
  * Tracks the calls and tokens that this router has in flight at each upstream, and ejects upstreams
@@ -84,6 +85,8 @@
 
     private static final Logger LOGGER = LogManager.getLogger(UpstreamLoads.class);
 
+    private final ActiveRuns mActiveRuns = new ActiveRuns();
+
     private final Map<UpstreamIncarnation, Load> mLoads = new HashMap<>();
 
     private final TrafficLoop mLoop;
@@ -306,6 +309,11 @@
         return load(upstream.incarnation()).mCalls;
     }
 
+    /** Returns the runs of this router of which the growth is forecast. */
+    ActiveRuns activeRuns() {
+        return mActiveRuns;
+    }
+
     /** Returns whether any other router reported recently, so that its usage is known. */
     public boolean hasPeerReports() {
         return mPeers.peerCount() > 0;
@@ -551,7 +559,10 @@
                     if (load.mCalls > 0 || unattributed > 0 || failed > 0) {
                         int succeeded = (int) Math.round(load.mRecentSuccesses.sum(now));
                         long tokens = load.mTokens + unattributed;
-                        usage.put(id, new UpstreamUsage(load.mCalls, tokens, failed, succeeded));
+                        long rest = mActiveRuns.restCorrection(id);
+                        usage.put(
+                                id,
+                                new UpstreamUsage(load.mCalls, tokens, failed, succeeded, rest));
                     }
                 });
         return usage;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/decision/RoleChangePolicyTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/decision/RoleChangePolicyTest.java
@@ -45,7 +45,8 @@
                         10,
                         10 * PREFILL_SPEED * PREFILL_SPEED,
                         10 * PREFILL_SPEED),
-                0);
+                0,
+                null);
     }
 
     private static Demand load(double perSecond) {
@@ -85,7 +86,7 @@
 
     @Test
     public void nothingChangesBeforeTheLoadIsMeasured() {
-        Demand asked = new Demand(6400, 2, 0, 0, 0, 0, PrefillLatencyModel.NONE, 0);
+        Demand asked = new Demand(6400, 2, 0, 0, 0, 0, PrefillLatencyModel.NONE, 0, null);
         assertEquals(evaluateFor(pool(3, 3), asked, 10_000), Step.STAY);
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/OrderedForecastTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecodeReservationTest.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
@@ -31,10 +32,11 @@
 import org.troutpier.daemon.waiting.ReturnSchedule;
 import org.troutpier.daemon.waiting.WaitingReport;
 
-/** The forecast of a request's wait, and its return time, from the reports of other routers. */
-public final class OrderedForecastTest {
+/** The decisions on one request's memory, from the reports of other routers. */
+public final class DecodeReservationTest {
 
     private static final LoadSettings ORDERED = new LoadSettings(false, true, false, false, false);
+    private static final LoadSettings GROWTH = new LoadSettings(false, false, true, false, false);
     private static final FlowKey FLOW = new FlowKey(1, FlowKey.NO_ORGANISATION);
     private static final long WAIT = 700;
     private static final long PROMPT = 5000;
@@ -42,6 +44,7 @@
 
     private final UpstreamEntry mEngine = TestUpstreams.decode("engine");
     private ManualClock mTime;
+    private UpstreamLoads mLoads;
     private PeerLoads mPeers;
     private ReturnSchedule mReturns;
 
@@ -55,10 +58,10 @@
     private DecodeReservation reservation(LoadSettings settings) {
         Random random = new Random(1);
         MetricRegistry metrics = new MetricRegistry();
-        UpstreamLoads loads = new UpstreamLoads(mTime.loop(), random, TestUpstreams.HALL, mPeers);
+        mLoads = new UpstreamLoads(mTime.loop(), random, TestUpstreams.HALL, mPeers);
         UpstreamAdmission admission =
                 new UpstreamAdmission(
-                        loads,
+                        mLoads,
                         new UpstreamRates(
                                 mTime.loop(), mTime::millis, random, mPeers, () -> 1, metrics),
                         new UpstreamNotices(mTime.loop(), random, metrics),
@@ -68,13 +71,13 @@
                         mTime.loop(),
                         new FakePort(),
                         null,
-                        loads,
+                        mLoads,
                         admission,
                         null,
                         new ReservationAllocator(
                                 mTime.loop(),
                                 new FakePort(),
-                                loads,
+                                mLoads,
                                 admission,
                                 Runnable::run,
                                 random),
@@ -94,11 +97,20 @@
                         settings,
                         random);
         EngineTraits traits = new EngineTraits(10, 70_000, 60, 2000, 2000, 500);
-        return new DecodeReservation(context, "service", traits, FLOW, PROMPT, PROMPT + 8000);
+        return new DecodeReservation(context, "service", traits, FLOW, PROMPT, PROMPT + 8000, 0);
     }
 
     /** Reports a full engine and late requests that wait at another router. */
     private void reportLateRequests(double promptsPerMilli, double returning) {
+        report(promptsPerMilli, returning, UpstreamUsage.of(7, 60_000));
+    }
+
+    /** Reports what another router has at the engine. */
+    private void reportUsage(UpstreamUsage usage) {
+        report(5, 0, usage);
+    }
+
+    private void report(double promptsPerMilli, double returning, UpstreamUsage usage) {
         Demand demand =
                 new Demand(
                         promptsPerMilli * Demand.DECAY_MILLIS,
@@ -108,7 +120,8 @@
                         4000 * 10,
                         10,
                         PrefillLatencyModel.NONE,
-                        promptsPerMilli * Demand.RECENT_MILLIS);
+                        promptsPerMilli * Demand.RECENT_MILLIS,
+                        null);
         PartnerId none = FlowKey.NO_ORGANISATION;
         WaitingReport waiting =
                 new WaitingReport(
@@ -117,8 +130,7 @@
                                         "service", QueueTier.LATE, 1, none, 40_000, -500)),
                         Map.of(),
                         returning);
-        Map<UpstreamIncarnation, UpstreamUsage> uses =
-                Map.of(mEngine.incarnation(), UpstreamUsage.of(7, 60_000));
+        Map<UpstreamIncarnation, UpstreamUsage> uses = Map.of(mEngine.incarnation(), usage);
         LoadReport report =
                 new LoadReport(
                         1,
@@ -173,4 +185,46 @@
         reservation(LoadSettings.DEFAULT).retryDelayMillis(List.of(mEngine), LIMIT);
         assertEquals(mReturns.returningCost(mTime.millis()), 0.0);
     }
+
+    /** Starts a run and returns what is reported of it: at its start and after 100 events. */
+    private long[] reportedCorrections(LoadSettings settings) {
+        DecodeReservation reservation = reservation(settings);
+        mLoads.reserve(mEngine, PROMPT);
+        reservation.search(0, QueueTier.IN_TIME, 0, List::of, new IgnoringListener());
+        reservation.accept(mEngine, Optional.empty());
+        long atStart = mLoads.usage().get(mEngine.incarnation()).restCorrection();
+        reservation.recordEvents(100);
+        long later = mLoads.usage().get(mEngine.incarnation()).restCorrection();
+        reservation.release();
+        assertEquals(mLoads.activeRuns().restCorrection(mEngine.incarnation()), 0);
+        assertTrue(mLoads.usage().isEmpty());
+        return new long[] {atStart, later};
+    }
+
+    /** Ignores the outcome of a search. */
+    private static final class IgnoringListener implements ReservationAllocator.Listener {
+
+        @Override
+        public void onGranted(
+                UpstreamEntry engine, Optional<UpstreamPort.Reservation> reservation) {}
+
+        @Override
+        public void onRefused(String detail) {}
+    }
+
+    @Test
+    public void progressIsReportedWhereGrowthIsForecast() {
+        long[] corrections = reportedCorrections(GROWTH);
+        assertTrue(corrections[0] > 0 && corrections[1] < 0, corrections[0] + " " + corrections[1]);
+        assertEquals(reportedCorrections(LoadSettings.DEFAULT), new long[] {0, 0});
+    }
+
+    @Test
+    public void growthForecastDecidesTheRoomInTheForecastOfWaits() {
+        LoadSettings both = new LoadSettings(false, true, true, false, false);
+        reportLateRequests(5, 0);
+        assertTrue(predictedWait(both, QueueTier.IN_TIME) > 0);
+        reportUsage(UpstreamUsage.of(1, 7000));
+        assertEquals(predictedWait(both, QueueTier.IN_TIME), 0.0);
+    }
 }
