--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
@@ -179,8 +179,13 @@
         return mContext.returnSchedule().assignDelayMillis(claim, outlook, now, limitMillis);
     }
 
-    /** Forecasts the room at the engines for a claim. */
+    /** Forecasts the room at the engines for a claim; room beyond what it needs is not counted. */
     private RoomForecast roomForecast(List<UpstreamEntry> engines, Claim claim) {
+        ServedBefore servedBefore = new ServedBefore(claim, mContext.loop().millis());
+        mContext.reservations().addWaiting(mService, servedBefore);
+        PeerLoads peers = mContext.peerLoads();
+        servedBefore.add(peers.waiting(), mService, peers.waitingTokens());
+        double neededTokens = servedBefore.cost() + mPromptTokens;
         EngineRoom room = engineRoom();
         long required = claim.tier() == QueueTier.IN_TIME ? mPromptTokens : 2 * mPromptTokens;
         long usedTokens = 0;
@@ -189,15 +194,14 @@
             long tokens = mContext.loads().tokens(engine);
             usedTokens += tokens;
             int freeSlots = engine.slots() - mContext.loads().calls(engine);
-            for (int run = 0; run < freeSlots && room.holds(engine, tokens, required); run++) {
+            for (int run = 0; run < freeSlots && roomTokens < neededTokens; run++) {
+                if (!room.holds(engine, tokens, required)) {
+                    break;
+                }
                 tokens += mPromptTokens;
                 roomTokens += mPromptTokens;
             }
         }
-        ServedBefore servedBefore = new ServedBefore(claim, mContext.loop().millis());
-        mContext.reservations().addWaiting(mService, servedBefore);
-        PeerLoads peers = mContext.peerLoads();
-        servedBefore.add(peers.waiting(), mService, peers.waitingTokens());
         Demand demand = mContext.demandFor(mService);
         double runMillis = demand.meanRunMillis();
         return new RoomForecast(
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/decision/GrowthMarginTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/decision/GrowthMarginTest.java
@@ -60,4 +60,16 @@
         }
         assertTrue(steady.meanOutputs() < pausing.meanOutputs());
     }
+
+    @Test
+    public void pausesDemandCautionWithinBounds() {
+        GrowthMargin margin = new GrowthMargin();
+        assertEquals(margin.caution(), 1.0);
+        margin.recordRefusal();
+        assertEquals(margin.caution(), 1.0);
+        for (int pause = 0; pause < 20; pause++) {
+            margin.recordPause(pause * 1000L);
+        }
+        assertEquals(margin.caution(), Math.exp(6 - 3.8), 1e-9);
+    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecodeReservationTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecodeReservationTest.java
@@ -220,11 +220,12 @@
     }
 
     @Test
-    public void growthForecastDecidesTheRoomInTheForecastOfWaits() {
+    public void forecastOfWaitsCountsTheRoomThatGrowthLeaves() {
         LoadSettings both = new LoadSettings(false, true, true, false, false);
-        reportLateRequests(5, 0);
-        assertTrue(predictedWait(both, QueueTier.IN_TIME) > 0);
-        reportUsage(UpstreamUsage.of(1, 7000));
+        reportUsage(new UpstreamUsage(6, 53_000, 0, 0, -12_000));
+        assertTrue(predictedWait(ORDERED, QueueTier.IN_TIME) > 0);
         assertEquals(predictedWait(both, QueueTier.IN_TIME), 0.0);
+        reportUsage(new UpstreamUsage(6, 53_000, 0, 0, 12_000));
+        assertTrue(predictedWait(both, QueueTier.IN_TIME) > 0);
     }
 }
