--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -143,7 +143,7 @@
                         mDemand.publish(mLoop.millis()),
                         mOrganisations.report(),
                         mRates.report(),
-                        WaitingReport.NONE.withReturning(mReturns.returningCost(mLoop.millis())),
+                        WaitingReport.NONE.plusReturning(mReturns.returningCost(mLoop.millis())),
                         Map.of());
         mControl.execute(() -> mExchange.publishLoad(report));
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingReport.java
@@ -80,12 +80,12 @@
     }
 
     /**
-     * Returns this report with another amount that is to return.
+     * Returns this report with more that is to return.
      *
      * @param tokens what refused requests need that were told to return and have not yet, tokens
      */
-    public WaitingReport withReturning(double tokens) {
-        return tokens == returning ? this : new WaitingReport(entries, granted, tokens);
+    public WaitingReport plusReturning(double tokens) {
+        return tokens == 0 ? this : plus(List.of(new WaitingReport(List.of(), Map.of(), tokens)));
     }
 
     /** Returns the sum of this report and others. */
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/waiting/ReturnScheduleTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/waiting/ReturnScheduleTest.java
@@ -1,8 +1,11 @@
 package org.troutpier.daemon.waiting;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertSame;
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import org.testng.annotations.Test;
 import org.troutpier.daemon.decision.QueueTier;
@@ -66,4 +69,16 @@
         ReturnSchedule.Outlook nothingLeft = new ReturnSchedule.Outlook(0, false, 0, 0);
         assertTrue(schedule.assignDelayMillis(claim(1), nothingLeft, NOW, LIMIT) <= LIMIT);
     }
+
+    @Test
+    public void whatIsToReturnIsAddedUpOverRouters() {
+        WaitingReport.Entry entry =
+                new WaitingReport.Entry(
+                        "model", QueueTier.LATE, 1, FlowKey.NO_ORGANISATION, 5000, 300);
+        WaitingReport report = new WaitingReport(List.of(entry), Map.of(), 0).plusReturning(7000);
+        assertEquals(report.returning(), 7000.0);
+        assertEquals(report.entries(), List.of(entry));
+        assertEquals(report.plus(List.of(report)).returning(), 14_000.0);
+        assertSame(WaitingReport.NONE.plusReturning(0), WaitingReport.NONE);
+    }
 }
