--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
@@ -297,6 +297,8 @@
         if (!mContext.load().growthForecast()) {
             return Optional.empty();
         }
+        double taken = mContext.loads().tokens(engine) + growthMarginTokens();
+        mContext.metrics().admittedByForecast(taken > mTraits.memoryTokens());
         ActiveRuns runs = mContext.loads().activeRuns();
         return Optional.of(
                 runs.begin(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
@@ -132,6 +132,23 @@
         mMetrics.counter("refused.at.once." + tier.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    /** Counts a search for memory that found no engine in time. */
+    void searchRefused() {
+        mMetrics.counter("places.refused").inc();
+    }
+
+    /**
+     * Counts a run that was admitted by the forecast of its engine's growth.
+     *
+     * @param beyondMargin whether the fixed margin would not have admitted it
+     */
+    void admittedByForecast(boolean beyondMargin) {
+        mMetrics.counter("growth.admitted").inc();
+        if (beyondMargin) {
+            mMetrics.counter("growth.admitted.beyond.margin").inc();
+        }
+    }
+
     /**
      * Records when a refused caller should retry.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -445,6 +445,7 @@
         public void onRefused(String detail) {
             mReservation.endSearch();
             mContext.growthMargin().recordRefusal();
+            mContext.metrics().searchRefused();
             mTrace.addStep(
                     detail + ", prompt read in " + (long) predictedPrefillMillis() + "ms at best");
             failWithoutRun(ResultCode.NO_PLACE, "no place");
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecodeReservationTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecodeReservationTest.java
@@ -46,25 +46,26 @@
     private ManualClock mTime;
     private UpstreamLoads mLoads;
     private PeerLoads mPeers;
+    private MetricRegistry mMetrics;
     private ReturnSchedule mReturns;
 
     @BeforeMethod
     void setUp() {
         mTime = new ManualClock();
         mPeers = new PeerLoads();
+        mMetrics = new MetricRegistry();
         mReturns = new ReturnSchedule(new Random(1));
     }
 
     private DecodeReservation reservation(LoadSettings settings) {
         Random random = new Random(1);
-        MetricRegistry metrics = new MetricRegistry();
         mLoads = new UpstreamLoads(mTime.loop(), random, TestUpstreams.HALL, mPeers);
         UpstreamAdmission admission =
                 new UpstreamAdmission(
                         mLoads,
                         new UpstreamRates(
-                                mTime.loop(), mTime::millis, random, mPeers, () -> 1, metrics),
-                        new UpstreamNotices(mTime.loop(), random, metrics),
+                                mTime.loop(), mTime::millis, random, mPeers, () -> 1, mMetrics),
+                        new UpstreamNotices(mTime.loop(), random, mMetrics),
                         random);
         ServingContext context =
                 new ServingContext(
@@ -92,7 +93,7 @@
                         mPeers,
                         Runnable::run,
                         new DemandMeter(),
-                        new ServingMetrics(metrics),
+                        new ServingMetrics(mMetrics),
                         null,
                         settings,
                         random);
@@ -217,6 +218,11 @@
         long[] corrections = reportedCorrections(GROWTH);
         assertTrue(corrections[0] > 0 && corrections[1] < 0, corrections[0] + " " + corrections[1]);
         assertEquals(reportedCorrections(LoadSettings.DEFAULT), new long[] {0, 0});
+        assertEquals(mMetrics.counter("growth.admitted").getCount(), 1);
+        assertEquals(mMetrics.counter("growth.admitted.beyond.margin").getCount(), 0);
+        reportUsage(UpstreamUsage.of(6, 53_000));
+        reportedCorrections(GROWTH);
+        assertEquals(mMetrics.counter("growth.admitted.beyond.margin").getCount(), 1);
     }
 
     @Test
