--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -79,7 +79,13 @@
         mRelay = new EventRelay(caller, request.lastEventId());
         mReservation =
                 new DecodeReservation(
-                        context, service, engineTraits, flowKey(), promptTokens(), maxTokens());
+                        context,
+                        service,
+                        engineTraits,
+                        flowKey(),
+                        promptTokens(),
+                        maxTokens(),
+                        hintTokens());
     }
 
     /** {@inheritDoc} */
@@ -227,6 +233,11 @@
         return mRequest.prompt().map(PromptMetadata::maxTokens).orElse(0L);
     }
 
+    /** Returns the caller's guess of the output, in tokens; 0 if there is none. */
+    private long hintTokens() {
+        return mRequest.prompt().map(PromptMetadata::hintTokens).orElse(0);
+    }
+
     private long promptTokens() {
         return mRequest.prompt().map(PromptMetadata::promptTokens).orElse(0);
     }
@@ -434,6 +445,7 @@
         public void onRefused(String detail) {
             mReservation.endSearch();
             mContext.growthMargin().recordRefusal();
+            mContext.metrics().searchRefused();
             mTrace.addStep(
                     detail + ", prompt read in " + (long) predictedPrefillMillis() + "ms at best");
             failWithoutRun(ResultCode.NO_PLACE, "no place");
@@ -637,6 +649,7 @@
                             mService,
                             new DemandMeter.CompletedRun(promptTokens(), output, elapsedMillis()),
                             mContext.loop().millis());
+            mReservation.recordOutput(output);
             mTrace.addStep("events=" + mRelay.eventCount());
             mCaller.endStream();
             finishAnswered();
