One order of waiting requests over all routers: queue, hold-back, reservation, reports

Cause: freed engine memory goes to whichever router asks next; urgency plays no part, and each router takes turns of organisations by itself. Change: SharedOrder orders requests by tier, urgency, organisation and latest start over what all routers report; HoldBack limits how long the same memory is left to others; HoleReservation keeps an engine for the first request that found no room; RoomFinder takes the room decision out of ReservationAllocator; reports carry entries, grants and traffic by urgency. Off (the default), routers order their own searches only.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -22,6 +22,12 @@
     /** Interval at which an unchanged load is reported again, milliseconds. */
     private static final long MAX_INTERVAL_MILLIS = 500;
 
+    /**
+     * Interval at which waiting requests are reported, milliseconds: reports that others received
+     * {@link WaitingReport#MAX_AGE_MILLIS} ago do not count, and one may be lost.
+     */
+    private static final long WAITING_INTERVAL_MILLIS = 140;
+
     private final TrafficLoop mLoop;
 
     private final UpstreamLoads mLoads;
@@ -46,6 +52,11 @@
 
     private final ReportScheduler mScheduler;
 
+    /** Whether requests wait that were not reported, or were reported some time ago. */
+    private boolean mWaitingDue;
+
+    private boolean mWaitingReported;
+
     /**
      * Creates a reporter.
      *
@@ -89,6 +100,7 @@
                     mLoads.onUrgentChange(this::report);
                     mLoads.onChange(mScheduler::onCallChange);
                     mLoads.onTokensAdded(mScheduler::onTokensAdded);
+                    mReservations.onWaiting(this::onWaiting);
                     mRoles.onChangingEngines(() -> mLoop.execute(this::onRoleChange));
                     reportPeriodically();
                 });
@@ -99,10 +111,18 @@
         report();
     }
 
-    /** Reports if the usage or the announced rates changed. */
+    private void onWaiting() {
+        mWaitingDue |=
+                !mWaitingReported || mScheduler.millisSinceReport() >= WAITING_INTERVAL_MILLIS;
+        if (mWaitingDue) {
+            mScheduler.onCallChange();
+        }
+    }
+
+    /** Reports if the usage or the announced rates changed, or waiting requests are due. */
     private void reportIfChanged() {
         Map<UpstreamIncarnation, UpstreamUsage> usage = mLoads.usage();
-        if (!usage.equals(mReportedUsage) || mRates.hasUnreportedChanges()) {
+        if (mWaitingDue || !usage.equals(mReportedUsage) || mRates.hasUnreportedChanges()) {
             report(usage);
         }
     }
@@ -125,6 +145,9 @@
         mScheduler.recordReport();
         mReportedUsage = usage;
         mConfiguration.current().ifPresent(mOrganisations::applyConfiguration);
+        WaitingReport waiting = mReservations.waitingReport();
+        mWaitingDue = false;
+        mWaitingReported = !waiting.entries().isEmpty();
         LoadReport report =
                 new LoadReport(
                         mConfiguration.version(),
@@ -137,7 +160,7 @@
                         mDemand.publish(mLoop.millis()),
                         mOrganisations.report(),
                         mRates.report(),
-                        WaitingReport.NONE,
+                        waiting,
                         Map.of());
         mControl.execute(() -> mExchange.publishLoad(report));
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -23,10 +23,10 @@
  * Aggregates the load and demand that the other routers report. Changes are confined to the control
  * thread; {@link #upstreamUsage}, {@link #demand}, {@link #organisations()}, {@link #rate}, {@link
  * #isChangingRole}, {@link #isRefusing}, {@link #waitingTokens()}, {@link #waiting()}, {@link
- * #pace}, {@link #peerCount()} and {@link #hasRoleHolder()} are thread safe and answer as of the
- * last {@link #aggregate}. Invariants: a report expires {@link #REPORT_TTL_MILLIS} after it was
- * received; only reports of the counted scopes enter the aggregate, so that no router's load is
- * counted twice.
+ * #waiting(long)}, {@link #pace}, {@link #peerCount()} and {@link #hasRoleHolder()} are thread safe
+ * and answer as of the last {@link #aggregate}. Invariants: a report expires {@link
+ * #REPORT_TTL_MILLIS} after it was received; only reports of the counted scopes enter the
+ * aggregate, so that no router's load is counted twice.
  */
 public final class PeerLoads implements PeerUsage, PeerRates {
 
@@ -271,6 +271,17 @@
         return mAggregate.report().waiting();
     }
 
+    /**
+     * Returns the requests that wait for capacity at the other routers, aged since the reports were
+     * aggregated.
+     *
+     * @param now the monotonic clock, milliseconds
+     */
+    public WaitingReport waiting(long now) {
+        Aggregate aggregate = mAggregate;
+        return aggregate.report().waiting().aged(Math.max(0, now - aggregate.computedMillis()));
+    }
+
     /** Returns how long an upstream recently took, as measured by the other routers. */
     public PaceReport pace(UpstreamIncarnation upstream) {
         return mAggregate.report().paces().getOrDefault(upstream, PaceReport.NONE);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReservationAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReservationAllocator.java
@@ -1,22 +1,28 @@
 package org.troutpier.daemon.serving;
 
-import java.util.HashMap;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.cluster.LoadView;
-import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.growth.EngineRoom;
 import org.troutpier.daemon.notice.UpstreamNotice;
 import org.troutpier.daemon.upstream.AttemptEnd;
 import org.troutpier.daemon.waiting.Claim;
+import org.troutpier.daemon.waiting.HoleReservation;
+import org.troutpier.daemon.waiting.RoomFinder;
+import org.troutpier.daemon.waiting.WaitingOrder;
 import org.troutpier.daemon.waiting.WaitingQueue;
+import org.troutpier.daemon.waiting.WaitingReport;
+import org.troutpier.daemon.waiting.WaitingRequest;
 
 /**
  * Reserves slots and memory at decode engines before the prompts are processed. The engines
@@ -51,17 +57,26 @@
 
     private final RandomGenerator mRandom;
 
-    /** Until when each engine is assumed to be full, milliseconds on the loop's clock. */
-    private final Map<UpstreamIncarnation, Long> mFullUntil = new HashMap<>();
+    private final WaitingOrder mOrder;
 
     /** The searches that wait for room. */
-    private final WaitingQueue<Search> mWaiting = new WaitingQueue<>();
+    private final WaitingQueue<Search> mWaiting;
+
+    /** The searches that wait for their turn in the current round. */
+    private final Deque<Search> mRound = new ArrayDeque<>();
+
+    private final HoleReservation mHole;
+
+    private final EngineView mEngineView;
+
+    /** Called when a search waits for the next round. */
+    private Runnable mOnWaiting = () -> {};
 
     /** Whether the waiting searches are scheduled to try again. */
     private boolean mRetryScheduled;
 
     /**
-     * Creates an allocator.
+     * Creates an allocator that orders its own searches only.
      *
      * @param loadView provides the current load of the other routers before engines are selected
      */
@@ -72,6 +87,27 @@
             UpstreamAdmission admission,
             LoadView loadView,
             RandomGenerator random) {
+        this(loop, port, loads, admission, loadView, random, WaitingOrder.ALONE);
+    }
+
+    /**
+     * Creates an allocator.
+     *
+     * @param loadView provides the current load of the other routers before engines are selected
+     * @param order decides which of the requests that compete for memory may take it
+     */
+    public ReservationAllocator(
+            TrafficLoop loop,
+            UpstreamPort port,
+            UpstreamLoads loads,
+            UpstreamAdmission admission,
+            LoadView loadView,
+            RandomGenerator random,
+            WaitingOrder order) {
+        mOrder = order;
+        mEngineView = new EngineView(loads);
+        mWaiting = new WaitingQueue<>(order.isShared());
+        mHole = new HoleReservation(order);
         mLoadView = loadView;
         mLoop = loop;
         mPort = port;
@@ -125,7 +161,12 @@
     /** Starts a search. */
     public Search search(Requirements requirements, Listener listener) {
         Search search = new Search(requirements, listener);
-        search.startRound();
+        mOrder.recordArrival(search.mRequest, mLoop.millis());
+        if (search.isPrecededHere()) {
+            enqueue(search);
+        } else {
+            search.startRound();
+        }
         return search;
     }
 
@@ -140,12 +181,39 @@
         return tokens[0];
     }
 
+    /**
+     * Sets the action for searches that wait, which may reach the other routers with a short delay.
+     *
+     * @param action the action, run on the traffic loop
+     */
+    public void onWaiting(Runnable action) {
+        mOnWaiting = action;
+    }
+
+    /** Returns what the other routers are told of the searches that wait for room. */
+    public WaitingReport waitingReport() {
+        if (!mOrder.reportsWaiting()) {
+            return WaitingReport.NONE;
+        }
+        Collection<WaitingRequest> waiting = new ArrayList<>();
+        mWaiting.forEach(search -> waiting.add(search.mRequest));
+        for (Search search : mRound) {
+            if (!search.mEnded) {
+                waiting.add(search.mRequest);
+            }
+        }
+        return mOrder.report(waiting, mLoop.millis());
+    }
+
     /**
      * Lets a search wait for the next round. The time until then is random, so that repeated
      * requests to the engines are spread.
      */
     private void enqueue(Search search) {
         mWaiting.add(search.mRequirements.claim(), search);
+        if (mOrder.reportsWaiting()) {
+            mOnWaiting.run();
+        }
         if (!mRetryScheduled) {
             mRetryScheduled = true;
             mLoop.schedule(
@@ -157,12 +225,15 @@
     /** Starts another round of all waiting searches, in their order. */
     private void retryWaiting() {
         mRetryScheduled = false;
-        mWaiting.drain().forEach(Search::startRound);
+        mRound.addAll(mOrder.arrange(mWaiting.drain(), search -> search.mRequest, mLoop.millis()));
+        while (!mRound.isEmpty()) {
+            mRound.poll().startRound();
+        }
     }
 
     /** Discards the state of engines that are no longer listed. */
     public void retain(Set<UpstreamIncarnation> listed) {
-        mFullUntil.keySet().retainAll(listed);
+        mEngineView.retain(listed);
     }
 
     /** One search. Confined to the traffic loop. */
@@ -170,6 +241,10 @@
 
         private final Requirements mRequirements;
 
+        private final WaitingRequest mRequest;
+
+        private final RoomFinder mRooms;
+
         private final Listener mListener;
 
         /** When the search gives up, milliseconds on the loop's clock. */
@@ -191,16 +266,45 @@
 
         private Search(Requirements requirements, Listener listener) {
             mRequirements = requirements;
+            mRequest = new WaitingRequest(requirements.service(), requirements.claim());
+            mRooms =
+                    new RoomFinder(
+                            mOrder,
+                            mHole,
+                            mEngineView,
+                            mRequest,
+                            requirements.room(),
+                            requirements.promptTokens());
             mListener = listener;
             mDeadline = mLoop.millis() + requirements.waitMillis();
         }
 
         /** Cancels the search; its listener is not called again. */
         public void cancel() {
-            mEnded = true;
+            if (!mEnded) {
+                mOrder.recordEnd(mRequest, false);
+                end();
+            }
             mWaiting.remove(mRequirements.claim(), this);
         }
 
+        private void end() {
+            mEnded = true;
+            mHole.recordEnd(mRequest);
+        }
+
+        /** Returns whether a search that waits here precedes this one, which can still wait. */
+        private boolean isPrecededHere() {
+            boolean[] preceded = new boolean[1];
+            if (mRequirements.waitMillis() >= FULL_RETRY_MILLIS) {
+                mWaiting.forEach(
+                        other ->
+                                preceded[0] |=
+                                        mOrder.precedes(other.mRequest, mRequest, mLoop.millis()));
+            }
+            return preceded[0];
+        }
+
         /** Starts a round over all engines. */
         private void startRound() {
             mTriedEngines.clear();
@@ -217,20 +321,25 @@
             if (!engines.isEmpty()) {
                 mLastCandidates = engines;
             }
-            for (UpstreamEntry engine : mLoads.byTokens(engines, mTriedEngines)) {
-                boolean full = mFullUntil.getOrDefault(engine.incarnation(), now) > now;
-                if (!full
-                        && hasRoom(engine)
+            List<UpstreamEntry> candidates = mLoads.byTokens(engines, mTriedEngines);
+            boolean leaves = mRooms.leavesRoom(candidates, now);
+            for (UpstreamEntry engine : leaves ? List.<UpstreamEntry>of() : candidates) {
+                if (mRooms.hasRoom(engine, now)
                         && mAdmission.tryAcquire(engine, mRequirements.claim().flow())) {
                     reserve(engine);
                     return;
                 }
             }
             if (now + FULL_RETRY_MILLIS > mDeadline) {
-                mEnded = true;
-                mListener.onRefused(refusalDetail());
+                String detail = refusalDetail() + mOrder.describe(mRequest, now);
+                mOrder.recordEnd(mRequest, true);
+                end();
+                mListener.onRefused(detail);
                 return;
             }
+            if (!leaves) {
+                mRooms.recordBlocked(candidates, now);
+            }
             enqueue(this);
         }
 
@@ -257,36 +366,16 @@
                             + " calls";
         }
 
-        /**
-         * Returns whether an engine has a free slot, and memory for the prompt and for the growth
-         * of the requests that run there. Always true while no other router's usage is known: then
-         * the engine alone decides.
-         */
-        private boolean hasRoom(UpstreamEntry engine) {
-            if (!mLoads.hasPeerReports()) {
-                return true;
-            }
-            boolean hasSlot = mLoads.calls(engine) < engine.slots();
-            long required = mRequirements.promptTokens() + headroomTokens();
-            return hasSlot && mRequirements.room().holds(engine, mLoads.tokens(engine), required);
-        }
-
-        /**
-         * Returns how much memory a late request leaves to one that can still be in time and may
-         * arrive at any router at any moment, in tokens. A quarter of the memory instead of one
-         * prompt brings no more requests in time and has twice as many refused again.
-         */
-        private long headroomTokens() {
-            return mRequirements.claim().tier() == QueueTier.IN_TIME
-                    ? 0
-                    : mRequirements.promptTokens();
+        private void recordGrant() {
+            end();
+            mWaiting.charge(mRequirements.claim());
+            mOrder.recordGrant(mRequest, mLoop.millis());
         }
 
         /** Requests a reservation from one engine. */
         private void reserve(UpstreamEntry engine) {
             if (mRequirements.maxReservationMillis() == 0) {
-                mEnded = true;
-                mWaiting.charge(mRequirements.claim());
+                recordGrant();
                 mLoads.reserve(engine, mRequirements.promptTokens());
                 mListener.onGranted(engine, Optional.empty());
                 return;
@@ -328,8 +417,7 @@
                     mPort.release(mEngine, reservation);
                     return;
                 }
-                mEnded = true;
-                mWaiting.charge(mRequirements.claim());
+                recordGrant();
                 mListener.onGranted(mEngine, Optional.of(reservation));
             }
 
@@ -338,7 +426,7 @@
             public void onFailure(AttemptEnd end) {
                 mLoads.end(mEngine, mRequirements.promptTokens());
                 mRefusalCount++;
-                mFullUntil.put(mEngine.incarnation(), mLoop.millis() + FULL_RETRY_MILLIS);
+                mEngineView.recordFull(mEngine, mLoop.millis() + FULL_RETRY_MILLIS);
                 if (end.leaving()) {
                     mLoads.replaced(mEngine);
                 } else if (end.unreachable()) {
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/RoomFinder.java
@@ -0,0 +1,154 @@
+package org.troutpier.daemon.waiting;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.decision.QueueTier;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.growth.EngineRoom;
+
+/**
+ * Finds the engines with room for one request, and leaves the room to others that precede it.
+ * Confined to the traffic loop.
+ */
+public final class RoomFinder {
+
+    private final WaitingOrder mOrder;
+
+    private final HoleReservation mHole;
+
+    private final EngineLoads mLoads;
+
+    private final WaitingRequest mRequest;
+
+    private final EngineRoom mRoom;
+
+    /** What the request takes, in tokens. */
+    private final long mTokens;
+
+    private final HoldBack mHoldBack = new HoldBack();
+
+    /** What is known of the engines. Implementations are confined to the traffic loop. */
+    public interface EngineLoads {
+
+        /** Returns whether the usage of engines by other routers is known. */
+        boolean knowsOthers();
+
+        /** Returns whether an engine recently refused a request because it was full. */
+        boolean isFull(UpstreamEntry engine, long now);
+
+        /** Returns the tokens known to be in use at an engine. */
+        long tokens(UpstreamEntry engine);
+
+        /** Returns the calls known to be in progress at an engine. */
+        int calls(UpstreamEntry engine);
+    }
+
+    /**
+     * Creates a finder.
+     *
+     * @param order decides which requests precede this one
+     * @param hole the room kept for the first request of this router
+     * @param room decides whether an engine has memory for the request
+     * @param tokens what the request takes
+     */
+    public RoomFinder(
+            WaitingOrder order,
+            HoleReservation hole,
+            EngineLoads loads,
+            WaitingRequest request,
+            EngineRoom room,
+            long tokens) {
+        mOrder = order;
+        mHole = hole;
+        mLoads = loads;
+        mRequest = request;
+        mRoom = room;
+        mTokens = tokens;
+    }
+
+    /**
+     * Returns whether an engine has a free slot, and memory for the prompt and for the growth of
+     * the requests that run there. While no other router's usage is known, only a recent refusal
+     * counts: then the engine alone decides.
+     */
+    public boolean hasRoom(UpstreamEntry engine, long now) {
+        return hasRoom(engine, 0, now);
+    }
+
+    /**
+     * Returns whether an engine has room for the request and others like it.
+     *
+     * @param others how many others
+     */
+    private boolean hasRoom(UpstreamEntry engine, int others, long now) {
+        if (mLoads.isFull(engine, now)) {
+            return false;
+        }
+        if (!mLoads.knowsOthers()) {
+            return true;
+        }
+        if (mLoads.calls(engine) + others >= engine.slots()) {
+            return false;
+        }
+        long required =
+                mTokens + headroomTokens() + mHole.tokensKept(engine.incarnation(), mRequest, now);
+        return mRoom.holds(engine, mLoads.tokens(engine) + others * mTokens, required);
+    }
+
+    /**
+     * Returns how much memory a late request leaves to one that can still be in time and may arrive
+     * at any router at any moment, in tokens. A quarter of the memory instead of one prompt brings
+     * no more requests in time and has twice as many refused again.
+     */
+    private long headroomTokens() {
+        return mRequest.claim().tier() == QueueTier.IN_TIME ? 0 : mTokens;
+    }
+
+    /** Returns whether the free memory is left to requests that precede this one elsewhere. */
+    public boolean leavesRoom(List<UpstreamEntry> engines, long now) {
+        if (!mOrder.isShared() || !mLoads.knowsOthers()) {
+            return false;
+        }
+        int runs = 0;
+        for (UpstreamEntry engine : engines) {
+            runs += mLoads.calls(engine);
+        }
+        double tokens = mOrder.tokensToLeave(mRequest, runs, now);
+        if (tokens == 0) {
+            return false;
+        }
+        int required = HoldBack.requiredRequests(tokens, mTokens);
+        boolean leaves = mHoldBack.leaves(freeMemory(engines, required, now), required, now);
+        if (leaves) {
+            mOrder.recordHeldBack(mRequest);
+        }
+        return leaves;
+    }
+
+    /** Counts for how many requests like this one there is room, up to a number. */
+    private HoldBack.FreeMemory freeMemory(List<UpstreamEntry> engines, int limit, long now) {
+        UpstreamIncarnation first = null;
+        int requests = 0;
+        for (UpstreamEntry engine : engines) {
+            for (int others = 0; requests < limit && hasRoom(engine, others, now); others++) {
+                first = first == null ? engine.incarnation() : first;
+                requests++;
+            }
+        }
+        return new HoldBack.FreeMemory(first, requests);
+    }
+
+    /** Records that no engine has room, so that one is kept for the first request. */
+    public void recordBlocked(List<UpstreamEntry> engines, long now) {
+        if (!mOrder.isShared()) {
+            return;
+        }
+        List<FirstHole.EngineUsage> usage = new ArrayList<>();
+        for (UpstreamEntry engine : engines) {
+            usage.add(
+                    new FirstHole.EngineUsage(engine, mLoads.tokens(engine), mLoads.calls(engine)));
+        }
+        mHole.recordBlocked(mRequest, mRoom, mTokens, usage, now);
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingQueue.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingQueue.java
@@ -10,10 +10,10 @@
 import org.troutpier.daemon.decision.QueueTier;
 
 /**
- * The requests that wait at this router for one kind of capacity: by queue tier, then by urgency,
- * then by organisation in turn, by what each was granted, and within an organisation by the latest
- * start. Not thread safe; confined to the traffic loop. Invariant: an item is in the queue under
- * the claim with which it was added.
+ * The requests that wait at this router for one kind of capacity: by queue tier, then by urgency
+ * where that is regarded, then by organisation in turn, by what each was granted, and within an
+ * organisation by the latest start. Not thread safe; confined to the traffic loop. Invariant: an
+ * item is in the queue under the claim with which it was added.
  *
  * @param <T> type of the queued items
  */
@@ -21,6 +21,9 @@
 
     private static final FairQueue.Weights EQUAL_WEIGHTS = organisation -> 1;
 
+    /** Whether more urgent items precede less urgent ones. */
+    private final boolean mOrdersByUrgency;
+
     /** The items of each tier and urgency, in the order in which they are served. */
     private final Map<Level, FairQueue<T>> mLevels =
             new TreeMap<>(Comparator.comparing(Level::tier).thenComparingInt(Level::rank));
@@ -29,10 +32,24 @@
      * Items that differ only by organisation and latest start. Immutable and thread safe.
      *
      * @param tier the queue tier
-     * @param rank the urgency; 0 is the most urgent
+     * @param rank the urgency; 0 is the most urgent, or all where urgency is not regarded
      */
     private record Level(QueueTier tier, int rank) {}
 
+    /** Creates an empty queue in which more urgent items precede less urgent ones. */
+    public WaitingQueue() {
+        this(true);
+    }
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param ordersByUrgency whether more urgent items precede less urgent ones
+     */
+    public WaitingQueue(boolean ordersByUrgency) {
+        mOrdersByUrgency = ordersByUrgency;
+    }
+
     /** Adds an item. */
     public void add(Claim claim, T item) {
         level(claim)
@@ -71,7 +88,7 @@
     }
 
     private FairQueue<T> level(Claim claim) {
-        return mLevels.computeIfAbsent(
-                new Level(claim.tier(), claim.flow().rank()), level -> new FairQueue<>());
+        int rank = mOrdersByUrgency ? claim.flow().rank() : 0;
+        return mLevels.computeIfAbsent(new Level(claim.tier(), rank), level -> new FairQueue<>());
     }
 }
