Hold-back by engine, and for larger requests

Cause: the limit of 100 ms restarted whenever another engine had the most room, and short prompts took what long ones needed. Change: the time is kept for each engine; engines that hold the largest preceding request are left to it; a less urgent request leaves memory to more urgent ones for as long as their reports count.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReservationAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReservationAllocator.java
@@ -322,8 +322,7 @@
                 mLastCandidates = engines;
             }
             List<UpstreamEntry> candidates = mLoads.byTokens(engines, mTriedEngines);
-            boolean leaves = mRooms.leavesRoom(candidates, now);
-            for (UpstreamEntry engine : leaves ? List.<UpstreamEntry>of() : candidates) {
+            for (UpstreamEntry engine : mRooms.usable(candidates, now)) {
                 if (mRooms.hasRoom(engine, now)
                         && mAdmission.tryAcquire(engine, mRequirements.claim().flow())) {
                     reserve(engine);
@@ -337,9 +336,7 @@
                 mListener.onRefused(detail);
                 return;
             }
-            if (!leaves) {
-                mRooms.recordBlocked(candidates, now);
-            }
+            mRooms.recordBlocked(candidates, now);
             enqueue(this);
         }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/HoldBack.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/HoldBack.java
@@ -1,12 +1,18 @@
 package org.troutpier.daemon.waiting;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.directory.UpstreamEntry;
 
 /**
- * Decides whether a request leaves free memory to requests that precede it at other routers, or
- * that are about to arrive. Answers a view of the other routers that is always somewhat old: those
- * that precede it may have ended, or may be unable to use the memory. Confined to one thread.
- * Invariant: a request leaves the memory of an engine for at most {@link #MAX_MILLIS} in a row.
+ * Decides which engines' memory a request may take while others precede it. Answers a view of the
+ * other routers that is always somewhat old: those that precede it may have ended, or may be unable
+ * to use the memory. Confined to one thread. Invariant: a request leaves the memory of an engine
+ * for at most {@link #MAX_MILLIS} in a row, or {@link #MAX_PATIENT_MILLIS} for one that is more
+ * urgent or larger.
  */
 public final class HoldBack {
 
@@ -17,19 +23,15 @@
      */
     public static final long MAX_MILLIS = 100;
 
-    /** The engine whose memory is left free, or null. */
-    private UpstreamIncarnation mEngine;
-
-    /** Since when it is, milliseconds. */
-    private long mSinceMillis;
-
     /**
-     * Memory that is free for requests of one size. Immutable and thread safe.
-     *
-     * @param engine the engine with the most room, or null if none has room
-     * @param requests how many requests the engines can hold
+     * The longest time for which a request leaves the same memory to more urgent ones, or to a
+     * larger one for which it becomes free, milliseconds: the age at which reports cease to count,
+     * which limits how long memory is left to requests that have ended.
      */
-    public record FreeMemory(UpstreamIncarnation engine, int requests) {}
+    public static final long MAX_PATIENT_MILLIS = WaitingReport.MAX_AGE_MILLIS;
+
+    /** Since when the memory of each engine is left free, milliseconds. */
+    private final Map<UpstreamIncarnation, Long> mLeftSince = new HashMap<>();
 
     /**
      * Returns how many requests of one size have to find room before a request may take memory.
@@ -37,25 +39,53 @@
      * @param tokensToLeave what it leaves free
      * @param requestTokens what it takes itself
      */
-    public static int requiredRequests(double tokensToLeave, double requestTokens) {
+    static int requiredRequests(double tokensToLeave, double requestTokens) {
         return 1 + (int) Math.ceil(tokensToLeave / Math.max(1, requestTokens));
     }
 
+    /** What an engine's free memory can do for larger requests that precede one. */
+    public enum Use {
+        /** Nothing, or it holds both. */
+        SPARE,
+        /** It holds the larger one only. */
+        WANTED,
+        /** It will be among the first to hold the larger one, once more runs have ended there. */
+        BECOMING_FREE
+    }
+
     /**
-     * Returns whether the request leaves the free memory to others for now.
+     * An engine that has room for the request. Immutable and thread safe.
      *
-     * @param required how many requests have to find room
+     * @param engine the engine
+     * @param use what its memory can do for larger requests
+     */
+    public record Room(UpstreamEntry engine, Use use) {}
+
+    /**
+     * Returns the engines whose memory the request may take.
+     *
+     * @param rooms the engines that have room for it, the preferred first
+     * @param enough whether there is room for all that precede it and for itself
+     * @param moreUrgent whether a more urgent request waits
      * @param now the clock, milliseconds
      */
-    public boolean leaves(FreeMemory free, int required, long now) {
-        if (free.engine() == null || free.requests() >= required) {
-            mEngine = null;
-            return false;
-        }
-        if (!free.engine().equals(mEngine)) {
-            mEngine = free.engine();
-            mSinceMillis = now;
+    List<UpstreamEntry> usable(List<Room> rooms, boolean enough, boolean moreUrgent, long now) {
+        Map<UpstreamIncarnation, Long> leftBefore = new HashMap<>(mLeftSince);
+        mLeftSince.clear();
+        List<UpstreamEntry> usable = new ArrayList<>();
+        for (Room room : rooms) {
+            UpstreamEntry engine = room.engine();
+            if (enough && room.use() == Use.SPARE) {
+                usable.add(engine);
+                continue;
+            }
+            long since = leftBefore.getOrDefault(engine.incarnation(), now);
+            mLeftSince.put(engine.incarnation(), since);
+            boolean patient = moreUrgent || room.use() == Use.BECOMING_FREE;
+            if (now - since >= (patient ? MAX_PATIENT_MILLIS : MAX_MILLIS)) {
+                usable.add(engine);
+            }
         }
-        return now - mSinceMillis < MAX_MILLIS;
+        return usable;
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/RoomFinder.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/RoomFinder.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.growth.EngineRoom;
@@ -105,47 +104,74 @@
         return mRequest.claim().tier() == QueueTier.IN_TIME ? 0 : mTokens;
     }
 
-    /** Returns whether the free memory is left to requests that precede this one elsewhere. */
-    public boolean leavesRoom(List<UpstreamEntry> engines, long now) {
+    /**
+     * Returns the engines that the request may use now: all, or only those whose memory is not left
+     * to others that precede it elsewhere.
+     *
+     * @param engines the engines, the preferred first
+     */
+    public List<UpstreamEntry> usable(List<UpstreamEntry> engines, long now) {
         if (!mOrder.isShared() || !mLoads.knowsOthers()) {
-            return false;
+            return engines;
         }
         int runs = 0;
         for (UpstreamEntry engine : engines) {
             runs += mLoads.calls(engine);
         }
-        double tokens = mOrder.tokensToLeave(mRequest, runs, now);
-        if (tokens == 0) {
-            return false;
+        Preceding preceding = mOrder.preceding(mRequest, runs, now);
+        if (preceding.tokens() == 0) {
+            return engines;
         }
-        int required = HoldBack.requiredRequests(tokens, mTokens);
-        boolean leaves = mHoldBack.leaves(freeMemory(engines, required, now), required, now);
-        if (leaves) {
-            mOrder.recordHeldBack(mRequest);
-        }
-        return leaves;
-    }
-
-    /** Counts for how many requests like this one there is room, up to a number. */
-    private HoldBack.FreeMemory freeMemory(List<UpstreamEntry> engines, int limit, long now) {
-        UpstreamIncarnation first = null;
+        List<HoldBack.Room> rooms = new ArrayList<>();
+        int required = HoldBack.requiredRequests(preceding.tokens(), mTokens);
         int requests = 0;
+        int becomingFree = 0;
         for (UpstreamEntry engine : engines) {
-            for (int others = 0; requests < limit && hasRoom(engine, others, now); others++) {
-                first = first == null ? engine.incarnation() : first;
+            if (!hasRoom(engine, now)) {
+                continue;
+            }
+            for (int more = 0; requests < required && hasRoom(engine, more, now); more++) {
                 requests++;
             }
+            HoldBack.Use use = use(engine, (long) preceding.largest());
+            if (use == HoldBack.Use.BECOMING_FREE && becomingFree++ >= preceding.larger()) {
+                use = HoldBack.Use.SPARE;
+            }
+            rooms.add(new HoldBack.Room(engine, use));
         }
-        return new HoldBack.FreeMemory(first, requests);
+        List<UpstreamEntry> usable =
+                mHoldBack.usable(rooms, requests >= required, preceding.moreUrgent(), now);
+        if (usable.size() < rooms.size()) {
+            mOrder.recordHeldBack(mRequest);
+        }
+        return usable;
+    }
+
+    /**
+     * Returns what an engine with room for this request can do for a larger one that precedes it.
+     */
+    private HoldBack.Use use(UpstreamEntry engine, long largest) {
+        long used = mLoads.tokens(engine);
+        if (largest <= mTokens || mRoom.holds(engine, used, largest + mTokens)) {
+            return HoldBack.Use.SPARE;
+        }
+        return mRoom.holds(engine, used, largest)
+                ? HoldBack.Use.WANTED
+                : HoldBack.Use.BECOMING_FREE;
     }
 
-    /** Records that no engine has room, so that one is kept for the first request. */
+    /**
+     * Records a request that got no room, so that one engine is kept for the first such request.
+     */
     public void recordBlocked(List<UpstreamEntry> engines, long now) {
         if (!mOrder.isShared()) {
             return;
         }
         List<FirstHole.EngineUsage> usage = new ArrayList<>();
         for (UpstreamEntry engine : engines) {
+            if (hasRoom(engine, now)) {
+                return;
+            }
             usage.add(
                     new FirstHole.EngineUsage(engine, mLoads.tokens(engine), mLoads.calls(engine)));
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/SharedOrder.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/SharedOrder.java
@@ -120,8 +120,8 @@
 
     /** {@inheritDoc} */
     @Override
-    public double tokensToLeave(WaitingRequest request, int runs, long now) {
-        return new Standing(request, now).tokensToLeave(runs);
+    public Preceding preceding(WaitingRequest request, int runs, long now) {
+        return new Standing(request, now).preceding(runs);
     }
 
     /** {@inheritDoc} */
@@ -157,7 +157,7 @@
                 request.claim().flow().organisation(),
                 request.claim().flow().rank(),
                 standing.granted(request.claim().flow().organisation()),
-                standing.tokensAhead());
+                standing.waitingElsewhere().tokens());
     }
 
     /** The place of one request among all, as of one time. Confined to the traffic loop. */
@@ -218,19 +218,30 @@
                     + mReported.granted().getOrDefault(organisation, 0.0);
         }
 
-        private double tokensToLeave(int runs) {
-            return tokensAhead() + (mRank == DUE_RANK ? 0 : tokensExpected(runs));
+        private Preceding preceding(int runs) {
+            Preceding waiting = waitingElsewhere();
+            if (mRank == DUE_RANK) {
+                return waiting;
+            }
+            double tokens = waiting.tokens() + tokensExpected(runs);
+            return new Preceding(tokens, waiting.largest(), waiting.larger(), waiting.moreUrgent());
         }
 
-        /** Returns the tokens of requests at other routers that are served before this one. */
-        private double tokensAhead() {
+        /** Returns the requests at other routers that are served before this one. */
+        private Preceding waitingElsewhere() {
             double tokens = 0;
+            double largest = 0;
+            int larger = 0;
+            boolean moreUrgent = false;
             for (WaitingReport.Entry entry : mReported.entries()) {
                 if (isPrecededBy(entry)) {
                     tokens += entry.cost();
+                    largest = Math.max(largest, entry.largest());
+                    larger += entry.largest() > mRequest.claim().cost() ? 1 : 0;
+                    moreUrgent |= rank(entry) < mRank;
                 }
             }
-            return tokens;
+            return new Preceding(tokens, largest, larger, moreUrgent);
         }
 
         /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingOrder.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingOrder.java
@@ -38,11 +38,11 @@
     boolean precedes(WaitingRequest first, WaitingRequest second, long now);
 
     /**
-     * Returns how much memory a request leaves free, in tokens.
+     * Returns what is served before a request, so that it leaves memory free.
      *
      * @param runs the runs in progress at all engines of the service
      */
-    double tokensToLeave(WaitingRequest request, int runs, long now);
+    Preceding preceding(WaitingRequest request, int runs, long now);
 
     /**
      * Returns waiting items in the order in which they are served.
@@ -95,8 +95,8 @@
 
         /** {@inheritDoc} */
         @Override
-        public double tokensToLeave(WaitingRequest request, int runs, long now) {
-            return 0;
+        public Preceding preceding(WaitingRequest request, int runs, long now) {
+            return Preceding.NONE;
         }
 
         /** {@inheritDoc} */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingReport.java
@@ -74,6 +74,7 @@
      * @param cost the capacity that they wait for: tokens of memory, or calls
      * @param latestStartMillis the time from now until the first of them has to start to meet its
      *     target, milliseconds; negative if it is late
+     * @param largest the cost of the largest of them
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     public record Entry(
@@ -82,7 +83,19 @@
             int rank,
             PartnerId organisation,
             double cost,
-            long latestStartMillis) {
+            long latestStartMillis,
+            double largest) {
+
+        /** Creates an entry of one request. */
+        public Entry(
+                String service,
+                QueueTier tier,
+                int rank,
+                PartnerId organisation,
+                double cost,
+                long latestStartMillis) {
+            this(service, tier, rank, organisation, cost, latestStartMillis, cost);
+        }
 
         static Entry of(WaitingRequest request, long now) {
             Claim claim = request.claim();
@@ -102,15 +115,18 @@
                     rank,
                     organisation,
                     cost + other.cost,
-                    Math.min(latestStartMillis, other.latestStartMillis));
+                    Math.min(latestStartMillis, other.latestStartMillis),
+                    Math.max(largest, other.largest));
         }
 
         private Entry aged(long millis) {
-            return new Entry(service, tier, rank, organisation, cost, latestStartMillis - millis);
+            return new Entry(
+                    service, tier, rank, organisation, cost, latestStartMillis - millis, largest);
         }
 
         private Entry withoutOrganisation() {
-            return new Entry(service, tier, rank, FlowKey.NO_ORGANISATION, cost, latestStartMillis);
+            return new Entry(
+                    service, tier, rank, FlowKey.NO_ORGANISATION, cost, latestStartMillis, largest);
         }
     }
 
