--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/Preceding.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/Preceding.java
@@ -5,11 +5,10 @@
  *
  * @param tokens what all these requests take
  * @param largest what the largest one that waits takes; 0 if none waits
- * @param larger for how many larger ones an engine is left to become free
  * @param moreUrgent whether a more urgent one waits
  */
-public record Preceding(double tokens, double largest, int larger, boolean moreUrgent) {
+public record Preceding(double tokens, double largest, boolean moreUrgent) {
 
     /** Nothing. */
-    public static final Preceding NONE = new Preceding(0, 0, 0, false);
+    public static final Preceding NONE = new Preceding(0, 0, false);
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/RoomFinder.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/RoomFinder.java
@@ -122,42 +122,43 @@
         if (preceding.tokens() == 0) {
             return engines;
         }
-        List<HoldBack.Room> rooms = new ArrayList<>();
+        List<UpstreamEntry> withRoom = new ArrayList<>();
+        List<UpstreamEntry> spare = new ArrayList<>();
         int required = HoldBack.requiredRequests(preceding.tokens(), mTokens);
         int requests = 0;
-        int becomingFree = 0;
         for (UpstreamEntry engine : engines) {
             if (!hasRoom(engine, now)) {
                 continue;
             }
+            withRoom.add(engine);
+            if (!isWanted(engine, (long) preceding.largest())) {
+                spare.add(engine);
+            }
             for (int more = 0; requests < required && hasRoom(engine, more, now); more++) {
                 requests++;
             }
-            HoldBack.Use use = use(engine, (long) preceding.largest());
-            if (use == HoldBack.Use.BECOMING_FREE && becomingFree++ >= preceding.larger()) {
-                use = HoldBack.Use.SPARE;
-            }
-            rooms.add(new HoldBack.Room(engine, use));
         }
         List<UpstreamEntry> usable =
-                mHoldBack.usable(rooms, requests >= required, preceding.moreUrgent(), now);
-        if (usable.size() < rooms.size()) {
+                mHoldBack.usable(
+                        withRoom,
+                        requests < required ? List.of() : spare,
+                        preceding.moreUrgent(),
+                        now);
+        if (usable.isEmpty() && !withRoom.isEmpty()) {
             mOrder.recordHeldBack(mRequest);
         }
         return usable;
     }
 
     /**
-     * Returns what an engine with room for this request can do for a larger one that precedes it.
+     * Returns whether an engine has room for a larger request that precedes this one, but not for
+     * both.
      */
-    private HoldBack.Use use(UpstreamEntry engine, long largest) {
+    private boolean isWanted(UpstreamEntry engine, long largest) {
         long used = mLoads.tokens(engine);
-        if (largest <= mTokens || mRoom.holds(engine, used, largest + mTokens)) {
-            return HoldBack.Use.SPARE;
-        }
-        return mRoom.holds(engine, used, largest)
-                ? HoldBack.Use.WANTED
-                : HoldBack.Use.BECOMING_FREE;
+        return largest > mTokens
+                && mRoom.holds(engine, used, largest)
+                && !mRoom.holds(engine, used, largest + mTokens);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/SharedOrder.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/SharedOrder.java
@@ -224,24 +224,22 @@
                 return waiting;
             }
             double tokens = waiting.tokens() + tokensExpected(runs);
-            return new Preceding(tokens, waiting.largest(), waiting.larger(), waiting.moreUrgent());
+            return new Preceding(tokens, waiting.largest(), waiting.moreUrgent());
         }
 
         /** Returns the requests at other routers that are served before this one. */
         private Preceding waitingElsewhere() {
             double tokens = 0;
             double largest = 0;
-            int larger = 0;
             boolean moreUrgent = false;
             for (WaitingReport.Entry entry : mReported.entries()) {
                 if (isPrecededBy(entry)) {
                     tokens += entry.cost();
                     largest = Math.max(largest, entry.largest());
-                    larger += entry.largest() > mRequest.claim().cost() ? 1 : 0;
                     moreUrgent |= rank(entry) < mRank;
                 }
             }
-            return new Preceding(tokens, largest, larger, moreUrgent);
+            return new Preceding(tokens, largest, moreUrgent);
         }
 
         /**
