--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/HoldBack.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/HoldBack.java
@@ -30,8 +30,21 @@
      */
     public static final long MAX_PATIENT_MILLIS = WaitingReport.MAX_AGE_MILLIS;
 
-    /** Since when the memory of each engine is left free, milliseconds. */
-    private final Map<UpstreamIncarnation, Long> mLeftSince = new HashMap<>();
+    /**
+     * The longest time for which an engine may seem full without the time starting again,
+     * milliseconds: others count memory as used while they ask for it, which takes them a round.
+     */
+    private static final long MAX_GAP_MILLIS = 60;
+
+    private final Map<UpstreamIncarnation, Left> mLeft = new HashMap<>();
+
+    /**
+     * Memory of an engine that is left free. Immutable and thread safe.
+     *
+     * @param sinceMillis since when it is, milliseconds
+     * @param seenMillis when it was last seen free, milliseconds
+     */
+    private record Left(long sinceMillis, long seenMillis) {}
 
     /**
      * Returns how many requests of one size have to find room before a request may take memory.
@@ -53,8 +66,7 @@
      */
     List<UpstreamEntry> usable(
             List<UpstreamEntry> withRoom, List<UpstreamEntry> spare, boolean moreUrgent, long now) {
-        Map<UpstreamIncarnation, Long> leftBefore = new HashMap<>(mLeftSince);
-        mLeftSince.clear();
+        mLeft.values().removeIf(left -> now - left.seenMillis() > MAX_GAP_MILLIS);
         long limit = moreUrgent ? MAX_PATIENT_MILLIS : MAX_MILLIS;
         List<UpstreamEntry> usable = new ArrayList<>();
         for (UpstreamEntry engine : withRoom) {
@@ -62,8 +74,9 @@
                 usable.add(engine);
                 continue;
             }
-            long since = leftBefore.getOrDefault(engine.incarnation(), now);
-            mLeftSince.put(engine.incarnation(), since);
+            Left before = mLeft.get(engine.incarnation());
+            long since = before == null ? now : before.sinceMillis();
+            mLeft.put(engine.incarnation(), new Left(since, now));
             if (now - since >= limit) {
                 usable.add(engine);
             }
