--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/WaitingOrderOverRoutersTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/WaitingOrderOverRoutersTest.java
@@ -117,8 +117,22 @@
         assertTrue(simulation.mLongestIdleMillis <= longest, simulation.toString());
     }
 
-    @Test(dataProvider = "sizes")
+    @DataProvider
+    Object[][] largeSizes() {
+        return new Object[][] {{83}, {300}};
+    }
+
+    @Test
+    public void asMuchMemoryIsInUseAsWithoutTheOrderAtFewRouters() {
+        checkUsedMemory(8);
+    }
+
+    @Test(dataProvider = "largeSizes")
     public void asMuchMemoryIsInUseAsWithoutTheOrder(int routers) {
+        checkUsedMemory(routers);
+    }
+
+    private void checkUsedMemory(int routers) {
         double usedAlone = play(false, routers).simulation().usedShare();
         WaitingSimulation simulation = play(true, routers).simulation();
         assertTrue(simulation.usedShare() >= usedAlone - 0.02, usedAlone + ", " + simulation);
@@ -142,9 +156,28 @@
         assertTrue(run.served() >= alone.served() - 0.03, alone.served() + ", " + simulation);
     }
 
-    /** Those at routers that are cut off are served as their routers alone can. */
-    @Test(dataProvider = "troubles")
-    public void lessUrgentRequestsAreServedInTrouble(String trouble) {
+    @DataProvider
+    Object[][] reportTroubles() {
+        return new Object[][] {{"late"}, {"lost"}, {"silent"}};
+    }
+
+    @DataProvider
+    Object[][] routerTroubles() {
+        return new Object[][] {{"cut off"}, {"restarting"}};
+    }
+
+    @Test(dataProvider = "reportTroubles")
+    public void lessUrgentRequestsAreServedWithoutReports(String trouble) {
+        checkLessUrgent(trouble);
+    }
+
+    @Test(dataProvider = "routerTroubles")
+    public void lessUrgentRequestsAreServedWithoutATenthOfTheRouters(String trouble) {
+        checkLessUrgent(trouble);
+    }
+
+    /** Requests at routers that are cut off are served as their routers alone can. */
+    private void checkLessUrgent(String trouble) {
         Run run = playTrouble(true, trouble);
         double lessUrgent = run.lessUrgent().connectedInTime();
         boolean anyConnected = run.lessUrgent().mConnectedRequests > 0;
