--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
@@ -80,11 +80,13 @@
     }
 
     LoadReport withUsage(UsageReport usage) {
-        return with(usage, rates, waiting);
+        return with(usage, rates, waitingTokens, waiting);
     }
 
     /**
-     * Returns this report with its announced rates and its waiting requests aged by a time.
+     * Returns this report with its announced rates and its waiting requests aged by a time. The
+     * tokens of entries that expire no longer wait, since what exceeds the entries counts as
+     * requests of a router that reports none.
      *
      * @param millis the time, milliseconds
      */
@@ -94,18 +96,21 @@
         }
         Map<UpstreamIncarnation, RateReport> agedRates = new HashMap<>();
         rates.forEach((upstream, report) -> agedRates.put(upstream, report.aged(millis)));
-        return with(organisations, agedRates, waiting.aged(millis));
+        WaitingReport agedWaiting = waiting.aged(millis);
+        long expired = Math.round(waiting.cost() - agedWaiting.cost());
+        return with(organisations, agedRates, Math.max(0, waitingTokens - expired), agedWaiting);
     }
 
     private LoadReport with(
             UsageReport usage,
             Map<UpstreamIncarnation, RateReport> announcedRates,
+            long tokens,
             WaitingReport waitingRequests) {
         return new LoadReport(
                 configuration,
                 routers,
                 roleHolder,
-                waitingTokens,
+                tokens,
                 changing,
                 refusing,
                 uses,
