Plain calls: limits, admission and queue of their own, off by default

Cause: calls to plain services go to the least loaded upstream of a view that is tens of milliseconds old, are turned away when its queue is full and then refused with a fixed delay; nothing bounds what all routers send. Change: package plain: ConcurrencyLimit (calls that an upstream answers within the target, never below its slots), CallAdmission (send, wait or refuse, organisations in turn over all routers), SecondTry, PlainCalls (the bounded queue). PlainExecution submits its calls there where load.plainQueue is set, and waits for the upstream that turned a call away.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.node.ControlExecutor;
 import org.troutpier.daemon.organisation.OrganisationLimiter;
@@ -36,6 +37,9 @@
 
     private final CurrentConfiguration mConfiguration;
 
+    /** The calls to plain services that wait at this router. */
+    private final Supplier<WaitingReport> mWaitingCalls;
+
     private final RoleController mRoles;
 
     private final ControlExecutor mControl;
@@ -54,6 +58,7 @@
      * @param demand the demand at this router
      * @param organisations the usage by organisations at this router
      * @param rates the rates that upstreams announce
+     * @param waitingCalls the calls to plain services that wait at this router
      * @param roles assigns engine roles, if this router holds the lease
      * @param control the control thread, where reports are sent
      * @param exchange sends reports
@@ -65,6 +70,7 @@
             DemandMeter demand,
             OrganisationLimiter organisations,
             UpstreamRates rates,
+            Supplier<WaitingReport> waitingCalls,
             CurrentConfiguration configuration,
             RoleController roles,
             ControlExecutor control,
@@ -75,6 +81,7 @@
         mDemand = demand;
         mOrganisations = organisations;
         mRates = rates;
+        mWaitingCalls = waitingCalls;
         mConfiguration = configuration;
         mRoles = roles;
         mControl = control;
@@ -137,7 +144,7 @@
                         mDemand.publish(mLoop.millis()),
                         mOrganisations.report(),
                         mRates.report(),
-                        WaitingReport.NONE,
+                        mWaitingCalls.get(),
                         Map.of());
         mControl.execute(() -> mExchange.publishLoad(report));
     }
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/SecondTry.java
@@ -0,0 +1,30 @@
+package org.troutpier.daemon.plain;
+
+/**
+ * Decides whether a silent repeatable call goes to another upstream. Answers the load of one slow
+ * upstream among others. In a burst of all, silence is the queue of the upstream, and a second call
+ * would only make the others' queues longer. Immutable and thread safe.
+ *
+ * @param first what is known of the upstream that is silent
+ * @param second what is known of the other one
+ * @param answerMillis the predicted duration of the call there, milliseconds
+ */
+record SecondTry(Room first, Room second, double answerMillis) {
+
+    /**
+     * Returns whether the call goes to the other upstream while its target can still be met.
+     *
+     * @param remainingMillis the time until the target, milliseconds
+     */
+    boolean isInTime(double remainingMillis) {
+        return hasRoom() && answerMillis <= remainingMillis;
+    }
+
+    /** Returns whether the other upstream has room and is not fuller than the silent one. */
+    boolean hasRoom() {
+        long there = (long) second.calls() * first.upstream().slots();
+        // the call itself is one of those at the silent upstream
+        long here = (long) first.calls() * second.upstream().slots();
+        return second.free() > 0 && there <= here;
+    }
+}
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
@@ -0,0 +1,164 @@
+package org.troutpier.daemon.plain;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.waiting.WaitingQueue;
+
+/**
+ * The limits and the waiting calls of one plain service. Confined to the traffic loop. Invariant:
+ * without reports of other routers, this router has at most one call in flight or as many as its
+ * part of all limits.
+ */
+final class ServiceCalls {
+
+    private final WorkEstimate mWork = new WorkEstimate();
+
+    private final Map<UpstreamIncarnation, ConcurrencyLimit> mLimits = new HashMap<>();
+
+    private final WaitingQueue<WaitingCall> mQueue = new WaitingQueue<>();
+
+    private final FleetView mFleet;
+
+    /** Calls of this router in flight. */
+    private int mCalls;
+
+    /**
+     * The calls that this router may have in flight while it hears of no other; 0 while it hears of
+     * any.
+     */
+    private double mIsolatedLimit;
+
+    /** The rooms at the last decision, for the status. */
+    private List<Room> mLastRooms = List.of();
+
+    private long mRefusedCount;
+
+    ServiceCalls(FleetView fleet) {
+        mFleet = fleet;
+    }
+
+    WorkEstimate work() {
+        return mWork;
+    }
+
+    WaitingQueue<WaitingCall> queue() {
+        return mQueue;
+    }
+
+    /** Returns the rooms that were known at the last decision. */
+    List<Room> lastRooms() {
+        return mLastRooms;
+    }
+
+    /** Returns the number of calls that were refused so far. */
+    long refusedCount() {
+        return mRefusedCount;
+    }
+
+    /** Records the rooms of a decision. */
+    void recordDecision(List<Room> rooms) {
+        mLastRooms = rooms;
+    }
+
+    /** Records that a call was refused. */
+    void recordRefusal() {
+        mRefusedCount++;
+    }
+
+    /** Records that a call of this router was sent. */
+    void begin() {
+        mCalls++;
+    }
+
+    /** Records that a call of this router has ended. */
+    void end() {
+        mCalls--;
+    }
+
+    /**
+     * Records a successful answer.
+     *
+     * @param calls the calls known at the upstream when the call was sent, itself included
+     * @param inTime whether the answer met the target
+     */
+    void recordAnswer(UpstreamEntry upstream, long millis, int calls, boolean inTime) {
+        mWork.record(millis, upstream.slots(), calls);
+        if (mIsolatedLimit > 0) {
+            mIsolatedLimit = inTime ? mIsolatedLimit + 1 : Math.max(1, mIsolatedLimit / 2);
+        }
+    }
+
+    /** Records that an upstream turned a call away because it is full. */
+    void recordFull(UpstreamEntry upstream, long now) {
+        limit(upstream, now).recordFull(now, Math.max(1, mWork.meanMillis()));
+        mIsolatedLimit = Math.min(mIsolatedLimit, Math.max(1, mIsolatedLimit / 2));
+    }
+
+    /** Records that an upstream was lost. */
+    void recordLost(UpstreamEntry upstream, long now) {
+        limit(upstream, now).recordLost(now);
+    }
+
+    /**
+     * Returns the room at upstreams.
+     *
+     * @param answerMillis the time within which calls are to be answered
+     * @param now the current time, milliseconds
+     */
+    List<Room> rooms(List<UpstreamEntry> upstreams, double answerMillis, long now) {
+        List<Room> rooms = new ArrayList<>(upstreams.size());
+        int total = 0;
+        for (UpstreamEntry upstream : upstreams) {
+            double callsInTime =
+                    mWork.callsWithin(answerMillis, upstream.slots(), mFleet.slowdown(upstream));
+            ConcurrencyLimit limit = limit(upstream, now);
+            Room room =
+                    new Room(
+                            upstream,
+                            limit.limit(callsInTime, now),
+                            mFleet.calls().applyAsInt(upstream),
+                            limit.cause(callsInTime, now));
+            rooms.add(room);
+            total += room.limit();
+        }
+        if (mFleet.hasReports()) {
+            mIsolatedLimit = 0;
+        } else {
+            restrict(rooms, total);
+        }
+        return rooms;
+    }
+
+    /** Reduces the room to what is left of this router's part of the limits. */
+    private void restrict(List<Room> rooms, int total) {
+        if (mIsolatedLimit == 0) {
+            mIsolatedLimit = (double) total / Math.max(1, mFleet.routers().getAsInt());
+        }
+        int left = Math.max(0, (int) Math.max(1, mIsolatedLimit) - mCalls);
+        for (int index = 0; index < rooms.size(); index++) {
+            Room room = rooms.get(index);
+            int free = Math.min(left, room.free());
+            left -= free;
+            rooms.set(index, room.withLimit(room.calls() + free));
+        }
+    }
+
+    /** Discards the limits of upstreams that are no longer listed. */
+    void retain(Set<UpstreamIncarnation> listed) {
+        mLimits.keySet().retainAll(listed);
+    }
+
+    private ConcurrencyLimit limit(UpstreamEntry upstream, long now) {
+        ConcurrencyLimit limit = mLimits.get(upstream.incarnation());
+        if (limit == null) {
+            limit = new ConcurrencyLimit(upstream.slots(), now);
+            mLimits.put(upstream.incarnation(), limit);
+        }
+        return limit;
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -1,8 +1,10 @@
 package org.troutpier.daemon.serving;
 
 import java.util.List;
+import java.util.Set;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.plain.PlainCall;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
@@ -11,7 +13,7 @@
  * the caller unchanged. Confined to the traffic loop. Invariant: a request that is not repeatable
  * is sent again only if it is proved that it was not started.
  */
-final class PlainExecution extends RequestExecution {
+final class PlainExecution extends RequestExecution implements PlainCall.Listener {
 
     /** The attempt in progress, or null. */
     private Attempt mAttempt;
@@ -22,6 +24,12 @@
     /** When the next call was admitted, milliseconds on the loop's clock. */
     private long mAdmittedAt;
 
+    /** The call that was last submitted for placement, or null. */
+    private PlainCall mSubmitted;
+
+    /** The upstream that proved not to have run the call, if only that one may be sent it again. */
+    private UpstreamEntry mOnlyUpstream;
+
     /** An error response of an upstream, sent to the caller if no attempt succeeds; or null. */
     private BufferedResponse mUpstreamFailure;
 
@@ -37,7 +45,44 @@
     /** {@inheritDoc} */
     @Override
     void start() {
-        sendNext();
+        place();
+    }
+
+    /** Sends the request to an upstream that has not received it, possibly after a wait. */
+    private void place() {
+        if (!mContext.load().plainQueue()) {
+            sendNext();
+        } else if (!refuseIfQuarantined()) {
+            mSubmitted = plainCall();
+            mContext.plainCalls().submit(mSubmitted, this);
+        }
+    }
+
+    private PlainCall plainCall() {
+        return new PlainCall(
+                mService,
+                flowKey(),
+                mTrace.elapsedMillis(),
+                mRoute.targetMillis(),
+                remainingMillis(),
+                mRequest.body().length,
+                this::candidates);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onAdmitted(List<UpstreamEntry> upstreams) {
+        if (admitNext(upstreams)) {
+            sendNext();
+        } else {
+            giveUpWithoutUpstream(candidates());
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onRefused(String detail, long retryAfterMillis) {
+        giveUp(ResultCode.TARGET_OUT_OF_REACH, detail, retryAfterMillis);
     }
 
     /** Sends the request to an upstream that has not received it. */
@@ -81,7 +126,12 @@
 
     /** Returns the upstreams to which the request may still be sent, the least loaded first. */
     private List<UpstreamEntry> candidates() {
-        return mContext.loads().byCalls(upstreams(UpstreamEntry.Role.PLAIN), excludedUpstreams());
+        List<UpstreamEntry> upstreams = upstreams(UpstreamEntry.Role.PLAIN);
+        if (mOnlyUpstream != null) {
+            upstreams = upstreams.contains(mOnlyUpstream) ? List.of(mOnlyUpstream) : List.of();
+            return mContext.loads().byCalls(upstreams, Set.of());
+        }
+        return mContext.loads().byCalls(upstreams, excludedUpstreams());
     }
 
     /**
@@ -131,6 +181,9 @@
     @Override
     protected void releaseUpstream() {
         releaseNext();
+        if (mSubmitted != null) {
+            mContext.plainCalls().cancel(mSubmitted);
+        }
         if (mAttempt != null) {
             mAttempt.abort();
         }
@@ -145,6 +198,9 @@
     /** Decides how to continue after a failed attempt. */
     private void onAttemptFailed(UpstreamEntry upstream, AttemptEnd end) {
         recordFailure(upstream, end);
+        if (mContext.load().plainQueue()) {
+            mContext.plainCalls().recordFailure(upstream, end);
+        }
         if (end.notStarted() || mRoute.kind().repeatable()) {
             afterCrashAttribution(upstream, end, ended -> retry(upstream, end));
             return;
@@ -161,25 +217,49 @@
     /** Sends the request to another upstream if that is allowed, or gives up. */
     private void retry(UpstreamEntry upstream, AttemptEnd end) {
         if (mayRetry(upstream, end)) {
-            sendNext();
+            place();
+        } else if (mayWaitFor(upstream, end)) {
+            mOnlyUpstream = upstream;
+            place();
         } else {
             releaseNext();
             giveUp(end);
         }
     }
 
+    /**
+     * Returns whether the request waits for the upstream that turned it away, which does not count
+     * as a further attempt.
+     */
+    private boolean mayWaitFor(UpstreamEntry upstream, AttemptEnd end) {
+        return mContext.load().plainQueue()
+                && mOnlyUpstream == null
+                && end.isTurnedAway()
+                && mayResend();
+    }
+
     /** One call to one upstream. Confined to the traffic loop. */
     private final class Attempt extends UpstreamRun {
 
         /** The response so far, or null before its head. */
         private BufferedResponse mResponse;
 
+        /** The calls known at the upstream when this one was sent, itself included. */
+        private int mCallsThere;
+
+        /** Whether it is too late for an answer of another upstream within the target. */
+        private boolean mLate;
+
         Attempt(UpstreamEntry upstream) {
             super(PlainExecution.this.mContext, upstream);
         }
 
         void start() {
             mContext.loads().begin(mUpstream, 0);
+            if (mContext.load().plainQueue()) {
+                mCallsThere = mContext.loads().calls(mUpstream);
+                mContext.plainCalls().begin(mService);
+            }
             send(mRequest, UpstreamPort.RunPlan.plain(remainingMillis(), priority()));
             long silenceMillis =
                     (long) (mRoute.targetMillis() * ServingSettings.PLAIN_SILENCE_FACTOR);
@@ -188,8 +268,42 @@
                             && mAttempted.size() < mRoute.maxAttempts()
                             && silenceMillis + mRoute.targetMillis() < remainingMillis();
             if (canRetry) {
-                startSilenceTimer(silenceMillis);
+                startSilenceTimer(
+                        mContext.load().plainQueue()
+                                ? mContext.plainCalls().secondTryDelayMillis(plainCall())
+                                : silenceMillis);
+            }
+        }
+
+        /** Moves the call to another upstream if one has room and the budget allows it. */
+        private void trySecond() {
+            AttemptEnd end = AttemptEnd.lost("silent");
+            boolean late = mLate;
+            if (!mLate) {
+                mLate = true;
+                long silenceMillis =
+                        (long) (mRoute.targetMillis() * ServingSettings.PLAIN_SILENCE_FACTOR);
+                startSilenceTimer(Math.max(1, silenceMillis - elapsedMillis()));
+            }
+            List<UpstreamEntry> others =
+                    mContext.plainCalls().secondUpstreams(mUpstream, plainCall(), !late);
+            if (!admitNext(others)) {
+                return;
+            }
+            if (!mayRetry(mUpstream, end)) {
+                releaseNext();
+                return;
             }
+            abort();
+            if (late) {
+                recordFailure(mUpstream, end);
+                mContext.plainCalls().recordFailure(mUpstream, end);
+            } else {
+                // a slow upstream is not ejected: it would leave less room for all others
+                mOutcomeTracker.recordAttemptEnd(end);
+                mTrace.addStep("slow@" + mUpstream.id());
+            }
+            afterCrashAttribution(mUpstream, end, ended -> sendNext());
         }
 
         /**
@@ -197,6 +311,10 @@
          */
         @Override
         protected void onSilence() {
+            if (mContext.load().plainQueue()) {
+                trySecond();
+                return;
+            }
             if (!admitNext(candidates())) {
                 return;
             }
@@ -209,6 +327,9 @@
         protected void onClosed() {
             mAttempt = null;
             mContext.loads().end(mUpstream, 0);
+            if (mContext.load().plainQueue()) {
+                mContext.plainCalls().end(mService);
+            }
         }
 
         /** {@inheritDoc} */
@@ -236,6 +357,7 @@
             switch (head.verdict()) {
                 case SUCCESS -> {
                     recordSuccess(mUpstream, "plain", elapsedMillis());
+                    recordAnswer();
                     mTrace.addStep("status=" + head.status());
                     markIfLate(mTrace.elapsedMillis());
                     mResponse.sendTo(mCaller);
@@ -252,6 +374,14 @@
             }
         }
 
+        private void recordAnswer() {
+            if (mContext.load().plainQueue()) {
+                mContext.plainCalls()
+                        .recordAnswer(
+                                mUpstream, elapsedMillis(), mCallsThere, mRoute.targetMillis());
+            }
+        }
+
         /** {@inheritDoc} */
         @Override
         public void onFailure(AttemptEnd end) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -10,6 +10,7 @@
 import org.troutpier.daemon.decision.RetryPacer;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.organisation.OrganisationLimiter;
+import org.troutpier.daemon.plain.PlainCalls;
 
 /**
  * The shared collaborators of all executions. Immutable; confined to the traffic loop, as are the
@@ -34,6 +35,7 @@
  * @param demandMeter measures the demand for model services
  * @param metrics the metrics of requests
  * @param decisionLog logs decisions about requests
+ * @param plainCalls places calls to plain services
  * @param load which decisions under load are made over all routers
  * @param random selects among weighted services
  */
@@ -57,6 +59,7 @@
         DemandMeter demandMeter,
         ServingMetrics metrics,
         DecisionLog decisionLog,
+        PlainCalls plainCalls,
         LoadSettings load,
         RandomGenerator random) {
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/AttemptEnd.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/AttemptEnd.java
@@ -46,6 +46,11 @@
         return new AttemptEnd(false, false, false, code, detail);
     }
 
+    /** Returns whether an upstream that remains turned the request away without starting it. */
+    public boolean isTurnedAway() {
+        return notStarted && !leaving && !unreachable;
+    }
+
     /** Returns whether it is certain that no byte reached the upstream. */
     public boolean neverReached() {
         return notStarted && unreachable;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -107,6 +107,7 @@
                                 new MetricRegistry(),
                                 new EventRing("router", 16, new HybridClock()),
                                 mTime.loop()),
+                        TestPlainCalls.on(mTime, loads, peers, random, 1),
                         LoadSettings.DEFAULT,
                         random);
     }
