Plain calls: admission over stale views, pace of upstreams, and tests that play the load

Cause: with a hard limit on views that are tens of milliseconds old, all routers send into the same room and then all stop. Change: a call leaves room for what all routers are expected to send on the same view, its organisation's part drawn once; room counts what ends meanwhile; an upstream's pace is estimated from its answers; a late answer of an idle slow upstream is preferred to a refusal.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/CallAdmission.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/CallAdmission.java
@@ -1,7 +1,9 @@
 package org.troutpier.daemon.plain;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.troutpier.common.id.PartnerId;
 import org.troutpier.daemon.directory.UpstreamEntry;
@@ -21,10 +23,15 @@
  * @param service the service of the call
  * @param rooms what is known of the upstreams, in order of preference
  * @param waiting the calls that wait at all routers
+ * @param competing the calls that all routers are expected to place on the same view
  * @param workMillis the mean work of a call, milliseconds
  */
 record CallAdmission(
-        String service, List<Room> rooms, List<WaitingReport.Entry> waiting, double workMillis) {
+        String service,
+        List<Room> rooms,
+        List<WaitingReport.Entry> waiting,
+        List<WaitingReport.Entry> competing,
+        double workMillis) {
 
     /** The outcome of a decision. */
     enum Verdict {
@@ -57,9 +64,13 @@
     Decision decide(Claim claim, double draw, long maxWaitMillis) {
         int free = 0;
         int slots = 0;
+        boolean hasFreeSlot = false;
         for (Room room : rooms) {
-            free += room.free();
-            slots += room.upstream().slots();
+            if (room.inTime()) {
+                free += room.free();
+                slots += room.upstream().slots();
+            }
+            hasFreeSlot |= !room.inTime() && room.hasFreeSlot();
         }
         double ahead = callsAhead(claim, draw);
         if (free > ahead) {
@@ -67,47 +78,47 @@
         }
         double waitMillis = (ahead + 1 - free) * workMillis / Math.max(1, slots);
         Verdict verdict = waitMillis <= maxWaitMillis ? Verdict.WAIT : Verdict.REFUSE;
+        if (verdict == Verdict.REFUSE && hasFreeSlot) {
+            // a late answer of a slow upstream that is idle comes sooner than the caller would
+            verdict = Verdict.SEND;
+        }
         return new Decision(verdict, waitMillis, ahead, free);
     }
 
-    /** Returns the number of waiting calls that are to be sent before a call. */
+    /** Returns the number of calls that are to be sent before a call. */
     private double callsAhead(Claim claim, double draw) {
-        double own = 0;
-        for (WaitingReport.Entry entry : waiting) {
-            if (isOfSameLevel(entry, claim) && isOfOrganisation(entry, claim)) {
-                own += entry.cost();
-            }
+        Map<PartnerId, Double> sameLevel = new HashMap<>();
+        double ahead = count(waiting, claim, sameLevel) + count(competing, claim, sameLevel);
+        double own = sameLevel.getOrDefault(claim.flow().organisation(), 0.0);
+        double turns = draw * own;
+        for (Map.Entry<PartnerId, Double> each : sameLevel.entrySet()) {
+            boolean isOwn = each.getKey().equals(claim.flow().organisation());
+            ahead += isOwn ? turns : Math.min(each.getValue(), turns + draw);
         }
-        double ownAhead = draw * own;
-        double ahead = ownAhead;
-        for (WaitingReport.Entry entry : waiting) {
+        return ahead;
+    }
+
+    /**
+     * Counts the calls of the service with a better tier or a more urgent rank.
+     *
+     * @param sameLevel receives the calls of the same tier and rank by organisation
+     */
+    private double count(
+            List<WaitingReport.Entry> entries, Claim claim, Map<PartnerId, Double> sameLevel) {
+        double preceding = 0;
+        for (WaitingReport.Entry entry : entries) {
             if (!entry.service().equals(service)) {
                 continue;
             }
-            if (precedes(entry, claim)) {
-                ahead += entry.cost();
-            } else if (isOfSameLevel(entry, claim) && !isOfOrganisation(entry, claim)) {
-                ahead += Math.min(entry.cost(), ownAhead + draw);
+            int byTier = entry.tier().compareTo(claim.tier());
+            int order = byTier != 0 ? byTier : entry.rank() - claim.flow().rank();
+            if (order < 0) {
+                preceding += entry.cost();
+            } else if (order == 0) {
+                sameLevel.merge(entry.organisation(), entry.cost(), Double::sum);
             }
         }
-        return ahead;
-    }
-
-    private boolean isOfSameLevel(WaitingReport.Entry entry, Claim claim) {
-        return entry.service().equals(service)
-                && entry.tier() == claim.tier()
-                && entry.rank() == claim.flow().rank();
-    }
-
-    private static boolean isOfOrganisation(WaitingReport.Entry entry, Claim claim) {
-        PartnerId organisation = claim.flow().organisation();
-        return entry.organisation().equals(organisation);
-    }
-
-    /** Returns whether calls of an entry have a better tier or are more urgent. */
-    private static boolean precedes(WaitingReport.Entry entry, Claim claim) {
-        int byTier = entry.tier().compareTo(claim.tier());
-        return byTier < 0 || byTier == 0 && entry.rank() < claim.flow().rank();
+        return preceding;
     }
 
     /**
@@ -119,10 +130,13 @@
         List<UpstreamEntry> order = new ArrayList<>(rooms.size());
         List<Room> left = new ArrayList<>(rooms.size());
         int free = 0;
+        List<UpstreamEntry> late = new ArrayList<>();
         for (Room room : rooms) {
-            if (room.free() > 0) {
+            if (room.inTime() && room.free() > 0) {
                 left.add(room);
                 free += room.free();
+            } else if (room.hasFreeSlot()) {
+                late.add(room.upstream());
             }
         }
         if (!left.isEmpty() && left.get(0).isLightlyLoaded()) {
@@ -135,6 +149,7 @@
             free -= drawn.free();
             order.add(drawn.upstream());
         }
+        order.addAll(late);
         return order;
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ConcurrencyLimit.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ConcurrencyLimit.java
@@ -8,7 +8,7 @@
  * idle.
  *
  * <p>The limit is the number of calls with which an answer is predicted within the target. An upper
- * bound on it starts at the slots, rises while the upstream turns no call away, and is halved when
+ * bound on it starts at the slots or the calls already there, rises while the upstream turns no call away, and is halved when
  * it does. An upstream that has returned is therefore not sent a whole backlog at once.
  */
 final class ConcurrencyLimit {
@@ -42,12 +42,12 @@
      * Creates the limit of an upstream to which this router has not sent any call.
      *
      * @param slots the slots of the upstream
+     * @param calls the calls that other routers have there, which it takes without being overrun
      * @param now the current time, milliseconds
      */
-    ConcurrencyLimit(int slots, long now) {
+    ConcurrencyLimit(int slots, int calls, long now) {
         mSlots = Math.max(1, slots);
-        mBound = mSlots;
-        mBoundAt = now;
+        setBound(calls, now);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/FleetView.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/FleetView.java
@@ -4,7 +4,6 @@
 import java.util.function.ToIntFunction;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.pace.PaceReport;
 
 /**
  * What this router knows of the calls of all routers. Immutable; confined to the traffic loop.
@@ -16,23 +15,12 @@
 public record FleetView(ToIntFunction<UpstreamEntry> calls, PeerLoads peers, IntSupplier routers) {
 
     /**
-     * Weight of the assumption that an upstream is as fast as the others, in measurements, so that
-     * a single long call does not make it look slow.
+     * Age of the other routers' calls, milliseconds: the interval of reports, and their way.
      */
-    private static final double NORMAL_PACE_WEIGHT = 3;
+    static final double REPORT_AGE_MILLIS = 50;
 
     /** Returns whether any other router reported recently. */
     boolean hasReports() {
         return peers.peerCount() > 0;
     }
-
-    /** Returns how many times as long as others of its service an upstream takes. */
-    double slowdown(UpstreamEntry upstream) {
-        PaceReport pace = peers.pace(upstream.incarnation());
-        double weight = pace.recentWeight() + pace.lastingWeight();
-        return weight == 0
-                ? 1
-                : Math.exp(
-                        (pace.recentRatio() + pace.lastingRatio()) / (weight + NORMAL_PACE_WEIGHT));
-    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
@@ -30,9 +30,10 @@
 
     /**
      * Part of the target for which a call waits for room. A caller that is refused later has too
-     * little of its own time left to return.
+     * little of its own time left to return; and the time is missing at the upstream, where the
+     * limit has to leave it to calls that waited.
      */
-    private static final double MAX_WAIT_PART = 0.25;
+    private static final double MAX_WAIT_PART = 0.125;
 
     /** Time that an answer takes to its caller, with a margin for this router, milliseconds. */
     private static final long ANSWER_MARGIN_MILLIS = 20;
@@ -99,6 +100,7 @@
     public void submit(PlainCall call, PlainCall.Listener listener) {
         long now = mSchedule.millis();
         ServiceCalls service = service(call.service());
+        service.demand().record(call.flow(), now);
         WaitingCall candidate = candidate(service, call, listener, now);
         CallAdmission admission = admission(service, call, now);
         CallAdmission.Decision decision = decide(admission, candidate, now);
@@ -150,10 +152,27 @@
     private CallAdmission admission(ServiceCalls service, PlainCall call, long now) {
         List<Room> rooms =
                 service.rooms(
-                        call.upstreams().get(), call.targetMillis() - ANSWER_MARGIN_MILLIS, now);
+                        call.upstreams().get(),
+                        call.targetMillis() * (1 - MAX_WAIT_PART) - ANSWER_MARGIN_MILLIS,
+                        now);
         service.recordDecision(rooms);
         return new CallAdmission(
-                call.service(), rooms, waiting(service), Math.max(1, service.work().meanMillis()));
+                call.service(),
+                rooms,
+                waiting(service),
+                competing(service, call.service(), now),
+                Math.max(1, service.work().meanMillis()));
+    }
+
+    /**
+     * Returns the calls that all routers are expected to place while a change at an upstream becomes
+     * known.
+     */
+    private List<WaitingReport.Entry> competing(ServiceCalls service, String name, long now) {
+        int routers = mFleet.peers().peerCount() + 1;
+        return routers == 1 || !service.work().known()
+                ? List.of()
+                : service.demand().expected(name, FleetView.REPORT_AGE_MILLIS, routers, now);
     }
 
     /** Returns the calls that wait at all routers. */
@@ -286,7 +305,9 @@
      * @param targetMillis the target of the call, milliseconds
      */
     public void recordAnswer(UpstreamEntry upstream, long millis, int calls, long targetMillis) {
-        service(upstream.service()).recordAnswer(upstream, millis, calls, millis <= targetMillis);
+        service(upstream.service())
+                .recordAnswer(
+                        upstream, millis, calls, millis <= targetMillis, mSchedule.millis());
     }
 
     /** Records the failure of a call. A failed answer says nothing about the upstream's load. */
@@ -333,7 +354,7 @@
             double predicted =
                     service.work()
                             .answerMillis(
-                                    upstream.slots(), room.calls() + 1, mFleet.slowdown(upstream));
+                                    upstream.slots(), room.calls() + 1, service.slowdown(upstream, now));
             SecondTry second = new SecondTry(silent, room, predicted);
             double remaining = answerMillis - call.elapsedMillis();
             if (inTime ? second.isInTime(remaining) : second.hasRoom()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.pace.PaceReport;
 import org.troutpier.daemon.waiting.WaitingQueue;
 
 /**
@@ -16,10 +17,14 @@
  */
 final class ServiceCalls {
 
+    private final FlowDemand mDemand = new FlowDemand();
+
     private final WorkEstimate mWork = new WorkEstimate();
 
     private final Map<UpstreamIncarnation, ConcurrencyLimit> mLimits = new HashMap<>();
 
+    private final Map<UpstreamIncarnation, UpstreamPace> mPaces = new HashMap<>();
+
     private final WaitingQueue<WaitingCall> mQueue = new WaitingQueue<>();
 
     private final FleetView mFleet;
@@ -42,6 +47,10 @@
         mFleet = fleet;
     }
 
+    FlowDemand demand() {
+        return mDemand;
+    }
+
     WorkEstimate work() {
         return mWork;
     }
@@ -86,8 +95,11 @@
      * @param calls the calls known at the upstream when the call was sent, itself included
      * @param inTime whether the answer met the target
      */
-    void recordAnswer(UpstreamEntry upstream, long millis, int calls, boolean inTime) {
-        mWork.record(millis, upstream.slots(), calls);
+    void recordAnswer(
+            UpstreamEntry upstream, long millis, int calls, boolean inTime, long now) {
+        double ratio = mWork.record(millis, upstream.slots(), calls);
+        mPaces.computeIfAbsent(upstream.incarnation(), any -> new UpstreamPace())
+                .record(ratio, now);
         if (mIsolatedLimit > 0) {
             mIsolatedLimit = inTime ? mIsolatedLimit + 1 : Math.max(1, mIsolatedLimit / 2);
         }
@@ -114,14 +126,16 @@
         List<Room> rooms = new ArrayList<>(upstreams.size());
         int total = 0;
         for (UpstreamEntry upstream : upstreams) {
-            double callsInTime =
-                    mWork.callsWithin(answerMillis, upstream.slots(), mFleet.slowdown(upstream));
+            double slowdown = slowdown(upstream, now);
+            double callsInTime = mWork.callsWithin(answerMillis, upstream.slots(), slowdown);
             ConcurrencyLimit limit = limit(upstream, now);
             Room room =
                     new Room(
                             upstream,
                             limit.limit(callsInTime, now),
                             mFleet.calls().applyAsInt(upstream),
+                            turnover(upstream, slowdown),
+                            mWork.answerMillis(1, 1, slowdown) <= answerMillis,
                             limit.cause(callsInTime, now));
             rooms.add(room);
             total += room.limit();
@@ -134,6 +148,21 @@
         return rooms;
     }
 
+    /** Returns how many times as long as others an upstream takes. */
+    double slowdown(UpstreamEntry upstream, long now) {
+        PaceReport peers = mFleet.peers().pace(upstream.incarnation());
+        UpstreamPace pace = mPaces.get(upstream.incarnation());
+        return (pace == null ? new UpstreamPace() : pace).slowdown(peers, now);
+    }
+
+    /** Returns how many calls end at an upstream while a change there becomes known. */
+    private int turnover(UpstreamEntry upstream, double slowdown) {
+        double workMillis = mWork.meanMillis() * slowdown;
+        return mWork.known() && mFleet.hasReports()
+                ? (int) (upstream.slots() * FleetView.REPORT_AGE_MILLIS / workMillis)
+                : 0;
+    }
+
     /** Reduces the room to what is left of this router's part of the limits. */
     private void restrict(List<Room> rooms, int total) {
         if (mIsolatedLimit == 0) {
@@ -151,12 +180,14 @@
     /** Discards the limits of upstreams that are no longer listed. */
     void retain(Set<UpstreamIncarnation> listed) {
         mLimits.keySet().retainAll(listed);
+        mPaces.keySet().retainAll(listed);
     }
 
     private ConcurrencyLimit limit(UpstreamEntry upstream, long now) {
         ConcurrencyLimit limit = mLimits.get(upstream.incarnation());
         if (limit == null) {
-            limit = new ConcurrencyLimit(upstream.slots(), now);
+            int calls = mFleet.calls().applyAsInt(upstream);
+            limit = new ConcurrencyLimit(upstream.slots(), calls, now);
             mLimits.put(upstream.incarnation(), limit);
         }
         return limit;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/WorkEstimate.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/WorkEstimate.java
@@ -7,7 +7,7 @@
  */
 final class WorkEstimate {
 
-    /** Weight of a new measurement. */
+    /** Lowest weight of a new measurement. The first ones are averaged. */
     private static final double SMOOTHING_FACTOR = 0.1;
 
     /**
@@ -16,30 +16,49 @@
      */
     private static final double LONG_WORK_FACTOR = 1.5;
 
+    /**
+     * Longest work that counts in full, in multiples of the mean, so that one slow upstream does
+     * not make the estimate of all others too long.
+     */
+    private static final double MAX_RATIO = 2;
+
+    /** Measurements before which nothing is predicted; a single one may be far off. */
+    private static final int MIN_ANSWERS = 5;
+
     /** The mean, milliseconds; 0 before the first measurement. */
     private double mMeanMillis;
 
+    private int mAnswers;
+
     /**
      * Records a successful answer.
      *
      * @param millis the duration of the call
      * @param slots the slots of the upstream
      * @param calls the calls known there when it was sent, itself included
+     * @return the work relative to the mean before
      */
-    void record(long millis, int slots, int calls) {
+    double record(long millis, int slots, int calls) {
         double work = Math.max(1, millis) / callsPerSlot(slots, calls);
-        mMeanMillis =
-                mMeanMillis == 0 ? work : mMeanMillis + SMOOTHING_FACTOR * (work - mMeanMillis);
+        mAnswers = Math.min(MIN_ANSWERS, mAnswers + 1);
+        if (mMeanMillis == 0) {
+            mMeanMillis = work;
+            return 1;
+        }
+        double ratio = work / mMeanMillis;
+        double weight = known() ? SMOOTHING_FACTOR : 1.0 / mAnswers;
+        mMeanMillis *= 1 + weight * (Math.min(MAX_RATIO, ratio) - 1);
+        return ratio;
     }
 
-    /** Returns whether any answer was recorded. */
+    /** Returns whether enough answers were recorded. */
     boolean known() {
-        return mMeanMillis > 0;
+        return mAnswers >= MIN_ANSWERS;
     }
 
-    /** Returns the mean work of a call, milliseconds. */
+    /** Returns the mean work of a call, milliseconds; 0 while it is not known. */
     double meanMillis() {
-        return mMeanMillis;
+        return known() ? mMeanMillis : 0;
     }
 
     /**
@@ -48,10 +67,10 @@
      * @param slots the slots of the upstream
      * @param calls the calls there, the new one included
      * @param slowdown how many times as long as others the upstream takes
-     * @return milliseconds; 0 before the first measurement
+     * @return milliseconds; 0 while the work is not known
      */
     double answerMillis(int slots, double calls, double slowdown) {
-        return mMeanMillis * slowdown * (LONG_WORK_FACTOR + callsPerSlot(slots, calls) - 1);
+        return meanMillis() * slowdown * (LONG_WORK_FACTOR + callsPerSlot(slots, calls) - 1);
     }
 
     /**
@@ -60,11 +79,11 @@
      * @param millis the time
      * @param slots the slots of the upstream
      * @param slowdown how many times as long as others the upstream takes
-     * @return the number of calls, possibly less than the slots; infinite before the first
-     *     measurement
+     * @return the number of calls, possibly less than the slots; infinite while the
+     *     work is not known
      */
     double callsWithin(double millis, int slots, double slowdown) {
-        double work = mMeanMillis * slowdown;
+        double work = meanMillis() * slowdown;
         return work == 0
                 ? Double.POSITIVE_INFINITY
                 : slots * (millis / work - LONG_WORK_FACTOR + 1);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/CallAdmissionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/CallAdmissionTest.java
@@ -34,7 +34,7 @@
                         6,
                         UpstreamEntry.Role.PLAIN,
                         false);
-        return new Room(upstream, limit, calls, ConcurrencyLimit.Cause.TARGET);
+        return new Room(upstream, limit, calls, 0, true, ConcurrencyLimit.Cause.TARGET);
     }
 
     private static WaitingReport.Entry waiting(PartnerId organisation, int rank, int calls) {
@@ -47,7 +47,7 @@
     }
 
     private static CallAdmission admission(List<WaitingReport.Entry> waiting, Room... rooms) {
-        return new CallAdmission("service", List.of(rooms), waiting, 20);
+        return new CallAdmission("service", List.of(rooms), waiting, List.of(), 20);
     }
 
     private static CallAdmission.Verdict verdict(
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/ConcurrencyLimitTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/ConcurrencyLimitTest.java
@@ -14,15 +14,29 @@
 
     private int settledLimit(double workMillis, double answerMillis, double slowdown) {
         WorkEstimate work = new WorkEstimate();
-        work.record((long) workMillis, SLOTS, 1);
-        ConcurrencyLimit limit = new ConcurrencyLimit(SLOTS, 0);
+        record(work, (long) workMillis, 1);
+        ConcurrencyLimit limit = new ConcurrencyLimit(SLOTS, 0, 0);
         return limit.limit(work.callsWithin(answerMillis, SLOTS, slowdown), 10_000);
     }
 
+    private static void record(WorkEstimate work, long millis, int calls) {
+        for (int answer = 0; answer < 5; answer++) {
+            work.record(millis, SLOTS, calls);
+        }
+    }
+
+    @Test
+    public void oneLongAnswerPredictsNothing() {
+        mWork.record(5000, SLOTS, 1);
+        assertEquals(mWork.answerMillis(SLOTS, 1, 1), 0.0);
+        ConcurrencyLimit limit = new ConcurrencyLimit(SLOTS, 0, 0);
+        assertTrue(limit.limit(mWork.callsWithin(170, SLOTS, 1), 10_000) > SLOTS);
+    }
+
     @Test
     public void asManyCallsAreTakenAsAreAnsweredWithinTheTarget() {
         int limit = settledLimit(40, 170, 1);
-        mWork.record(40, SLOTS, 1);
+        record(mWork, 40, 1);
         assertTrue(mWork.answerMillis(SLOTS, limit, 1) <= 170, "limit " + limit);
         assertTrue(mWork.answerMillis(SLOTS, limit + 1, 1) > 170, "limit " + limit);
     }
@@ -35,13 +49,13 @@
 
     @Test
     public void theEstimateIsTheSameWhetherAnswersWaitedForASlotOrNot() {
-        mWork.record(80, SLOTS, 2 * SLOTS);
+        record(mWork, 80, 2 * SLOTS);
         assertEquals(mWork.meanMillis(), 40.0);
     }
 
     @Test
     public void anUpstreamThatReturnsBeginsAtItsSlots() {
-        ConcurrencyLimit limit = new ConcurrencyLimit(SLOTS, 0);
+        ConcurrencyLimit limit = new ConcurrencyLimit(SLOTS, 0, 0);
         assertEquals(limit.limit(100, 0), SLOTS);
         int risen = limit.limit(100, 5000);
         assertTrue(risen > SLOTS);
@@ -50,9 +64,14 @@
         assertEquals(limit.limit(100, 10_000), risen);
     }
 
+    @Test
+    public void aNewRouterTakesTheCallsOfTheOthersForGranted() {
+        assertEquals(new ConcurrencyLimit(SLOTS, 15, 0).limit(100, 0), 15);
+    }
+
     @Test
     public void aFullUpstreamGetsNoCallForAMomentAndHalfAsManyAfterwards() {
-        ConcurrencyLimit limit = new ConcurrencyLimit(SLOTS, 0);
+        ConcurrencyLimit limit = new ConcurrencyLimit(SLOTS, 0, 0);
         int before = limit.limit(100, 5000);
         limit.recordFull(5000, 40);
         assertEquals(limit.limit(100, 5039), 0);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/SecondTryTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/SecondTryTest.java
@@ -22,7 +22,7 @@
                         6,
                         UpstreamEntry.Role.PLAIN,
                         false);
-        return new Room(upstream, 20, calls, ConcurrencyLimit.Cause.TARGET);
+        return new Room(upstream, 20, calls, 0, true, ConcurrencyLimit.Cause.TARGET);
     }
 
     @Test
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
@@ -0,0 +1,401 @@
+package org.troutpier.daemon.serving;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.troutpier.common.event.EventRing;
+import org.troutpier.common.event.HybridClock;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.common.id.InstanceId;
+import org.troutpier.common.id.PartnerId;
+import org.troutpier.common.id.RequestId;
+import org.troutpier.common.result.ResultCode;
+import org.troutpier.daemon.cluster.DemandMeter;
+import org.troutpier.daemon.cluster.LoadReport;
+import org.troutpier.daemon.cluster.LoadView;
+import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.cluster.ReportScope;
+import org.troutpier.daemon.decision.GrowthMargin;
+import org.troutpier.daemon.decision.LatencyEstimator;
+import org.troutpier.daemon.decision.RetryPacer;
+import org.troutpier.daemon.directory.UpstreamDirectory;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.limit.UsageSettings;
+import org.troutpier.daemon.node.ManualClock;
+import org.troutpier.daemon.organisation.OrganisationLimiter;
+import org.troutpier.daemon.organisation.Requester;
+import org.troutpier.daemon.organisation.UsageReport;
+import org.troutpier.daemon.plain.PlainCalls;
+import org.troutpier.daemon.quarantine.Quarantine;
+import org.troutpier.daemon.quarantine.QuarantineSettings;
+import org.troutpier.daemon.route.Organisation;
+import org.troutpier.daemon.route.Route;
+import org.troutpier.daemon.route.UsageLimit;
+
+/**
+ * Routers that send plain calls to a few upstreams, and callers that return once after a refusal,
+ * in virtual time. The routers' reports arrive late, as they do over a network. Confined to the
+ * test's thread.
+ */
+final class PlainFleet {
+
+    /** The target latency of answers, milliseconds. */
+    static final int TARGET_MILLIS = 194;
+
+    static final String REPEATABLE_PREFIX = "repeatable-";
+
+    private static final int DEADLINE_MILLIS = 1500;
+
+    private static final long REPORT_INTERVAL_MILLIS = 50;
+
+    private static final long REPORT_DELAY_MILLIS = 20;
+
+    final ManualClock mTime = new ManualClock();
+    final List<PlainUpstream> mUpstreams = new ArrayList<>();
+    final List<Router> mRouters = new ArrayList<>();
+    final Map<String, PlainTally> mTallies = new HashMap<>();
+
+    private final Random mRandom;
+    private final LoadSettings mSettings;
+    private long mNextRequest;
+
+    PlainFleet(int routers, int upstreams, boolean plainQueue, long seed) {
+        mRandom = new Random(seed);
+        mSettings = new LoadSettings(false, false, false, plainQueue, false);
+        for (int number = 0; number < upstreams; number++) {
+            mUpstreams.add(new PlainUpstream("u" + number, "hall-" + number, mTime, mRandom));
+        }
+        for (int number = 0; number < routers; number++) {
+            mRouters.add(new Router(number));
+        }
+        report();
+    }
+
+    PlainTally tally(String organisation) {
+        return mTallies.computeIfAbsent(organisation, name -> new PlainTally());
+    }
+
+    /** Returns the sum over all organisations. */
+    PlainTally total() {
+        PlainTally total = new PlainTally();
+        mTallies.values().forEach(total::add);
+        return total;
+    }
+
+    int turnedAway() {
+        return mUpstreams.stream().mapToInt(each -> each.mTurnedAway).sum();
+    }
+
+    /**
+     * Lets an organisation's callers send requests at random times from now on.
+     *
+     * @param perSecond the mean rate over all routers
+     */
+    void send(String organisation, Route.Kind kind, double perSecond, long millis) {
+        double at = 0;
+        while (true) {
+            at -= Math.log(1 - mRandom.nextDouble()) * 1000 / perSecond;
+            if (at >= millis) {
+                return;
+            }
+            mTime.loop().schedule(() -> new Caller(organisation, kind).attempt(), (long) at);
+        }
+    }
+
+    /** Runs until all requests have ended. */
+    void finish(long millis) {
+        mTime.advance(millis + 2 * DEADLINE_MILLIS);
+    }
+
+    private void report() {
+        List<Router> senders = List.copyOf(mRouters);
+        List<LoadReport> reports = new ArrayList<>();
+        senders.forEach(each -> reports.add(each.report()));
+        mTime.loop()
+                .schedule(
+                        () -> {
+                            for (Router router : mRouters) {
+                                router.receive(senders, reports);
+                            }
+                        },
+                        REPORT_DELAY_MILLIS);
+        mTime.loop().schedule(this::report, REPORT_INTERVAL_MILLIS);
+    }
+
+    /** Replaces a router by one that knows nothing. */
+    void restart(int number) {
+        mRouters.set(number, new Router(number));
+    }
+
+    /** A caller, with one request that is sent again once after a refusal. */
+    private final class Caller implements CallerChannel {
+
+        private final String mOrganisation;
+        private final Route.Kind mKind;
+        private final long mFirst = mTime.millis();
+        private long mAttemptAt;
+        private int mAttempts;
+        private boolean mEnded;
+
+        Caller(String organisation, Route.Kind kind) {
+            mOrganisation = organisation;
+            mKind = kind;
+            tally(organisation).mSent++;
+        }
+
+        void attempt() {
+            mAttempts++;
+            mAttemptAt = mTime.millis();
+            mEnded = false;
+            Organisation organisation =
+                    new Organisation(
+                            new PartnerId(mOrganisation),
+                            Set.of(),
+                            OptionalInt.empty(),
+                            UsageLimit.NONE);
+            ServingRequest request =
+                    new ServingRequest(
+                            new RequestId(
+                                    (mKind.repeatable() ? REPEATABLE_PREFIX : "once-")
+                                            + mNextRequest++),
+                            "POST",
+                            "/x",
+                            "h",
+                            new DefaultHttpHeaders(),
+                            new byte[0],
+                            DEADLINE_MILLIS - (mAttemptAt - mFirst),
+                            OptionalLong.empty(),
+                            Optional.empty(),
+                            Optional.empty(),
+                            new Requester.Member(organisation));
+            Router router = mRouters.get(mRandom.nextInt(mRouters.size()));
+            new PlainExecution(router.mContext, request, route(), "service", this).begin();
+        }
+
+        private Route route() {
+            return new Route(
+                    "r",
+                    "h",
+                    "/",
+                    mKind,
+                    DEADLINE_MILLIS,
+                    TARGET_MILLIS,
+                    0,
+                    2,
+                    mKind.repeatable() ? 2 : 1,
+                    List.of(new Route.WeightedService("service", 1)),
+                    false);
+        }
+
+        @Override
+        public void sendResponse(int status, HttpHeaders headers, byte[] body) {
+            mEnded = true;
+            PlainTally tally = tally(mOrganisation);
+            if (status != 200) {
+                tally.mFailed++;
+            } else if (mTime.millis() - mAttemptAt > TARGET_MILLIS) {
+                tally.mLate++;
+            } else if (mAttempts > 1) {
+                tally.mInTimeAfterReturn++;
+            } else {
+                tally.mInTime++;
+            }
+        }
+
+        @Override
+        public void refuse(ResultCode code, String detail, long retryAfterMillis) {
+            mEnded = true;
+            if (code.family() != ResultCode.Family.NOT_RUN) {
+                tally(mOrganisation).mFailed++;
+                return;
+            }
+            if (mAttempts > 1) {
+                tally(mOrganisation).mRefused++;
+                return;
+            }
+            tally(mOrganisation).mRefusalMillis.add(mTime.millis() - mAttemptAt);
+            mTime.loop().schedule(this::attempt, retryAfterMillis);
+        }
+
+        @Override
+        public void abort() {
+            if (!mEnded) {
+                tally(mOrganisation).mFailed++;
+            }
+        }
+
+        @Override
+        public void beginStream(int status, HttpHeaders headers) {}
+
+        @Override
+        public void write(byte[] part) {}
+
+        @Override
+        public void endStream() {}
+
+        @Override
+        public boolean isWritable() {
+            return true;
+        }
+
+        @Override
+        public void onDisconnect(Runnable action) {}
+
+        @Override
+        public void onWritable(Runnable action) {}
+    }
+
+    /** Passes runs to the upstreams. Confined to the test's thread. */
+    private final class Port implements UpstreamPort {
+
+        private final FakePort mRest = new FakePort();
+
+        @Override
+        public Call run(
+                UpstreamEntry upstream,
+                ServingRequest request,
+                RunPlan plan,
+                RunListener listener) {
+            PlainUpstream target =
+                    mUpstreams.stream()
+                            .filter(each -> each.mEntry.id().equals(upstream.id()))
+                            .findFirst()
+                            .orElseThrow();
+            PlainUpstream.Run run = target.new Run(request.id(), listener);
+            mTime.loop().schedule(() -> target.accept(run), 2);
+            return run;
+        }
+
+        @Override
+        public Call prefill(
+                UpstreamEntry upstream,
+                ServingRequest request,
+                RunPlan plan,
+                ResultListener<StoredPrompt> listener) {
+            return mRest.prefill(upstream, request, plan, listener);
+        }
+
+        @Override
+        public Call reserve(
+                UpstreamEntry upstream,
+                long tokens,
+                int millis,
+                ResultListener<Reservation> listener) {
+            return mRest.reserve(upstream, tokens, millis, listener);
+        }
+
+        @Override
+        public void release(UpstreamEntry upstream, Reservation reservation) {}
+
+        @Override
+        public void discard(StoredPrompt prompt) {}
+
+        @Override
+        public void probe(
+                UpstreamEntry upstream, Consumer<ProbeResult> listener) {
+            listener.accept(ProbeResult.LISTENING);
+        }
+    }
+
+    /** One router. */
+    final class Router {
+
+        private final Incarnation mIncarnation;
+        private final PeerLoads mPeers = new PeerLoads();
+        private final ServingContext mContext;
+
+        /** Whether it is cut off from the other routers. */
+        boolean mCut;
+
+        Router(int number) {
+            mIncarnation = Incarnation.create(new InstanceId("router-" + number));
+            mContext = context(new Port());
+        }
+
+        private ServingContext context(UpstreamPort port) {
+            MetricRegistry metrics = new MetricRegistry();
+            Random random = new Random(mRandom.nextLong());
+            TrafficLoop loop = mTime.loop();
+            UpstreamDirectory directory = new UpstreamDirectory(mTime.control(), mTime::millis);
+            directory.replaceAll(mUpstreams.stream().map(each -> each.mEntry).toList());
+            UpstreamLoads loads = new UpstreamLoads(loop, random, TestUpstreams.HALL, mPeers);
+            UpstreamAdmission admission =
+                    new UpstreamAdmission(
+                            loads,
+                            new UpstreamRates(
+                                    loop, mTime::millis, random, mPeers, () -> 1, metrics),
+                            new UpstreamNotices(loop, random, metrics),
+                            random);
+            Quarantine quarantine =
+                    new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, metrics);
+            LoadView view = Runnable::run;
+            PlainCalls plainCalls =
+                    TestPlainCalls.on(mTime, loads, mPeers, random, mRouters.size() + 1);
+            return new ServingContext(
+                    loop,
+                    port,
+                    directory,
+                    loads,
+                    admission,
+                    new ExtraCallBudget(0.2, 2, 10_000),
+                    new ReservationAllocator(loop, port, loads, admission, view, random),
+                    new OrganisationLimiter(
+                            UsageSettings.DEFAULT, mTime::millis, random, mPeers, () -> 1, metrics),
+                    new RecentRefusals(),
+                    new CrashGuard(loop, port, directory, quarantine, metrics),
+                    new RetryPacer(random),
+                    new GrowthMargin(),
+                    LatencyEstimator.forPrefillExcess(),
+                    LatencyEstimator.forFirstEvent(),
+                    mPeers,
+                    view,
+                    new DemandMeter(),
+                    new ServingMetrics(metrics),
+                    new DecisionLog(metrics, new EventRing("router", 16, new HybridClock()), loop),
+                    plainCalls,
+                    mSettings,
+                    random);
+        }
+
+        private LoadReport report() {
+            return new LoadReport(
+                    1,
+                    1,
+                    false,
+                    0,
+                    Set.of(),
+                    Set.of(),
+                    mContext.loads().usage(),
+                    Map.of(),
+                    UsageReport.NONE,
+                    Map.of(),
+                    mContext.plainCalls().report(),
+                    Map.of());
+        }
+
+        private void receive(List<Router> senders, List<LoadReport> reports) {
+            for (int index = 0; index < senders.size(); index++) {
+                Router sender = senders.get(index);
+                if (sender != this && !sender.mCut && !mCut) {
+                    mPeers.update(
+                            sender.mIncarnation,
+                            TestUpstreams.HALL,
+                            ReportScope.OWN,
+                            reports.get(index),
+                            mTime.millis());
+                }
+            }
+            mPeers.aggregate(mTime.millis());
+        }
+    }
+}
