Plain calls: status, lines, documentation, and tests of single calls

Cause: an operator needs to see why a call was refused, and each failure of the design note needs a test. A second try leaves time for a busy upstream and is not made for a call that is queued as predicted.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ConcurrencyLimit.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ConcurrencyLimit.java
@@ -8,8 +8,9 @@
  * idle.
  *
  * <p>The limit is the number of calls with which an answer is predicted within the target. An upper
- * bound on it starts at the slots or the calls already there, rises while the upstream turns no call away, and is halved when
- * it does. An upstream that has returned is therefore not sent a whole backlog at once.
+ * bound on it starts at the slots or the calls already there, rises while the upstream turns no
+ * call away, and is halved when it does. An upstream that has returned is therefore not sent a
+ * whole backlog at once.
  */
 final class ConcurrencyLimit {
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/FleetView.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/FleetView.java
@@ -14,9 +14,7 @@
  */
 public record FleetView(ToIntFunction<UpstreamEntry> calls, PeerLoads peers, IntSupplier routers) {
 
-    /**
-     * Age of the other routers' calls, milliseconds: the interval of reports, and their way.
-     */
+    /** Age of the other routers' calls, milliseconds: the interval of reports, and their way. */
     static final double REPORT_AGE_MILLIS = 50;
 
     /** Returns whether any other router reported recently. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.common.logging.LogThrottle;
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.upstream.AttemptEnd;
@@ -35,12 +36,20 @@
      */
     private static final double MAX_WAIT_PART = 0.125;
 
+    /**
+     * Time left for a second try, in multiples of the predicted duration of a call at an idle
+     * upstream: other upstreams are rarely idle.
+     */
+    private static final double SECOND_TRY_FACTOR = 1.5;
+
     /** Time that an answer takes to its caller, with a margin for this router, milliseconds. */
     private static final long ANSWER_MARGIN_MILLIS = 20;
 
     /** Interval at which waiting calls are considered, milliseconds; less than most work takes. */
     private static final long ROUND_MILLIS = 10;
 
+    private static final long LOG_INTERVAL_MILLIS = 1000;
+
     private static final int MAX_WAITING_CALLS = 256;
 
     private static final long MAX_WAITING_BYTES = 4L * 1024 * 1024;
@@ -68,6 +77,10 @@
     /** Calls that wait now. */
     private final Counter mWaiting;
 
+    private final LogThrottle mRefusalLog = new LogThrottle(LOG_INTERVAL_MILLIS);
+
+    private final LogThrottle mFullLog = new LogThrottle(LOG_INTERVAL_MILLIS);
+
     private int mWaitingCalls;
 
     private long mWaitingBytes;
@@ -161,12 +174,19 @@
                 rooms,
                 waiting(service),
                 competing(service, call.service(), now),
-                Math.max(1, service.work().meanMillis()));
+                workMillis(service, call));
+    }
+
+    /** Returns the mean work of a call, or a high value while it is not known. */
+    private static double workMillis(ServiceCalls service, PlainCall call) {
+        return service.work().known()
+                ? service.work().meanMillis()
+                : call.targetMillis() * MAX_WAIT_PART;
     }
 
     /**
-     * Returns the calls that all routers are expected to place while a change at an upstream becomes
-     * known.
+     * Returns the calls that all routers are expected to place while a change at an upstream
+     * becomes known.
      */
     private List<WaitingReport.Entry> competing(ServiceCalls service, String name, long now) {
         int routers = mFleet.peers().peerCount() + 1;
@@ -216,6 +236,14 @@
     private void refuse(
             ServiceCalls service, WaitingCall call, CallAdmission.Decision decision, long now) {
         service.recordRefusal();
+        if (mRefusalLog.tryAcquire(now)) {
+            LOGGER.info(
+                    "plain calls refused service={} refused={} waiting={} upstreams={}",
+                    call.call().service(),
+                    service.refusedCount(),
+                    service.queue().size(),
+                    service.lastRooms());
+        }
         long waited = now - call.arrivedAt();
         long remaining = Math.max(1, call.call().remainingMillis() - waited);
         String detail =
@@ -306,8 +334,7 @@
      */
     public void recordAnswer(UpstreamEntry upstream, long millis, int calls, long targetMillis) {
         service(upstream.service())
-                .recordAnswer(
-                        upstream, millis, calls, millis <= targetMillis, mSchedule.millis());
+                .recordAnswer(upstream, millis, calls, millis <= targetMillis, mSchedule.millis());
     }
 
     /** Records the failure of a call. A failed answer says nothing about the upstream's load. */
@@ -320,17 +347,25 @@
     }
 
     private void recordFull(UpstreamEntry upstream) {
+        long now = mSchedule.millis();
         mTurnedAway.inc();
-        service(upstream.service()).recordFull(upstream, mSchedule.millis());
-        LOGGER.info(
-                "upstream full id={} calls={}", upstream.id(), mFleet.calls().applyAsInt(upstream));
+        service(upstream.service()).recordFull(upstream, now);
+        if (mFullLog.tryAcquire(now)) {
+            LOGGER.info(
+                    "plain call turned away id={} calls={}",
+                    upstream.id(),
+                    mFleet.calls().applyAsInt(upstream));
+        }
     }
 
     /** Returns when to consider a second upstream for a repeatable call, in milliseconds. */
     public long secondTryDelayMillis(PlainCall call) {
         double answerMillis = service(call.service()).work().answerMillis(1, 1, 1);
         double delay =
-                call.targetMillis() - call.elapsedMillis() - ANSWER_MARGIN_MILLIS - answerMillis;
+                call.targetMillis()
+                        - call.elapsedMillis()
+                        - ANSWER_MARGIN_MILLIS
+                        - SECOND_TRY_FACTOR * answerMillis;
         return (long) Math.max(1, delay);
     }
 
@@ -338,27 +373,25 @@
      * Returns the upstreams to which a silent repeatable call may go.
      *
      * @param first the upstream that is silent
+     * @param silentMillis for how long
      * @param call the call, with the other upstreams
      * @param inTime whether only those are returned at which the target is met
      * @return the upstreams, in order of preference
      */
     public List<UpstreamEntry> secondUpstreams(
-            UpstreamEntry first, PlainCall call, boolean inTime) {
+            UpstreamEntry first, long silentMillis, PlainCall call, boolean inTime) {
         long now = mSchedule.millis();
         ServiceCalls service = service(call.service());
         double answerMillis = call.targetMillis() - ANSWER_MARGIN_MILLIS;
+        double remaining = answerMillis - call.elapsedMillis();
         Room silent = service.rooms(List.of(first), answerMillis, now).get(0);
+        double expected = service.answerMillis(first, silent.calls(), now);
         List<UpstreamEntry> allowed = new ArrayList<>();
         for (Room room : service.rooms(call.upstreams().get(), answerMillis, now)) {
-            UpstreamEntry upstream = room.upstream();
-            double predicted =
-                    service.work()
-                            .answerMillis(
-                                    upstream.slots(), room.calls() + 1, service.slowdown(upstream, now));
-            SecondTry second = new SecondTry(silent, room, predicted);
-            double remaining = answerMillis - call.elapsedMillis();
-            if (inTime ? second.isInTime(remaining) : second.hasRoom()) {
-                allowed.add(upstream);
+            double predicted = service.answerMillis(room.upstream(), room.calls() + 1, now);
+            SecondTry second = new SecondTry(silent, room, expected, predicted);
+            if (inTime ? second.isInTime(silentMillis, remaining) : second.hasRoom()) {
+                allowed.add(room.upstream());
             }
         }
         return allowed;
@@ -375,46 +408,10 @@
         return WaitingReport.NONE.plus(List.of(new WaitingReport(entries, Map.of(), 0)));
     }
 
-    /**
-     * The state of one upstream, for operators. Immutable and thread safe.
-     *
-     * @param upstream the upstream
-     * @param service its service
-     * @param limit the most calls that it is to have in flight
-     * @param calls the calls that it was known to have in flight
-     * @param waiting the calls of its service that wait at this router
-     * @param refused the calls of its service that this router refused so far
-     * @param workMillis the mean work of a call of its service, milliseconds
-     * @param cause what the limit is determined by
-     */
-    public record Status(
-            String upstream,
-            String service,
-            int limit,
-            int calls,
-            int waiting,
-            long refused,
-            double workMillis,
-            String cause) {}
-
     /** Returns the state of the upstreams as of the last decisions. */
-    public List<Status> statuses() {
-        List<Status> statuses = new ArrayList<>();
-        mServices.forEach(
-                (name, service) -> {
-                    for (Room room : service.lastRooms()) {
-                        statuses.add(
-                                new Status(
-                                        room.upstream().id().value(),
-                                        name,
-                                        room.limit(),
-                                        room.calls(),
-                                        service.queue().size(),
-                                        service.refusedCount(),
-                                        service.work().meanMillis(),
-                                        room.cause().name()));
-                    }
-                });
+    public List<UpstreamStatus> statuses() {
+        List<UpstreamStatus> statuses = new ArrayList<>();
+        mServices.forEach((name, service) -> service.addStatuses(name, statuses));
         return statuses;
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/Room.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/Room.java
@@ -26,6 +26,12 @@
         return new Room(upstream, newLimit, calls, 0, inTime, cause);
     }
 
+    /** Returns this room in the form of a log line. */
+    @Override
+    public String toString() {
+        return upstream.id() + ":" + calls + "/" + limit + "(" + cause + ")";
+    }
+
     /** Returns how many further calls it may be sent. */
     int free() {
         return limit == 0 ? 0 : Math.max(0, limit + turnover - calls);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/SecondTry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/SecondTry.java
@@ -7,17 +7,19 @@
  *
  * @param first what is known of the upstream that is silent
  * @param second what is known of the other one
+ * @param expectedMillis the predicted duration of the call at the first upstream, milliseconds
  * @param answerMillis the predicted duration of the call there, milliseconds
  */
-record SecondTry(Room first, Room second, double answerMillis) {
+record SecondTry(Room first, Room second, double expectedMillis, double answerMillis) {
 
     /**
      * Returns whether the call goes to the other upstream while its target can still be met.
      *
+     * @param silentMillis how long the first upstream has been silent, milliseconds
      * @param remainingMillis the time until the target, milliseconds
      */
-    boolean isInTime(double remainingMillis) {
-        return hasRoom() && answerMillis <= remainingMillis;
+    boolean isInTime(double silentMillis, double remainingMillis) {
+        return hasRoom() && silentMillis >= expectedMillis && answerMillis <= remainingMillis;
     }
 
     /** Returns whether the other upstream has room and is not fuller than the silent one. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
@@ -95,8 +95,7 @@
      * @param calls the calls known at the upstream when the call was sent, itself included
      * @param inTime whether the answer met the target
      */
-    void recordAnswer(
-            UpstreamEntry upstream, long millis, int calls, boolean inTime, long now) {
+    void recordAnswer(UpstreamEntry upstream, long millis, int calls, boolean inTime, long now) {
         double ratio = mWork.record(millis, upstream.slots(), calls);
         mPaces.computeIfAbsent(upstream.incarnation(), any -> new UpstreamPace())
                 .record(ratio, now);
@@ -148,6 +147,11 @@
         return rooms;
     }
 
+    /** Predicts the duration of one of several calls at an upstream, milliseconds. */
+    double answerMillis(UpstreamEntry upstream, int calls, long now) {
+        return mWork.answerMillis(upstream.slots(), calls, slowdown(upstream, now));
+    }
+
     /** Returns how many times as long as others an upstream takes. */
     double slowdown(UpstreamEntry upstream, long now) {
         PaceReport peers = mFleet.peers().pace(upstream.incarnation());
@@ -177,6 +181,22 @@
         }
     }
 
+    /** Adds the state of the upstreams as of the last decision. */
+    void addStatuses(String service, List<UpstreamStatus> statuses) {
+        for (Room room : mLastRooms) {
+            statuses.add(
+                    new UpstreamStatus(
+                            room.upstream().id().value(),
+                            service,
+                            room.limit(),
+                            room.calls(),
+                            mQueue.size(),
+                            mRefusedCount,
+                            mWork.meanMillis(),
+                            room.cause().name()));
+        }
+    }
+
     /** Discards the limits of upstreams that are no longer listed. */
     void retain(Set<UpstreamIncarnation> listed) {
         mLimits.keySet().retainAll(listed);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/UpstreamPace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/UpstreamPace.java
@@ -4,8 +4,8 @@
 
 /**
  * Estimates how many times as long as others of its service an upstream takes, from this router's
- * answers and the other routers' reports. Not thread safe; confined to the traffic loop.
- * Invariant: without new answers the estimate returns to 1, so that the upstream is tried again.
+ * answers and the other routers' reports. Not thread safe; confined to the traffic loop. Invariant:
+ * without new answers the estimate returns to 1, so that the upstream is tried again.
  */
 final class UpstreamPace {
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/WorkEstimate.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/WorkEstimate.java
@@ -79,8 +79,8 @@
      * @param millis the time
      * @param slots the slots of the upstream
      * @param slowdown how many times as long as others the upstream takes
-     * @return the number of calls, possibly less than the slots; infinite while the
-     *     work is not known
+     * @return the number of calls, possibly less than the slots; infinite while the work is not
+     *     known
      */
     double callsWithin(double millis, int slots, double slowdown) {
         double work = meanMillis() * slowdown;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -286,7 +286,8 @@
                 startSilenceTimer(Math.max(1, silenceMillis - elapsedMillis()));
             }
             List<UpstreamEntry> others =
-                    mContext.plainCalls().secondUpstreams(mUpstream, plainCall(), !late);
+                    mContext.plainCalls()
+                            .secondUpstreams(mUpstream, elapsedMillis(), plainCall(), !late);
             if (!admitNext(others)) {
                 return;
             }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/ConcurrencyLimitTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/ConcurrencyLimitTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** How many calls an upstream takes, as its answers, refusals and returns show. */
@@ -10,7 +11,12 @@
 
     private static final int SLOTS = 6;
 
-    private final WorkEstimate mWork = new WorkEstimate();
+    private WorkEstimate mWork;
+
+    @BeforeMethod
+    void setUp() {
+        mWork = new WorkEstimate();
+    }
 
     private int settledLimit(double workMillis, double answerMillis, double slowdown) {
         WorkEstimate work = new WorkEstimate();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/SecondTryTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/SecondTryTest.java
@@ -25,16 +25,25 @@
         return new Room(upstream, 20, calls, 0, true, ConcurrencyLimit.Cause.TARGET);
     }
 
+    private static SecondTry secondTry(int firstCalls, int secondCalls) {
+        return new SecondTry(room("a", firstCalls), room("b", secondCalls), 70, 40);
+    }
+
     @Test
     public void aCallMovesOnlyIfItsAnswerCanBeInTime() {
-        assertTrue(new SecondTry(room("a", 8), room("b", 3), 40).isInTime(40));
-        assertFalse(new SecondTry(room("a", 8), room("b", 3), 41).isInTime(40));
+        assertTrue(secondTry(8, 3).isInTime(70, 40));
+        assertFalse(secondTry(8, 3).isInTime(70, 39));
+    }
+
+    @Test
+    public void aCallThatIsQueuedAsPredictedDoesNotMove() {
+        assertFalse(secondTry(8, 3).isInTime(69, 40));
     }
 
     @Test
     public void aCallDoesNotMoveToAFullerOrFullUpstream() {
-        assertFalse(new SecondTry(room("a", 8), room("b", 9), 40).hasRoom());
-        assertFalse(new SecondTry(room("a", 30), room("b", 20), 40).hasRoom());
-        assertTrue(new SecondTry(room("a", 8), room("b", 8), 40).hasRoom());
+        assertFalse(secondTry(8, 9).hasRoom());
+        assertFalse(secondTry(30, 20).hasRoom());
+        assertTrue(secondTry(8, 8).hasRoom());
     }
 }
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/ServiceCallsTest.java
@@ -0,0 +1,103 @@
+package org.troutpier.daemon.plain;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.Incarnation;
+import org.troutpier.common.id.InstanceId;
+import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.common.settings.Address;
+import org.troutpier.daemon.cluster.LoadReport;
+import org.troutpier.daemon.cluster.PeerLoads;
+import org.troutpier.daemon.cluster.ReportScope;
+import org.troutpier.daemon.cluster.UpstreamUsage;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.organisation.UsageReport;
+import org.troutpier.daemon.waiting.WaitingReport;
+
+/** The limits of a router that has just started, with reports of another router and without. */
+public final class ServiceCallsTest {
+
+    private static final int SLOTS = 6;
+
+    private static final int ROUTERS = 4;
+
+    private static final HallId HALL = new HallId("hall");
+
+    private static final UpstreamEntry UPSTREAM =
+            new UpstreamEntry(
+                    UpstreamIncarnation.of("upstream"),
+                    "service",
+                    new Address("127.0.0.1", 1),
+                    HALL,
+                    SLOTS,
+                    UpstreamEntry.Role.PLAIN,
+                    false);
+
+    private PeerLoads mPeers;
+
+    private ServiceCalls mCalls;
+
+    @BeforeMethod
+    void setUp() {
+        mPeers = new PeerLoads();
+        mCalls =
+                new ServiceCalls(
+                        new FleetView(
+                                each -> mPeers.upstreamUsage(each.incarnation()).calls(),
+                                mPeers,
+                                () -> ROUTERS));
+    }
+
+    private void report(int calls) {
+        LoadReport report =
+                new LoadReport(
+                        1,
+                        1,
+                        false,
+                        0,
+                        Set.of(),
+                        Set.of(),
+                        Map.of(UPSTREAM.incarnation(), UpstreamUsage.of(calls, 0)),
+                        Map.of(),
+                        UsageReport.NONE,
+                        Map.of(),
+                        WaitingReport.NONE,
+                        Map.of());
+        Incarnation sender = Incarnation.create(new InstanceId("other"));
+        mPeers.update(sender, HALL, ReportScope.OWN, report, 0);
+        mPeers.aggregate(0);
+    }
+
+    private Room room() {
+        return mCalls.rooms(List.of(UPSTREAM), 170, 0).get(0);
+    }
+
+    @Test
+    public void theCallsOfOthersAtTheStartAreTakenAsTheLimit() {
+        report(15);
+        assertEquals(room().limit(), 15);
+    }
+
+    @Test
+    public void anUpstreamWithoutCallsBeginsAtItsSlots() {
+        report(0);
+        assertEquals(room().limit(), SLOTS);
+    }
+
+    @Test
+    public void withoutReportsARouterHasItsPartOrOneCallInFlight() {
+        assertEquals(room().free(), SLOTS / ROUTERS);
+        mCalls.begin();
+        assertEquals(room().free(), 0);
+        mCalls.end();
+        assertEquals(room().free(), SLOTS / ROUTERS);
+        report(0);
+        assertEquals(room().free(), SLOTS);
+    }
+}
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
@@ -301,8 +301,7 @@
         public void discard(StoredPrompt prompt) {}
 
         @Override
-        public void probe(
-                UpstreamEntry upstream, Consumer<ProbeResult> listener) {
+        public void probe(UpstreamEntry upstream, Consumer<ProbeResult> listener) {
             listener.accept(ProbeResult.LISTENING);
         }
     }
@@ -312,7 +311,7 @@
 
         private final Incarnation mIncarnation;
         private final PeerLoads mPeers = new PeerLoads();
-        private final ServingContext mContext;
+        final ServingContext mContext;
 
         /** Whether it is cut off from the other routers. */
         boolean mCut;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainLoadTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainLoadTest.java
@@ -115,8 +115,7 @@
                     usual.toString());
         }
         PlainTally flood = fleet.tally("flood");
-        assertTrue(
-                flood.inTimeShare() >= before.tally("flood").inTimeShare(), flood.toString());
+        assertTrue(flood.inTimeShare() >= before.tally("flood").inTimeShare(), flood.toString());
     }
 
     @Test
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainUpstream.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainUpstream.java
@@ -30,10 +30,17 @@
     /** The share of repeatable calls that it fails. */
     double mErrorShare;
 
+    /** Whether it turns all calls away. */
+    boolean mFull;
+
     boolean mLost;
+
     /** How often each once-only attempt was run. */
     final Map<RequestId, Integer> mRuns = new HashMap<>();
 
+    /** Calls on which it began to work. */
+    int mAccepted;
+
     int mTurnedAway;
     int mMostCalls;
     private final List<Run> mQueue = new ArrayList<>();
@@ -59,14 +66,10 @@
     void accept(Run run) {
         mMostCalls = Math.max(mMostCalls, mBusy + mQueue.size());
         if (mLost) {
-            run.answer(
-                    () ->
-                            run.mListener.onFailure(
-                                    AttemptEnd.unreached(
-                                            "refused")));
-        } else if (mBusy < SLOTS) {
+            run.answer(() -> run.mListener.onFailure(AttemptEnd.unreached("refused")));
+        } else if (mBusy < SLOTS && !mFull) {
             work(run);
-        } else if (mQueue.size() < QUEUE) {
+        } else if (mQueue.size() < QUEUE && !mFull) {
             mQueue.add(run);
         } else {
             mTurnedAway++;
@@ -76,6 +79,7 @@
 
     private void work(Run run) {
         mBusy++;
+        mAccepted++;
         run.mStarted = true;
         if (!run.mRepeatable) {
             mRuns.merge(run.mRequest, 1, Integer::sum);
