Plain calls: a late call leaves a silent upstream for any with room; a replaced upstream is not asked again

Cause: a call at a dead upstream stayed there until its deadline while the others had more calls; a call that waited for the upstream that had turned it away was sent there again after another upstream had answered at its address. Change: only second tries that can be in time need an upstream that is not fuller; a retry elsewhere ends the wait for one.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/SecondTry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/SecondTry.java
@@ -19,14 +19,21 @@
      * @param remainingMillis the time until the target, milliseconds
      */
     boolean isInTime(double silentMillis, double remainingMillis) {
-        return hasRoom() && silentMillis >= expectedMillis && answerMillis <= remainingMillis;
+        return hasRoom()
+                && !isFuller()
+                && silentMillis >= expectedMillis
+                && answerMillis <= remainingMillis;
     }
 
-    /** Returns whether the other upstream has room and is not fuller than the silent one. */
+    /** Returns whether the other upstream takes the call at all, in time or late. */
     boolean hasRoom() {
+        return second.free() > 0;
+    }
+
+    /** Returns whether the other upstream has more calls for each slot than the silent one. */
+    private boolean isFuller() {
         long there = (long) second.calls() * first.upstream().slots();
-        // the call itself is one of those at the silent upstream
         long here = (long) first.calls() * second.upstream().slots();
-        return second.free() > 0 && there <= here;
+        return there > here;
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -27,7 +27,7 @@
     /** The call that was last submitted for placement, or null. */
     private PlainCall mSubmitted;
 
-    /** The upstream that proved not to have run the call, if only that one may be sent it again. */
+    /** The only upstream that may be sent the request again, which turned it away; or null. */
     private UpstreamEntry mOnlyUpstream;
 
     /** An error response of an upstream, sent to the caller if no attempt succeeds; or null. */
@@ -217,6 +217,7 @@
     /** Sends the request to another upstream if that is allowed, or gives up. */
     private void retry(UpstreamEntry upstream, AttemptEnd end) {
         if (mayRetry(upstream, end)) {
+            mOnlyUpstream = null;
             place();
         } else if (mayWaitFor(upstream, end)) {
             mOnlyUpstream = upstream;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainExecutionTest.java
@@ -201,6 +201,23 @@
         assertEquals(caller.mStatus, 200);
     }
 
+    @Test
+    public void aCallAtAReplacedUpstreamGoesToAnotherOne() {
+        mFleet.mUpstreams.forEach(each -> each.mFull = true);
+        FakeCaller caller = call(Route.Kind.ONCE);
+        mFleet.mTime.advance(5);
+        PlainUpstream first =
+                mFleet.mUpstreams.stream()
+                        .filter(each -> each.mTurnedAway > 0)
+                        .findFirst()
+                        .orElseThrow();
+        first.mLost = true;
+        mFleet.mUpstreams.forEach(each -> each.mFull = false);
+        mFleet.mTime.advance(TARGET_MILLIS);
+        assertEquals(caller.mStatus, 200);
+        assertEquals(first.mAccepted, 0);
+    }
+
     @Test
     public void aSilentOnceOnlyCallStaysWhereItWasSent() {
         mFleet.mUpstreams.forEach(each -> each.mSlowdown = 100);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainLoadTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainLoadTest.java
@@ -135,6 +135,29 @@
         assertEquals(fleet.total().mRefused, 0);
     }
 
+    private static void playSlowMoments(PlainFleet fleet) {
+        sendUsual(fleet, 1.7, 8000);
+        for (int moment = 0; moment < 12; moment++) {
+            PlainUpstream upstream = fleet.mUpstreams.get(moment % UPSTREAMS);
+            upstream.mSlowdown = 2.5;
+            fleet.mTime.advance(600);
+            upstream.mSlowdown = 1;
+        }
+        fleet.finish(1000);
+    }
+
+    @Test
+    public void upstreamsThatAreSlowForMomentsCostNoMoreThanBefore() {
+        PlainFleet before = play(false, PlainLoadTest::playSlowMoments);
+        PlainFleet fleet = play(true, PlainLoadTest::playSlowMoments);
+        assertTrue(fleet.total().inTimeShare() >= before.total().inTimeShare());
+    }
+
+    @Test
+    public void acceptedCallsAreInTimeAtUpstreamsThatAreSlowForMoments() {
+        assertAcceptedCallsAreInTime(play(true, PlainLoadTest::playSlowMoments));
+    }
+
     @Test
     public void anUpstreamThatReturnsIsNotOverrun() {
         Scenario scenario =
