--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecodeReservationTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecodeReservationTest.java
@@ -95,6 +95,7 @@
                         new DemandMeter(),
                         new ServingMetrics(mMetrics),
                         null,
+                        null,
                         settings,
                         random);
         EngineTraits traits = new EngineTraits(10, 70_000, 60, 2000, 2000, 500);
