Time-outs of prefills follow the load and pace of their engine

A prompt was read twice where other routers had queued theirs at the engine after the call was sent: the time-out followed the queue known at the start. With load.pace it counts what is queued now, at the engine's pace, and the engine is not silent while it answers others. Another engine is called only if it could still be in time, and the first call is aborted.

The order of upstreams moves from UpstreamLoads to UpstreamOrder; PeerLoads.pace ages the sums.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
@@ -80,27 +80,30 @@
     }
 
     LoadReport withUsage(UsageReport usage) {
-        return with(usage, rates, waiting);
+        return with(usage, rates, waiting, paces);
     }
 
     /**
-     * Returns this report with its announced rates and its waiting requests aged by a time.
+     * Returns this report with its announced rates, waiting requests and paces aged by a time.
      *
      * @param millis the time, milliseconds
      */
     LoadReport aged(long millis) {
-        if (rates.isEmpty() && waiting.entries().isEmpty()) {
+        if (rates.isEmpty() && waiting.entries().isEmpty() && paces.isEmpty()) {
             return this;
         }
         Map<UpstreamIncarnation, RateReport> agedRates = new HashMap<>();
         rates.forEach((upstream, report) -> agedRates.put(upstream, report.aged(millis)));
-        return with(organisations, agedRates, waiting.aged(millis));
+        Map<UpstreamIncarnation, PaceReport> agedPaces = new HashMap<>();
+        paces.forEach((upstream, report) -> agedPaces.put(upstream, report.aged(millis)));
+        return with(organisations, agedRates, waiting.aged(millis), agedPaces);
     }
 
     private LoadReport with(
             UsageReport usage,
             Map<UpstreamIncarnation, RateReport> announcedRates,
-            WaitingReport waitingRequests) {
+            WaitingReport waitingRequests,
+            Map<UpstreamIncarnation, PaceReport> upstreamPaces) {
         return new LoadReport(
                 configuration,
                 routers,
@@ -113,7 +116,7 @@
                 usage,
                 announcedRates,
                 waitingRequests,
-                paces);
+                upstreamPaces);
     }
 
     /**
@@ -171,7 +174,9 @@
             otherUsage.add(other.organisations);
             other.rates.forEach((id, rate) -> allRates.merge(id, rate, RateReport::plus));
             otherWaiting.add(other.waiting);
-            other.paces.forEach((id, pace) -> allPaces.merge(id, pace, PaceReport::plus));
+            other.paces.forEach(
+                    (id, pace) ->
+                            allPaces.merge(id, pace.bounded(other.routers), PaceReport::plus));
         }
         return new LoadReport(
                 configuration,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -138,7 +138,7 @@
                         mOrganisations.report(),
                         mRates.report(),
                         WaitingReport.NONE,
-                        Map.of());
+                        mLoads.paces().report());
         mControl.execute(() -> mExchange.publishLoad(report));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -17,6 +17,7 @@
 import org.troutpier.daemon.organisation.PeerUsage;
 import org.troutpier.daemon.organisation.UsageReport;
 import org.troutpier.daemon.pace.PaceReport;
+import org.troutpier.daemon.pace.PeerPaces;
 import org.troutpier.daemon.waiting.WaitingReport;
 
 /**
@@ -28,7 +29,7 @@
  * received; only reports of the counted scopes enter the aggregate, so that no router's load is
  * counted twice.
  */
-public final class PeerLoads implements PeerUsage, PeerRates {
+public final class PeerLoads implements PeerUsage, PeerRates, PeerPaces {
 
     /**
      * Time after which a report expires, milliseconds: three times the longest interval between two
@@ -271,9 +272,12 @@
         return mAggregate.report().waiting();
     }
 
-    /** Returns how long an upstream recently took, as measured by the other routers. */
-    public PaceReport pace(UpstreamIncarnation upstream) {
-        return mAggregate.report().paces().getOrDefault(upstream, PaceReport.NONE);
+    /** {@inheritDoc} */
+    @Override
+    public PaceReport pace(UpstreamIncarnation upstream, long now) {
+        Aggregate aggregate = mAggregate;
+        PaceReport pace = aggregate.report().paces().get(upstream);
+        return pace == null ? PaceReport.NONE : pace.aged(now - aggregate.computedMillis());
     }
 
     /** {@inheritDoc} */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PrefillLatencyModel.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PrefillLatencyModel.java
@@ -37,6 +37,12 @@
      */
     private static final double MAX_CORRECTION = 4;
 
+    /**
+     * Prefill speed of a decode engine relative to that of a prefill engine, as published by the
+     * platform.
+     */
+    private static final double DECODE_ENGINE_SPEED = 0.5;
+
     /**
      * Returns the model of one sample.
      *
@@ -115,4 +121,14 @@
         double throughput = tokensPerMilli();
         return throughput <= 0 ? 0 : fixedMillis() + tokensWithQueue / throughput;
     }
+
+    /**
+     * Predicts the duration of a prefill at a decode engine, between the events of its runs.
+     *
+     * @param promptTokens the length of the prompt
+     * @return milliseconds; 0 where the throughput is not known
+     */
+    public double predictedDecodeEngineMillis(double promptTokens) {
+        return predictedMillis(promptTokens / DECODE_ENGINE_SPEED);
+    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
@@ -2,6 +2,8 @@
 
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.notice.UpstreamNotice;
+import org.troutpier.daemon.pace.PaceEstimate;
+import org.troutpier.daemon.pace.PrefillWatch;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
@@ -10,6 +12,17 @@
  */
 final class PrefillCall implements UpstreamPort.ResultListener<UpstreamPort.StoredPrompt> {
 
+    /** Interval of checks while no other engine could process the prompt in time, milliseconds. */
+    private static final long RECHECK_MILLIS = 100;
+
+    private static final double MIN_MEASUREMENT_WEIGHT = 0.3;
+
+    private static final PrefillWatch.Limits TIMEOUT_LIMITS =
+            new PrefillWatch.Limits(
+                    ServingSettings.PREFILL_TIMEOUT_FACTOR,
+                    ServingSettings.MIN_PREFILL_TIMEOUT_MILLIS,
+                    ServingSettings.MAX_PREFILL_MILLIS);
+
     private final ServingContext mContext;
 
     private final Prompt mPrompt;
@@ -26,7 +39,10 @@
     /** The predicted duration, milliseconds; 0 where the engines' throughput is unknown. */
     private final double mPredictedMillis;
 
-    private final TrafficLoop.Timer mTimeout;
+    /** Decides when the engine is silent; null where the time-out does not follow the load. */
+    private final PrefillWatch mWatch;
+
+    private TrafficLoop.Timer mTimeout;
 
     private UpstreamPort.Call mCall;
 
@@ -55,6 +71,9 @@
 
         /** Called when the engine did not process the prompt. */
         void onFailed(UpstreamEntry engine, AttemptEnd end);
+
+        /** Returns whether the first event could still be in time if another engine is called. */
+        boolean mayBeInTimeElsewhere();
     }
 
     PrefillCall(
@@ -69,11 +88,26 @@
         mTrace = trace;
         mListener = listener;
         mStart = context.loop().millis();
-        mPredictedMillis =
-                context.demandFor(prompt.service())
-                        .reading()
-                        .predictedMillis(context.loads().tokens(engine) + prompt.tokens());
-        mTimeout = context.loop().schedule(this::onTimeout, timeoutMillis());
+        mPredictedMillis = predictedMillis(context.loads().tokens(engine) + prompt.tokens());
+        if (context.load().pace()) {
+            PrefillWatch.EngineState state = engineState(mPredictedMillis);
+            mWatch = new PrefillWatch(TIMEOUT_LIMITS, state, mStart);
+            mTimeout =
+                    context.loop().schedule(this::onCheck, mWatch.remainingMillis(state, mStart));
+        } else {
+            mWatch = null;
+            mTimeout = context.loop().schedule(this::onTimeout, timeoutMillis());
+        }
+    }
+
+    private double predictedMillis(long tokensWithQueue) {
+        return mContext.demandFor(mPrompt.service()).reading().predictedMillis(tokensWithQueue);
+    }
+
+    private PrefillWatch.EngineState engineState(double predictedMillis) {
+        PaceEstimate paces = mContext.loads().paces();
+        return new PrefillWatch.EngineState(
+                predictedMillis * paces.pace(mEngine), paces.recentWeight(mEngine));
     }
 
     /** Sends the call. */
@@ -98,6 +132,33 @@
                         Math.max(ServingSettings.MIN_PREFILL_TIMEOUT_MILLIS, timeout));
     }
 
+    /** Gives the engine more time while its load explains that it has not answered yet. */
+    private void onCheck() {
+        if (mEnded) {
+            return;
+        }
+        long now = mContext.loop().millis();
+        long queuedTokens = mContext.loads().tokens(mEngine);
+        long remaining = mWatch.remainingMillis(engineState(predictedMillis(queuedTokens)), now);
+        long untilMax = mStart + ServingSettings.MAX_PREFILL_MILLIS - now;
+        if (remaining == 0 && untilMax > 0 && !mListener.mayBeInTimeElsewhere()) {
+            remaining = Math.min(untilMax, RECHECK_MILLIS);
+        }
+        if (remaining > 0) {
+            mContext.metrics().prefillTimeoutExtended();
+            mTimeout = mContext.loop().schedule(this::onCheck, remaining);
+            return;
+        }
+        mTrace.addStep(
+                "silent@"
+                        + mEngine.id()
+                        + " known tokens "
+                        + queuedTokens
+                        + " pace "
+                        + Math.round(mContext.loads().paces().pace(mEngine) * 10) / 10.0);
+        onTimeout();
+    }
+
     private void onTimeout() {
         if (!mEnded) {
             mCall.abort();
@@ -105,6 +166,15 @@
         }
     }
 
+    /**
+     * Returns the weight of the duration as a measurement of the engine: the less of it the prompt
+     * itself took, the more it depends on how well the queue was known.
+     */
+    private double measurementWeight() {
+        double alone = predictedMillis(mPrompt.tokens());
+        return Math.max(MIN_MEASUREMENT_WEIGHT, Math.min(1, alone / mPredictedMillis));
+    }
+
     /** Aborts the call; its listener is not called. */
     void abort() {
         mCall.abort();
@@ -137,6 +207,9 @@
         }
         if (mPredictedMillis > 0) {
             mContext.prefillExcess().record(now - mStart - mPredictedMillis);
+            mContext.loads()
+                    .paces()
+                    .record(mEngine, now - mStart, mPredictedMillis, measurementWeight());
             mContext.metrics().recordPredictionError("prefill", mPredictedMillis, now - mStart);
         }
         mContext.loads().succeeded(mEngine);
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillEngines.java
@@ -0,0 +1,68 @@
+package org.troutpier.daemon.serving;
+
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.cluster.PrefillLatencyModel;
+import org.troutpier.daemon.directory.UpstreamEntry;
+
+/**
+ * Predicts when the prefill engines of a service would complete one prompt. Confined to the traffic
+ * loop.
+ */
+final class PrefillEngines {
+
+    private final ServingContext mContext;
+
+    private final Supplier<List<UpstreamEntry>> mCandidates;
+
+    private final String mService;
+
+    private final long mPromptTokens;
+
+    /**
+     * Creates a prediction for one prompt.
+     *
+     * @param candidates returns the prefill engines that may receive work
+     */
+    PrefillEngines(
+            ServingContext context,
+            Supplier<List<UpstreamEntry>> candidates,
+            String service,
+            long promptTokens) {
+        mContext = context;
+        mCandidates = candidates;
+        mService = service;
+        mPromptTokens = promptTokens;
+    }
+
+    /**
+     * Returns the engines to which the prompt may be sent.
+     *
+     * @param excluded the engines that are not to be used
+     * @return the engines, the one that completes the prompt first in front
+     */
+    List<UpstreamEntry> inOrder(Set<UpstreamIncarnation> excluded) {
+        return mContext.loads().order().byPrefillEnd(mCandidates.get(), excluded, mPromptTokens);
+    }
+
+    /**
+     * Predicts the prefill time at the engine that completes the prompt first.
+     *
+     * @param excluded the engines that are not to be used; without another one the decode engine
+     *     processes the prompt
+     * @return milliseconds; 0 where the engines' throughput is unknown or there is no prefill
+     *     engine
+     */
+    double predictedMillis(Set<UpstreamIncarnation> excluded) {
+        List<UpstreamEntry> engines = inOrder(excluded);
+        PrefillLatencyModel model = mContext.demandFor(mService).reading();
+        if (engines.isEmpty()) {
+            return excluded.isEmpty() ? 0 : model.predictedDecodeEngineMillis(mPromptTokens);
+        }
+        UpstreamEntry first = engines.get(0);
+        return mContext.loads().paces().pace(first)
+                * model.predictedMillis(mContext.loads().tokens(first) + mPromptTokens);
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
@@ -22,6 +22,9 @@
     /** Requests that wait for a reservation at a decode engine. */
     private final Counter mWaitingRequests;
 
+    /** Prefills whose time-out was extended because the load explains that they take longer. */
+    private final Counter mExtendedTimeouts;
+
     private final Counter mExtraCallsMade;
 
     /** Extra calls that the budget did not allow. */
@@ -32,6 +35,7 @@
         mMetrics = metrics;
         mOpenRequests = metrics.counter("requests.open");
         mWaitingRequests = metrics.counter("places.waiting");
+        mExtendedTimeouts = metrics.counter("prefill.timeouts.extended");
         mExtraCallsMade = metrics.counter("budget.extra.made");
         mExtraCallsDenied = metrics.counter("budget.extra.denied");
     }
@@ -99,6 +103,11 @@
         count(upstream, notStarted ? "refused" : "failed");
     }
 
+    /** Counts a prefill that is given more time before its engine counts as silent. */
+    void prefillTimeoutExtended() {
+        mExtendedTimeouts.inc();
+    }
+
     private void count(UpstreamId upstream, String event) {
         mMetrics.counter(UPSTREAM + upstream.value() + "." + event).inc();
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -27,6 +27,8 @@
 
     private final EventRelay mRelay;
 
+    private final PrefillEngines mPrefillEngines;
+
     /** Prefill engines that were tried for the current run. */
     private final Set<UpstreamIncarnation> mTriedPrefillEngines = new HashSet<>();
 
@@ -35,6 +37,9 @@
     /** The prefill in progress, or null. */
     private PrefillCall mPrefillCall;
 
+    /** The queue tier when the last prefill was sent. */
+    private QueueTier mPrefillTier = QueueTier.IN_TIME;
+
     /** The decode run in progress, or null. */
     private StreamRun mRun;
 
@@ -76,6 +81,12 @@
             CallerChannel caller) {
         super(context, request, route, service, caller);
         mEngineTraits = engineTraits;
+        mPrefillEngines =
+                new PrefillEngines(
+                        context,
+                        () -> upstreams(UpstreamEntry.Role.PREFILL),
+                        service,
+                        promptTokens());
         mRelay = new EventRelay(caller, request.lastEventId());
         mReservation =
                 new DecodeReservation(
@@ -130,8 +141,12 @@
 
     /** Returns how long the request may wait for a reservation. */
     private WaitBudget waitBudget() {
+        return waitBudget(tier());
+    }
+
+    private WaitBudget waitBudget(QueueTier tier) {
         long elapsed = mTrace.elapsedMillis() - mWaitStart;
-        return new WaitBudget(mRoute.targetMillis(), elapsed, remainingMillis(), tier());
+        return new WaitBudget(mRoute.targetMillis(), elapsed, remainingMillis(), tier);
     }
 
     /** Returns the queue tier, which depends on whether the request can still meet its target. */
@@ -145,8 +160,18 @@
 
     /** Predicts the time from the reservation to the first event. */
     private WaitBudget.Prediction prediction() {
+        return prediction(Set.of());
+    }
+
+    /**
+     * Predicts the time from the reservation to the first event.
+     *
+     * @param excluded the prefill engines that are not to be used
+     */
+    private WaitBudget.Prediction prediction(Set<UpstreamIncarnation> excluded) {
         return new WaitBudget.Prediction(
-                predictedPrefillMillis() + mContext.prefillExcess().predictedMillis(),
+                mPrefillEngines.predictedMillis(excluded)
+                        + mContext.prefillExcess().predictedMillis(),
                 mContext.firstEventDelay().predictedMillis());
     }
 
@@ -200,24 +225,6 @@
                 .toList();
     }
 
-    /**
-     * Predicts the prefill time at the prefill engine with the fewest queued tokens.
-     *
-     * @return milliseconds; 0 where the engines' throughput is unknown or there is no prefill
-     *     engine
-     */
-    private double predictedPrefillMillis() {
-        List<UpstreamEntry> engines =
-                mContext.loads().byTokens(upstreams(UpstreamEntry.Role.PREFILL), Set.of());
-        if (engines.isEmpty()) {
-            return 0;
-        }
-        long queuedTokens = mContext.loads().tokens(engines.get(0));
-        return mContext.demandFor(mService)
-                .reading()
-                .predictedMillis(queuedTokens + promptTokens());
-    }
-
     /** Returns the most memory that the request can take, in tokens. */
     private long maxTokens() {
         return mRequest.prompt().map(PromptMetadata::maxTokens).orElse(0L);
@@ -244,9 +251,7 @@
             return;
         }
         discardStoredPrompt();
-        List<UpstreamEntry> engines =
-                mContext.loads()
-                        .byTokens(upstreams(UpstreamEntry.Role.PREFILL), mTriedPrefillEngines);
+        List<UpstreamEntry> engines = mPrefillEngines.inOrder(mTriedPrefillEngines);
         if (engines.isEmpty()) {
             mTrace.addStep("no prefill engine");
             startRun(Optional.empty());
@@ -264,6 +269,7 @@
         }
         UpstreamEntry engine = admitted.get();
         mTriedPrefillEngines.add(engine.incarnation());
+        mPrefillTier = tier();
         boolean measurable =
                 mContext.loads().tokens(engine) == 0 && !mPrefilledBefore && !mReturning;
         mPrefilledBefore = true;
@@ -429,7 +435,10 @@
             mReservation.endSearch();
             mContext.growthMargin().recordRefusal();
             mTrace.addStep(
-                    detail + ", prompt read in " + (long) predictedPrefillMillis() + "ms at best");
+                    detail
+                            + ", prompt read in "
+                            + (long) mPrefillEngines.predictedMillis(Set.of())
+                            + "ms at best");
             failWithoutRun(ResultCode.NO_PLACE, "no place");
         }
     }
@@ -488,6 +497,12 @@
             startRun(Optional.of(prompt));
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public boolean mayBeInTimeElsewhere() {
+            return waitBudget(mPrefillTier).allowsPrefill(prediction(mTriedPrefillEngines));
+        }
+
         /** {@inheritDoc} */
         @Override
         public void onFailed(UpstreamEntry engine, AttemptEnd end) {
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoad.java
@@ -0,0 +1,106 @@
+package org.troutpier.daemon.serving;
+
+import org.troutpier.daemon.decision.SlidingWindowSum;
+import org.troutpier.daemon.directory.UpstreamEntry;
+
+/**
+ * What this router has in flight at one upstream, and what it knows of its failures. Not thread
+ * safe; confined to the traffic loop.
+ */
+final class UpstreamLoad {
+
+    /**
+     * Window over which call outcomes are counted, milliseconds: long enough that all routers
+     * together send an upstream enough calls to recognise one that fails most of them.
+     */
+    static final long OUTCOME_WINDOW_MILLIS = 3000;
+
+    private static final int OUTCOME_WINDOW_BUCKETS = 6;
+
+    /**
+     * How long usage reported by an engine remains valid, milliseconds: three polling intervals.
+     */
+    private static final long UNATTRIBUTED_TTL_MILLIS = 1200;
+
+    /** Calls in flight. */
+    int mCalls;
+
+    /** Tokens of the calls in flight. */
+    long mTokens;
+
+    /** Tokens reported by the engine beyond those that the routers account for. */
+    long mUnattributedTokens;
+
+    /** When they were reported, milliseconds. */
+    long mUnattributedAt;
+
+    /** Whether this router reports them to the others. */
+    boolean mUnattributedShared;
+
+    int mConsecutiveFailures;
+
+    /** End of the ejection, milliseconds; 0 if not ejected. */
+    long mEjectedUntil;
+
+    /** Duration of the last ejection, milliseconds. */
+    long mEjectionMillis;
+
+    /**
+     * Until when another upstream is assumed to answer at the address, milliseconds; 0 if none is.
+     */
+    long mReplacedUntil;
+
+    /** The role that the upstream was listed with when another one answered. */
+    UpstreamEntry.Role mReplacedRole;
+
+    /** Recent failed calls, without those that found the upstream unreachable. */
+    final SlidingWindowSum mRecentFailures =
+            new SlidingWindowSum(OUTCOME_WINDOW_MILLIS, OUTCOME_WINDOW_BUCKETS);
+
+    /** Recent successful calls. */
+    final SlidingWindowSum mRecentSuccesses =
+            new SlidingWindowSum(OUTCOME_WINDOW_MILLIS, OUTCOME_WINDOW_BUCKETS);
+
+    int mConsecutiveRunRefusals;
+
+    /** Until when it counts as refusing runs, milliseconds; 0 if it does not. */
+    long mRefusingRunsUntil;
+
+    /**
+     * Returns until when the engine accepts no run.
+     *
+     * @return milliseconds; a time in the past if it accepts runs
+     */
+    long refusesRunsUntil() {
+        boolean engine = mReplacedRole == UpstreamEntry.Role.DECODE;
+        return engine ? Math.max(mReplacedUntil, mRefusingRunsUntil) : mRefusingRunsUntil;
+    }
+
+    /**
+     * Returns when the ejection of the upstream ends.
+     *
+     * @return milliseconds; a time in the past if it is not ejected
+     */
+    long ejectedUntil(UpstreamEntry entry) {
+        boolean replaced = entry.role() == mReplacedRole;
+        return replaced ? Math.max(mReplacedUntil, mEjectedUntil) : mEjectedUntil;
+    }
+
+    /** Forgets past failures and refusals after a successful call. */
+    void recordSuccess(long now) {
+        mRecentSuccesses.add(1, now);
+        mConsecutiveFailures = 0;
+        mEjectedUntil = 0;
+        mEjectionMillis = 0;
+        mConsecutiveRunRefusals = 0;
+        mRefusingRunsUntil = 0;
+    }
+
+    /**
+     * Returns the tokens in use at an engine that no router accounts for, or 0 if the last report
+     * is too old.
+     */
+    long unattributedTokens(long now) {
+        return now - mUnattributedAt <= UNATTRIBUTED_TTL_MILLIS ? mUnattributedTokens : 0;
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -1,13 +1,10 @@
 package org.troutpier.daemon.serving;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
@@ -17,8 +14,8 @@
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.cluster.UpstreamUsage;
 import org.troutpier.daemon.decision.FailureRate;
-import org.troutpier.daemon.decision.SlidingWindowSum;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.pace.PaceEstimate;
 
 /**
  * Tracks the calls and tokens that this router has in flight at each upstream, and ejects upstreams
@@ -42,14 +39,6 @@
 
     private static final long MAX_EJECTION_MILLIS = 4000;
 
-    /**
-     * Window over which call outcomes are counted, milliseconds: long enough that all routers
-     * together send an upstream enough calls to recognise one that fails most of them.
-     */
-    private static final long OUTCOME_WINDOW_MILLIS = 3000;
-
-    private static final int OUTCOME_WINDOW_BUCKETS = 6;
-
     /**
      * Relative jitter of an ejection that is based on the outcomes of all routers, so that they
      * return to the upstream one after another and the first one informs the rest.
@@ -74,25 +63,18 @@
      */
     private static final long MIN_RUN_REFUSAL_MILLIS = 1000;
 
-    /**
-     * How long usage reported by an engine remains valid, milliseconds: three polling intervals.
-     */
-    private static final long UNATTRIBUTED_TTL_MILLIS = 1200;
-
-    /** Cost of a call to another hall, as a fraction of the upstream's slots. */
-    private static final double CROSS_HALL_COST = 0.15;
-
     private static final Logger LOGGER = LogManager.getLogger(UpstreamLoads.class);
 
-    private final Map<UpstreamIncarnation, Load> mLoads = new HashMap<>();
+    private final Map<UpstreamIncarnation, UpstreamLoad> mLoads = new HashMap<>();
 
     private final TrafficLoop mLoop;
 
-    /** Breaks ties between upstreams of equal cost. */
+    /** Spreads the ejections of all routers. */
     private final RandomGenerator mRandom;
 
-    /** The hall of this router. */
-    private final HallId mHall;
+    private final PaceEstimate mPaces;
+
+    private final UpstreamOrder mOrder;
 
     /** Usage reported by the other routers. */
     private final PeerLoads mPeers;
@@ -112,81 +94,28 @@
     /** Engines whose role this router is changing. */
     private volatile Set<UpstreamIncarnation> mChangingEngines = Set.of();
 
-    /** State of one upstream. */
-    private static final class Load {
-
-        /** Calls in flight. */
-        private int mCalls;
-
-        /** Tokens of the calls in flight. */
-        private long mTokens;
-
-        /** Tokens reported by the engine beyond those that the routers account for. */
-        private long mUnattributedTokens;
-
-        /** When they were reported, milliseconds. */
-        private long mUnattributedAt;
-
-        /** Whether this router reports them to the others. */
-        private boolean mUnattributedShared;
-
-        private int mConsecutiveFailures;
-
-        /** End of the ejection, milliseconds; 0 if not ejected. */
-        private long mEjectedUntil;
-
-        /** Duration of the last ejection, milliseconds. */
-        private long mEjectionMillis;
-
-        /**
-         * Until when another upstream is assumed to answer at the address, milliseconds; 0 if none
-         * is.
-         */
-        private long mReplacedUntil;
-
-        /** The role that the upstream was listed with when another one answered. */
-        private UpstreamEntry.Role mReplacedRole;
-
-        /** Recent failed calls, without those that found the upstream unreachable. */
-        private final SlidingWindowSum mRecentFailures =
-                new SlidingWindowSum(OUTCOME_WINDOW_MILLIS, OUTCOME_WINDOW_BUCKETS);
-
-        /** Recent successful calls. */
-        private final SlidingWindowSum mRecentSuccesses =
-                new SlidingWindowSum(OUTCOME_WINDOW_MILLIS, OUTCOME_WINDOW_BUCKETS);
-
-        private int mConsecutiveRunRefusals;
-
-        /** Until when it counts as refusing runs, milliseconds; 0 if it does not. */
-        private long mRefusingRunsUntil;
-
-        /**
-         * Returns until when the engine accepts no run.
-         *
-         * @return milliseconds; a time in the past if it accepts runs
-         */
-        private long refusesRunsUntil() {
-            boolean engine = mReplacedRole == UpstreamEntry.Role.DECODE;
-            return engine ? Math.max(mReplacedUntil, mRefusingRunsUntil) : mRefusingRunsUntil;
-        }
-
-        /**
-         * Returns when the ejection of the upstream ends.
-         *
-         * @return milliseconds; a time in the past if it is not ejected
-         */
-        private long ejectedUntil(UpstreamEntry entry) {
-            boolean replaced = entry.role() == mReplacedRole;
-            return replaced ? Math.max(mReplacedUntil, mEjectedUntil) : mEjectedUntil;
-        }
+    /** Creates a tracker without any upstream, which does not measure the pace of upstreams. */
+    public UpstreamLoads(TrafficLoop loop, RandomGenerator random, HallId hall, PeerLoads peers) {
+        this(loop, random, hall, peers, PaceEstimate.OFF);
     }
 
-    /** Creates a tracker without any upstream. */
-    public UpstreamLoads(TrafficLoop loop, RandomGenerator random, HallId hall, PeerLoads peers) {
+    /**
+     * Creates a tracker without any upstream.
+     *
+     * @param hall the hall of this router
+     * @param paces the pace of the upstreams
+     */
+    public UpstreamLoads(
+            TrafficLoop loop,
+            RandomGenerator random,
+            HallId hall,
+            PeerLoads peers,
+            PaceEstimate paces) {
         mPeers = peers;
         mLoop = loop;
         mRandom = random;
-        mHall = hall;
+        mPaces = paces;
+        mOrder = new UpstreamOrder(this, loop, random, hall, paces);
     }
 
     /**
@@ -237,7 +166,7 @@
     }
 
     private void add(UpstreamEntry upstream, long tokens) {
-        Load load = load(upstream.incarnation());
+        UpstreamLoad load = load(upstream.incarnation());
         load.mCalls++;
         load.mTokens += tokens;
     }
@@ -248,7 +177,7 @@
      * @param tokens the tokens that were recorded for the call
      */
     public void end(UpstreamEntry upstream, long tokens) {
-        Load load = load(upstream.incarnation());
+        UpstreamLoad load = load(upstream.incarnation());
         load.mCalls--;
         load.mTokens -= tokens;
         mOnChange.run();
@@ -265,16 +194,7 @@
      * those that the engine reported beyond them.
      */
     public long tokens(UpstreamEntry engine) {
-        return routerTokens(engine) + unattributedTokens(load(engine.incarnation()));
-    }
-
-    /**
-     * Returns the tokens in use at an engine that no router accounts for, or 0 if the last report
-     * is too old.
-     */
-    private long unattributedTokens(Load load) {
-        boolean fresh = mLoop.millis() - load.mUnattributedAt <= UNATTRIBUTED_TTL_MILLIS;
-        return fresh ? load.mUnattributedTokens : 0;
+        return routerTokens(engine) + load(engine.incarnation()).unattributedTokens(mLoop.millis());
     }
 
     /** Returns the tokens that the routers themselves have in flight at an engine. */
@@ -289,7 +209,7 @@
      * @param share whether this router reports them to the others
      */
     void recordUnattributedTokens(UpstreamEntry engine, long tokens, boolean share) {
-        Load load = load(engine.incarnation());
+        UpstreamLoad load = load(engine.incarnation());
         load.mUnattributedTokens = tokens;
         load.mUnattributedShared = share;
         load.mUnattributedAt = mLoop.millis();
@@ -313,21 +233,16 @@
 
     /** Records a successful call. */
     public void succeeded(UpstreamEntry upstream) {
-        Load load = load(upstream.incarnation());
+        UpstreamLoad load = load(upstream.incarnation());
         if (load.mEjectedUntil != 0) {
             LOGGER.info("upstream ejection ended by a successful call id={}", upstream.id());
         }
-        load.mRecentSuccesses.add(1, mLoop.millis());
-        load.mConsecutiveFailures = 0;
-        load.mEjectedUntil = 0;
-        load.mEjectionMillis = 0;
-        load.mConsecutiveRunRefusals = 0;
-        load.mRefusingRunsUntil = 0;
+        load.recordSuccess(mLoop.millis());
     }
 
     /** Records that an engine refused a call because it is full or changes its role. */
     public void refused(UpstreamEntry upstream) {
-        Load load = load(upstream.incarnation());
+        UpstreamLoad load = load(upstream.incarnation());
         load.mEjectedUntil = Math.max(load.mEjectedUntil, mLoop.millis() + REFUSAL_EJECTION_MILLIS);
     }
 
@@ -337,7 +252,7 @@
      * be chosen again and again, so the other routers are notified as well.
      */
     public void runRefused(UpstreamEntry engine) {
-        Load load = load(engine.incarnation());
+        UpstreamLoad load = load(engine.incarnation());
         load.mConsecutiveRunRefusals++;
         if (load.mConsecutiveRunRefusals < CONSECUTIVE_RUN_REFUSALS) {
             return;
@@ -372,7 +287,7 @@
      * its address. The upstream is ejected until its entry expires or is listed with another role.
      */
     public void replaced(UpstreamEntry upstream) {
-        Load load = load(upstream.incarnation());
+        UpstreamLoad load = load(upstream.incarnation());
         long now = mLoop.millis();
         if (load.ejectedUntil(upstream) <= now) {
             LOGGER.warn(
@@ -398,7 +313,7 @@
      *     and the call does not count in its failure rate
      */
     public void failed(UpstreamEntry upstream, boolean unreachable, String detail) {
-        Load load = load(upstream.incarnation());
+        UpstreamLoad load = load(upstream.incarnation());
         long now = mLoop.millis();
         load.mConsecutiveFailures++;
         if (!unreachable) {
@@ -416,7 +331,7 @@
      *
      * @param minMillis the shortest duration, milliseconds
      */
-    private void eject(UpstreamEntry upstream, Load load, long minMillis, String detail) {
+    private void eject(UpstreamEntry upstream, UpstreamLoad load, long minMillis, String detail) {
         long now = mLoop.millis();
         if (now < load.mEjectedUntil) {
             return;
@@ -438,9 +353,9 @@
      *
      * @param now the current time, milliseconds
      */
-    private void ejectIfFailing(UpstreamEntry upstream, long now) {
+    void ejectIfFailing(UpstreamEntry upstream, long now) {
         UpstreamUsage peers = mPeers.upstreamUsage(upstream.incarnation());
-        Load load = load(upstream.incarnation());
+        UpstreamLoad load = load(upstream.incarnation());
         int failed = peers.failed() + (int) Math.round(load.mRecentFailures.sum(now));
         if (failed == 0) {
             return;
@@ -449,90 +364,55 @@
         FailureRate failureRate = new FailureRate(failed, succeeded);
         if (failureRate.failing()) {
             double jitter = 1 + EJECTION_JITTER * (2 * mRandom.nextDouble() - 1);
-            eject(upstream, load, (long) (OUTCOME_WINDOW_MILLIS * jitter), failureRate.toString());
+            eject(
+                    upstream,
+                    load,
+                    (long) (UpstreamLoad.OUTCOME_WINDOW_MILLIS * jitter),
+                    failureRate.toString());
         }
     }
 
-    /**
-     * Orders the upstreams of a plain service by calls in flight per slot, with a preference for
-     * the own hall. Ejected upstreams are left out.
-     *
-     * @param tried the upstreams that were already sent the request
-     * @return the upstreams, the least loaded first
-     */
+    /** Returns the order of upstreams by load and pace. */
+    UpstreamOrder order() {
+        return mOrder;
+    }
+
+    /** See {@link UpstreamOrder#byCalls}. */
     public List<UpstreamEntry> byCalls(
             Collection<UpstreamEntry> candidates, Set<UpstreamIncarnation> tried) {
-        return ordered(candidates, tried, this::callCost);
+        return mOrder.byCalls(candidates, tried);
     }
 
-    /**
-     * Orders engines by the tokens that all routers are known to have in flight there. Ejected
-     * engines are left out.
-     *
-     * @param tried the engines that were already sent the request
-     * @return the engines, the least loaded first
-     */
+    /** See {@link UpstreamOrder#byTokens}. */
     public List<UpstreamEntry> byTokens(
             Collection<UpstreamEntry> candidates, Set<UpstreamIncarnation> tried) {
-        return ordered(candidates, tried, this::tokens);
+        return mOrder.byTokens(candidates, tried);
+    }
+
+    /** Returns the pace of the upstreams. */
+    public PaceEstimate paces() {
+        return mPaces;
+    }
+
+    /** Returns whether an engine changes its role by order of this router or another. */
+    boolean isChangingRole(UpstreamIncarnation engine) {
+        return mChangingEngines.contains(engine) || mPeers.isChangingRole(engine);
     }
 
     /**
-     * Orders upstreams by cost.
+     * Returns when the ejection of an upstream ends.
      *
-     * @param tried the upstreams that were already sent the request
-     * @return the available upstreams that accept runs, the cheapest first; if all available ones
-     *     refuse runs, those; if all are ejected, the one whose ejection ends first
+     * @return milliseconds; a time in the past if it is not ejected
      */
-    private List<UpstreamEntry> ordered(
-            Collection<UpstreamEntry> candidates,
-            Set<UpstreamIncarnation> tried,
-            ToDoubleFunction<UpstreamEntry> cost) {
-        long now = mLoop.millis();
-        List<UpstreamEntry> untried = new ArrayList<>(candidates);
-        untried.removeIf(
-                entry ->
-                        tried.contains(entry.incarnation())
-                                || mChangingEngines.contains(entry.incarnation())
-                                || mPeers.isChangingRole(entry.incarnation()));
-        untried.forEach(entry -> ejectIfFailing(entry, now));
-        List<UpstreamEntry> available = new ArrayList<>(untried);
-        available.removeIf(entry -> load(entry.incarnation()).ejectedUntil(entry) > now);
-        if (available.isEmpty()) {
-            return untried.stream()
-                    .min(
-                            Comparator.comparingLong(
-                                    entry -> load(entry.incarnation()).ejectedUntil(entry)))
-                    .map(List::of)
-                    .orElse(List.of());
-        }
-        List<UpstreamEntry> accepting = new ArrayList<>(available);
-        accepting.removeIf(entry -> refusesRuns(entry.incarnation(), now));
-        if (accepting.isEmpty()) {
-            accepting = available;
-        }
-        Map<UpstreamIncarnation, Double> costs = new HashMap<>();
-        for (UpstreamEntry entry : accepting) {
-            costs.put(entry.incarnation(), cost.applyAsDouble(entry) + mRandom.nextDouble() * 1e-6);
-        }
-        accepting.sort(Comparator.comparingDouble(entry -> costs.get(entry.incarnation())));
-        return accepting;
+    long ejectedUntil(UpstreamEntry upstream) {
+        return load(upstream.incarnation()).ejectedUntil(upstream);
     }
 
     /** Returns whether an engine counts as refusing runs, as seen by this router or another. */
-    private boolean refusesRuns(UpstreamIncarnation id, long now) {
+    boolean refusesRuns(UpstreamIncarnation id, long now) {
         return load(id).mRefusingRunsUntil > now || mPeers.isRefusing(id);
     }
 
-    /**
-     * Returns the cost of a plain call: the occupied fraction of the slots, and a surcharge for
-     * another hall.
-     */
-    private double callCost(UpstreamEntry entry) {
-        double occupied = calls(entry) / (double) Math.max(1, entry.slots());
-        return occupied + (entry.hall().equals(mHall) ? 0 : CROSS_HALL_COST);
-    }
-
     /**
      * Returns the usage to report to the other routers. Successful calls are only reported for
      * upstreams with calls in flight or failures, since the names of upstreams make up most of a
@@ -546,7 +426,7 @@
         Map<UpstreamIncarnation, UpstreamUsage> usage = new HashMap<>();
         mLoads.forEach(
                 (id, load) -> {
-                    long unattributed = load.mUnattributedShared ? unattributedTokens(load) : 0;
+                    long unattributed = load.mUnattributedShared ? load.unattributedTokens(now) : 0;
                     int failed = (int) Math.round(load.mRecentFailures.sum(now));
                     if (load.mCalls > 0 || unattributed > 0 || failed > 0) {
                         int succeeded = (int) Math.round(load.mRecentSuccesses.sum(now));
@@ -561,9 +441,10 @@
     public void retain(Set<UpstreamIncarnation> listed) {
         mLoads.entrySet()
                 .removeIf(each -> !listed.contains(each.getKey()) && each.getValue().mCalls == 0);
+        mPaces.retain(listed);
     }
 
-    private Load load(UpstreamIncarnation id) {
-        return mLoads.computeIfAbsent(id, any -> new Load());
+    private UpstreamLoad load(UpstreamIncarnation id) {
+        return mLoads.computeIfAbsent(id, any -> new UpstreamLoad());
     }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakePort.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakePort.java
@@ -14,6 +14,7 @@
 
     final List<Sent> mRuns = new ArrayList<>();
     final List<ResultListener<StoredPrompt>> mPrefills = new ArrayList<>();
+    final List<Sent> mPrefillCalls = new ArrayList<>();
     final List<StoredPrompt> mDiscarded = new ArrayList<>();
     final List<UpstreamEntry> mReserveCalls = new ArrayList<>();
     final List<Long> mReserveTokens = new ArrayList<>();
@@ -63,7 +64,9 @@
             RunPlan plan,
             ResultListener<StoredPrompt> listener) {
         mPrefills.add(listener);
-        return new Sent(upstream, plan, null);
+        Sent sent = new Sent(upstream, plan, null);
+        mPrefillCalls.add(sent);
+        return sent;
     }
 
     @Override
