Work is placed by the pace of upstreams

Routers measure prefills (also overdue ones), the time between events and plain answers, the latter two against the calls in progress. The paces command and the page /paces list the paces and what was passed over.

A measurement counts by the time it took, and a prefill counts once it has taken twice its prediction: a slow engine answers few calls.

--- a/troutpier-cli/src/main/java/org/troutpier/cli/CliMain.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/CliMain.java
@@ -48,6 +48,7 @@
             OrganisationsCommand.class,
             QuarantineCommand.class,
             RatesCommand.class,
+            PacesCommand.class,
             NoticesCommand.class,
             GenerateCompletion.class
         })
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/pace/PaceEstimate.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/pace/PaceEstimate.java
@@ -1,6 +1,9 @@
 package org.troutpier.daemon.pace;
 
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
@@ -20,30 +23,36 @@
  */
 public final class PaceEstimate {
 
+    /** The path at which operators list the paces. */
+    public static final String PATH = "/paces";
+
     /** An estimate that is off. */
     public static final PaceEstimate OFF =
             new PaceEstimate(false, (upstream, now) -> PaceReport.NONE, () -> 0);
 
     /**
      * The weight of the assumption that an upstream is like the others: a single measurement moves
-     * a pace by a third.
+     * a pace by at most a third of its logarithm.
      */
     private static final double PRIOR_WEIGHT = 2;
 
     /**
-     * The weight of the recent sums beside the lasting ones, so that an upstream that has become
-     * slow, or is no longer slow, is recognised within a second at the usual rate of calls.
+     * The weight of the recent sums beside the lasting ones, so that a change of pace shows within
+     * a second.
      */
-    private static final double RECENT_FACTOR = 3;
+    private static final double RECENT_FACTOR = 1;
 
     /** Paces below this are within the scatter of single calls. */
-    private static final double MIN_PACE = 1.3;
+    private static final double MIN_PACE = 1.5;
 
     private static final double MIN_LOGARITHM = Math.log(MIN_PACE);
 
     /** The smallest weight of measurements that are reported. */
     private static final double MIN_REPORTED_WEIGHT = 0.1;
 
+    /** Age at which even frequent measurements no longer count, milliseconds. */
+    private static final long STALE_MILLIS = 10_000;
+
     private final boolean mEnabled;
 
     /** The measurements of the other routers. */
@@ -80,6 +89,9 @@
         /** The time of the sums, milliseconds. */
         private long mAt;
 
+        /** How often work was sent to another upstream because this one is slow. */
+        private long mPassedOver;
+
         /** Expected times where nobody else predicts them; null before the first is needed. */
         private LoadCurve mCurve;
 
@@ -97,6 +109,24 @@
         }
     }
 
+    /**
+     * The pace of an upstream, as shown to operators. Immutable and thread safe.
+     *
+     * @param upstream the upstream
+     * @param role its role
+     * @param pace how many times as long as the others of its kind it takes
+     * @param here the weight of this router's measurements of the last seconds
+     * @param elsewhere the weight of the other routers' measurements
+     * @param passedOver how often this router sent work elsewhere because the upstream is slow
+     */
+    public record Status(
+            String upstream,
+            String role,
+            double pace,
+            double here,
+            double elsewhere,
+            long passedOver) {}
+
     /**
      * Creates an estimate without measurements.
      *
@@ -181,6 +211,51 @@
         return logarithm < MIN_LOGARITHM ? 1 : Math.min(PaceReport.MAX_RATIO, Math.exp(logarithm));
     }
 
+    /** Returns the pace of an upstream for a log line; empty unless it is slow. */
+    public String describe(UpstreamEntry upstream) {
+        double pace = pace(upstream);
+        return pace > 1 ? " pace " + rounded(pace) : "";
+    }
+
+    private static double rounded(double value) {
+        return Math.round(value * 10) / 10.0;
+    }
+
+    /** Counts work that was sent to another upstream because this one is slow. */
+    public void recordPassedOver(UpstreamEntry upstream) {
+        Measured own = mMeasured.get(upstream.incarnation());
+        if (own == null) {
+            own = new Measured(Kind.of(upstream));
+            mMeasured.put(upstream.incarnation(), own);
+        }
+        own.mPassedOver++;
+    }
+
+    /**
+     * Returns the pace of upstreams.
+     *
+     * @param upstreams the upstreams to describe
+     * @return the paces, in the order of the upstreams
+     */
+    public List<Status> statuses(Collection<UpstreamEntry> upstreams) {
+        long now = mMillis.getAsLong();
+        List<Status> statuses = new ArrayList<>();
+        for (UpstreamEntry upstream : upstreams) {
+            Measured own = mMeasured.get(upstream.incarnation());
+            PaceReport here = own == null ? PaceReport.NONE : own.at(now);
+            PaceReport elsewhere = mPeers.pace(upstream.incarnation(), now);
+            statuses.add(
+                    new Status(
+                            upstream.incarnation().toString(),
+                            upstream.role().toString(),
+                            rounded(pace(upstream)),
+                            rounded(here.lastingWeight()),
+                            rounded(elsewhere.lastingWeight()),
+                            own == null ? 0 : own.mPassedOver));
+        }
+        return statuses;
+    }
+
     /** Returns this router's measurements of an upstream relative to its other upstreams. */
     private PaceReport relative(Measured own, long now) {
         PaceReport sums = own.at(now);
@@ -210,6 +285,9 @@
         long now = mMillis.getAsLong();
         Map<UpstreamIncarnation, PaceReport> report = new HashMap<>();
         for (Map.Entry<UpstreamIncarnation, Measured> each : mMeasured.entrySet()) {
+            if (now - each.getValue().mAt > STALE_MILLIS) {
+                continue;
+            }
             PaceReport own = relative(each.getValue(), now);
             boolean answering =
                     each.getValue().mKind.role() == UpstreamEntry.Role.PREFILL
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/pace/PaceReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/pace/PaceReport.java
@@ -23,7 +23,7 @@
     static final double RECENT_DECAY_MILLIS = 300;
 
     /** Time in which the lasting sums decay to 1/e, milliseconds. */
-    static final double LASTING_DECAY_MILLIS = 2000;
+    static final double LASTING_DECAY_MILLIS = 1500;
 
     /**
      * The largest ratio of a measured to an expected time that counts, and the inverse of the
@@ -57,14 +57,17 @@
     }
 
     /**
-     * Returns the report of one measurement.
+     * Returns the report of one measurement. It counts by the time that it took: a slow upstream
+     * answers fewer calls, each of which stands for more of its time.
      *
      * @param ratio the measured over the expected time
-     * @param weight the weight of the measurement
+     * @param weight the weight of a measurement that took the expected time
      */
     static PaceReport of(double ratio, double weight) {
-        double logarithm = Math.log(Math.max(1 / MAX_RATIO, Math.min(MAX_RATIO, ratio)));
-        return new PaceReport(weight, weight * logarithm, weight, weight * logarithm);
+        double bounded = Math.max(1 / MAX_RATIO, Math.min(MAX_RATIO, ratio));
+        double counted = weight * Math.max(1, bounded);
+        double logarithm = counted * Math.log(bounded);
+        return new PaceReport(counted, logarithm, counted, logarithm);
     }
 
     /** Returns the sum of this report and another. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -236,6 +236,7 @@
             switch (head.verdict()) {
                 case SUCCESS -> {
                     recordSuccess(mUpstream, "plain", elapsedMillis());
+                    mContext.loads().recordPace(mUpstream, elapsedMillis());
                     mTrace.addStep("status=" + head.status());
                     markIfLate(mTrace.elapsedMillis());
                     mResponse.sendTo(mCaller);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
@@ -15,6 +15,12 @@
     /** Interval of checks while no other engine could process the prompt in time, milliseconds. */
     private static final long RECHECK_MILLIS = 100;
 
+    /**
+     * The multiple of its predicted duration after which a call counts as a measurement although it
+     * is not answered yet. A slow engine answers too late for those that are sent meanwhile.
+     */
+    static final double OVERDUE_FACTOR = 2;
+
     private static final double MIN_MEASUREMENT_WEIGHT = 0.3;
 
     private static final PrefillWatch.Limits TIMEOUT_LIMITS =
@@ -44,6 +50,9 @@
 
     private TrafficLoop.Timer mTimeout;
 
+    /** Fires once the call takes longer than predicted; null where its duration is unknown. */
+    private TrafficLoop.Timer mOverdueTimer;
+
     private UpstreamPort.Call mCall;
 
     private boolean mEnded;
@@ -100,6 +109,18 @@
         }
     }
 
+    /**
+     * Records a call that is overdue as a measurement of its engine. As for any wait of unknown
+     * length, the rest is expected to take as long as what has passed.
+     */
+    private void recordOverdue() {
+        recordPace(OVERDUE_FACTOR * (mContext.loop().millis() - mStart));
+    }
+
+    private void recordPace(double millis) {
+        mContext.loads().paces().record(mEngine, millis, mPredictedMillis, measurementWeight());
+    }
+
     private double predictedMillis(long tokensWithQueue) {
         return mContext.demandFor(mPrompt.service()).reading().predictedMillis(tokensWithQueue);
     }
@@ -112,7 +133,15 @@
 
     /** Sends the call. */
     void send(ServingRequest request, UpstreamPort.RunPlan plan) {
-        mTrace.addStep("prefill@" + mEngine.id());
+        mTrace.addStep(
+                mWatch == null
+                        ? "prefill@" + mEngine.id()
+                        : "prefill@"
+                                + mEngine.id()
+                                + " predicted "
+                                + (long) mPredictedMillis
+                                + "ms"
+                                + mContext.loads().paces().describe(mEngine));
         mContext.loads().begin(mEngine, mPrompt.tokens());
         mCall = mContext.port().prefill(mEngine, request, plan, this);
     }
@@ -154,8 +183,7 @@
                         + mEngine.id()
                         + " known tokens "
                         + queuedTokens
-                        + " pace "
-                        + Math.round(mContext.loads().paces().pace(mEngine) * 10) / 10.0);
+                        + mContext.loads().paces().describe(mEngine));
         onTimeout();
     }
 
@@ -183,6 +211,9 @@
 
     private void close() {
         mTimeout.cancel();
+        if (mOverdueTimer != null) {
+            mOverdueTimer.cancel();
+        }
         if (!mEnded) {
             mEnded = true;
             mContext.loads().end(mEngine, mPrompt.tokens());
@@ -207,9 +238,7 @@
         }
         if (mPredictedMillis > 0) {
             mContext.prefillExcess().record(now - mStart - mPredictedMillis);
-            mContext.loads()
-                    .paces()
-                    .record(mEngine, now - mStart, mPredictedMillis, measurementWeight());
+            recordPace(now - mStart);
             mContext.metrics().recordPredictionError("prefill", mPredictedMillis, now - mStart);
         }
         mContext.loads().succeeded(mEngine);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillEngines.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillEngines.java
@@ -6,6 +6,7 @@
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.cluster.PrefillLatencyModel;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.pace.PaceEstimate;
 
 /**
  * Predicts when the prefill engines of a service would complete one prompt. Confined to the traffic
@@ -65,4 +66,26 @@
         return mContext.loads().paces().pace(first)
                 * model.predictedMillis(mContext.loads().tokens(first) + mPromptTokens);
     }
+
+    /**
+     * Records the engine with the fewest queued tokens, if it was passed over for its pace.
+     *
+     * @param engines the engines that were considered
+     */
+    void recordPassedOver(List<UpstreamEntry> engines, UpstreamEntry chosen, RequestTrace trace) {
+        PaceEstimate paces = mContext.loads().paces();
+        if (!paces.isEnabled()) {
+            return;
+        }
+        double chosenPace = paces.pace(chosen);
+        UpstreamEntry least = chosen;
+        for (UpstreamEntry engine : engines) {
+            boolean fewer = mContext.loads().tokens(engine) < mContext.loads().tokens(least);
+            least = fewer && paces.pace(engine) > chosenPace ? engine : least;
+        }
+        if (!least.equals(chosen)) {
+            paces.recordPassedOver(least);
+            trace.addStep("passed over " + least.id() + paces.describe(least));
+        }
+    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -268,6 +268,7 @@
             return;
         }
         UpstreamEntry engine = admitted.get();
+        mPrefillEngines.recordPassedOver(engines, engine, mTrace);
         mTriedPrefillEngines.add(engine.incarnation());
         mPrefillTier = tier();
         boolean measurable =
@@ -517,10 +518,7 @@
         /** The stored prefill result; empty where the decode engine processes the prompt. */
         private final Optional<UpstreamPort.StoredPrompt> mPrompt;
 
-        /**
-         * When the stream's last bytes arrived, milliseconds on the loop's clock; 0 before them.
-         */
-        private long mLastEventAt;
+        private final EventGaps mGaps;
 
         /** A response that is not a success and therefore no event stream, or null. */
         private BufferedResponse mErrorResponse;
@@ -534,6 +532,7 @@
         StreamRun(UpstreamEntry upstream, Optional<UpstreamPort.StoredPrompt> prompt) {
             super(StreamExecution.this.mContext, upstream);
             mPrompt = prompt;
+            mGaps = new EventGaps(mContext, mRoute, upstream, mTrace);
         }
 
         void start(UpstreamPort.RunPlan plan) {
@@ -597,7 +596,7 @@
                 onFailure(AttemptEnd.failed(exception.code(), exception.detail()));
                 return;
             }
-            recordPause();
+            mGaps.onEvents(mRelay.eventCount());
             mReservation.recordEvents(mRelay.eventCount() - before);
             if (before == 0 && mRelay.eventCount() > 0) {
                 mTrace.addStep("first event");
@@ -608,25 +607,10 @@
             restartSilenceTimer();
             if (!mCaller.isWritable()) {
                 setAutoRead(false);
+                mGaps.interrupt();
             }
         }
 
-        /** Records a pause between two events that exceeds the route's limit. */
-        private void recordPause() {
-            long now = mContext.loop().millis();
-            long pause = now - mLastEventAt;
-            if (mLastEventAt != 0
-                    && mRoute.eventGapMillis() > 0
-                    && pause > mRoute.eventGapMillis()) {
-                long usedTokens = mContext.loads().tokens(mUpstream);
-                mTrace.markNotable();
-                mContext.growthMargin().recordPause(now);
-                mTrace.addStep(
-                        "pause " + pause + "ms@" + mUpstream.id() + " known tokens " + usedTokens);
-            }
-            mLastEventAt = now;
-        }
-
         /** {@inheritDoc} */
         @Override
         public void onEnd() {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoad.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoad.java
@@ -22,6 +22,15 @@
      */
     private static final long UNATTRIBUTED_TTL_MILLIS = 1200;
 
+    /** Consecutive refused runs after which a decode engine counts as refusing runs. */
+    private static final int CONSECUTIVE_RUN_REFUSALS = 2;
+
+    /**
+     * Initial time for which a decode engine counts as refusing runs, milliseconds; a role change
+     * takes several seconds.
+     */
+    private static final long MIN_RUN_REFUSAL_MILLIS = 1000;
+
     /** Calls in flight. */
     int mCalls;
 
@@ -103,4 +112,23 @@
     long unattributedTokens(long now) {
         return now - mUnattributedAt <= UNATTRIBUTED_TTL_MILLIS ? mUnattributedTokens : 0;
     }
+
+    /**
+     * Records that the engine refused a run. Each refusal after the first ones doubles the time for
+     * which it counts as refusing runs.
+     *
+     * @return that time, milliseconds; 0 while there are too few refusals
+     */
+    long recordRunRefusal(long now) {
+        mConsecutiveRunRefusals++;
+        if (mConsecutiveRunRefusals < CONSECUTIVE_RUN_REFUSALS) {
+            return 0;
+        }
+        int doublings =
+                Math.min(mConsecutiveRunRefusals - CONSECUTIVE_RUN_REFUSALS, Integer.SIZE / 2);
+        long millis =
+                Math.min(UpstreamLoads.MAX_EJECTION_MILLIS, MIN_RUN_REFUSAL_MILLIS << doublings);
+        mRefusingRunsUntil = now + millis;
+        return millis;
+    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -37,7 +37,7 @@
      */
     private static final long MIN_EJECTION_MILLIS = 500;
 
-    private static final long MAX_EJECTION_MILLIS = 4000;
+    static final long MAX_EJECTION_MILLIS = 4000;
 
     /**
      * Relative jitter of an ejection that is based on the outcomes of all routers, so that they
@@ -54,15 +54,6 @@
      */
     private static final long REPLACEMENT_EJECTION_MILLIS = 4000;
 
-    /** Consecutive refused runs after which a decode engine counts as refusing runs. */
-    private static final int CONSECUTIVE_RUN_REFUSALS = 2;
-
-    /**
-     * Initial time for which a decode engine counts as refusing runs, milliseconds; a role change
-     * takes several seconds.
-     */
-    private static final long MIN_RUN_REFUSAL_MILLIS = 1000;
-
     private static final Logger LOGGER = LogManager.getLogger(UpstreamLoads.class);
 
     private final Map<UpstreamIncarnation, UpstreamLoad> mLoads = new HashMap<>();
@@ -253,14 +244,10 @@
      */
     public void runRefused(UpstreamEntry engine) {
         UpstreamLoad load = load(engine.incarnation());
-        load.mConsecutiveRunRefusals++;
-        if (load.mConsecutiveRunRefusals < CONSECUTIVE_RUN_REFUSALS) {
+        long millis = load.recordRunRefusal(mLoop.millis());
+        if (millis == 0) {
             return;
         }
-        int doublings =
-                Math.min(load.mConsecutiveRunRefusals - CONSECUTIVE_RUN_REFUSALS, Integer.SIZE / 2);
-        long millis = Math.min(MAX_EJECTION_MILLIS, MIN_RUN_REFUSAL_MILLIS << doublings);
-        load.mRefusingRunsUntil = mLoop.millis() + millis;
         mOnUrgentChange.run();
         LOGGER.warn(
                 "upstream ejected for runs after repeated refusals id={} refusals={} millis={}",
@@ -377,13 +364,13 @@
         return mOrder;
     }
 
-    /** See {@link UpstreamOrder#byCalls}. */
+    /** Orders upstreams; see {@link UpstreamOrder#byCalls}. */
     public List<UpstreamEntry> byCalls(
             Collection<UpstreamEntry> candidates, Set<UpstreamIncarnation> tried) {
         return mOrder.byCalls(candidates, tried);
     }
 
-    /** See {@link UpstreamOrder#byTokens}. */
+    /** Orders engines; see {@link UpstreamOrder#byTokens}. */
     public List<UpstreamEntry> byTokens(
             Collection<UpstreamEntry> candidates, Set<UpstreamIncarnation> tried) {
         return mOrder.byTokens(candidates, tried);
@@ -394,6 +381,11 @@
         return mPaces;
     }
 
+    /** Records how long an upstream took for a call, with the calls that are in progress there. */
+    void recordPace(UpstreamEntry upstream, double millis) {
+        mPaces.recordUnderLoad(upstream, millis, calls(upstream));
+    }
+
     /** Returns whether an engine changes its role by order of this router or another. */
     boolean isChangingRole(UpstreamIncarnation engine) {
         return mChangingEngines.contains(engine) || mPeers.isChangingRole(engine);
