--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/pace/PaceEstimate.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/pace/PaceEstimate.java
@@ -155,12 +155,34 @@
      */
     public void record(
             UpstreamEntry upstream, double millis, double expectedMillis, double weight) {
-        if (!mEnabled || millis <= 0 || expectedMillis <= 0 || weight <= 0) {
-            return;
+        if (isMeasurement(millis, expectedMillis, weight)) {
+            add(upstream, PaceReport.of(millis / expectedMillis, weight));
+        }
+    }
+
+    /**
+     * Records the time that a call has taken so far that is not answered yet. As for any wait of
+     * unknown length, the rest is expected to take as long as what has passed. It is no sign that
+     * the upstream answers, so it does not count in the recent sums.
+     *
+     * @param millis the time so far, milliseconds
+     * @param expectedMillis see {@link #record}
+     * @param weight see {@link #record}
+     */
+    public void recordOverdue(
+            UpstreamEntry upstream, double millis, double expectedMillis, double weight) {
+        if (isMeasurement(millis, expectedMillis, weight)) {
+            add(upstream, PaceReport.of(2 * millis / expectedMillis, weight).withoutRecent());
         }
+    }
+
+    private boolean isMeasurement(double millis, double expectedMillis, double weight) {
+        return mEnabled && millis > 0 && expectedMillis > 0 && weight > 0;
+    }
+
+    private void add(UpstreamEntry upstream, PaceReport measurement) {
         Kind kind = Kind.of(upstream);
         long now = mMillis.getAsLong();
-        PaceReport measurement = PaceReport.of(millis / expectedMillis, weight);
         Measured before = mMeasured.get(upstream.incarnation());
         if (before == null || !before.mKind.equals(kind)) {
             before = new Measured(kind);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/pace/PaceReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/pace/PaceReport.java
@@ -70,6 +70,11 @@
         return new PaceReport(counted, logarithm, counted, logarithm);
     }
 
+    /** Returns this report without its recent sums. */
+    PaceReport withoutRecent() {
+        return new PaceReport(0, 0, lastingWeight, lastingRatio);
+    }
+
     /** Returns the sum of this report and another. */
     public PaceReport plus(PaceReport other) {
         return new PaceReport(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
@@ -42,9 +42,15 @@
     /** When the call was created, milliseconds on the loop's clock. */
     private final long mStart;
 
-    /** The predicted duration, milliseconds; 0 where the engines' throughput is unknown. */
+    /**
+     * The predicted duration at an engine like the others, milliseconds; 0 where the engines'
+     * throughput is unknown.
+     */
     private final double mPredictedMillis;
 
+    /** The predicted duration at the engine's pace, milliseconds. */
+    private final double mPacedMillis;
+
     /** Decides when the engine is silent; null where the time-out does not follow the load. */
     private final PrefillWatch mWatch;
 
@@ -103,22 +109,31 @@
             mWatch = new PrefillWatch(TIMEOUT_LIMITS, state, mStart);
             mTimeout =
                     context.loop().schedule(this::onCheck, mWatch.remainingMillis(state, mStart));
+            mPacedMillis = state.predictedMillis();
         } else {
             mWatch = null;
             mTimeout = context.loop().schedule(this::onTimeout, timeoutMillis());
+            mPacedMillis = mPredictedMillis;
+        }
+        if (mWatch != null && mPredictedMillis > 0) {
+            long overdueMillis = (long) (mPredictedMillis * OVERDUE_FACTOR);
+            mOverdueTimer = context.loop().schedule(this::recordOverdue, overdueMillis);
         }
     }
 
-    /**
-     * Records a call that is overdue as a measurement of its engine. As for any wait of unknown
-     * length, the rest is expected to take as long as what has passed.
-     */
+    /** Records the time of a call that is not answered yet. */
     private void recordOverdue() {
-        recordPace(OVERDUE_FACTOR * (mContext.loop().millis() - mStart));
+        long millis = mContext.loop().millis() - mStart;
+        mContext.loads()
+                .paces()
+                .recordOverdue(mEngine, millis, mPredictedMillis, measurementWeight());
     }
 
-    private void recordPace(double millis) {
-        mContext.loads().paces().record(mEngine, millis, mPredictedMillis, measurementWeight());
+    /** Records the time of an answered call. */
+    private void recordPace(long millis) {
+        if (mWatch != null) {
+            mContext.loads().paces().record(mEngine, millis, mPredictedMillis, measurementWeight());
+        }
     }
 
     private double predictedMillis(long tokensWithQueue) {
@@ -139,7 +154,7 @@
                         : "prefill@"
                                 + mEngine.id()
                                 + " predicted "
-                                + (long) mPredictedMillis
+                                + (long) mPacedMillis
                                 + "ms"
                                 + mContext.loads().paces().describe(mEngine));
         mContext.loads().begin(mEngine, mPrompt.tokens());
@@ -237,9 +252,9 @@
                     .recordPrefill(mPrompt.service(), mPrompt.tokens(), now - mStart, now);
         }
         if (mPredictedMillis > 0) {
-            mContext.prefillExcess().record(now - mStart - mPredictedMillis);
+            mContext.prefillExcess().record(now - mStart - mPacedMillis);
             recordPace(now - mStart);
-            mContext.metrics().recordPredictionError("prefill", mPredictedMillis, now - mStart);
+            mContext.metrics().recordPredictionError("prefill", mPacedMillis, now - mStart);
         }
         mContext.loads().succeeded(mEngine);
         mContext.metrics().callSucceeded(mEngine.id(), "prefill", now - mStart);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/pace/PaceEstimateTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/pace/PaceEstimateTest.java
@@ -83,7 +83,7 @@
                     double slowness = ratio.applyAsDouble(engine);
                     double scatter = 0.8 + 0.4 * mRandom.nextDouble();
                     if (slowness * scatter > 2) {
-                        mRouters.get(router).record(engine, 400, 100, 1);
+                        mRouters.get(router).recordOverdue(engine, 200, 100, 1);
                     }
                     if (mRandom.nextDouble() * slowness < 1) {
                         mRouters.get(router).record(engine, 100 * slowness * scatter, 100, 1);
@@ -149,6 +149,17 @@
         assertEquals(mRouters.get(1).pace(engine("other")), 1.0);
     }
 
+    @Test
+    public void anOverdueCallIsNoSignThatItsEngineAnswers() {
+        play(3000, entry -> 1);
+        mNow += 3000;
+        mReports.clear();
+        for (PaceEstimate router : mRouters) {
+            router.recordOverdue(mEngines.get(2), 200, 100, 1);
+        }
+        assertTrue(mRouters.get(0).recentWeight(mEngines.get(2)) < 0.01);
+    }
+
     @Test
     public void ifAllAreSlowNoneIsAnOutlier() {
         play(3000, entry -> 1);
@@ -181,7 +192,7 @@
         mReports.put(7, Map.of(mEngines.get(1).incarnation(), lie));
         play(50, entry -> 1);
         mReports.put(7, Map.of(mEngines.get(1).incarnation(), lie));
-        assertTrue(pace(1) < PaceReport.MAX_RATIO, "pace " + pace(1));
+        assertTrue(pace(1) < 3, "pace " + pace(1));
         mReports.put(
                 7,
                 Map.of(
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlacementByPaceTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlacementByPaceTest.java
@@ -94,7 +94,7 @@
                         .schedule(
                                 () ->
                                         router.paces()
-                                                .record(engine, 2.0 * overdue, expected, weight),
+                                                .recordOverdue(engine, overdue, expected, weight),
                                 overdue);
             }
             mTime.loop()
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PrefillTimeoutTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PrefillTimeoutTest.java
@@ -228,6 +228,17 @@
         assertEquals(mPort.mPrefills.size(), 2, "the longest time-out remains");
     }
 
+    @Test
+    public void anUnansweredPrefillIsMeasuredOnceItIsOverdue() {
+        List<UpstreamEntry> engines = prefill(BY_LOAD);
+        PaceEstimate paces = mContext.loads().paces();
+        paces.record(engines.get(1), 100, 100, 1);
+        mTime.advance(39);
+        assertEquals(paces.statuses(engines).get(0).here(), 0.0);
+        mTime.advance(2);
+        assertTrue(paces.statuses(engines).get(0).here() > 1, "twice the prediction of 20 ms");
+    }
+
     @Test
     public void withoutTheSettingTheTimeOutFollowsTheQueueKnownAtTheStart() {
         UpstreamEntry engine = prefill(LoadSettings.DEFAULT).get(0);
