--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/pace/PaceEstimate.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/pace/PaceEstimate.java
@@ -183,12 +183,12 @@
     private void add(UpstreamEntry upstream, PaceReport measurement) {
         Kind kind = Kind.of(upstream);
         long now = mMillis.getAsLong();
-        Measured before = mMeasured.get(upstream.incarnation());
-        if (before == null || !before.mKind.equals(kind)) {
-            before = new Measured(kind);
-            mMeasured.put(upstream.incarnation(), before);
+        Measured measured = mMeasured.get(upstream.incarnation());
+        if (measured == null || !measured.mKind.equals(kind)) {
+            measured = new Measured(kind);
+            mMeasured.put(upstream.incarnation(), measured);
         }
-        before.add(measurement, now);
+        measured.add(measurement, now);
         total(kind).add(measurement, now);
     }
 
