--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
@@ -80,32 +80,36 @@
     }
 
     LoadReport withUsage(UsageReport usage) {
-        return with(usage, rates, waitingTokens, waiting);
+        return with(usage, rates, waitingTokens, waiting, paces);
     }
 
     /**
-     * Returns this report with its announced rates and its waiting requests aged by a time. The
+     * Returns this report with its announced rates, waiting requests and paces aged by a time. The
      * tokens of entries that expire no longer wait, since what exceeds the entries counts as
      * requests of a router that reports none.
      *
      * @param millis the time, milliseconds
      */
     LoadReport aged(long millis) {
-        if (rates.isEmpty() && waiting.entries().isEmpty()) {
+        if (rates.isEmpty() && waiting.entries().isEmpty() && paces.isEmpty()) {
             return this;
         }
         Map<UpstreamIncarnation, RateReport> agedRates = new HashMap<>();
         rates.forEach((upstream, report) -> agedRates.put(upstream, report.aged(millis)));
         WaitingReport agedWaiting = waiting.aged(millis);
         long expired = Math.round(waiting.cost() - agedWaiting.cost());
-        return with(organisations, agedRates, Math.max(0, waitingTokens - expired), agedWaiting);
+        long tokens = Math.max(0, waitingTokens - expired);
+        Map<UpstreamIncarnation, PaceReport> agedPaces = new HashMap<>();
+        paces.forEach((upstream, report) -> agedPaces.put(upstream, report.aged(millis)));
+        return with(organisations, agedRates, tokens, agedWaiting, agedPaces);
     }
 
     private LoadReport with(
             UsageReport usage,
             Map<UpstreamIncarnation, RateReport> announcedRates,
             long tokens,
-            WaitingReport waitingRequests) {
+            WaitingReport waitingRequests,
+            Map<UpstreamIncarnation, PaceReport> upstreamPaces) {
         return new LoadReport(
                 configuration,
                 routers,
@@ -118,7 +122,7 @@
                 usage,
                 announcedRates,
                 waitingRequests,
-                paces);
+                upstreamPaces);
     }
 
     /**
@@ -176,7 +180,9 @@
             otherUsage.add(other.organisations);
             other.rates.forEach((id, rate) -> allRates.merge(id, rate, RateReport::plus));
             otherWaiting.add(other.waiting);
-            other.paces.forEach((id, pace) -> allPaces.merge(id, pace, PaceReport::plus));
+            other.paces.forEach(
+                    (id, pace) ->
+                            allPaces.merge(id, pace.bounded(other.routers), PaceReport::plus));
         }
         return new LoadReport(
                 configuration,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -176,7 +176,7 @@
                         mRates.report(),
                         waiting.plus(List.of(mWaitingCalls.get()))
                                 .plusReturning(mReturns.returningCost(mLoop.millis())),
-                        Map.of());
+                        mLoads.paces().report());
         mControl.execute(() -> mExchange.publishLoad(report));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
@@ -154,7 +154,7 @@
 
     /** Returns how many times as long as others an upstream takes. */
     double slowdown(UpstreamEntry upstream, long now) {
-        PaceReport peers = mFleet.peers().pace(upstream.incarnation());
+        PaceReport peers = mFleet.peers().pace(upstream.incarnation(), now);
         UpstreamPace pace = mPaces.get(upstream.incarnation());
         return (pace == null ? new UpstreamPace() : pace).slowdown(peers, now);
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -360,6 +360,7 @@
                 case SUCCESS -> {
                     recordSuccess(mUpstream, "plain", elapsedMillis());
                     recordAnswer();
+                    mContext.loads().recordPace(mUpstream, elapsedMillis());
                     mTrace.addStep("status=" + head.status());
                     markIfLate(mTrace.elapsedMillis());
                     mResponse.sendTo(mCaller);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
@@ -2,6 +2,8 @@
 
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.notice.UpstreamNotice;
+import org.troutpier.daemon.pace.PaceEstimate;
+import org.troutpier.daemon.pace.PrefillWatch;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
@@ -10,6 +12,23 @@
  */
 final class PrefillCall implements UpstreamPort.ResultListener<UpstreamPort.StoredPrompt> {
 
+    /** Interval of checks while no other engine could process the prompt in time, milliseconds. */
+    private static final long RECHECK_MILLIS = 100;
+
+    /**
+     * The multiple of its predicted duration after which a call counts as a measurement although it
+     * is not answered yet. A slow engine answers too late for those that are sent meanwhile.
+     */
+    static final double OVERDUE_FACTOR = 2;
+
+    private static final double MIN_MEASUREMENT_WEIGHT = 0.3;
+
+    private static final PrefillWatch.Limits TIMEOUT_LIMITS =
+            new PrefillWatch.Limits(
+                    ServingSettings.PREFILL_TIMEOUT_FACTOR,
+                    ServingSettings.MIN_PREFILL_TIMEOUT_MILLIS,
+                    ServingSettings.MAX_PREFILL_MILLIS);
+
     private final ServingContext mContext;
 
     private final Prompt mPrompt;
@@ -23,10 +42,22 @@
     /** When the call was created, milliseconds on the loop's clock. */
     private final long mStart;
 
-    /** The predicted duration, milliseconds; 0 where the engines' throughput is unknown. */
+    /**
+     * The predicted duration at an engine like the others, milliseconds; 0 where the engines'
+     * throughput is unknown.
+     */
     private final double mPredictedMillis;
 
-    private final TrafficLoop.Timer mTimeout;
+    /** The predicted duration at the engine's pace, milliseconds. */
+    private final double mPacedMillis;
+
+    /** Decides when the engine is silent; null where the time-out does not follow the load. */
+    private final PrefillWatch mWatch;
+
+    private TrafficLoop.Timer mTimeout;
+
+    /** Fires once the call takes longer than predicted; null where its duration is unknown. */
+    private TrafficLoop.Timer mOverdueTimer;
 
     private UpstreamPort.Call mCall;
 
@@ -55,6 +86,9 @@
 
         /** Called when the engine did not process the prompt. */
         void onFailed(UpstreamEntry engine, AttemptEnd end);
+
+        /** Returns whether the first event could still be in time if another engine is called. */
+        boolean mayBeInTimeElsewhere();
     }
 
     PrefillCall(
@@ -69,16 +103,60 @@
         mTrace = trace;
         mListener = listener;
         mStart = context.loop().millis();
-        mPredictedMillis =
-                context.demandFor(prompt.service())
-                        .reading()
-                        .predictedMillis(context.loads().tokens(engine) + prompt.tokens());
-        mTimeout = context.loop().schedule(this::onTimeout, timeoutMillis());
+        mPredictedMillis = predictedMillis(context.loads().tokens(engine) + prompt.tokens());
+        if (context.load().pace()) {
+            PrefillWatch.EngineState state = engineState(mPredictedMillis);
+            mWatch = new PrefillWatch(TIMEOUT_LIMITS, state, mStart);
+            mTimeout =
+                    context.loop().schedule(this::onCheck, mWatch.remainingMillis(state, mStart));
+            mPacedMillis = state.predictedMillis();
+        } else {
+            mWatch = null;
+            mTimeout = context.loop().schedule(this::onTimeout, timeoutMillis());
+            mPacedMillis = mPredictedMillis;
+        }
+        if (mWatch != null && mPredictedMillis > 0) {
+            long overdueMillis = (long) (mPredictedMillis * OVERDUE_FACTOR);
+            mOverdueTimer = context.loop().schedule(this::recordOverdue, overdueMillis);
+        }
+    }
+
+    /** Records the time of a call that is not answered yet. */
+    private void recordOverdue() {
+        long millis = mContext.loop().millis() - mStart;
+        mContext.loads()
+                .paces()
+                .recordOverdue(mEngine, millis, mPredictedMillis, measurementWeight());
+    }
+
+    /** Records the time of an answered call. */
+    private void recordPace(long millis) {
+        if (mWatch != null) {
+            mContext.loads().paces().record(mEngine, millis, mPredictedMillis, measurementWeight());
+        }
+    }
+
+    private double predictedMillis(long tokensWithQueue) {
+        return mContext.demandFor(mPrompt.service()).reading().predictedMillis(tokensWithQueue);
+    }
+
+    private PrefillWatch.EngineState engineState(double predictedMillis) {
+        PaceEstimate paces = mContext.loads().paces();
+        return new PrefillWatch.EngineState(
+                predictedMillis * paces.pace(mEngine), paces.recentWeight(mEngine));
     }
 
     /** Sends the call. */
     void send(ServingRequest request, UpstreamPort.RunPlan plan) {
-        mTrace.addStep("prefill@" + mEngine.id());
+        mTrace.addStep(
+                mWatch == null
+                        ? "prefill@" + mEngine.id()
+                        : "prefill@"
+                                + mEngine.id()
+                                + " predicted "
+                                + (long) mPacedMillis
+                                + "ms"
+                                + mContext.loads().paces().describe(mEngine));
         mContext.loads().begin(mEngine, mPrompt.tokens());
         mCall = mContext.port().prefill(mEngine, request, plan, this);
     }
@@ -98,6 +176,32 @@
                         Math.max(ServingSettings.MIN_PREFILL_TIMEOUT_MILLIS, timeout));
     }
 
+    /** Gives the engine more time while its load explains that it has not answered yet. */
+    private void onCheck() {
+        if (mEnded) {
+            return;
+        }
+        long now = mContext.loop().millis();
+        long queuedTokens = mContext.loads().tokens(mEngine);
+        long remaining = mWatch.remainingMillis(engineState(predictedMillis(queuedTokens)), now);
+        long untilMax = mStart + ServingSettings.MAX_PREFILL_MILLIS - now;
+        if (remaining == 0 && untilMax > 0 && !mListener.mayBeInTimeElsewhere()) {
+            remaining = Math.min(untilMax, RECHECK_MILLIS);
+        }
+        if (remaining > 0) {
+            mContext.metrics().prefillTimeoutExtended();
+            mTimeout = mContext.loop().schedule(this::onCheck, remaining);
+            return;
+        }
+        mTrace.addStep(
+                "silent@"
+                        + mEngine.id()
+                        + " known tokens "
+                        + queuedTokens
+                        + mContext.loads().paces().describe(mEngine));
+        onTimeout();
+    }
+
     private void onTimeout() {
         if (!mEnded) {
             mCall.abort();
@@ -105,6 +209,15 @@
         }
     }
 
+    /**
+     * Returns the weight of the duration as a measurement of the engine: the less of it the prompt
+     * itself took, the more it depends on how well the queue was known.
+     */
+    private double measurementWeight() {
+        double alone = predictedMillis(mPrompt.tokens());
+        return Math.max(MIN_MEASUREMENT_WEIGHT, Math.min(1, alone / mPredictedMillis));
+    }
+
     /** Aborts the call; its listener is not called. */
     void abort() {
         mCall.abort();
@@ -113,6 +226,9 @@
 
     private void close() {
         mTimeout.cancel();
+        if (mOverdueTimer != null) {
+            mOverdueTimer.cancel();
+        }
         if (!mEnded) {
             mEnded = true;
             mContext.loads().end(mEngine, mPrompt.tokens());
@@ -136,8 +252,9 @@
                     .recordPrefill(mPrompt.service(), mPrompt.tokens(), now - mStart, now);
         }
         if (mPredictedMillis > 0) {
-            mContext.prefillExcess().record(now - mStart - mPredictedMillis);
-            mContext.metrics().recordPredictionError("prefill", mPredictedMillis, now - mStart);
+            mContext.prefillExcess().record(now - mStart - mPacedMillis);
+            recordPace(now - mStart);
+            mContext.metrics().recordPredictionError("prefill", mPacedMillis, now - mStart);
         }
         mContext.loads().succeeded(mEngine);
         mContext.metrics().callSucceeded(mEngine.id(), "prefill", now - mStart);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -27,6 +27,8 @@
 
     private final EventRelay mRelay;
 
+    private final PrefillEngines mPrefillEngines;
+
     /** Prefill engines that were tried for the current run. */
     private final Set<UpstreamIncarnation> mTriedPrefillEngines = new HashSet<>();
 
@@ -35,6 +37,9 @@
     /** The prefill in progress, or null. */
     private PrefillCall mPrefillCall;
 
+    /** The queue tier when the last prefill was sent. */
+    private QueueTier mPrefillTier = QueueTier.IN_TIME;
+
     /** The decode run in progress, or null. */
     private StreamRun mRun;
 
@@ -76,6 +81,12 @@
             CallerChannel caller) {
         super(context, request, route, service, caller);
         mEngineTraits = engineTraits;
+        mPrefillEngines =
+                new PrefillEngines(
+                        context,
+                        () -> upstreams(UpstreamEntry.Role.PREFILL),
+                        service,
+                        promptTokens());
         mRelay = new EventRelay(caller, request.lastEventId());
         mReservation =
                 new DecodeReservation(
@@ -140,8 +151,12 @@
 
     /** Returns how long the request may wait for a reservation. */
     private WaitBudget waitBudget() {
+        return waitBudget(tier());
+    }
+
+    private WaitBudget waitBudget(QueueTier tier) {
         long elapsed = mTrace.elapsedMillis() - mWaitStart;
-        return new WaitBudget(mRoute.targetMillis(), elapsed, remainingMillis(), tier());
+        return new WaitBudget(mRoute.targetMillis(), elapsed, remainingMillis(), tier);
     }
 
     /** Returns the queue tier, which depends on whether the request can still meet its target. */
@@ -155,8 +170,18 @@
 
     /** Predicts the time from the reservation to the first event. */
     private WaitBudget.Prediction prediction() {
+        return prediction(Set.of());
+    }
+
+    /**
+     * Predicts the time from the reservation to the first event.
+     *
+     * @param excluded the prefill engines that are not to be used
+     */
+    private WaitBudget.Prediction prediction(Set<UpstreamIncarnation> excluded) {
         return new WaitBudget.Prediction(
-                predictedPrefillMillis() + mContext.prefillExcess().predictedMillis(),
+                mPrefillEngines.predictedMillis(excluded)
+                        + mContext.prefillExcess().predictedMillis(),
                 mContext.firstEventDelay().predictedMillis());
     }
 
@@ -210,24 +235,6 @@
                 .toList();
     }
 
-    /**
-     * Predicts the prefill time at the prefill engine with the fewest queued tokens.
-     *
-     * @return milliseconds; 0 where the engines' throughput is unknown or there is no prefill
-     *     engine
-     */
-    private double predictedPrefillMillis() {
-        List<UpstreamEntry> engines =
-                mContext.loads().byTokens(upstreams(UpstreamEntry.Role.PREFILL), Set.of());
-        if (engines.isEmpty()) {
-            return 0;
-        }
-        long queuedTokens = mContext.loads().tokens(engines.get(0));
-        return mContext.demandFor(mService)
-                .reading()
-                .predictedMillis(queuedTokens + promptTokens());
-    }
-
     /** Returns the most memory that the request can take, in tokens. */
     private long maxTokens() {
         return mRequest.prompt().map(PromptMetadata::maxTokens).orElse(0L);
@@ -259,9 +266,7 @@
             return;
         }
         discardStoredPrompt();
-        List<UpstreamEntry> engines =
-                mContext.loads()
-                        .byTokens(upstreams(UpstreamEntry.Role.PREFILL), mTriedPrefillEngines);
+        List<UpstreamEntry> engines = mPrefillEngines.inOrder(mTriedPrefillEngines);
         if (engines.isEmpty()) {
             mTrace.addStep("no prefill engine");
             startRun(Optional.empty());
@@ -278,7 +283,9 @@
             return;
         }
         UpstreamEntry engine = admitted.get();
+        mPrefillEngines.recordPassedOver(engines, engine, mTrace);
         mTriedPrefillEngines.add(engine.incarnation());
+        mPrefillTier = tier();
         boolean measurable =
                 mContext.loads().tokens(engine) == 0 && !mPrefilledBefore && !mReturning;
         mPrefilledBefore = true;
@@ -447,7 +454,10 @@
             mContext.growthMargin().recordRefusal();
             mContext.metrics().searchRefused();
             mTrace.addStep(
-                    detail + ", prompt read in " + (long) predictedPrefillMillis() + "ms at best");
+                    detail
+                            + ", prompt read in "
+                            + (long) mPrefillEngines.predictedMillis(Set.of())
+                            + "ms at best");
             failWithoutRun(ResultCode.NO_PLACE, "no place");
         }
     }
@@ -506,6 +516,12 @@
             startRun(Optional.of(prompt));
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public boolean mayBeInTimeElsewhere() {
+            return waitBudget(mPrefillTier).allowsPrefill(prediction(mTriedPrefillEngines));
+        }
+
         /** {@inheritDoc} */
         @Override
         public void onFailed(UpstreamEntry engine, AttemptEnd end) {
@@ -520,10 +536,7 @@
         /** The stored prefill result; empty where the decode engine processes the prompt. */
         private final Optional<UpstreamPort.StoredPrompt> mPrompt;
 
-        /**
-         * When the stream's last bytes arrived, milliseconds on the loop's clock; 0 before them.
-         */
-        private long mLastEventAt;
+        private final EventGaps mGaps;
 
         /** A response that is not a success and therefore no event stream, or null. */
         private BufferedResponse mErrorResponse;
@@ -537,6 +550,7 @@
         StreamRun(UpstreamEntry upstream, Optional<UpstreamPort.StoredPrompt> prompt) {
             super(StreamExecution.this.mContext, upstream);
             mPrompt = prompt;
+            mGaps = new EventGaps(mContext, mRoute, upstream, mTrace);
         }
 
         void start(UpstreamPort.RunPlan plan) {
@@ -600,7 +614,7 @@
                 onFailure(AttemptEnd.failed(exception.code(), exception.detail()));
                 return;
             }
-            recordPause();
+            mGaps.onEvents(mRelay.eventCount());
             mReservation.recordEvents(mRelay.eventCount() - before);
             if (before == 0 && mRelay.eventCount() > 0) {
                 mTrace.addStep("first event");
@@ -611,25 +625,10 @@
             restartSilenceTimer();
             if (!mCaller.isWritable()) {
                 setAutoRead(false);
+                mGaps.interrupt();
             }
         }
 
-        /** Records a pause between two events that exceeds the route's limit. */
-        private void recordPause() {
-            long now = mContext.loop().millis();
-            long pause = now - mLastEventAt;
-            if (mLastEventAt != 0
-                    && mRoute.eventGapMillis() > 0
-                    && pause > mRoute.eventGapMillis()) {
-                long usedTokens = mContext.loads().tokens(mUpstream);
-                mTrace.markNotable();
-                mContext.growthMargin().recordPause(now);
-                mTrace.addStep(
-                        "pause " + pause + "ms@" + mUpstream.id() + " known tokens " + usedTokens);
-            }
-            mLastEventAt = now;
-        }
-
         /** {@inheritDoc} */
         @Override
         public void onEnd() {
