--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpClient.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpClient.java
@@ -39,6 +39,9 @@
     /** How long an idle connection is kept in the pool, milliseconds. */
     private static final int IDLE_TIMEOUT_MILLIS = 20_000;
 
+    /** Interval between two searches of the pool for idle connections, milliseconds. */
+    private static final int IDLE_CHECK_MILLIS = 1000;
+
     private final AsyncHttpClient mClient;
 
     /** Creates a client. */
@@ -48,6 +51,9 @@
                         new DefaultAsyncHttpClientConfig.Builder()
                                 .setEventLoopGroup(loops)
                                 .setUseNativeTransport(false)
+                                .setNettyTimer(new EventLoopTimer(loops))
+                                .setConnectionPoolCleanerPeriod(
+                                        Duration.ofMillis(IDLE_CHECK_MILLIS))
                                 .setConnectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS))
                                 .setPooledConnectionIdleTimeout(
                                         Duration.ofMillis(IDLE_TIMEOUT_MILLIS))
