--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
@@ -1,7 +1,6 @@
 package org.troutpier.daemon.peer;
 
 import com.codahale.metrics.Counter;
-import com.fasterxml.jackson.core.JsonProcessingException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -15,6 +14,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashMap;
@@ -283,7 +283,7 @@
     private static byte[] encode(PeerMessage message) {
         try {
             return PeerCodec.encode(message);
-        } catch (JsonProcessingException exception) {
+        } catch (IOException exception) {
             throw new IllegalStateException("cannot encode " + message, exception);
         }
     }
