The installed logging configuration survives a collection before the first logger

The library refers to its context weakly until a logger exists. A garbage collection in between brought back its default configuration, which writes errors only: seen in every build of the class-data archive (its run without an archive collects earlier), so that the archive lacked the classes that write lines, and possible in any start.

The new test of DaemonLoggingTest starts a process that collects in between; it fails without the reference, and passes with it.

--- a/troutpier-common/src/main/java/org/troutpier/common/logging/DaemonLogging.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/logging/DaemonLogging.java
@@ -1,6 +1,8 @@
 package org.troutpier.common.logging;
 
+import java.util.concurrent.atomic.AtomicReference;
 import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.LoggerContext;
 import org.apache.logging.log4j.core.appender.AsyncAppender;
 import org.apache.logging.log4j.core.config.AbstractConfiguration;
 import org.apache.logging.log4j.core.config.AppenderRef;
@@ -29,6 +31,12 @@
     /** Property that is set empty, since the library would query the host name resolver for it. */
     private static final String HOST_NAME = "hostName";
 
+    /**
+     * The installed configuration. The library refers to it weakly until the first logger exists: a
+     * garbage collection before that would bring back its default configuration.
+     */
+    private static final AtomicReference<LoggerContext> INSTALLED = new AtomicReference<>();
+
     /**
      * Creates a configuration without the library's shutdown hook; the daemon's own hook stops
      * logging after its last line.
@@ -45,7 +53,8 @@
      * library would otherwise look for a configuration file.
      */
     public static void install() {
-        Configurator.initialize(DaemonLogging.class.getClassLoader(), configuration());
+        INSTALLED.set(
+                Configurator.initialize(DaemonLogging.class.getClassLoader(), configuration()));
     }
 
     /** Returns a configuration that is not installed. */
--- a/troutpier-common/src/test/java/org/troutpier/common/logging/DaemonLoggingTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/logging/DaemonLoggingTest.java
@@ -10,6 +10,8 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.core.LoggerContext;
 import org.apache.logging.log4j.message.StringMapMessage;
 import org.testng.annotations.AfterMethod;
@@ -83,4 +85,33 @@
         mContext.getLogger("io.netty.util.Part").error("written");
         assertEquals(onlyLine().path("message").asText(), "written");
     }
+
+    /** Installs the configuration and has memory collected before the first logger exists. */
+    static final class CollectedStart {
+
+        private CollectedStart() {}
+
+        public static void main(String[] arguments) {
+            DaemonLogging.install();
+            System.gc();
+            LogManager.getLogger("org.troutpier.Part").info("started");
+            LogManager.shutdown();
+        }
+    }
+
+    @Test
+    public void aCollectionBeforeTheFirstLoggerKeepsTheConfiguration() throws Exception {
+        Process process =
+                new ProcessBuilder(
+                                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                                "-cp",
+                                System.getProperty("java.class.path"),
+                                CollectedStart.class.getName())
+                        .redirectErrorStream(true)
+                        .start();
+        String written =
+                new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(process.waitFor(), 0, written);
+        assertTrue(written.contains("\"message\":\"started\""), written);
+    }
 }
