Records of the start and of hot paths have equals, hashCode and toString written out

The methods generated for a record are linked at run time, at each start, by method handles that the class-data archive does not hold: 129 of the hidden classes before the start line. The settings' text alone, which is logged once, took 7 % of the main thread of a start. Texts and hash values are as before, except the hash values of Member and UpstreamEntry, which use the incarnation alone.

--- a/troutpier-common/src/main/java/org/troutpier/common/id/Incarnation.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/id/Incarnation.java
@@ -48,4 +48,16 @@
     public String toString() {
         return value;
     }
+
+    /** {@inheritDoc} Written out, since the generated method is linked anew at each start. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Incarnation that && value.equals(that.value);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
 }
--- a/troutpier-common/src/main/java/org/troutpier/common/id/InstanceId.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/id/InstanceId.java
@@ -28,4 +28,16 @@
     public String toString() {
         return value;
     }
+
+    /** {@inheritDoc} Written out, since the generated method is linked anew at each start. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof InstanceId that && value.equals(that.value);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
 }
--- a/troutpier-common/src/main/java/org/troutpier/common/id/UpstreamIncarnation.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/id/UpstreamIncarnation.java
@@ -88,4 +88,18 @@
                 ? id.value()
                 : id.value() + SEPARATOR + Long.toString(startMillis, RADIX);
     }
+
+    /** {@inheritDoc} Written out, since the generated method is linked anew at each start. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof UpstreamIncarnation that
+                && id.equals(that.id)
+                && startMillis == that.startMillis;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int hashCode() {
+        return 31 * id.hashCode() + Long.hashCode(startMillis);
+    }
 }
--- a/troutpier-common/src/main/java/org/troutpier/common/settings/Address.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/settings/Address.java
@@ -73,4 +73,16 @@
     public String toString() {
         return (host.contains(":") ? "[" + host + "]" : host) + ":" + port;
     }
+
+    /** {@inheritDoc} Written out, since the generated method is linked anew at each start. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Address that && host.equals(that.host) && port == that.port;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int hashCode() {
+        return 31 * host.hashCode() + port;
+    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/UpstreamUsage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/UpstreamUsage.java
@@ -35,4 +35,20 @@
                 failed + other.failed,
                 succeeded + other.succeeded);
     }
+
+    /** {@inheritDoc} Written out, since the generated method is linked anew at each start. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof UpstreamUsage that
+                && calls == that.calls
+                && tokens == that.tokens
+                && failed == that.failed
+                && succeeded == that.succeeded;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int hashCode() {
+        return 31 * (31 * (31 * calls + Long.hashCode(tokens)) + failed) + succeeded;
+    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamEntry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamEntry.java
@@ -1,5 +1,6 @@
 package org.troutpier.daemon.directory;
 
+import java.util.Objects;
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.id.UpstreamIncarnation;
@@ -59,6 +60,25 @@
                 draining || reported.draining);
     }
 
+    /** {@inheritDoc} Written out, since the generated method is linked anew at each start. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof UpstreamEntry that
+                && Objects.equals(incarnation, that.incarnation)
+                && Objects.equals(service, that.service)
+                && Objects.equals(address, that.address)
+                && Objects.equals(hall, that.hall)
+                && slots == that.slots
+                && Objects.equals(role, that.role)
+                && draining == that.draining;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int hashCode() {
+        return Objects.hashCode(incarnation);
+    }
+
     /** Role of an upstream. */
     public enum Role {
         /** Prefill engine, which processes prompts. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/limit/UsageSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/limit/UsageSettings.java
@@ -55,4 +55,16 @@
     public double tolerance(double limit) {
         return limit * overage + slack;
     }
+
+    /** {@inheritDoc} Written out, since the generated method is linked anew at each start. */
+    @Override
+    public String toString() {
+        return "UsageSettings[windowSeconds="
+                + windowSeconds
+                + ", overage="
+                + overage
+                + ", slack="
+                + slack
+                + ']';
+    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/KeySettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/KeySettings.java
@@ -21,4 +21,14 @@
     public KeySettings {
         Check.range("confirmedMillis", confirmedMillis, 1, MAX_CONFIRMED_MILLIS);
     }
+
+    /** {@inheritDoc} Written out, since the generated method is linked anew at each start. */
+    @Override
+    public String toString() {
+        return "KeySettings[confirmedMillis="
+                + confirmedMillis
+                + ", refuseUnconfirmed="
+                + refuseUnconfirmed
+                + ']';
+    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/Membership.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/Membership.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import org.troutpier.common.id.HallId;
@@ -55,7 +56,24 @@
      * @param address the address at which peers connect to it
      * @param leaving whether it accepts no new work
      */
-    public record Member(Incarnation incarnation, HallId hall, String address, boolean leaving) {}
+    public record Member(Incarnation incarnation, HallId hall, String address, boolean leaving) {
+
+        /** {@inheritDoc} Written out, since the generated method is linked anew at each start. */
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Member that
+                    && Objects.equals(incarnation, that.incarnation)
+                    && Objects.equals(hall, that.hall)
+                    && Objects.equals(address, that.address)
+                    && leaving == that.leaving;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public int hashCode() {
+            return Objects.hashCode(incarnation);
+        }
+    }
 
     /**
      * Creates a membership that contains only this router.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/QuarantineSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/QuarantineSettings.java
@@ -84,4 +84,18 @@
     boolean mayClear(String tokenHash) {
         return !operatorTokenHash.isEmpty() && operatorTokenHash.equals(tokenHash);
     }
+
+    /** {@inheritDoc} Written out, since the generated method is linked anew at each start. */
+    @Override
+    public String toString() {
+        return "QuarantineSettings[crashes="
+                + crashes
+                + ", seconds="
+                + seconds
+                + ", knownMillis="
+                + knownMillis
+                + ", operatorTokenHash="
+                + operatorTokenHash
+                + ']';
+    }
 }
