--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/UpstreamUsage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/UpstreamUsage.java
@@ -39,4 +39,22 @@
                 succeeded + other.succeeded,
                 restCorrection + other.restCorrection);
     }
+
+    /** {@inheritDoc} Written out, since the generated method is linked anew at each start. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof UpstreamUsage that
+                && calls == that.calls
+                && tokens == that.tokens
+                && failed == that.failed
+                && succeeded == that.succeeded
+                && restCorrection == that.restCorrection;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int hashCode() {
+        int hash = 31 * (31 * (31 * calls + Long.hashCode(tokens)) + failed) + succeeded;
+        return 31 * hash + Long.hashCode(restCorrection);
+    }
 }
