--- a/troutpier-common/src/main/java/org/troutpier/common/declaration/KeyHash.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/declaration/KeyHash.java
@@ -38,4 +38,16 @@
     public String toString() {
         return "key " + fingerprint();
     }
+
+    /** {@inheritDoc} Written out, since the generated method is linked anew at each start. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof KeyHash that && value.equals(that.value);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/RetainedUsage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/RetainedUsage.java
@@ -26,7 +26,20 @@
      *     hall's group
      * @param name the router's instance or the hall
      */
-    record Source(ReportScope scope, String name) {}
+    record Source(ReportScope scope, String name) {
+
+        /** {@inheritDoc} Written out, since the generated method is linked anew at each start. */
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Source that && scope == that.scope && name.equals(that.name);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public int hashCode() {
+            return 31 * scope.hashCode() + name.hashCode();
+        }
+    }
 
     /**
      * The last known usage of a source.
