--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/node/ControlLoop.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/node/ControlLoop.java
@@ -48,7 +48,7 @@
     }
 
     private Runnable guarded(Runnable task) {
-        GuardedTask guarded = new GuardedTask(task);
+        GuardedTask guarded = new GuardedTask(task, () -> mClosed);
         return () -> {
             if (!mClosed) {
                 guarded.run();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/node/ControlThread.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/node/ControlThread.java
@@ -29,7 +29,7 @@
     @Override
     public void execute(Runnable task) {
         if (!mExecutor.isShutdown()) {
-            mExecutor.execute(new GuardedTask(task));
+            mExecutor.execute(new GuardedTask(task, mExecutor::isShutdown));
         }
     }
 
@@ -37,7 +37,8 @@
     @Override
     public void schedule(Runnable task, long millis) {
         if (!mExecutor.isShutdown()) {
-            mExecutor.schedule(new GuardedTask(task), millis, TimeUnit.MILLISECONDS);
+            mExecutor.schedule(
+                    new GuardedTask(task, mExecutor::isShutdown), millis, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -45,7 +46,10 @@
     @Override
     public void scheduleWithFixedDelay(Runnable task, long millis) {
         mExecutor.scheduleWithFixedDelay(
-                new GuardedTask(task), millis, millis, TimeUnit.MILLISECONDS);
+                new GuardedTask(task, mExecutor::isShutdown),
+                millis,
+                millis,
+                TimeUnit.MILLISECONDS);
     }
 
     /** {@inheritDoc} */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/node/GuardedTask.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/node/GuardedTask.java
@@ -1,5 +1,7 @@
 package org.troutpier.daemon.node;
 
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -8,8 +10,9 @@
  * Thread safe if the task is.
  *
  * @param task the task
+ * @param closed whether its executor was closed, after which what the task uses may reject it
  */
-record GuardedTask(Runnable task) implements Runnable {
+record GuardedTask(Runnable task, BooleanSupplier closed) implements Runnable {
 
     private static final Logger LOGGER = LogManager.getLogger(GuardedTask.class);
 
@@ -18,9 +21,17 @@
     public void run() {
         try {
             task.run();
+        } catch (RejectedExecutionException exception) {
+            if (!closed.getAsBoolean()) {
+                recordFailure(exception);
+            }
         } catch (RuntimeException exception) {
-            LOGGER.error("control task failed", exception);
-            Invariants.recordViolation("control-task", exception.toString());
+            recordFailure(exception);
         }
     }
+
+    private static void recordFailure(RuntimeException exception) {
+        LOGGER.error("control task failed", exception);
+        Invariants.recordViolation("control-task", exception.toString());
+    }
 }
