--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationLimiter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationLimiter.java
@@ -6,7 +6,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.SplittableRandom;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -18,7 +17,6 @@
 import org.troutpier.daemon.decision.LimitShare;
 import org.troutpier.daemon.limit.GradualLimit;
 import org.troutpier.daemon.limit.LimitHeadroom;
-import org.troutpier.daemon.limit.LimitReturn;
 import org.troutpier.daemon.limit.RecentUsage;
 import org.troutpier.daemon.limit.UsageMeter;
 import org.troutpier.daemon.limit.UsageSettings;
@@ -73,9 +71,6 @@
     /** The source of randomness for requests that fit only partly. */
     private final RandomGenerator mRandom;
 
-    /** The source of randomness for return times, which must not affect what is admitted. */
-    private final RandomGenerator mReturnRandom;
-
     private final PeerUsage mPeers;
 
     /** The number of routers that may exist, this one included. */
@@ -168,7 +163,6 @@
         mKnownRouters = known;
         mMetrics = metrics;
         mStartedAt = millis.getAsLong();
-        mReturnRandom = new SplittableRandom(mStartedAt);
     }
 
     /** Applies the organisations of a configuration version unless they are already in effect. */
@@ -282,9 +276,9 @@
         if (account.mLogPause.tryAcquire(now)) {
             LOGGER.info("request refused, organisation over its usage limit: {}", detail);
         }
+        double excess = cost - headroom.remaining();
         double freedPerMilli = Math.max(1, account.mLimit.target()) / mSettings.windowMillis();
-        long waitMillis =
-                Math.round(new LimitReturn(headroom, freedPerMilli).millis(cost, mReturnRandom));
+        long waitMillis = Math.round(excess / freedPerMilli);
         long returnMillis =
                 Math.max(MIN_RETRY_MILLIS, Math.min(mSettings.windowMillis(), waitMillis));
         return new Refusal(detail, returnMillis);
