--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/growth/OutputDistribution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/growth/OutputDistribution.java
@@ -83,6 +83,16 @@
         mResidualMean = residual / mTail[0];
     }
 
+    /**
+     * Returns the distribution of the output of runs of a service whose maximum is not known.
+     *
+     * @param maxTokens the smallest maximum to assume, tokens
+     */
+    public static OutputDistribution ofUsual(OutputSample sample, long maxTokens) {
+        double implied = sample.runs() >= MIN_RUNS ? sample.meanTokens() / MIN_MEAN_FRACTION : 0;
+        return new OutputDistribution(sample, Math.max(maxTokens, Math.round(implied)), 0);
+    }
+
     /** Returns the maximum output, tokens. */
     public double maxTokens() {
         return mStepTokens * STEPS;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
@@ -231,7 +231,10 @@
     /** Returns the distribution of the output of any run of the service, as of the first call. */
     private OutputDistribution usualOutput() {
         if (mUsualOutput == null) {
-            mUsualOutput = outputDistribution(0);
+            mUsualOutput =
+                    OutputDistribution.ofUsual(
+                            mContext.demandFor(mService).outputSample(),
+                            mMaxTokens - mPromptTokens);
         }
         return mUsualOutput;
     }
@@ -239,18 +242,15 @@
     /** Returns the distribution of the request's output, as of the first call. */
     private OutputDistribution output() {
         if (mOutput == null) {
-            mOutput = mHintTokens == 0 ? usualOutput() : outputDistribution(mHintTokens);
+            mOutput =
+                    new OutputDistribution(
+                            mContext.demandFor(mService).outputSample(),
+                            mMaxTokens - mPromptTokens,
+                            mHintTokens);
         }
         return mOutput;
     }
 
-    private OutputDistribution outputDistribution(long hintTokens) {
-        return new OutputDistribution(
-                mContext.demandFor(mService).outputSample(),
-                mMaxTokens - mPromptTokens,
-                hintTokens);
-    }
-
     /** Records the output of the request after its run was completed. */
     void recordOutput(long outputTokens) {
         if (mContext.load().growthForecast()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReservationAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReservationAllocator.java
@@ -60,6 +60,9 @@
 
     private final WaitingOrder mOrder;
 
+    /** The number of the next search. */
+    private long mNextSequence;
+
     /** The searches that wait for room. */
     private final WaitingQueue<Search> mWaiting;
 
@@ -221,7 +224,7 @@
      * requests to the engines are spread.
      */
     private void enqueue(Search search) {
-        mWaiting.add(search.mRequirements.claim(), search);
+        mWaiting.add(search.mRequirements.claim(), search, search.mSequence);
         if (mOrder.reportsWaiting()) {
             mOnWaiting.run();
         }
@@ -273,6 +276,9 @@
 
         private int mRefusalCount;
 
+        /** Orders searches by arrival. */
+        private final long mSequence = mNextSequence++;
+
         private boolean mEnded;
 
         private Search(Requirements requirements, Listener listener) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/SharedOrder.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/SharedOrder.java
@@ -142,7 +142,7 @@
     public WaitingReport report(Collection<WaitingRequest> waiting, long now) {
         return new WaitingReport(
                 WaitingReport.entriesOf(waiting, now),
-                mTraffic.granted(now),
+                WaitingReport.mostGranted(mTraffic.granted(now)),
                 0,
                 mTraffic.classes(now));
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingQueue.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingQueue.java
@@ -53,8 +53,17 @@
 
     /** Adds an item. */
     public void add(Claim claim, T item) {
-        level(claim)
-                .add(claim.flow().organisation(), item, claim.latestStartMillis(), claim.cost());
+        add(claim, item, claim.latestStartMillis());
+    }
+
+    /**
+     * Adds an item that keeps its place by arrival where urgency is not regarded.
+     *
+     * @param arrival increases with each new item; the same if an item is added again
+     */
+    public void add(Claim claim, T item, long arrival) {
+        long place = mOrdersByUrgency ? claim.latestStartMillis() : arrival;
+        level(claim).add(claim.flow().organisation(), item, place, claim.cost());
     }
 
     /** Removes all items, in the order in which they are served, and charges no organisation. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingReport.java
@@ -279,7 +279,8 @@
         return kept;
     }
 
-    private static Map<PartnerId, Double> mostGranted(Map<PartnerId, Double> granted) {
+    /** Returns the organisations that were granted most, at most {@link #MAX_ORGANISATIONS}. */
+    static Map<PartnerId, Double> mostGranted(Map<PartnerId, Double> granted) {
         if (granted.size() <= MAX_ORGANISATIONS) {
             return granted;
         }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/growth/OutputDistributionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/growth/OutputDistributionTest.java
@@ -26,6 +26,13 @@
         assertEquals(output.residualSurvival(0), 1.0);
     }
 
+    /** Runs of others are not expected to end within the maximum of one short request. */
+    @Test
+    public void usualOutputsDoNotDependOnOneRequest() {
+        double usual = new OutputDistribution(sample(0), MAX, 0).mean();
+        assertEquals(OutputDistribution.ofUsual(sample(0), 16).mean(), usual, usual / 10);
+    }
+
     @Test
     public void restOfARunDependsOnItsProgress() {
         OutputDistribution output = new OutputDistribution(sample(0), MAX, 0);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/waiting/SharedOrderTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/waiting/SharedOrderTest.java
@@ -133,5 +133,18 @@
         queue.add(inTime(2, "one", 300).claim(), "less urgent");
         queue.add(inTime(0, "one", 900).claim(), "urgent");
         assertEquals(queue.drain(), List.of("less urgent", "urgent"));
+        queue.add(inTime(0, "one", 900).claim(), "second", 2);
+        queue.add(inTime(0, "one", 300).claim(), "third", 3);
+        queue.add(inTime(0, "one", 900).claim(), "first", 1);
+        assertEquals(queue.drain(), List.of("first", "second", "third"));
+    }
+
+    @Test
+    public void theReportOfOneRouterIsBounded() {
+        for (int organisation = 0; organisation < 500; organisation++) {
+            mOrder.recordGrant(inTime(0, "organisation-" + organisation, 500), NOW);
+        }
+        WaitingReport report = mOrder.report(List.of(), NOW);
+        assertEquals(report.granted().size(), WaitingReport.MAX_ORGANISATIONS);
     }
 }
