Extrapolate the demand that a router reports soon after its start

Cause: routers admit a flood in proportion to the demand that they know, taken as the demand over a quarter of the window. After a restart the meters cover less than that. In the recorded sequence all 60 routers lose power; 200 ms after the restart they heard of 44,501 tokens of demand, a tenth of which is expected while views are stale, where 186,000 came. Each admitted every request into the same 32,000 tokens of headroom, and 255,000 were admitted before the others' usage was known.

Change: a router scales its demand from the time since its start, at least the age of views, to the quarter of the window.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/limit/LimitHeadroom.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/limit/LimitHeadroom.java
@@ -28,7 +28,7 @@
      * Maximum age of the view of other routers, milliseconds: one report, two relays and one query,
      * each of which takes up to one interval between reports.
      */
-    private static final double STALE_MILLIS = 200;
+    public static final double STALE_MILLIS = 200;
 
     /**
      * Time for which headroom is reserved for more urgent requests, milliseconds. It exceeds the
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationLimiter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationLimiter.java
@@ -240,7 +240,7 @@
         double burst = limit > account.mLimit.target() ? inForce.burst() : 0;
         double allowedPaced = inForce.allowance(mSettings.paceSeconds()) - burst;
         return new LimitHeadroom(
-                account.mMeter.recent(now),
+                here(account, now),
                 elsewhere(account.mOrganisation.id()),
                 share(limit, assumedUsage(account, limit, now)).allowed(),
                 share(allowedPaced, 0).allowed(),
@@ -326,6 +326,18 @@
         return Math.max(mPeers.peerCount() + 1, mKnownRouters.getAsInt());
     }
 
+    /**
+     * Returns the usage here. Soon after the start, the recorded demand covers only part of the
+     * time that it stands for; routers that start together would take a flood for little demand,
+     * and each would admit what is meant for all.
+     */
+    private RecentUsage here(Account account, long now) {
+        double recordedMillis = Math.max(LimitHeadroom.STALE_MILLIS, now - mStartedAt);
+        double paceMillis = mSettings.windowMillis() * UsageSettings.PACE_FRACTION;
+        double recorded = Math.min(1, recordedMillis / paceMillis);
+        return account.mMeter.recent(now).withDemandExtrapolated(recorded);
+    }
+
     private RecentUsage elsewhere(PartnerId organisation) {
         return mPeers.organisations().used().getOrDefault(organisation, RecentUsage.NONE);
     }
@@ -346,7 +358,7 @@
         Map<PartnerId, RecentUsage> used = new HashMap<>();
         mAccounts.forEach(
                 (id, account) -> {
-                    RecentUsage sum = account.mMeter.recent(now);
+                    RecentUsage sum = here(account, now);
                     if ((sum.window() > 0 || sum.asked() > 0)
                             && account.mOrganisation.limit().isLimited()) {
                         used.put(id, sum);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/organisation/OrganisationLimiterTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/organisation/OrganisationLimiterTest.java
@@ -43,6 +43,13 @@
         mKnownRouters = 1;
         mPeerUsage = UsageReport.NONE;
         mMetrics = new MetricRegistry();
+        startRouter();
+        mNow += WINDOW;
+        limit(1, 10);
+    }
+
+    /** Replaces the limiter by that of a router that starts now. */
+    private void startRouter() {
         PeerUsage peers =
                 new PeerUsage() {
                     @Override
@@ -58,8 +65,6 @@
         mLimiter =
                 new OrganisationLimiter(
                         SETTINGS, () -> mNow, new Random(1), peers, () -> mKnownRouters, mMetrics);
-        mNow += WINDOW;
-        limit(1, 10);
     }
 
     /**
@@ -148,6 +153,25 @@
         assertEquals(mLimiter.statuses().get(0).most(), 78);
     }
 
+    @Test
+    public void demandSoonAfterTheStartIsExtrapolated() {
+        startRouter();
+        limit(1, 10);
+        assertFalse(admit(10));
+        assertEquals(reportedDemand(), 125);
+        mNow += WINDOW / 40;
+        assertEquals(reportedDemand(), 100);
+        mNow += WINDOW / 20;
+        assertFalse(admit(20));
+        assertEquals(reportedDemand(), 100);
+        mNow += WINDOW * 7 / 40;
+        assertEquals(reportedDemand(), 30);
+    }
+
+    private long reportedDemand() {
+        return mLimiter.report().used().get(COAST).asked();
+    }
+
     @Test
     public void aFloodDoesNotUseTheLimitOfAWindowAtOnce() {
         limit(2, 10, 0);
