Plain calls: an isolated router's part is kept by upstream

While a router heard no other, one limit for the whole service was halved by each late answer, so several late answers of one paused upstream closed all of them. It was taken from the upstreams that the first call might use, and had no upper bound.

Each upstream now has its own part, bounded by its limit. All parts together still bound the router's calls, with at least one call; an upstream rises by half a call divided by the upstreams, since a whole one left more answers late than before while all routers were cut from each other.

ServiceCallsTest: three new tests, which fail with the former limit.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
@@ -12,11 +12,17 @@
 
 /**
  * The limits and the waiting calls of one plain service. Confined to the traffic loop. Invariant:
- * without reports of other routers, this router has at most one call in flight or as many as its
- * part of all limits.
+ * without reports of other routers, this router sends at most one call or as many as its parts of
+ * all limits allow.
  */
 final class ServiceCalls {
 
+    /**
+     * Calls by which all parts together rise when every upstream has answered one call in time. At
+     * one call, many routers that hear no other overrun the upstreams before an answer is late.
+     */
+    private static final double ISOLATED_RISE = 0.5;
+
     private final FlowDemand mDemand = new FlowDemand();
 
     private final WorkEstimate mWork = new WorkEstimate();
@@ -32,11 +38,8 @@
     /** Calls of this router in flight. */
     private int mCalls;
 
-    /**
-     * The calls that this router may have in flight while it hears of no other; 0 while it hears of
-     * any.
-     */
-    private double mIsolatedLimit;
+    /** This router's parts of the limits; empty while it hears of other routers. */
+    private final Map<UpstreamEntry, IsolatedPart> mIsolatedParts = new HashMap<>();
 
     /** The rooms at the last decision, for the status. */
     private List<Room> mLastRooms = List.of();
@@ -99,15 +102,24 @@
         double ratio = mWork.record(millis, upstream.slots(), calls);
         mPaces.computeIfAbsent(upstream.incarnation(), any -> new UpstreamPace())
                 .record(ratio, now);
-        if (mIsolatedLimit > 0) {
-            mIsolatedLimit = inTime ? mIsolatedLimit + 1 : Math.max(1, mIsolatedLimit / 2);
+        IsolatedPart part = mIsolatedParts.get(upstream);
+        if (part == null) {
+            return;
+        }
+        if (inTime) {
+            part.raise(ISOLATED_RISE / mIsolatedParts.size());
+        } else {
+            part.halve();
         }
     }
 
     /** Records that an upstream turned a call away because it is full. */
     void recordFull(UpstreamEntry upstream, long now) {
         limit(upstream, now).recordFull(now, Math.max(1, mWork.meanMillis()));
-        mIsolatedLimit = Math.min(mIsolatedLimit, Math.max(1, mIsolatedLimit / 2));
+        IsolatedPart part = mIsolatedParts.get(upstream);
+        if (part != null) {
+            part.halve();
+        }
     }
 
     /** Records that an upstream was lost. */
@@ -123,7 +135,6 @@
      */
     List<Room> rooms(List<UpstreamEntry> upstreams, double answerMillis, long now) {
         List<Room> rooms = new ArrayList<>(upstreams.size());
-        int total = 0;
         for (UpstreamEntry upstream : upstreams) {
             double slowdown = slowdown(upstream, now);
             double callsInTime = mWork.callsWithin(answerMillis, upstream.slots(), slowdown);
@@ -137,12 +148,11 @@
                             mWork.answerMillis(1, 1, slowdown) <= answerMillis,
                             limit.cause(callsInTime, now));
             rooms.add(room);
-            total += room.limit();
         }
         if (mFleet.hasReports()) {
-            mIsolatedLimit = 0;
+            mIsolatedParts.clear();
         } else {
-            restrict(rooms, total);
+            restrict(rooms);
         }
         return rooms;
     }
@@ -167,20 +177,42 @@
                 : 0;
     }
 
-    /** Reduces the room to what is left of this router's part of the limits. */
-    private void restrict(List<Room> rooms, int total) {
-        if (mIsolatedLimit == 0) {
-            mIsolatedLimit = (double) total / Math.max(1, mFleet.routers().getAsInt());
+    /** Reduces the room to what is left of this router's parts of the limits. */
+    private void restrict(List<Room> rooms) {
+        int routers = Math.max(1, mFleet.routers().getAsInt());
+        for (Room room : rooms) {
+            IsolatedPart part =
+                    mIsolatedParts.computeIfAbsent(
+                            room.upstream(),
+                            any -> new IsolatedPart((double) Math.max(1, room.limit()) / routers));
+            if (room.cause() != ConcurrencyLimit.Cause.FULL) {
+                part.setLimit(room.limit());
+            }
         }
-        int left = Math.max(0, (int) Math.max(1, mIsolatedLimit) - mCalls);
+        int left = isolatedCallsLeft();
         for (int index = 0; index < rooms.size(); index++) {
             Room room = rooms.get(index);
-            int free = Math.min(left, room.free());
+            int part = mIsolatedParts.get(room.upstream()).wholeCalls();
+            int free = Math.min(left, Math.min(room.free(), Math.max(0, part - room.calls())));
             left -= free;
             rooms.set(index, room.withLimit(room.calls() + free));
         }
     }
 
+    /** Returns how many further calls all parts together allow, at least one in flight. */
+    private int isolatedCallsLeft() {
+        double allowed = 0;
+        int calls = mCalls;
+        for (Map.Entry<UpstreamEntry, IsolatedPart> each : mIsolatedParts.entrySet()) {
+            IsolatedPart part = each.getValue();
+            allowed += part.calls();
+            // calls that a slow upstream holds beyond its part are not taken from the others
+            int there = mFleet.calls().applyAsInt(each.getKey());
+            calls -= Math.max(0, there - part.wholeCalls());
+        }
+        return Math.max(0, (int) Math.max(1, allowed) - Math.max(0, calls));
+    }
+
     /** Adds the state of the upstreams as of the last decision. */
     void addStatuses(String service, List<UpstreamStatus> statuses) {
         for (Room room : mLastRooms) {
@@ -201,6 +233,7 @@
     void retain(Set<UpstreamIncarnation> listed) {
         mLimits.keySet().retainAll(listed);
         mPaces.keySet().retainAll(listed);
+        mIsolatedParts.keySet().removeIf(each -> !listed.contains(each.incarnation()));
     }
 
     private ConcurrencyLimit limit(UpstreamEntry upstream, long now) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/ServiceCallsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/ServiceCallsTest.java
@@ -1,6 +1,7 @@
 package org.troutpier.daemon.plain;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.List;
 import java.util.Map;
@@ -29,15 +30,13 @@
 
     private static final HallId HALL = new HallId("hall");
 
-    private static final UpstreamEntry UPSTREAM =
-            new UpstreamEntry(
-                    UpstreamIncarnation.of("upstream"),
-                    "service",
-                    new Address("127.0.0.1", 1),
-                    HALL,
-                    SLOTS,
-                    UpstreamEntry.Role.PLAIN,
-                    false);
+    private static final UpstreamEntry UPSTREAM = upstream("upstream");
+
+    private static final List<UpstreamEntry> ALL =
+            List.of(UPSTREAM, upstream("second"), upstream("third"), upstream("fourth"));
+
+    /** Time within which calls are to be answered, milliseconds. */
+    private static final int ANSWER_MILLIS = 170;
 
     private PeerLoads mPeers;
 
@@ -54,6 +53,26 @@
                                 () -> ROUTERS));
     }
 
+    private static UpstreamEntry upstream(String id) {
+        return new UpstreamEntry(
+                UpstreamIncarnation.of(id),
+                "service",
+                new Address("127.0.0.1", 1),
+                HALL,
+                SLOTS,
+                UpstreamEntry.Role.PLAIN,
+                false);
+    }
+
+    /** Returns the calls that a router which is alone and was never part of several may send. */
+    private static int freeAlone(ServiceCalls calls, List<UpstreamEntry> upstreams) {
+        return calls.rooms(upstreams, ANSWER_MILLIS, 0).stream().mapToInt(Room::free).sum();
+    }
+
+    private static ServiceCalls alone() {
+        return new ServiceCalls(new FleetView(each -> 0, new PeerLoads(), () -> 1));
+    }
+
     private void report(int calls) {
         LoadReport report =
                 new LoadReport(
@@ -75,7 +94,7 @@
     }
 
     private Room room() {
-        return mCalls.rooms(List.of(UPSTREAM), 170, 0).get(0);
+        return mCalls.rooms(List.of(UPSTREAM), ANSWER_MILLIS, 0).get(0);
     }
 
     @Test
@@ -100,4 +119,34 @@
         report(0);
         assertEquals(room().free(), SLOTS);
     }
+
+    @Test
+    public void withoutReportsTheLateAnswersOfOneUpstreamLeaveTheOthersTheirRoom() {
+        ServiceCalls calls = alone();
+        int before = freeAlone(calls, ALL);
+        assertEquals(before, ALL.size() * SLOTS);
+        for (int answer = 0; answer < SLOTS; answer++) {
+            calls.recordAnswer(UPSTREAM, 250, SLOTS, false, 0);
+            calls.recordFull(UPSTREAM, 0);
+        }
+        assertTrue(freeAlone(calls, ALL.subList(1, ALL.size())) >= before - SLOTS);
+    }
+
+    @Test
+    public void withoutReportsAnswersInTimeDoNotRaiseThePartAboveTheLimit() {
+        ServiceCalls calls = alone();
+        freeAlone(calls, ALL);
+        for (int answer = 0; answer < 100; answer++) {
+            calls.recordAnswer(UPSTREAM, 10, 1, true, 300);
+        }
+        calls.recordAnswer(UPSTREAM, 250, SLOTS, false, 600);
+        assertEquals(freeAlone(calls, List.of(UPSTREAM)), SLOTS / 2);
+    }
+
+    @Test
+    public void withoutReportsACallForOneUpstreamDoesNotReduceThePartOfAll() {
+        ServiceCalls calls = alone();
+        freeAlone(calls, List.of(UPSTREAM));
+        assertEquals(freeAlone(calls, ALL), ALL.size() * SLOTS);
+    }
 }
