Plain calls: an upstream is full until its next slot is expected free

An upstream that turned a call away counted as full for the mean work of a call, which is longer than a call may wait. The once-only call that was turned away was therefore never sent again once the work was known. It now lasts for the mean work divided by the slots.

PlainExecutionTest: the resend with known work, which fails with the former time. ServiceCallsTest: calls held by a slow upstream of an isolated router.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ConcurrencyLimit.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ConcurrencyLimit.java
@@ -55,11 +55,12 @@
      * Records that the upstream turned a call away because it is full.
      *
      * @param now the current time, milliseconds
-     * @param workMillis the time after which a slot becomes free there, milliseconds
+     * @param freeAfterMillis the time after which the next of its slots is expected to be free,
+     *     milliseconds
      */
-    void recordFull(long now, double workMillis) {
+    void recordFull(long now, double freeAfterMillis) {
         setBound(bound(now) * DECREASE_FACTOR, now);
-        mFullUntil = now + (long) Math.ceil(workMillis);
+        mFullUntil = now + (long) Math.ceil(freeAfterMillis);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
@@ -115,7 +115,9 @@
 
     /** Records that an upstream turned a call away because it is full. */
     void recordFull(UpstreamEntry upstream, long now) {
-        limit(upstream, now).recordFull(now, Math.max(1, mWork.meanMillis()));
+        double workMillis = mWork.meanMillis() * slowdown(upstream, now);
+        double freeAfterMillis = Math.max(1, workMillis / Math.max(1, upstream.slots()));
+        limit(upstream, now).recordFull(now, freeAfterMillis);
         IsolatedPart part = mIsolatedParts.get(upstream);
         if (part != null) {
             part.halve();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/ServiceCallsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/ServiceCallsTest.java
@@ -132,6 +132,23 @@
         assertTrue(freeAlone(calls, ALL.subList(1, ALL.size())) >= before - SLOTS);
     }
 
+    @Test
+    public void withoutReportsCallsThatASlowUpstreamHoldsAreNotTakenFromTheOthers() {
+        ServiceCalls calls =
+                new ServiceCalls(
+                        new FleetView(
+                                each -> each.equals(UPSTREAM) ? SLOTS : 0,
+                                new PeerLoads(),
+                                () -> 1));
+        freeAlone(calls, ALL);
+        for (int call = 0; call < SLOTS; call++) {
+            calls.begin();
+            calls.recordAnswer(UPSTREAM, 250, SLOTS, false, 0);
+        }
+        // the slow upstream keeps one call, so that it is still tried
+        assertEquals(freeAlone(calls, ALL), (ALL.size() - 1) * SLOTS - 1);
+    }
+
     @Test
     public void withoutReportsAnswersInTimeDoNotRaiseThePartAboveTheLimit() {
         ServiceCalls calls = alone();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainExecutionTest.java
@@ -165,6 +165,23 @@
         assertEquals(runs(), 1);
     }
 
+    @Test
+    public void aOnceOnlyCallWaitsForTheSameUpstreamAlsoWhenTheWorkIsKnown() {
+        for (int call = 0; call < 10; call++) {
+            call(Route.Kind.ONCE);
+            mFleet.mTime.advance(100);
+        }
+        int before = runs();
+        mFleet.mUpstreams.forEach(each -> each.mFull = true);
+        FakeCaller caller = call(Route.Kind.ONCE);
+        mFleet.mTime.advance(5);
+        assertEquals(mFleet.turnedAway(), 1);
+        mFleet.mUpstreams.forEach(each -> each.mFull = false);
+        mFleet.mTime.advance(TARGET_MILLIS);
+        assertEquals(caller.mStatus, 200);
+        assertEquals(runs(), before + 1);
+    }
+
     @Test
     public void aOnceOnlyCallThatIsTurnedAwayTwiceIsRefusedAsNotRun() {
         mFleet.mUpstreams.forEach(each -> each.mFull = true);
