Plain calls: a full upstream holds up only the calls that need it

A waiting call without room ended the round for all calls behind it, also where they could use other upstreams than the one it was bound to. A call is now passed over only if all of its upstreams were found full.

PlainCallsTest: one test, which fails with the former round.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -296,10 +297,10 @@
         List<WaitingCall> order = service.queue().drain();
         order.forEach(call -> service.queue().add(call.claim(), call));
         Demand demand = demand(service, order.get(0).call().service(), now);
-        boolean full = false;
+        Set<UpstreamEntry> full = new HashSet<>();
         for (WaitingCall call : order) {
             boolean due = now >= call.waitsUntil();
-            if (full && !due) {
+            if (!due && !full.isEmpty() && full.containsAll(call.call().upstreams().get())) {
                 continue;
             }
             CallAdmission admission = admission(service, call.call(), demand, now);
@@ -314,7 +315,9 @@
                     refuse(service, call, decision, now);
                 }
             }
-            full = !send && decision.free() == 0;
+            if (!send && decision.free() == 0) {
+                admission.rooms().forEach(room -> full.add(room.upstream()));
+            }
         }
     }
 
