Plain calls: a slow call's second try does not wait for a crash probe

The second try of a call that was only slow waited for the probe that attributes crashes, after the first call had been aborted, for longer than was left of its target. It is sent at once; a call that counts as lost after two targets still waits.

PlainExecutionTest: one test, with a probe that takes 300 ms, which fails with the former order.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -300,12 +300,14 @@
             if (late) {
                 recordFailure(mUpstream, end);
                 mContext.plainCalls().recordFailure(mUpstream, end);
+                afterCrashAttribution(mUpstream, end, ended -> sendNext());
             } else {
                 // a slow upstream is not ejected: it would leave less room for all others
                 mOutcomeTracker.recordAttemptEnd(end);
                 mTrace.addStep("slow@" + mUpstream.id());
+                // no crash attribution: its probe takes longer than is left of the target
+                sendNext();
             }
-            afterCrashAttribution(mUpstream, end, ended -> sendNext());
         }
 
         /**
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainExecutionTest.java
@@ -205,6 +205,16 @@
 
     @Test
     public void aSilentRepeatableCallMovesWhileItsTargetCanBeMet() {
+        assertSilentCallMoves();
+    }
+
+    @Test
+    public void aSilentRepeatableCallDoesNotWaitForAProbe() {
+        mFleet.mProbeMillis = 300;
+        assertSilentCallMoves();
+    }
+
+    private void assertSilentCallMoves() {
         for (int call = 0; call < 6; call++) {
             call(Route.Kind.ONCE);
             mFleet.mTime.advance(100);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
@@ -66,6 +66,9 @@
     final List<Router> mRouters = new ArrayList<>();
     final Map<String, PlainTally> mTallies = new HashMap<>();
 
+    /** Time after which probes end without a result; 0 if they succeed at once. */
+    long mProbeMillis;
+
     private final Random mRandom;
     private final LoadSettings mSettings;
     private long mNextRequest;
@@ -303,7 +306,11 @@
 
         @Override
         public void probe(UpstreamEntry upstream, Consumer<ProbeResult> listener) {
-            listener.accept(ProbeResult.LISTENING);
+            if (mProbeMillis == 0) {
+                listener.accept(ProbeResult.LISTENING);
+            } else {
+                mTime.loop().schedule(() -> listener.accept(ProbeResult.UNKNOWN), mProbeMillis);
+            }
         }
     }
 
