Plain calls: isolated parts are kept by incarnation and never end

Parts were kept by directory entry, so that an entry that changes would have counted twice. A part that was halved often enough became zero, after which its upstream was never tried again.

ServiceCallsTest: one test of the latter, which fails without the lower bound. ServiceCallsTest, PlainCallsTest, PlainExecutionTest, ExecutionTest: 53 passed.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/IsolatedPart.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/IsolatedPart.java
@@ -1,13 +1,17 @@
 package org.troutpier.daemon.plain;
 
+import org.troutpier.daemon.directory.UpstreamEntry;
+
 /**
  * The part of one upstream's limit that a router uses while it hears of no other router. Answers
  * the load of many routers that are cut from each other, which together must not overrun the
- * upstream. Not thread safe; confined to the traffic loop. Invariant: the part is positive and at
- * most the limit that was last set.
+ * upstream. Not thread safe; confined to the traffic loop. Invariant: the part is at most the limit
+ * that was last set.
  */
 final class IsolatedPart {
 
+    private final UpstreamEntry mUpstream;
+
     private double mCalls;
 
     private double mLimit;
@@ -18,19 +22,26 @@
      * @param calls the calls that this router may have in flight there; less than one if several
      *     upstreams have a call in common
      */
-    IsolatedPart(double calls) {
+    IsolatedPart(UpstreamEntry upstream, double calls) {
+        mUpstream = upstream;
         mCalls = calls;
         mLimit = Math.max(1, calls);
     }
 
+    UpstreamEntry upstream() {
+        return mUpstream;
+    }
+
     /** Returns the calls, possibly less than one. */
     double calls() {
         return mCalls;
     }
 
-    /** Returns the most calls that are in flight at the upstream on account of this part. */
+    /**
+     * Returns the most calls in flight at the upstream; one at least, so that it is still tried.
+     */
     int wholeCalls() {
-        return (int) Math.ceil(mCalls);
+        return (int) Math.max(1, Math.ceil(mCalls));
     }
 
     /** Sets the limit of the upstream, to which the part is reduced. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
@@ -39,7 +39,7 @@
     private int mCalls;
 
     /** This router's parts of the limits; empty while it hears of other routers. */
-    private final Map<UpstreamEntry, IsolatedPart> mIsolatedParts = new HashMap<>();
+    private final Map<UpstreamIncarnation, IsolatedPart> mIsolatedParts = new HashMap<>();
 
     /** The rooms at the last decision, for the status. */
     private List<Room> mLastRooms = List.of();
@@ -102,7 +102,7 @@
         double ratio = mWork.record(millis, upstream.slots(), calls);
         mPaces.computeIfAbsent(upstream.incarnation(), any -> new UpstreamPace())
                 .record(ratio, now);
-        IsolatedPart part = mIsolatedParts.get(upstream);
+        IsolatedPart part = mIsolatedParts.get(upstream.incarnation());
         if (part == null) {
             return;
         }
@@ -118,7 +118,7 @@
         double workMillis = mWork.meanMillis() * slowdown(upstream, now);
         double freeAfterMillis = Math.max(1, workMillis / Math.max(1, upstream.slots()));
         limit(upstream, now).recordFull(now, freeAfterMillis);
-        IsolatedPart part = mIsolatedParts.get(upstream);
+        IsolatedPart part = mIsolatedParts.get(upstream.incarnation());
         if (part != null) {
             part.halve();
         }
@@ -185,8 +185,11 @@
         for (Room room : rooms) {
             IsolatedPart part =
                     mIsolatedParts.computeIfAbsent(
-                            room.upstream(),
-                            any -> new IsolatedPart((double) Math.max(1, room.limit()) / routers));
+                            room.upstream().incarnation(),
+                            any ->
+                                    new IsolatedPart(
+                                            room.upstream(),
+                                            (double) Math.max(1, room.limit()) / routers));
             if (room.cause() != ConcurrencyLimit.Cause.FULL) {
                 part.setLimit(room.limit());
             }
@@ -194,7 +197,7 @@
         int left = isolatedCallsLeft();
         for (int index = 0; index < rooms.size(); index++) {
             Room room = rooms.get(index);
-            int part = mIsolatedParts.get(room.upstream()).wholeCalls();
+            int part = mIsolatedParts.get(room.upstream().incarnation()).wholeCalls();
             int free = Math.min(left, Math.min(room.free(), Math.max(0, part - room.calls())));
             left -= free;
             rooms.set(index, room.withLimit(room.calls() + free));
@@ -205,11 +208,10 @@
     private int isolatedCallsLeft() {
         double allowed = 0;
         int calls = mCalls;
-        for (Map.Entry<UpstreamEntry, IsolatedPart> each : mIsolatedParts.entrySet()) {
-            IsolatedPart part = each.getValue();
+        for (IsolatedPart part : mIsolatedParts.values()) {
             allowed += part.calls();
             // calls that a slow upstream holds beyond its part are not taken from the others
-            int there = mFleet.calls().applyAsInt(each.getKey());
+            int there = mFleet.calls().applyAsInt(part.upstream());
             calls -= Math.max(0, there - part.wholeCalls());
         }
         return Math.max(0, (int) Math.max(1, allowed) - Math.max(0, calls));
@@ -235,7 +237,7 @@
     void retain(Set<UpstreamIncarnation> listed) {
         mLimits.keySet().retainAll(listed);
         mPaces.keySet().retainAll(listed);
-        mIsolatedParts.keySet().removeIf(each -> !listed.contains(each.incarnation()));
+        mIsolatedParts.keySet().retainAll(listed);
     }
 
     private ConcurrencyLimit limit(UpstreamEntry upstream, long now) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/ServiceCallsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/ServiceCallsTest.java
@@ -149,6 +149,16 @@
         assertEquals(freeAlone(calls, ALL), (ALL.size() - 1) * SLOTS - 1);
     }
 
+    @Test
+    public void withoutReportsAnUpstreamThatIsAlwaysLateIsStillTried() {
+        ServiceCalls calls = alone();
+        freeAlone(calls, List.of(UPSTREAM));
+        for (int answer = 0; answer < 2000; answer++) {
+            calls.recordAnswer(UPSTREAM, 250, 1, false, 0);
+        }
+        assertEquals(freeAlone(calls, List.of(UPSTREAM)), 1);
+    }
+
     @Test
     public void withoutReportsAnswersInTimeDoNotRaiseThePartAboveTheLimit() {
         ServiceCalls calls = alone();
