--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
@@ -62,7 +62,10 @@
                     WaitingReport.NONE,
                     Map.of());
 
-    /** Copies the collections; null for any of the last four components stands for none. */
+    /**
+     * Copies the collections; a component that the sender does not know is null, and replaced by an
+     * empty one.
+     */
     public LoadReport {
         changing = Set.copyOf(changing);
         refusing = Set.copyOf(refusing);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/growth/GrowthForecast.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/growth/GrowthForecast.java
@@ -14,7 +14,7 @@
  * <p>Intended for engines that hold few large runs, where a fixed margin is too small if all runs
  * have just begun and too large if some are about to end.
  */
-public final class GrowthForecast implements EngineRoom {
+public final class GrowthForecast implements MemoryAdmission {
 
     /**
      * Chance of preemption that is accepted, divided by the number of runs. Preemption can make all
@@ -80,7 +80,7 @@
 
     /** {@inheritDoc} */
     @Override
-    public boolean holds(UpstreamEntry engine, long usedTokens, long tokens) {
+    public boolean admits(UpstreamEntry engine, long usedTokens, long tokens) {
         if (usedTokens + tokens > mMemoryTokens) {
             return false;
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/growth/EngineRoom.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/growth/MemoryAdmission.java
@@ -6,7 +6,7 @@
  * Decides whether an engine's memory holds one further run. Implementations are confined to the
  * traffic loop.
  */
-public interface EngineRoom {
+public interface MemoryAdmission {
 
     /**
      * Returns whether an engine's memory holds the run until it ends.
@@ -15,7 +15,7 @@
      * @param usedTokens the tokens known to be in use there
      * @param tokens what has to stay free besides, and what the run takes at its start, tokens
      */
-    boolean holds(UpstreamEntry engine, long usedTokens, long tokens);
+    boolean admits(UpstreamEntry engine, long usedTokens, long tokens);
 
     /** Returns what the decision requires of an engine, for a refusal's detail. */
     String requirement(long tokens);
@@ -26,11 +26,11 @@
      * @param marginTokens the part that stays free for growth, tokens
      * @param memoryTokens the memory of an engine, tokens
      */
-    record ForMargin(double marginTokens, long memoryTokens) implements EngineRoom {
+    record ForMargin(double marginTokens, long memoryTokens) implements MemoryAdmission {
 
         /** {@inheritDoc} */
         @Override
-        public boolean holds(UpstreamEntry engine, long usedTokens, long tokens) {
+        public boolean admits(UpstreamEntry engine, long usedTokens, long tokens) {
             return usedTokens + tokens + marginTokens <= memoryTokens;
         }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationLimiter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/OrganisationLimiter.java
@@ -327,9 +327,9 @@
     }
 
     /**
-     * Returns the usage here. Soon after the start, the recorded demand covers only part of the
-     * time that it stands for; routers that start together would take a flood for little demand,
-     * and each would admit what is meant for all.
+     * Returns the usage here. Soon after the start, demand was recorded for only part of its
+     * window. Routers that start together would otherwise take a flood for little demand, and each
+     * of them would admit what the limit leaves for all.
      */
     private RecentUsage here(Account account, long now) {
         double recordedMillis = Math.max(LimitHeadroom.STALE_MILLIS, now - mStartedAt);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/pace/PaceEstimate.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/pace/PaceEstimate.java
@@ -228,7 +228,7 @@
             sums = sums.plus(relative(own, now).bounded(1));
         }
         double weight = sums.lastingWeight() + RECENT_FACTOR * sums.recentWeight();
-        double ratio = sums.lastingRatio() + RECENT_FACTOR * sums.recentRatio();
+        double ratio = sums.lastingLogarithm() + RECENT_FACTOR * sums.recentLogarithm();
         double logarithm = ratio / (weight + PRIOR_WEIGHT);
         return logarithm < MIN_LOGARITHM ? 1 : Math.min(PaceReport.MAX_RATIO, Math.exp(logarithm));
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/pace/PaceReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/pace/PaceReport.java
@@ -8,13 +8,16 @@
  * or undefined.
  *
  * @param recentWeight the weight of the measurements of the last fraction of a second
- * @param recentRatio the sum of the weighted logarithms of the measured over the expected time
+ * @param recentLogarithm the sum of the weighted logarithms of the measured over the expected time
  * @param lastingWeight the weight of the measurements of the last seconds
- * @param lastingRatio their sum of weighted logarithms
+ * @param lastingLogarithm the sum of the weighted logarithms of these
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record PaceReport(
-        double recentWeight, double recentRatio, double lastingWeight, double lastingRatio) {
+        double recentWeight,
+        double recentLogarithm,
+        double lastingWeight,
+        double lastingLogarithm) {
 
     /** No measurement. */
     public static final PaceReport NONE = new PaceReport(0, 0, 0, 0);
@@ -42,23 +45,23 @@
     /** Replaces undefined components by those of {@link #NONE}. */
     public PaceReport {
         boolean valid =
-                Double.isFinite(recentRatio)
-                        && Double.isFinite(lastingRatio)
+                Double.isFinite(recentLogarithm)
+                        && Double.isFinite(lastingLogarithm)
                         && Double.isFinite(recentWeight)
                         && Double.isFinite(lastingWeight)
                         && recentWeight >= 0
                         && lastingWeight >= 0;
         if (!valid) {
             recentWeight = 0;
-            recentRatio = 0;
+            recentLogarithm = 0;
             lastingWeight = 0;
-            lastingRatio = 0;
+            lastingLogarithm = 0;
         }
     }
 
     /**
-     * Returns the report of one measurement. It counts by the time that it took: a slow upstream
-     * answers fewer calls, each of which stands for more of its time.
+     * Returns the report of one measurement. It is weighted by the time that it took, since a slow
+     * upstream answers fewer calls.
      *
      * @param ratio the measured over the expected time
      * @param weight the weight of a measurement that took the expected time
@@ -72,25 +75,25 @@
 
     /** Returns this report without its recent sums. */
     PaceReport withoutRecent() {
-        return new PaceReport(0, 0, lastingWeight, lastingRatio);
+        return new PaceReport(0, 0, lastingWeight, lastingLogarithm);
     }
 
     /** Returns the sum of this report and another. */
     public PaceReport plus(PaceReport other) {
         return new PaceReport(
                 recentWeight + other.recentWeight,
-                recentRatio + other.recentRatio,
+                recentLogarithm + other.recentLogarithm,
                 lastingWeight + other.lastingWeight,
-                lastingRatio + other.lastingRatio);
+                lastingLogarithm + other.lastingLogarithm);
     }
 
     /** Returns this report without the measurements of another that it includes. */
     PaceReport minus(PaceReport other) {
         return new PaceReport(
                 Math.max(0, recentWeight - other.recentWeight),
-                recentRatio - other.recentRatio,
+                recentLogarithm - other.recentLogarithm,
                 Math.max(0, lastingWeight - other.lastingWeight),
-                lastingRatio - other.lastingRatio);
+                lastingLogarithm - other.lastingLogarithm);
     }
 
     /**
@@ -106,9 +109,9 @@
         double lasting = Math.exp(-millis / LASTING_DECAY_MILLIS);
         return new PaceReport(
                 recentWeight * recent,
-                recentRatio * recent,
+                recentLogarithm * recent,
                 lastingWeight * lasting,
-                lastingRatio * lasting);
+                lastingLogarithm * lasting);
     }
 
     /**
@@ -123,9 +126,9 @@
         double lasting = Math.min(maxWeight, lastingWeight);
         return new PaceReport(
                 recent,
-                recent * meanLogarithm(recentRatio, recentWeight),
+                recent * meanLogarithm(recentLogarithm, recentWeight),
                 lasting,
-                lasting * meanLogarithm(lastingRatio, lastingWeight));
+                lasting * meanLogarithm(lastingLogarithm, lastingWeight));
     }
 
     /**
@@ -139,14 +142,14 @@
         double mean = others.meanLogarithm();
         return new PaceReport(
                 recentWeight,
-                (recentRatio - recentWeight * mean) * certainty,
+                (recentLogarithm - recentWeight * mean) * certainty,
                 lastingWeight * certainty,
-                (lastingRatio - lastingWeight * mean) * certainty);
+                (lastingLogarithm - lastingWeight * mean) * certainty);
     }
 
     /** Returns the mean logarithm of the ratios on the longer time scale; 0 without any. */
     double meanLogarithm() {
-        return meanLogarithm(lastingRatio, lastingWeight);
+        return meanLogarithm(lastingLogarithm, lastingWeight);
     }
 
     private static double meanLogarithm(double ratio, double weight) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/LoadReportCodec.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/LoadReportCodec.java
@@ -87,9 +87,9 @@
             out.packString(entry.getKey().toString())
                     .packArrayHeader(PACE_SIZE)
                     .packDouble(pace.recentWeight())
-                    .packDouble(pace.recentRatio())
+                    .packDouble(pace.recentLogarithm())
                     .packDouble(pace.lastingWeight())
-                    .packDouble(pace.lastingRatio());
+                    .packDouble(pace.lastingLogarithm());
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/WaitingReportCodec.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/WaitingReportCodec.java
@@ -10,8 +10,8 @@
 import org.troutpier.daemon.waiting.WaitingReport;
 
 /**
- * Encodes and decodes the part of a load report that tells of waiting requests, as {@link
- * LoadReportCodec} does the rest. Stateless and thread safe.
+ * Encodes and decodes the waiting requests in a load report; see {@link LoadReportCodec}. Stateless
+ * and thread safe.
  */
 final class WaitingReportCodec {
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/CallAdmission.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/CallAdmission.java
@@ -28,7 +28,7 @@
  */
 record CallAdmission(
         String service,
-        List<Room> rooms,
+        List<UpstreamRoom> rooms,
         List<WaitingReport.Entry> waiting,
         List<WaitingReport.Entry> competing,
         double workMillis) {
@@ -65,7 +65,7 @@
         int free = 0;
         int slots = 0;
         boolean hasFreeSlot = false;
-        for (Room room : rooms) {
+        for (UpstreamRoom room : rooms) {
             if (room.inTime()) {
                 free += room.free();
                 slots += room.upstream().slots();
@@ -128,10 +128,10 @@
      */
     List<UpstreamEntry> order(RandomGenerator random) {
         List<UpstreamEntry> order = new ArrayList<>(rooms.size());
-        List<Room> left = new ArrayList<>(rooms.size());
+        List<UpstreamRoom> left = new ArrayList<>(rooms.size());
         int free = 0;
         List<UpstreamEntry> late = new ArrayList<>();
-        for (Room room : rooms) {
+        for (UpstreamRoom room : rooms) {
             if (room.inTime() && room.free() > 0) {
                 left.add(room);
                 free += room.free();
@@ -140,12 +140,12 @@
             }
         }
         if (!left.isEmpty() && left.get(0).isLightlyLoaded()) {
-            Room preferred = left.remove(0);
+            UpstreamRoom preferred = left.remove(0);
             free -= preferred.free();
             order.add(preferred.upstream());
         }
         while (!left.isEmpty()) {
-            Room drawn = left.remove(draw(left, random.nextInt(free)));
+            UpstreamRoom drawn = left.remove(draw(left, random.nextInt(free)));
             free -= drawn.free();
             order.add(drawn.upstream());
         }
@@ -154,7 +154,7 @@
     }
 
     /** Returns the index of the room that contains a number below the sum of all. */
-    private static int draw(List<Room> rooms, int number) {
+    private static int draw(List<UpstreamRoom> rooms, int number) {
         int rest = number;
         int index = 0;
         while (rest >= rooms.get(index).free()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
@@ -117,7 +117,7 @@
         service.demand().record(call.flow(), now);
         WaitingCall candidate = candidate(service, call, listener, now);
         CallAdmission admission =
-                admission(service, call, demand(service, call.service(), now), now);
+                admission(service, call, competingCalls(service, call.service(), now), now);
         CallAdmission.Decision decision = decide(admission, candidate, now);
         boolean bounded =
                 mWaitingCalls < MAX_WAITING_CALLS
@@ -171,9 +171,10 @@
      * @param expected the calls that all routers are expected to place while a change at an
      *     upstream becomes known
      */
-    private record Demand(List<WaitingReport.Entry> waiting, List<WaitingReport.Entry> expected) {}
+    private record CompetingCalls(
+            List<WaitingReport.Entry> waiting, List<WaitingReport.Entry> expected) {}
 
-    private Demand demand(ServiceCalls service, String name, long now) {
+    private CompetingCalls competingCalls(ServiceCalls service, String name, long now) {
         List<WaitingReport.Entry> waiting = mFleet.peers().waiting().entries();
         if (service.queue().size() > 0) {
             waiting = new ArrayList<>(waiting);
@@ -181,7 +182,7 @@
         }
         int routers = mFleet.peers().peerCount() + 1;
         boolean isAlone = routers == 1 || !service.work().known();
-        return new Demand(
+        return new CompetingCalls(
                 waiting,
                 isAlone
                         ? List.of()
@@ -189,8 +190,9 @@
                                 .expected(name, FleetView.REPORT_AGE_MILLIS, routers, now));
     }
 
-    private CallAdmission admission(ServiceCalls service, PlainCall call, Demand demand, long now) {
-        List<Room> rooms =
+    private CallAdmission admission(
+            ServiceCalls service, PlainCall call, CompetingCalls competing, long now) {
+        List<UpstreamRoom> rooms =
                 service.rooms(
                         call.upstreams().get(),
                         call.targetMillis() * (1 - MAX_WAIT_PART) - ANSWER_MARGIN_MILLIS,
@@ -201,7 +203,7 @@
                         ? service.work().meanMillis()
                         : call.targetMillis() * MAX_WAIT_PART;
         return new CallAdmission(
-                call.service(), rooms, demand.waiting(), demand.expected(), workMillis);
+                call.service(), rooms, competing.waiting(), competing.expected(), workMillis);
     }
 
     private void addEntries(ServiceCalls service, List<WaitingReport.Entry> entries) {
@@ -296,14 +298,14 @@
         long now = mSchedule.millis();
         List<WaitingCall> order = service.queue().drain();
         order.forEach(call -> service.queue().add(call.claim(), call));
-        Demand demand = demand(service, order.get(0).call().service(), now);
+        CompetingCalls competing = competingCalls(service, order.get(0).call().service(), now);
         Set<UpstreamEntry> full = new HashSet<>();
         for (WaitingCall call : order) {
             boolean due = now >= call.waitsUntil();
             if (!due && !full.isEmpty() && full.containsAll(call.call().upstreams().get())) {
                 continue;
             }
-            CallAdmission admission = admission(service, call.call(), demand, now);
+            CallAdmission admission = admission(service, call.call(), competing, now);
             CallAdmission.Decision decision = decide(admission, call, now);
             boolean send = decision.verdict() == CallAdmission.Verdict.SEND;
             // an outcome of an earlier call of the round may have cancelled this one
@@ -343,7 +345,7 @@
                 .recordAnswer(upstream, millis, calls, millis <= targetMillis, mSchedule.millis());
     }
 
-    /** Records the failure of a call. A failed answer says nothing about the upstream's load. */
+    /** Records the failure of a call; an error answer is no measurement of the upstream's load. */
     public void recordFailure(UpstreamEntry upstream, AttemptEnd end) {
         if (end.isTurnedAway()) {
             recordFull(upstream);
@@ -390,10 +392,10 @@
         ServiceCalls service = service(call.service());
         double answerMillis = call.targetMillis() - ANSWER_MARGIN_MILLIS;
         double remaining = answerMillis - call.elapsedMillis();
-        Room silent = service.rooms(List.of(first), answerMillis, now).get(0);
+        UpstreamRoom silent = service.rooms(List.of(first), answerMillis, now).get(0);
         double expected = service.answerMillis(first, silent.calls(), now);
         List<UpstreamEntry> allowed = new ArrayList<>();
-        for (Room room : service.rooms(call.upstreams().get(), answerMillis, now)) {
+        for (UpstreamRoom room : service.rooms(call.upstreams().get(), answerMillis, now)) {
             double predicted = service.answerMillis(room.upstream(), room.calls() + 1, now);
             SecondTry second = new SecondTry(silent, room, expected, predicted);
             if (inTime ? second.isInTime(silentMillis, remaining) : second.hasRoom()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/SecondTry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/SecondTry.java
@@ -10,7 +10,8 @@
  * @param expectedMillis the predicted duration of the call at the first upstream, milliseconds
  * @param answerMillis the predicted duration of the call there, milliseconds
  */
-record SecondTry(Room first, Room second, double expectedMillis, double answerMillis) {
+record SecondTry(
+        UpstreamRoom first, UpstreamRoom second, double expectedMillis, double answerMillis) {
 
     /**
      * Returns whether the call goes to the other upstream while its target can still be met.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
@@ -29,7 +29,7 @@
 
     private final Map<UpstreamIncarnation, ConcurrencyLimit> mLimits = new HashMap<>();
 
-    private final Map<UpstreamIncarnation, UpstreamPace> mPaces = new HashMap<>();
+    private final Map<UpstreamIncarnation, Slowdown> mPaces = new HashMap<>();
 
     private final WaitingQueue<WaitingCall> mQueue = new WaitingQueue<>();
 
@@ -42,7 +42,7 @@
     private final Map<UpstreamIncarnation, IsolatedPart> mIsolatedParts = new HashMap<>();
 
     /** The rooms at the last decision, for the status. */
-    private List<Room> mLastRooms = List.of();
+    private List<UpstreamRoom> mLastRooms = List.of();
 
     private long mRefusedCount;
 
@@ -63,7 +63,7 @@
     }
 
     /** Returns the rooms that were known at the last decision. */
-    List<Room> lastRooms() {
+    List<UpstreamRoom> lastRooms() {
         return mLastRooms;
     }
 
@@ -73,7 +73,7 @@
     }
 
     /** Records the rooms of a decision. */
-    void recordDecision(List<Room> rooms) {
+    void recordDecision(List<UpstreamRoom> rooms) {
         mLastRooms = rooms;
     }
 
@@ -100,8 +100,7 @@
      */
     void recordAnswer(UpstreamEntry upstream, long millis, int calls, boolean inTime, long now) {
         double ratio = mWork.record(millis, upstream.slots(), calls);
-        mPaces.computeIfAbsent(upstream.incarnation(), any -> new UpstreamPace())
-                .record(ratio, now);
+        mPaces.computeIfAbsent(upstream.incarnation(), any -> new Slowdown()).record(ratio, now);
         IsolatedPart part = mIsolatedParts.get(upstream.incarnation());
         if (part == null) {
             return;
@@ -135,14 +134,14 @@
      * @param answerMillis the time within which calls are to be answered
      * @param now the current time, milliseconds
      */
-    List<Room> rooms(List<UpstreamEntry> upstreams, double answerMillis, long now) {
-        List<Room> rooms = new ArrayList<>(upstreams.size());
+    List<UpstreamRoom> rooms(List<UpstreamEntry> upstreams, double answerMillis, long now) {
+        List<UpstreamRoom> rooms = new ArrayList<>(upstreams.size());
         for (UpstreamEntry upstream : upstreams) {
             double slowdown = slowdown(upstream, now);
             double callsInTime = mWork.callsWithin(answerMillis, upstream.slots(), slowdown);
             ConcurrencyLimit limit = limit(upstream, now);
-            Room room =
-                    new Room(
+            UpstreamRoom room =
+                    new UpstreamRoom(
                             upstream,
                             limit.limit(callsInTime, now),
                             mFleet.calls().applyAsInt(upstream),
@@ -167,8 +166,8 @@
     /** Returns how many times as long as others an upstream takes. */
     double slowdown(UpstreamEntry upstream, long now) {
         PaceReport peers = mFleet.peers().pace(upstream.incarnation(), now);
-        UpstreamPace pace = mPaces.get(upstream.incarnation());
-        return (pace == null ? new UpstreamPace() : pace).slowdown(peers, now);
+        Slowdown pace = mPaces.get(upstream.incarnation());
+        return (pace == null ? new Slowdown() : pace).slowdown(peers, now);
     }
 
     /** Returns how many calls end at an upstream while a change there becomes known. */
@@ -180,9 +179,9 @@
     }
 
     /** Reduces the room to what is left of this router's parts of the limits. */
-    private void restrict(List<Room> rooms) {
+    private void restrict(List<UpstreamRoom> rooms) {
         int routers = Math.max(1, mFleet.routers().getAsInt());
-        for (Room room : rooms) {
+        for (UpstreamRoom room : rooms) {
             IsolatedPart part =
                     mIsolatedParts.computeIfAbsent(
                             room.upstream().incarnation(),
@@ -196,7 +195,7 @@
         }
         int left = isolatedCallsLeft();
         for (int index = 0; index < rooms.size(); index++) {
-            Room room = rooms.get(index);
+            UpstreamRoom room = rooms.get(index);
             int part = mIsolatedParts.get(room.upstream().incarnation()).wholeCalls();
             int free = Math.min(left, Math.min(room.free(), Math.max(0, part - room.calls())));
             left -= free;
@@ -219,7 +218,7 @@
 
     /** Adds the state of the upstreams as of the last decision. */
     void addStatuses(String service, List<UpstreamStatus> statuses) {
-        for (Room room : mLastRooms) {
+        for (UpstreamRoom room : mLastRooms) {
             statuses.add(
                     new UpstreamStatus(
                             room.upstream().id().value(),
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/UpstreamPace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/Slowdown.java
@@ -4,10 +4,12 @@
 
 /**
  * Estimates how many times as long as others of its service an upstream takes, from this router's
- * answers and the other routers' reports. Not thread safe; confined to the traffic loop. Invariant:
- * without new answers the estimate returns to 1, so that the upstream is tried again.
+ * answers and the other routers' reports. Unlike {@link org.troutpier.daemon.pace.PaceEstimate}, it
+ * does not round small differences to none, since a limit follows each of them. Not thread safe;
+ * confined to the traffic loop. Invariant: without new answers the estimate returns to 1, so that
+ * the upstream is tried again.
  */
-final class UpstreamPace {
+final class Slowdown {
 
     /**
      * Weight of the assumption that an upstream is as fast as the others, in answers: work varies,
@@ -46,7 +48,8 @@
     double slowdown(PaceReport peers, long now) {
         double decay = decay(now);
         double weight = mWeight * decay + peers.recentWeight() + peers.lastingWeight();
-        double logarithms = mLogarithms * decay + peers.recentRatio() + peers.lastingRatio();
+        double logarithms =
+                mLogarithms * decay + peers.recentLogarithm() + peers.lastingLogarithm();
         return Math.exp(logarithms / (weight + NORMAL_WEIGHT));
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/Room.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/UpstreamRoom.java
@@ -13,7 +13,7 @@
  * @param inTime whether a further call is predicted to be answered within its target
  * @param cause what the limit is determined by
  */
-record Room(
+record UpstreamRoom(
         UpstreamEntry upstream,
         int limit,
         int calls,
@@ -22,8 +22,8 @@
         ConcurrencyLimit.Cause cause) {
 
     /** Returns a copy with another limit. */
-    Room withLimit(int newLimit) {
-        return new Room(upstream, newLimit, calls, 0, inTime, cause);
+    UpstreamRoom withLimit(int newLimit) {
+        return new UpstreamRoom(upstream, newLimit, calls, 0, inTime, cause);
     }
 
     /** Returns this room in the form of a log line. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
@@ -11,8 +11,8 @@
 import org.troutpier.daemon.decision.RoomForecast;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.growth.ActiveRuns;
-import org.troutpier.daemon.growth.EngineRoom;
 import org.troutpier.daemon.growth.GrowthForecast;
+import org.troutpier.daemon.growth.MemoryAdmission;
 import org.troutpier.daemon.growth.OutputDistribution;
 import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.route.EngineTraits;
@@ -186,7 +186,7 @@
         PeerLoads peers = mContext.peerLoads();
         servedBefore.add(peers.waiting(), mService, peers.waitingTokens());
         double neededTokens = servedBefore.cost() + mPromptTokens;
-        EngineRoom room = engineRoom();
+        MemoryAdmission room = engineRoom();
         long required = claim.tier() == QueueTier.IN_TIME ? mPromptTokens : 2 * mPromptTokens;
         long usedTokens = 0;
         long roomTokens = 0;
@@ -195,7 +195,7 @@
             usedTokens += tokens;
             int freeSlots = engine.slots() - mContext.loads().calls(engine);
             for (int run = 0; run < freeSlots && roomTokens < neededTokens; run++) {
-                if (!room.holds(engine, tokens, required)) {
+                if (!room.admits(engine, tokens, required)) {
                     break;
                 }
                 tokens += mPromptTokens;
@@ -215,9 +215,9 @@
         return new Claim(tier, mFlowKey, mContext.loop().millis() + waitMillis, tokens);
     }
 
-    private EngineRoom engineRoom() {
+    private MemoryAdmission engineRoom() {
         if (!mContext.load().growthForecast()) {
-            return new EngineRoom.ForMargin(growthMarginTokens(), mTraits.memoryTokens());
+            return new MemoryAdmission.ForMargin(growthMarginTokens(), mTraits.memoryTokens());
         }
         return new GrowthForecast(
                 mContext.loads().activeRuns(),
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/LoadSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/LoadSettings.java
@@ -1,8 +1,8 @@
 package org.troutpier.daemon.serving;
 
 /**
- * Which decisions under load are made over all routers. Each is off by default; routers of which
- * some make a decision and others do not can serve side by side. Immutable and thread safe.
+ * Which of the decisions for overload are in effect. Each is off by default. Routers with different
+ * settings can serve side by side. Immutable and thread safe.
  *
  * @param sharedOrder whether requests that wait for engine memory are ordered over all routers
  * @param orderedForecast whether a predicted wait counts only what is served before the request
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReservationAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReservationAllocator.java
@@ -13,11 +13,11 @@
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.cluster.LoadView;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.growth.EngineRoom;
+import org.troutpier.daemon.growth.MemoryAdmission;
 import org.troutpier.daemon.notice.UpstreamNotice;
 import org.troutpier.daemon.upstream.AttemptEnd;
+import org.troutpier.daemon.waiting.BackfillReservation;
 import org.troutpier.daemon.waiting.Claim;
-import org.troutpier.daemon.waiting.HoleReservation;
 import org.troutpier.daemon.waiting.RoomFinder;
 import org.troutpier.daemon.waiting.ServedBefore;
 import org.troutpier.daemon.waiting.WaitingOrder;
@@ -69,7 +69,7 @@
     /** The searches that wait for their turn in the current round. */
     private final Deque<Search> mRound = new ArrayDeque<>();
 
-    private final HoleReservation mHole;
+    private final BackfillReservation mBackfill;
 
     private final EngineView mEngineView;
 
@@ -111,7 +111,7 @@
         mOrder = order;
         mEngineView = new EngineView(loads);
         mWaiting = new WaitingQueue<>(order.isShared());
-        mHole = new HoleReservation(order);
+        mBackfill = new BackfillReservation(order);
         mLoadView = loadView;
         mLoop = loop;
         mPort = port;
@@ -157,7 +157,7 @@
             Claim claim,
             long promptTokens,
             long maxTokens,
-            EngineRoom room,
+            MemoryAdmission room,
             int maxReservationMillis,
             long waitMillis,
             Supplier<List<UpstreamEntry>> engines) {}
@@ -204,7 +204,7 @@
         mOnWaiting = action;
     }
 
-    /** Returns what the other routers are told of the searches that wait for room. */
+    /** Returns the report of the searches that wait for room. */
     public WaitingReport waitingReport() {
         if (!mOrder.reportsWaiting()) {
             return WaitingReport.NONE;
@@ -287,7 +287,7 @@
             mRooms =
                     new RoomFinder(
                             mOrder,
-                            mHole,
+                            mBackfill,
                             mEngineView,
                             mRequest,
                             requirements.room(),
@@ -307,7 +307,7 @@
 
         private void end() {
             mEnded = true;
-            mHole.recordEnd(mRequest);
+            mBackfill.recordEnd(mRequest);
         }
 
         /** Returns whether a search that waits here precedes this one, which can still wait. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -38,7 +38,7 @@
  * @param metrics the metrics of requests
  * @param decisionLog logs decisions about requests
  * @param plainCalls places calls to plain services
- * @param load which decisions under load are made over all routers
+ * @param load which of the decisions for overload are in effect
  * @param random selects among weighted services
  */
 public record ServingContext(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/HoleReservation.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/BackfillReservation.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import org.troutpier.common.id.UpstreamIncarnation;
-import org.troutpier.daemon.growth.EngineRoom;
+import org.troutpier.daemon.growth.MemoryAdmission;
 
 /**
  * Keeps room at one engine for the first waiting request of this router that found none. Requests
@@ -10,7 +10,7 @@
  * prompts of unequal length: without it, short ones take each part of the room that a long one
  * needs. Confined to one thread. Invariant: at most one request has an engine.
  */
-public final class HoleReservation {
+public final class BackfillReservation {
 
     private final WaitingOrder mOrder;
 
@@ -27,7 +27,7 @@
      *
      * @param order decides which of two requests is first
      */
-    public HoleReservation(WaitingOrder order) {
+    public BackfillReservation(WaitingOrder order) {
         mOrder = order;
     }
 
@@ -41,12 +41,12 @@
      */
     public void recordBlocked(
             WaitingRequest request,
-            EngineRoom room,
+            MemoryAdmission room,
             long tokens,
-            List<FirstHole.EngineUsage> engines,
+            List<EarliestRoom.EngineUsage> engines,
             long now) {
         if (request == mOwner) {
-            for (FirstHole.EngineUsage each : engines) {
+            for (EarliestRoom.EngineUsage each : engines) {
                 if (each.engine().incarnation().equals(mEngine)) {
                     return;
                 }
@@ -55,7 +55,7 @@
             return;
         }
         mOwner = null;
-        new FirstHole(room, tokens)
+        new EarliestRoom(room, tokens)
                 .find(engines)
                 .ifPresent(
                         engine -> {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/FirstHole.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/EarliestRoom.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.growth.EngineRoom;
+import org.troutpier.daemon.growth.MemoryAdmission;
 
 /**
  * Finds the engine that is likely to have room for a large request first, so that smaller ones
@@ -13,7 +13,7 @@
  * @param room decides whether an engine has memory for the request
  * @param tokens what the request takes
  */
-public record FirstHole(EngineRoom room, long tokens) {
+public record EarliestRoom(MemoryAdmission room, long tokens) {
 
     /**
      * The usage of an engine. Immutable and thread safe.
@@ -40,12 +40,12 @@
 
     /** Returns the time until an engine has room, as a fraction of the duration of a run. */
     private double wait(EngineUsage usage) {
-        if (room.holds(usage.engine(), usage.usedTokens(), tokens)) {
+        if (room.admits(usage.engine(), usage.usedTokens(), tokens)) {
             return 0;
         }
         for (int ended = 1; ended <= usage.calls(); ended++) {
             long left = usage.usedTokens() * (usage.calls() - ended) / usage.calls();
-            if (room.holds(usage.engine(), left, tokens)) {
+            if (room.admits(usage.engine(), left, tokens)) {
                 return ended / (double) usage.calls();
             }
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/HoldBack.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/HoldBack.java
@@ -11,7 +11,7 @@
  * Decides which engines' memory a request may take while others precede it. Answers a view of the
  * other routers that is always somewhat old: those that precede it may have ended, or may be unable
  * to use the memory. Confined to one thread. Invariant: a request leaves the memory of an engine
- * for at most {@link #MAX_MILLIS} in a row, or {@link #MAX_PATIENT_MILLIS} while a more urgent one
+ * for at most {@link #MAX_MILLIS} in a row, or {@link #MAX_URGENT_MILLIS} while a more urgent one
  * waits.
  */
 public final class HoldBack {
@@ -28,7 +28,7 @@
      * milliseconds: the age at which reports cease to count, which limits how long memory is left
      * to requests that have ended.
      */
-    public static final long MAX_PATIENT_MILLIS = WaitingReport.MAX_AGE_MILLIS;
+    public static final long MAX_URGENT_MILLIS = WaitingReport.MAX_AGE_MILLIS;
 
     /**
      * The longest time for which an engine may seem full without the time starting again,
@@ -36,7 +36,7 @@
      */
     private static final long MAX_GAP_MILLIS = 60;
 
-    private final Map<UpstreamIncarnation, Left> mLeft = new HashMap<>();
+    private final Map<UpstreamIncarnation, Yielded> mYielded = new HashMap<>();
 
     /**
      * Memory of an engine that is left free. Immutable and thread safe.
@@ -44,7 +44,7 @@
      * @param sinceMillis since when it is, milliseconds
      * @param seenMillis when it was last seen free, milliseconds
      */
-    private record Left(long sinceMillis, long seenMillis) {}
+    private record Yielded(long sinceMillis, long seenMillis) {}
 
     /**
      * Returns how many requests of one size have to find room before a request may take memory.
@@ -66,17 +66,17 @@
      */
     List<UpstreamEntry> usable(
             List<UpstreamEntry> withRoom, List<UpstreamEntry> spare, boolean moreUrgent, long now) {
-        mLeft.values().removeIf(left -> now - left.seenMillis() > MAX_GAP_MILLIS);
-        long limit = moreUrgent ? MAX_PATIENT_MILLIS : MAX_MILLIS;
+        mYielded.values().removeIf(yielded -> now - yielded.seenMillis() > MAX_GAP_MILLIS);
+        long limit = moreUrgent ? MAX_URGENT_MILLIS : MAX_MILLIS;
         List<UpstreamEntry> usable = new ArrayList<>();
         for (UpstreamEntry engine : withRoom) {
             if (spare.contains(engine)) {
                 usable.add(engine);
                 continue;
             }
-            Left before = mLeft.get(engine.incarnation());
+            Yielded before = mYielded.get(engine.incarnation());
             long since = before == null ? now : before.sinceMillis();
-            mLeft.put(engine.incarnation(), new Left(since, now));
+            mYielded.put(engine.incarnation(), new Yielded(since, now));
             if (now - since >= limit) {
                 usable.add(engine);
             }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/ReturnSchedule.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/ReturnSchedule.java
@@ -56,7 +56,8 @@
      * @param leftPerMilli the capacity that requests in time leave to them, tokens per millisecond
      * @param burst whether requests in time currently need all capacity that becomes free
      * @param lacking what has to become free for waiting requests first, tokens
-     * @param peersReturning what requests need that the other routers told to return, tokens
+     * @param peersReturning what refused requests need whose return time, given by another router,
+     *     is still to come, tokens
      */
     public record Outlook(
             double leftPerMilli, boolean burst, double lacking, double peersReturning) {}
@@ -102,7 +103,7 @@
     }
 
     /**
-     * Returns what requests need that this router told to return and that are not due yet, tokens.
+     * Returns what refused requests need whose return time is still to come, tokens.
      *
      * @param now the monotonic clock, milliseconds
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/RoomFinder.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/RoomFinder.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.growth.EngineRoom;
+import org.troutpier.daemon.growth.MemoryAdmission;
 
 /**
  * Finds the engines with room for one request, and leaves the room to others that precede it.
@@ -14,13 +14,13 @@
 
     private final WaitingOrder mOrder;
 
-    private final HoleReservation mHole;
+    private final BackfillReservation mBackfill;
 
     private final EngineLoads mLoads;
 
     private final WaitingRequest mRequest;
 
-    private final EngineRoom mRoom;
+    private final MemoryAdmission mRoom;
 
     /** What the request takes, in tokens. */
     private final long mTokens;
@@ -47,19 +47,19 @@
      * Creates a finder.
      *
      * @param order decides which requests precede this one
-     * @param hole the room kept for the first request of this router
+     * @param backfill keeps room for the first request of this router
      * @param room decides whether an engine has memory for the request
      * @param tokens what the request takes
      */
     public RoomFinder(
             WaitingOrder order,
-            HoleReservation hole,
+            BackfillReservation backfill,
             EngineLoads loads,
             WaitingRequest request,
-            EngineRoom room,
+            MemoryAdmission room,
             long tokens) {
         mOrder = order;
-        mHole = hole;
+        mBackfill = backfill;
         mLoads = loads;
         mRequest = request;
         mRoom = room;
@@ -91,8 +91,10 @@
             return false;
         }
         long required =
-                mTokens + headroomTokens() + mHole.tokensKept(engine.incarnation(), mRequest, now);
-        return mRoom.holds(engine, mLoads.tokens(engine) + others * mTokens, required);
+                mTokens
+                        + headroomTokens()
+                        + mBackfill.tokensKept(engine.incarnation(), mRequest, now);
+        return mRoom.admits(engine, mLoads.tokens(engine) + others * mTokens, required);
     }
 
     /**
@@ -157,8 +159,8 @@
     private boolean isWanted(UpstreamEntry engine, long largest) {
         long used = mLoads.tokens(engine);
         return largest > mTokens
-                && mRoom.holds(engine, used, largest)
-                && !mRoom.holds(engine, used, largest + mTokens);
+                && mRoom.admits(engine, used, largest)
+                && !mRoom.admits(engine, used, largest + mTokens);
     }
 
     /**
@@ -168,14 +170,15 @@
         if (!mOrder.isShared()) {
             return;
         }
-        List<FirstHole.EngineUsage> usage = new ArrayList<>();
+        List<EarliestRoom.EngineUsage> usage = new ArrayList<>();
         for (UpstreamEntry engine : engines) {
             if (hasRoom(engine, now)) {
                 return;
             }
             usage.add(
-                    new FirstHole.EngineUsage(engine, mLoads.tokens(engine), mLoads.calls(engine)));
+                    new EarliestRoom.EngineUsage(
+                            engine, mLoads.tokens(engine), mLoads.calls(engine)));
         }
-        mHole.recordBlocked(mRequest, mRoom, mTokens, usage, now);
+        mBackfill.recordBlocked(mRequest, mRoom, mTokens, usage, now);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingOrder.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingOrder.java
@@ -10,7 +10,7 @@
  */
 public interface WaitingOrder {
 
-    /** Each router orders its own requests, and tells the others nothing. */
+    /** Each router orders its own requests, and reports none. */
     WaitingOrder ALONE = new Alone(false);
 
     /**
@@ -52,10 +52,10 @@
      */
     <T> List<T> arrange(List<T> items, Function<T, WaitingRequest> request, long now);
 
-    /** Returns what the other routers are told. */
+    /** Returns the report to the other routers. */
     WaitingReport report(Collection<WaitingRequest> waiting, long now);
 
-    /** Returns what a refusal's detail tells of a request's place in the order. */
+    /** Returns a request's place in the order, for a refusal's detail. */
     String describe(WaitingRequest request, long now);
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/waiting/WaitingReport.java
@@ -12,7 +12,7 @@
 import org.troutpier.daemon.limit.FlowKey;
 
 /**
- * What one or several routers tell the others of their waiting requests. Immutable and thread safe.
+ * The waiting requests that one or several routers report to the others. Immutable and thread safe.
  * Invariants: a sum or a report of requests has at most {@link #MAX_ENTRIES} entries and {@link
  * #MAX_ORGANISATIONS} organisations, so that the size of reports does not grow with the number of
  * requests; entries older than {@link #MAX_AGE_MILLIS} are dropped.
@@ -20,7 +20,7 @@
  * @param entries the waiting requests
  * @param granted what each organisation was granted in the last {@link
  *     RecentTraffic#GRANT_WINDOW_MILLIS}, tokens
- * @param returning what refused requests need that were told to return and have not yet, tokens
+ * @param returning what refused requests need whose return time is still to come, tokens
  * @param traffic what arrived and was granted recently, for each service and urgency
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -51,7 +51,7 @@
     /** No waiting request. */
     public static final WaitingReport NONE = new WaitingReport(List.of(), Map.of(), 0, List.of());
 
-    /** Copies the collections; null stands for none. */
+    /** Copies the collections; null is replaced by an empty one. */
     public WaitingReport {
         entries = entries == null ? List.of() : List.copyOf(entries);
         granted = granted == null ? Map.of() : Map.copyOf(granted);
@@ -175,7 +175,7 @@
     /**
      * Returns this report with more that is to return.
      *
-     * @param tokens what refused requests need that were told to return and have not yet, tokens
+     * @param tokens what refused requests need whose return time is still to come, tokens
      */
     public WaitingReport plusReturning(double tokens) {
         return tokens == 0 ? this : plus(List.of(new WaitingReport(List.of(), Map.of(), tokens)));
@@ -236,7 +236,7 @@
         return sum;
     }
 
-    /** Returns whether there is nothing to tell. */
+    /** Returns whether the report is empty. */
     private boolean isEmpty() {
         return entries.isEmpty() && granted.isEmpty() && traffic.isEmpty() && returning == 0;
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/growth/GrowthForecastTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/growth/GrowthForecastTest.java
@@ -135,21 +135,21 @@
         long used = 6 * 7600;
         GrowthForecast young = forecast(sixRuns(600), Reported.NOTHING, 1);
         GrowthForecast old = forecast(sixRuns(6000), Reported.NOTHING, 1);
-        assertFalse(young.holds(mEngine, used, PROMPT));
-        assertTrue(old.holds(mEngine, used, PROMPT));
-        assertFalse(old.holds(mEngine, MEMORY - PROMPT + 1, PROMPT));
-        assertTrue(young.holds(mEngine, 0, PROMPT));
+        assertFalse(young.admits(mEngine, used, PROMPT));
+        assertTrue(old.admits(mEngine, used, PROMPT));
+        assertFalse(old.admits(mEngine, MEMORY - PROMPT + 1, PROMPT));
+        assertTrue(young.admits(mEngine, 0, PROMPT));
     }
 
     @Test
     public void runsOfOtherRoutersCountWithTheirExpectedRest() {
         long used = 6 * 8000;
         ActiveRuns none = new ActiveRuns();
-        assertTrue(forecast(none, new Reported(6, used, -6000), 1).holds(mEngine, used, PROMPT));
-        assertFalse(forecast(none, new Reported(6, used, 12_000), 1).holds(mEngine, used, PROMPT));
+        assertTrue(forecast(none, new Reported(6, used, -6000), 1).admits(mEngine, used, PROMPT));
+        assertFalse(forecast(none, new Reported(6, used, 12_000), 1).admits(mEngine, used, PROMPT));
         assertEquals(
-                forecast(none, new Reported(6, used, 0), 1).holds(mEngine, used, PROMPT),
-                forecast(none, new Reported(6, used, 100), 1).holds(mEngine, used, PROMPT));
+                forecast(none, new Reported(6, used, 0), 1).admits(mEngine, used, PROMPT),
+                forecast(none, new Reported(6, used, 100), 1).admits(mEngine, used, PROMPT));
     }
 
     @Test
@@ -158,7 +158,7 @@
         UpstreamEntry restarted = engine(new UpstreamIncarnation(mEngine.id(), 5));
         assertEquals(runs.restCorrection(restarted.incarnation()), 0);
         assertTrue(runs.restCorrection(mEngine.incarnation()) > 0);
-        assertTrue(forecast(runs, Reported.NOTHING, 1).holds(restarted, 0, PROMPT));
+        assertTrue(forecast(runs, Reported.NOTHING, 1).admits(restarted, 0, PROMPT));
     }
 
     @Test
@@ -181,9 +181,9 @@
         int admittedAfterPauses = 0;
         for (long made = 0; made < MAX_OUTPUT; made += 100) {
             ActiveRuns runs = sixRuns(made);
-            admitted += forecast(runs, Reported.NOTHING, 1).holds(mEngine, used, PROMPT) ? 1 : 0;
+            admitted += forecast(runs, Reported.NOTHING, 1).admits(mEngine, used, PROMPT) ? 1 : 0;
             admittedAfterPauses +=
-                    forecast(runs, Reported.NOTHING, 9).holds(mEngine, used, PROMPT) ? 1 : 0;
+                    forecast(runs, Reported.NOTHING, 9).admits(mEngine, used, PROMPT) ? 1 : 0;
         }
         assertTrue(admittedAfterPauses < admitted, admittedAfterPauses + " of " + admitted);
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/growth/GrowthSimulation.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/growth/GrowthSimulation.java
@@ -156,12 +156,12 @@
                 mRule == Rule.FORECAST_WITH_HINTS
                         ? new OutputDistribution(sample(), mLoad.maxOutput(), hint)
                         : usual;
-        EngineRoom room = room(router, usual, own);
+        MemoryAdmission room = room(router, usual, own);
         Engine least = mEngines.get(0);
         for (Engine engine : mEngines) {
             least = engine.usedTokens() < least.usedTokens() ? engine : least;
         }
-        if (!room.holds(least.mEntry, least.usedTokens(), prompt)) {
+        if (!room.admits(least.mEntry, least.usedTokens(), prompt)) {
             mRefused++;
             mMargin.recordRefusal();
             return;
@@ -171,10 +171,11 @@
         least.mRuns.add(new Run(progress, prompt, (long) output, hint, new long[1]));
     }
 
-    private EngineRoom room(ActiveRuns router, OutputDistribution usual, OutputDistribution own) {
+    private MemoryAdmission room(
+            ActiveRuns router, OutputDistribution usual, OutputDistribution own) {
         if (mRule == Rule.MARGIN) {
             double mean = sample().meanTokens();
-            return new EngineRoom.ForMargin(
+            return new MemoryAdmission.ForMargin(
                     mMargin.tokens(mean, mLoad.maxOutput(), mLoad.memory()), mLoad.memory());
         }
         GrowthForecast.PeerRuns peers = new OtherRouters(router);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/CallAdmissionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/CallAdmissionTest.java
@@ -24,7 +24,7 @@
 
     private static final PartnerId CALM = new PartnerId("calm");
 
-    private static Room room(String id, int limit, int calls) {
+    private static UpstreamRoom room(String id, int limit, int calls) {
         UpstreamEntry upstream =
                 new UpstreamEntry(
                         UpstreamIncarnation.of(id),
@@ -34,7 +34,7 @@
                         6,
                         UpstreamEntry.Role.PLAIN,
                         false);
-        return new Room(upstream, limit, calls, 0, true, ConcurrencyLimit.Cause.TARGET);
+        return new UpstreamRoom(upstream, limit, calls, 0, true, ConcurrencyLimit.Cause.TARGET);
     }
 
     private static WaitingReport.Entry waiting(PartnerId organisation, int rank, int calls) {
@@ -46,7 +46,8 @@
         return new Claim(tier, new FlowKey(2, organisation), 100, 1);
     }
 
-    private static CallAdmission admission(List<WaitingReport.Entry> waiting, Room... rooms) {
+    private static CallAdmission admission(
+            List<WaitingReport.Entry> waiting, UpstreamRoom... rooms) {
         return new CallAdmission("service", List.of(rooms), waiting, List.of(), 20);
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/SecondTryTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/SecondTryTest.java
@@ -12,7 +12,7 @@
 /** When a silent call goes to a second upstream. */
 public final class SecondTryTest {
 
-    private static Room room(String id, int calls) {
+    private static UpstreamRoom room(String id, int calls) {
         UpstreamEntry upstream =
                 new UpstreamEntry(
                         UpstreamIncarnation.of(id),
@@ -22,7 +22,7 @@
                         6,
                         UpstreamEntry.Role.PLAIN,
                         false);
-        return new Room(upstream, 20, calls, 0, true, ConcurrencyLimit.Cause.TARGET);
+        return new UpstreamRoom(upstream, 20, calls, 0, true, ConcurrencyLimit.Cause.TARGET);
     }
 
     private static SecondTry secondTry(int firstCalls, int secondCalls) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/ServiceCallsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/ServiceCallsTest.java
@@ -66,7 +66,7 @@
 
     /** Returns the calls that a router which is alone and was never part of several may send. */
     private static int freeAlone(ServiceCalls calls, List<UpstreamEntry> upstreams) {
-        return calls.rooms(upstreams, ANSWER_MILLIS, 0).stream().mapToInt(Room::free).sum();
+        return calls.rooms(upstreams, ANSWER_MILLIS, 0).stream().mapToInt(UpstreamRoom::free).sum();
     }
 
     private static ServiceCalls alone() {
@@ -93,7 +93,7 @@
         mPeers.aggregate(0);
     }
 
-    private Room room() {
+    private UpstreamRoom room() {
         return mCalls.rooms(List.of(UPSTREAM), ANSWER_MILLIS, 0).get(0);
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReservationAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReservationAllocatorTest.java
@@ -23,7 +23,7 @@
 import org.troutpier.daemon.cluster.UpstreamUsage;
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.growth.EngineRoom;
+import org.troutpier.daemon.growth.MemoryAdmission;
 import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.node.ManualClock;
 import org.troutpier.daemon.notice.AnnouncedRate;
@@ -94,7 +94,7 @@
                         claim(standing, ASKER, waitMillis),
                         PROMPT,
                         MAX_TOKENS,
-                        new EngineRoom.ForMargin(MARGIN, MEMORY),
+                        new MemoryAdmission.ForMargin(MARGIN, MEMORY),
                         2000,
                         waitMillis,
                         engines),
@@ -254,7 +254,7 @@
                             claim(standing, ASKER, 1000),
                             PROMPT,
                             MAX_TOKENS,
-                            new EngineRoom.ForMargin(0, MEMORY),
+                            new MemoryAdmission.ForMargin(0, MEMORY),
                             2000,
                             1000,
                             () -> List.of(mFirst)),
@@ -300,7 +300,7 @@
                         claim(QueueTier.IN_TIME, new FlowKey(1, new PartnerId(organisation)), 1000),
                         PROMPT,
                         MAX_TOKENS,
-                        new EngineRoom.ForMargin(0, MEMORY),
+                        new MemoryAdmission.ForMargin(0, MEMORY),
                         2000,
                         1000,
                         () -> List.of(mFirst)),
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/WaitingOrderOverRoutersTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/WaitingOrderOverRoutersTest.java
@@ -113,7 +113,7 @@
     @Test(dataProvider = "sizes")
     public void memoryIsLeftFreeForALimitedTime(int routers) {
         WaitingSimulation simulation = play(true, routers).simulation();
-        long longest = HoldBack.MAX_PATIENT_MILLIS + ROUND_MILLIS;
+        long longest = HoldBack.MAX_URGENT_MILLIS + ROUND_MILLIS;
         assertTrue(simulation.mLongestIdleMillis <= longest, simulation.toString());
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/WaitingSimulation.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/WaitingSimulation.java
@@ -22,7 +22,7 @@
 import org.troutpier.daemon.cluster.ReportScope;
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.growth.EngineRoom;
+import org.troutpier.daemon.growth.MemoryAdmission;
 import org.troutpier.daemon.limit.Arrivals;
 import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.node.ManualClock;
@@ -178,7 +178,7 @@
                                             mTokens),
                                     mTokens,
                                     mTokens,
-                                    new EngineRoom.ForMargin(0, MEMORY),
+                                    new MemoryAdmission.ForMargin(0, MEMORY),
                                     2000,
                                     wait,
                                     () -> mEngines),
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/waiting/RoomFinderTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/waiting/RoomFinderTest.java
@@ -14,7 +14,7 @@
 import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.growth.EngineRoom;
+import org.troutpier.daemon.growth.MemoryAdmission;
 import org.troutpier.daemon.limit.FlowKey;
 
 /** Room for short prompts while a long one waits, here or at another router. */
@@ -23,7 +23,7 @@
     private static final long NOW = 100_000;
     private static final long SHORT = 3000;
     private static final long LONG = 9000;
-    private static final EngineRoom ROOM = new EngineRoom.ForMargin(0, 50_000);
+    private static final MemoryAdmission ROOM = new MemoryAdmission.ForMargin(0, 50_000);
 
     private final UpstreamEntry mFirst = engine("first");
     private final UpstreamEntry mSecond = engine("second");
@@ -31,7 +31,7 @@
     private WaitingReport mPeers = WaitingReport.NONE;
     private final SharedOrder mOrder =
             new SharedOrder(now -> mPeers, service -> 4000, new MetricRegistry());
-    private final HoleReservation mHole = new HoleReservation(mOrder);
+    private final BackfillReservation mBackfill = new BackfillReservation(mOrder);
 
     /** Engines with eight runs each. */
     private final class FakeLoads implements RoomFinder.EngineLoads {
@@ -74,7 +74,7 @@
     }
 
     private RoomFinder finder(WaitingRequest request, long tokens) {
-        return new RoomFinder(mOrder, mHole, new FakeLoads(), request, ROOM, tokens);
+        return new RoomFinder(mOrder, mBackfill, new FakeLoads(), request, ROOM, tokens);
     }
 
     @Test
@@ -99,7 +99,7 @@
         WaitingRequest shortOne = request(SHORT, 900);
         finder(longOne, LONG).recordBlocked(List.of(mSecond, mFirst), NOW);
         mTokens.put(mSecond, 45_000L);
-        boolean firstIsKept = mHole.tokensKept(mFirst.incarnation(), shortOne, NOW) > 0;
+        boolean firstIsKept = mBackfill.tokensKept(mFirst.incarnation(), shortOne, NOW) > 0;
         UpstreamEntry kept = firstIsKept ? mFirst : mSecond;
         UpstreamEntry other = firstIsKept ? mSecond : mFirst;
         assertFalse(finder(shortOne, SHORT).hasRoom(kept, NOW));
@@ -107,7 +107,7 @@
         mTokens.put(kept, 50_000 - LONG - SHORT);
         assertTrue(finder(shortOne, SHORT).hasRoom(kept, NOW));
         mTokens.put(kept, 45_000L);
-        mHole.recordEnd(longOne);
+        mBackfill.recordEnd(longOne);
         assertTrue(finder(shortOne, SHORT).hasRoom(kept, NOW));
     }
 }
