StreamExecution is split by what it decides

Change: StreamRun (one run and its events), PrefillStage and PrefillResult (the prompt), StreamTiming (tier and wait budget), EngineMemoryForecast (admission, predicted wait, retry delay). No behaviour changes.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillEngines.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillEngines.java
@@ -38,6 +38,11 @@
         mPromptTokens = promptTokens;
     }
 
+    /** Returns the length of the prompt, in tokens. */
+    long promptTokens() {
+        return mPromptTokens;
+    }
+
     /**
      * Returns the engines to which the prompt may be sent.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptMetadata.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptMetadata.java
@@ -16,6 +16,9 @@
 public record PromptMetadata(
         String model, int promptTokens, int outputTokens, int hintTokens, List<Part> parts) {
 
+    /** Metadata of a request that declares no prompt. */
+    public static final PromptMetadata NONE = new PromptMetadata("", 0, 0, 0, List.of());
+
     /**
      * A part of a prompt, which other prompts may share. Immutable and thread safe.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -1,6 +1,5 @@
 package org.troutpier.daemon.serving;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -25,53 +24,27 @@
 
     private final EngineTraits mEngineTraits;
 
+    private final PromptMetadata mPrompt;
+
     private final EventRelay mRelay;
 
-    private final PrefillEngines mPrefillEngines;
+    private final StreamTiming mTiming;
 
-    /** Prefill engines that were tried for the current run. */
-    private final Set<UpstreamIncarnation> mTriedPrefillEngines = new HashSet<>();
+    private final PrefillStage mPrefill;
 
     private final DecodeReservation mReservation;
 
-    /** The prefill in progress, or null. */
-    private PrefillCall mPrefillCall;
-
-    /** The queue tier when the last prefill was sent. */
-    private QueueTier mPrefillTier = QueueTier.IN_TIME;
-
     /** The decode run in progress, or null. */
     private StreamRun mRun;
 
-    /** A prefill result that no decode engine has fetched, kept for the next one; or null. */
-    private UpstreamPort.StoredPrompt mStoredPrompt;
-
-    /** Until when {@link #mStoredPrompt} can be fetched, milliseconds on the loop's clock. */
-    private long mStoredPromptExpiry;
-
     /** The engine that still has the prompt of a run whose answer was lost. */
     private final ResumeTarget mResumeTarget = new ResumeTarget();
 
     private double mPredictedWaitMillis;
 
-    /** Whether the request was refused recently and this is the caller's retry. */
-    private boolean mReturning;
-
-    /** Whether this is not the first search, so that an earlier attempt has failed. */
-    private boolean mSearchedBefore;
-
-    /**
-     * When the current wait budget began, milliseconds since the request arrived: 0 before the
-     * stream was started, then the time at which the search for another run began.
-     */
-    private long mWaitStart;
-
     /** Whether the head of the answer was sent to the caller. */
     private boolean mStreamStarted;
 
-    /** Whether a prefill was already sent, so that the next one counts as an extra call. */
-    private boolean mPrefilledBefore;
-
     StreamExecution(
             ServingContext context,
             ServingRequest request,
@@ -81,22 +54,17 @@
             CallerChannel caller) {
         super(context, request, route, service, caller);
         mEngineTraits = engineTraits;
-        mPrefillEngines =
+        mPrompt = request.prompt().orElse(PromptMetadata.NONE);
+        PrefillEngines prefillEngines =
                 new PrefillEngines(
                         context,
                         () -> upstreams(UpstreamEntry.Role.PREFILL),
                         service,
-                        promptTokens());
+                        mPrompt.promptTokens());
+        mTiming = new StreamTiming(this, prefillEngines);
+        mPrefill = new PrefillStage(this, engineTraits, prefillEngines, mTiming, this::startRun);
         mRelay = new EventRelay(caller, request.lastEventId());
-        mReservation =
-                new DecodeReservation(
-                        context,
-                        service,
-                        engineTraits,
-                        flowKey(),
-                        promptTokens(),
-                        maxTokens(),
-                        hintTokens());
+        mReservation = new DecodeReservation(context, service, engineTraits, flowKey(), mPrompt);
     }
 
     /** {@inheritDoc} */
@@ -105,14 +73,13 @@
         if (refuseIfQuarantined()) {
             return;
         }
-        if (promptTokens() > mEngineTraits.memoryTokens()) {
+        if (mPrompt.promptTokens() > mEngineTraits.memoryTokens()) {
             refuse(ResultCode.NO_PLACE, "larger than an engine's memory", 0);
             return;
         }
-        mReturning = isReturning();
-        if (!mReturning) {
+        if (!mTiming.recordArrival()) {
             mContext.demandMeter()
-                    .recordRequest(mService, promptTokens(), mContext.loop().millis());
+                    .recordRequest(mService, mPrompt.promptTokens(), mContext.loop().millis());
         }
         search();
     }
@@ -123,24 +90,26 @@
             failWithoutRun(ResultCode.NO_PLACE, "no engine is left");
             return;
         }
-        WaitBudget budget = waitBudget();
-        WaitBudget.Prediction prediction = prediction();
+        WaitBudget budget = mTiming.waitBudget();
+        WaitBudget.Prediction prediction = mTiming.prediction();
         if (mContext.admission().backOffMillis(untriedEngines()) > budget.waitMillis(prediction)) {
             failWithoutRun(ResultCode.NO_PLACE, "engines asked for a back-off");
             return;
         }
         mPredictedWaitMillis =
-                mReservation.predictedWaitMillis(
-                        upstreams(UpstreamEntry.Role.DECODE),
-                        budget.tier(),
-                        budget.waitMillis(prediction));
+                mReservation
+                        .forecast()
+                        .predictedWaitMillis(
+                                upstreams(UpstreamEntry.Role.DECODE),
+                                budget.tier(),
+                                budget.waitMillis(prediction));
         if (budget.isExceededBy(mPredictedWaitMillis, prediction)) {
             mContext.metrics().refusedAtOnce(budget.tier());
             mTrace.addStep("predicted wait for memory " + (long) mPredictedWaitMillis + "ms");
             failWithoutRun(ResultCode.NO_PLACE, "no place in time");
             return;
         }
-        mSearchedBefore = true;
+        mTiming.recordSearch();
         mReservation.search(
                 budget.waitMillis(prediction),
                 budget.tier(),
@@ -149,42 +118,6 @@
                 new SearchListener());
     }
 
-    /** Returns how long the request may wait for a reservation. */
-    private WaitBudget waitBudget() {
-        return waitBudget(tier());
-    }
-
-    private WaitBudget waitBudget(QueueTier tier) {
-        long elapsed = mTrace.elapsedMillis() - mWaitStart;
-        return new WaitBudget(mRoute.targetMillis(), elapsed, remainingMillis(), tier);
-    }
-
-    /** Returns the queue tier, which depends on whether the request can still meet its target. */
-    private QueueTier tier() {
-        if (mStreamStarted || mRequest.lastEventId().isPresent()) {
-            return QueueTier.CONTINUED;
-        }
-        boolean late = mSearchedBefore && mTrace.elapsedMillis() >= mRoute.targetMillis();
-        return late || mReturning ? QueueTier.LATE : QueueTier.IN_TIME;
-    }
-
-    /** Predicts the time from the reservation to the first event. */
-    private WaitBudget.Prediction prediction() {
-        return prediction(Set.of());
-    }
-
-    /**
-     * Predicts the time from the reservation to the first event.
-     *
-     * @param excluded the prefill engines that are not to be used
-     */
-    private WaitBudget.Prediction prediction(Set<UpstreamIncarnation> excluded) {
-        return new WaitBudget.Prediction(
-                mPrefillEngines.predictedMillis(excluded)
-                        + mContext.prefillExcess().predictedMillis(),
-                mContext.firstEventDelay().predictedMillis());
-    }
-
     /**
      * Tries to reserve memory at the engine that lost the run's answer and may still have the
      * prompt. The search does not wait, since the run has freed its memory there.
@@ -211,20 +144,14 @@
         mTrace.addStep("place@" + engine.id() + " known " + mContext.loads().tokens(engine));
     }
 
-    /** Returns whether the request was refused recently and this is the caller's retry. */
-    private boolean isReturning() {
-        long now = mContext.loop().millis();
-        return mRequest.prompt()
-                .filter(prompt -> mContext.recentRefusals().isReturning(prompt, now))
-                .isPresent();
-    }
-
     /**
      * Returns the decode engines at which memory may be reserved now; none while the prefill
      * engines could not process the prompt in time.
      */
     private List<UpstreamEntry> eligibleEngines() {
-        return waitBudget().allowsPrefill(prediction()) ? untriedEngines() : List.of();
+        return mTiming.waitBudget().allowsPrefill(mTiming.prediction())
+                ? untriedEngines()
+                : List.of();
     }
 
     /** Returns the decode engines to which the request may still be sent. */
@@ -235,76 +162,6 @@
                 .toList();
     }
 
-    /** Returns the most memory that the request can take, in tokens. */
-    private long maxTokens() {
-        return mRequest.prompt().map(PromptMetadata::maxTokens).orElse(0L);
-    }
-
-    /** Returns the caller's guess of the output, in tokens; 0 if there is none. */
-    private long hintTokens() {
-        return mRequest.prompt().map(PromptMetadata::hintTokens).orElse(0);
-    }
-
-    private long promptTokens() {
-        return mRequest.prompt().map(PromptMetadata::promptTokens).orElse(0);
-    }
-
-    /**
-     * Has the prompt processed by a prefill engine. Where there is none, none admits the call, or
-     * the budget allows no further extra call, the decode engine processes the prompt itself, in
-     * the run that is sent to it anyway and needs no extra call.
-     */
-    private void prefill() {
-        if (refuseIfQuarantined()) {
-            return;
-        }
-        if (mStoredPrompt != null && isStoredPromptValid()) {
-            UpstreamPort.StoredPrompt stored = mStoredPrompt;
-            mStoredPrompt = null;
-            mTrace.addStep("prompt kept");
-            startRun(Optional.of(stored));
-            return;
-        }
-        discardStoredPrompt();
-        List<UpstreamEntry> engines = mPrefillEngines.inOrder(mTriedPrefillEngines);
-        if (engines.isEmpty()) {
-            mTrace.addStep("no prefill engine");
-            startRun(Optional.empty());
-            return;
-        }
-        if (mPrefilledBefore && !tryAcquireExtraCall()) {
-            startRun(Optional.empty());
-            return;
-        }
-        Optional<UpstreamEntry> admitted = mContext.admission().acquireFirst(engines, flowKey());
-        if (admitted.isEmpty()) {
-            mTrace.addStep("no prefill engine admits the call");
-            startRun(Optional.empty());
-            return;
-        }
-        UpstreamEntry engine = admitted.get();
-        mPrefillEngines.recordPassedOver(engines, engine, mTrace);
-        mTriedPrefillEngines.add(engine.incarnation());
-        mPrefillTier = tier();
-        boolean measurable =
-                mContext.loads().tokens(engine) == 0 && !mPrefilledBefore && !mReturning;
-        mPrefilledBefore = true;
-        PrefillCall.Prompt prompt = new PrefillCall.Prompt(mService, promptTokens(), measurable);
-        mPrefillCall = new PrefillCall(mContext, prompt, engine, mTrace, new PrefillListener());
-        mPrefillCall.send(
-                mRequest,
-                UpstreamPort.RunPlan.plain(remainingMillis(), priority())
-                        .withResumeAfter(mRelay.lastEventId()));
-    }
-
-    /**
-     * Returns whether the stored prefill result has not expired and its engine has not restarted.
-     */
-    private boolean isStoredPromptValid() {
-        return mContext.loop().millis() < mStoredPromptExpiry
-                && !mContext.directory().hasRestarted(mStoredPrompt.upstream().incarnation());
-    }
-
     /**
      * Sends the request to the decode engine, or searches for another one if that engine has
      * stopped taking work since the reservation: the prefill can take longer than the time for
@@ -326,7 +183,7 @@
                         .isPresent();
         if (!acceptsWork) {
             mTrace.addStep("unavailable@" + engine.id());
-            prompt.ifPresent(stored -> mStoredPrompt = stored);
+            prompt.ifPresent(mPrefill::keep);
             mReservation.release();
             search();
             return;
@@ -337,8 +194,17 @@
                 UpstreamPort.RunPlan.plain(remainingMillis(), priority())
                         .withReservation(mReservation.takeReservation())
                         .withResumeAfter(mRelay.lastEventId());
-        mRun = new StreamRun(engine, prompt);
-        mRun.start(prompt.map(plan::withPrompt).orElse(plan));
+        mRun =
+                new StreamRun(
+                        mContext,
+                        engine,
+                        prompt,
+                        mRelay,
+                        mCaller,
+                        new EventGaps(mContext, mRoute, engine, mTrace),
+                        mTrace,
+                        new RunListener());
+        mRun.start(mRequest, prompt.map(plan::withPrompt).orElse(plan));
     }
 
     /**
@@ -355,8 +221,11 @@
                     .ifPresent(prompt -> mContext.recentRefusals().recordRefusal(prompt, now));
             long limit = (long) (remainingMillis() * ServingSettings.MAX_RETRY_AFTER_RATIO);
             long backOff = mContext.admission().backOffMillis(untriedEngines());
-            long delay = mReservation.retryDelayMillis(upstreams(UpstreamEntry.Role.DECODE), limit);
-            mContext.metrics().recordRetryDelay(mReturning, delay);
+            long delay =
+                    mReservation
+                            .forecast()
+                            .retryDelayMillis(upstreams(UpstreamEntry.Role.DECODE), limit);
+            mContext.metrics().recordRetryDelay(mTiming.isReturning(), delay);
             refuse(code, detail, backOff + delay);
         }
     }
@@ -394,31 +263,19 @@
 
     /** Searches for another decode engine, with a new wait budget. */
     private void restartSearch() {
-        mTriedPrefillEngines.clear();
-        mWaitStart = mStreamStarted ? mTrace.elapsedMillis() : 0;
+        mPrefill.restart();
+        mTiming.restart();
         search();
     }
 
     /** {@inheritDoc} */
     @Override
     protected void releaseUpstream() {
-        if (mPrefillCall != null) {
-            mPrefillCall.abort();
-            mPrefillCall = null;
-        }
         if (mRun != null) {
             mRun.abort();
         }
         mReservation.release();
-        discardStoredPrompt();
-    }
-
-    /** Frees the stored prefill result that no decode engine has fetched. */
-    private void discardStoredPrompt() {
-        if (mStoredPrompt != null) {
-            mContext.port().discard(mStoredPrompt);
-            mStoredPrompt = null;
-        }
+        mPrefill.release();
     }
 
     /** {@inheritDoc} */
@@ -444,7 +301,7 @@
                     .recordPredictionError(
                             "place", mPredictedWaitMillis, mReservation.searchMillis());
             acceptReservation(engine, reservation);
-            prefill();
+            mPrefill.start(mRelay.lastEventId());
         }
 
         /** {@inheritDoc} */
@@ -456,7 +313,7 @@
             mTrace.addStep(
                     detail
                             + ", prompt read in "
-                            + (long) mPrefillEngines.predictedMillis(Set.of())
+                            + (long) mTiming.predictedPrefillMillis()
                             + "ms at best");
             failWithoutRun(ResultCode.NO_PLACE, "no place");
         }
@@ -503,188 +360,90 @@
         }
     }
 
-    /** Receives the outcome of a prefill. Confined to the traffic loop. */
-    private final class PrefillListener implements PrefillCall.Listener {
+    /** Receives what happens to a run at a decode engine. Confined to the traffic loop. */
+    private final class RunListener implements StreamRun.Listener {
 
         /** {@inheritDoc} */
         @Override
-        public void onPrefilled(UpstreamPort.StoredPrompt prompt) {
-            mPrefillCall = null;
-            long now = mContext.loop().millis();
-            mStoredPromptExpiry =
-                    now + mEngineTraits.kvHandleMillis() - ServingSettings.FETCH_MARGIN_MILLIS;
-            startRun(Optional.of(prompt));
+        public boolean mayResume() {
+            return mRoute.kind() == Route.Kind.RESUMABLE_STREAM
+                    && mAttempted.size() < mRoute.maxAttempts();
         }
 
         /** {@inheritDoc} */
         @Override
-        public boolean mayBeInTimeElsewhere() {
-            return waitBudget(mPrefillTier).allowsPrefill(prediction(mTriedPrefillEngines));
+        public void onHead(UpstreamPort.Head head) {
+            if (!mStreamStarted) {
+                mStreamStarted = true;
+                mTrace.addStep("head");
+                mCaller.beginStream(head.status(), head.headers());
+            }
         }
 
         /** {@inheritDoc} */
         @Override
-        public void onFailed(UpstreamEntry engine, AttemptEnd end) {
-            mPrefillCall = null;
-            afterCrashAttribution(engine, end, ended -> StreamExecution.this.prefill());
-        }
-    }
-
-    /** One run at a decode engine. Confined to the traffic loop. */
-    private final class StreamRun extends UpstreamRun {
-
-        /** The stored prefill result; empty where the decode engine processes the prompt. */
-        private final Optional<UpstreamPort.StoredPrompt> mPrompt;
-
-        private final EventGaps mGaps;
-
-        /** A response that is not a success and therefore no event stream, or null. */
-        private BufferedResponse mErrorResponse;
-
-        /**
-         * Creates a run.
-         *
-         * @param prompt the stored prefill result; empty where the decode engine processes the
-         *     prompt
-         */
-        StreamRun(UpstreamEntry upstream, Optional<UpstreamPort.StoredPrompt> prompt) {
-            super(StreamExecution.this.mContext, upstream);
-            mPrompt = prompt;
-            mGaps = new EventGaps(mContext, mRoute, upstream, mTrace);
-        }
-
-        void start(UpstreamPort.RunPlan plan) {
-            send(mRequest, plan);
-            mCaller.onWritable(() -> setAutoRead(true));
-            restartSilenceTimer();
-        }
-
-        /** Restarts the silence timer where the stream can be resumed at another engine. */
-        private void restartSilenceTimer() {
-            boolean canResume =
-                    mRoute.kind() == Route.Kind.RESUMABLE_STREAM
-                            && mAttempted.size() < mRoute.maxAttempts();
-            if (canResume) {
-                startSilenceTimer(ServingSettings.STREAM_SILENCE_MILLIS);
-            } else {
-                stopSilenceTimer();
-            }
+        public void onEvents(long events) {
+            mReservation.recordEvents(events);
         }
 
         /** {@inheritDoc} */
         @Override
-        protected void onSilence() {
-            abort();
-            onFailure(AttemptEnd.failed(ResultCode.OUTCOME_UNKNOWN, "stream silent"));
+        public void onFirstEvent() {
+            markIfLate(mTrace.elapsedMillis());
+            mContext.metrics().recordStage("first-event", mTrace.elapsedMillis());
         }
 
         /** {@inheritDoc} */
         @Override
-        protected void onClosed() {
+        public void onClosed() {
             mRun = null;
             mReservation.freeMemory();
         }
 
         /** {@inheritDoc} */
         @Override
-        public void onHead(UpstreamPort.Head head) {
-            if (head.verdict() != UpstreamPort.Verdict.SUCCESS) {
-                mErrorResponse = new BufferedResponse(head);
-                return;
-            }
-            if (!mStreamStarted) {
-                mStreamStarted = true;
-                mTrace.addStep("head");
-                mCaller.beginStream(head.status(), head.headers());
-            }
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onPart(byte[] part) {
-            if (mErrorResponse != null) {
-                mErrorResponse.append(part);
-                return;
-            }
-            long before = mRelay.eventCount();
-            try {
-                mRelay.feed(part);
-            } catch (org.troutpier.common.result.TroutpierException exception) {
-                abort();
-                onFailure(AttemptEnd.failed(exception.code(), exception.detail()));
-                return;
-            }
-            mGaps.onEvents(mRelay.eventCount());
-            mReservation.recordEvents(mRelay.eventCount() - before);
-            if (before == 0 && mRelay.eventCount() > 0) {
-                mTrace.addStep("first event");
-                mContext.firstEventDelay().record(elapsedMillis());
-                markIfLate(mTrace.elapsedMillis());
-                mContext.metrics().recordStage("first-event", mTrace.elapsedMillis());
-            }
-            restartSilenceTimer();
-            if (!mCaller.isWritable()) {
-                setAutoRead(false);
-                mGaps.interrupt();
-            }
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onEnd() {
-            if (mErrorResponse != null) {
-                onErrorResponse();
-                return;
-            }
-            if (!mRelay.atEventBoundary()) {
-                onFailure(AttemptEnd.failed(ResultCode.UPSTREAM_FAILED, "ended inside an event"));
-                return;
-            }
-            close();
-            recordSuccess(mUpstream, "stream", elapsedMillis());
+        public void onCompleted(UpstreamEntry engine, long millis) {
+            recordSuccess(engine, "stream", millis);
             long output = mRelay.eventCount() * mEngineTraits.eventTokens();
             mContext.demandMeter()
                     .recordRun(
                             mService,
-                            new DemandMeter.CompletedRun(promptTokens(), output, elapsedMillis()),
+                            new DemandMeter.CompletedRun(mPrompt.promptTokens(), output, millis),
                             mContext.loop().millis());
-            mReservation.recordOutput(output);
+            mReservation.forecast().recordOutput(output);
             mTrace.addStep("events=" + mRelay.eventCount());
             mCaller.endStream();
             finishAnswered();
         }
 
-        /** Handles a complete response that is no event stream. */
-        private void onErrorResponse() {
-            UpstreamPort.Head head = mErrorResponse.head();
-            AttemptEnd end = AttemptEnds.end(head);
-            close();
+        /** {@inheritDoc} */
+        @Override
+        public void onErrorAnswer(StreamRun run, BufferedResponse answer) {
+            AttemptEnd end = AttemptEnds.end(answer.head());
             if (end.notStarted() && end.leaving()) {
-                mPrompt.ifPresent(prompt -> mStoredPrompt = prompt);
+                run.prompt().ifPresent(mPrefill::keep);
             } else if (end.notStarted()) {
-                mPrompt.ifPresent(mContext.port()::discard);
+                run.prompt().ifPresent(mContext.port()::discard);
             }
-            boolean ownFailure = head.verdict() == UpstreamPort.Verdict.OWN_FAILURE;
+            boolean ownFailure = answer.head().verdict() == UpstreamPort.Verdict.OWN_FAILURE;
             if (ownFailure && !mStreamStarted && mRoute.kind() != Route.Kind.RESUMABLE_STREAM) {
-                recordFailure(mUpstream, end);
+                recordFailure(run.engine(), end);
                 mTrace.markNotable();
-                mTrace.addStep("status=" + head.status());
-                mErrorResponse.sendTo(mCaller);
+                mTrace.addStep("status=" + answer.head().status());
+                answer.sendTo(mCaller);
                 finishAnswered();
                 return;
             }
-            onRunFailed(mUpstream, end);
+            onRunFailed(run.engine(), end);
         }
 
         /** {@inheritDoc} */
         @Override
-        public void onFailure(AttemptEnd end) {
-            close();
-            refundIfUnreached(end);
+        public void onFailed(StreamRun run, AttemptEnd end) {
             if (end.notStarted()) {
-                mPrompt.ifPresent(prompt -> mStoredPrompt = prompt);
+                run.prompt().ifPresent(mPrefill::keep);
             }
-            onRunFailed(mUpstream, end);
+            onRunFailed(run.engine(), end);
         }
     }
 }
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamTiming.java
@@ -0,0 +1,113 @@
+package org.troutpier.daemon.serving;
+
+import java.util.Set;
+import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.decision.QueueTier;
+import org.troutpier.daemon.decision.WaitBudget;
+
+/**
+ * How long a streaming request may wait, and in which queue tier. Confined to the traffic loop.
+ * Invariant: a request that is no longer in time does not become so again.
+ */
+final class StreamTiming {
+
+    private final StreamExecution mExecution;
+
+    private final PrefillEngines mPrefillEngines;
+
+    /** Whether the request was refused recently and this is the caller's retry. */
+    private boolean mReturning;
+
+    /** Whether this is not the first search, so that an earlier attempt has failed. */
+    private boolean mSearchedBefore;
+
+    /**
+     * When the current wait budget began, milliseconds since the request arrived: 0 before the
+     * stream was started, then the time at which the search for another run began.
+     */
+    private long mWaitStart;
+
+    StreamTiming(StreamExecution execution, PrefillEngines prefillEngines) {
+        mExecution = execution;
+        mPrefillEngines = prefillEngines;
+    }
+
+    /**
+     * Records the arrival of the request.
+     *
+     * @return whether it was refused recently and this is the caller's retry
+     */
+    boolean recordArrival() {
+        ServingContext context = mExecution.mContext;
+        long now = context.loop().millis();
+        mReturning =
+                mExecution
+                        .mRequest
+                        .prompt()
+                        .filter(prompt -> context.recentRefusals().isReturning(prompt, now))
+                        .isPresent();
+        return mReturning;
+    }
+
+    boolean isReturning() {
+        return mReturning;
+    }
+
+    /** Records that a search for a decode engine begins. */
+    void recordSearch() {
+        mSearchedBefore = true;
+    }
+
+    /** Records that another run is searched, with a new wait budget if the stream was started. */
+    void restart() {
+        mWaitStart = mExecution.isStreaming() ? mExecution.trace().elapsedMillis() : 0;
+    }
+
+    /** Returns how long the request may wait for a reservation. */
+    WaitBudget waitBudget() {
+        return waitBudget(tier());
+    }
+
+    /** Returns how long the request may wait for a reservation in a queue tier. */
+    WaitBudget waitBudget(QueueTier tier) {
+        return new WaitBudget(
+                mExecution.mRoute.targetMillis(),
+                mExecution.trace().elapsedMillis() - mWaitStart,
+                mExecution.remainingMillis(),
+                tier);
+    }
+
+    /** Returns the queue tier, which depends on whether the request can still meet its target. */
+    QueueTier tier() {
+        if (mExecution.isStreaming() || mExecution.mRequest.lastEventId().isPresent()) {
+            return QueueTier.CONTINUED;
+        }
+        boolean late =
+                mSearchedBefore
+                        && mExecution.trace().elapsedMillis() >= mExecution.mRoute.targetMillis();
+        return late || mReturning ? QueueTier.LATE : QueueTier.IN_TIME;
+    }
+
+    /** Predicts the time of the prefill at the best engine, milliseconds; 0 for unknown. */
+    double predictedPrefillMillis() {
+        return mPrefillEngines.predictedMillis(Set.of());
+    }
+
+    /** Predicts the time from the reservation to the first event. */
+    WaitBudget.Prediction prediction() {
+        return prediction(Set.of());
+    }
+
+    /**
+     * Predicts the time from the reservation to the first event.
+     *
+     * @param excluded the prefill engines that are not to be used
+     */
+    WaitBudget.Prediction prediction(Set<UpstreamIncarnation> excluded) {
+        ServingContext context = mExecution.mContext;
+        return new WaitBudget.Prediction(
+                mPrefillEngines.predictedMillis(excluded)
+                        + context.prefillExcess().predictedMillis(),
+                context.firstEventDelay().predictedMillis());
+    }
+}
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecodeReservationTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecodeReservationTest.java
@@ -39,7 +39,7 @@
     private static final LoadSettings GROWTH = new LoadSettings(false, false, true, false, false);
     private static final FlowKey FLOW = new FlowKey(1, FlowKey.NO_ORGANISATION);
     private static final long WAIT = 700;
-    private static final long PROMPT = 5000;
+    private static final int PROMPT = 5000;
     private static final long LIMIT = 4500;
 
     private final UpstreamEntry mEngine = TestUpstreams.decode("engine");
@@ -99,7 +99,12 @@
                         settings,
                         random);
         EngineTraits traits = new EngineTraits(10, 70_000, 60, 2000, 2000, 500);
-        return new DecodeReservation(context, "service", traits, FLOW, PROMPT, PROMPT + 8000, 0);
+        return new DecodeReservation(
+                context,
+                "service",
+                traits,
+                FLOW,
+                new PromptMetadata("model", PROMPT, 8000, List.of()));
     }
 
     /** Reports a full engine and late requests that wait at another router. */
@@ -157,7 +162,7 @@
     }
 
     private double predictedWait(LoadSettings settings, QueueTier tier) {
-        return reservation(settings).predictedWaitMillis(List.of(mEngine), tier, WAIT);
+        return reservation(settings).forecast().predictedWaitMillis(List.of(mEngine), tier, WAIT);
     }
 
     @Test
@@ -171,20 +176,20 @@
     @Test
     public void returnTimeCountsReturnsAtOtherRouters() {
         reportLateRequests(5, 0);
-        long first = reservation(ORDERED).retryDelayMillis(List.of(mEngine), 60_000);
+        long first = reservation(ORDERED).forecast().retryDelayMillis(List.of(mEngine), 60_000);
         assertEquals(mReturns.returningCost(mTime.millis()), (double) PROMPT);
         mReturns = new ReturnSchedule(new Random(1));
         reportLateRequests(5, 100_000);
-        long second = reservation(ORDERED).retryDelayMillis(List.of(mEngine), 60_000);
+        long second = reservation(ORDERED).forecast().retryDelayMillis(List.of(mEngine), 60_000);
         assertEquals(second - first, 100_000 / 10, 1000);
     }
 
     @Test
     public void withoutReportsOrTheSettingReturnsArePacedByOwnGrants() {
-        long alone = reservation(ORDERED).retryDelayMillis(List.of(mEngine), LIMIT);
+        long alone = reservation(ORDERED).forecast().retryDelayMillis(List.of(mEngine), LIMIT);
         assertTrue(alone > LIMIT * 0.64 && alone <= LIMIT, "delay " + alone);
         reportLateRequests(5, 0);
-        reservation(LoadSettings.DEFAULT).retryDelayMillis(List.of(mEngine), LIMIT);
+        reservation(LoadSettings.DEFAULT).forecast().retryDelayMillis(List.of(mEngine), LIMIT);
         assertEquals(mReturns.returningCost(mTime.millis()), 0.0);
     }
 
