--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -129,9 +129,9 @@
         List<UpstreamEntry> upstreams = upstreams(UpstreamEntry.Role.PLAIN);
         if (mOnlyUpstream != null) {
             upstreams = upstreams.contains(mOnlyUpstream) ? List.of(mOnlyUpstream) : List.of();
-            return mContext.loads().byCalls(upstreams, Set.of());
+            return mContext.loads().order().byCalls(upstreams, Set.of());
         }
-        return mContext.loads().byCalls(upstreams, excludedUpstreams());
+        return mContext.loads().order().byCalls(upstreams, excludedUpstreams());
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReservationAllocator.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ReservationAllocator.java
@@ -79,21 +79,6 @@
     /** Whether the waiting searches are scheduled to try again. */
     private boolean mRetryScheduled;
 
-    /**
-     * Creates an allocator that orders its own searches only.
-     *
-     * @param loadView provides the current load of the other routers before engines are selected
-     */
-    public ReservationAllocator(
-            TrafficLoop loop,
-            UpstreamPort port,
-            UpstreamLoads loads,
-            UpstreamAdmission admission,
-            LoadView loadView,
-            RandomGenerator random) {
-        this(loop, port, loads, admission, loadView, random, WaitingOrder.ALONE);
-    }
-
     /**
      * Creates an allocator.
      *
@@ -338,7 +323,7 @@
             if (!engines.isEmpty()) {
                 mLastCandidates = engines;
             }
-            List<UpstreamEntry> candidates = mLoads.byTokens(engines, mTriedEngines);
+            List<UpstreamEntry> candidates = mLoads.order().byTokens(engines, mTriedEngines);
             for (UpstreamEntry engine : mRooms.usable(candidates, now)) {
                 if (mRooms.hasRoom(engine, now)
                         && mAdmission.tryAcquire(engine, mRequirements.claim().flow())) {
@@ -367,7 +352,7 @@
                             + mRefusalCount
                             + " refusals: "
                             + mRequirements.room().requirement(mRequirements.promptTokens());
-            List<UpstreamEntry> engines = mLoads.byTokens(mLastCandidates, Set.of());
+            List<UpstreamEntry> engines = mLoads.order().byTokens(mLastCandidates, Set.of());
             return engines.isEmpty()
                     ? requirement + ", no engine may be asked"
                     : requirement
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -1,8 +1,6 @@
 package org.troutpier.daemon.serving;
 
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -372,18 +370,6 @@
         return mOrder;
     }
 
-    /** Orders upstreams; see {@link UpstreamOrder#byCalls}. */
-    public List<UpstreamEntry> byCalls(
-            Collection<UpstreamEntry> candidates, Set<UpstreamIncarnation> tried) {
-        return mOrder.byCalls(candidates, tried);
-    }
-
-    /** Orders engines; see {@link UpstreamOrder#byTokens}. */
-    public List<UpstreamEntry> byTokens(
-            Collection<UpstreamEntry> candidates, Set<UpstreamIncarnation> tried) {
-        return mOrder.byTokens(candidates, tried);
-    }
-
     /** Returns the pace of the upstreams. */
     public PaceEstimate paces() {
         return mPaces;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/PlainCallsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/PlainCallsTest.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 import org.testng.annotations.Test;
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
@@ -17,11 +16,10 @@
 import org.troutpier.daemon.cluster.LoadReport;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.cluster.ReportScope;
+import org.troutpier.daemon.cluster.TestReports;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.node.ManualClock;
-import org.troutpier.daemon.organisation.UsageReport;
-import org.troutpier.daemon.waiting.WaitingReport;
 
 /** Waiting calls of a router that hears of another one, in virtual time. */
 public final class PlainCallsTest {
@@ -78,20 +76,7 @@
 
     private static PeerLoads peers() {
         PeerLoads peers = new PeerLoads();
-        LoadReport report =
-                new LoadReport(
-                        1,
-                        1,
-                        false,
-                        0,
-                        Set.of(),
-                        Set.of(),
-                        Map.of(),
-                        Map.of(),
-                        UsageReport.NONE,
-                        Map.of(),
-                        WaitingReport.NONE,
-                        Map.of());
+        LoadReport report = TestReports.ofUses(Map.of());
         Incarnation sender = Incarnation.create(new InstanceId("other"));
         peers.update(sender, HALL, ReportScope.OWN, report, 0);
         peers.aggregate(0);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/ServiceCallsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/ServiceCallsTest.java
@@ -5,7 +5,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.troutpier.common.id.HallId;
@@ -16,10 +15,9 @@
 import org.troutpier.daemon.cluster.LoadReport;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.cluster.ReportScope;
+import org.troutpier.daemon.cluster.TestReports;
 import org.troutpier.daemon.cluster.UpstreamUsage;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.organisation.UsageReport;
-import org.troutpier.daemon.waiting.WaitingReport;
 
 /** The limits of a router that has just started, with reports of another router and without. */
 public final class ServiceCallsTest {
@@ -75,19 +73,7 @@
 
     private void report(int calls) {
         LoadReport report =
-                new LoadReport(
-                        1,
-                        1,
-                        false,
-                        0,
-                        Set.of(),
-                        Set.of(),
-                        Map.of(UPSTREAM.incarnation(), UpstreamUsage.of(calls, 0)),
-                        Map.of(),
-                        UsageReport.NONE,
-                        Map.of(),
-                        WaitingReport.NONE,
-                        Map.of());
+                TestReports.ofUses(Map.of(UPSTREAM.incarnation(), UpstreamUsage.of(calls, 0)));
         Incarnation sender = Incarnation.create(new InstanceId("other"));
         mPeers.update(sender, HALL, ReportScope.OWN, report, 0);
         mPeers.aggregate(0);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecodeReservationTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecodeReservationTest.java
@@ -15,15 +15,12 @@
 import org.troutpier.common.id.PartnerId;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.cluster.Demand;
-import org.troutpier.daemon.cluster.DemandMeter;
 import org.troutpier.daemon.cluster.LoadReport;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.cluster.PrefillLatencyModel;
 import org.troutpier.daemon.cluster.ReportScope;
 import org.troutpier.daemon.cluster.UpstreamUsage;
-import org.troutpier.daemon.decision.GrowthMargin;
 import org.troutpier.daemon.decision.QueueTier;
-import org.troutpier.daemon.decision.RetryPacer;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.node.ManualClock;
@@ -58,46 +55,13 @@
     }
 
     private DecodeReservation reservation(LoadSettings settings) {
-        Random random = new Random(1);
-        mLoads = new UpstreamLoads(mTime.loop(), random, TestUpstreams.HALL, mPeers);
-        UpstreamAdmission admission =
-                new UpstreamAdmission(
-                        mLoads,
-                        new UpstreamRates(
-                                mTime.loop(), mTime::millis, random, mPeers, () -> 1, mMetrics),
-                        new UpstreamNotices(mTime.loop(), random, mMetrics),
-                        random);
-        ServingContext context =
-                new ServingContext(
-                        mTime.loop(),
-                        new FakePort(),
-                        null,
-                        mLoads,
-                        admission,
-                        null,
-                        new ReservationAllocator(
-                                mTime.loop(),
-                                new FakePort(),
-                                mLoads,
-                                admission,
-                                Runnable::run,
-                                random),
-                        null,
-                        null,
-                        null,
-                        new RetryPacer(random),
-                        mReturns,
-                        new GrowthMargin(),
-                        null,
-                        null,
-                        mPeers,
-                        Runnable::run,
-                        new DemandMeter(),
-                        new ServingMetrics(mMetrics),
-                        null,
-                        null,
-                        settings,
-                        random);
+        TestContext builder = new TestContext(mTime);
+        builder.mPeers = mPeers;
+        builder.mMetrics = mMetrics;
+        builder.mReturns = mReturns;
+        builder.mSettings = settings;
+        ServingContext context = builder.build();
+        mLoads = context.loads();
         EngineTraits traits = new EngineTraits(10, 70_000, 60, 2000, 2000, 500);
         return new DecodeReservation(
                 context,
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/EngineUsageReconcilerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/EngineUsageReconcilerTest.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -14,13 +13,12 @@
 import org.troutpier.daemon.cluster.LoadReport;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.cluster.ReportScope;
+import org.troutpier.daemon.cluster.TestReports;
 import org.troutpier.daemon.cluster.UpstreamUsage;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualClock;
-import org.troutpier.daemon.organisation.UsageReport;
 import org.troutpier.daemon.role.EngineRoleClient;
-import org.troutpier.daemon.waiting.WaitingReport;
 
 /** Tests the accounting for runs that no router reports. */
 public final class EngineUsageReconcilerTest {
@@ -118,19 +116,7 @@
 
     private void receivePeerReport(long tokens) {
         LoadReport report =
-                new LoadReport(
-                        1,
-                        1,
-                        false,
-                        0,
-                        Set.of(),
-                        Set.of(),
-                        Map.of(mEngine.incarnation(), UpstreamUsage.of(1, tokens)),
-                        Map.of(),
-                        UsageReport.NONE,
-                        Map.of(),
-                        WaitingReport.NONE,
-                        Map.of());
+                TestReports.ofUses(Map.of(mEngine.incarnation(), UpstreamUsage.of(1, tokens)));
         mPeers.update(PEER, TestUpstreams.HALL, ReportScope.OWN, report, mTime.millis());
         mPeers.aggregate(mTime.millis());
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -5,41 +5,28 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
-import com.codahale.metrics.MetricRegistry;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Random;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import org.troutpier.common.event.EventRing;
-import org.troutpier.common.event.HybridClock;
 import org.troutpier.common.id.RequestId;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.result.ResultCode;
-import org.troutpier.daemon.cluster.DemandMeter;
-import org.troutpier.daemon.cluster.LoadView;
-import org.troutpier.daemon.cluster.PeerLoads;
-import org.troutpier.daemon.decision.GrowthMargin;
-import org.troutpier.daemon.decision.LatencyEstimator;
-import org.troutpier.daemon.decision.RetryPacer;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.limit.FlowKey;
-import org.troutpier.daemon.limit.UsageSettings;
 import org.troutpier.daemon.node.ManualClock;
 import org.troutpier.daemon.notice.AnnouncedRate;
-import org.troutpier.daemon.organisation.OrganisationLimiter;
 import org.troutpier.daemon.organisation.Requester;
 import org.troutpier.daemon.quarantine.Quarantine;
 import org.troutpier.daemon.quarantine.QuarantineSettings;
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.upstream.AttemptEnd;
-import org.troutpier.daemon.waiting.ReturnSchedule;
 
 /** Executions whose upstreams fail, leave, restart or refuse work. */
 public final class ExecutionTest {
@@ -64,54 +51,15 @@
         mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
         RestartAwarePort port = new RestartAwarePort(mPort);
         mDirectory.setListener(port::retain);
-        PeerLoads peers = new PeerLoads();
         mRequester = new Requester.Unchecked();
         mDeferredDecisions = null;
-        LoadView view = this::decideOrDefer;
-        Random random = new Random(1);
-        UpstreamLoads loads = new UpstreamLoads(mTime.loop(), random, TestUpstreams.HALL, peers);
-        MetricRegistry metrics = new MetricRegistry();
-        UpstreamRates rates =
-                new UpstreamRates(mTime.loop(), mTime::millis, random, peers, () -> 1, metrics);
-        UpstreamAdmission admission =
-                new UpstreamAdmission(
-                        loads, rates, new UpstreamNotices(mTime.loop(), random, metrics), random);
-        mQuarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, metrics);
-        mContext =
-                new ServingContext(
-                        mTime.loop(),
-                        port,
-                        mDirectory,
-                        loads,
-                        admission,
-                        new ExtraCallBudget(0, 0, 10_000),
-                        new ReservationAllocator(
-                                mTime.loop(), port, loads, admission, view, random),
-                        new OrganisationLimiter(
-                                UsageSettings.DEFAULT,
-                                mTime::millis,
-                                random,
-                                peers,
-                                () -> 1,
-                                metrics),
-                        new RecentRefusals(),
-                        new CrashGuard(mTime.loop(), port, mDirectory, mQuarantine, metrics),
-                        new RetryPacer(random),
-                        new ReturnSchedule(random),
-                        new GrowthMargin(),
-                        LatencyEstimator.forPrefillExcess(),
-                        LatencyEstimator.forFirstEvent(),
-                        peers,
-                        view,
-                        new DemandMeter(),
-                        new ServingMetrics(new MetricRegistry()),
-                        new DecisionLog(
-                                new MetricRegistry(),
-                                new EventRing("router", 16, new HybridClock()),
-                                mTime.loop()),
-                        TestPlainCalls.on(mTime, loads, peers, random, 1),
-                        LoadSettings.DEFAULT,
-                        random);
+        TestContext context = new TestContext(mTime);
+        context.mPort = port;
+        context.mDirectory = mDirectory;
+        context.mView = this::decideOrDefer;
+        mQuarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, context.mMetrics);
+        context.mQuarantine = mQuarantine;
+        mContext = context.build();
     }
 
     private void decideOrDefer(Runnable decision) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FailingEnginesTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FailingEnginesTest.java
@@ -4,7 +4,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import org.testng.annotations.Test;
@@ -12,10 +11,9 @@
 import org.troutpier.daemon.cluster.LoadReport;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.cluster.ReportScope;
+import org.troutpier.daemon.cluster.TestReports;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualClock;
-import org.troutpier.daemon.organisation.UsageReport;
-import org.troutpier.daemon.waiting.WaitingReport;
 
 /**
  * Engines that report to be healthy and fail every run at once, used by many routers of which each
@@ -82,7 +80,7 @@
 
     private boolean run(int router, int failing) {
         UpstreamLoads loads = mRouters.get(router);
-        UpstreamEntry engine = loads.byTokens(mEngines, Set.of()).get(0);
+        UpstreamEntry engine = loads.order().byTokens(mEngines, Set.of()).get(0);
         if (mEngines.indexOf(engine) < failing) {
             loads.failed(engine, false, "status 500");
             return false;
@@ -106,20 +104,7 @@
     private void exchangeReports() {
         List<LoadReport> reports = new ArrayList<>();
         for (UpstreamLoads loads : mRouters) {
-            reports.add(
-                    new LoadReport(
-                            1,
-                            1,
-                            false,
-                            0,
-                            Set.of(),
-                            Set.of(),
-                            loads.usage(),
-                            Map.of(),
-                            UsageReport.NONE,
-                            Map.of(),
-                            WaitingReport.NONE,
-                            Map.of()));
+            reports.add(TestReports.ofUses(loads.usage()));
         }
         for (int router = 0; router < ROUTERS; router++) {
             List<LoadReport> others = new ArrayList<>(reports);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlacementByPaceTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlacementByPaceTest.java
@@ -224,11 +224,11 @@
         UpstreamEntry busy = TestUpstreams.plain("busy", TestUpstreams.HALL.value());
         UpstreamLoads loads = loadsWithSlow(slow);
         loads.begin(busy, 0);
-        assertEquals(loads.byCalls(List.of(slow, busy), Set.of()).get(0), busy);
+        assertEquals(loads.order().byCalls(List.of(slow, busy), Set.of()).get(0), busy);
         for (int call = 0; call < 5; call++) {
             loads.begin(busy, 0);
         }
-        assertEquals(loads.byCalls(List.of(slow, busy), Set.of()).get(0), slow);
+        assertEquals(loads.order().byCalls(List.of(slow, busy), Set.of()).get(0), slow);
     }
 
     @Test
@@ -239,6 +239,7 @@
         UpstreamLoads loads = loadsWithSlow(slow);
         loads.begin(busy, 60_000);
         assertEquals(
-                loads.byTokens(List.of(slow, busy, idle), Set.of()), List.of(idle, busy, slow));
+                loads.order().byTokens(List.of(slow, busy, idle), Set.of()),
+                List.of(idle, busy, slow));
     }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
@@ -1,6 +1,5 @@
 package org.troutpier.daemon.serving;
 
-import com.codahale.metrics.MetricRegistry;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
@@ -13,35 +12,22 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.troutpier.common.event.EventRing;
-import org.troutpier.common.event.HybridClock;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.InstanceId;
 import org.troutpier.common.id.PartnerId;
 import org.troutpier.common.id.RequestId;
 import org.troutpier.common.result.ResultCode;
-import org.troutpier.daemon.cluster.DemandMeter;
 import org.troutpier.daemon.cluster.LoadReport;
-import org.troutpier.daemon.cluster.LoadView;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.cluster.ReportScope;
-import org.troutpier.daemon.decision.GrowthMargin;
-import org.troutpier.daemon.decision.LatencyEstimator;
-import org.troutpier.daemon.decision.RetryPacer;
+import org.troutpier.daemon.cluster.TestReports;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.limit.UsageSettings;
 import org.troutpier.daemon.node.ManualClock;
-import org.troutpier.daemon.organisation.OrganisationLimiter;
 import org.troutpier.daemon.organisation.Requester;
-import org.troutpier.daemon.organisation.UsageReport;
-import org.troutpier.daemon.plain.PlainCalls;
-import org.troutpier.daemon.quarantine.Quarantine;
-import org.troutpier.daemon.quarantine.QuarantineSettings;
 import org.troutpier.daemon.route.Organisation;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.route.UsageLimit;
-import org.troutpier.daemon.waiting.ReturnSchedule;
 
 /**
  * Routers that send plain calls to a few upstreams, and callers that return once after a refusal,
@@ -330,65 +316,20 @@
         }
 
         private ServingContext context(UpstreamPort port) {
-            MetricRegistry metrics = new MetricRegistry();
-            Random random = new Random(mRandom.nextLong());
-            TrafficLoop loop = mTime.loop();
-            UpstreamDirectory directory = new UpstreamDirectory(mTime.control(), mTime::millis);
-            directory.replaceAll(mUpstreams.stream().map(each -> each.mEntry).toList());
-            UpstreamLoads loads = new UpstreamLoads(loop, random, TestUpstreams.HALL, mPeers);
-            UpstreamAdmission admission =
-                    new UpstreamAdmission(
-                            loads,
-                            new UpstreamRates(
-                                    loop, mTime::millis, random, mPeers, () -> 1, metrics),
-                            new UpstreamNotices(loop, random, metrics),
-                            random);
-            Quarantine quarantine =
-                    new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, metrics);
-            LoadView view = Runnable::run;
-            PlainCalls plainCalls =
-                    TestPlainCalls.on(mTime, loads, mPeers, random, mRouters.size() + 1);
-            return new ServingContext(
-                    loop,
-                    port,
-                    directory,
-                    loads,
-                    admission,
-                    new ExtraCallBudget(0.2, 2, 10_000),
-                    new ReservationAllocator(loop, port, loads, admission, view, random),
-                    new OrganisationLimiter(
-                            UsageSettings.DEFAULT, mTime::millis, random, mPeers, () -> 1, metrics),
-                    new RecentRefusals(),
-                    new CrashGuard(loop, port, directory, quarantine, metrics),
-                    new RetryPacer(random),
-                    new ReturnSchedule(random),
-                    new GrowthMargin(),
-                    LatencyEstimator.forPrefillExcess(),
-                    LatencyEstimator.forFirstEvent(),
-                    mPeers,
-                    view,
-                    new DemandMeter(),
-                    new ServingMetrics(metrics),
-                    new DecisionLog(metrics, new EventRing("router", 16, new HybridClock()), loop),
-                    plainCalls,
-                    mSettings,
-                    random);
+            TestContext context = new TestContext(mTime);
+            context.mRandom = new Random(PlainFleet.this.mRandom.nextLong());
+            context.mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
+            context.mDirectory.replaceAll(mUpstreams.stream().map(each -> each.mEntry).toList());
+            context.mPort = port;
+            context.mPeers = mPeers;
+            context.mSettings = mSettings;
+            context.mExtraCallBudget = new ExtraCallBudget(0.2, 2, 10_000);
+            context.mRouters = mRouters.size() + 1;
+            return context.build();
         }
 
         private LoadReport report() {
-            return new LoadReport(
-                    1,
-                    1,
-                    false,
-                    0,
-                    Set.of(),
-                    Set.of(),
-                    mContext.loads().usage(),
-                    Map.of(),
-                    UsageReport.NONE,
-                    Map.of(),
-                    mContext.plainCalls().report(),
-                    Map.of());
+            return TestReports.of(mContext.loads().usage(), mContext.plainCalls().report());
         }
 
         private void receive(List<Router> senders, List<LoadReport> reports) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PrefillTimeoutTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PrefillTimeoutTest.java
@@ -4,42 +4,28 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
-import com.codahale.metrics.MetricRegistry;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Random;
 import java.util.Set;
 import org.testng.annotations.Test;
-import org.troutpier.common.event.EventRing;
-import org.troutpier.common.event.HybridClock;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.RequestId;
-import org.troutpier.daemon.cluster.DemandMeter;
 import org.troutpier.daemon.cluster.LoadReport;
-import org.troutpier.daemon.cluster.LoadView;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.cluster.ReportScope;
 import org.troutpier.daemon.cluster.UpstreamUsage;
-import org.troutpier.daemon.decision.GrowthMargin;
-import org.troutpier.daemon.decision.LatencyEstimator;
-import org.troutpier.daemon.decision.RetryPacer;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.limit.UsageSettings;
 import org.troutpier.daemon.node.ManualClock;
-import org.troutpier.daemon.organisation.OrganisationLimiter;
 import org.troutpier.daemon.organisation.Requester;
 import org.troutpier.daemon.organisation.UsageReport;
 import org.troutpier.daemon.pace.PaceEstimate;
 import org.troutpier.daemon.pace.PaceReport;
-import org.troutpier.daemon.quarantine.Quarantine;
-import org.troutpier.daemon.quarantine.QuarantineSettings;
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.route.Route;
-import org.troutpier.daemon.waiting.ReturnSchedule;
 import org.troutpier.daemon.waiting.WaitingReport;
 
 /** Tests when a prefill engine that has not answered is taken for silent. */
@@ -60,53 +46,13 @@
         RestartAwarePort port = new RestartAwarePort(mPort);
         mDirectory.setListener(port::retain);
         mPeers = new PeerLoads();
-        LoadView view = Runnable::run;
-        Random random = new Random(1);
-        PaceEstimate paces = new PaceEstimate(load.pace(), mPeers::pace, mTime::millis);
-        UpstreamLoads loads =
-                new UpstreamLoads(mTime.loop(), random, TestUpstreams.HALL, mPeers, paces);
-        MetricRegistry metrics = new MetricRegistry();
-        UpstreamRates rates =
-                new UpstreamRates(mTime.loop(), mTime::millis, random, mPeers, () -> 1, metrics);
-        UpstreamAdmission admission =
-                new UpstreamAdmission(
-                        loads, rates, new UpstreamNotices(mTime.loop(), random, metrics), random);
-        Quarantine quarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, metrics);
-        mContext =
-                new ServingContext(
-                        mTime.loop(),
-                        port,
-                        mDirectory,
-                        loads,
-                        admission,
-                        new ExtraCallBudget(0, 1, 10_000),
-                        new ReservationAllocator(
-                                mTime.loop(), port, loads, admission, view, random),
-                        new OrganisationLimiter(
-                                UsageSettings.DEFAULT,
-                                mTime::millis,
-                                random,
-                                mPeers,
-                                () -> 1,
-                                metrics),
-                        new RecentRefusals(),
-                        new CrashGuard(mTime.loop(), port, mDirectory, quarantine, metrics),
-                        new RetryPacer(random),
-                        new ReturnSchedule(random),
-                        new GrowthMargin(),
-                        LatencyEstimator.forPrefillExcess(),
-                        LatencyEstimator.forFirstEvent(),
-                        mPeers,
-                        view,
-                        new DemandMeter(),
-                        new ServingMetrics(new MetricRegistry()),
-                        new DecisionLog(
-                                new MetricRegistry(),
-                                new EventRing("router", 16, new HybridClock()),
-                                mTime.loop()),
-                        null,
-                        load,
-                        random);
+        TestContext context = new TestContext(mTime);
+        context.mPort = port;
+        context.mDirectory = mDirectory;
+        context.mPeers = mPeers;
+        context.mSettings = load;
+        context.mExtraCallBudget = new ExtraCallBudget(0, 1, 10_000);
+        mContext = context.build();
     }
 
     /**
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReservationAllocatorTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ReservationAllocatorTest.java
@@ -20,6 +20,7 @@
 import org.troutpier.daemon.cluster.LoadReport;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.cluster.ReportScope;
+import org.troutpier.daemon.cluster.TestReports;
 import org.troutpier.daemon.cluster.UpstreamUsage;
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamEntry;
@@ -27,9 +28,8 @@
 import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.node.ManualClock;
 import org.troutpier.daemon.notice.AnnouncedRate;
-import org.troutpier.daemon.organisation.UsageReport;
 import org.troutpier.daemon.waiting.Claim;
-import org.troutpier.daemon.waiting.WaitingReport;
+import org.troutpier.daemon.waiting.WaitingOrder;
 
 /** Searches for reservations at decode engines. */
 public final class ReservationAllocatorTest {
@@ -73,7 +73,13 @@
                         new Random(1));
         mAllocator =
                 new ReservationAllocator(
-                        mTime.loop(), mPort, mLoads, admission, Runnable::run, new Random(1));
+                        mTime.loop(),
+                        mPort,
+                        mLoads,
+                        admission,
+                        Runnable::run,
+                        new Random(1),
+                        WaitingOrder.ALONE);
         mGranted = null;
         mRefused = null;
     }
@@ -118,21 +124,10 @@
 
     private void reportPeerUsage(long first, long second) {
         LoadReport report =
-                new LoadReport(
-                        1,
-                        1,
-                        false,
-                        0,
-                        Set.of(),
-                        Set.of(),
+                TestReports.ofUses(
                         Map.of(
                                 mFirst.incarnation(), UpstreamUsage.of(1, first),
-                                mSecond.incarnation(), UpstreamUsage.of(1, second)),
-                        Map.of(),
-                        UsageReport.NONE,
-                        Map.of(),
-                        WaitingReport.NONE,
-                        Map.of());
+                                mSecond.incarnation(), UpstreamUsage.of(1, second)));
         Incarnation peer = new Incarnation("peer~1");
         assertEquals(peer.instance(), new InstanceId("peer"));
         mPeers.update(peer, TestUpstreams.HALL, ReportScope.OWN, report, mTime.millis());
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -15,6 +15,7 @@
 import org.troutpier.daemon.cluster.LoadReport;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.cluster.ReportScope;
+import org.troutpier.daemon.cluster.TestReports;
 import org.troutpier.daemon.cluster.UpstreamUsage;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualClock;
@@ -38,7 +39,7 @@
     }
 
     private Optional<UpstreamEntry> pick() {
-        return mLoads.byCalls(List.of(mFar, mNear), Set.of()).stream().findFirst();
+        return mLoads.order().byCalls(List.of(mFar, mNear), Set.of()).stream().findFirst();
     }
 
     @Test
@@ -54,20 +55,7 @@
 
     @Test
     public void callsOfOtherRoutersCount() {
-        LoadReport report =
-                new LoadReport(
-                        1,
-                        1,
-                        false,
-                        0,
-                        Set.of(),
-                        Set.of(),
-                        Map.of(mNear.incarnation(), UpstreamUsage.of(5, 0)),
-                        Map.of(),
-                        UsageReport.NONE,
-                        Map.of(),
-                        WaitingReport.NONE,
-                        Map.of());
+        LoadReport report = TestReports.ofUses(Map.of(mNear.incarnation(), UpstreamUsage.of(5, 0)));
         mPeers.update(
                 new Incarnation("peer~1"),
                 TestUpstreams.HALL,
@@ -99,13 +87,13 @@
         UpstreamEntry other = TestUpstreams.decode("other");
         mLoads.begin(other, 1000);
         mLoads.replaced(engine);
-        assertEquals(mLoads.byTokens(List.of(engine, other), Set.of()), List.of(other));
+        assertEquals(mLoads.order().byTokens(List.of(engine, other), Set.of()), List.of(other));
         UpstreamEntry changed = TestUpstreams.prefill("engine");
-        assertEquals(mLoads.byTokens(List.of(changed), Set.of()), List.of(changed));
+        assertEquals(mLoads.order().byTokens(List.of(changed), Set.of()), List.of(changed));
         mTime.advance(3900);
-        assertEquals(mLoads.byTokens(List.of(engine, other), Set.of()), List.of(other));
+        assertEquals(mLoads.order().byTokens(List.of(engine, other), Set.of()), List.of(other));
         mTime.advance(200);
-        assertEquals(mLoads.byTokens(List.of(engine, other), Set.of()).size(), 2);
+        assertEquals(mLoads.order().byTokens(List.of(engine, other), Set.of()).size(), 2);
     }
 
     @Test
@@ -115,17 +103,17 @@
         List<UpstreamEntry> engines = List.of(idle, busy);
         mLoads.begin(busy, 5000);
         mLoads.runRefused(idle);
-        assertEquals(mLoads.byTokens(engines, Set.of()).get(0), idle);
+        assertEquals(mLoads.order().byTokens(engines, Set.of()).get(0), idle);
         mLoads.runRefused(idle);
-        assertEquals(mLoads.byTokens(engines, Set.of()), List.of(busy));
+        assertEquals(mLoads.order().byTokens(engines, Set.of()), List.of(busy));
         assertEquals(mLoads.refusingEngines(), Set.of(idle.incarnation()));
         mTime.advance(1001);
-        assertEquals(mLoads.byTokens(engines, Set.of()).get(0), idle);
+        assertEquals(mLoads.order().byTokens(engines, Set.of()).get(0), idle);
         mLoads.runRefused(idle);
         mTime.advance(1001);
-        assertEquals(mLoads.byTokens(engines, Set.of()), List.of(busy));
+        assertEquals(mLoads.order().byTokens(engines, Set.of()), List.of(busy));
         mLoads.succeeded(idle);
-        assertEquals(mLoads.byTokens(engines, Set.of()).get(0), idle);
+        assertEquals(mLoads.order().byTokens(engines, Set.of()).get(0), idle);
     }
 
     @Test
@@ -154,7 +142,7 @@
                 report,
                 mTime.millis());
         mPeers.aggregate(mTime.millis());
-        assertEquals(mLoads.byTokens(List.of(idle, busy), Set.of()), List.of(busy));
+        assertEquals(mLoads.order().byTokens(List.of(idle, busy), Set.of()), List.of(busy));
     }
 
     @Test
@@ -166,7 +154,7 @@
             mLoads.runRefused(idle);
             mLoads.runRefused(busy);
         }
-        assertEquals(mLoads.byTokens(List.of(busy, idle), Set.of()), List.of(idle, busy));
+        assertEquals(mLoads.order().byTokens(List.of(busy, idle), Set.of()), List.of(idle, busy));
     }
 
     @Test
@@ -190,9 +178,13 @@
     @Test
     public void triedUpstreamsAndChangingEnginesAreNotChosen() {
         assertEquals(
-                mLoads.byCalls(List.of(mNear, mFar), Set.of(mNear.incarnation())), List.of(mFar));
+                mLoads.order().byCalls(List.of(mNear, mFar), Set.of(mNear.incarnation())),
+                List.of(mFar));
         mLoads.setChangingEngines(Set.of(mFar.incarnation()));
-        assertTrue(mLoads.byCalls(List.of(mNear, mFar), Set.of(mNear.incarnation())).isEmpty());
+        assertTrue(
+                mLoads.order()
+                        .byCalls(List.of(mNear, mFar), Set.of(mNear.incarnation()))
+                        .isEmpty());
     }
 
     @Test
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/WaitingOrderOverRoutersTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/WaitingOrderOverRoutersTest.java
@@ -10,7 +10,6 @@
 import org.testng.Reporter;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.troutpier.daemon.serving.WaitingSimulation.Workload;
 import org.troutpier.daemon.waiting.HoldBack;
 
 /**
@@ -47,7 +46,10 @@
 
     /** A simulation that has ended, and its workloads. */
     private record Run(
-            WaitingSimulation simulation, Workload calm, Workload flood, Workload lessUrgent) {
+            WaitingSimulation simulation,
+            WaitingWorkload calm,
+            WaitingWorkload flood,
+            WaitingWorkload lessUrgent) {
 
         double served() {
             double granted = calm.mGranted + flood.mGranted + lessUrgent.mGranted;
@@ -68,9 +70,9 @@
 
     /** Four floods of 5 s, in which the less urgent kind has bursts of its own. */
     private static Run play(WaitingSimulation simulation, Runnable trouble) {
-        Workload calm = simulation.add("calm", 0, URGENT_WAIT, 21);
-        Workload flood = simulation.add("flood", 0, URGENT_WAIT, 5);
-        Workload lessUrgent = simulation.add("calm", 2, LESS_URGENT_WAIT, 0);
+        WaitingWorkload calm = simulation.add("calm", 0, URGENT_WAIT, 21);
+        WaitingWorkload flood = simulation.add("flood", 0, URGENT_WAIT, 5);
+        WaitingWorkload lessUrgent = simulation.add("calm", 2, LESS_URGENT_WAIT, 0);
         for (int burst = 0; burst < 4; burst++) {
             lessUrgent.mPerSecond = LESS_URGENT_PER_SECOND;
             simulation.advance(3);
@@ -208,7 +210,7 @@
     /** One organisation sends seven times its usual, and a less urgent kind has a burst. */
     @Test
     public void floodOfOneOfSixteenOrganisations() {
-        List<Workload> calm = new ArrayList<>();
+        List<WaitingWorkload> calm = new ArrayList<>();
         double[] served = new double[2];
         double[] lessUrgent = new double[2];
         for (int shared = 0; shared <= 1; shared++) {
@@ -217,8 +219,9 @@
             for (int number = 1; number < 16; number++) {
                 calm.add(simulation.add("org-" + number, 0, URGENT_WAIT, 2));
             }
-            Workload flood = simulation.add("org-0", 0, URGENT_WAIT, 8);
-            Workload less = simulation.add("org-1", 2, LESS_URGENT_WAIT, LESS_URGENT_PER_SECOND);
+            WaitingWorkload flood = simulation.add("org-0", 0, URGENT_WAIT, 8);
+            WaitingWorkload less =
+                    simulation.add("org-1", 2, LESS_URGENT_WAIT, LESS_URGENT_PER_SECOND);
             for (int burst = 0; burst < 4; burst++) {
                 simulation.advance(4);
                 flood.mPerSecond = 56;
@@ -229,7 +232,7 @@
             }
             int granted = 0;
             int requests = 0;
-            for (Workload each : calm) {
+            for (WaitingWorkload each : calm) {
                 granted += each.mGranted;
                 requests += each.mRequests;
             }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/WaitingSimulation.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/WaitingSimulation.java
@@ -15,18 +15,16 @@
 import java.util.function.Consumer;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.troutpier.common.id.Incarnation;
-import org.troutpier.common.id.PartnerId;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.cluster.LoadReport;
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.cluster.ReportScope;
+import org.troutpier.daemon.cluster.TestReports;
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.growth.MemoryAdmission;
 import org.troutpier.daemon.limit.Arrivals;
-import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.node.ManualClock;
-import org.troutpier.daemon.organisation.UsageReport;
 import org.troutpier.daemon.upstream.AttemptEnd;
 import org.troutpier.daemon.waiting.Claim;
 import org.troutpier.daemon.waiting.SharedOrder;
@@ -54,7 +52,7 @@
     private final List<UpstreamEntry> mEngines = new ArrayList<>();
     private final Map<UpstreamIncarnation, Long> mUsedTokens = new HashMap<>();
     private final Map<UpstreamIncarnation, Integer> mUsedSlots = new HashMap<>();
-    private final List<Workload> mWorkloads = new ArrayList<>();
+    private final List<WaitingWorkload> mWorkloads = new ArrayList<>();
     private final Set<Request> mWaiting = new LinkedHashSet<>();
 
     long mMinDelayMillis = 5;
@@ -84,64 +82,9 @@
 
     private double mUsedShareSum;
 
-    /** The requests of one organisation and urgency, and their outcome. */
-    static final class Workload {
-        final FlowKey mFlow;
-        final long mWaitMillis;
-        double mPerSecond;
-        int mRequests;
-        int mGranted;
-        int mLargeRequests;
-        int mLargeGranted;
-        long mWaitedMillis;
-
-        /** Requests at routers that were not cut off when they arrived. */
-        int mConnectedRequests;
-
-        int mConnectedGranted;
-
-        Workload(String organisation, int rank, long waitMillis, double perSecond) {
-            mFlow = new FlowKey(rank, new PartnerId(organisation));
-            mWaitMillis = waitMillis;
-            mPerSecond = perSecond;
-        }
-
-        double inTime() {
-            return mGranted / (double) Math.max(1, mRequests);
-        }
-
-        double connectedInTime() {
-            return mConnectedGranted / (double) Math.max(1, mConnectedRequests);
-        }
-
-        double largeInTime() {
-            return mLargeGranted / (double) Math.max(1, mLargeRequests);
-        }
-
-        double smallInTime() {
-            return (mGranted - mLargeGranted) / (double) Math.max(1, mRequests - mLargeRequests);
-        }
-
-        @Override
-        public String toString() {
-            return String.format(
-                    Locale.ROOT,
-                    "%s rank %d: %d of %d, connected %d of %d, large %d of %d, waited %d ms",
-                    mFlow.organisation(),
-                    mFlow.rank(),
-                    mGranted,
-                    mRequests,
-                    mConnectedGranted,
-                    mConnectedRequests,
-                    mLargeGranted,
-                    mLargeRequests,
-                    mWaitedMillis / Math.max(1, mGranted));
-        }
-    }
-
     /** A request that searches for memory. */
     private final class Request implements ReservationAllocator.Listener {
-        final Workload mWorkload;
+        final WaitingWorkload mWorkload;
         final Router mRouter;
         final long mTokens;
         final long mArrivedMillis = mClock.millis();
@@ -153,7 +96,7 @@
 
         ReservationAllocator.Search mSearch;
 
-        Request(Workload workload, Router router) {
+        Request(WaitingWorkload workload, Router router) {
             mWorkload = workload;
             mRouter = router;
             mLarge = mRandom.nextInt(10) == 0;
@@ -246,31 +189,19 @@
         void start() {
             mStart++;
             mPeers = new PeerLoads();
-            mLoads = new UpstreamLoads(mClock.loop(), mRandom, TestUpstreams.HALL, mPeers);
-            UpstreamRates rates =
-                    new UpstreamRates(
-                            mClock.loop(),
-                            mClock::millis,
-                            mRandom,
-                            mPeers,
-                            () -> 1,
-                            new MetricRegistry());
-            UpstreamNotices notices =
-                    new UpstreamNotices(mClock.loop(), mRandom, new MetricRegistry());
-            WaitingOrder order =
+            TestContext context = new TestContext(mClock);
+            context.mPort = new Port();
+            context.mPeers = mPeers;
+            context.mRandom = mRandom;
+            context.mView = this::whenFresh;
+            context.mOrder =
                     mShared
                             ? new SharedOrder(
                                     mPeers::waiting, name -> MEAN_RUN_MILLIS, new MetricRegistry())
                             : WaitingOrder.ALONE;
-            mAllocator =
-                    new ReservationAllocator(
-                            mClock.loop(),
-                            new Port(),
-                            mLoads,
-                            new UpstreamAdmission(mLoads, rates, notices, mRandom),
-                            this::whenFresh,
-                            mRandom,
-                            order);
+            ServingContext serving = context.build();
+            mLoads = serving.loads();
+            mAllocator = serving.reservations();
             mLoads.onUrgentChange(this::report);
             mLoads.onChange(this::scheduleReport);
             mAllocator.onWaiting(this::onWaiting);
@@ -301,20 +232,7 @@
         void report() {
             mReportScheduled = false;
             mReportedMillis = mClock.millis();
-            LoadReport report =
-                    new LoadReport(
-                            1,
-                            1,
-                            false,
-                            0,
-                            Set.of(),
-                            Set.of(),
-                            mLoads.usage(),
-                            Map.of(),
-                            UsageReport.NONE,
-                            Map.of(),
-                            mAllocator.waitingReport(),
-                            Map.of());
+            LoadReport report = TestReports.of(mLoads.usage(), mAllocator.waitingReport());
             mReportedWaiting = !report.waiting().entries().isEmpty();
             countBytes(report);
             Incarnation self = new Incarnation("router-" + mNumber + "~" + mStart);
@@ -409,8 +327,8 @@
         mClock.loop().schedule(() -> reportPeriodically(router), 500);
     }
 
-    Workload add(String organisation, int rank, long waitMillis, double perSecond) {
-        Workload workload = new Workload(organisation, rank, waitMillis, perSecond);
+    WaitingWorkload add(String organisation, int rank, long waitMillis, double perSecond) {
+        WaitingWorkload workload = new WaitingWorkload(organisation, rank, waitMillis, perSecond);
         mWorkloads.add(workload);
         return workload;
     }
@@ -442,7 +360,7 @@
     }
 
     private void tick() {
-        for (Workload workload : mWorkloads) {
+        for (WaitingWorkload workload : mWorkloads) {
             double mean = workload.mPerSecond * TICK_MILLIS / 1000.0;
             for (int count = Arrivals.poisson(mRandom, mean); count > 0; count--) {
                 Router router = mRouters.get(mRandom.nextInt(mRouters.size()));
