Unreached upstreams are told apart from those that refuse

A refused connection and a refusal by the upstream were one counter, and the line of an ejection did not say what the other routers get at that upstream, so an upstream that ended and a path that only this router lost read the same. Calls without a connection are counted on their own (upstream.ID.unreached), and the line carries the recent calls, successes and failures of the peers.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
@@ -270,7 +270,7 @@
             mContext.admission().refund(mEngine, mStart);
         }
         mTrace.addStep("prefill failed(" + end.detail() + ")");
-        mContext.metrics().callFailed(mEngine.id(), end.notStarted());
+        mContext.metrics().callFailed(mEngine.id(), end);
         if (end.notStarted() && end.leaving()) {
             mContext.loads().replaced(mEngine);
         } else if (end.notStarted() && !end.unreachable()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -204,7 +204,7 @@
     /** Records a failed attempt in the trace, the metrics and the state of its upstream. */
     protected void recordFailure(UpstreamEntry upstream, AttemptEnd end) {
         mOutcomeTracker.recordAttemptEnd(end);
-        mContext.metrics().callFailed(upstream.id(), end.notStarted());
+        mContext.metrics().callFailed(upstream.id(), end);
         mTrace.addStep("failed@" + upstream.id() + "(" + end.detail() + ")");
         if (end.notStarted() && end.leaving()) {
             mContext.loads().replaced(upstream);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.daemon.decision.QueueTier;
+import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
  * Metrics of requests by outcome, route, stage and upstream. Thread safe. Invariant: metrics of
@@ -96,13 +97,13 @@
         recordStage(stage, millis);
     }
 
-    /**
-     * Counts a call that was not answered successfully.
-     *
-     * @param notStarted whether it is proved that the upstream did not start the call
-     */
-    void callFailed(UpstreamId upstream, boolean notStarted) {
-        count(upstream, notStarted ? "refused" : "failed");
+    /** Counts a call that was not answered successfully. */
+    void callFailed(UpstreamId upstream, AttemptEnd end) {
+        if (end.neverReached()) {
+            count(upstream, "unreached");
+        } else {
+            count(upstream, end.notStarted() ? "refused" : "failed");
+        }
     }
 
     /** Counts a prefill that is given more time before its engine counts as silent. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -332,12 +332,17 @@
         load.mEjectionMillis =
                 Math.min(MAX_EJECTION_MILLIS, Math.max(minMillis, 2 * load.mEjectionMillis));
         load.mEjectedUntil = now + load.mEjectionMillis;
+        UpstreamUsage peers = mPeers.upstreamUsage(upstream.incarnation());
         LOGGER.warn(
-                "upstream ejected after failures id={} failures={} millis={} cause={}",
+                "upstream ejected after failures id={} failures={} millis={} cause={}"
+                        + " peersCalls={} peersSucceeded={} peersFailed={}",
                 upstream.id(),
                 load.mConsecutiveFailures,
                 load.mEjectionMillis,
-                detail);
+                detail,
+                peers.calls(),
+                peers.succeeded(),
+                peers.failed());
     }
 
     /**
