--- a/troutpier-standins/src/main/java/org/troutpier/standins/fault/FaultProxy.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/fault/FaultProxy.java
@@ -39,7 +39,13 @@
 
     private final EventLoopGroup mLoops;
 
-    private final Channel mListener;
+    private final InetSocketAddress mAddress;
+
+    /** Accepts connections; closed while the path is cut. */
+    private volatile Channel mListener;
+
+    /** Keeps new connections waiting while the path is cut silently; null otherwise. */
+    private SilentSocket mSilentSocket;
 
     /** The target of new connections. */
     private volatile Address mTarget;
@@ -57,22 +63,50 @@
     public FaultProxy(Address listen, Address target, EventLoopGroup loops) {
         mTarget = target;
         mLoops = loops;
-        mListener =
-                new ServerBootstrap()
-                        .group(loops)
-                        .channel(NioServerSocketChannel.class)
-                        .childOption(ChannelOption.AUTO_READ, false)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(
-                                new ChannelInitializer<Channel>() {
-                                    @Override
-                                    protected void initChannel(Channel channel) {
-                                        onAccepted(channel);
-                                    }
-                                })
-                        .bind(listen.host(), listen.port())
-                        .syncUninterruptibly()
-                        .channel();
+        mListener = listen(new InetSocketAddress(listen.host(), listen.port()));
+        mAddress = (InetSocketAddress) mListener.localAddress();
+    }
+
+    private Channel listen(InetSocketAddress address) {
+        return new ServerBootstrap()
+                .group(mLoops)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                onAccepted(channel);
+                            }
+                        })
+                .bind(address)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /**
+     * Cuts the path for new connections; open ones are not affected.
+     *
+     * @param silently whether new connections hang, rather than being refused
+     */
+    public synchronized void cut(boolean silently) {
+        mend();
+        mListener.close().syncUninterruptibly();
+        if (silently) {
+            mSilentSocket = new SilentSocket(mAddress);
+        }
+    }
+
+    /** Accepts new connections again. */
+    public synchronized void mend() {
+        if (mSilentSocket != null) {
+            mSilentSocket.close();
+            mSilentSocket = null;
+        }
+        if (!mListener.isOpen()) {
+            mListener = listen(mAddress);
+        }
     }
 
     /**
@@ -81,8 +115,7 @@
      * @return the address
      */
     public Address address() {
-        InetSocketAddress address = (InetSocketAddress) mListener.localAddress();
-        return new Address(address.getHostString(), address.getPort());
+        return new Address(mAddress.getHostString(), mAddress.getPort());
     }
 
     /**
@@ -168,7 +201,10 @@
 
     /** Stops listening and closes all connections. */
     @Override
-    public void close() {
+    public synchronized void close() {
+        if (mSilentSocket != null) {
+            mSilentSocket.close();
+        }
         mListener.close().syncUninterruptibly();
         mConnections.forEach(connection -> connection.mClientChannel.close());
     }
