Routers reach upstreams through each other

Callers of routers that are partitioned from all upstreams got 503 within 10 ms where connections were refused, and 504 at the route's time-out where they hung: 1 of 52 and 3 of 53 first tries were served, at the other routers 204 of 212 and 211 of 214.

Cause: a router knew one path to an upstream, its own. A connection that failed counted against the upstream, though nothing told whether the upstream, its machine or the path was at fault, and no router could use a path that another one had. Class: a partial partition judged by one side alone.

Evidence: in the same seconds the upstreams ran 25 to 40 calls a second for the others, and all six other routers were heard; every refused request names a refused connection to each upstream. That speaks against upstreams that turn connections away, and against ejections that outlast the cut.

A direct connection that fails is now opened through another router before the call fails. Nothing was sent by then, so the call still counts as one. If that works, the path is lost and not the upstream: connections are forwarded until a probe gets through directly. If no router that is asked reaches the upstream, the failure counts against it as before. The forwarding router passes bytes on and decides nothing, so limits, order, attempts, the budget of extra calls and the deadline stay where they were. An upstream that closes its connection is marked by an empty frame; whatever else ends a forwarded connection is a loss. A connection is forwarded only to listed upstreams, by routers that reach them directly, after the handshake of peers; a router of the version before does not say that it forwards and is not asked.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpClient.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpClient.java
@@ -46,6 +46,16 @@
 
     /** Creates a client. */
     public HttpClient(EventLoopGroup loops) {
+        this(loops, connection -> {});
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param initializer is passed each connection before it is opened, to add handlers in front of
+     *     those of HTTP
+     */
+    public HttpClient(EventLoopGroup loops, Consumer<Channel> initializer) {
         mClient =
                 new DefaultAsyncHttpClient(
                         new DefaultAsyncHttpClientConfig.Builder()
@@ -65,6 +75,7 @@
                                 .setDisableUrlEncodingForBoundRequests(true)
                                 .setProxyServerSelector(ProxyServerSelector.NO_PROXY_SELECTOR)
                                 .setTcpNoDelay(true)
+                                .setHttpAdditionalChannelInitializer(initializer)
                                 .setSslEngineFactory(HttpClient::rejectTls)
                                 .build());
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
@@ -36,6 +36,7 @@
 import org.troutpier.daemon.peer.Membership;
 import org.troutpier.daemon.peer.PeerController;
 import org.troutpier.daemon.peer.PeerMesh;
+import org.troutpier.daemon.peer.PeerSecret;
 import org.troutpier.daemon.placement.PairSelector;
 import org.troutpier.daemon.placement.UpstreamRegistry;
 import org.troutpier.daemon.placement.UpstreamState;
@@ -119,7 +120,8 @@
                         mNode,
                         settings.peer(),
                         new PeerMesh.Peers(mMembership, mMembership::live),
-                        settings.peerSecret().value(),
+                        new PeerSecret(settings.peerSecret().value()),
+                        Optional.empty(),
                         mPeers::onMessage);
         ControllerReference holder = new ControllerReference();
         Optional<CoordinatorPermits> coordinator = createCoordinatorPermits(holder);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -86,6 +86,9 @@
     /** The current plan; replaced on the control thread, read by any thread. */
     private volatile RelayPlan mPlan;
 
+    /** The other routers that may be running; replaced on the control thread. */
+    private volatile List<Member> mOthers = List.of();
+
     /** Whether the table of routers has changed since the last plan. */
     private boolean mMembersChanged;
 
@@ -213,6 +216,26 @@
         mRelay.announceLeaving(List.of(upstream), true);
     }
 
+    /**
+     * Returns the other routers that may be running. Thread safe.
+     *
+     * @return those with a current report where routers report to each other directly, all listed
+     *     ones otherwise
+     */
+    public List<Member> others() {
+        return mOthers;
+    }
+
+    private void updateOthers() {
+        Set<Incarnation> reporters = mLoads.reporters(ReportScope.OWN);
+        boolean direct = mPlan.direct();
+        mOthers =
+                mMembership.live().stream()
+                        .filter(each -> !isSameStart(each, mMembership.self()))
+                        .filter(each -> !direct || reporters.contains(each.incarnation()))
+                        .toList();
+    }
+
     /**
      * Returns whether this router reads the store's tables for its hall. Thread safe.
      *
@@ -405,6 +428,7 @@
             updatePlan();
         }
         mLoads.aggregateIfOutdated(mNode.millis());
+        updateOthers();
         mRelay.resendUnchanged();
         if (mLoads.peerCount() != mLoggedPeerCount) {
             LOGGER.info(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -164,6 +164,14 @@
                 .findFirst();
     }
 
+    /** Returns the entry of a usable upstream, if its incarnation is the given one. */
+    public Optional<UpstreamEntry> find(UpstreamIncarnation incarnation) {
+        return mUsable.values().stream()
+                .flatMap(List::stream)
+                .filter(each -> each.incarnation().equals(incarnation))
+                .findFirst();
+    }
+
     /**
      * Returns whether an upstream is known to have restarted after an incarnation, so that the
      * state of that incarnation is lost.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/FrequentMessageCodec.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/FrequentMessageCodec.java
@@ -7,15 +7,17 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.cluster.LoadReport;
 import org.troutpier.daemon.cluster.ReportScope;
 import org.troutpier.daemon.cluster.SharedPage;
 import org.troutpier.daemon.rows.RowStore.Row;
 
 /**
- * Encodes and decodes, without reflection, the messages of the handshake and those that each router
- * receives several times a second. Stateless and thread safe. Invariants: the encoding is the one
- * that the annotations of {@link PeerMessage} describe; unknown fields are skipped.
+ * Encodes and decodes, without reflection, the messages of the handshake, of forwarded connections
+ * and those that each router receives several times a second. Stateless and thread safe.
+ * Invariants: the encoding is the one that the annotations of {@link PeerMessage} describe; unknown
+ * fields are skipped.
  */
 final class FrequentMessageCodec {
 
@@ -48,10 +50,10 @@
         if (message instanceof PeerMessage.Heard) {
             return begin("h", 0).toByteArray();
         }
-        return encodeHandshake(message);
+        return encodeSetup(message);
     }
 
-    private static byte[] encodeHandshake(PeerMessage message) throws IOException {
+    private static byte[] encodeSetup(PeerMessage message) throws IOException {
         MessageBufferPacker out;
         if (message instanceof PeerMessage.Hello hello) {
             out = begin("hello", 4);
@@ -60,12 +62,19 @@
             out.packString("peer").packString(hello.peer());
             out.packString("nonce").packString(hello.nonce());
         } else if (message instanceof PeerMessage.Challenge challenge) {
-            out = begin("challenge", 2);
+            out = begin("challenge", 3);
             out.packString("nonce").packString(challenge.nonce());
             out.packString("proof").packString(challenge.proof());
+            out.packString("forwards").packBoolean(challenge.forwards());
         } else if (message instanceof PeerMessage.Proof proof) {
             out = begin("proof", 1);
             out.packString("proof").packString(proof.proof());
+        } else if (message instanceof PeerMessage.Connect connect) {
+            out = begin("connect", 1);
+            out.packString("upstream").packString(connect.upstream().toString());
+        } else if (message instanceof PeerMessage.ConnectResult result) {
+            out = begin("connected", 1);
+            out.packString("outcome").packString(result.outcome().name());
         } else {
             return null;
         }
@@ -117,10 +126,13 @@
                 String[] texts = readTexts(in, fields, "incarnation", "hall", "peer", "nonce");
                 yield new PeerMessage.Hello(texts[0], texts[1], texts[2], texts[3]);
             }
-            case "challenge" -> {
-                String[] texts = readTexts(in, fields, "nonce", "proof");
-                yield new PeerMessage.Challenge(texts[0], texts[1]);
-            }
+            case "challenge" -> readChallenge(in, fields);
+            case "connect" ->
+                    new PeerMessage.Connect(
+                            UpstreamIncarnation.of(readTexts(in, fields, "upstream")[0]));
+            case "connected" ->
+                    new PeerMessage.ConnectResult(
+                            ForwardOutcome.valueOf(readTexts(in, fields, "outcome")[0]));
             case "proof" -> new PeerMessage.Proof(readTexts(in, fields, "proof")[0]);
             default -> null;
         };
@@ -141,6 +153,21 @@
         return texts;
     }
 
+    private static PeerMessage readChallenge(MessageUnpacker in, int fields) throws IOException {
+        String nonce = null;
+        String proof = null;
+        boolean forwards = false;
+        for (int field = 0; field < fields; field++) {
+            switch (in.unpackString()) {
+                case "nonce" -> nonce = in.unpackString();
+                case "proof" -> proof = in.unpackString();
+                case "forwards" -> forwards = in.unpackBoolean();
+                default -> in.skipValue();
+            }
+        }
+        return new PeerMessage.Challenge(nonce, proof, forwards);
+    }
+
     private static PeerMessage readLoad(MessageUnpacker in, int fields) throws IOException {
         ReportScope scope = null;
         LoadReport report = null;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
@@ -12,14 +12,13 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
@@ -36,13 +35,6 @@
  */
 public final class PeerMesh implements PeerLinks, AutoCloseable {
 
-    private static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
-
-    /** Largest frame before the peer has proved the secret. */
-    private static final int MAX_HANDSHAKE_FRAME_BYTES = 4096;
-
-    private static final int LENGTH_FIELD_BYTES = 4;
-
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
 
     private final Node mNode;
@@ -53,6 +45,9 @@
 
     private final MessageListener mMessageListener;
 
+    /** Forwards connections of peers; empty if this router does not. */
+    private final Optional<ForwardingServer> mForwarding;
+
     /**
      * Time after which a silent connection that this router opened and sends on is closed. A
      * connection may go silent for good without a reset, and peers use the load that was last
@@ -119,13 +114,20 @@
      * @param address the address to listen at
      * @param peers the other routers
      * @param secret the secret that all routers share
+     * @param forwarding forwards connections of peers; empty if this router does not
      * @param listener receives messages on the control thread
      */
     public PeerMesh(
-            Node node, Address address, Peers peers, String secret, MessageListener listener) {
+            Node node,
+            Address address,
+            Peers peers,
+            PeerSecret secret,
+            Optional<ForwardingServer> forwarding,
+            MessageListener listener) {
         mNode = node;
         mPeers = peers;
-        mSecret = new PeerSecret(secret);
+        mSecret = secret;
+        mForwarding = forwarding;
         mMessageListener = listener;
         mSent = node.metrics().counter("peer.sent");
         mReceived = node.metrics().counter("peer.heard");
@@ -140,7 +142,7 @@
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
                                     protected void initChannel(SocketChannel channel) {
-                                        addFraming(channel);
+                                        PeerFraming.addTo(channel.pipeline(), mBytes);
                                         channel.pipeline().addLast(new Incoming());
                                     }
                                 })
@@ -149,34 +151,6 @@
                         .channel();
     }
 
-    private void addFraming(Channel channel) {
-        channel.pipeline()
-                .addLast(
-                        "frames",
-                        new LengthFieldBasedFrameDecoder(
-                                MAX_HANDSHAKE_FRAME_BYTES,
-                                0,
-                                LENGTH_FIELD_BYTES,
-                                0,
-                                LENGTH_FIELD_BYTES))
-                .addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES))
-                .addLast(new ByteCounter(mBytes))
-                .addLast(new PeerCodec());
-    }
-
-    /**
-     * Allows frames of up to {@link #MAX_FRAME_BYTES} on a connection whose peer has proved the
-     * secret.
-     */
-    private static void raiseFrameLimit(Channel channel) {
-        channel.pipeline()
-                .replace(
-                        "frames",
-                        "trusted-frames",
-                        new LengthFieldBasedFrameDecoder(
-                                MAX_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES));
-    }
-
     /** Connects to every target that is not connected. */
     public void connect() {
         mPeers.connectionTargets().get().forEach(this::connect);
@@ -211,7 +185,7 @@
                         new ChannelInitializer<SocketChannel>() {
                             @Override
                             protected void initChannel(SocketChannel channel) {
-                                addFraming(channel);
+                                PeerFraming.addTo(channel.pipeline(), mBytes);
                                 channel.pipeline()
                                         .addLast(
                                                 new SilenceTimeoutHandler(
@@ -269,7 +243,7 @@
         mSent.inc();
         KindCounters kind = mSentByKind.computeIfAbsent(message.label(), this::registerKind);
         kind.messages().inc();
-        kind.bytes().inc(frame.length + LENGTH_FIELD_BYTES);
+        kind.bytes().inc(frame.length + PeerFraming.LENGTH_FIELD_BYTES);
         channel.writeAndFlush(Unpooled.wrappedBuffer(frame), channel.voidPromise());
     }
 
@@ -374,13 +348,18 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, PeerMessage message) {
-            if (mMember != null) {
+            if (mMember != null && message instanceof PeerMessage.Connect connect) {
+                mForwarding.ifPresentOrElse(
+                        each -> each.accept(context, mMember.incarnation(), connect.upstream()),
+                        context::close);
+            } else if (mMember != null) {
                 acknowledge(context);
                 dispatch(message);
             } else if (message instanceof PeerMessage.Hello hello && mHello == null) {
                 mHello = hello;
                 String proof = mSecret.computeProof("answer", hello.nonce(), mNonce);
-                context.writeAndFlush(new PeerMessage.Challenge(mNonce, proof));
+                context.writeAndFlush(
+                        new PeerMessage.Challenge(mNonce, proof, mForwarding.isPresent()));
             } else if (message instanceof PeerMessage.Proof proof && isProofValid(proof)) {
                 mMember =
                         new Member(
@@ -388,7 +367,7 @@
                                 new HallId(mHello.hall()),
                                 mHello.peer(),
                                 false);
-                raiseFrameLimit(context.channel());
+                PeerFraming.raiseLimit(context.pipeline());
                 Member member = mMember;
                 mNode.control()
                         .execute(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
@@ -36,6 +36,8 @@
     @JsonSubTypes.Type(value = PeerMessage.Page.class, name = "page"),
     @JsonSubTypes.Type(value = PeerMessage.TableAsked.class, name = "tableask"),
     @JsonSubTypes.Type(value = PeerMessage.TableTold.class, name = "tabletold"),
+    @JsonSubTypes.Type(value = PeerMessage.Connect.class, name = "connect"),
+    @JsonSubTypes.Type(value = PeerMessage.ConnectResult.class, name = "connected"),
     @JsonSubTypes.Type(value = PeerMessage.Heard.class, name = "h")
 })
 public sealed interface PeerMessage {
@@ -61,8 +63,9 @@
      *
      * @param nonce nonce that the peer's proof must cover
      * @param proof proves knowledge of the secret over both nonces
+     * @param forwards whether the sender accepts {@link Connect}; false if it does not say so
      */
-    record Challenge(String nonce, String proof) implements PeerMessage {}
+    record Challenge(String nonce, String proof, boolean forwards) implements PeerMessage {}
 
     /**
      * Completes the handshake.
@@ -213,6 +216,19 @@
      */
     record TableTold(String table, TableState state) implements PeerMessage {}
 
+    /**
+     * Requests that this connection be forwarded to an upstream that the sender cannot reach. Sent
+     * as the first message after the handshake; nothing else is sent before the answer.
+     */
+    record Connect(UpstreamIncarnation upstream) implements PeerMessage {}
+
+    /**
+     * Answers {@link Connect}. After {@link ForwardOutcome#OPENED}, the connection carries the
+     * bytes of the upstream's connection, those from the upstream in frames of which an empty one
+     * marks the end.
+     */
+    record ConnectResult(ForwardOutcome outcome) implements PeerMessage {}
+
     /** Acknowledges, on the connection on which they arrived, that messages are received. */
     record Heard() implements PeerMessage {}
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerSecret.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerSecret.java
@@ -9,7 +9,7 @@
 import javax.crypto.spec.SecretKeySpec;
 
 /** Proves knowledge of the shared secret by HMAC, without sending the secret. Thread safe. */
-final class PeerSecret {
+public final class PeerSecret {
 
     private static final String ALGORITHM = "HmacSHA256";
 
@@ -19,7 +19,8 @@
 
     private final SecureRandom mRandom = new SecureRandom();
 
-    PeerSecret(String secret) {
+    /** Creates a secret. */
+    public PeerSecret(String secret) {
         mSecret = secret.getBytes(StandardCharsets.UTF_8);
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/GracefulShutdown.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/GracefulShutdown.java
@@ -5,6 +5,7 @@
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.http.HttpServer;
 import org.troutpier.daemon.node.Readiness;
+import org.troutpier.daemon.peer.ForwardingServer;
 
 /**
  * Shuts a router down without aborting requests: readiness is withdrawn, each response closes its
@@ -33,17 +34,23 @@
 
     private final HttpServer mServer;
 
+    private final ForwardingServer mForwarding;
+
     private final long mGraceMillis;
 
     /**
      * Creates a shutdown.
      *
      * @param readiness whether this router accepts new work
+     * @param server serves callers
+     * @param forwarding forwards connections of other routers
      * @param graceMillis how long the process may take to end, milliseconds
      */
-    public GracefulShutdown(Readiness readiness, HttpServer server, long graceMillis) {
+    public GracefulShutdown(
+            Readiness readiness, HttpServer server, ForwardingServer forwarding, long graceMillis) {
         mReadiness = readiness;
         mServer = server;
+        mForwarding = forwarding;
         mGraceMillis = graceMillis;
     }
 
@@ -53,9 +60,13 @@
         mReadiness.setStopping();
         mServer.drain();
         LOGGER.info(
-                "shutdown started busy={} graceMillis={}", mServer.activeExchanges(), mGraceMillis);
+                "shutdown started busy={} forwarding={} graceMillis={}",
+                mServer.activeExchanges(),
+                mForwarding.connectionCount(),
+                mGraceMillis);
         waitUntil(() -> elapsedMillis(start) >= READINESS_DELAY_MILLIS, start);
         mServer.close();
+        mForwarding.drain();
         waitUntil(this::closeIdleConnections, start);
         LOGGER.info(
                 "shutdown finished busy={} millis={}",
@@ -66,11 +77,11 @@
     /**
      * Closes the connections without a request in progress, so that no further request is read.
      *
-     * @return whether no connection is left
+     * @return whether no connection is left, of callers or forwarded for other routers
      */
     private boolean closeIdleConnections() {
         mServer.closeIdle();
-        return mServer.connectionCount() == 0;
+        return mServer.connectionCount() == 0 && mForwarding.connectionCount() == 0;
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
@@ -104,6 +104,20 @@
                     OptionalLong.empty());
         }
 
+        /**
+         * Returns a copy for a call that is sent later.
+         *
+         * @param millis the time by which it is later, milliseconds
+         */
+        public RunPlan after(long millis) {
+            return new RunPlan(
+                    Math.max(1, deadlineMillis - millis),
+                    priority,
+                    prompt,
+                    reservation,
+                    resumeAfter);
+        }
+
         /**
          * Returns a copy with a reservation.
          *
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerMeshTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerMeshTest.java
@@ -10,6 +10,7 @@
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -66,7 +67,8 @@
                             node,
                             address,
                             new PeerMesh.Peers(membership, List::of),
-                            SECRET,
+                            new PeerSecret(SECRET),
+                            Optional.empty(),
                             (from, message) -> mHeard.add(message));
         }
 
