A request that was never sent is told as not run

An execution counted as being at an upstream from the moment it asked for a connection. A call now says whether any byte may have been sent, and such a request gets 503 with a time to come back.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/PathAwarePort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/PathAwarePort.java
@@ -187,6 +187,12 @@
         public void setAutoRead(boolean on) {
             mDelegate.setAutoRead(on);
         }
+
+        /** {@inheritDoc} Earlier sends have not reached the upstream. */
+        @Override
+        public boolean mayHaveBeenSent() {
+            return mDelegate.mayHaveBeenSent();
+        }
     }
 
     /** A run that may be sent several times. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -192,7 +192,7 @@
     /** {@inheritDoc} */
     @Override
     protected boolean isAtUpstream() {
-        return mAttempt != null;
+        return mAttempt != null && mAttempt.mayHaveBeenSent();
     }
 
     /** Decides how to continue after a failed attempt. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -176,7 +176,7 @@
     /**
      * Returns whether an upstream may be running the request now.
      *
-     * @return whether the request was sent to one whose answer has not ended
+     * @return whether any byte of it may have been sent to one whose answer has not ended
      */
     protected abstract boolean isAtUpstream();
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RestartAwarePort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RestartAwarePort.java
@@ -163,6 +163,12 @@
         public void setAutoRead(boolean on) {
             mDelegate.setAutoRead(on);
         }
+
+        /** {@inheritDoc} */
+        @Override
+        public boolean mayHaveBeenSent() {
+            return mDelegate == null || mDelegate.mayHaveBeenSent();
+        }
     }
 
     /** A run in flight. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -281,7 +281,7 @@
     /** {@inheritDoc} */
     @Override
     protected boolean isAtUpstream() {
-        return mRun != null;
+        return mRun != null && mRun.mayHaveBeenSent();
     }
 
     /** {@inheritDoc} */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
@@ -71,6 +71,11 @@
 
         /** Sets whether the answer is read from the connection; used for back-pressure. */
         void setAutoRead(boolean on);
+
+        /** Returns whether any byte of the call may have been sent; false only if none was. */
+        default boolean mayHaveBeenSent() {
+            return true;
+        }
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRun.java
@@ -78,6 +78,11 @@
         mCall.setAutoRead(on);
     }
 
+    /** Returns whether any byte of the call may have been sent. */
+    boolean mayHaveBeenSent() {
+        return mCall == null || mCall.mayHaveBeenSent();
+    }
+
     /** Aborts the call; its listener is not called again. */
     void abort() {
         mCall.abort();
