--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -318,6 +318,14 @@
         }
     }
 
+    /**
+     * Discards recent failures that were those of the path, so that the peers do not count them.
+     */
+    public void discardFailures(UpstreamEntry upstream) {
+        load(upstream.incarnation()).mRecentFailures.discardBefore(Long.MAX_VALUE, mLoop.millis());
+        mOnChange.run();
+    }
+
     /**
      * Ejects an upstream, unless it is ejected already. Until a call succeeds, each ejection lasts
      * twice as long as the one before, up to {@link #MAX_EJECTION_MILLIS}.
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -53,6 +53,14 @@
         assertEquals(pick().get(), mNear);
     }
 
+    @Test
+    public void callsLostWithThePathCountAgainstTheUpstreamAtAllRouters() {
+        mLoads.failed(mNear, false, "lost");
+        assertEquals(mLoads.usage().keySet(), Set.of(mNear.incarnation()));
+        mLoads.discardFailures(mNear);
+        assertEquals(mLoads.usage().keySet(), Set.of());
+    }
+
     @Test
     public void callsOfOtherRoutersCount() {
         LoadReport report = TestReports.ofUses(Map.of(mNear.incarnation(), UpstreamUsage.of(5, 0)));
