A router that reaches no engine leaves their roles to another

The holder of the role lease renewed it while it was partitioned from the engines. Its orders cannot be forwarded, since engines tell those who order apart by the machine that connects, so nobody changed roles until the partition ended. A holder that does not reach most engines directly no longer renews, and does not compete; another one takes over after a term, as after a crash. If the partition ends before, it renews again and nothing changed hands. The test has the lease held by the partitioned router without the change.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamPaths.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamPaths.java
@@ -148,6 +148,12 @@
         return mUnreachableUntil.getOrDefault(upstream, Long.MIN_VALUE) <= mLoop.millis();
     }
 
+    /** Returns whether this router reaches most of some upstreams directly. Thread safe. */
+    public boolean reachesMost(List<UpstreamEntry> upstreams) {
+        long reachable = upstreams.stream().filter(each -> isReachable(each.incarnation())).count();
+        return 2 * reachable >= upstreams.size();
+    }
+
     /** Returns the number of upstreams to which connections are forwarded. */
     public int forwardedCount() {
         return mForwardedCount;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -70,6 +70,9 @@
     /** Whether this router competes for the lease. */
     private final BooleanSupplier mEligible;
 
+    /** Whether this router reaches the engines. */
+    private final BooleanSupplier mAbleToOrder;
+
     private final EngineRoleClient mClient;
 
     private final RoleLease mLease;
@@ -144,8 +147,13 @@
      * @param eligible whether this router competes for the lease now. If all routers did, a start
      *     of the fleet would cost four calls to the store per router, and all writes but one would
      *     be in conflict; one router per hall is enough
+     * @param ableToOrder whether this router reaches the engines, to which orders are not forwarded
      */
-    public record LeaseOptions(RowStore store, long leaseMillis, BooleanSupplier eligible) {}
+    public record LeaseOptions(
+            RowStore store,
+            long leaseMillis,
+            BooleanSupplier eligible,
+            BooleanSupplier ableToOrder) {}
 
     /**
      * Creates a controller.
@@ -161,6 +169,7 @@
             EngineRoleClient client,
             LeaseOptions leaseOptions) {
         mEligible = leaseOptions.eligible();
+        mAbleToOrder = leaseOptions.ableToOrder();
         mNode = node;
         mConfiguration = configuration;
         mDirectory = directory;
@@ -192,7 +201,7 @@
         if (configuration.isEmpty() || !mDirectory.isLoaded()) {
             return;
         }
-        mLease.tick(mPeers.hasRoleHolder(), mEligible.getAsBoolean());
+        mLease.tick(mPeers.hasRoleHolder(), mEligible.getAsBoolean(), mAbleToOrder.getAsBoolean());
         mHoldsLease = mLease.isHeld();
         if (mLease.mayOrder()) {
             configuration
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleLease.java
@@ -127,13 +127,15 @@
      *
      * @param otherHolds whether another router recently reported that it holds the lease
      * @param eligible whether this router competes for the lease; a holder keeps it regardless
+     * @param ableToOrder whether this router reaches the engines; otherwise it neither competes nor
+     *     renews, so that another router can take over
      */
-    void tick(boolean otherHolds, boolean eligible) {
+    void tick(boolean otherHolds, boolean eligible, boolean ableToOrder) {
         if (mToken != 0 && !isHeld()) {
             LOGGER.warn("role lease expired without renewal token={}", mToken);
             mToken = 0;
         }
-        if (mCallPending || mNode.millis() < mNextCall) {
+        if (mCallPending || mNode.millis() < mNextCall || !ableToOrder) {
             return;
         }
         if (isHeld()) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
@@ -105,7 +105,7 @@
                         new PeerLoads(),
                         service -> Demand.NONE,
                         mClient,
-                        new RoleController.LeaseOptions(mStore, TERM, () -> true));
+                        new RoleController.LeaseOptions(mStore, TERM, () -> true, () -> true));
         mController.start();
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleLeaseTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleLeaseTest.java
@@ -35,13 +35,15 @@
         final RoleLease mLease;
         boolean mOtherHolds;
         boolean mEligible = true;
+        boolean mAbleToOrder = true;
         long mSuspendedMillis;
 
         Contender(String name) {
             LongSupplier clock = new ElapsedClock(this::monotonicNanos, mTime::millis);
             Node node = TestNode.of(name, mControl, clock);
             mLease = new RoleLease(node, mStore, TERM);
-            mControl.scheduleWithFixedDelay(() -> mLease.tick(mOtherHolds, mEligible), TICK);
+            mControl.scheduleWithFixedDelay(
+                    () -> mLease.tick(mOtherHolds, mEligible, mAbleToOrder), TICK);
         }
 
         /** The monotonic clock of the system, which stops while the machine is suspended. */
@@ -63,6 +65,19 @@
         mRows = new VersionedRows();
     }
 
+    @Test
+    public void aHolderThatReachesNoEngineKeepsOthersFromOrdering() {
+        Contender first = new Contender("a");
+        mTime.advance(2 * TERM);
+        Contender second = new Contender("b");
+        mTime.advance(TERM);
+        assertTrue(first.mLease.mayOrder());
+        first.mAbleToOrder = false;
+        mTime.advance(4 * TERM);
+        assertFalse(first.mLease.isHeld());
+        assertTrue(second.mLease.mayOrder());
+    }
+
     @Test
     public void aRouterWaitsEvenIfARestoredRowIsItsOwn() {
         Contender first = new Contender("a");
