--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -25,27 +25,16 @@
 import org.troutpier.daemon.serving.EngineUsageReconciler;
 
 /**
- * Exchanges load reports and notices with the other routers, as the {@link RelayPlan} says. Sends
- * the configuration in force to routers that have an older one, so that a router that the store
- * rejects still follows, and passes shared tables to the {@link TableExchange}. Confined to the
- * control thread. Invariant: no guarantee depends on it; a router that receives no message serves
- * with what it knows itself.
+ * Exchanges load reports and notices with the other routers, as the {@link RelayPlan} says, and
+ * passes configurations to the {@link ConfigurationExchange} and shared tables to the {@link
+ * TableExchange}. Confined to the control thread. Invariant: no guarantee depends on it; a router
+ * that receives no message serves with what it knows itself.
  */
 public final class PeerExchange implements PeerMesh.MessageListener {
 
     /** State of a running router in an instance list. */
     private static final String ALIVE = "alive";
 
-    /** Time during which the same version is not sent to a router again, milliseconds. */
-    private static final long CONFIGURATION_RESEND_MILLIS = 500;
-
-    /**
-     * Time for which a router may report an older version before it is sent the one in force,
-     * milliseconds: a few calls of the store. With the interval between two reports, it stays well
-     * under the two seconds in which a version must be in force everywhere.
-     */
-    private static final long OUTDATED_GRACE_MILLIS = 300;
-
     /** Interval between checks for silent routers and expired reports, milliseconds. */
     static final long TICK_MILLIS = 250;
 
@@ -56,9 +45,7 @@
 
     private final Node mNode;
 
-    private final CurrentConfiguration mConfiguration;
-
-    private final ConfigurationDecoder mDecoder;
+    private final ConfigurationExchange mConfigurations;
 
     private final PeerLoads mLoads;
 
@@ -75,12 +62,6 @@
     /** Rows of the table of routers, by instance. */
     private final Map<String, MemberRow> mMemberRows = new HashMap<>();
 
-    /** The configuration that was last sent to each router. */
-    private final Map<Incarnation, SentConfiguration> mSentConfigurations = new HashMap<>();
-
-    /** Time since when each router has been known to have an older version, milliseconds. */
-    private final Map<Incarnation, Long> mOutdatedSince = new HashMap<>();
-
     private final TableExchange mTables;
 
     /** The current plan; replaced on the control thread, read by any thread. */
@@ -106,14 +87,6 @@
     /** Number of routers with a current report when it was last logged. */
     private int mLoggedPeerCount;
 
-    /**
-     * A configuration that was sent.
-     *
-     * @param version its version
-     * @param sentMillis when, milliseconds on the monotonic clock
-     */
-    private record SentConfiguration(long version, long sentMillis) {}
-
     /**
      * Creates an exchange and starts to listen.
      *
@@ -133,8 +106,6 @@
             PeerNoticeListener notices) {
         mNotices = notices;
         mNode = node;
-        mConfiguration = configuration;
-        mDecoder = decoder;
         mLoads = loads;
         Member self = new Member(node.incarnation(), node.hall(), address.toString(), false);
         mMembership = new Membership(self, node.nanos());
@@ -142,6 +113,7 @@
         mLinks =
                 linkFactory.open(
                         new PeerMesh.Peers(mMembership, () -> mPlan.connectionTargets()), this);
+        mConfigurations = new ConfigurationExchange(node, mLinks, configuration, decoder);
         mRelay = new LoadRelay(node, mLinks, loads, () -> mPlan);
         mTables = new TableExchange(node.hall(), mLinks, () -> mPlan, mRelay::groupMembers);
         node.control().scheduleWithFixedDelay(this::tick, TICK_MILLIS);
@@ -159,18 +131,12 @@
                         ? mMemberRows.remove(instance.value())
                         : mMemberRows.put(instance.value(), row);
         if (before != null && (row == null || !before.incarnation().equals(row.incarnation()))) {
-            discardVersions(new Incarnation(before.incarnation()));
+            mConfigurations.forget(new Incarnation(before.incarnation()));
         }
         mMembersChanged = true;
         schedulePlan();
     }
 
-    /** Discards what is known of the versions at an earlier start of a router. */
-    private void discardVersions(Incarnation router) {
-        mSentConfigurations.remove(router);
-        mOutdatedSince.remove(router);
-    }
-
     /** Schedules computing the plan; changes until then share it. */
     private void schedulePlan() {
         if (!mPlanScheduled) {
@@ -303,7 +269,7 @@
         } else if (message instanceof PeerMessage.LoadAsked) {
             mRelay.onLoadRequest(from.incarnation());
         } else if (message instanceof PeerMessage.Configuration offered) {
-            adopt(from, offered);
+            mConfigurations.onOffered(from.incarnation(), offered);
         } else if (message instanceof PeerMessage.Refused refused) {
             mNotices.onRequestsRefused(refused.keys());
             forward(from, local -> mRelay.announceRefusals(refused.keys(), local));
@@ -341,11 +307,7 @@
                 onRelayAnswer();
             }
         }
-        if (load.report().configuration() < mConfiguration.version()) {
-            onOutdatedVersion(from.incarnation());
-        } else {
-            mOutdatedSince.remove(from.incarnation());
-        }
+        mConfigurations.onVersion(from.incarnation(), load.report().configuration());
     }
 
     /** Runs the callbacks that wait for the relay's answer. */
@@ -356,19 +318,6 @@
         callbacks.forEach(Runnable::run);
     }
 
-    /**
-     * Sends the version in force to a router that has had an older one for a while. Routers read
-     * the store themselves: sent to all at once, 20 versions with 550 routes took 90 MB of traffic
-     * between halls in a simulation with seven routers.
-     */
-    private void onOutdatedVersion(Incarnation router) {
-        long now = mNode.millis();
-        long since = mOutdatedSince.computeIfAbsent(router, first -> now);
-        if (now - since >= OUTDATED_GRACE_MILLIS) {
-            sendConfiguration(router);
-        }
-    }
-
     /**
      * Forwards a notice where this router is a relay.
      *
@@ -381,41 +330,6 @@
         }
     }
 
-    private void adopt(Member from, PeerMessage.Configuration offered) {
-        if (offered.version() <= mConfiguration.version()) {
-            return;
-        }
-        try {
-            mConfiguration.adoptIfNewer(
-                    mDecoder.decode(offered.encoded()), from.incarnation().value());
-        } catch (RuntimeException exception) {
-            LOGGER.error("cannot decode configuration from={}", from.incarnation(), exception);
-        }
-    }
-
-    /** Sends the version in force, unless it was sent a short time ago. */
-    private void sendConfiguration(Incarnation to) {
-        long now = mNode.millis();
-        long version = mConfiguration.version();
-        SentConfiguration before = mSentConfigurations.get(to);
-        if (before != null
-                && before.version() == version
-                && now - before.sentMillis() < CONFIGURATION_RESEND_MILLIS) {
-            return;
-        }
-        mConfiguration
-                .current()
-                .ifPresent(
-                        current -> {
-                            mSentConfigurations.put(
-                                    to, new SentConfiguration(current.version(), now));
-                            mLinks.send(
-                                    to,
-                                    new PeerMessage.Configuration(
-                                            current.version(), current.encoded()));
-                        });
-    }
-
     /**
      * Discards expired reports, resends unchanged ones, and computes the plan if its inputs
      * changed.
