Calls do not wait for an upstream that is silent on all paths

Where connections hang and no other router reaches the upstream either, each call waited 300 ms for each upstream before its caller heard anything. Such an upstream is now known to be unreachable: calls to it fail at once, a probe looks for the path five times a second, and other routers are asked again after a second. A nonce is drawn only for connections that are forwarded.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamPaths.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamPaths.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.ConnectTimeoutException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -34,7 +35,7 @@
  * to open one: if it succeeds, the path is lost and not the upstream, and connections are forwarded
  * until a direct one succeeds. Confined to the traffic loop, except {@link #isReachable} and {@link
  * #forwardedCount}, which are thread safe. Invariant: an upstream that no other router reaches
- * either is treated as if there were none.
+ * either is treated as if there were none, except that no call waits for it while connections hang.
  */
 public final class UpstreamPaths implements ForwardingHandler.Paths {
 
@@ -86,7 +87,9 @@
         /** A direct connection failed; whether another router reaches the upstream is not known. */
         DOUBTED,
         /** Another router reaches the upstream and this one does not. */
-        FORWARDED
+        FORWARDED,
+        /** Direct connections hang and no other router reaches the upstream either. */
+        UNREACHABLE
     }
 
     /** The path to one upstream. */
@@ -102,6 +105,9 @@
         /** Whether the upstream's machine refused the last router that failed. */
         private boolean mRefused = true;
 
+        /** Whether the last direct connection that failed got no answer. */
+        private boolean mSilent;
+
         /** Time until which no router is asked, milliseconds. */
         private long mRetryAt = Long.MIN_VALUE;
 
@@ -176,7 +182,7 @@
     boolean hasAlternative(UpstreamEntry upstream) {
         UpstreamPath path = mPaths.get(upstream.address());
         return path != null
-                && path.mState != State.DIRECT
+                && (path.mState == State.DOUBTED || path.mState == State.FORWARDED)
                 && mSelector.select(path.mUpstream, mLoop.millis()).isPresent();
     }
 
@@ -189,6 +195,13 @@
         return path == null || path.mState == State.DIRECT && path.mRefused;
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public boolean isUnreachable(InetSocketAddress upstream) {
+        UpstreamPath path = mPaths.get(Address.of(upstream));
+        return path != null && path.mState == State.UNREACHABLE && !mayAsk(path);
+    }
+
     /** {@inheritDoc} */
     @Override
     public Optional<ForwardingHandler.Path> select(InetSocketAddress upstream) {
@@ -196,6 +209,9 @@
         if (path == null || path.mState == State.DIRECT) {
             return Optional.empty();
         }
+        if (path.mState == State.UNREACHABLE) {
+            doubt(path);
+        }
         return mSelector
                 .select(path.mUpstream, mLoop.millis())
                 .map(peer -> new ForwardingHandler.Path(path.mUpstream.incarnation(), peer));
@@ -222,12 +238,17 @@
         if (failure == null) {
             restore(path);
         } else if (path.mState == State.DIRECT && mayAsk(path)) {
-            path.mState = State.DOUBTED;
-            path.mFailed.clear();
-            publish();
+            path.mSilent = failure instanceof ConnectTimeoutException;
+            doubt(path);
         }
     }
 
+    private void doubt(UpstreamPath path) {
+        path.mState = State.DOUBTED;
+        path.mFailed.clear();
+        publish();
+    }
+
     /** Connects directly again. */
     private void restore(UpstreamPath path) {
         if (path.mState == State.FORWARDED) {
@@ -289,9 +310,12 @@
                         path.mFailed.size(),
                         outcome);
             }
-            path.mState = State.DIRECT;
+            path.mState = path.mSilent ? State.UNREACHABLE : State.DIRECT;
             path.mRetryAt = now + RETRY_MILLIS;
             publish();
+            if (path.mSilent) {
+                startProbing();
+            }
         }
     }
 
@@ -339,18 +363,22 @@
                 });
     }
 
+    private static boolean isProbed(UpstreamPath path) {
+        return path.mState == State.FORWARDED || path.mState == State.UNREACHABLE;
+    }
+
     private Optional<UpstreamPath> nextToProbe() {
         if (mProbeOrder.isEmpty()) {
             mPaths.forEach(
                     (address, path) -> {
-                        if (path.mState == State.FORWARDED) {
+                        if (isProbed(path)) {
                             mProbeOrder.add(address);
                         }
                     });
         }
         while (!mProbeOrder.isEmpty()) {
             UpstreamPath path = mPaths.get(mProbeOrder.remove());
-            if (path != null && path.mState == State.FORWARDED) {
+            if (path != null && isProbed(path)) {
                 return Optional.of(path);
             }
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/ForwardingHandler.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/ForwardingHandler.java
@@ -39,7 +39,8 @@
 
     private final Identity mIdentity;
 
-    private final String mNonce;
+    /** Nonce that the forwarding router's proof must cover; null for a direct connection. */
+    private String mNonce;
 
     private InetSocketAddress mUpstream;
 
@@ -76,6 +77,9 @@
     /** Selects the paths to upstreams. Called on the event loop of the connection. */
     public interface Paths {
 
+        /** Returns whether a connection is known to fail, so that nobody should wait for it. */
+        boolean isUnreachable(InetSocketAddress upstream);
+
         /** Returns the path to an address; empty to connect directly. */
         Optional<Path> select(InetSocketAddress upstream);
 
@@ -97,7 +101,6 @@
     public ForwardingHandler(Paths paths, Identity identity) {
         mPaths = paths;
         mIdentity = identity;
-        mNonce = identity.secret().newNonce();
     }
 
     /** {@inheritDoc} */
@@ -109,11 +112,17 @@
             ChannelPromise promise) {
         mUpstream = (InetSocketAddress) remote;
         mPromise = promise;
+        if (mPaths.isUnreachable(mUpstream)) {
+            promise.tryFailure(new ConnectTimeoutException("not reachable on any path"));
+            context.close();
+            return;
+        }
         mPath = mPaths.select(mUpstream).orElse(null);
         if (mPath == null) {
             connectDirectly(context, local);
             return;
         }
+        mNonce = mIdentity.secret().newNonce();
         mTimeout = schedule(context, FORWARDED_TIMEOUT_MILLIS);
         PeerFraming.addTo(context.pipeline(), mIdentity.bytes());
         ChannelPromise connected = context.newPromise();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/forward/UpstreamPathsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/forward/UpstreamPathsTest.java
@@ -6,6 +6,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.ConnectTimeoutException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -30,6 +31,7 @@
 
     private static final HallId HALL = new HallId("hall-a");
     private static final HallId OTHER_HALL = new HallId("hall-b");
+    private static final Exception REFUSED = new ConnectException("refused");
     private static final Exception LOST = new ConnectTimeoutException("no connection");
 
     private final UpstreamEntry mUpstream =
@@ -91,20 +93,33 @@
 
     @Test
     public void anUpstreamThatNobodyReachesIsTriedThroughAllRoutersWithEachCall() {
-        mPaths.recordDirect(mAddress, LOST);
+        mPaths.recordDirect(mAddress, REFUSED);
         Set<Member> asked = new HashSet<>();
         while (mPaths.hasAlternative(mUpstream)) {
             asked.add(ask(ForwardOutcome.REFUSED));
         }
         assertEquals(asked.size(), UpstreamPaths.MAX_FORWARDERS);
         assertTrue(mPaths.confirmsRefusal(mUpstream));
-        mPaths.recordDirect(mAddress, LOST);
+        mPaths.recordDirect(mAddress, REFUSED);
         assertFalse(mPaths.hasAlternative(mUpstream));
         mTime.advance(2 * UpstreamPaths.RETRY_MILLIS + 1);
-        mPaths.recordDirect(mAddress, LOST);
+        mPaths.recordDirect(mAddress, REFUSED);
         assertTrue(mPaths.hasAlternative(mUpstream));
     }
 
+    @Test
+    public void callsWaitForAnUpstreamThatIsSilentOnAllPaths() {
+        mPaths.recordDirect(mAddress, LOST);
+        while (mPaths.hasAlternative(mUpstream)) {
+            ask(ForwardOutcome.UNREACHABLE);
+        }
+        assertTrue(mPaths.isUnreachable(mAddress));
+        mTime.advance(UpstreamPaths.PROBE_INTERVAL_MILLIS);
+        mProbes.get(0).accept(true);
+        assertFalse(mPaths.isUnreachable(mAddress));
+        assertTrue(mPaths.select(mAddress).isEmpty());
+    }
+
     @Test
     public void aRefusedConnectionIsTakenForACrashWhileOthersDoNotReachTheUpstreamEither() {
         mPaths.recordDirect(mAddress, LOST);
