The only router that can help is asked although it failed before

A router that had not answered, was busy or did not reach an upstream was left out for two seconds, and others were not asked for one. Such a router is now only ranked behind the others, each is asked once for a call, and upstreams that nobody reached are tried again after half a second.

A router whose direct connection failed a moment ago says that it does not reach the upstream for that long only, and the reports of engines keep no forwarded connection that would hold up the stop of the router that forwards it.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/ForwarderSelector.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/ForwarderSelector.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.troutpier.common.collection.ExpiringMap;
@@ -14,21 +15,27 @@
 
 /**
  * Selects the routers that forward connections to upstreams. Confined to the traffic loop.
- * Invariants: a router that did not answer, or does not reach the upstream itself, is left out for
- * a while; among equal ones the choice is random, so that many partitioned routers spread over all
- * that can help.
+ * Invariants: a router that did not answer, or does not reach the upstream itself, is the last
+ * choice for a while, but stays one: it may be the only router that can help; among equal ones the
+ * choice is random, so that many partitioned routers spread over all that can.
  */
 final class ForwarderSelector {
 
-    /** How long a router is left out that did not answer, or was busy, milliseconds. */
+    /** How long a router is avoided that did not answer, or was busy, milliseconds. */
     private static final long UNAVAILABLE_MILLIS = 2000;
 
-    /** How long a router is left out that does not reach an upstream either, milliseconds. */
+    /** How long a router is avoided that does not reach an upstream either, milliseconds. */
     private static final long UNREACHABLE_MILLIS = 2000;
 
-    /** Rank of a suspected router: behind all others, wherever it is. */
+    /** Rank of a suspected router: behind all others, wherever they are. */
     private static final int SUSPECTED_RANK = 10;
 
+    /** Rank of a router that does not reach the upstream. */
+    private static final int UNREACHABLE_RANK = 20;
+
+    /** Rank of a router that did not answer, or was busy. */
+    private static final int UNAVAILABLE_RANK = 40;
+
     /** How long a router is preferred that opened a connection, milliseconds. */
     private static final long PROVEN_MILLIS = 5000;
 
@@ -83,11 +90,14 @@
     /**
      * Selects a router.
      *
+     * @param failed the routers that are left out
      * @param now the monotonic clock, milliseconds
-     * @return one of those over which bytes cross the fewest halls; empty if there is none
+     * @return one of those that are not avoided and over which bytes cross the fewest halls; empty
+     *     if there is no other router
      */
-    Optional<Member> select(UpstreamEntry upstream, long now) {
-        List<Member> available = available(upstream, now);
+    Optional<Member> select(UpstreamEntry upstream, Set<Incarnation> failed, long now) {
+        List<Member> available =
+                mPeers.get().stream().filter(peer -> !failed.contains(peer.incarnation())).toList();
         int first = available.stream().mapToInt(peer -> rank(peer, upstream, now)).min().orElse(0);
         List<Member> best =
                 available.stream().filter(peer -> rank(peer, upstream, now) == first).toList();
@@ -99,19 +109,12 @@
                 : Optional.of(candidates.get(mRandom.nextInt(candidates.size())));
     }
 
-    private List<Member> available(UpstreamEntry upstream, long now) {
-        return mPeers.get().stream()
-                .filter(peer -> !mUnavailable.contains(peer.incarnation(), now))
-                .filter(
-                        peer ->
-                                !mUnreachable.contains(
-                                        new Pair(peer.incarnation(), upstream.incarnation()), now))
-                .toList();
-    }
-
-    /** Returns how many halls' borders the bytes cross, more for a suspected router. */
+    /** Returns how many halls' borders the bytes cross, more for a router that is avoided. */
     private int rank(Member peer, UpstreamEntry upstream, long now) {
-        return (mSuspected.contains(peer.incarnation(), now) ? SUSPECTED_RANK : 0)
+        Pair pair = new Pair(peer.incarnation(), upstream.incarnation());
+        return (mUnavailable.contains(peer.incarnation(), now) ? UNAVAILABLE_RANK : 0)
+                + (mUnreachable.contains(pair, now) ? UNREACHABLE_RANK : 0)
+                + (mSuspected.contains(peer.incarnation(), now) ? SUSPECTED_RANK : 0)
                 + (peer.hall().equals(mHall) ? 0 : 1)
                 + (peer.hall().equals(upstream.hall()) ? 0 : 1);
     }
@@ -127,6 +130,8 @@
             case OPENED -> {
                 mProven.put(router, outcome, now);
                 mSuspected.remove(router);
+                mUnavailable.remove(router);
+                mUnreachable.remove(new Pair(router, upstream));
             }
             case REFUSED, UNREACHABLE -> {
                 mUnreachable.put(new Pair(router, upstream), outcome, now);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamConnections.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamConnections.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.troutpier.common.http.HttpCall;
 import org.troutpier.common.http.HttpClient;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.settings.Address;
@@ -85,6 +86,14 @@
         return mCalls;
     }
 
+    /**
+     * Returns a call that uses a connection of its own if that is forwarded. A router that stops
+     * waits for the connections that it forwards, and cannot tell that one is only kept for later.
+     */
+    public HttpCall notKeptIfForwarded(HttpCall call, UpstreamEntry upstream) {
+        return mPaths.isReachable(upstream.incarnation()) ? call : call.withFreshConnection();
+    }
+
     /** Returns the probe whose connections take the paths to upstreams. */
     public ConnectionProbe probe() {
         return mProbe;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamPaths.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamPaths.java
@@ -47,7 +47,7 @@
      * milliseconds: a crashed upstream stays listed for a few seconds, and each question is a
      * connection that its callers wait for.
      */
-    static final long RETRY_MILLIS = 1000;
+    static final long RETRY_MILLIS = 500;
 
     /** Interval between two probes of lost paths, milliseconds; one path is probed at a time. */
     static final long PROBE_INTERVAL_MILLIS = 200;
@@ -183,7 +183,7 @@
         UpstreamPath path = mPaths.get(upstream.address());
         return path != null
                 && (path.mState == State.DOUBTED || path.mState == State.FORWARDED)
-                && mSelector.select(path.mUpstream, mLoop.millis()).isPresent();
+                && mSelector.select(path.mUpstream, path.mFailed, mLoop.millis()).isPresent();
     }
 
     /**
@@ -213,7 +213,7 @@
             doubt(path);
         }
         return mSelector
-                .select(path.mUpstream, mLoop.millis())
+                .select(path.mUpstream, path.mFailed, mLoop.millis())
                 .map(peer -> new ForwardingHandler.Path(path.mUpstream.incarnation(), peer));
     }
 
@@ -224,8 +224,7 @@
     }
 
     private boolean mayAsk(UpstreamPath path) {
-        long now = mLoop.millis();
-        return now >= path.mRetryAt && mSelector.select(path.mUpstream, now).isPresent();
+        return mLoop.millis() >= path.mRetryAt && mSelector.hasPeers();
     }
 
     /** {@inheritDoc} */
@@ -300,7 +299,7 @@
         long now = mLoop.millis();
         boolean exhausted =
                 path.mFailed.size() >= MAX_FORWARDERS
-                        || mSelector.select(path.mUpstream, now).isEmpty();
+                        || mSelector.select(path.mUpstream, path.mFailed, now).isEmpty();
         if (exhausted) {
             if (path.mState == State.FORWARDED) {
                 LOGGER.warn(
@@ -320,11 +319,17 @@
     }
 
     private void publish() {
+        long now = mLoop.millis();
         Map<UpstreamIncarnation, Long> unreachableUntil = new HashMap<>();
         int forwarded = 0;
         for (UpstreamPath path : mPaths.values()) {
-            long until = path.mState == State.DIRECT ? path.mRetryAt : Long.MAX_VALUE;
-            if (until > mLoop.millis()) {
+            long until =
+                    switch (path.mState) {
+                        case DIRECT -> path.mRetryAt;
+                        case DOUBTED -> now + RETRY_MILLIS;
+                        default -> Long.MAX_VALUE;
+                    };
+            if (until > now) {
                 unreachableUntil.put(path.mUpstream.incarnation(), until);
             }
             forwarded += path.mState == State.FORWARDED ? 1 : 0;
