A refusal is confirmed only if every router that was asked was refused

The last answer decided, so a router that did not reach the upstream was left out of account if another, itself on a refused path, was asked after it. Also: a connection that another router opens while the upstream counts as unreachable makes it forwarded at once. The test asks one router that does not reach the upstream and then others that are refused; the refusal was confirmed before.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamPaths.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamPaths.java
@@ -33,9 +33,10 @@
  * Decides for each upstream whether this router connects to it directly or through another router.
  * A direct connection that fails says nothing about whose fault it is, so another router is asked
  * to open one: if it succeeds, the path is lost and not the upstream, and connections are forwarded
- * until a direct one succeeds. Confined to the traffic loop, except {@link #isReachable} and {@link
- * #forwardedCount}, which are thread safe. Invariant: an upstream that no other router reaches
- * either is treated as if there were none, except that no call waits for it while connections hang.
+ * until a direct one succeeds. Confined to the traffic loop, except {@link #isReachable}, {@link
+ * #reachesMost} and {@link #forwardedCount}, which are thread safe. Invariant: an upstream that no
+ * other router reaches either is treated as if there were none, except that no call waits for it
+ * while connections hang.
  */
 public final class UpstreamPaths implements ForwardingHandler.Paths {
 
@@ -102,7 +103,7 @@
         /** The routers that failed since one last opened a connection. */
         private final Set<Incarnation> mFailed = new HashSet<>();
 
-        /** Whether the upstream's machine refused the last router that failed. */
+        /** Whether the upstream's machine refused all routers that failed. */
         private boolean mRefused = true;
 
         /** Whether the last direct connection that failed got no answer. */
@@ -245,6 +246,7 @@
     private void doubt(UpstreamPath path) {
         path.mState = State.DOUBTED;
         path.mFailed.clear();
+        path.mRefused = true;
         publish();
     }
 
@@ -279,7 +281,7 @@
         }
         if (outcome == ForwardOutcome.OPENED) {
             path.mFailed.clear();
-            if (path.mState == State.DOUBTED) {
+            if (path.mState != State.FORWARDED) {
                 path.mState = State.FORWARDED;
                 publish();
                 LOGGER.warn(
@@ -295,7 +297,7 @@
             return;
         }
         path.mFailed.add(forwarder);
-        path.mRefused = outcome == ForwardOutcome.REFUSED;
+        path.mRefused &= outcome == ForwardOutcome.REFUSED;
         long now = mLoop.millis();
         boolean exhausted =
                 path.mFailed.size() >= MAX_FORWARDERS
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/forward/UpstreamPathsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/forward/UpstreamPathsTest.java
@@ -122,10 +122,11 @@
 
     @Test
     public void aRefusedConnectionIsTakenForACrashWhileOthersDoNotReachTheUpstreamEither() {
-        mPaths.recordDirect(mAddress, LOST);
+        mPaths.recordDirect(mAddress, REFUSED);
         assertFalse(mPaths.confirmsRefusal(mUpstream));
+        ask(ForwardOutcome.UNREACHABLE);
         while (mPaths.hasAlternative(mUpstream)) {
-            ask(ForwardOutcome.UNREACHABLE);
+            ask(ForwardOutcome.REFUSED);
         }
         assertFalse(mPaths.confirmsRefusal(mUpstream));
     }
