The end of an upstream is attributed without asking others while no path is lost

Each refused connection after a lost call was confirmed through up to two other routers, one after the other, and the request came again before the crash was known. A refusal is confirmed only while this router knows of other lost paths; without that it counts at once, as before forwarding. What remains is listed in the postmortem: the calls that a reset cut loses before the first lost path is known still count as crashes.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/PathAwarePort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/PathAwarePort.java
@@ -86,13 +86,19 @@
     }
 
     /**
-     * {@inheritDoc} A refused connection is confirmed by another router: on a path that is cut, it
-     * may come from elsewhere than the upstream's machine.
+     * {@inheritDoc} While other paths are lost, a refused connection is confirmed by another
+     * router, since it may come from elsewhere than the upstream's machine. Otherwise the result
+     * does not wait: until it is known, the request that crashed the upstream may be sent to
+     * further ones.
      */
     @Override
     public void probe(UpstreamEntry upstream, Consumer<ProbeResult> listener) {
         mPaths.register(upstream);
-        probe(upstream, listener, 1);
+        if (mPaths.forwardedCount() == 0) {
+            mPort.probe(upstream, listener);
+        } else {
+            probe(upstream, listener, 1);
+        }
     }
 
     private void probe(UpstreamEntry upstream, Consumer<ProbeResult> listener, int sends) {
