--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamPaths.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamPaths.java
@@ -31,12 +31,12 @@
 
 /**
  * Decides for each upstream whether this router connects to it directly or through another router.
- * A direct connection that fails says nothing about whose fault it is, so another router is asked
- * to open one: if it succeeds, the path is lost and not the upstream, and connections are forwarded
- * until a direct one succeeds. Confined to the traffic loop, except {@link #isReachable}, {@link
- * #reachesMost} and {@link #forwardedCount}, which are thread safe. Invariant: an upstream that no
- * other router reaches either is treated as if there were none, except that no call waits for it
- * while connections hang.
+ * A failed direct connection does not show whether the upstream or the path is at fault, so another
+ * router is asked to open one: if it succeeds, the path is lost and not the upstream, and
+ * connections are forwarded until a direct one succeeds. Confined to the traffic loop, except
+ * {@link #isReachable}, {@link #reachesMost} and {@link #forwardedCount}, which are thread safe.
+ * Invariant: an upstream that no other router reaches either is treated as if there were none,
+ * except that no call waits for it while connections hang.
  */
 public final class UpstreamPaths implements ForwardingHandler.Paths {
 
@@ -168,9 +168,9 @@
 
     /** Makes an upstream known before a connection to it is opened. */
     void register(UpstreamEntry upstream) {
-        mPaths.computeIfAbsent(upstream.address(), address -> new UpstreamPath(upstream))
-                        .mUpstream =
-                upstream;
+        UpstreamPath path =
+                mPaths.computeIfAbsent(upstream.address(), address -> new UpstreamPath(upstream));
+        path.mUpstream = upstream;
     }
 
     /** Discards the paths to upstreams that are no longer listed. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/ForwardedConnection.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/ForwardedConnection.java
@@ -23,6 +23,9 @@
 
     private final Counter mBytes;
 
+    /** Whether this connection failed, rather than being closed by its other end. */
+    private boolean mReset;
+
     private ForwardedConnection(Channel sink, Counter bytes) {
         mSink = sink;
         mBytes = bytes;
@@ -50,8 +53,6 @@
      */
     protected abstract void onEnd(Channel sink, boolean reset);
 
-    private boolean mReset;
-
     /** {@inheritDoc} */
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/ForwardingHandler.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/ForwardingHandler.java
@@ -52,7 +52,7 @@
 
     private Future<?> mTimeout;
 
-    /** Whether this side closed the connection, which says nothing about its path. */
+    /** Whether this side closed the connection; the path is then not judged by its failure. */
     private boolean mClosed;
 
     /** Whether the upstream has closed a forwarded connection. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -104,40 +104,6 @@
         private long mNotBefore;
     }
 
-    /** Role change of one engine. */
-    private static final class RoleChange {
-
-        private final UpstreamEntry mEngine;
-
-        /** The new role. */
-        private final UpstreamEntry.Role mRole;
-
-        /** When the change was started, milliseconds. */
-        private final long mStartedAt;
-
-        /** When the change is abandoned, milliseconds. */
-        private final long mDeadline;
-
-        /** Number of orders that the engine had accepted before; -1 if not known yet. */
-        private long mOrdersBefore = -1;
-
-        /** Whether the order was certainly accepted. */
-        private boolean mAccepted;
-
-        /** Whether a call to the engine is in flight. */
-        private boolean mCallPending;
-
-        private boolean mFinished;
-
-        /** Starts a change. */
-        RoleChange(UpstreamEntry engine, UpstreamEntry.Role role, long startedAt, long deadline) {
-            mEngine = engine;
-            mRole = role;
-            mStartedAt = startedAt;
-            mDeadline = deadline;
-        }
-    }
-
     /**
      * Options of the lease under which a router orders role changes. Immutable; thread safe if its
      * components are.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -318,9 +318,7 @@
         }
     }
 
-    /**
-     * Discards recent failures that were those of the path, so that the peers do not count them.
-     */
+    /** Discards recent failures that were those of the path, for the peers as well. */
     public void discardFailures(UpstreamEntry upstream) {
         load(upstream.incarnation()).mRecentFailures.discardBefore(Long.MAX_VALUE, mLoop.millis());
         mOnChange.run();
