Lines say which software version serves a request and which attempt it resumes

An entry now has the version, the line of a listed upstream and each step of a request that names an upstream show it, and a resumed request has a line of its own with the attempt that began its stream. No decision changes.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -351,12 +351,13 @@
         boolean changed = mUnreadable.remove(entry.id()) || !entry.equals(previous);
         if (changed) {
             LOGGER.info(
-                    "upstream listed id={} service={} address={} role={} draining={}",
+                    "upstream listed id={} service={} address={} role={} draining={} version={}",
                     entry.incarnation(),
                     entry.service(),
                     entry.address(),
                     entry.role(),
-                    entry.draining());
+                    entry.draining(),
+                    entry.version());
         }
         return changed;
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamEntry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamEntry.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.SoftwareVersion;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.settings.Address;
@@ -14,6 +15,7 @@
  * @param hall its data hall
  * @param slots number of requests that it processes concurrently
  * @param draining whether it is about to leave
+ * @param version the version of its software
  */
 public record UpstreamEntry(
         UpstreamIncarnation incarnation,
@@ -22,7 +24,20 @@
         HallId hall,
         int slots,
         Role role,
-        boolean draining) {
+        boolean draining,
+        SoftwareVersion version) {
+
+    /** Creates an entry of an upstream that states no software version. */
+    public UpstreamEntry(
+            UpstreamIncarnation incarnation,
+            String service,
+            Address address,
+            HallId hall,
+            int slots,
+            Role role,
+            boolean draining) {
+        this(incarnation, service, address, hall, slots, role, draining, SoftwareVersion.UNSTATED);
+    }
 
     /** Returns the upstream's id, which all of its incarnations share. */
     public UpstreamId id() {
@@ -31,13 +46,13 @@
 
     /** Returns this entry marked as draining. */
     UpstreamEntry asDraining() {
-        return new UpstreamEntry(incarnation, service, address, hall, slots, role, true);
+        return new UpstreamEntry(incarnation, service, address, hall, slots, role, true, version);
     }
 
     /**
      * Merges this entry with a later report about the same upstream. A report about an earlier
-     * incarnation is dropped. Within one incarnation, a known start time is kept, and draining is
-     * final: only a later incarnation is ready again.
+     * incarnation is dropped. Within one incarnation, a known start time and a stated version are
+     * kept, and draining is final: only a later incarnation is ready again.
      *
      * @param reported the reported entry, with the same id
      * @return the merged entry
@@ -57,7 +72,8 @@
                 reported.hall,
                 reported.slots,
                 reported.role,
-                draining || reported.draining);
+                draining || reported.draining,
+                version.isStated() ? version : reported.version);
     }
 
     /** {@inheritDoc} Written out, since the generated method is linked anew at each start. */
@@ -70,7 +86,8 @@
                 && Objects.equals(hall, that.hall)
                 && slots == that.slots
                 && Objects.equals(role, that.role)
-                && draining == that.draining;
+                && draining == that.draining
+                && Objects.equals(version, that.version);
     }
 
     /** {@inheritDoc} */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -93,6 +93,10 @@
         mDeadlineMillis = context.loop().millis() + Math.max(1, timeoutMillis);
         mDeadlineTimer = context.loop().schedule(this::onDeadline, Math.max(1, timeoutMillis));
         mTrace.addInput("routersHeard", context.peerLoads().peerCount());
+        if (request.isResumed()) {
+            mTrace.addResumedAttempt(request.resumedAttempt());
+            mTrace.markNotable();
+        }
         request.organisation().ifPresent(organisation -> mTrace.addOrganisation(organisation.id()));
         context.metrics().requestStarted();
         caller.onDisconnect(this::onCallerDisconnect);
@@ -325,10 +329,15 @@
     protected void recordDispatch(UpstreamEntry upstream, String step) {
         mDispatched = true;
         mAttempted.add(upstream.incarnation());
-        mTrace.addStep(step + "@" + upstream.id());
+        mTrace.addStep(step + "@" + upstream.id() + versionNote(upstream));
         mContext.metrics().callSent(upstream.id());
     }
 
+    /** Returns the software version of an upstream for a step, empty if it states none. */
+    private static String versionNote(UpstreamEntry upstream) {
+        return upstream.version().isStated() ? "(" + upstream.version() + ")" : "";
+    }
+
     /**
      * Records a successful answer.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
@@ -1,10 +1,12 @@
 package org.troutpier.daemon.serving;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.apache.logging.log4j.message.Message;
 import org.apache.logging.log4j.message.StringMapMessage;
 import org.troutpier.common.id.PartnerId;
+import org.troutpier.common.id.RequestId;
 import org.troutpier.daemon.quarantine.RequestFingerprint;
 
 /**
@@ -100,6 +102,15 @@
         mInputs.put(name, Long.toString(value));
     }
 
+    /**
+     * Adds the attempt that began the stream which the request resumes, or "unnamed".
+     *
+     * @param attempt the attempt, if the caller names it
+     */
+    void addResumedAttempt(Optional<RequestId> attempt) {
+        mInputs.put("resumes", attempt.map(RequestId::value).orElse("unnamed"));
+    }
+
     /** Adds the organisation on whose behalf the request is made. */
     void addOrganisation(PartnerId organisation) {
         mInputs.put("organisation", organisation.value());
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingRequest.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingRequest.java
@@ -20,6 +20,8 @@
  * @param body the body
  * @param deadlineMillis how long the caller waits, from the arrival of the request
  * @param lastEventId the last event of a stream that the caller has, if it says so
+ * @param resumedAttempt the attempt that brought the first event of that stream, if the caller says
+ *     so
  * @param prompt the metadata of the prompt, for a model request
  * @param key the hash of the caller's key, if it sent a readable one
  * @param requester the caller's identity
@@ -33,6 +35,7 @@
         byte[] body,
         long deadlineMillis,
         OptionalLong lastEventId,
+        Optional<RequestId> resumedAttempt,
         Optional<PromptMetadata> prompt,
         Optional<KeyHash> key,
         Requester requester) {
@@ -48,11 +51,17 @@
                 body,
                 deadlineMillis,
                 lastEventId,
+                resumedAttempt,
                 prompt,
                 key,
                 newRequester);
     }
 
+    /** Returns whether the caller has received a part of the stream in an earlier attempt. */
+    boolean isResumed() {
+        return lastEventId.isPresent() || resumedAttempt.isPresent();
+    }
+
     /**
      * Returns the organisation on whose behalf the request is made.
      *
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrashGuardTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrashGuardTest.java
@@ -165,6 +165,7 @@
                         OptionalLong.empty(),
                         Optional.empty(),
                         Optional.empty(),
+                        Optional.empty(),
                         new Requester.Unchecked()));
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -97,6 +97,7 @@
                 new byte[0],
                 9000,
                 OptionalLong.empty(),
+                Optional.empty(),
                 Optional.of(prompt),
                 Optional.empty(),
                 mRequester);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainExecutionTest.java
@@ -53,6 +53,7 @@
                         OptionalLong.empty(),
                         Optional.empty(),
                         Optional.empty(),
+                        Optional.empty(),
                         new Requester.Unchecked());
         Route route =
                 new Route(
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
@@ -167,6 +167,7 @@
                             OptionalLong.empty(),
                             Optional.empty(),
                             Optional.empty(),
+                            Optional.empty(),
                             new Requester.Member(organisation));
             Router router = mRouters.get(mRandom.nextInt(mRouters.size()));
             new PlainExecution(router.mContext, request, route(), "service", this).begin();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PrefillTimeoutTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PrefillTimeoutTest.java
@@ -79,6 +79,7 @@
                         new byte[0],
                         9000,
                         OptionalLong.empty(),
+                        Optional.empty(),
                         Optional.of(
                                 new PromptMetadata(
                                         "m",
