A stream goes on only at the software version that wrote its first event

Cause: placement knew no versions, and what began a stream was known to nobody. A request that resumes one was placed as a new one, at any router; a run that was lost inside one answer was continued in the same way.

On stand-ins both paths give 200 with events of both versions.

Fix: a stream is bound to service and version of the engine that wrote its first event. The router announces that to two routers in other halls before the caller can have the event; a router that gets a resumed request and has no record asks all others, over the relays where there are many. Without a record the stream goes on only if the service has had no other version, which a row of the store tells also to a router that has just started. Why it holds: records are kept by routers that are lost independently of the first, they are asked and not computed, so no view of the fleet has to agree, and what is unknown is never taken for known. Routers of the version before don't get the new messages: the handshake says who takes them. A split of services is drawn from the first attempt's id, so that all tries of a stream lead to the same service.

--- a/troutpier-common/src/main/java/org/troutpier/common/id/RequestId.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/id/RequestId.java
@@ -11,12 +11,21 @@
  */
 public record RequestId(@JsonValue String value) implements Comparable<RequestId> {
 
+    /** Leaves the 53 bits that a fraction has. */
+    private static final int FRACTION_SHIFT = Long.SIZE - 53;
+
     /** Checks the text. */
     @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
     public RequestId {
         Identifiers.check("request", value);
     }
 
+    /** Returns a number that depends only on the text, at least 0 and less than 1. */
+    public double fraction() {
+        long mixed = (value.hashCode() * 0x9e3779b97f4a7c15L) >>> FRACTION_SHIFT;
+        return mixed * 0x1.0p-53;
+    }
+
     /** {@inheritDoc} */
     @Override
     public int compareTo(RequestId other) {
--- a/troutpier-common/src/main/java/org/troutpier/common/result/ResultCode.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/result/ResultCode.java
@@ -65,6 +65,16 @@
     /** All eligible upstreams are at the rate that they announced. */
     UPSTREAM_RATE(
             132, 503, Family.NOT_RUN, 1, "The upstreams get as many requests as they take now."),
+    /** A stream is resumed, and no router knows which software version began it. */
+    ORIGIN_UNKNOWN(
+            133,
+            503,
+            Family.NOT_RUN,
+            1,
+            "It is not known which software version began the stream."),
+    /** A stream is resumed, and no engine of the software version that began it can take it. */
+    VERSION_GONE(
+            134, 503, Family.NOT_RUN, 1, "No engine of the version that began the stream is left."),
     /** A request with the same key is running elsewhere. */
     ALREADY_RUNNING(200, 409, Family.OUTCOME_UNKNOWN, 2, "The request with this key is running."),
     /** The request was sent to an upstream, and it is not known whether it was run. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -21,6 +21,7 @@
 import org.troutpier.daemon.peer.PeerMesh;
 import org.troutpier.daemon.peer.PeerMessage;
 import org.troutpier.daemon.quarantine.CrashReport;
+import org.troutpier.daemon.resume.StreamOrigins;
 import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.serving.EngineUsageReconciler;
 
@@ -64,6 +65,8 @@
 
     private final TableExchange mTables;
 
+    private final OriginExchange mOrigins;
+
     /** The current plan; replaced on the control thread, read by any thread. */
     private volatile RelayPlan mPlan;
 
@@ -115,6 +118,7 @@
                         new PeerMesh.Peers(mMembership, () -> mPlan.connectionTargets()), this);
         mConfigurations = new ConfigurationExchange(node, mLinks, configuration, decoder);
         mRelay = new LoadRelay(node, mLinks, loads, () -> mPlan);
+        mOrigins = new OriginExchange(node, mLinks, () -> mPlan, mRelay);
         mTables = new TableExchange(node.hall(), mLinks, () -> mPlan, mRelay::groupMembers);
         node.control().scheduleWithFixedDelay(this::tick, TICK_MILLIS);
     }
@@ -154,6 +158,11 @@
         return mTables;
     }
 
+    /** Sets the records of streams' origins, which are exchanged from now on. */
+    public void setOrigins(StreamOrigins origins) {
+        mOrigins.setOrigins(origins);
+    }
+
     /** Sends this router's load to the others. */
     public void publishLoad(LoadReport report) {
         mRelay.publish(report);
@@ -264,6 +273,9 @@
         if (mPlan.isRelay() && !mLinks.isConnected(from.incarnation())) {
             schedulePlan();
         }
+        if (mOrigins.onMessage(from.incarnation(), message)) {
+            return;
+        }
         if (message instanceof PeerMessage.Load load) {
             onLoad(from, load);
         } else if (message instanceof PeerMessage.LoadAsked) {
@@ -389,6 +401,7 @@
         }
         mConnectedTargets = connectedTargets();
         mPlan.connectionTargets().forEach(mLinks::connect);
+        mOrigins.updateHolders(mMembership.self(), mMembership.live());
         mRelay.groupMembers().forEach(this::connectTo);
         if (mPlan.isRelay()) {
             mRelay.otherRelays().forEach(this::connectTo);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -16,18 +16,20 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.collection.ExpiringMap;
+import org.troutpier.common.id.SoftwareVersion;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.node.ControlExecutor;
 
 /**
  * Holds the upstreams that the platform lists. Changes are confined to the control thread; {@link
- * #usable}, {@link #hasRestarted}, {@link #isLoaded()}, {@link #ageMillis()} and {@link
- * #missingCount()} are thread safe. Invariant: an upstream is usable only if its entry is listed,
- * readable and not draining, and the upstream has not announced that it is leaving; after such an
- * announcement it is unusable, whatever its entry says, until it restarts. Exception: an entry that
- * disappeared while no router read the store stays usable until {@link #MISSING_GRACE_MILLIS} after
- * reading resumed, since entries of live upstreams lapse while the store is unavailable.
+ * #usable}, {@link #engineVersions()}, {@link #hasRestarted}, {@link #isLoaded()}, {@link
+ * #ageMillis()} and {@link #missingCount()} are thread safe. Invariant: an upstream is usable only
+ * if its entry is listed, readable and not draining, and the upstream has not announced that it is
+ * leaving; after such an announcement it is unusable, whatever its entry says, until it restarts.
+ * Exception: an entry that disappeared while no router read the store stays usable until {@link
+ * #MISSING_GRACE_MILLIS} after reading resumed, since entries of live upstreams lapse while the
+ * store is unavailable.
  */
 public final class UpstreamDirectory {
 
@@ -95,6 +97,9 @@
     /** Usable entries by service, replaced on each change. */
     private volatile Map<String, List<UpstreamEntry>> mUsable = Map.of();
 
+    /** Software versions of the listed engines by service, replaced on each change. */
+    private volatile Map<String, Set<SoftwareVersion>> mEngineVersions = Map.of();
+
     /** Listed incarnation of each upstream, replaced on each change. */
     private volatile Map<UpstreamId, UpstreamIncarnation> mIncarnations = Map.of();
 
@@ -172,6 +177,11 @@
                 .findFirst();
     }
 
+    /** Returns the software versions of all listed engines, also of draining ones, by service. */
+    public Map<String, Set<SoftwareVersion>> engineVersions() {
+        return mEngineVersions;
+    }
+
     /**
      * Returns whether an upstream is known to have restarted after an incarnation, so that the
      * state of that incarnation is lost.
@@ -432,6 +442,15 @@
                         .collect(
                                 Collectors.groupingBy(
                                         UpstreamEntry::service, Collectors.toUnmodifiableList()));
+        mEngineVersions =
+                mEntries.values().stream()
+                        .filter(entry -> entry.role() != UpstreamEntry.Role.PLAIN)
+                        .collect(
+                                Collectors.groupingBy(
+                                        UpstreamEntry::service,
+                                        Collectors.mapping(
+                                                UpstreamEntry::version,
+                                                Collectors.toUnmodifiableSet())));
         mIncarnations =
                 mEntries.values().stream()
                         .collect(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/FrequentMessageCodec.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/FrequentMessageCodec.java
@@ -50,6 +50,16 @@
         if (message instanceof PeerMessage.Heard) {
             return begin("h", 0).toByteArray();
         }
+        if (message instanceof PeerMessage.StreamsBegun begun) {
+            MessageBufferPacker out = begin("begun", 3);
+            out.packString("service").packString(begun.service());
+            out.packString("version").packString(begun.version());
+            out.packString("attempts").packArrayHeader(begun.attempts().size());
+            for (String attempt : begun.attempts()) {
+                out.packString(attempt);
+            }
+            return out.toByteArray();
+        }
         return encodeSetup(message);
     }
 
@@ -62,10 +72,11 @@
             out.packString("peer").packString(hello.peer());
             out.packString("nonce").packString(hello.nonce());
         } else if (message instanceof PeerMessage.Challenge challenge) {
-            out = begin("challenge", 3);
+            out = begin("challenge", 4);
             out.packString("nonce").packString(challenge.nonce());
             out.packString("proof").packString(challenge.proof());
             out.packString("forwards").packBoolean(challenge.forwards());
+            out.packString("streams").packBoolean(challenge.streams());
         } else if (message instanceof PeerMessage.Proof proof) {
             out = begin("proof", 1);
             out.packString("proof").packString(proof.proof());
@@ -120,6 +131,7 @@
         return switch (in.unpackString()) {
             case "load" -> readLoad(in, fields);
             case "page" -> readPage(in, fields);
+            case "begun" -> readBegun(in, fields);
             case "loadask" -> new PeerMessage.LoadAsked();
             case "h" -> new PeerMessage.Heard();
             case "hello" -> {
@@ -157,15 +169,37 @@
         String nonce = null;
         String proof = null;
         boolean forwards = false;
+        boolean streams = false;
         for (int field = 0; field < fields; field++) {
             switch (in.unpackString()) {
                 case "nonce" -> nonce = in.unpackString();
                 case "proof" -> proof = in.unpackString();
                 case "forwards" -> forwards = in.unpackBoolean();
+                case "streams" -> streams = in.unpackBoolean();
+                default -> in.skipValue();
+            }
+        }
+        return new PeerMessage.Challenge(nonce, proof, forwards, streams);
+    }
+
+    private static PeerMessage readBegun(MessageUnpacker in, int fields) throws IOException {
+        String service = null;
+        String version = null;
+        List<String> attempts = new ArrayList<>();
+        for (int field = 0; field < fields; field++) {
+            switch (in.unpackString()) {
+                case "service" -> service = in.unpackString();
+                case "version" -> version = in.unpackString();
+                case "attempts" -> {
+                    int size = in.unpackArrayHeader();
+                    for (int index = 0; index < size; index++) {
+                        attempts.add(in.unpackString());
+                    }
+                }
                 default -> in.skipValue();
             }
         }
-        return new PeerMessage.Challenge(nonce, proof, forwards);
+        return new PeerMessage.StreamsBegun(service, version, attempts);
     }
 
     private static PeerMessage readLoad(MessageUnpacker in, int fields) throws IOException {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerLinks.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerLinks.java
@@ -21,6 +21,16 @@
      */
     boolean isConnected(Incarnation to);
 
+    /**
+     * Returns whether messages about the origins of streams can be sent to a router.
+     *
+     * @param to the router
+     * @return {@code false} also for one of an earlier version, which would close the connection
+     */
+    default boolean tracksStreams(Incarnation to) {
+        return isConnected(to);
+    }
+
     /**
      * Sends a message.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
@@ -16,9 +16,11 @@
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
@@ -62,6 +64,9 @@
     /** Connections that this router opened, once the handshake is done. */
     private final Map<Incarnation, Channel> mReady = new HashMap<>();
 
+    /** The routers of {@link #mReady} that accept messages about the origins of streams. */
+    private final Set<Incarnation> mTracking = new HashSet<>();
+
     /** Incarnation to which a connection is open or being opened, by peer address. */
     private final Map<String, Incarnation> mTargets = new HashMap<>();
 
@@ -267,6 +272,11 @@
         return mReady.containsKey(to);
     }
 
+    @Override
+    public boolean tracksStreams(Incarnation to) {
+        return mReady.containsKey(to) && mTracking.contains(to);
+    }
+
     /** A connection that this router opened. Confined to the event loop of the connection. */
     private final class Outgoing extends SimpleChannelInboundHandler<PeerMessage> {
 
@@ -305,6 +315,7 @@
                 return;
             }
             String nonce = ((PeerMessage.Challenge) message).nonce();
+            boolean tracks = ((PeerMessage.Challenge) message).streams();
             String self = mPeers.membership().self().incarnation().value();
             context.writeAndFlush(
                     new PeerMessage.Proof(mSecret.computeProof("caller", nonce, mNonce, self)));
@@ -312,6 +323,9 @@
                     .execute(
                             () -> {
                                 mReady.put(mMember.incarnation(), context.channel());
+                                if (tracks) {
+                                    mTracking.add(mMember.incarnation());
+                                }
                             });
         }
 
@@ -322,6 +336,9 @@
                             () -> {
                                 mTargets.remove(mMember.address());
                                 mReady.remove(mMember.incarnation(), context.channel());
+                                if (!mReady.containsKey(mMember.incarnation())) {
+                                    mTracking.remove(mMember.incarnation());
+                                }
                             });
         }
 
@@ -359,7 +376,7 @@
                 mHello = hello;
                 String proof = mSecret.computeProof("answer", hello.nonce(), mNonce);
                 context.writeAndFlush(
-                        new PeerMessage.Challenge(mNonce, proof, mForwarding.isPresent()));
+                        new PeerMessage.Challenge(mNonce, proof, mForwarding.isPresent(), true));
             } else if (message instanceof PeerMessage.Proof proof && isProofValid(proof)) {
                 mMember =
                         new Member(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
@@ -33,6 +33,9 @@
     @JsonSubTypes.Type(value = PeerMessage.Refused.class, name = "refused"),
     @JsonSubTypes.Type(value = PeerMessage.Crashed.class, name = "crashed"),
     @JsonSubTypes.Type(value = PeerMessage.Leaving.class, name = "leaving"),
+    @JsonSubTypes.Type(value = PeerMessage.StreamsBegun.class, name = "begun"),
+    @JsonSubTypes.Type(value = PeerMessage.OriginAsked.class, name = "originask"),
+    @JsonSubTypes.Type(value = PeerMessage.OriginTold.class, name = "origintold"),
     @JsonSubTypes.Type(value = PeerMessage.Page.class, name = "page"),
     @JsonSubTypes.Type(value = PeerMessage.TableAsked.class, name = "tableask"),
     @JsonSubTypes.Type(value = PeerMessage.TableTold.class, name = "tabletold"),
@@ -64,8 +67,11 @@
      * @param nonce nonce that the peer's proof must cover
      * @param proof proves knowledge of the secret over both nonces
      * @param forwards whether the sender accepts {@link Connect}; false if it does not say so
+     * @param streams whether the sender accepts {@link StreamsBegun}, {@link OriginAsked} and
+     *     {@link OriginTold}; false if it does not say so
      */
-    record Challenge(String nonce, String proof, boolean forwards) implements PeerMessage {}
+    record Challenge(String nonce, String proof, boolean forwards, boolean streams)
+            implements PeerMessage {}
 
     /**
      * Completes the handshake.
@@ -195,6 +201,35 @@
     /** Reports upstreams that announced in their answers that they are leaving. */
     record Leaving(List<UpstreamIncarnation> upstreams) implements PeerMessage {}
 
+    /**
+     * Announces streams whose first events the sender is about to relay.
+     *
+     * @param service the service
+     * @param version the software version of the upstreams that began them; may be empty
+     * @param attempts the attempts of their callers
+     */
+    record StreamsBegun(String service, String version, List<String> attempts)
+            implements PeerMessage {}
+
+    /**
+     * Asks for the origins of streams; relays pass it on to all routers.
+     *
+     * @param asker the router that asks
+     * @param attempts the attempts that began the streams
+     */
+    record OriginAsked(String asker, List<String> attempts) implements PeerMessage {}
+
+    /**
+     * Answers {@link OriginAsked}; relays pass it on to the router that asked.
+     *
+     * @param asker the router that asked
+     * @param service the service
+     * @param version the software version of the upstreams that began the streams; may be empty
+     * @param attempts the attempts that began them
+     */
+    record OriginTold(String asker, String service, String version, List<String> attempts)
+            implements PeerMessage {}
+
     /**
      * Shares changes of a table that the sender has read from the store.
      *
--- /dev/null
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/StreamOrigins.java
@@ -0,0 +1,216 @@
+package org.troutpier.daemon.resume;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.troutpier.common.id.RequestId;
+import org.troutpier.daemon.node.ControlExecutor;
+
+/**
+ * Records and finds the origins of streams. This router records the streams that it began and those
+ * that others announce to it; for any other one it asks all routers. Confined to the control
+ * thread, except {@link #record} and {@link #resolve}, which are thread safe. Invariant: an origin
+ * is told only if it was recorded, or if the service has had no other version since the stream can
+ * have begun.
+ */
+public final class StreamOrigins {
+
+    /**
+     * Interval at which the other routers are asked, milliseconds. Asked again, since a router that
+     * has just started connects to the others within a few hundred milliseconds.
+     */
+    public static final long ASK_MILLIS = 100;
+
+    /** How often the others are asked; after that nobody is expected to know the origin. */
+    public static final int MAX_ASKS = 4;
+
+    /** Maximum number of attempts that others are asked for at a time. */
+    private static final int MAX_PENDING = 2000;
+
+    private final ControlExecutor mControl;
+
+    private final LongSupplier mMillis;
+
+    private final MetricRegistry mMetrics;
+
+    private final Counter mAskCount;
+
+    private final OriginRecords mRecords = new OriginRecords();
+
+    /** The attempts that others are asked for. */
+    private final Map<RequestId, List<Consumer<StreamOrigin>>> mPending = new HashMap<>();
+
+    private OriginPeers mPeers = OriginPeers.NONE;
+
+    private ServedVersions mVersions = ServedVersions.UNKNOWN;
+
+    /** How an origin became known. */
+    public enum Source {
+        /** This router has recorded it. */
+        RECORD,
+        /** Another router has recorded it. */
+        PEER,
+        /** The service has had no other version. */
+        ONLY_VERSION,
+        /** It is unknown. */
+        NONE;
+
+        /** Returns the name in metrics and log lines. */
+        public String label() {
+            return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
+    }
+
+    /**
+     * What is known of a stream. Immutable and thread safe.
+     *
+     * @param origin the origin; empty if it is unknown
+     */
+    public record Resolution(Optional<StreamOrigin> origin, Source source) {}
+
+    /**
+     * Creates an instance without peers.
+     *
+     * @param millis the monotonic clock, milliseconds
+     */
+    public StreamOrigins(ControlExecutor control, LongSupplier millis, MetricRegistry metrics) {
+        mControl = control;
+        mMillis = millis;
+        mMetrics = metrics;
+        mAskCount = metrics.counter("resumed.asked");
+    }
+
+    /** Sets the other routers. */
+    public void setPeers(OriginPeers peers) {
+        mPeers = peers;
+    }
+
+    /** Sets what is known of the versions of services. */
+    public void setVersions(ServedVersions versions) {
+        mVersions = versions;
+    }
+
+    /**
+     * Records that this router is about to relay the first event of an attempt, here and at other
+     * routers.
+     */
+    public void record(RequestId attempt, StreamOrigin origin) {
+        mControl.execute(
+                () -> {
+                    mRecords.put(attempt, origin, mMillis.getAsLong());
+                    mPeers.announce(attempt, origin);
+                });
+    }
+
+    /** Records an origin that another router announced. */
+    public void onAnnounced(RequestId attempt, StreamOrigin origin) {
+        mRecords.put(attempt, origin, mMillis.getAsLong());
+    }
+
+    /** Returns the recorded origin of the stream that an attempt began. */
+    public Optional<StreamOrigin> find(RequestId attempt) {
+        return mRecords.find(attempt, mMillis.getAsLong());
+    }
+
+    /** Records the answer of another router that knows the origin. */
+    public void onAnswer(RequestId attempt, StreamOrigin origin) {
+        List<Consumer<StreamOrigin>> waiting = mPending.remove(attempt);
+        if (waiting != null) {
+            mRecords.put(attempt, origin, mMillis.getAsLong());
+            waiting.forEach(each -> each.accept(origin));
+        }
+    }
+
+    /**
+     * Finds the origin of a stream that a caller resumes.
+     *
+     * @param attempt the attempt that began it; empty if the caller does not name it
+     * @param service the service that would continue it
+     * @param listener receives the result once, on the control thread
+     */
+    public void resolve(
+            Optional<RequestId> attempt, String service, Consumer<Resolution> listener) {
+        mControl.execute(
+                () -> {
+                    Optional<StreamOrigin> recorded = attempt.flatMap(this::find);
+                    if (recorded.isPresent()) {
+                        finish(new Resolution(recorded, Source.RECORD), listener);
+                    } else if (attempt.isEmpty() || mPending.size() >= MAX_PENDING) {
+                        finish(fromVersions(service), listener);
+                    } else {
+                        askPeers(attempt.get(), service, listener);
+                    }
+                });
+    }
+
+    private void askPeers(RequestId attempt, String service, Consumer<Resolution> listener) {
+        Lookup lookup = new Lookup(attempt, service, listener);
+        mPending.computeIfAbsent(attempt, each -> new ArrayList<>()).add(lookup);
+        lookup.ask();
+    }
+
+    private Resolution fromVersions(String service) {
+        Optional<StreamOrigin> only =
+                mVersions.onlyVersion(service).map(version -> new StreamOrigin(service, version));
+        return new Resolution(only, only.isPresent() ? Source.ONLY_VERSION : Source.NONE);
+    }
+
+    private void finish(Resolution resolution, Consumer<Resolution> listener) {
+        mMetrics.counter("resumed." + resolution.source().label()).inc();
+        listener.accept(resolution);
+    }
+
+    /** A question to the other routers. Confined to the control thread. */
+    private final class Lookup implements Consumer<StreamOrigin> {
+
+        private final RequestId mAttempt;
+
+        private final String mService;
+
+        private final Consumer<Resolution> mListener;
+
+        private int mAsks;
+
+        Lookup(RequestId attempt, String service, Consumer<Resolution> listener) {
+            mAttempt = attempt;
+            mService = service;
+            mListener = listener;
+        }
+
+        private boolean isPending() {
+            return mPending.getOrDefault(mAttempt, List.of()).contains(this);
+        }
+
+        /** Asks the others, or gives up when they were asked often enough. */
+        private void ask() {
+            if (!isPending()) {
+                return;
+            }
+            if (mAsks++ < MAX_ASKS) {
+                mAskCount.inc();
+                mPeers.ask(mAttempt);
+                mControl.schedule(this::ask, ASK_MILLIS);
+                return;
+            }
+            List<Consumer<StreamOrigin>> waiting = mPending.get(mAttempt);
+            waiting.remove(this);
+            if (waiting.isEmpty()) {
+                mPending.remove(mAttempt);
+            }
+            finish(fromVersions(mService), mListener);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void accept(StreamOrigin origin) {
+            finish(new Resolution(Optional.of(origin), Source.PEER), mListener);
+        }
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/route/RoutingConfiguration.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/route/RoutingConfiguration.java
@@ -135,6 +135,15 @@
         return mServices;
     }
 
+    /** Returns the longest time limit of a route, milliseconds. */
+    public long longestTimeoutMillis() {
+        return mRoutes.values().stream()
+                .flatMap(List::stream)
+                .mapToLong(Route::timeoutMillis)
+                .max()
+                .orElse(0);
+    }
+
     /** Returns whether requests need an API key, except on open routes. */
     public boolean requiresKeys() {
         return !mOrganisations.isEmpty();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/EventRelay.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/EventRelay.java
@@ -17,6 +17,8 @@
 
     private final CallerChannel mCaller;
 
+    private final Runnable mBeforeFirstEvent;
+
     /** Splits the bytes of the current run into events. */
     private ServerSentEventSplitter mParser = new ServerSentEventSplitter();
 
@@ -29,8 +31,10 @@
      * Creates a relay.
      *
      * @param lastEventId the id of the last event that the caller says it has, if any
+     * @param beforeFirstEvent runs before the first event is relayed
      */
-    EventRelay(CallerChannel caller, OptionalLong lastEventId) {
+    EventRelay(CallerChannel caller, OptionalLong lastEventId, Runnable beforeFirstEvent) {
+        mBeforeFirstEvent = beforeFirstEvent;
         mCaller = caller;
         mLastEventId = lastEventId;
     }
@@ -81,7 +85,9 @@
             }
             mLastEventId = id;
         }
-        mEventCount++;
+        if (mEventCount++ == 0) {
+            mBeforeFirstEvent.run();
+        }
         mCaller.write(event);
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
@@ -61,7 +61,7 @@
             return;
         }
         mContext.organisationLimiter().applyConfiguration(configuration.get());
-        String name = route.get().selectService(mContext.random().nextDouble());
+        String name = route.get().selectService(selector(request, route.get()));
         Optional<Service> service = configuration.get().findService(name);
         RequestExecution execution =
                 execution(
@@ -74,6 +74,16 @@
         execution.begin();
     }
 
+    /**
+     * Returns the number that selects a request's service: all tries of a resumable stream yield
+     * the same one at all routers, so that they select the service that began the stream.
+     */
+    private double selector(ServingRequest request, Route route) {
+        return route.kind() == Route.Kind.RESUMABLE_STREAM
+                ? request.resumedAttempt().orElse(request.id()).fraction()
+                : mContext.random().nextDouble();
+    }
+
     /**
      * Authenticates a caller by the head of its request, before the body has arrived.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -11,6 +11,7 @@
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.organisation.OrganisationLimiter;
 import org.troutpier.daemon.plain.PlainCalls;
+import org.troutpier.daemon.resume.StreamOrigins;
 import org.troutpier.daemon.waiting.ReturnSchedule;
 
 /**
@@ -27,6 +28,7 @@
  * @param organisationLimiter enforces the limits of organisations
  * @param recentRefusals the requests that were refused recently
  * @param crashGuard withholds requests that have crashed several upstreams
+ * @param origins records and finds the origins of streams
  * @param retryPacer determines when refused callers should retry
  * @param returnSchedule the return times given to refused callers, in view of all routers
  * @param growthMargin how much memory stays free for the growth of running requests
@@ -52,6 +54,7 @@
         OrganisationLimiter organisationLimiter,
         RecentRefusals recentRefusals,
         CrashGuard crashGuard,
+        StreamOrigins origins,
         RetryPacer retryPacer,
         ReturnSchedule returnSchedule,
         GrowthMargin growthMargin,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -2,8 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
-import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.cluster.DemandMeter;
 import org.troutpier.daemon.decision.QueueTier;
@@ -17,7 +15,8 @@
  * Serves a streaming model request with separate prefill and decode engines: reserves memory at a
  * decode engine, has a prefill engine process the prompt, then relays the decode engine's events to
  * the caller. Confined to the traffic loop. Invariants: no prefill is sent before memory is
- * reserved for its request; a stream is ended as complete only where its run was complete; each
+ * reserved for its request; a stream is ended as complete only where its run was complete; all
+ * events of a stream, over all tries of its caller, are written by one software version; each
  * reservation is used or released.
  */
 final class StreamExecution extends RequestExecution {
@@ -34,6 +33,8 @@
 
     private final DecodeReservation mReservation;
 
+    private final DecodeEngines mEngines = new DecodeEngines(this);
+
     /** The decode run in progress, or null. */
     private StreamRun mRun;
 
@@ -63,7 +64,7 @@
                         mPrompt.promptTokens());
         mTiming = new StreamTiming(this, prefillEngines);
         mPrefill = new PrefillStage(this, engineTraits, prefillEngines, mTiming, this::startRun);
-        mRelay = new EventRelay(caller, request.lastEventId());
+        mRelay = new EventRelay(caller, request.lastEventId(), this::beforeFirstEvent);
         mReservation = new DecodeReservation(context, service, engineTraits, flowKey(), mPrompt);
     }
 
@@ -75,8 +76,30 @@
         }
         if (mPrompt.promptTokens() > mEngineTraits.memoryTokens()) {
             refuse(ResultCode.NO_PLACE, "larger than an engine's memory", 0);
-            return;
+        } else if (mRequest.isResumed()) {
+            mEngines.resolveOrigin(this::onOriginResolved);
+        } else {
+            startSearch();
+        }
+    }
+
+    /** Continues a stream that a caller resumes, or refuses it if its origin is unknown. */
+    private void onOriginResolved(boolean known) {
+        if (known) {
+            startSearch();
+        } else {
+            refuse(
+                    ResultCode.ORIGIN_UNKNOWN,
+                    "no router knows what began the stream",
+                    ServingSettings.RETRY_AFTER_MILLIS);
         }
+    }
+
+    private void beforeFirstEvent() {
+        mEngines.bindTo(mReservation.engine());
+    }
+
+    private void startSearch() {
         if (!mTiming.recordArrival()) {
             mContext.demandMeter()
                     .recordRequest(mService, mPrompt.promptTokens(), mContext.loop().millis());
@@ -86,13 +109,15 @@
 
     /** Searches for a decode engine with room, or refuses at once what cannot start in time. */
     private void search() {
-        if (untriedEngines().isEmpty()) {
-            failWithoutRun(ResultCode.NO_PLACE, "no engine is left");
+        Optional<DecodeEngines.Obstacle> obstacle = mEngines.obstacle();
+        if (obstacle.isPresent()) {
+            failWithoutRun(obstacle.get().code(), obstacle.get().detail());
             return;
         }
         WaitBudget budget = mTiming.waitBudget();
         WaitBudget.Prediction prediction = mTiming.prediction();
-        if (mContext.admission().backOffMillis(untriedEngines()) > budget.waitMillis(prediction)) {
+        if (mContext.admission().backOffMillis(mEngines.untried())
+                > budget.waitMillis(prediction)) {
             failWithoutRun(ResultCode.NO_PLACE, "engines asked for a back-off");
             return;
         }
@@ -100,9 +125,7 @@
                 mReservation
                         .forecast()
                         .predictedWaitMillis(
-                                upstreams(UpstreamEntry.Role.DECODE),
-                                budget.tier(),
-                                budget.waitMillis(prediction));
+                                mEngines.all(), budget.tier(), budget.waitMillis(prediction));
         if (budget.isExceededBy(mPredictedWaitMillis, prediction)) {
             mContext.metrics().refusedAtOnce(budget.tier());
             mTrace.addStep("predicted wait for memory " + (long) mPredictedWaitMillis + "ms");
@@ -127,7 +150,7 @@
                 0,
                 QueueTier.CONTINUED,
                 mRelay.eventCount(),
-                () -> mResumeTarget.filter(upstreams(UpstreamEntry.Role.DECODE)),
+                () -> mResumeTarget.filter(mEngines.all()),
                 new ResumeSearchListener(end));
     }
 
@@ -150,18 +173,10 @@
      */
     private List<UpstreamEntry> eligibleEngines() {
         return mTiming.waitBudget().allowsPrefill(mTiming.prediction())
-                ? untriedEngines()
+                ? mEngines.untried()
                 : List.of();
     }
 
-    /** Returns the decode engines to which the request may still be sent. */
-    private List<UpstreamEntry> untriedEngines() {
-        Set<UpstreamIncarnation> excluded = excludedUpstreams();
-        return upstreams(UpstreamEntry.Role.DECODE).stream()
-                .filter(entry -> !excluded.contains(entry.incarnation()))
-                .toList();
-    }
-
     /**
      * Sends the request to the decode engine, or searches for another one if that engine has
      * stopped taking work since the reservation: the prefill can take longer than the time for
@@ -179,6 +194,7 @@
                 mContext.directory()
                         .usable(engine)
                         .filter(listed -> listed.role() == UpstreamEntry.Role.DECODE)
+                        .filter(mEngines::allows)
                         .filter(mContext.admission()::stillAdmits)
                         .isPresent();
         if (!acceptsWork) {
@@ -220,7 +236,7 @@
             mRequest.prompt()
                     .ifPresent(prompt -> mContext.recentRefusals().recordRefusal(prompt, now));
             long limit = (long) (remainingMillis() * ServingSettings.MAX_RETRY_AFTER_RATIO);
-            long backOff = mContext.admission().backOffMillis(untriedEngines());
+            long backOff = mContext.admission().backOffMillis(mEngines.untried());
             long delay =
                     mReservation
                             .forecast()
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/PeerExchangeTest.java
@@ -3,22 +3,27 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.troutpier.common.http.ServerLimits;
 import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.Incarnation;
 import org.troutpier.common.id.InstanceId;
+import org.troutpier.common.id.RequestId;
+import org.troutpier.common.id.SoftwareVersion;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.limit.LastAnnouncedRate;
@@ -35,6 +40,8 @@
 import org.troutpier.daemon.quarantine.CrashRecord;
 import org.troutpier.daemon.quarantine.CrashReport;
 import org.troutpier.daemon.quarantine.RequestFingerprint;
+import org.troutpier.daemon.resume.StreamOrigin;
+import org.troutpier.daemon.resume.StreamOrigins;
 import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.route.RoutingConfiguration;
 import org.troutpier.daemon.rows.FakeRowStore;
@@ -62,38 +69,6 @@
     private Map<Incarnation, Router> mRouters;
     private Set<Set<Incarnation>> mCutLinks;
 
-    /** The keys of a table, and since when they are known without a gap. */
-    private static final class TableKeys implements TableFollower.Listener {
-
-        private final Set<String> mKeys = new HashSet<>();
-        private long mUnbrokenSince;
-
-        @Override
-        public void onConfirmed(boolean own, long since) {
-            mUnbrokenSince = since;
-        }
-
-        @Override
-        public void onSnapshot(List<Row> rows) {
-            mKeys.clear();
-            onChanges(rows);
-        }
-
-        @Override
-        public void onChanges(List<Row> rows) {
-            for (Row row : rows) {
-                if (row.deleted()) {
-                    mKeys.remove(row.key());
-                } else {
-                    mKeys.add(row.key());
-                }
-            }
-        }
-
-        @Override
-        public void onStoreUnavailable() {}
-    }
-
     /** A router and its links. */
     private final class Router implements PeerLinks {
         final CurrentConfiguration mConfiguration = new CurrentConfiguration();
@@ -111,6 +86,8 @@
         final List<UpstreamIncarnation> mLeaving = new ArrayList<>();
 
         final PeerExchange mExchange;
+        final StreamOrigins mOrigins =
+                new StreamOrigins(mControl, mTime::millis, new MetricRegistry());
         final TableKeys mTableKeys = new TableKeys();
         FakeRowStore mStore;
         PeerMesh.MessageListener mListener;
@@ -153,6 +130,7 @@
                                     mLeaving.addAll(upstreams);
                                 }
                             });
+            mExchange.setOrigins(mOrigins);
             mControl.scheduleWithFixedDelay(this::report, 100);
         }
 
@@ -306,6 +284,33 @@
         assertAggregatesComplete();
     }
 
+    @DataProvider
+    static Object[][] fleetSizes() {
+        return new Object[][] {{8}, {MANY_ROUTERS}};
+    }
+
+    @Test(dataProvider = "fleetSizes")
+    public void theOriginOfAStreamIsKnownAfterTheLossOfItsRoutersHall(int count) {
+        routers(count);
+        mTime.advance(2000);
+        RequestId attempt = new RequestId("a1");
+        StreamOrigin origin = new StreamOrigin("notes", new SoftwareVersion("v1"));
+        Router first = liveRouters().get(0);
+        first.mOrigins.record(attempt, origin);
+        mTime.advance(ROUND_TRIP_MILLIS);
+        mRouters.values().stream()
+                .filter(each -> each.mSelf.hall().equals(first.mSelf.hall()))
+                .forEach(each -> each.mDead = true);
+        for (Router router : liveRouters()) {
+            List<StreamOrigins.Resolution> found = new ArrayList<>();
+            router.mOrigins.resolve(Optional.of(attempt), "notes", found::add);
+            router.mOrigins.resolve(Optional.of(new RequestId("a2")), "notes", found::add);
+            mTime.advance(StreamOrigins.MAX_ASKS * StreamOrigins.ASK_MILLIS);
+            assertEquals(found.get(0).origin(), Optional.of(origin), "at " + router.mSelf);
+            assertEquals(found.get(1).source(), StreamOrigins.Source.NONE);
+        }
+    }
+
     private int configurationsSent() {
         return mRouters.values().stream().mapToInt(router -> router.mConfigurationsSent).sum();
     }
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/VersionTableTest.java
@@ -0,0 +1,105 @@
+package org.troutpier.daemon.cluster;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import java.util.Optional;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.SoftwareVersion;
+import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.common.settings.Address;
+import org.troutpier.daemon.directory.UpstreamDirectory;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.node.ManualClock;
+import org.troutpier.daemon.node.Node;
+import org.troutpier.daemon.node.TestNode;
+import org.troutpier.daemon.rows.FakeRowStore;
+import org.troutpier.standins.platform.VersionedRows;
+
+/** What routers that share only the store know of the versions that served. */
+public final class VersionTableTest {
+
+    private static final String SERVICE = "notes";
+    private static final long RETENTION_MILLIS = 60_000;
+
+    private ManualClock mTime;
+    private VersionedRows mRows;
+
+    /** A router that no other reaches. */
+    private final class Router {
+
+        final ManualClock.PausableControlExecutor mControl = mTime.control();
+        final UpstreamDirectory mDirectory = new UpstreamDirectory(mControl, mTime::millis);
+        final VersionTable mTable;
+
+        Router(String name, String... versions) {
+            Node node = TestNode.of(name, mControl, mTime::nanos);
+            mTable =
+                    new VersionTable(
+                            node,
+                            new FakeRowStore(mRows),
+                            new IsolatedRouter(node).mExchange,
+                            mDirectory,
+                            () -> RETENTION_MILLIS);
+            list(versions);
+            mTable.start();
+            mTime.advance(3 * VersionTable.TICK_MILLIS);
+            list(versions);
+        }
+
+        void list(String... versions) {
+            mDirectory.onConfirmed(true, 0);
+            mDirectory.replaceAll(
+                    List.of(versions).stream().map(VersionTableTest::engine).toList());
+        }
+
+        Optional<String> onlyVersion() {
+            return mTable.onlyVersion(SERVICE).map(SoftwareVersion::value);
+        }
+    }
+
+    private static UpstreamEntry engine(String version) {
+        return new UpstreamEntry(
+                UpstreamIncarnation.of("engine-" + version),
+                SERVICE,
+                new Address("127.0.0.1", 1),
+                new HallId("hall-a"),
+                8,
+                UpstreamEntry.Role.DECODE,
+                false,
+                new SoftwareVersion(version));
+    }
+
+    @BeforeMethod
+    void start() {
+        mTime = new ManualClock();
+        mRows = new VersionedRows();
+    }
+
+    @Test
+    public void aRouterStartedAfterALossOfAllKnowsTheOnlyVersion() {
+        new Router("one", "v1");
+        assertEquals(new Router("later", "v1").onlyVersion(), Optional.of("v1"));
+    }
+
+    @Test
+    public void aVersionThatIsGoneCountsUntilItsStreamsCannotBeResumed() {
+        Router one = new Router("one", "v1", "v2");
+        Router later = new Router("later", "v2");
+        assertEquals(later.onlyVersion(), Optional.empty());
+        one.list("v2");
+        mTime.advance(RETENTION_MILLIS + 3 * VersionTable.TICK_MILLIS);
+        later.list("v2");
+        assertEquals(later.onlyVersion(), Optional.of("v2"));
+    }
+
+    @Test
+    public void anOldListOfEnginesTellsNoOnlyVersion() {
+        Router router = new Router("one", "v1");
+        assertEquals(router.onlyVersion(), Optional.of("v1"));
+        mTime.advance(VersionTable.MAX_DIRECTORY_AGE_MILLIS + 1);
+        assertEquals(router.onlyVersion(), Optional.empty());
+    }
+}
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/EventRelayTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/EventRelayTest.java
@@ -28,7 +28,7 @@
 
     @Test
     public void onlyCompleteEventsAreRelayed() {
-        EventRelay relay = new EventRelay(mCaller, OptionalLong.empty());
+        EventRelay relay = new EventRelay(mCaller, OptionalLong.empty(), () -> {});
         relay.feed(bytes("id: 1\ndata: a\n\nid: 2\nda"));
         assertEquals(mCaller.text(), "id: 1\ndata: a\n\n");
         assertFalse(relay.atEventBoundary());
@@ -39,7 +39,7 @@
 
     @Test
     public void nextRunContinuesAfterTheLastCompleteEvent() {
-        EventRelay relay = new EventRelay(mCaller, OptionalLong.empty());
+        EventRelay relay = new EventRelay(mCaller, OptionalLong.empty(), () -> {});
         relay.feed(bytes("id: 1\ndata: a\n\nid: 2\nda"));
         relay.startRun();
         relay.feed(bytes("id: 2\ndata: b\n\n"));
@@ -48,16 +48,16 @@
 
     @Test
     public void outOfOrderEventIsNotRelayed() {
-        EventRelay relay = new EventRelay(mCaller, OptionalLong.of(4));
+        EventRelay relay = new EventRelay(mCaller, OptionalLong.of(4), () -> {});
         assertThrows(TroutpierException.class, () -> relay.feed(bytes("id: 6\ndata: a\n\n")));
-        EventRelay again = new EventRelay(mCaller, OptionalLong.of(4));
+        EventRelay again = new EventRelay(mCaller, OptionalLong.of(4), () -> {});
         assertThrows(TroutpierException.class, () -> again.feed(bytes("id: 4\ndata: a\n\n")));
         assertEquals(mCaller.text(), "");
     }
 
     @Test
     public void aFirstLineBeforeTheIdIsKept() {
-        EventRelay relay = new EventRelay(mCaller, OptionalLong.of(0));
+        EventRelay relay = new EventRelay(mCaller, OptionalLong.of(0), () -> {});
         relay.feed(bytes("weight-versions: 2\nid: 1\ndata: a\n\n"));
         assertEquals(mCaller.text(), "weight-versions: 2\nid: 1\ndata: a\n\n");
         assertEquals(relay.lastEventId(), OptionalLong.of(1));
@@ -70,7 +70,7 @@
         Random random = new Random(seed);
         for (int round = 0; round < 500; round++) {
             FakeCaller caller = new FakeCaller();
-            EventRelay relay = new EventRelay(caller, OptionalLong.empty());
+            EventRelay relay = new EventRelay(caller, OptionalLong.empty(), () -> {});
             StringBuilder all = new StringBuilder();
             for (int event = 1; event <= 1 + random.nextInt(20); event++) {
                 all.append("id: ").append(event).append("\ndata: ");
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestContext.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestContext.java
@@ -20,6 +20,7 @@
 import org.troutpier.daemon.plain.Schedule;
 import org.troutpier.daemon.quarantine.Quarantine;
 import org.troutpier.daemon.quarantine.QuarantineSettings;
+import org.troutpier.daemon.resume.StreamOrigins;
 import org.troutpier.daemon.waiting.ReturnSchedule;
 import org.troutpier.daemon.waiting.WaitingOrder;
 
@@ -84,6 +85,7 @@
                         UsageSettings.DEFAULT, mTime::millis, mRandom, mPeers, () -> 1, mMetrics),
                 new RecentRefusals(),
                 new CrashGuard(loop, mPort, mDirectory, mQuarantine, mMetrics),
+                new StreamOrigins(mTime.control(), mTime::millis, mMetrics),
                 new RetryPacer(mRandom),
                 mReturns == null ? new ReturnSchedule(mRandom) : mReturns,
                 new GrowthMargin(),
