Each software version keeps a decode engine

Cause: roles were counted over all versions, and the least used engine changed, whichever it was.

Change: a version with several engines of which none decodes gets one, at once, and the only decode engine of a version does not become a prefill engine. With one version nothing changes. Both tests failed before (no order; the order went to the only engine). The selection of engines moved to a class of its own.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/role/RoleController.java
@@ -1,7 +1,6 @@
 package org.troutpier.daemon.role;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +12,7 @@
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.troutpier.common.id.SoftwareVersion;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.cluster.Demand;
 import org.troutpier.daemon.cluster.PeerLoads;
@@ -225,6 +225,25 @@
             removeFinished(roles);
             return;
         }
+        long now = mNode.millis();
+        boolean mayStart = now >= roles.mNotBefore && !roles.mVerifyingIdle;
+        VersionCoverage coverage = new VersionCoverage(engines);
+        Optional<SoftwareVersion> uncovered = coverage.uncoveredVersion();
+        if (uncovered.isPresent() && mayStart) {
+            LOGGER.info(
+                    "role change wanted service={} since no engine decodes for version={}",
+                    service,
+                    uncovered.get());
+            verifyIdle(
+                    roles,
+                    engines,
+                    new ChangeSelection(
+                            UpstreamEntry.Role.DECODE,
+                            1,
+                            engine -> engine.version().equals(uncovered.get())),
+                    traits);
+            return;
+        }
         int prefill = (int) engines.stream().filter(RoleController::isPrefill).count();
         Demand demand = mOwnDemand.apply(service).plus(mPeers.demand(service));
         RoleChangePolicy.EnginePool enginePool =
@@ -234,9 +253,8 @@
                         traits.memoryTokens(),
                         traits.switchMillis(),
                         decodingTokens(engines));
-        long now = mNode.millis();
         RoleChangePolicy.Step step = roles.mPolicy.evaluate(now, enginePool, demand);
-        if (step == RoleChangePolicy.Step.STAY || now < roles.mNotBefore || roles.mVerifyingIdle) {
+        if (step == RoleChangePolicy.Step.STAY || !mayStart) {
             return;
         }
         LOGGER.info(
@@ -247,7 +265,17 @@
                 enginePool,
                 roles.mPolicy.lossSummary(),
                 demand);
-        verifyIdle(roles, engines, step == RoleChangePolicy.Step.MORE_PREFILL, traits);
+        ChangeSelection selection =
+                step == RoleChangePolicy.Step.MORE_PREFILL
+                        ? new ChangeSelection(
+                                UpstreamEntry.Role.PREFILL,
+                                roles.mPolicy.engineCount(),
+                                coverage::isCoveredWithout)
+                        : new ChangeSelection(
+                                UpstreamEntry.Role.DECODE,
+                                roles.mPolicy.engineCount(),
+                                engine -> true);
+        verifyIdle(roles, engines, selection, traits);
     }
 
     /** Returns the tokens that the other routers have in flight at decode engines. */
@@ -270,61 +298,39 @@
     private void verifyIdle(
             ServiceRoles roles,
             List<UpstreamEntry> engines,
-            boolean toPrefill,
+            ChangeSelection selection,
             EngineTraits traits) {
         roles.mVerifyingIdle = true;
-        int count = roles.mPolicy.engineCount();
-        List<CompletableFuture<Boolean>> idle =
-                engines.stream()
-                        .map(
-                                engine ->
-                                        mClient.report(engine)
-                                                .handle(
-                                                        (report, failure) ->
-                                                                failure != null
-                                                                        || !report.changing()))
-                        .toList();
+        List<CompletableFuture<Boolean>> idle = engines.stream().map(this::isIdle).toList();
+        Runnable decide =
+                () -> {
+                    roles.mVerifyingIdle = false;
+                    if (idle.stream().allMatch(CompletableFuture::join)) {
+                        startChanges(roles, engines, selection, traits);
+                    }
+                    removeFinished(roles);
+                };
         CompletableFuture.allOf(idle.toArray(CompletableFuture[]::new))
-                .thenRun(
-                        () ->
-                                mNode.control()
-                                        .execute(
-                                                () -> {
-                                                    roles.mVerifyingIdle = false;
-                                                    if (idle.stream()
-                                                            .allMatch(CompletableFuture::join)) {
-                                                        startChanges(
-                                                                roles, engines, count, toPrefill,
-                                                                traits);
-                                                    }
-                                                    removeFinished(roles);
-                                                }));
+                .thenRun(() -> mNode.control().execute(decide));
+    }
+
+    /** Returns whether an engine does not report that it is changing. */
+    private CompletableFuture<Boolean> isIdle(UpstreamEntry engine) {
+        return mClient.report(engine)
+                .handle((report, failure) -> failure != null || !report.changing());
     }
 
-    /** Starts changes at the least used engines. */
     private void startChanges(
             ServiceRoles roles,
             List<UpstreamEntry> engines,
-            int count,
-            boolean toPrefill,
+            ChangeSelection selection,
             EngineTraits traits) {
         long now = mNode.millis();
-        UpstreamEntry.Role role =
-                toPrefill ? UpstreamEntry.Role.PREFILL : UpstreamEntry.Role.DECODE;
-        engines.stream()
-                .filter(each -> isPrefill(each) != toPrefill)
-                .sorted(
-                        Comparator.<UpstreamEntry>comparingLong(
-                                        each -> mPeers.upstreamUsage(each.incarnation()).tokens())
-                                .thenComparing(UpstreamEntry::incarnation))
-                .limit(count)
-                .map(
-                        each ->
-                                new RoleChange(
-                                        each,
-                                        role,
-                                        now,
-                                        now + traits.switchMillis() + DRAIN_ALLOWANCE_MILLIS))
+        long deadline = now + traits.switchMillis() + DRAIN_ALLOWANCE_MILLIS;
+        selection
+                .select(engines, each -> mPeers.upstreamUsage(each.incarnation()).tokens())
+                .stream()
+                .map(each -> new RoleChange(each, selection.role(), now, deadline))
                 .forEach(roles.mChanges::add);
         roles.mChanges.forEach(this::requestReport);
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/role/RoleControllerTest.java
@@ -13,6 +13,7 @@
 import org.testng.annotations.Test;
 import org.troutpier.common.http.ServerLimits;
 import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.SoftwareVersion;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.cluster.Demand;
@@ -122,6 +123,10 @@
     }
 
     private static UpstreamEntry engine(String id, UpstreamEntry.Role role) {
+        return engine(id, role, "");
+    }
+
+    private static UpstreamEntry engine(String id, UpstreamEntry.Role role, String version) {
         return new UpstreamEntry(
                 UpstreamIncarnation.of(id),
                 SERVICE,
@@ -129,7 +134,8 @@
                 new HallId("hall"),
                 10,
                 role,
-                false);
+                false,
+                new SoftwareVersion(version));
     }
 
     private void orderOne() {
@@ -194,4 +200,29 @@
         mTime.advance(1000);
         assertEquals(mClient.mOrdered, List.of(again.incarnation()));
     }
+
+    @Test
+    public void theLastEnginesOfAVersionDoNotAllPrefill() {
+        mDirectory.replaceAll(
+                List.of(
+                        engine("e1", UpstreamEntry.Role.PREFILL, "v1"),
+                        engine("e2", UpstreamEntry.Role.PREFILL, "v1"),
+                        engine("e3", UpstreamEntry.Role.DECODE, "v2"),
+                        engine("e4", UpstreamEntry.Role.DECODE, "v2"),
+                        engine("e5", UpstreamEntry.Role.DECODE, "v2"),
+                        engine("e6", UpstreamEntry.Role.DECODE, "v2")));
+        mTime.advance(4 * TERM);
+        assertEquals(mClient.mOrdered, List.of(UpstreamIncarnation.of("e1")));
+    }
+
+    @Test
+    public void theOnlyDecodeEngineOfAVersionDoesNotBecomeAPrefillEngine() {
+        mDirectory.replaceAll(
+                List.of(
+                        engine("e1", UpstreamEntry.Role.DECODE, "v1"),
+                        engine("e2", UpstreamEntry.Role.DECODE, "v2"),
+                        engine("e3", UpstreamEntry.Role.DECODE, "v2")));
+        mTime.advance(4 * TERM);
+        assertEquals(mClient.mOrdered, List.of(UpstreamIncarnation.of("e2")));
+    }
 }
