A stream that few engines can continue does not wait behind new ones

Cause: continued streams wait behind requests in time, which is right where both can use the same engines; here new requests have all engines, and fill those of the old version as well.

Change: a continued stream that some usable engines may not take waits in the first tier. With one version nothing changes. The test failed before (CONTINUED in place of IN_TIME).

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/QueueTier.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/QueueTier.java
@@ -5,7 +5,10 @@
  * order.
  */
 public enum QueueTier {
-    /** The request can still meet its latency target. */
+    /**
+     * The request can still meet its latency target, or continues a stream which only some of the
+     * engines can continue.
+     */
     IN_TIME,
     /** The request continues a stream of which the caller has already received a part. */
     CONTINUED,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeEngines.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeEngines.java
@@ -79,6 +79,11 @@
                 .toList();
     }
 
+    /** Returns whether there are usable engines at which the stream may not run. */
+    boolean isRestricted() {
+        return !mExecution.upstreams(UpstreamEntry.Role.DECODE).stream().allMatch(this::allows);
+    }
+
     /** Returns the engines to which the request may still be sent. */
     List<UpstreamEntry> untried() {
         Set<UpstreamIncarnation> excluded = mExecution.excludedUpstreams();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -284,6 +284,10 @@
         search();
     }
 
+    DecodeEngines engines() {
+        return mEngines;
+    }
+
     /** {@inheritDoc} */
     @Override
     protected void releaseUpstream() {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamTiming.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamTiming.java
@@ -77,10 +77,14 @@
                 tier);
     }
 
-    /** Returns the queue tier, which depends on whether the request can still meet its target. */
+    /**
+     * Returns the queue tier, which depends on whether the request can still meet its target. A
+     * continued stream for which only some engines are left does not wait behind new requests,
+     * which can use the others.
+     */
     QueueTier tier() {
-        if (mExecution.isStreaming() || mExecution.mRequest.lastEventId().isPresent()) {
-            return QueueTier.CONTINUED;
+        if (mExecution.isStreaming() || mExecution.mRequest.isResumed()) {
+            return mExecution.engines().isRestricted() ? QueueTier.IN_TIME : QueueTier.CONTINUED;
         }
         boolean late =
                 mSearchedBefore
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -11,11 +11,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.troutpier.common.id.RequestId;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.result.ResultCode;
+import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.limit.FlowKey;
@@ -27,6 +29,7 @@
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.upstream.AttemptEnd;
+import org.troutpier.daemon.waiting.WaitingOrder;
 
 /** Executions whose upstreams fail, leave, restart or refuse work. */
 public final class ExecutionTest {
@@ -35,6 +38,7 @@
     private FakePort mPort;
     private FakeCaller mCaller;
     private UpstreamDirectory mDirectory;
+    private TestContext mSetup;
     private ServingContext mContext;
     private Quarantine mQuarantine;
 
@@ -53,13 +57,13 @@
         mDirectory.setListener(port::retain);
         mRequester = new Requester.Unchecked();
         mDeferredDecisions = null;
-        TestContext context = new TestContext(mTime);
-        context.mPort = port;
-        context.mDirectory = mDirectory;
-        context.mView = this::decideOrDefer;
-        mQuarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, context.mMetrics);
-        context.mQuarantine = mQuarantine;
-        mContext = context.build();
+        mSetup = new TestContext(mTime);
+        mSetup.mPort = port;
+        mSetup.mDirectory = mDirectory;
+        mSetup.mView = this::decideOrDefer;
+        mQuarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, mSetup.mMetrics);
+        mSetup.mQuarantine = mQuarantine;
+        mContext = mSetup.build();
     }
 
     private void decideOrDefer(Runnable decision) {
@@ -312,6 +316,26 @@
         assertNothingHeld();
     }
 
+    @Test
+    public void aStreamThatFewEnginesCanContinueDoesNotWaitBehindNewOnes() {
+        mSetup.mOrder = new WaitingOrder.Alone(true);
+        mContext = mSetup.build();
+        mContext.extraCallBudget().setLimits(0, 10);
+        UpstreamEntry first = TestUpstreams.decode("a", "v1");
+        UpstreamEntry second = TestUpstreams.decode("b", "v1");
+        mDirectory.replaceAll(List.of(first));
+        stream(Route.Kind.RESUMABLE_STREAM, 2);
+        UpstreamPort.RunListener run = mPort.mRuns.get(0).mListener;
+        run.onHead(head(UpstreamPort.Verdict.SUCCESS));
+        run.onPart("id: 1\ndata: a\n\n".getBytes(StandardCharsets.UTF_8));
+        mDirectory.replaceAll(List.of(first, second, TestUpstreams.decode("c", "v2")));
+        mPort.mFullEngines.add(second.incarnation());
+        mTime.advance(ServingSettings.STREAM_SILENCE_MILLIS + 1);
+        assertEquals(Set.copyOf(mPort.mReserveCalls), Set.of(first, second));
+        assertEquals(
+                mContext.reservations().waitingReport().entries().get(0).tier(), QueueTier.IN_TIME);
+    }
+
     @Test
     public void lostRunIsNotResumedWithoutAnExtraCall() {
         mDirectory.replaceAll(List.of(TestUpstreams.decode("a"), TestUpstreams.decode("b")));
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestUpstreams.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestUpstreams.java
@@ -1,6 +1,7 @@
 package org.troutpier.daemon.serving;
 
 import org.troutpier.common.id.HallId;
+import org.troutpier.common.id.SoftwareVersion;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.settings.Address;
 import org.troutpier.daemon.directory.UpstreamEntry;
@@ -23,6 +24,20 @@
         return entry(id, HALL.value(), UpstreamEntry.Role.DECODE);
     }
 
+    /** Returns a decode engine of a software version. */
+    static UpstreamEntry decode(String id, String version) {
+        UpstreamEntry engine = decode(id);
+        return new UpstreamEntry(
+                engine.incarnation(),
+                engine.service(),
+                engine.address(),
+                engine.hall(),
+                engine.slots(),
+                engine.role(),
+                engine.draining(),
+                new SoftwareVersion(version));
+    }
+
     static UpstreamEntry prefill(String id) {
         return entry(id, HALL.value(), UpstreamEntry.Role.PREFILL);
     }
