A relay does not compute its plan for each announced stream

Cause: a relay computes its plan when a message comes from a router that it is not connected to, as members report to it before it knows them. Routers of other halls that chose it as a holder announce each stream on such a connection. Change: messages about origins are handled before that. Found by reading; with up to 16 routers there are no relays.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -270,12 +270,12 @@
     public void onMessage(Member from, PeerMessage message) {
         mMembership.recordContact(from);
         mFailureDetector.recordContact(from.incarnation(), mNode.millis());
-        if (mPlan.isRelay() && !mLinks.isConnected(from.incarnation())) {
-            schedulePlan();
-        }
         if (mOrigins.onMessage(from.incarnation(), message)) {
             return;
         }
+        if (mPlan.isRelay() && !mLinks.isConnected(from.incarnation())) {
+            schedulePlan();
+        }
         if (message instanceof PeerMessage.Load load) {
             onLoad(from, load);
         } else if (message instanceof PeerMessage.LoadAsked) {
