Read as a newcomer: one listing of upstreams, queries and answers, retention with its table

Names: OriginQuery and OriginAnswer for what was asked and told, acceptsOrigins in the handshake, Lookup.onAnswer in place of a consumer. How long a version is kept is decided in VersionTable; platform/ only assembled it. No decision changes.

--- a/troutpier-common/src/main/java/org/troutpier/common/id/RequestId.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/id/RequestId.java
@@ -11,8 +11,11 @@
  */
 public record RequestId(@JsonValue String value) implements Comparable<RequestId> {
 
-    /** Leaves the 53 bits that a fraction has. */
-    private static final int FRACTION_SHIFT = Long.SIZE - 53;
+    /** Number of bits that a double represents exactly. */
+    private static final int FRACTION_BITS = 53;
+
+    /** Odd multiplier that spreads similar hashes over all bits. */
+    private static final long SPREAD = 0x9e3779b97f4a7c15L;
 
     /** Checks the text. */
     @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
@@ -22,8 +25,8 @@
 
     /** Returns a number that depends only on the text, at least 0 and less than 1. */
     public double fraction() {
-        long mixed = (value.hashCode() * 0x9e3779b97f4a7c15L) >>> FRACTION_SHIFT;
-        return mixed * 0x1.0p-53;
+        long bits = value.hashCode() * SPREAD >>> Long.SIZE - FRACTION_BITS;
+        return Math.scalb((double) bits, -FRACTION_BITS);
     }
 
     /** {@inheritDoc} */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/OriginExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/OriginExchange.java
@@ -46,7 +46,7 @@
     private final Map<StreamOrigin, List<String>> mAnnouncements = new LinkedHashMap<>();
 
     /** Attempts whose origins are to be asked for. */
-    private final List<String> mQuestions = new ArrayList<>();
+    private final List<String> mQueries = new ArrayList<>();
 
     /**
      * Creates an exchange.
@@ -92,7 +92,7 @@
         List<Incarnation> holders =
                 mHolders.stream()
                         .map(Member::incarnation)
-                        .filter(mLinks::tracksStreams)
+                        .filter(mLinks::acceptsOrigins)
                         .limit(OriginHolders.COUNT)
                         .toList();
         mAnnouncements.forEach(
@@ -109,23 +109,23 @@
     /** {@inheritDoc} */
     @Override
     public void ask(RequestId attempt) {
-        if (mQuestions.isEmpty()) {
-            mNode.control().execute(this::flushQuestions);
+        if (mQueries.isEmpty()) {
+            mNode.control().execute(this::flushQueries);
         }
-        mQuestions.add(attempt.value());
+        mQueries.add(attempt.value());
     }
 
-    private void flushQuestions() {
-        PeerMessage question =
-                new PeerMessage.OriginAsked(mNode.incarnation().value(), List.copyOf(mQuestions));
-        mQuestions.clear();
-        sendAll(mRelay.broadcastTargets(), question);
+    private void flushQueries() {
+        PeerMessage query =
+                new PeerMessage.OriginQuery(mNode.incarnation().value(), List.copyOf(mQueries));
+        mQueries.clear();
+        sendAll(mRelay.broadcastTargets(), query);
     }
 
     private void sendAll(Collection<Incarnation> routers, PeerMessage message) {
-        Set<Incarnation> tracking = new HashSet<>(routers);
-        tracking.removeIf(router -> !mLinks.tracksStreams(router));
-        mLinks.sendAll(tracking, message);
+        Set<Incarnation> accepting = new HashSet<>(routers);
+        accepting.removeIf(router -> !mLinks.acceptsOrigins(router));
+        mLinks.sendAll(accepting, message);
     }
 
     /**
@@ -136,9 +136,9 @@
     boolean onMessage(Incarnation from, PeerMessage message) {
         if (message instanceof PeerMessage.StreamsBegun begun) {
             onBegun(begun);
-        } else if (message instanceof PeerMessage.OriginAsked question) {
-            onQuestion(from, question);
-        } else if (message instanceof PeerMessage.OriginTold answer) {
+        } else if (message instanceof PeerMessage.OriginQuery query) {
+            onQuery(from, query);
+        } else if (message instanceof PeerMessage.OriginAnswer answer) {
             onAnswer(from, answer);
         } else {
             return false;
@@ -148,26 +148,18 @@
 
     private void onBegun(PeerMessage.StreamsBegun begun) {
         if (mOrigins != null) {
-            StreamOrigin origin = origin(begun.service(), begun.version());
+            StreamOrigin origin = toOrigin(begun.service(), begun.version());
             begun.attempts().forEach(each -> mOrigins.onAnnounced(new RequestId(each), origin));
         }
     }
 
-    private void onQuestion(Incarnation from, PeerMessage.OriginAsked question) {
-        if (mPlan.get().isRelay()) {
-            Set<Incarnation> targets =
-                    mRelay.groupMembers().contains(from)
-                            ? mRelay.broadcastTargets()
-                            : mRelay.groupMembers();
-            targets = new HashSet<>(targets);
-            targets.remove(from);
-            sendAll(targets, question);
-        }
+    private void onQuery(Incarnation from, PeerMessage.OriginQuery query) {
+        forward(from, query);
         if (mOrigins == null) {
             return;
         }
         Map<StreamOrigin, List<String>> known = new LinkedHashMap<>();
-        for (String attempt : question.attempts()) {
+        for (String attempt : query.attempts()) {
             mOrigins.find(new RequestId(attempt))
                     .ifPresent(
                             origin ->
@@ -177,19 +169,30 @@
         known.forEach(
                 (origin, attempts) ->
                         sendToAsker(
-                                new PeerMessage.OriginTold(
-                                        question.asker(),
+                                new PeerMessage.OriginAnswer(
+                                        query.asker(),
                                         origin.service(),
                                         origin.version().value(),
                                         attempts),
                                 true));
     }
 
-    private void onAnswer(Incarnation from, PeerMessage.OriginTold answer) {
+    /** Forwards a query where this router is a relay: to all if it comes from a member. */
+    private void forward(Incarnation from, PeerMessage.OriginQuery query) {
+        if (mPlan.get().isRelay()) {
+            Set<Incarnation> members = mRelay.groupMembers();
+            Set<Incarnation> targets =
+                    new HashSet<>(members.contains(from) ? mRelay.broadcastTargets() : members);
+            targets.remove(from);
+            sendAll(targets, query);
+        }
+    }
+
+    private void onAnswer(Incarnation from, PeerMessage.OriginAnswer answer) {
         if (!answer.asker().equals(mNode.incarnation().value())) {
             sendToAsker(answer, mRelay.groupMembers().contains(from));
         } else if (mOrigins != null) {
-            StreamOrigin origin = origin(answer.service(), answer.version());
+            StreamOrigin origin = toOrigin(answer.service(), answer.version());
             answer.attempts().forEach(each -> mOrigins.onAnswer(new RequestId(each), origin));
         }
     }
@@ -199,7 +202,7 @@
      *
      * @param local whether it comes from this router or one that reports to it
      */
-    private void sendToAsker(PeerMessage.OriginTold answer, boolean local) {
+    private void sendToAsker(PeerMessage.OriginAnswer answer, boolean local) {
         Incarnation asker = new Incarnation(answer.asker());
         if (mLinks.send(asker, answer)) {
             return;
@@ -213,7 +216,7 @@
         }
     }
 
-    private static StreamOrigin origin(String service, String version) {
+    private static StreamOrigin toOrigin(String service, String version) {
         return new StreamOrigin(service, new SoftwareVersion(version));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/VersionTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/VersionTable.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -15,6 +14,8 @@
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.resume.ServedVersions;
+import org.troutpier.daemon.route.CurrentConfiguration;
+import org.troutpier.daemon.route.RoutingConfiguration;
 import org.troutpier.daemon.rows.RowDecoder;
 import org.troutpier.daemon.rows.RowStore;
 import org.troutpier.daemon.rows.RowStore.Row;
@@ -26,8 +27,8 @@
  * knows whether an older stream can have begun at another version. The table readers of the halls
  * write it when the versions of the listed engines change, which is rare. Confined to the control
  * thread. Invariants: a version is removed only after none of its engines was listed for the
- * retention time; a version is told to be the only one only as long as the listed engines are
- * confirmed to be those of the store.
+ * retention time; a version is returned as the only one only while the listed engines are confirmed
+ * to be those of the store.
  */
 public final class VersionTable implements TableFollower.Listener, ServedVersions {
 
@@ -36,6 +37,15 @@
     /** Interval between comparisons of the table with the listed engines, milliseconds. */
     static final long TICK_MILLIS = 500;
 
+    /** Shortest time for which a version is kept after its last engine, milliseconds. */
+    static final long MIN_RETENTION_MILLIS = 60_000;
+
+    /**
+     * Number of tries, each as long as a route allows, over which a caller may resume a stream. A
+     * version is kept for that time after its last engine.
+     */
+    private static final int RESUMED_TRIES = 4;
+
     /**
      * Age of the list of engines from which on it may lack engines that others use, milliseconds. A
      * hall reads the list every 700 ms.
@@ -56,8 +66,7 @@
 
     private final UpstreamDirectory mDirectory;
 
-    /** How long a version is kept after its last engine, milliseconds. */
-    private final LongSupplier mRetentionMillis;
+    private final CurrentConfiguration mConfiguration;
 
     private final RowDecoder mDecoder;
 
@@ -98,20 +107,19 @@
     /**
      * Creates a table.
      *
-     * @param retentionMillis how long a version is kept after its last engine, milliseconds: as
-     *     long as its streams may be resumed
+     * @param configuration the routes, whose time limits determine how long streams may be resumed
      */
     public VersionTable(
             Node node,
             RowStore store,
             PeerExchange exchange,
             UpstreamDirectory directory,
-            LongSupplier retentionMillis) {
+            CurrentConfiguration configuration) {
         mNode = node;
         mStore = store;
         mExchange = exchange;
         mDirectory = directory;
-        mRetentionMillis = retentionMillis;
+        mConfiguration = configuration;
         mDecoder = new RowDecoder(node.metrics(), node::millis);
     }
 
@@ -182,7 +190,10 @@
     }
 
     private boolean isExpired(Map.Entry<ServiceVersion, Long> listed, long now) {
-        return now - listed.getValue() > mRetentionMillis.getAsLong();
+        long longestTry =
+                mConfiguration.current().map(RoutingConfiguration::longestTimeoutMillis).orElse(0L);
+        long retention = Math.max(MIN_RETENTION_MILLIS, RESUMED_TRIES * longestTry);
+        return now - listed.getValue() > retention;
     }
 
     private boolean isStored(ServiceVersion version) {
@@ -232,7 +243,7 @@
         rows.forEach(this::apply);
     }
 
-    /** Applies a row; one that cannot be decoded says nothing and is overwritten. */
+    /** Applies a row. One that cannot be decoded counts as empty, and is overwritten. */
     private void apply(Row row) {
         Set<String> versions =
                 row.deleted()
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -1,6 +1,5 @@
 package org.troutpier.daemon.directory;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -26,10 +25,9 @@
  * #usable}, {@link #engineVersions()}, {@link #hasRestarted}, {@link #isLoaded()}, {@link
  * #ageMillis()} and {@link #missingCount()} are thread safe. Invariant: an upstream is usable only
  * if its entry is listed, readable and not draining, and the upstream has not announced that it is
- * leaving; after such an announcement it is unusable, whatever its entry says, until it restarts.
- * Exception: an entry that disappeared while no router read the store stays usable until {@link
- * #MISSING_GRACE_MILLIS} after reading resumed, since entries of live upstreams lapse while the
- * store is unavailable.
+ * leaving; after such an announcement it is unusable until it restarts. Exception: an entry that
+ * disappeared while no router read the store stays usable until {@link #MISSING_GRACE_MILLIS} after
+ * reading resumed, since entries of live upstreams lapse while the store is unavailable.
  */
 public final class UpstreamDirectory {
 
@@ -94,14 +92,8 @@
     /** End of the grace period, milliseconds on the monotonic clock. */
     private long mGraceUntil;
 
-    /** Usable entries by service, replaced on each change. */
-    private volatile Map<String, List<UpstreamEntry>> mUsable = Map.of();
-
-    /** Software versions of the listed engines by service, replaced on each change. */
-    private volatile Map<String, Set<SoftwareVersion>> mEngineVersions = Map.of();
-
-    /** Listed incarnation of each upstream, replaced on each change. */
-    private volatile Map<UpstreamId, UpstreamIncarnation> mIncarnations = Map.of();
+    /** Replaced on each change. */
+    private volatile UpstreamListing mListing = UpstreamListing.EMPTY;
 
     private Consumer<Set<UpstreamIncarnation>> mListener = listed -> {};
 
@@ -147,12 +139,12 @@
      * @param service the service's name
      */
     public List<UpstreamEntry> usable(String service) {
-        return mUsable.getOrDefault(service, List.of());
+        return mListing.usable().getOrDefault(service, List.of());
     }
 
     /** Returns the usable upstreams of all services in a role. */
     public List<UpstreamEntry> usable(UpstreamEntry.Role role) {
-        return mUsable.values().stream()
+        return mListing.usable().values().stream()
                 .flatMap(List::stream)
                 .filter(entry -> entry.role() == role)
                 .toList();
@@ -171,7 +163,7 @@
 
     /** Returns the entry of a usable upstream, if its incarnation is the given one. */
     public Optional<UpstreamEntry> find(UpstreamIncarnation incarnation) {
-        return mUsable.values().stream()
+        return mListing.usable().values().stream()
                 .flatMap(List::stream)
                 .filter(each -> each.incarnation().equals(incarnation))
                 .findFirst();
@@ -179,7 +171,7 @@
 
     /** Returns the software versions of all listed engines, also of draining ones, by service. */
     public Map<String, Set<SoftwareVersion>> engineVersions() {
-        return mEngineVersions;
+        return mListing.engineVersions();
     }
 
     /**
@@ -187,7 +179,7 @@
      * state of that incarnation is lost.
      */
     public boolean hasRestarted(UpstreamIncarnation incarnation) {
-        UpstreamIncarnation listed = mIncarnations.get(incarnation.id());
+        UpstreamIncarnation listed = mListing.incarnations().get(incarnation.id());
         return listed != null && listed.startedAfter(incarnation);
     }
 
@@ -435,27 +427,10 @@
 
     /** Publishes the usable entries to readers on other threads, and calls the listener. */
     private void publish() {
-        List<UpstreamEntry> usable = new ArrayList<>(mEntries.values());
-        usable.removeIf(entry -> entry.draining() || mUnreadable.contains(entry.id()));
-        mUsable =
-                usable.stream()
-                        .collect(
-                                Collectors.groupingBy(
-                                        UpstreamEntry::service, Collectors.toUnmodifiableList()));
-        mEngineVersions =
-                mEntries.values().stream()
-                        .filter(entry -> entry.role() != UpstreamEntry.Role.PLAIN)
-                        .collect(
-                                Collectors.groupingBy(
-                                        UpstreamEntry::service,
-                                        Collectors.mapping(
-                                                UpstreamEntry::version,
-                                                Collectors.toUnmodifiableSet())));
-        mIncarnations =
-                mEntries.values().stream()
-                        .collect(
-                                Collectors.toUnmodifiableMap(
-                                        UpstreamEntry::id, UpstreamEntry::incarnation));
-        mListener.accept(Set.copyOf(mIncarnations.values()));
+        mListing =
+                UpstreamListing.of(
+                        mEntries.values(),
+                        entry -> !entry.draining() && !mUnreadable.contains(entry.id()));
+        mListener.accept(Set.copyOf(mListing.incarnations().values()));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/FrequentMessageCodec.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/FrequentMessageCodec.java
@@ -76,7 +76,7 @@
             out.packString("nonce").packString(challenge.nonce());
             out.packString("proof").packString(challenge.proof());
             out.packString("forwards").packBoolean(challenge.forwards());
-            out.packString("streams").packBoolean(challenge.streams());
+            out.packString("origins").packBoolean(challenge.origins());
         } else if (message instanceof PeerMessage.Proof proof) {
             out = begin("proof", 1);
             out.packString("proof").packString(proof.proof());
@@ -169,17 +169,17 @@
         String nonce = null;
         String proof = null;
         boolean forwards = false;
-        boolean streams = false;
+        boolean origins = false;
         for (int field = 0; field < fields; field++) {
             switch (in.unpackString()) {
                 case "nonce" -> nonce = in.unpackString();
                 case "proof" -> proof = in.unpackString();
                 case "forwards" -> forwards = in.unpackBoolean();
-                case "streams" -> streams = in.unpackBoolean();
+                case "origins" -> origins = in.unpackBoolean();
                 default -> in.skipValue();
             }
         }
-        return new PeerMessage.Challenge(nonce, proof, forwards, streams);
+        return new PeerMessage.Challenge(nonce, proof, forwards, origins);
     }
 
     private static PeerMessage readBegun(MessageUnpacker in, int fields) throws IOException {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerLinks.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerLinks.java
@@ -27,7 +27,7 @@
      * @param to the router
      * @return {@code false} also for one of an earlier version, which would close the connection
      */
-    default boolean tracksStreams(Incarnation to) {
+    default boolean acceptsOrigins(Incarnation to) {
         return isConnected(to);
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
@@ -65,7 +65,7 @@
     private final Map<Incarnation, Channel> mReady = new HashMap<>();
 
     /** The routers of {@link #mReady} that accept messages about the origins of streams. */
-    private final Set<Incarnation> mTracking = new HashSet<>();
+    private final Set<Incarnation> mAcceptingOrigins = new HashSet<>();
 
     /** Incarnation to which a connection is open or being opened, by peer address. */
     private final Map<String, Incarnation> mTargets = new HashMap<>();
@@ -273,8 +273,8 @@
     }
 
     @Override
-    public boolean tracksStreams(Incarnation to) {
-        return mReady.containsKey(to) && mTracking.contains(to);
+    public boolean acceptsOrigins(Incarnation to) {
+        return mReady.containsKey(to) && mAcceptingOrigins.contains(to);
     }
 
     /** A connection that this router opened. Confined to the event loop of the connection. */
@@ -315,7 +315,7 @@
                 return;
             }
             String nonce = ((PeerMessage.Challenge) message).nonce();
-            boolean tracks = ((PeerMessage.Challenge) message).streams();
+            boolean acceptsOrigins = ((PeerMessage.Challenge) message).origins();
             String self = mPeers.membership().self().incarnation().value();
             context.writeAndFlush(
                     new PeerMessage.Proof(mSecret.computeProof("caller", nonce, mNonce, self)));
@@ -323,8 +323,8 @@
                     .execute(
                             () -> {
                                 mReady.put(mMember.incarnation(), context.channel());
-                                if (tracks) {
-                                    mTracking.add(mMember.incarnation());
+                                if (acceptsOrigins) {
+                                    mAcceptingOrigins.add(mMember.incarnation());
                                 }
                             });
         }
@@ -337,7 +337,7 @@
                                 mTargets.remove(mMember.address());
                                 mReady.remove(mMember.incarnation(), context.channel());
                                 if (!mReady.containsKey(mMember.incarnation())) {
-                                    mTracking.remove(mMember.incarnation());
+                                    mAcceptingOrigins.remove(mMember.incarnation());
                                 }
                             });
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
@@ -34,8 +34,8 @@
     @JsonSubTypes.Type(value = PeerMessage.Crashed.class, name = "crashed"),
     @JsonSubTypes.Type(value = PeerMessage.Leaving.class, name = "leaving"),
     @JsonSubTypes.Type(value = PeerMessage.StreamsBegun.class, name = "begun"),
-    @JsonSubTypes.Type(value = PeerMessage.OriginAsked.class, name = "originask"),
-    @JsonSubTypes.Type(value = PeerMessage.OriginTold.class, name = "origintold"),
+    @JsonSubTypes.Type(value = PeerMessage.OriginQuery.class, name = "originquery"),
+    @JsonSubTypes.Type(value = PeerMessage.OriginAnswer.class, name = "originanswer"),
     @JsonSubTypes.Type(value = PeerMessage.Page.class, name = "page"),
     @JsonSubTypes.Type(value = PeerMessage.TableAsked.class, name = "tableask"),
     @JsonSubTypes.Type(value = PeerMessage.TableTold.class, name = "tabletold"),
@@ -67,10 +67,10 @@
      * @param nonce nonce that the peer's proof must cover
      * @param proof proves knowledge of the secret over both nonces
      * @param forwards whether the sender accepts {@link Connect}; false if it does not say so
-     * @param streams whether the sender accepts {@link StreamsBegun}, {@link OriginAsked} and
-     *     {@link OriginTold}; false if it does not say so
+     * @param origins whether the sender accepts {@link StreamsBegun}, {@link OriginQuery} and
+     *     {@link OriginAnswer}; false if it does not say so
      */
-    record Challenge(String nonce, String proof, boolean forwards, boolean streams)
+    record Challenge(String nonce, String proof, boolean forwards, boolean origins)
             implements PeerMessage {}
 
     /**
@@ -217,17 +217,17 @@
      * @param asker the router that asks
      * @param attempts the attempts that began the streams
      */
-    record OriginAsked(String asker, List<String> attempts) implements PeerMessage {}
+    record OriginQuery(String asker, List<String> attempts) implements PeerMessage {}
 
     /**
-     * Answers {@link OriginAsked}; relays pass it on to the router that asked.
+     * Answers {@link OriginQuery}; relays pass it on to the router that asked.
      *
      * @param asker the router that asked
      * @param service the service
      * @param version the software version of the upstreams that began the streams; may be empty
      * @param attempts the attempts that began them
      */
-    record OriginTold(String asker, String service, String version, List<String> attempts)
+    record OriginAnswer(String asker, String service, String version, List<String> attempts)
             implements PeerMessage {}
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/OriginRecords.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/OriginRecords.java
@@ -13,7 +13,7 @@
  */
 final class OriginRecords {
 
-    /** Maximum number of records; each takes about 170 bytes. */
+    /** Maximum number of records; each takes 156 bytes. */
     static final int MAX_RECORDS = 20_000;
 
     /** How long a record is kept, milliseconds; no caller waits for a stream that long. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/StreamOrigins.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/StreamOrigins.java
@@ -17,7 +17,7 @@
  * Records and finds the origins of streams. This router records the streams that it began and those
  * that others announce to it; for any other one it asks all routers. Confined to the control
  * thread, except {@link #record} and {@link #resolve}, which are thread safe. Invariant: an origin
- * is told only if it was recorded, or if the service has had no other version since the stream can
+ * is found only if it was recorded, or if the service has had no other version since the stream can
  * have begun.
  */
 public final class StreamOrigins {
@@ -45,7 +45,7 @@
     private final OriginRecords mRecords = new OriginRecords();
 
     /** The attempts that others are asked for. */
-    private final Map<RequestId, List<Consumer<StreamOrigin>>> mPending = new HashMap<>();
+    private final Map<RequestId, List<Lookup>> mPending = new HashMap<>();
 
     private OriginPeers mPeers = OriginPeers.NONE;
 
@@ -121,10 +121,10 @@
 
     /** Records the answer of another router that knows the origin. */
     public void onAnswer(RequestId attempt, StreamOrigin origin) {
-        List<Consumer<StreamOrigin>> waiting = mPending.remove(attempt);
-        if (waiting != null) {
+        List<Lookup> lookups = mPending.remove(attempt);
+        if (lookups != null) {
             mRecords.put(attempt, origin, mMillis.getAsLong());
-            waiting.forEach(each -> each.accept(origin));
+            lookups.forEach(each -> each.onAnswer(origin));
         }
     }
 
@@ -167,8 +167,8 @@
         listener.accept(resolution);
     }
 
-    /** A question to the other routers. Confined to the control thread. */
-    private final class Lookup implements Consumer<StreamOrigin> {
+    /** A search for an origin at the other routers. Confined to the control thread. */
+    private final class Lookup {
 
         private final RequestId mAttempt;
 
@@ -199,17 +199,16 @@
                 mControl.schedule(this::ask, ASK_MILLIS);
                 return;
             }
-            List<Consumer<StreamOrigin>> waiting = mPending.get(mAttempt);
-            waiting.remove(this);
-            if (waiting.isEmpty()) {
-                mPending.remove(mAttempt);
-            }
+            mPending.computeIfPresent(
+                    mAttempt,
+                    (attempt, lookups) -> {
+                        lookups.remove(this);
+                        return lookups.isEmpty() ? null : lookups;
+                    });
             finish(fromVersions(mService), mListener);
         }
 
-        /** {@inheritDoc} */
-        @Override
-        public void accept(StreamOrigin origin) {
+        private void onAnswer(StreamOrigin origin) {
             finish(new Resolution(Optional.of(origin), Source.PEER), mListener);
         }
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeEngines.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeEngines.java
@@ -79,11 +79,33 @@
                 .toList();
     }
 
+    /**
+     * Returns whether an engine at which memory was reserved still takes the run: the prefill can
+     * take longer than the time for which a leaving upstream accepts new requests.
+     */
+    boolean stillTakesRun(UpstreamEntry engine) {
+        ServingContext context = mExecution.mContext;
+        return context.directory()
+                .usable(engine)
+                .filter(listed -> listed.role() == UpstreamEntry.Role.DECODE)
+                .filter(this::allows)
+                .filter(context.admission()::stillAdmits)
+                .isPresent();
+    }
+
     /** Returns whether there are usable engines at which the stream may not run. */
     boolean isRestricted() {
         return !mExecution.upstreams(UpstreamEntry.Role.DECODE).stream().allMatch(this::allows);
     }
 
+    /**
+     * Returns the engines at which memory may be reserved now; none while the prefill engines could
+     * not process the prompt in time.
+     */
+    List<UpstreamEntry> eligible(StreamTiming timing) {
+        return timing.waitBudget().allowsPrefill(timing.prediction()) ? untried() : List.of();
+    }
+
     /** Returns the engines to which the request may still be sent. */
     List<UpstreamEntry> untried() {
         Set<UpstreamIncarnation> excluded = mExecution.excludedUpstreams();
@@ -106,7 +128,7 @@
     /**
      * Why a request cannot be sent to any engine. Immutable and thread safe.
      *
-     * @param code the result code that says so
+     * @param code the result code of the refusal
      */
     record Obstacle(ResultCode code, String detail) {}
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -1,6 +1,5 @@
 package org.troutpier.daemon.serving;
 
-import java.util.List;
 import java.util.Optional;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.cluster.DemandMeter;
@@ -62,7 +61,7 @@
                         () -> upstreams(UpstreamEntry.Role.PREFILL),
                         service,
                         mPrompt.promptTokens());
-        mTiming = new StreamTiming(this, prefillEngines);
+        mTiming = new StreamTiming(this, prefillEngines, mEngines);
         mPrefill = new PrefillStage(this, engineTraits, prefillEngines, mTiming, this::startRun);
         mRelay = new EventRelay(caller, request.lastEventId(), this::beforeFirstEvent);
         mReservation = new DecodeReservation(context, service, engineTraits, flowKey(), mPrompt);
@@ -137,7 +136,7 @@
                 budget.waitMillis(prediction),
                 budget.tier(),
                 mRelay.eventCount(),
-                this::eligibleEngines,
+                () -> mEngines.eligible(mTiming),
                 new SearchListener());
     }
 
@@ -167,20 +166,9 @@
         mTrace.addStep("place@" + engine.id() + " known " + mContext.loads().tokens(engine));
     }
 
-    /**
-     * Returns the decode engines at which memory may be reserved now; none while the prefill
-     * engines could not process the prompt in time.
-     */
-    private List<UpstreamEntry> eligibleEngines() {
-        return mTiming.waitBudget().allowsPrefill(mTiming.prediction())
-                ? mEngines.untried()
-                : List.of();
-    }
-
     /**
      * Sends the request to the decode engine, or searches for another one if that engine has
-     * stopped taking work since the reservation: the prefill can take longer than the time for
-     * which a leaving upstream still accepts new requests.
+     * stopped taking work since the reservation.
      *
      * @param prompt the stored prefill result; empty where the decode engine processes the prompt
      */
@@ -190,14 +178,7 @@
             return;
         }
         UpstreamEntry engine = mReservation.engine();
-        boolean acceptsWork =
-                mContext.directory()
-                        .usable(engine)
-                        .filter(listed -> listed.role() == UpstreamEntry.Role.DECODE)
-                        .filter(mEngines::allows)
-                        .filter(mContext.admission()::stillAdmits)
-                        .isPresent();
-        if (!acceptsWork) {
+        if (!mEngines.stillTakesRun(engine)) {
             mTrace.addStep("unavailable@" + engine.id());
             prompt.ifPresent(mPrefill::keep);
             mReservation.release();
@@ -284,10 +265,6 @@
         search();
     }
 
-    DecodeEngines engines() {
-        return mEngines;
-    }
-
     /** {@inheritDoc} */
     @Override
     protected void releaseUpstream() {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamTiming.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamTiming.java
@@ -15,6 +15,8 @@
 
     private final PrefillEngines mPrefillEngines;
 
+    private final DecodeEngines mDecodeEngines;
+
     /** Whether the request was refused recently and this is the caller's retry. */
     private boolean mReturning;
 
@@ -27,9 +29,11 @@
      */
     private long mWaitStart;
 
-    StreamTiming(StreamExecution execution, PrefillEngines prefillEngines) {
+    StreamTiming(
+            StreamExecution execution, PrefillEngines prefillEngines, DecodeEngines decodeEngines) {
         mExecution = execution;
         mPrefillEngines = prefillEngines;
+        mDecodeEngines = decodeEngines;
     }
 
     /**
@@ -84,7 +88,7 @@
      */
     QueueTier tier() {
         if (mExecution.isStreaming() || mExecution.mRequest.isResumed()) {
-            return mExecution.engines().isRestricted() ? QueueTier.IN_TIME : QueueTier.CONTINUED;
+            return mDecodeEngines.isRestricted() ? QueueTier.IN_TIME : QueueTier.CONTINUED;
         }
         boolean late =
                 mSearchedBefore
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/VersionTableTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/VersionTableTest.java
@@ -15,6 +15,7 @@
 import org.troutpier.daemon.node.ManualClock;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.node.TestNode;
+import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.rows.FakeRowStore;
 import org.troutpier.standins.platform.VersionedRows;
 
@@ -22,7 +23,6 @@
 public final class VersionTableTest {
 
     private static final String SERVICE = "notes";
-    private static final long RETENTION_MILLIS = 60_000;
 
     private ManualClock mTime;
     private VersionedRows mRows;
@@ -42,7 +42,7 @@
                             new FakeRowStore(mRows),
                             new IsolatedRouter(node).mExchange,
                             mDirectory,
-                            () -> RETENTION_MILLIS);
+                            new CurrentConfiguration());
             list(versions);
             mTable.start();
             mTime.advance(3 * VersionTable.TICK_MILLIS);
@@ -90,7 +90,7 @@
         Router later = new Router("later", "v2");
         assertEquals(later.onlyVersion(), Optional.empty());
         one.list("v2");
-        mTime.advance(RETENTION_MILLIS + 3 * VersionTable.TICK_MILLIS);
+        mTime.advance(VersionTable.MIN_RETENTION_MILLIS + 3 * VersionTable.TICK_MILLIS);
         later.list("v2");
         assertEquals(later.onlyVersion(), Optional.of("v2"));
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestUpstreams.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestUpstreams.java
@@ -24,18 +24,8 @@
         return entry(id, HALL.value(), UpstreamEntry.Role.DECODE);
     }
 
-    /** Returns a decode engine of a software version. */
     static UpstreamEntry decode(String id, String version) {
-        UpstreamEntry engine = decode(id);
-        return new UpstreamEntry(
-                engine.incarnation(),
-                engine.service(),
-                engine.address(),
-                engine.hall(),
-                engine.slots(),
-                engine.role(),
-                engine.draining(),
-                new SoftwareVersion(version));
+        return entry(id, HALL.value(), UpstreamEntry.Role.DECODE, version);
     }
 
     static UpstreamEntry prefill(String id) {
@@ -55,6 +45,11 @@
     }
 
     private static UpstreamEntry entry(String id, String hall, UpstreamEntry.Role role) {
+        return entry(id, hall, role, "");
+    }
+
+    private static UpstreamEntry entry(
+            String id, String hall, UpstreamEntry.Role role, String version) {
         return new UpstreamEntry(
                 UpstreamIncarnation.of(id),
                 "service",
@@ -62,6 +57,7 @@
                 new HallId(hall),
                 SLOTS,
                 role,
-                false);
+                false,
+                new SoftwareVersion(version));
     }
 }
