A request line names the parts that a lost run's prompt shares with others

The lines of a series of crashes name contents, which differ each time, so they do not show whether the requests have a part in common. The line of each request that lost a run now has the shared parts, shortened, beside the content; how long the run had written follows from its steps. No decision changes.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptMetadata.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PromptMetadata.java
@@ -49,6 +49,15 @@
         return (long) promptTokens + outputTokens;
     }
 
+    /**
+     * Returns the ids of the parts that other prompts may share.
+     *
+     * @return the ids in order; empty for a prompt without parts
+     */
+    public List<String> sharedPartIds() {
+        return parts.stream().limit(Math.max(0, parts.size() - 1)).map(Part::id).toList();
+    }
+
     /**
      * Returns the id of the part that is specific to the request or its session.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -234,6 +234,7 @@
             return;
         }
         mTrace.addFingerprint(mFingerprint.get());
+        mRequest.prompt().ifPresent(prompt -> mTrace.addSharedParts(prompt.sharedPartIds()));
         mContext.crashGuard()
                 .attributeLoss(
                         upstream,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
@@ -1,8 +1,10 @@
 package org.troutpier.daemon.serving;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.message.Message;
 import org.apache.logging.log4j.message.StringMapMessage;
 import org.troutpier.common.id.PartnerId;
@@ -21,6 +23,12 @@
     /** Length from which on no further steps are recorded, characters. */
     private static final int MAX_STEPS_LENGTH = 900;
 
+    /** Maximum number of parts of a prompt in a line. */
+    private static final int MAX_PARTS = 8;
+
+    /** Number of characters that identify a part in a line. */
+    private static final int PART_DIGITS = 8;
+
     private final String mId;
 
     private final String mRoute;
@@ -124,6 +132,23 @@
         mInputs.put("content", fingerprint.shortName());
     }
 
+    /**
+     * Adds the parts that the request's prompt shares with others, where it matters whether an
+     * upstream crashed under one of them.
+     *
+     * @param partIds the ids in order, which are shortened
+     */
+    void addSharedParts(List<String> partIds) {
+        if (!partIds.isEmpty()) {
+            mInputs.put(
+                    "parts",
+                    partIds.stream()
+                            .limit(MAX_PARTS)
+                            .map(id -> id.substring(0, Math.min(id.length(), PART_DIGITS)))
+                            .collect(Collectors.joining(",")));
+        }
+    }
+
     /** Returns the request's log line. */
     Message toLogMessage(String outcome) {
         StringMapMessage message = new StringMapMessage();
