--- a/troutpier-common/src/main/java/org/troutpier/common/collection/ExpiringMap.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/collection/ExpiringMap.java
@@ -82,6 +82,16 @@
         mEntries.remove(key);
     }
 
+    /**
+     * Evicts expired entries and returns the number of the others.
+     *
+     * @param now the monotonic clock, milliseconds
+     */
+    public int size(long now) {
+        evict(now);
+        return mEntries.size();
+    }
+
     /**
      * Evicts expired entries and returns whether the map is empty.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadRelay.java
@@ -51,7 +51,7 @@
     private final NoticeOutbox<String> mRefusals = new NoticeOutbox<>(PeerMessage.Refused::new);
 
     /** Requests during which upstreams crashed. */
-    private final NoticeOutbox<CrashReport> mCrashes = new NoticeOutbox<>(PeerMessage.Crashed::new);
+    private final NoticeOutbox<CrashReport> mCrashes = new NoticeOutbox<>(PeerMessage.Crashed::of);
 
     private final NoticeOutbox<UpstreamIncarnation> mLeaving =
             new NoticeOutbox<>(PeerMessage.Leaving::new);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -286,8 +286,8 @@
             mNotices.onRequestsRefused(refused.keys());
             forward(from, local -> mRelay.announceRefusals(refused.keys(), local));
         } else if (message instanceof PeerMessage.Crashed crashed) {
-            mNotices.onUpstreamsCrashed(crashed.reports());
-            forward(from, local -> mRelay.announceCrashes(crashed.reports(), local));
+            mNotices.onUpstreamsCrashed(crashed.all());
+            forward(from, local -> mRelay.announceCrashes(crashed.all(), local));
         } else if (message instanceof PeerMessage.Leaving leaving) {
             mNotices.onUpstreamsLeaving(leaving.upstreams());
             forward(from, local -> mRelay.announceLeaving(leaving.upstreams(), local));
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/QuarantineTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/QuarantineTable.java
@@ -16,9 +16,9 @@
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.quarantine.CrashRecord;
 import org.troutpier.daemon.quarantine.CrashReport;
+import org.troutpier.daemon.quarantine.CrashTrait;
 import org.troutpier.daemon.quarantine.Quarantine;
 import org.troutpier.daemon.quarantine.QuarantineSettings;
-import org.troutpier.daemon.quarantine.RequestFingerprint;
 import org.troutpier.daemon.rows.RowDecoder;
 import org.troutpier.daemon.rows.RowStore;
 import org.troutpier.daemon.rows.RowStore.Outcome;
@@ -36,7 +36,7 @@
  */
 public final class QuarantineTable implements TableFollower.Listener {
 
-    /** The table; one row for each request, keyed by its fingerprint. */
+    /** The table; one row for each trait, by its key. */
     static final String TABLE = "troutpier_quarantine";
 
     /** Delay before a write is retried, milliseconds. */
@@ -66,10 +66,10 @@
     private final RowDecoder mDecoder;
 
     /** The rows as last known. */
-    private final Map<RequestFingerprint, StoredRow> mRows = new HashMap<>();
+    private final Map<CrashTrait, StoredRow> mRows = new HashMap<>();
 
     /** Records to be stored, in the order in which they were found. */
-    private final Map<RequestFingerprint, CrashRecord> mPending = new LinkedHashMap<>();
+    private final Map<CrashTrait, CrashRecord> mPending = new LinkedHashMap<>();
 
     /** Whether a write is in progress or waits for a retry. */
     private boolean mWriting;
@@ -126,15 +126,15 @@
     }
 
     /**
-     * Stores a record to which this router contributed, once the next crash would put its request
+     * Stores a record to which this router contributed, once the next crash would put its trait
      * into quarantine. Stored earlier, an ordinary end of an upstream would create a row for each
      * request that ran there. If all routers lose power before a record is stored, one more
      * upstream is lost.
      */
     private void store(CrashReport report) {
         boolean nearThreshold = mSettings.isNearThreshold(report.record());
-        if (nearThreshold || mRows.containsKey(report.request())) {
-            mPending.merge(report.request(), report.record(), CrashRecord::merge);
+        if (nearThreshold || mRows.containsKey(report.trait())) {
+            mPending.merge(report.trait(), report.record(), CrashRecord::merge);
             write();
         }
     }
@@ -150,18 +150,18 @@
             return;
         }
         mWriting = true;
-        Map.Entry<RequestFingerprint, CrashRecord> first = mPending.entrySet().iterator().next();
-        RequestFingerprint request = first.getKey();
+        Map.Entry<CrashTrait, CrashRecord> first = mPending.entrySet().iterator().next();
+        CrashTrait trait = first.getKey();
         CrashRecord merged = mergedRecord(first);
-        StoredRow stored = mRows.get(request);
+        StoredRow stored = mRows.get(trait);
         long version = stored == null ? 0 : stored.version();
-        mStore.write(row(request, Json.bytes(merged), version), version)
+        mStore.write(row(trait, Json.bytes(merged), version), version)
                 .thenAccept(
-                        write -> mNode.control().execute(() -> onWritten(request, merged, write)));
+                        write -> mNode.control().execute(() -> onWritten(trait, merged, write)));
     }
 
-    private CrashRecord storedRecord(RequestFingerprint request) {
-        StoredRow stored = mRows.get(request);
+    private CrashRecord storedRecord(CrashTrait trait) {
+        StoredRow stored = mRows.get(trait);
         return stored == null ? CrashRecord.NONE : stored.record();
     }
 
@@ -171,14 +171,14 @@
      * @param pending the request and its new record
      * @return the new record, with the known content of the row merged in
      */
-    private CrashRecord mergedRecord(Map.Entry<RequestFingerprint, CrashRecord> pending) {
+    private CrashRecord mergedRecord(Map.Entry<CrashTrait, CrashRecord> pending) {
         return storedRecord(pending.getKey()).merge(pending.getValue());
     }
 
-    private void onWritten(RequestFingerprint request, CrashRecord record, WriteResult write) {
+    private void onWritten(CrashTrait trait, CrashRecord record, WriteResult write) {
         switch (write.outcome()) {
             case WRITTEN -> {
-                noteRow(request, write.version(), record);
+                noteRow(trait, write.version(), record);
                 mWriting = false;
                 write();
             }
@@ -230,8 +230,7 @@
     public void onRestored() {
         if (mExchange.isTableReader()) {
             mRows.forEach(
-                    (request, stored) ->
-                            mPending.merge(request, stored.record(), CrashRecord::merge));
+                    (trait, stored) -> mPending.merge(trait, stored.record(), CrashRecord::merge));
         }
         mRows.clear();
         mNode.control().schedule(this::write, TablePollTimings.randomRestoreDelayMillis());
@@ -243,11 +242,11 @@
      */
     @Override
     public void onSnapshot(List<Row> rows) {
-        Set<RequestFingerprint> gone = new HashSet<>(mRows.keySet());
+        Set<CrashTrait> gone = new HashSet<>(mRows.keySet());
         for (Row row : rows) {
-            decodeFingerprint(row).ifPresent(gone::remove);
+            decodeTrait(row).ifPresent(gone::remove);
         }
-        gone.removeIf(request -> ageMillis(mRows.get(request)) <= mSettings.knownMillis());
+        gone.removeIf(trait -> ageMillis(mRows.get(trait)) <= mSettings.knownMillis());
         gone.forEach(this::onDeleted);
         onChanges(rows);
     }
@@ -256,7 +255,7 @@
     @Override
     public void onChanges(List<Row> rows) {
         for (Row row : rows) {
-            decodeFingerprint(row).ifPresent(request -> apply(request, row));
+            decodeTrait(row).ifPresent(trait -> apply(trait, row));
         }
     }
 
@@ -268,47 +267,47 @@
      * Applies a row, unless a newer version is known. A row that cannot be decoded holds no record
      * and will be overwritten.
      */
-    private void apply(RequestFingerprint request, Row row) {
-        if (!isNewer(request, row.version())) {
+    private void apply(CrashTrait trait, Row row) {
+        if (!isNewer(trait, row.version())) {
             return;
         }
         if (row.deleted()) {
-            onDeleted(request);
+            onDeleted(trait);
             return;
         }
         CrashRecord record =
                 mDecoder.decode(row, each -> Json.read(each.value(), CrashRecord.class))
                         .orElse(CrashRecord.NONE);
-        noteRow(request, row.version(), record);
-        CrashReport report = new CrashReport(request, record);
+        noteRow(trait, row.version(), record);
+        CrashReport report = new CrashReport(trait, record);
         mTraffic.execute(() -> mQuarantine.merge(report));
     }
 
     /** Notes the content of a row, unless a newer version is known. */
-    private void noteRow(RequestFingerprint request, long version, CrashRecord record) {
-        if (isNewer(request, version)) {
-            mRows.put(request, new StoredRow(version, record, mNode.millis()));
+    private void noteRow(CrashTrait trait, long version, CrashRecord record) {
+        if (isNewer(trait, version)) {
+            mRows.put(trait, new StoredRow(version, record, mNode.millis()));
         }
     }
 
-    private boolean isNewer(RequestFingerprint request, long version) {
-        StoredRow known = mRows.get(request);
+    private boolean isNewer(CrashTrait trait, long version) {
+        StoredRow known = mRows.get(trait);
         return known == null || known.version() < version;
     }
 
-    private static Row row(RequestFingerprint request, byte[] value, long version) {
-        return new Row(TABLE, "", request.value(), value, version, false);
+    private static Row row(CrashTrait trait, byte[] value, long version) {
+        return new Row(TABLE, "", trait.key(), value, version, false);
     }
 
-    private void onDeleted(RequestFingerprint request) {
-        if (mRows.remove(request) != null) {
-            LOGGER.info("quarantine row deleted content={}", request);
-            mTraffic.execute(() -> mQuarantine.remove(request));
+    private void onDeleted(CrashTrait trait) {
+        if (mRows.remove(trait) != null) {
+            LOGGER.info("quarantine row deleted {}", trait.logField());
+            mTraffic.execute(() -> mQuarantine.remove(trait));
         }
     }
 
-    private Optional<RequestFingerprint> decodeFingerprint(Row row) {
-        return mDecoder.decode(row, each -> new RequestFingerprint(each.key()));
+    private Optional<CrashTrait> decodeTrait(Row row) {
+        return mDecoder.decode(row, each -> CrashTrait.parse(each.key()));
     }
 
     /** Deletes expired and surplus rows, if this router is its hall's table reader. */
@@ -316,14 +315,14 @@
         if (!mExchange.isTableReader()) {
             return;
         }
-        List<RequestFingerprint> oldest = new ArrayList<>(mRows.keySet());
-        oldest.sort(Comparator.comparingLong(request -> mRows.get(request).version()));
+        List<CrashTrait> oldest = new ArrayList<>(mRows.keySet());
+        oldest.sort(Comparator.comparingLong(trait -> mRows.get(trait).version()));
         int remaining = oldest.size();
-        for (RequestFingerprint request : oldest) {
-            StoredRow stored = mRows.get(request);
+        for (CrashTrait trait : oldest) {
+            StoredRow stored = mRows.get(trait);
             if (isExpired(stored) || remaining > MAX_ROWS) {
                 remaining--;
-                delete(request, stored);
+                delete(trait, stored);
             }
         }
     }
@@ -342,15 +341,15 @@
     }
 
     /** Deletes a row; the next cleanup retries a failed deletion. */
-    private void delete(RequestFingerprint request, StoredRow stored) {
-        mStore.delete(row(request, new byte[0], stored.version()))
+    private void delete(CrashTrait trait, StoredRow stored) {
+        mStore.delete(row(trait, new byte[0], stored.version()))
                 .thenAccept(
                         write ->
                                 mNode.control()
                                         .execute(
                                                 () -> {
                                                     if (write.outcome() == Outcome.WRITTEN) {
-                                                        onDeleted(request);
+                                                        onDeleted(trait);
                                                     }
                                                 }));
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMessage.java
@@ -3,12 +3,14 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import java.util.stream.Stream;
 import org.troutpier.common.declaration.Declarations;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.cluster.LoadReport;
 import org.troutpier.daemon.cluster.ReportScope;
 import org.troutpier.daemon.cluster.SharedPage;
 import org.troutpier.daemon.quarantine.CrashReport;
+import org.troutpier.daemon.quarantine.CrashTrait;
 import org.troutpier.daemon.rows.TableState;
 
 /** Messages between routers. All messages are immutable and thread safe. */
@@ -192,11 +194,35 @@
     record Refused(List<String> keys) implements PeerMessage {}
 
     /**
-     * Reports requests during which upstreams crashed, or whose quarantine was cleared.
+     * Reports requests during which upstreams crashed, or whose quarantine was cleared. Routers of
+     * versions that do not know parts ignore the second field.
      *
-     * @param reports the sender's reports
+     * @param reports what the sender reports of contents
+     * @param parts what it reports of parts of prompts; may be absent
      */
-    record Crashed(List<CrashReport> reports) implements PeerMessage {}
+    record Crashed(List<CrashReport> reports, List<CrashReport> parts) implements PeerMessage {
+
+        /** Replaces an absent list by an empty one. */
+        public Crashed {
+            parts = parts == null ? List.of() : parts;
+        }
+
+        /** Creates a message from reports of any kind. */
+        public static Crashed of(List<CrashReport> reports) {
+            return new Crashed(
+                    reports.stream().filter(each -> !isOfPart(each)).toList(),
+                    reports.stream().filter(Crashed::isOfPart).toList());
+        }
+
+        private static boolean isOfPart(CrashReport report) {
+            return report.trait() instanceof CrashTrait.ForPart;
+        }
+
+        /** Returns all reports. */
+        public List<CrashReport> all() {
+            return Stream.concat(reports.stream(), parts.stream()).toList();
+        }
+    }
 
     /** Reports upstreams that announced in their answers that they are leaving. */
     record Leaving(List<UpstreamIncarnation> upstreams) implements PeerMessage {}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/CrashRecord.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/CrashRecord.java
@@ -9,11 +9,12 @@
 import org.troutpier.common.settings.Check;
 
 /**
- * The upstreams that crashed while they worked on one request. Immutable and thread safe. Records
- * of the same request can be merged in any order with the same result, so routers need no
- * agreement: of two generations the later one wins, within one generation the upstreams are united.
+ * The upstreams that crashed while they worked on requests with one trait. Immutable and thread
+ * safe. Records of the same trait can be merged in any order with the same result, so routers need
+ * no agreement: of two generations the later one wins, within one generation the upstreams are
+ * united.
  *
- * @param generation how often the request was cleared
+ * @param generation how often the trait was cleared
  * @param ended the upstreams that crashed since it was last cleared, at most {@value
  *     #MAX_UPSTREAMS}
  */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/CrashReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/CrashReport.java
@@ -4,17 +4,17 @@
 import org.troutpier.common.settings.Check;
 
 /**
- * Report of a router about a request during which upstreams crashed. Immutable and thread safe.
+ * Report of a router about requests during which upstreams crashed. Immutable and thread safe.
  *
- * @param request the fingerprint of the request
+ * @param trait what the requests have in common
  * @param record the crashes
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record CrashReport(RequestFingerprint request, CrashRecord record) {
+public record CrashReport(CrashTrait trait, CrashRecord record) {
 
     /** Validates the components. */
     public CrashReport {
-        Check.present("request", request);
+        Check.present("trait", trait);
         Check.present("record", record);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
@@ -1,8 +1,7 @@
 package org.troutpier.daemon.quarantine;
 
-import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
-import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -10,33 +9,46 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.collection.ExpiringMap;
 import org.troutpier.common.id.UpstreamIncarnation;
 
 /**
- * Records the requests during which upstreams crashed, as reported by all routers, and determines
- * which of them are no longer run. Without shared records, each retry of such a request looks new
- * to each router and crashes another upstream with all its other runs: one request crashed 24
- * engines with up to twelve other runs each, and the answers of half a minute were lost. Confined
- * to the traffic loop. Invariants: the records are bounded in number and age; earlier crashes are
- * not held against a request that was completed.
+ * Records the traits of requests during which upstreams crashed, as reported by all routers, and
+ * determines which requests are no longer run. Without shared records, each such request looks new
+ * to each router and crashes another upstream with all its other runs. Confined to the traffic
+ * loop. Invariants: the records are bounded in number and age; earlier crashes are not held against
+ * a content or part of which a request was completed.
  */
 public final class Quarantine {
 
     /**
-     * Maximum number of suspects. Each crash of an upstream adds the requests that ran there, a few
-     * tens at most, so it takes a hundred crashes to evict the first.
+     * Maximum number of suspects. Each crash of an upstream adds the traits of the requests that
+     * ran there, a few tens at most, so it takes a hundred crashes to evict the first.
      */
     private static final int MAX_SUSPECTS = 2000;
 
     /**
-     * Maximum number of quarantined requests. Each of them cost several upstreams, and all their
-     * rows fit into one page of the store.
+     * Maximum number of candidates. Each of them cost several upstreams, and all their rows fit
+     * into one page of the store.
      */
-    static final int MAX_QUARANTINED = 400;
+    static final int MAX_CANDIDATES = 400;
+
+    /** Maximum number of parts known to be sound; those in use stay, as each use renews them. */
+    private static final int MAX_SOUND_PARTS = 2000;
+
+    /**
+     * Number of routers that clear a sound part at about the same time. All that complete requests
+     * with it notice that it is suspected, and each clearing is announced to all routers.
+     */
+    private static final double CLEARING_ROUTERS = 8;
+
+    /** How long an attribution is used, so that it follows which parts are sound, milliseconds. */
+    private static final long ATTRIBUTION_TTL_MILLIS = 1000;
 
     private static final Logger LOGGER = LogManager.getLogger(Quarantine.class);
 
@@ -45,50 +57,68 @@
     /** The monotonic clock, milliseconds. */
     private final LongSupplier mMillis;
 
-    /**
-     * Requests that are still run although upstreams crashed during them, and requests that were
-     * cleared.
-     */
-    private final ExpiringMap<RequestFingerprint, CrashRecord> mSuspects =
+    /** The number of routers, this one included. */
+    private final IntSupplier mRouterCount;
+
+    private final RandomGenerator mRandom;
+
+    /** Traits with too few crashes to withhold requests, and those that were cleared. */
+    private final ExpiringMap<CrashTrait, CrashRecord> mSuspects =
             new ExpiringMap<>(MAX_SUSPECTS, QuarantineSettings.SUSPECT_RETENTION_MILLIS);
 
-    /** Requests that are no longer run. */
-    private final ExpiringMap<RequestFingerprint, CrashRecord> mQuarantined;
+    /** Traits with enough crashes to withhold requests, unless others explain these crashes. */
+    private final ExpiringMap<CrashTrait, CrashRecord> mCandidates;
 
-    /** Coarse hashes of all recorded requests, and of some that were removed since. */
+    /** Parts of prompts with which requests were completed at this router. */
+    private final ExpiringMap<CrashTrait.ForPart, Boolean> mSoundParts =
+            new ExpiringMap<>(MAX_SOUND_PARTS, QuarantineSettings.SOUND_RETENTION_MILLIS);
+
+    /** Coarse hashes of all recorded contents, and of some that were removed since. */
     private final Set<String> mCoarseHashes = new HashSet<>();
 
-    /** Counts crashes that this router recorded against a request. */
-    private final Counter mCrashCount;
+    private final QuarantineCounters mCounters;
 
-    /** Counts requests that entered quarantine, as known to this router. */
-    private final Counter mEnteredCount;
+    /** Traits whose record this router changed itself. */
+    private final ExpiringMap<CrashTrait, Boolean> mChangedLocally =
+            new ExpiringMap<>(MAX_SUSPECTS, QuarantineSettings.SUSPECT_RETENTION_MILLIS);
 
-    /** Counts requests that this router cleared. */
-    private final Counter mClearedCount;
+    /** Which traits explain the crashes, or null if records have changed since. */
+    private CrashAttribution mAttribution = CrashAttribution.NONE;
 
-    /** Requests whose record this router changed itself. */
-    private final ExpiringMap<RequestFingerprint, Boolean> mChangedLocally =
-            new ExpiringMap<>(MAX_SUSPECTS, QuarantineSettings.SUSPECT_RETENTION_MILLIS);
+    /** How many candidates it was computed from; fewer are left once some have expired. */
+    private int mAttributedCount;
+
+    /** When the attribution was computed, milliseconds on the clock. */
+    private long mAttributedAt;
+
+    /** The traits that were withheld when the attribution was last computed. */
+    private Set<CrashTrait> mWithheld = Set.of();
 
     /** Receives the changes made by this router. */
     private Consumer<CrashReport> mLocalListener = report -> {};
 
-    /** Receives merged records of requests that this router reported. */
+    /** Receives merged records of traits that this router reported. */
     private Consumer<CrashReport> mMergedListener = report -> {};
 
     /**
      * Creates a quarantine without any records.
      *
      * @param millis the monotonic clock, milliseconds
+     * @param routerCount the number of routers, this one included
+     * @param random selects which routers clear a sound part
      */
-    public Quarantine(QuarantineSettings settings, LongSupplier millis, MetricRegistry metrics) {
+    public Quarantine(
+            QuarantineSettings settings,
+            LongSupplier millis,
+            IntSupplier routerCount,
+            RandomGenerator random,
+            MetricRegistry metrics) {
         mSettings = settings;
         mMillis = millis;
-        mQuarantined = new ExpiringMap<>(MAX_QUARANTINED, settings.quarantineMillis());
-        mCrashCount = metrics.counter("quarantine.crashes");
-        mEnteredCount = metrics.counter("quarantine.entered");
-        mClearedCount = metrics.counter("quarantine.cleared");
+        mRouterCount = routerCount;
+        mRandom = random;
+        mCandidates = new ExpiringMap<>(MAX_CANDIDATES, settings.quarantineMillis());
+        mCounters = QuarantineCounters.register(metrics);
     }
 
     /**
@@ -111,14 +141,14 @@
         mMergedListener = listener;
     }
 
-    /** Returns whether no request is recorded. */
+    /** Returns whether no trait is recorded. */
     public boolean isEmpty() {
         long now = mMillis.getAsLong();
-        return mSuspects.isEmpty(now) && mQuarantined.isEmpty(now);
+        return mSuspects.isEmpty(now) && mCandidates.isEmpty(now);
     }
 
     /**
-     * Returns whether a request with a coarse hash may be recorded, so that its fingerprint is
+     * Returns whether a content with a coarse hash may be recorded, so that its fingerprint is
      * needed.
      *
      * @return whether one may be recorded; false positives are possible, false negatives are not
@@ -127,129 +157,214 @@
         return mCoarseHashes.contains(coarseHash);
     }
 
-    /** Returns whether a request is no longer run. */
-    public boolean isQuarantined(RequestFingerprint request) {
-        return mQuarantined.contains(request, mMillis.getAsLong());
+    /** Returns whether requests are withheld for a trait, alone or together with another one. */
+    public boolean isQuarantined(CrashTrait trait) {
+        attribution();
+        return mWithheld.contains(trait);
     }
 
-    /** Records that an upstream crashed while it worked on a request of this router. */
-    public void recordCrash(RequestFingerprint request, UpstreamIncarnation upstream) {
-        CrashRecord before = record(request);
+    /**
+     * Returns the trait for which a request is withheld, and counts it.
+     *
+     * @param traits the request's traits
+     * @return one of them, or empty if the request may be run
+     */
+    public Optional<CrashTrait> withhold(Collection<? extends CrashTrait> traits) {
+        Optional<CrashTrait> reason = attribution().reasonToWithhold(traits);
+        reason.ifPresent(trait -> mCounters.of(trait).withheld().inc());
+        return reason;
+    }
+
+    /** Returns the number of upstreams that crashed during requests with a trait. */
+    public int crashCount(CrashTrait trait) {
+        return record(trait).ended().size();
+    }
+
+    /**
+     * Records that an upstream crashed while it worked on a request of this router.
+     *
+     * @param suspects the request's traits; parts that are known to be sound are not suspected
+     */
+    public void recordCrash(
+            Collection<? extends CrashTrait> suspects, UpstreamIncarnation upstream) {
+        suspects.stream()
+                .filter(trait -> !isSound(trait))
+                .forEach(trait -> recordCrash(trait, upstream));
+    }
+
+    private void recordCrash(CrashTrait trait, UpstreamIncarnation upstream) {
+        CrashRecord before = record(trait);
         CrashRecord after = before.with(upstream);
         if (after.equals(before)) {
             return;
         }
-        mCrashCount.inc();
+        mCounters.of(trait).crashes().inc();
         LOGGER.warn(
-                "upstream crashed while working on a request content={} upstream={} ended={}",
-                request,
+                "upstream crashed while working on a request {} upstream={} ended={}",
+                trait.logField(),
                 upstream,
                 after.ended().size());
-        publish(request, after);
+        publish(trait, after);
     }
 
-    /** Records that a request was completed at this router, which clears it. */
-    public void recordCompletion(RequestFingerprint request) {
-        clear(request, "ran whole");
+    /** Records that a request was completed at this router, which clears its content. */
+    public void recordCompletion(RequestFingerprint content) {
+        clear(content, "ran whole");
     }
 
     /**
-     * Clears all requests with a fingerprint that starts with a name.
-     *
-     * @param name the fingerprint, or at least the digits of its short name
-     * @return the number of requests found; 0 if the name is too short
+     * Records that a part of a prompt crashes no upstream, since a request with it was completed or
+     * wrote for some time. A part that is suspected elsewhere is cleared by a few of the routers.
      */
-    public int clear(String name) {
-        if (name.length() < RequestFingerprint.SHORT_DIGITS) {
-            return 0;
+    public void recordSound(CrashTrait.ForPart part) {
+        long now = mMillis.getAsLong();
+        boolean known = mSoundParts.contains(part, now);
+        mSoundParts.put(part, Boolean.TRUE, now);
+        CrashRecord record = record(part);
+        if (record.ended().isEmpty()) {
+            return;
         }
-        List<RequestFingerprint> matching = new ArrayList<>();
-        for (RequestFingerprint request : records().keySet()) {
-            if (request.value().startsWith(name)) {
-                matching.add(request);
-            }
+        if (!known) {
+            mAttribution = null;
         }
-        matching.forEach(request -> clear(request, "operator"));
+        boolean selected = mRandom.nextDouble() * mRouterCount.getAsInt() < CLEARING_ROUTERS;
+        if (mChangedLocally.contains(part, now) || mSettings.isNearThreshold(record) && selected) {
+            clear(part, "ran whole");
+        }
+    }
+
+    private boolean isSound(CrashTrait trait) {
+        return trait instanceof CrashTrait.ForPart part
+                && mSoundParts.contains(part, mMillis.getAsLong());
+    }
+
+    /**
+     * Clears all traits that are named by an operator.
+     *
+     * @param name a trait's key, or at least the characters of its short name
+     * @return the number of traits found; 0 if the name is too short
+     */
+    public int clear(String name) {
+        List<CrashTrait> matching =
+                records().keySet().stream().filter(trait -> trait.isNamed(name)).toList();
+        matching.forEach(trait -> clear(trait, "operator"));
         return matching.size();
     }
 
-    /** Clears a request, unless no crash is recorded against it. */
-    private void clear(RequestFingerprint request, String cause) {
-        CrashRecord before = record(request);
+    /** Clears a trait, unless no crash is recorded against it. */
+    private void clear(CrashTrait trait, String cause) {
+        CrashRecord before = record(trait);
         if (!before.ended().isEmpty()) {
-            mClearedCount.inc();
-            LOGGER.info("request cleared content={} cause={}", request, cause);
-            publish(request, before.cleared());
+            mCounters.of(trait).cleared().inc();
+            LOGGER.info("request cleared {} cause={}", trait.logField(), cause);
+            publish(trait, before.cleared());
         }
     }
 
     /** Stores a change made by this router, and notifies the listener. */
-    private void publish(RequestFingerprint request, CrashRecord record) {
-        store(request, record);
-        mChangedLocally.put(request, Boolean.TRUE, mMillis.getAsLong());
-        mLocalListener.accept(new CrashReport(request, record));
+    private void publish(CrashTrait trait, CrashRecord record) {
+        store(trait, record);
+        mChangedLocally.put(trait, Boolean.TRUE, mMillis.getAsLong());
+        mLocalListener.accept(new CrashReport(trait, record));
     }
 
     /** Merges a report of another router. */
     public void merge(CrashReport report) {
-        CrashRecord before = record(report.request());
+        CrashRecord before = record(report.trait());
         CrashRecord after = before.merge(report.record());
         if (after.equals(before)) {
             return;
         }
-        store(report.request(), after);
-        if (mChangedLocally.contains(report.request(), mMillis.getAsLong())) {
-            mMergedListener.accept(new CrashReport(report.request(), after));
+        store(report.trait(), after);
+        if (mChangedLocally.contains(report.trait(), mMillis.getAsLong())) {
+            mMergedListener.accept(new CrashReport(report.trait(), after));
         }
     }
 
-    /** Removes a request whose row was deleted. */
-    public void remove(RequestFingerprint request) {
-        mSuspects.remove(request);
-        mQuarantined.remove(request);
+    /** Removes a trait whose row was deleted. */
+    public void remove(CrashTrait trait) {
+        mSuspects.remove(trait);
+        mCandidates.remove(trait);
+        mAttribution = null;
     }
 
     /** Stores a record. */
-    private void store(RequestFingerprint request, CrashRecord record) {
-        long now = mMillis.getAsLong();
-        boolean quarantined = isQuarantined(request);
-        remove(request);
-        if (mCoarseHashes.size() > MAX_SUSPECTS + MAX_QUARANTINED) {
+    private void store(CrashTrait trait, CrashRecord record) {
+        remove(trait);
+        if (trait instanceof RequestFingerprint content) {
+            addCoarseHash(content);
+        }
+        (mSettings.isQuarantined(record) ? mCandidates : mSuspects)
+                .put(trait, record, mMillis.getAsLong());
+    }
+
+    private void addCoarseHash(RequestFingerprint content) {
+        if (mCoarseHashes.size() > MAX_SUSPECTS + MAX_CANDIDATES) {
             mCoarseHashes.clear();
-            records().keySet().forEach(each -> mCoarseHashes.add(each.coarseHash()));
+            for (CrashTrait each : records().keySet()) {
+                if (each instanceof RequestFingerprint recorded) {
+                    mCoarseHashes.add(recorded.coarseHash());
+                }
+            }
         }
-        mCoarseHashes.add(request.coarseHash());
-        if (!mSettings.isQuarantined(record)) {
-            mSuspects.put(request, record, now);
-            return;
+        mCoarseHashes.add(content.coarseHash());
+    }
+
+    /** Returns which traits explain the crashes. */
+    private CrashAttribution attribution() {
+        long now = mMillis.getAsLong();
+        if (mAttribution == null
+                || mCandidates.size(now) != mAttributedCount
+                || now - mAttributedAt > ATTRIBUTION_TTL_MILLIS) {
+            Map<CrashTrait, CrashRecord> candidates = new LinkedHashMap<>(mCandidates.values(now));
+            candidates.keySet().removeIf(this::isSound);
+            mAttribution =
+                    candidates.isEmpty()
+                            ? CrashAttribution.NONE
+                            : CrashAttribution.of(candidates, mSettings.crashes());
+            mAttributedCount = mCandidates.size(now);
+            mAttributedAt = now;
+            logChanges(mAttribution.withheldTraits());
+        }
+        return mAttribution;
+    }
+
+    /** Logs which traits entered and left quarantine. */
+    private void logChanges(Set<CrashTrait> withheld) {
+        for (CrashTrait trait : withheld) {
+            if (!mWithheld.contains(trait)) {
+                mCounters.of(trait).entered().inc();
+                LOGGER.warn(
+                        "request quarantined {} ended={} upstreams={} seconds={}",
+                        trait.logField(),
+                        crashCount(trait),
+                        record(trait).ended(),
+                        mSettings.seconds());
+            }
         }
-        mQuarantined.put(request, record, now);
-        if (!quarantined) {
-            mEnteredCount.inc();
-            LOGGER.warn(
-                    "request quarantined content={} ended={} seconds={}",
-                    request,
-                    record.ended().size(),
-                    mSettings.seconds());
+        for (CrashTrait trait : mWithheld) {
+            if (!withheld.contains(trait)) {
+                LOGGER.info("request no longer quarantined {}", trait.logField());
+            }
         }
+        mWithheld = withheld;
     }
 
-    private CrashRecord record(RequestFingerprint request) {
+    private CrashRecord record(CrashTrait trait) {
         long now = mMillis.getAsLong();
-        Optional<CrashRecord> quarantined = mQuarantined.get(request, now);
-        return quarantined.or(() -> mSuspects.get(request, now)).orElse(CrashRecord.NONE);
+        Optional<CrashRecord> candidate = mCandidates.get(trait, now);
+        return candidate.or(() -> mSuspects.get(trait, now)).orElse(CrashRecord.NONE);
     }
 
     /**
      * Returns all records.
      *
-     * @return the records: suspects first, then quarantined requests, each from the oldest to the
-     *     newest
+     * @return the records: those with fewer crashes first, each from the oldest to the newest
      */
-    public Map<RequestFingerprint, CrashRecord> records() {
+    public Map<CrashTrait, CrashRecord> records() {
         long now = mMillis.getAsLong();
-        Map<RequestFingerprint, CrashRecord> all = new LinkedHashMap<>(mSuspects.values(now));
-        all.putAll(mQuarantined.values(now));
+        Map<CrashTrait, CrashRecord> all = new LinkedHashMap<>(mSuspects.values(now));
+        all.putAll(mCandidates.values(now));
         return all;
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/QuarantineHandler.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/QuarantineHandler.java
@@ -9,8 +9,8 @@
 import org.troutpier.common.result.ResultCode;
 
 /**
- * Lists recorded requests to operators and clears them. Confined to the traffic loop. Invariant:
- * only hashes of a request are shown.
+ * Lists recorded contents and parts of requests to operators and clears them. Confined to the
+ * traffic loop. Invariant: of a request, only hashes and the ids of parts of its prompt are shown.
  */
 public final class QuarantineHandler implements HttpHandler {
 
@@ -20,7 +20,7 @@
     /** Path at which a request is cleared. */
     public static final String CLEAR_PATH = "/quarantine/clear";
 
-    /** Query parameter that identifies the request to clear. */
+    /** Query parameter that identifies the content or part to clear. */
     public static final String CONTENT = "content";
 
     private final QuarantineSettings mSettings;
@@ -28,11 +28,11 @@
     private final Quarantine mQuarantine;
 
     /**
-     * A listed request.
+     * A listed trait.
      *
      * @param content the short name, as in log lines
-     * @param fingerprint the whole fingerprint
-     * @param held whether it is no longer run
+     * @param fingerprint the whole key
+     * @param held whether requests are withheld for it, alone or together with another one
      * @param generation how often it was cleared
      * @param ended the upstreams that crashed since it was last cleared
      */
@@ -63,11 +63,11 @@
                 .toList();
     }
 
-    private Entry entry(RequestFingerprint request, CrashRecord record) {
+    private Entry entry(CrashTrait trait, CrashRecord record) {
         return new Entry(
-                request.shortName(),
-                request.value(),
-                mQuarantine.isQuarantined(request),
+                trait.shortName(),
+                trait.key(),
+                mQuarantine.isQuarantined(trait),
                 record.generation(),
                 record.ended().stream().map(Object::toString).toList());
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/QuarantineSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/QuarantineSettings.java
@@ -28,6 +28,12 @@
      */
     static final long SUSPECT_RETENTION_MILLIS = 600_000;
 
+    /**
+     * How long a part of a prompt counts as sound after a request with it was completed,
+     * milliseconds. A part that an upstream's new version no longer bears is suspected after that.
+     */
+    static final long SOUND_RETENTION_MILLIS = 120_000;
+
     private static final int MAX_CRASHES = CrashRecord.MAX_UPSTREAMS;
 
     /** One week. */
@@ -51,7 +57,7 @@
                 "must be a SHA-256 hash in hexadecimal digits");
     }
 
-    /** Returns whether a request is no longer run. */
+    /** Returns whether a trait with these crashes is quarantined, unless others explain them. */
     public boolean isQuarantined(CrashRecord record) {
         return record.ended().size() >= crashes;
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/RequestFingerprint.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/RequestFingerprint.java
@@ -1,7 +1,6 @@
 package org.troutpier.daemon.quarantine;
 
 import com.fasterxml.jackson.annotation.JsonCreator;
-import com.fasterxml.jackson.annotation.JsonValue;
 import java.util.regex.Pattern;
 import org.troutpier.common.declaration.Tokens;
 import org.troutpier.common.settings.Check;
@@ -18,7 +17,7 @@
  *     body length, then as many of a hash of the body; nobody can forge a request that collides
  *     with another one
  */
-public record RequestFingerprint(@JsonValue String value) {
+public record RequestFingerprint(String value) implements CrashTrait {
 
     /** Number of digits kept of each hash: enough that collisions do not occur by chance. */
     static final int HALF_DIGITS = 16;
@@ -72,11 +71,30 @@
         return value.substring(0, HALF_DIGITS);
     }
 
-    /** Returns the short name for log lines. */
+    /** {@inheritDoc} */
+    @Override
+    public String key() {
+        return value;
+    }
+
+    /** {@inheritDoc} */
+    @Override
     public String shortName() {
         return value.substring(0, SHORT_DIGITS);
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public String logField() {
+        return "content=" + shortName();
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public boolean isNamed(String name) {
+        return name.length() >= SHORT_DIGITS && value.startsWith(name);
+    }
+
     /** {@inheritDoc} */
     @Override
     public String toString() {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/package-info.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Quarantine of requests that crash upstreams: how such a request is recognised, what is recorded
- * of it, and when it is no longer run.
+ * Quarantine of requests that crash upstreams: by which traits such requests are recognized, what
+ * is recorded of them, which traits explain the crashes, and which requests are withheld.
  */
 package org.troutpier.daemon.quarantine;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/CrashGuard.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/CrashGuard.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -13,8 +14,8 @@
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.quarantine.CrashTrait;
 import org.troutpier.daemon.quarantine.Quarantine;
-import org.troutpier.daemon.quarantine.RequestFingerprint;
 
 /**
  * Determines which lost calls were lost because their upstream crashed, records these crashes
@@ -49,6 +50,12 @@
     /** Maximum number of crashes remembered: many times what occurs in that time. */
     private static final int MAX_RECENT_CRASHES = 1000;
 
+    /**
+     * How long a request whose parts are sound has written, milliseconds: several times the time
+     * from the first event of a request until it crashes its upstream.
+     */
+    static final long SOUND_WRITING_MILLIS = 2000;
+
     private static final Logger LOGGER = LogManager.getLogger(CrashGuard.class);
 
     private final TrafficLoop mLoop;
@@ -71,9 +78,6 @@
      */
     private final Counter mAliveCount;
 
-    /** Counts requests that were not run because they are quarantined. */
-    private final Counter mWithheldCount;
-
     /** Upstreams with a probe in flight. */
     private final Map<UpstreamIncarnation, Probe> mProbes = new HashMap<>();
 
@@ -94,7 +98,6 @@
         mQuarantine = quarantine;
         mCrashCount = metrics.counter("upstreams.ended");
         mAliveCount = metrics.counter("upstreams.lost-calls-alive");
-        mWithheldCount = metrics.counter("quarantine.withheld");
     }
 
     /** Returns the quarantine in which crashes are recorded. */
@@ -103,53 +106,62 @@
     }
 
     /**
-     * Returns whether a request must not be run, and counts it if so. Checked before each call,
-     * since another router may have reported the request while it waited.
+     * Returns the trait for which a request must not be run, and counts the request. Checked before
+     * each call, since another router may have reported the trait while the request waited.
      */
-    boolean isQuarantined(LazyFingerprint fingerprint) {
-        boolean quarantined =
-                mightBeKnown(fingerprint) && mQuarantine.isQuarantined(fingerprint.get());
-        if (quarantined) {
-            mWithheldCount.inc();
+    Optional<CrashTrait> withhold(RequestTraits traits) {
+        if (mQuarantine.isEmpty()) {
+            return Optional.empty();
         }
-        return quarantined;
+        return mQuarantine.withhold(mightBeKnown(traits) ? traits.all() : traits.parts());
     }
 
     /**
-     * Returns whether a crash may be recorded against a request. The body is hashed only for
-     * requests with a known coarse hash, and nothing is hashed while the quarantine is empty.
+     * Returns whether a crash may be recorded against a request's content. The body is hashed only
+     * for requests with a known coarse hash, and nothing is hashed while the quarantine is empty.
      */
-    private boolean mightBeKnown(LazyFingerprint fingerprint) {
-        return !mQuarantine.isEmpty() && mQuarantine.mightContain(fingerprint.coarseHash());
+    private boolean mightBeKnown(RequestTraits traits) {
+        return !mQuarantine.isEmpty() && mQuarantine.mightContain(traits.coarseHash());
     }
 
     /** Records that a request was completed. */
-    void recordCompletion(LazyFingerprint fingerprint) {
-        if (mightBeKnown(fingerprint)) {
-            mQuarantine.recordCompletion(fingerprint.get());
+    void recordCompletion(RequestTraits traits) {
+        traits.parts().forEach(mQuarantine::recordSound);
+        if (mightBeKnown(traits)) {
+            mQuarantine.recordCompletion(traits.content());
         }
     }
 
     /**
      * Determines why a call was lost on whose request the upstream was working, and records a crash
-     * of the upstream against that request, also if it is found after the listener was called.
+     * of the upstream against that request, also if it is found after the listener was called. A
+     * part crashes an upstream when it begins to write, so a request that wrote for longer proves
+     * its parts sound.
      *
+     * @param writingMillis how long the upstream had written the answer, milliseconds; 0 if it had
+     *     not begun
      * @param listener called once with whether the upstream is known to have crashed: as soon as
      *     the probe finds no crash, {@link #SETTLE_MILLIS} after it is known to have crashed, or
      *     after {@link #ATTRIBUTION_TIMEOUT_MILLIS} if nothing is known; at once with false if the
      *     upstream may no longer receive work and is not known to have crashed
      */
     void attributeLoss(
-            UpstreamEntry upstream, RequestFingerprint request, Consumer<Boolean> listener) {
+            UpstreamEntry upstream,
+            RequestTraits traits,
+            long writingMillis,
+            Consumer<Boolean> listener) {
+        if (writingMillis >= SOUND_WRITING_MILLIS) {
+            traits.parts().forEach(mQuarantine::recordSound);
+        }
         UpstreamIncarnation incarnation = upstream.incarnation();
         if (mRecentCrashes.contains(incarnation, mLoop.millis())) {
-            mQuarantine.recordCrash(request, incarnation);
-            new LostCall(request, listener).markCrashed();
+            mQuarantine.recordCrash(traits.all(), incarnation);
+            new LostCall(traits, listener).markCrashed();
         } else if (mProbes.containsKey(incarnation)) {
-            mProbes.get(incarnation).mLostSinceSent.add(new LostCall(request, listener));
+            mProbes.get(incarnation).mLostSinceSent.add(new LostCall(traits, listener));
         } else if (mDirectory.usable(upstream).isPresent()) {
             Probe probe = new Probe(upstream);
-            probe.mLost.add(new LostCall(request, listener));
+            probe.mLost.add(new LostCall(traits, listener));
             mProbes.put(incarnation, probe);
             probe.send();
         } else {
@@ -160,7 +172,7 @@
     /** A call that was lost. Confined to the traffic loop. */
     private final class LostCall {
 
-        private final RequestFingerprint mRequest;
+        private final RequestTraits mTraits;
 
         /** Called with whether the upstream crashed. */
         private final Consumer<Boolean> mListener;
@@ -174,8 +186,8 @@
         /** Whether the listener was called. */
         private boolean mNotified;
 
-        LostCall(RequestFingerprint request, Consumer<Boolean> listener) {
-            mRequest = request;
+        LostCall(RequestTraits traits, Consumer<Boolean> listener) {
+            mTraits = traits;
             mListener = listener;
             mTimer = mLoop.schedule(this::notifyListener, ATTRIBUTION_TIMEOUT_MILLIS);
         }
@@ -256,7 +268,7 @@
             mCrashCount.inc();
             LOGGER.warn("upstream crashed id={} requests={}", incarnation, mLost.size());
             mLost.forEach(LostCall::markCrashed);
-            mLost.forEach(call -> mQuarantine.recordCrash(call.mRequest, incarnation));
+            mLost.forEach(call -> mQuarantine.recordCrash(call.mTraits.all(), incarnation));
         }
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -202,10 +202,10 @@
             mContext.plainCalls().recordFailure(upstream, end);
         }
         if (end.notStarted() || mRoute.kind().repeatable()) {
-            afterCrashAttribution(upstream, end, ended -> retry(upstream, end));
+            afterCrashAttribution(upstream, end, 0, ended -> retry(upstream, end));
             return;
         }
-        afterCrashAttribution(upstream, end, ended -> {});
+        afterCrashAttribution(upstream, end, 0, ended -> {});
         giveUp(end);
     }
 
@@ -300,7 +300,7 @@
             if (late) {
                 recordFailure(mUpstream, end);
                 mContext.plainCalls().recordFailure(mUpstream, end);
-                afterCrashAttribution(mUpstream, end, ended -> sendNext());
+                afterCrashAttribution(mUpstream, end, 0, ended -> sendNext());
             } else {
                 // a slow upstream is not ejected: it would leave less room for all others
                 mOutcomeTracker.recordAttemptEnd(end);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillStage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillStage.java
@@ -166,7 +166,7 @@
         @Override
         public void onFailed(UpstreamEntry engine, AttemptEnd end) {
             mCall = null;
-            mExecution.afterCrashAttribution(engine, end, ended -> start(mResumeAfter));
+            mExecution.afterCrashAttribution(engine, end, 0, ended -> start(mResumeAfter));
         }
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -10,6 +10,7 @@
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.organisation.OrganisationLimiter;
+import org.troutpier.daemon.quarantine.CrashTrait;
 import org.troutpier.daemon.request.OutcomeTracker;
 import org.troutpier.daemon.route.Organisation;
 import org.troutpier.daemon.route.Route;
@@ -59,7 +60,7 @@
 
     private boolean mEnded;
 
-    private final LazyFingerprint mFingerprint;
+    private final RequestTraits mTraits;
 
     /** Whether the request was sent to an upstream to be run. */
     private boolean mDispatched;
@@ -81,7 +82,7 @@
             CallerChannel caller) {
         mContext = context;
         mRequest = request;
-        mFingerprint = new LazyFingerprint(request);
+        mTraits = new RequestTraits(request);
         mRoute = route;
         mService = service;
         mCaller = caller;
@@ -224,21 +225,23 @@
      * upstream's process ended. The request may have caused that, so it is not sent to another
      * upstream before.
      *
+     * @param writingMillis how long the upstream had written the answer, milliseconds; 0 if it had
+     *     not begun
      * @param next receives whether the upstream's process is known to have ended; not called if the
      *     request is finished by then
      */
     protected void afterCrashAttribution(
-            UpstreamEntry upstream, AttemptEnd end, Consumer<Boolean> next) {
+            UpstreamEntry upstream, AttemptEnd end, long writingMillis, Consumer<Boolean> next) {
         if (end.notStarted() || !end.unreachable()) {
             next.accept(false);
             return;
         }
-        mTrace.addFingerprint(mFingerprint.get());
-        mRequest.prompt().ifPresent(prompt -> mTrace.addSharedParts(prompt.sharedPartIds()));
+        mTrace.addTraits(mTraits.content(), mTraits.parts());
         mContext.crashGuard()
                 .attributeLoss(
                         upstream,
-                        mFingerprint.get(),
+                        mTraits,
+                        writingMillis,
                         ended -> {
                             if (!mEnded) {
                                 next.accept(ended);
@@ -247,18 +250,21 @@
     }
 
     /**
-     * Ends the request if requests with the same content have crashed several upstreams. To be
-     * called before each call that works on the request.
+     * Ends the request if requests with its content or a part of its prompt have crashed several
+     * upstreams. To be called before each call that works on the request.
      *
      * @return whether the request must not be run, and is finished
      */
     protected boolean refuseIfQuarantined() {
-        if (mEnded || !mContext.crashGuard().isQuarantined(mFingerprint)) {
+        Optional<CrashTrait> reason =
+                mEnded ? Optional.empty() : mContext.crashGuard().withhold(mTraits);
+        if (reason.isEmpty()) {
             return false;
         }
-        mTrace.addFingerprint(mFingerprint.get());
+        mTrace.addTraits(mTraits.content(), mTraits.parts());
         mTrace.markNotable();
-        String detail = "upstreams ended under what it asks for, " + mFingerprint.get();
+        int crashes = mContext.crashGuard().quarantine().crashCount(reason.get());
+        String detail = crashes + " upstreams crashed, quarantined: " + reason.get();
         if (isStreaming()) {
             abortStream(detail);
         } else {
@@ -346,7 +352,7 @@
      */
     protected void recordSuccess(UpstreamEntry upstream, String stage, long millis) {
         mContext.loads().succeeded(upstream);
-        mContext.crashGuard().recordCompletion(mFingerprint);
+        mContext.crashGuard().recordCompletion(mTraits);
         mContext.metrics().callSucceeded(upstream.id(), stage, millis);
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
@@ -9,6 +9,7 @@
 import org.apache.logging.log4j.message.StringMapMessage;
 import org.troutpier.common.id.PartnerId;
 import org.troutpier.common.id.RequestId;
+import org.troutpier.daemon.quarantine.CrashTrait;
 import org.troutpier.daemon.quarantine.RequestFingerprint;
 
 /**
@@ -26,9 +27,6 @@
     /** Maximum number of parts of a prompt in a line. */
     private static final int MAX_PARTS = 8;
 
-    /** Number of characters that identify a part in a line. */
-    private static final int PART_DIGITS = 8;
-
     private final String mId;
 
     private final String mRoute;
@@ -125,26 +123,17 @@
     }
 
     /**
-     * Adds the request's fingerprint, where it matters whether the same content was requested
-     * before: the request id differs between retries.
-     */
-    void addFingerprint(RequestFingerprint fingerprint) {
-        mInputs.put("content", fingerprint.shortName());
-    }
-
-    /**
-     * Adds the parts that the request's prompt shares with others, where it matters whether an
-     * upstream crashed under one of them.
-     *
-     * @param partIds the ids in order, which are shortened
+     * Adds the request's traits, where it matters whether requests with one of them came before:
+     * the request id differs between retries.
      */
-    void addSharedParts(List<String> partIds) {
-        if (!partIds.isEmpty()) {
+    void addTraits(RequestFingerprint content, List<CrashTrait.ForPart> parts) {
+        mInputs.put("content", content.shortName());
+        if (!parts.isEmpty()) {
             mInputs.put(
                     "parts",
-                    partIds.stream()
+                    parts.stream()
                             .limit(MAX_PARTS)
-                            .map(id -> id.substring(0, Math.min(id.length(), PART_DIGITS)))
+                            .map(CrashTrait.ForPart::shortId)
                             .collect(Collectors.joining(",")));
         }
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -228,13 +228,15 @@
     }
 
     /** Decides how to continue after a failed run. */
-    private void onRunFailed(UpstreamEntry upstream, AttemptEnd end) {
-        recordFailure(upstream, end);
+    private void onRunFailed(StreamRun run, AttemptEnd end) {
+        UpstreamEntry engine = run.engine();
+        long writing = run.writingMillis();
+        recordFailure(engine, end);
         if (end.notStarted() || mRoute.kind() == Route.Kind.RESUMABLE_STREAM) {
-            afterCrashAttribution(upstream, end, ended -> retryRun(upstream, end, ended));
+            afterCrashAttribution(engine, end, writing, ended -> retryRun(engine, end, ended));
             return;
         }
-        afterCrashAttribution(upstream, end, ended -> {});
+        afterCrashAttribution(engine, end, writing, ended -> {});
         failWithoutRun(end.code(), end.detail());
     }
 
@@ -431,7 +433,7 @@
                 finishAnswered();
                 return;
             }
-            onRunFailed(run.engine(), end);
+            onRunFailed(run, end);
         }
 
         /** {@inheritDoc} */
@@ -440,7 +442,7 @@
             if (end.notStarted()) {
                 run.prompt().ifPresent(mPrefill::keep);
             }
-            onRunFailed(run.engine(), end);
+            onRunFailed(run, end);
         }
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
@@ -26,6 +26,9 @@
 
     private final Listener mListener;
 
+    /** When the first event was relayed, milliseconds on the loop's clock; -1 before. */
+    private long mFirstEventAt = -1;
+
     /** A response that is not a success and therefore no event stream, or null. */
     private BufferedResponse mErrorResponse;
 
@@ -97,6 +100,15 @@
         return mPrompt;
     }
 
+    /**
+     * Returns how long the engine has written events.
+     *
+     * @return milliseconds since the first event; 0 before
+     */
+    long writingMillis() {
+        return mFirstEventAt < 0 ? 0 : mContext.loop().millis() - mFirstEventAt;
+    }
+
     void start(ServingRequest request, UpstreamPort.RunPlan plan) {
         send(request, plan);
         mCaller.onWritable(() -> setAutoRead(true));
@@ -151,6 +163,9 @@
         }
         mGaps.onEvents(mRelay.eventCount());
         mListener.onEvents(mRelay.eventCount() - before);
+        if (mFirstEventAt < 0 && mRelay.eventCount() > before) {
+            mFirstEventAt = mContext.loop().millis();
+        }
         if (before == 0 && mRelay.eventCount() > 0) {
             mTrace.addStep("first event");
             mContext.firstEventDelay().record(elapsedMillis());
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/QuarantineTableTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/QuarantineTableTest.java
@@ -6,6 +6,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
+import java.util.Random;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.troutpier.common.id.UpstreamIncarnation;
@@ -36,7 +37,8 @@
 
         final FakeRowStore mStore = new FakeRowStore(mRows);
         final Quarantine mQuarantine =
-                new Quarantine(SETTINGS, mTime::millis, new MetricRegistry());
+                new Quarantine(
+                        SETTINGS, mTime::millis, () -> 1, new Random(1), new MetricRegistry());
         final ManualClock.PausableControlExecutor mControl = mTime.control();
         final QuarantineTable mTable;
 
@@ -51,7 +53,8 @@
 
         void crash(int... upstreams) {
             for (int upstream : upstreams) {
-                mQuarantine.recordCrash(REQUEST, UpstreamIncarnation.of("upstream-" + upstream));
+                mQuarantine.recordCrash(
+                        List.of(REQUEST), UpstreamIncarnation.of("upstream-" + upstream));
             }
         }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
@@ -7,6 +7,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -30,7 +31,7 @@
     }
 
     private Quarantine quarantine() {
-        return new Quarantine(SETTINGS, () -> mNow, new MetricRegistry());
+        return new Quarantine(SETTINGS, () -> mNow, () -> 1, new Random(1), new MetricRegistry());
     }
 
     private static RequestFingerprint request(int number) {
@@ -43,7 +44,7 @@
 
     private void crash(int request, int... upstreams) {
         for (int upstream : upstreams) {
-            mQuarantine.recordCrash(request(request), upstream(upstream));
+            mQuarantine.recordCrash(List.of(request(request)), upstream(upstream));
         }
     }
 
@@ -62,9 +63,9 @@
     public void crashesSeenByDifferentRoutersAddUp() {
         crash(1, 1);
         Quarantine other = quarantine();
-        other.recordCrash(request(1), upstream(2));
+        other.recordCrash(List.of(request(1)), upstream(2));
         other.onLocalChange(mQuarantine::merge);
-        other.recordCrash(request(1), upstream(3));
+        other.recordCrash(List.of(request(1)), upstream(3));
         assertTrue(mQuarantine.isQuarantined(request(1)));
     }
 
@@ -75,7 +76,7 @@
         mReports.forEach(other::merge);
         mQuarantine.recordCompletion(request(1));
         other.merge(mReports.get(mReports.size() - 1));
-        other.recordCrash(request(1), upstream(3));
+        other.recordCrash(List.of(request(1)), upstream(3));
         crash(1, 3);
         assertEquals(other.records().get(request(1)).ended(), Set.of(upstream(3)));
         assertEquals(mQuarantine.records(), other.records());
@@ -131,7 +132,7 @@
         for (int request = 0; request < 1000; request++) {
             crash(request, 1, 2, 3);
         }
-        assertEquals(mQuarantine.records().size(), Quarantine.MAX_QUARANTINED);
+        assertEquals(mQuarantine.records().size(), Quarantine.MAX_CANDIDATES);
         assertTrue(mQuarantine.isQuarantined(request(999)));
     }
 
@@ -141,4 +142,34 @@
         mQuarantine.remove(request(1));
         assertTrue(mQuarantine.isEmpty());
     }
+
+    private static CrashTrait.ForPart part(String id) {
+        return CrashTrait.ForPart.of(id);
+    }
+
+    @Test
+    public void aPartOfACompletedRequestIsNotSuspectedForSomeTime() {
+        mQuarantine.recordSound(part("sound"));
+        for (int number = 1; number <= 3; number++) {
+            mQuarantine.recordCrash(List.of(part("sound"), part("guilty")), upstream(number));
+        }
+        assertTrue(mQuarantine.withhold(List.of(part("sound"), part("guilty"))).isPresent());
+        assertFalse(mQuarantine.withhold(List.of(part("sound"))).isPresent());
+        mNow += QuarantineSettings.SOUND_RETENTION_MILLIS + 1;
+        mQuarantine.recordCrash(List.of(part("sound")), upstream(4));
+        assertEquals(mQuarantine.crashCount(part("sound")), 1);
+    }
+
+    @Test
+    public void aSoundPartThatAnotherRouterSuspectsIsClearedThere() {
+        Quarantine other = quarantine();
+        other.onLocalChange(mQuarantine::merge);
+        other.recordCrash(List.of(part("sound")), upstream(1));
+        other.recordCrash(List.of(part("sound")), upstream(2));
+        other.recordCrash(List.of(part("sound")), upstream(3));
+        assertTrue(other.isQuarantined(part("sound")));
+        mQuarantine.recordSound(part("sound"));
+        mReports.forEach(other::merge);
+        assertFalse(other.isQuarantined(part("sound")));
+    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrashGuardTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrashGuardTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.function.Consumer;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -45,7 +46,9 @@
         mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
         mDirectory.replaceAll(List.of(mUpstream));
         MetricRegistry metrics = new MetricRegistry();
-        mQuarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, metrics);
+        mQuarantine =
+                new Quarantine(
+                        QuarantineSettings.DEFAULT, mTime::millis, () -> 1, new Random(1), metrics);
         mProbes = new ArrayList<>();
         mResults = new ArrayList<>();
         FakePort port = new FakePort();
@@ -54,7 +57,7 @@
     }
 
     private void loseCall(RequestFingerprint request) {
-        mGuard.attributeLoss(mUpstream, request, mResults::add);
+        mGuard.attributeLoss(mUpstream, traits(request), 0, mResults::add);
     }
 
     private void answer(UpstreamPort.ProbeResult listening) {
@@ -144,7 +147,7 @@
     public void anUpstreamThatHasRestartedUnderItsIdHasCrashed() {
         UpstreamEntry first = TestUpstreams.startedAt(mUpstream, 1);
         mDirectory.replaceAll(List.of(first));
-        mGuard.attributeLoss(first, ONE, mResults::add);
+        mGuard.attributeLoss(first, traits(ONE), 0, mResults::add);
         mDirectory.replaceAll(List.of(TestUpstreams.startedAt(mUpstream, 2)));
         answer(UpstreamPort.ProbeResult.LISTENING);
         mTime.advance(CrashGuard.ATTRIBUTION_TIMEOUT_MILLIS);
@@ -152,8 +155,16 @@
         assertEquals(recordedCrashes(ONE), 1);
     }
 
-    private static LazyFingerprint content(String target, byte[] body) {
-        return new LazyFingerprint(
+    private static RequestTraits traits(RequestFingerprint request) {
+        return content(request.equals(ONE) ? "/1" : "/2", new byte[0]);
+    }
+
+    private boolean isWithheld(String target, byte[] body) {
+        return mGuard.withhold(content(target, body)).isPresent();
+    }
+
+    private static RequestTraits content(String target, byte[] body) {
+        return new RequestTraits(
                 new ServingRequest(
                         new RequestId("abc"),
                         "POST",
@@ -170,19 +181,19 @@
     }
 
     private void recordCrash(RequestFingerprint request, int number) {
-        mQuarantine.recordCrash(request, UpstreamIncarnation.of("other-" + number));
+        mQuarantine.recordCrash(List.of(request), UpstreamIncarnation.of("other-" + number));
     }
 
     @Test
     public void onlyQuarantinedRequestsAreBlocked() {
-        assertFalse(mGuard.isQuarantined(content("/1", new byte[0])));
+        assertFalse(isWithheld("/1", new byte[0]));
         recordCrash(ONE, 1);
         recordCrash(ONE, 2);
-        assertFalse(mGuard.isQuarantined(content("/1", new byte[0])));
+        assertFalse(isWithheld("/1", new byte[0]));
         recordCrash(ONE, 3);
-        assertTrue(mGuard.isQuarantined(content("/1", new byte[0])));
-        assertFalse(mGuard.isQuarantined(content("/2", new byte[0])));
-        assertFalse(mGuard.isQuarantined(content("/1", new byte[1])));
+        assertTrue(isWithheld("/1", new byte[0]));
+        assertFalse(isWithheld("/2", new byte[0]));
+        assertFalse(isWithheld("/1", new byte[1]));
     }
 
     @Test
@@ -191,8 +202,8 @@
         recordCrash(quarantined, 1);
         recordCrash(quarantined, 2);
         recordCrash(quarantined, 3);
-        assertTrue(mGuard.isQuarantined(content("/3", new byte[] {1})));
-        assertFalse(mGuard.isQuarantined(content("/3", new byte[] {2})));
+        assertTrue(isWithheld("/3", new byte[] {1}));
+        assertFalse(isWithheld("/3", new byte[] {2}));
     }
 
     @Test
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -61,7 +62,13 @@
         mSetup.mPort = port;
         mSetup.mDirectory = mDirectory;
         mSetup.mView = this::decideOrDefer;
-        mQuarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, mSetup.mMetrics);
+        mQuarantine =
+                new Quarantine(
+                        QuarantineSettings.DEFAULT,
+                        mTime::millis,
+                        () -> 1,
+                        new Random(1),
+                        mSetup.mMetrics);
         mSetup.mQuarantine = mQuarantine;
         mContext = mSetup.build();
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestContext.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestContext.java
@@ -71,7 +71,13 @@
             mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
         }
         if (mQuarantine == null) {
-            mQuarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, mMetrics);
+            mQuarantine =
+                    new Quarantine(
+                            QuarantineSettings.DEFAULT,
+                            mTime::millis,
+                            () -> 1,
+                            new Random(1),
+                            mMetrics);
         }
         return new ServingContext(
                 loop,
