--- a/troutpier-cli/src/main/java/org/troutpier/cli/QuarantineCommand.java
+++ b/troutpier-cli/src/main/java/org/troutpier/cli/QuarantineCommand.java
@@ -11,16 +11,21 @@
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
-/** Shows the requests that crashed upstreams, or clears one. Confined to one thread. */
+/**
+ * Shows the contents and parts of requests that crashed upstreams, or clears one. Confined to one
+ * thread.
+ */
 @Command(
         name = "quarantine",
         mixinStandardHelpOptions = true,
-        description = "Shows requests under which upstreams ended, or clears one of them.",
+        description =
+                "Shows requests and parts of prompts under which upstreams ended, or clears one.",
         footer = {
             "",
             "Each router knows the same within seconds; --router names the port of its figures.",
             "  troutpier quarantine --router 10.1.0.35:9464",
-            "  troutpier quarantine --router 10.1.0.35:9464 --clear 3fa09c41"
+            "  troutpier quarantine --router 10.1.0.35:9464 --clear 3fa09c41",
+            "  troutpier quarantine --router 10.1.0.35:9464 --clear part:5c1e07a2"
         })
 final class QuarantineCommand implements Callable<Integer> {
 
@@ -28,17 +33,18 @@
      * Format of a line: short name, whether it is held, how often it was cleared, upstreams that
      * crashed.
      */
-    private static final String LINE = "%-10s %-6s %7s  %s%n";
+    private static final String LINE = "%-14s %-6s %7s  %s%n";
 
-    /** A request's short name, or more digits of its fingerprint. */
-    private static final Pattern NAME = Pattern.compile("[0-9a-f]{8,32}");
+    /** The short name of a content, or more digits of its fingerprint; or a part with its id. */
+    private static final Pattern NAME =
+            Pattern.compile("[0-9a-f]{8,32}|part:~?[0-9A-Za-z._-]{1,64}");
 
     @Mixin private CliMain.Connection mConnection;
 
     @Option(
             names = "--clear",
             defaultValue = "",
-            description = "the request to be cleared, by its name in the list or in log lines")
+            description = "the request or part to be cleared, by its name in the list")
     private String mClear;
 
     /** {@inheritDoc} */
@@ -52,7 +58,8 @@
             }
             if (!NAME.matcher(mClear).matches()) {
                 throw new CliException(
-                        ExitCode.WRONG_INPUT, "--clear takes 8 to 32 hexadecimal digits");
+                        ExitCode.WRONG_INPUT,
+                        "--clear takes 8 to 32 hexadecimal digits, or part: and an id");
             }
             String path = "/quarantine/clear?content=" + mClear;
             JsonNode answer = client.post(settings.routers(), path, List.of());
@@ -68,7 +75,7 @@
      * @param routers where they are
      */
     private static void show(RouterClient client, List<Address> routers) {
-        System.out.printf(LINE, "content", "held", "cleared", "upstreams that ended");
+        System.out.printf(LINE, "trait", "held", "cleared", "upstreams that ended");
         for (JsonNode each : client.getFromFirst(routers, "/quarantine")) {
             List<String> ended = new ArrayList<>();
             each.path("ended").forEach(upstream -> ended.add(upstream.asText()));
--- a/troutpier-cli/src/test/java/org/troutpier/cli/QuarantineCommandTest.java
+++ b/troutpier-cli/src/test/java/org/troutpier/cli/QuarantineCommandTest.java
@@ -13,6 +13,7 @@
 import org.testng.annotations.Test;
 import org.troutpier.common.declaration.Tokens;
 import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.quarantine.CrashTrait;
 import org.troutpier.daemon.quarantine.Quarantine;
 import org.troutpier.daemon.quarantine.QuarantineHandler;
 import org.troutpier.daemon.quarantine.QuarantineSettings;
@@ -58,8 +59,9 @@
     @Test
     public void theListNamesEachRequestAndTheUpstreamsThatEndedUnderIt() {
         String shown = run("any");
-        assertTrue(shown.contains(SUSPECT.shortName() + "   no           0  engine-2\n"), shown);
-        assertTrue(shown.contains(HELD.shortName() + "   yes          0  engine-1 engine-2\n"));
+        assertTrue(
+                shown.contains(SUSPECT.shortName() + "       no           0  engine-2\n"), shown);
+        assertTrue(shown.contains(HELD.shortName() + "       yes          0  engine-1 engine-2\n"));
         assertTrue(shown.endsWith("exit 0"), shown);
     }
 
@@ -70,6 +72,16 @@
         assertEquals(run("secret", "--clear", "00000000"), "cleared: 0\nexit 1");
     }
 
+    @Test
+    public void aPartIsClearedByItsId() {
+        CrashTrait part = CrashTrait.ForPart.of("5c1e07a2");
+        mQuarantine.recordCrash(List.of(part), UpstreamIncarnation.of("engine-3"));
+        mQuarantine.recordCrash(List.of(part), UpstreamIncarnation.of("engine-4"));
+        assertTrue(run("any").contains("part:5c1e07a2  yes"));
+        assertEquals(run("secret", "--clear", "part:5c1e07a2"), "cleared: 1\nexit 0");
+        assertFalse(mQuarantine.isQuarantined(part));
+    }
+
     @Test
     public void aNameThatIsNoneIsToldAndSentNowhere() {
         String told = run("secret", "--clear", "a name & more");
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerCodecTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerCodecTest.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.lang.reflect.RecordComponent;
 import java.util.Arrays;
 import java.util.List;
@@ -32,6 +33,10 @@
 import org.troutpier.daemon.limit.RecentUsage;
 import org.troutpier.daemon.organisation.UsageReport;
 import org.troutpier.daemon.pace.PaceReport;
+import org.troutpier.daemon.quarantine.CrashRecord;
+import org.troutpier.daemon.quarantine.CrashReport;
+import org.troutpier.daemon.quarantine.CrashTrait;
+import org.troutpier.daemon.quarantine.RequestFingerprint;
 import org.troutpier.daemon.rows.RowStore.Row;
 import org.troutpier.daemon.waiting.ClassTraffic;
 import org.troutpier.daemon.waiting.WaitingReport;
@@ -212,4 +217,21 @@
             }
         }
     }
+
+    /** Routers of earlier versions read contents only and close a connection on anything else. */
+    @Test
+    public void crashesOfPartsAreSentBesideThoseOfContents() throws IOException {
+        CrashRecord record = new CrashRecord(0, Set.of(ENGINE));
+        CrashReport content =
+                new CrashReport(RequestFingerprint.of("host", "/", new byte[0]), record);
+        CrashReport part = new CrashReport(CrashTrait.ForPart.of("5c1e07a2"), record);
+        PeerMessage.Crashed message = PeerMessage.Crashed.of(List.of(part, content));
+        ObjectNode encoded = (ObjectNode) MAPPER.readTree(PeerCodec.encode(message));
+        assertEquals(encoded.get("reports").size(), 1);
+        assertEquals(encoded.get("reports").get(0).get(0).asText(), content.trait().key());
+        assertEquals(PeerCodec.decode(MAPPER.writeValueAsBytes(encoded)), message);
+        encoded.remove("parts");
+        PeerMessage read = PeerCodec.decode(MAPPER.writeValueAsBytes(encoded));
+        assertEquals(((PeerMessage.Crashed) read).all(), List.of(content));
+    }
 }
