A stream without length or chunks that ends inside an event is a lost run

What callers saw, or would: an answer may come with neither a length nor chunks and end with its connection. When its engine crashed, the end of the connection looked like the end of the answer: a stream that broke off inside an event counted as a failure of the engine's own, so no crash was held against its request and the engine's prompt was not asked for again; one that broke off between two events counted as completed, which cleared its content and would take its part for sound.

Cause: the end of a connection was taken for what the engine says. Change: an end inside an event is a lost run like a reset; an answer that is not framed is handed on as before, and proves nothing of what its request bears.

ExecutionTest.aStreamThatEndsInsideAnEventIsRecordedAsACrashOfItsEngine failed before (no crash recorded). HttpClientTest shows that a reset of such an answer is no complete answer, and an orderly close is one; both held before. Steps of calls are written by RequestTrace.

--- a/troutpier-common/src/test/java/org/troutpier/common/http/HttpClientTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/HttpClientTest.java
@@ -190,4 +190,39 @@
             assertEquals(lost, 1, "calls without an answer");
         }
     }
+
+    /** Answers one request with a body that ends with the connection. */
+    private CompletableFuture<HttpReply> callWithoutLength(boolean reset) throws IOException {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            CompletableFuture<HttpReply> reply =
+                    mCalls.call(
+                            HttpCall.of("GET", "http://127.0.0.1:" + server.getLocalPort() + "/"));
+            try (Socket socket = server.accept()) {
+                BufferedReader in =
+                        new BufferedReader(new InputStreamReader(socket.getInputStream()));
+                while (!in.readLine().isEmpty()) {
+                    continue;
+                }
+                socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nall".getBytes());
+                socket.getOutputStream().flush();
+                TimeUnit.MILLISECONDS.sleep(50);
+                socket.setSoLinger(reset, 0);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
+            return reply;
+        }
+    }
+
+    @Test
+    public void anAnswerWithoutLengthIsCompleteWhenItsConnectionIsClosed() throws IOException {
+        assertEquals(new String(callWithoutLength(false).join().body()), "all");
+    }
+
+    @Test
+    public void anAnswerWithoutLengthIsNotCompleteWhenItsConnectionIsReset() throws IOException {
+        CompletableFuture<HttpReply> reply = callWithoutLength(true);
+        reply.handle((answer, failure) -> null).join();
+        assertTrue(reply.isCompletedExceptionally());
+    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -360,7 +360,7 @@
             UpstreamPort.Head head = mResponse.head();
             switch (head.verdict()) {
                 case SUCCESS -> {
-                    recordSuccess(mUpstream, "plain", elapsedMillis());
+                    recordSuccess(mUpstream, "plain", elapsedMillis(), head.framed());
                     recordAnswer();
                     mContext.loads().recordPace(mUpstream, elapsedMillis());
                     mTrace.addStep("status=" + head.status());
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -336,23 +336,23 @@
     protected void recordDispatch(UpstreamEntry upstream, String step) {
         mDispatched = true;
         mAttempted.add(upstream.incarnation());
-        mTrace.addStep(step + "@" + upstream.id() + versionNote(upstream));
+        mTrace.addCall(step, upstream);
         mContext.metrics().callSent(upstream.id());
     }
 
-    /** Returns the software version of an upstream for a step, empty if it states none. */
-    private static String versionNote(UpstreamEntry upstream) {
-        return upstream.version().isStated() ? "(" + upstream.version() + ")" : "";
-    }
-
     /**
-     * Records a successful answer.
+     * Records a successful answer. One that is not framed does not prove that the upstream bears
+     * the request.
      *
      * @param millis the duration of the stage
+     * @param framed whether the answer has a length or chunks
      */
-    protected void recordSuccess(UpstreamEntry upstream, String stage, long millis) {
+    protected void recordSuccess(
+            UpstreamEntry upstream, String stage, long millis, boolean framed) {
         mContext.loads().succeeded(upstream);
-        mContext.crashGuard().recordCompletion(mTraits);
+        if (framed) {
+            mContext.crashGuard().recordCompletion(mTraits);
+        }
         mContext.metrics().callSucceeded(upstream.id(), stage, millis);
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
@@ -9,6 +9,7 @@
 import org.apache.logging.log4j.message.StringMapMessage;
 import org.troutpier.common.id.PartnerId;
 import org.troutpier.common.id.RequestId;
+import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.quarantine.CrashTrait;
 import org.troutpier.daemon.quarantine.RequestFingerprint;
 
@@ -63,6 +64,14 @@
         }
     }
 
+    /**
+     * Adds a call to an upstream as a step, with the upstream's software version if it states one.
+     */
+    void addCall(String step, UpstreamEntry upstream) {
+        String version = upstream.version().isStated() ? "(" + upstream.version() + ")" : "";
+        addStep(step + "@" + upstream.id() + version);
+    }
+
     /** Returns the request id. */
     public String id() {
         return mId;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -401,8 +401,8 @@
 
         /** {@inheritDoc} */
         @Override
-        public void onCompleted(UpstreamEntry engine, long millis) {
-            recordSuccess(engine, "stream", millis);
+        public void onCompleted(UpstreamEntry engine, long millis, boolean framed) {
+            recordSuccess(engine, "stream", millis, framed);
             long output = mRelay.eventCount() * mEngineTraits.eventTokens();
             mContext.demandMeter()
                     .recordRun(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
@@ -26,6 +26,9 @@
 
     private final Listener mListener;
 
+    /** Whether the answer has a length or chunks. */
+    private boolean mFramed;
+
     /** When the first event was relayed, milliseconds on the loop's clock; -1 before. */
     private long mFirstEventAt = -1;
 
@@ -58,8 +61,9 @@
          * Called when the stream is complete.
          *
          * @param millis the duration of the run
+         * @param framed whether the answer has a length or chunks
          */
-        void onCompleted(UpstreamEntry engine, long millis);
+        void onCompleted(UpstreamEntry engine, long millis, boolean framed);
 
         /** Called when the engine sent a complete answer that is no event stream. */
         void onErrorAnswer(StreamRun run, BufferedResponse answer);
@@ -140,6 +144,7 @@
     @Override
     public void onHead(UpstreamPort.Head head) {
         if (head.verdict() == UpstreamPort.Verdict.SUCCESS) {
+            mFramed = head.framed();
             mListener.onHead(head);
         } else {
             mErrorResponse = new BufferedResponse(head);
@@ -186,9 +191,9 @@
             mListener.onErrorAnswer(this, mErrorResponse);
         } else if (mRelay.atEventBoundary()) {
             close();
-            mListener.onCompleted(mUpstream, elapsedMillis());
+            mListener.onCompleted(mUpstream, elapsedMillis(), mFramed);
         } else {
-            onFailure(AttemptEnd.failed(ResultCode.UPSTREAM_FAILED, "ended inside an event"));
+            onFailure(AttemptEnd.lost("ended inside an event"));
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
@@ -169,8 +169,10 @@
      * @param status the HTTP status
      * @param headers the headers for the caller, without hop-by-hop headers
      * @param verdict what the head proves about the request
+     * @param framed whether the answer has a length or chunks; otherwise it ends with its
+     *     connection, as an answer also does whose upstream crashes
      */
-    record Head(int status, HttpHeaders headers, Verdict verdict) {}
+    record Head(int status, HttpHeaders headers, Verdict verdict, boolean framed) {}
 
     /** What the head of an answer proves about the request. */
     enum Verdict {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -1,6 +1,7 @@
 package org.troutpier.daemon.serving;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
@@ -17,6 +18,7 @@
 import org.testng.annotations.Test;
 import org.troutpier.common.id.RequestId;
 import org.troutpier.common.id.UpstreamId;
+import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamDirectory;
@@ -27,6 +29,7 @@
 import org.troutpier.daemon.organisation.Requester;
 import org.troutpier.daemon.quarantine.Quarantine;
 import org.troutpier.daemon.quarantine.QuarantineSettings;
+import org.troutpier.daemon.quarantine.RequestFingerprint;
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.upstream.AttemptEnd;
@@ -38,6 +41,7 @@
     private ManualClock mTime;
     private FakePort mPort;
     private FakeCaller mCaller;
+    private boolean mFramed;
     private UpstreamDirectory mDirectory;
     private TestContext mSetup;
     private ServingContext mContext;
@@ -53,6 +57,7 @@
         mTime = new ManualClock();
         mPort = new FakePort();
         mCaller = new FakeCaller();
+        mFramed = true;
         mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
         RestartAwarePort port = new RestartAwarePort(mPort);
         mDirectory.setListener(port::retain);
@@ -153,7 +158,7 @@
     }
 
     private UpstreamPort.Head head(UpstreamPort.Verdict verdict) {
-        return new UpstreamPort.Head(200, new DefaultHttpHeaders(), verdict);
+        return new UpstreamPort.Head(200, new DefaultHttpHeaders(), verdict, mFramed);
     }
 
     @Test
@@ -277,6 +282,45 @@
         assertEquals(mPort.mPrefills.size(), 1);
     }
 
+    @Test
+    public void aStreamThatEndsInsideAnEventIsRecordedAsACrashOfItsEngine() {
+        mPort.mOnCheck = probe -> probe.accept(UpstreamPort.ProbeResult.NOT_LISTENING);
+        mDirectory.replaceAll(List.of(TestUpstreams.decode("a")));
+        stream();
+        UpstreamPort.RunListener run = mPort.mRuns.get(0).mListener;
+        run.onHead(head(UpstreamPort.Verdict.SUCCESS));
+        run.onPart("id: 1\ndata: a\n\nid: 2\nda".getBytes(StandardCharsets.UTF_8));
+        run.onEnd();
+        assertEquals(mQuarantine.records().size(), 1);
+        assertTrue(mCaller.mAborted);
+    }
+
+    /**
+     * Runs the request to its end, and returns whether an earlier crash counts against it still.
+     */
+    private boolean isSuspectedAfterAnswer(boolean framed) {
+        RequestFingerprint content = RequestFingerprint.of("h", "/x", new byte[0]);
+        mQuarantine.recordCrash(List.of(content), UpstreamIncarnation.of("another"));
+        mFramed = framed;
+        mDirectory.replaceAll(List.of(TestUpstreams.decode("a")));
+        stream();
+        UpstreamPort.RunListener run = mPort.mRuns.get(0).mListener;
+        run.onHead(head(UpstreamPort.Verdict.SUCCESS));
+        run.onPart("id: 1\ndata: a\n\n".getBytes(StandardCharsets.UTF_8));
+        run.onEnd();
+        return mQuarantine.crashCount(content) > 0;
+    }
+
+    @Test
+    public void aCompletedAnswerClearsItsRequest() {
+        assertFalse(isSuspectedAfterAnswer(true));
+    }
+
+    @Test
+    public void anAnswerThatEndsWithItsConnectionDoesNotClearItsRequest() {
+        assertTrue(isSuspectedAfterAnswer(false));
+    }
+
     @Test
     public void resumedStreamReservesMemoryForItsEarlierOutput() {
         mContext.extraCallBudget().setLimits(0, 10);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainUpstream.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainUpstream.java
@@ -127,7 +127,8 @@
             answer(
                     () -> {
                         UpstreamPort.Head head =
-                                new UpstreamPort.Head(status, new DefaultHttpHeaders(), verdict);
+                                new UpstreamPort.Head(
+                                        status, new DefaultHttpHeaders(), verdict, true);
                         mListener.onHead(head);
                         mListener.onEnd();
                     });
