--- a/troutpier-common/src/main/java/org/troutpier/common/result/ResultCode.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/result/ResultCode.java
@@ -56,7 +56,11 @@
     NO_PLACE(128, 503, Family.NOT_RUN, 1, "No engine has memory for the request now."),
     /** Several upstreams crashed while serving the same content. */
     REQUEST_QUARANTINED(
-            129, 503, Family.NOT_RUN, 0, "Upstreams ended under this request; it was not run."),
+            129,
+            503,
+            Family.NOT_RUN,
+            0,
+            "Upstreams crashed under this request or a part of its prompt; it was not run."),
     /** The organisation has used up its limit for the current window. */
     USE_LIMIT(130, 429, Family.NOT_RUN, 1, "The organisation has used what it may for now."),
     /** The keys have not been confirmed for too long. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/CrashRecord.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/CrashRecord.java
@@ -21,10 +21,10 @@
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record CrashRecord(int generation, Set<UpstreamIncarnation> ended) {
 
-    /** The record of a request without any crash. */
+    /** The record of a trait without any crash. */
     public static final CrashRecord NONE = new CrashRecord(0, Set.of());
 
-    /** Maximum number of upstreams in a record: several times as many as quarantine a request. */
+    /** Maximum number of upstreams in a record: several times as many as quarantine a trait. */
     static final int MAX_UPSTREAMS = 16;
 
     /** Validates the components and sorts the upstreams, so that all routers keep the same ones. */
@@ -46,7 +46,7 @@
         return merge(new CrashRecord(generation, Set.of(upstream)));
     }
 
-    /** Merges the records that two routers have of the same request. */
+    /** Merges the records that two routers have of the same trait. */
     public CrashRecord merge(CrashRecord other) {
         if (generation != other.generation) {
             return generation > other.generation ? this : other;
@@ -56,7 +56,7 @@
         return new CrashRecord(generation, both);
     }
 
-    /** Returns the record after the request is cleared: a later generation without any crash. */
+    /** Returns the record after the trait is cleared: a later generation without any crash. */
     CrashRecord cleared() {
         return new CrashRecord(generation + 1, Set.of());
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/QuarantineSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/QuarantineSettings.java
@@ -5,13 +5,13 @@
 import org.troutpier.common.settings.Check;
 
 /**
- * Settings that determine when a request is no longer run. Immutable and thread safe.
+ * Settings that determine for which traits requests are no longer run. Immutable and thread safe.
  *
- * @param crashes the number of crashed upstreams that quarantines a request
+ * @param crashes the number of crashed upstreams that quarantines a trait
  * @param seconds how long it stays quarantined after the last change of its record
  * @param knownMillis how soon each router must know of it, milliseconds
- * @param operatorTokenHash SHA-256 hash of the token that may clear requests; if empty or absent,
- *     no token may
+ * @param operatorTokenHash SHA-256 hash of the token that may clear traits; if empty or absent, no
+ *     token may
  */
 public record QuarantineSettings(
         int crashes, int seconds, int knownMillis, String operatorTokenHash) {
@@ -23,8 +23,8 @@
     public static final QuarantineSettings DEFAULT = new QuarantineSettings(3, 3600, 3000, "");
 
     /**
-     * How long a request is remembered that is still run, milliseconds: ten minutes, within which
-     * its caller has either given up or retried.
+     * How long a trait is remembered whose requests are still run, milliseconds: ten minutes,
+     * within which callers have either given up or retried.
      */
     static final long SUSPECT_RETENTION_MILLIS = 600_000;
 
@@ -62,15 +62,13 @@
         return record.ended().size() >= crashes;
     }
 
-    /**
-     * Returns whether one more crash quarantines a request, or whether it is quarantined already.
-     */
+    /** Returns whether one more crash quarantines a trait, or whether it is quarantined already. */
     public boolean isNearThreshold(CrashRecord record) {
         return record.ended().size() >= crashes - 1;
     }
 
     /**
-     * Returns how long a request is remembered after the last change of its record.
+     * Returns how long a trait is remembered after the last change of its record.
      *
      * @return milliseconds
      */
@@ -83,7 +81,7 @@
     }
 
     /**
-     * Returns whether a token may clear requests.
+     * Returns whether a token may clear traits.
      *
      * @param tokenHash the SHA-256 hash of the token
      */
