A test fails if reports of parts are not sent to other routers

Found by leaving them out on purpose: CrashingPartTest still passed, since the rows of the store told the routers in time. PeerCodecTest fails without them now.

--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerCodecTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerCodecTest.java
@@ -226,6 +226,7 @@
                 new CrashReport(RequestFingerprint.of("host", "/", new byte[0]), record);
         CrashReport part = new CrashReport(CrashTrait.ForPart.of("5c1e07a2"), record);
         PeerMessage.Crashed message = PeerMessage.Crashed.of(List.of(part, content));
+        assertEquals(message.all(), List.of(content, part));
         ObjectNode encoded = (ObjectNode) MAPPER.readTree(PeerCodec.encode(message));
         assertEquals(encoded.get("reports").size(), 1);
         assertEquals(encoded.get("reports").get(0).get(0).asText(), content.trait().key());
