--- a/troutpier-cli/src/test/java/org/troutpier/cli/QuarantineCommandTest.java
+++ b/troutpier-cli/src/test/java/org/troutpier/cli/QuarantineCommandTest.java
@@ -7,7 +7,6 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -34,8 +33,7 @@
 
     @BeforeMethod
     void start() {
-        mQuarantine =
-                new Quarantine(SETTINGS, () -> 0, () -> 1, new Random(1), new MetricRegistry());
+        mQuarantine = new Quarantine(SETTINGS, () -> 0, new MetricRegistry());
         mQuarantine.recordCrash(List.of(HELD), UpstreamIncarnation.of("engine-1"));
         mQuarantine.recordCrash(List.of(HELD), UpstreamIncarnation.of("engine-2"));
         mQuarantine.recordCrash(List.of(SUSPECT), UpstreamIncarnation.of("engine-2"));
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/CrashAttribution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/CrashAttribution.java
@@ -17,11 +17,10 @@
  * Which traits explain the known crashes, and so which requests are withheld. All runs that were
  * lost in a crash are suspects of it, and most of them are innocent. Each crash is explained by one
  * trait: the one that explains most crashes first, then the one that explains most of the rest.
- * Traits that occurred in the same crashes form a group; a request with one of them alone is run,
- * since its end tells them apart, and a request with several of them is withheld. A content whose
- * crashes are not all explained by another trait is withheld in any case: unlike a part, it is no
- * loss to other requests. Immutable and thread safe; the same records give the same result at all
- * routers.
+ * Traits with the same crashes form a group; a request with one of them alone is run, since its
+ * outcome distinguishes them, and a request with several of them is withheld. A content is withheld
+ * unless another trait explains all its crashes, as this affects no other request. Immutable and
+ * thread safe; the same records give the same result at all routers.
  */
 final class CrashAttribution {
 
@@ -61,33 +60,54 @@
                         candidates.add(new Candidate(trait, record.ended()));
                     }
                 });
-        candidates.sort(Comparator.comparing(candidate -> candidate.mTrait, ORDER));
-        Map<UpstreamIncarnation, List<Candidate>> byUpstream = new HashMap<>();
-        for (Candidate candidate : candidates) {
-            for (UpstreamIncarnation upstream : candidate.mEnded) {
-                byUpstream.computeIfAbsent(upstream, key -> new ArrayList<>()).add(candidate);
-            }
+        if (candidates.isEmpty()) {
+            return NONE;
         }
+        candidates.sort(Comparator.comparing(candidate -> candidate.mTrait, ORDER));
+        Map<UpstreamIncarnation, List<Candidate>> byUpstream = indexByUpstream(candidates);
         Map<CrashTrait, Set<CrashTrait>> groups = new LinkedHashMap<>();
         Set<UpstreamIncarnation> explained = new HashSet<>();
-        for (Candidate best = best(candidates, crashes);
-                best != null;
-                best = best(candidates, crashes)) {
-            Set<UpstreamIncarnation> ended = Set.copyOf(best.mUnexplained);
-            Set<CrashTrait> group = new LinkedHashSet<>();
-            for (Candidate other : byUpstream.get(ended.iterator().next())) {
-                if (other.mUnexplained.equals(ended)) {
-                    group.add(other.mTrait);
-                }
-            }
+        Candidate best = best(candidates, crashes);
+        while (best != null) {
+            Set<CrashTrait> group = withSameCrashes(best, byUpstream);
             group.forEach(trait -> groups.put(trait, group));
             if (group.size() == 1) {
                 explained.addAll(best.mEnded);
             }
-            for (UpstreamIncarnation upstream : ended) {
+            for (UpstreamIncarnation upstream : Set.copyOf(best.mUnexplained)) {
                 byUpstream.get(upstream).forEach(each -> each.mUnexplained.remove(upstream));
             }
+            best = best(candidates, crashes);
         }
+        return new CrashAttribution(groups, contentsBeyond(explained, candidates));
+    }
+
+    private static Map<UpstreamIncarnation, List<Candidate>> indexByUpstream(
+            List<Candidate> candidates) {
+        Map<UpstreamIncarnation, List<Candidate>> index = new HashMap<>();
+        for (Candidate candidate : candidates) {
+            for (UpstreamIncarnation upstream : candidate.mEnded) {
+                index.computeIfAbsent(upstream, key -> new ArrayList<>()).add(candidate);
+            }
+        }
+        return index;
+    }
+
+    /** Returns the traits with the same unexplained crashes as a candidate, its own included. */
+    private static Set<CrashTrait> withSameCrashes(
+            Candidate best, Map<UpstreamIncarnation, List<Candidate>> byUpstream) {
+        Set<CrashTrait> group = new LinkedHashSet<>();
+        for (Candidate other : byUpstream.get(best.mUnexplained.iterator().next())) {
+            if (other.mUnexplained.equals(best.mUnexplained)) {
+                group.add(other.mTrait);
+            }
+        }
+        return group;
+    }
+
+    /** Returns the contents with crashes that are not explained by a single other trait. */
+    private static Set<CrashTrait> contentsBeyond(
+            Set<UpstreamIncarnation> explained, List<Candidate> candidates) {
         Set<CrashTrait> contents = new LinkedHashSet<>();
         for (Candidate candidate : candidates) {
             if (candidate.mTrait instanceof RequestFingerprint
@@ -95,7 +115,7 @@
                 contents.add(candidate.mTrait);
             }
         }
-        return new CrashAttribution(groups, contents);
+        return contents;
     }
 
     /** Returns the first of those with most unexplained crashes, or null if all have too few. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/CrashTrait.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/CrashTrait.java
@@ -26,7 +26,7 @@
     /** Returns the trait as a field of a log line. */
     String logField();
 
-    /** Returns whether operators mean this trait by a name: its key, or the start of it. */
+    /** Returns whether a name, as operators enter it, is the key of this trait or begins it. */
     boolean isNamed(String name);
 
     /**
@@ -42,8 +42,8 @@
     }
 
     /**
-     * A part of a prompt that other prompts may share, identified by its id alone: the same part
-     * crashes an upstream wherever it stands in a prompt and whoever sends it.
+     * A part of a prompt that other prompts may share, identified by its id alone: it crashes
+     * upstreams at any position in a prompt and for any caller.
      *
      * @param key {@value #PREFIX} and the part's id, or a hash of an id that is long or contains
      *     other characters than letters, digits, dots, hyphens and underscores
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
@@ -9,9 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
-import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.collection.ExpiringMap;
@@ -41,15 +39,6 @@
     /** Maximum number of parts known to be sound; those in use stay, as each use renews them. */
     private static final int MAX_SOUND_PARTS = 2000;
 
-    /**
-     * Number of routers that clear a sound part at about the same time. All that complete requests
-     * with it notice that it is suspected, and each clearing is announced to all routers.
-     */
-    private static final double CLEARING_ROUTERS = 8;
-
-    /** How long an attribution is used, so that it follows which parts are sound, milliseconds. */
-    private static final long ATTRIBUTION_TTL_MILLIS = 1000;
-
     private static final Logger LOGGER = LogManager.getLogger(Quarantine.class);
 
     private final QuarantineSettings mSettings;
@@ -57,10 +46,7 @@
     /** The monotonic clock, milliseconds. */
     private final LongSupplier mMillis;
 
-    /** The number of routers, this one included. */
-    private final IntSupplier mRouterCount;
-
-    private final RandomGenerator mRandom;
+    private final ClearingSelector mClearing;
 
     /** Traits with too few crashes to withhold requests, and those that were cleared. */
     private final ExpiringMap<CrashTrait, CrashRecord> mSuspects =
@@ -82,17 +68,7 @@
     private final ExpiringMap<CrashTrait, Boolean> mChangedLocally =
             new ExpiringMap<>(MAX_SUSPECTS, QuarantineSettings.SUSPECT_RETENTION_MILLIS);
 
-    /** Which traits explain the crashes, or null if records have changed since. */
-    private CrashAttribution mAttribution = CrashAttribution.NONE;
-
-    /** How many candidates it was computed from; fewer are left once some have expired. */
-    private int mAttributedCount;
-
-    /** When the attribution was computed, milliseconds on the clock. */
-    private long mAttributedAt;
-
-    /** The traits that were withheld when the attribution was last computed. */
-    private Set<CrashTrait> mWithheld = Set.of();
+    private final WithheldTraits mWithheld;
 
     /** Receives the changes made by this router. */
     private Consumer<CrashReport> mLocalListener = report -> {};
@@ -104,21 +80,28 @@
      * Creates a quarantine without any records.
      *
      * @param millis the monotonic clock, milliseconds
-     * @param routerCount the number of routers, this one included
-     * @param random selects which routers clear a sound part
+     */
+    public Quarantine(QuarantineSettings settings, LongSupplier millis, MetricRegistry metrics) {
+        this(settings, millis, ClearingSelector.ForFewRouters.INSTANCE, metrics);
+    }
+
+    /**
+     * Creates a quarantine without any records.
+     *
+     * @param millis the monotonic clock, milliseconds
+     * @param clearing selects whether this router clears sound parts that others suspect
      */
     public Quarantine(
             QuarantineSettings settings,
             LongSupplier millis,
-            IntSupplier routerCount,
-            RandomGenerator random,
+            ClearingSelector clearing,
             MetricRegistry metrics) {
         mSettings = settings;
         mMillis = millis;
-        mRouterCount = routerCount;
-        mRandom = random;
+        mClearing = clearing;
         mCandidates = new ExpiringMap<>(MAX_CANDIDATES, settings.quarantineMillis());
         mCounters = QuarantineCounters.register(metrics);
+        mWithheld = new WithheldTraits(settings, mCandidates, this::isSound, mCounters);
     }
 
     /**
@@ -159,8 +142,7 @@
 
     /** Returns whether requests are withheld for a trait, alone or together with another one. */
     public boolean isQuarantined(CrashTrait trait) {
-        attribution();
-        return mWithheld.contains(trait);
+        return mWithheld.contains(trait, mMillis.getAsLong());
     }
 
     /**
@@ -170,7 +152,7 @@
      * @return one of them, or empty if the request may be run
      */
     public Optional<CrashTrait> withhold(Collection<? extends CrashTrait> traits) {
-        Optional<CrashTrait> reason = attribution().reasonToWithhold(traits);
+        Optional<CrashTrait> reason = mWithheld.reasonToWithhold(traits, mMillis.getAsLong());
         reason.ifPresent(trait -> mCounters.of(trait).withheld().inc());
         return reason;
     }
@@ -214,7 +196,7 @@
 
     /**
      * Records that a part of a prompt crashes no upstream, since a request with it was completed or
-     * wrote for some time. A part that is suspected elsewhere is cleared by a few of the routers.
+     * wrote for some time. A part that another router suspects is cleared there.
      */
     public void recordSound(CrashTrait.ForPart part) {
         long now = mMillis.getAsLong();
@@ -225,10 +207,10 @@
             return;
         }
         if (!known) {
-            mAttribution = null;
+            mWithheld.onChange();
         }
-        boolean selected = mRandom.nextDouble() * mRouterCount.getAsInt() < CLEARING_ROUTERS;
-        if (mChangedLocally.contains(part, now) || mSettings.isNearThreshold(record) && selected) {
+        if (mChangedLocally.contains(part, now)
+                || mSettings.isNearThreshold(record) && mClearing.isSelected()) {
             clear(part, "ran whole");
         }
     }
@@ -285,7 +267,7 @@
     public void remove(CrashTrait trait) {
         mSuspects.remove(trait);
         mCandidates.remove(trait);
-        mAttribution = null;
+        mWithheld.onChange();
     }
 
     /** Stores a record. */
@@ -310,46 +292,6 @@
         mCoarseHashes.add(content.coarseHash());
     }
 
-    /** Returns which traits explain the crashes. */
-    private CrashAttribution attribution() {
-        long now = mMillis.getAsLong();
-        if (mAttribution == null
-                || mCandidates.size(now) != mAttributedCount
-                || now - mAttributedAt > ATTRIBUTION_TTL_MILLIS) {
-            Map<CrashTrait, CrashRecord> candidates = new LinkedHashMap<>(mCandidates.values(now));
-            candidates.keySet().removeIf(this::isSound);
-            mAttribution =
-                    candidates.isEmpty()
-                            ? CrashAttribution.NONE
-                            : CrashAttribution.of(candidates, mSettings.crashes());
-            mAttributedCount = mCandidates.size(now);
-            mAttributedAt = now;
-            logChanges(mAttribution.withheldTraits());
-        }
-        return mAttribution;
-    }
-
-    /** Logs which traits entered and left quarantine. */
-    private void logChanges(Set<CrashTrait> withheld) {
-        for (CrashTrait trait : withheld) {
-            if (!mWithheld.contains(trait)) {
-                mCounters.of(trait).entered().inc();
-                LOGGER.warn(
-                        "request quarantined {} ended={} upstreams={} seconds={}",
-                        trait.logField(),
-                        crashCount(trait),
-                        record(trait).ended(),
-                        mSettings.seconds());
-            }
-        }
-        for (CrashTrait trait : mWithheld) {
-            if (!withheld.contains(trait)) {
-                LOGGER.info("request no longer quarantined {}", trait.logField());
-            }
-        }
-        mWithheld = withheld;
-    }
-
     private CrashRecord record(CrashTrait trait) {
         long now = mMillis.getAsLong();
         Optional<CrashRecord> candidate = mCandidates.get(trait, now);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/CrashGuard.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/CrashGuard.java
@@ -14,7 +14,6 @@
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.quarantine.CrashTrait;
 import org.troutpier.daemon.quarantine.Quarantine;
 
 /**
@@ -51,8 +50,8 @@
     private static final int MAX_RECENT_CRASHES = 1000;
 
     /**
-     * How long a request whose parts are sound has written, milliseconds: several times the time
-     * from the first event of a request until it crashes its upstream.
+     * How long a request must have written to prove the parts of its prompt sound, milliseconds. A
+     * part crashes an upstream soon after the first event.
      */
     static final long SOUND_WRITING_MILLIS = 2000;
 
@@ -106,14 +105,16 @@
     }
 
     /**
-     * Returns the trait for which a request must not be run, and counts the request. Checked before
-     * each call, since another router may have reported the trait while the request waited.
+     * Returns why a request must not be run, if so, and counts it. Checked before each call, since
+     * another router may have reported one of its traits while it waited.
      */
-    Optional<CrashTrait> withhold(RequestTraits traits) {
+    Optional<String> withhold(RequestTraits traits) {
         if (mQuarantine.isEmpty()) {
             return Optional.empty();
         }
-        return mQuarantine.withhold(mightBeKnown(traits) ? traits.all() : traits.parts());
+        return mQuarantine
+                .withhold(mightBeKnown(traits) ? traits.all() : traits.parts())
+                .map(trait -> mQuarantine.crashCount(trait) + " upstreams crashed under " + trait);
     }
 
     /**
@@ -135,8 +136,7 @@
     /**
      * Determines why a call was lost on whose request the upstream was working, and records a crash
      * of the upstream against that request, also if it is found after the listener was called. A
-     * part crashes an upstream when it begins to write, so a request that wrote for longer proves
-     * its parts sound.
+     * request that wrote for {@link #SOUND_WRITING_MILLIS} proves its parts sound.
      *
      * @param writingMillis how long the upstream had written the answer, milliseconds; 0 if it had
      *     not begun
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -10,7 +10,6 @@
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.organisation.OrganisationLimiter;
-import org.troutpier.daemon.quarantine.CrashTrait;
 import org.troutpier.daemon.request.OutcomeTracker;
 import org.troutpier.daemon.route.Organisation;
 import org.troutpier.daemon.route.Route;
@@ -256,19 +255,17 @@
      * @return whether the request must not be run, and is finished
      */
     protected boolean refuseIfQuarantined() {
-        Optional<CrashTrait> reason =
+        Optional<String> reason =
                 mEnded ? Optional.empty() : mContext.crashGuard().withhold(mTraits);
         if (reason.isEmpty()) {
             return false;
         }
         mTrace.addTraits(mTraits.content(), mTraits.parts());
         mTrace.markNotable();
-        int crashes = mContext.crashGuard().quarantine().crashCount(reason.get());
-        String detail = crashes + " upstreams crashed, quarantined: " + reason.get();
         if (isStreaming()) {
-            abortStream(detail);
+            abortStream(reason.get());
         } else {
-            refuse(ResultCode.REQUEST_QUARANTINED, detail, 0);
+            refuse(ResultCode.REQUEST_QUARANTINED, reason.get(), 0);
         }
         return true;
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/QuarantineTableTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/QuarantineTableTest.java
@@ -6,7 +6,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
-import java.util.Random;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.troutpier.common.id.UpstreamIncarnation;
@@ -37,8 +36,7 @@
 
         final FakeRowStore mStore = new FakeRowStore(mRows);
         final Quarantine mQuarantine =
-                new Quarantine(
-                        SETTINGS, mTime::millis, () -> 1, new Random(1), new MetricRegistry());
+                new Quarantine(SETTINGS, mTime::millis, new MetricRegistry());
         final ManualClock.PausableControlExecutor mControl = mTime.control();
         final QuarantineTable mTable;
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
@@ -7,7 +7,6 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -31,7 +30,7 @@
     }
 
     private Quarantine quarantine() {
-        return new Quarantine(SETTINGS, () -> mNow, () -> 1, new Random(1), new MetricRegistry());
+        return new Quarantine(SETTINGS, () -> mNow, new MetricRegistry());
     }
 
     private static RequestFingerprint request(int number) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrashGuardTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrashGuardTest.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Random;
 import java.util.function.Consumer;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -46,9 +45,7 @@
         mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
         mDirectory.replaceAll(List.of(mUpstream));
         MetricRegistry metrics = new MetricRegistry();
-        mQuarantine =
-                new Quarantine(
-                        QuarantineSettings.DEFAULT, mTime::millis, () -> 1, new Random(1), metrics);
+        mQuarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, metrics);
         mProbes = new ArrayList<>();
         mResults = new ArrayList<>();
         FakePort port = new FakePort();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Random;
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -67,13 +66,7 @@
         mSetup.mPort = port;
         mSetup.mDirectory = mDirectory;
         mSetup.mView = this::decideOrDefer;
-        mQuarantine =
-                new Quarantine(
-                        QuarantineSettings.DEFAULT,
-                        mTime::millis,
-                        () -> 1,
-                        new Random(1),
-                        mSetup.mMetrics);
+        mQuarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, mSetup.mMetrics);
         mSetup.mQuarantine = mQuarantine;
         mContext = mSetup.build();
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestContext.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestContext.java
@@ -71,13 +71,7 @@
             mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
         }
         if (mQuarantine == null) {
-            mQuarantine =
-                    new Quarantine(
-                            QuarantineSettings.DEFAULT,
-                            mTime::millis,
-                            () -> 1,
-                            new Random(1),
-                            mMetrics);
+            mQuarantine = new Quarantine(QuarantineSettings.DEFAULT, mTime::millis, mMetrics);
         }
         return new ServingContext(
                 loop,
