Arrivals of a request are counted, and a router's use of its budget of extra calls is told

Change: RequestArrivals counts the calls of a request that may have arrived; each call carries its arrival in RunPlan, so that none is sent without. Request lines get extraCalls; counter budget.extra.arrived beside budget.extra.made; gauges budget.SERVICE.requests, .used, .allowed; a line when a share is used up. ExtraCallBudget moves to a package of its own. No decision is changed.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ExtraCallBudget.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/extracall/ExtraCallBudget.java
@@ -1,7 +1,10 @@
-package org.troutpier.daemon.serving;
+package org.troutpier.daemon.extracall;
 
 import java.util.HashMap;
 import java.util.Map;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.troutpier.common.logging.LogThrottle;
 
 /**
  * Limits the calls to a service beyond the first call of each request, over a sliding window.
@@ -11,6 +14,8 @@
  */
 public final class ExtraCallBudget {
 
+    private static final Logger LOGGER = LogManager.getLogger(ExtraCallBudget.class);
+
     private static final int WINDOW_BUCKETS = 20;
 
     /**
@@ -44,13 +49,25 @@
 
     private final Map<String, Counts> mCounts = new HashMap<>();
 
+    /**
+     * What a router has used of its share in a window. Immutable and thread safe.
+     *
+     * @param requests the requests for the service
+     * @param extraCalls the calls beyond the first of each request
+     * @param allowed the most extra calls that these requests allow
+     */
+    public record Usage(int requests, int extraCalls, double allowed) {}
+
     /** Counts of one service by bucket. */
-    private static final class Counts {
+    private final class Counts {
 
         private final int[] mRequests = new int[RING_SIZE];
 
         private final int[] mExtra = new int[RING_SIZE];
 
+        /** Limits the lines about a denied call to one in a window. */
+        private final LogThrottle mLogThrottle = new LogThrottle(mBucketMillis * WINDOW_BUCKETS);
+
         /** The most recent bucket. */
         private long mBucket;
     }
@@ -107,6 +124,30 @@
      * @return whether the call may be made
      */
     public boolean tryAcquire(String service, long nowMillis) {
+        Usage usage = usage(service, nowMillis);
+        if (usage.extraCalls() + 1 > usage.allowed()) {
+            if (mCounts.get(service).mLogThrottle.tryAcquire(nowMillis)) {
+                LOGGER.info(
+                        "budget of extra calls used up, requests are not sent again service={}"
+                                + " requests={} extraCalls={} allowed={}",
+                        service,
+                        usage.requests(),
+                        usage.extraCalls(),
+                        usage.allowed());
+            }
+            return false;
+        }
+        Counts counts = mCounts.get(service);
+        counts.mExtra[(int) (counts.mBucket % RING_SIZE)]++;
+        return true;
+    }
+
+    /**
+     * Returns what this router has used of its share.
+     *
+     * @param nowMillis the monotonic clock, milliseconds
+     */
+    public Usage usage(String service, long nowMillis) {
         Counts counts = advance(service, nowMillis);
         int oldest = (int) ((counts.mBucket + 1) % RING_SIZE);
         int requests = -counts.mRequests[oldest];
@@ -115,11 +156,7 @@
             requests += counts.mRequests[slot];
             extra += counts.mExtra[slot];
         }
-        if (extra + 1 > requests * mRatio + mAllowance) {
-            return false;
-        }
-        counts.mExtra[(int) (counts.mBucket % RING_SIZE)]++;
-        return true;
+        return new Usage(requests, extra, requests * mRatio + mAllowance);
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -261,7 +261,9 @@
                 mCallsThere = mContext.loads().calls(mUpstream);
                 mContext.plainCalls().begin(mService);
             }
-            send(mRequest, UpstreamPort.RunPlan.plain(remainingMillis(), priority()));
+            send(
+                    mRequest,
+                    UpstreamPort.RunPlan.plain(mArrivals.begin(), remainingMillis(), priority()));
             long silenceMillis =
                     (long) (mRoute.targetMillis() * ServingSettings.PLAIN_SILENCE_FACTOR);
             boolean canRetry =
@@ -390,8 +392,8 @@
         /** {@inheritDoc} */
         @Override
         public void onFailure(AttemptEnd end) {
-            close();
             refundIfUnreached(end);
+            close();
             onAttemptFailed(mUpstream, end);
         }
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
@@ -1,6 +1,7 @@
 package org.troutpier.daemon.serving;
 
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.extracall.RequestArrivals;
 import org.troutpier.daemon.notice.UpstreamNotice;
 import org.troutpier.daemon.pace.PaceEstimate;
 import org.troutpier.daemon.pace.PrefillWatch;
@@ -61,6 +62,9 @@
 
     private UpstreamPort.Call mCall;
 
+    /** The call among those of its request; null until it is sent. */
+    private RequestArrivals.Arrival mArrival;
+
     private boolean mEnded;
 
     /**
@@ -158,6 +162,7 @@
                                 + "ms"
                                 + mContext.loads().paces().describe(mEngine));
         mContext.loads().begin(mEngine, mPrompt.tokens());
+        mArrival = plan.arrival();
         mCall = mContext.port().prefill(mEngine, request, plan, this);
     }
 
@@ -231,6 +236,7 @@
         }
         if (!mEnded) {
             mEnded = true;
+            mArrival.recordArrived();
             mContext.loads().end(mEngine, mPrompt.tokens());
         }
     }
@@ -245,6 +251,7 @@
     /** {@inheritDoc} */
     @Override
     public void onResult(UpstreamPort.StoredPrompt prompt) {
+        mArrival.recordPrefilled();
         close();
         long now = mContext.loop().millis();
         if (mPrompt.measurable()) {
@@ -265,10 +272,11 @@
     /** {@inheritDoc} */
     @Override
     public void onFailure(AttemptEnd end) {
-        close();
         if (end.neverReached()) {
+            mArrival.recordUnreached();
             mContext.admission().refund(mEngine, mStart);
         }
+        close();
         mTrace.addStep("prefill failed(" + end.detail() + ")");
         mContext.metrics().callFailed(mEngine.id(), end);
         if (end.notStarted() && end.leaving()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillStage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillStage.java
@@ -115,7 +115,10 @@
                         new CallListener(resumeAfter));
         mCall.send(
                 mExecution.mRequest,
-                UpstreamPort.RunPlan.plain(mExecution.remainingMillis(), mExecution.priority())
+                UpstreamPort.RunPlan.plain(
+                                mExecution.mArrivals.begin(),
+                                mExecution.remainingMillis(),
+                                mExecution.priority())
                         .withResumeAfter(resumeAfter));
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -8,6 +8,7 @@
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.extracall.RequestArrivals;
 import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.organisation.OrganisationLimiter;
 import org.troutpier.daemon.request.OutcomeTracker;
@@ -49,6 +50,9 @@
      */
     private final Set<UpstreamIncarnation> mUnreached = new HashSet<>();
 
+    /** The calls of the request that may have arrived at upstreams. */
+    protected final RequestArrivals mArrivals = new RequestArrivals();
+
     /** The steps of the request, for its log line. */
     protected final RequestTrace mTrace;
 
@@ -101,6 +105,7 @@
         context.metrics().requestStarted();
         caller.onDisconnect(this::onCallerDisconnect);
         context.extraCallBudget().recordRequest(service, context.loop().millis());
+        recordBudgetUsage();
     }
 
     RequestTrace trace() {
@@ -312,12 +317,20 @@
         boolean acquired =
                 mContext.extraCallBudget().tryAcquire(mService, mContext.loop().millis());
         mContext.metrics().recordExtraCall(acquired);
+        recordBudgetUsage();
         if (!acquired) {
             mTrace.addStep("budget of extra calls is used up");
         }
         return acquired;
     }
 
+    private void recordBudgetUsage() {
+        mContext.metrics()
+                .recordBudgetUsage(
+                        mService,
+                        mContext.extraCallBudget().usage(mService, mContext.loop().millis()));
+    }
+
     /**
      * Returns the upstreams to which the request is not to be sent again.
      *
@@ -444,6 +457,10 @@
         mEnded = true;
         mDeadlineTimer.cancel();
         refundUsage();
+        if (mArrivals.extraCalls() > 0) {
+            mTrace.addInput("extraCalls", mArrivals.extraCalls());
+            mContext.metrics().recordExtraArrivals(mArrivals.extraCalls());
+        }
         mContext.metrics().requestEnded(mRoute.name(), outcome, mTrace.elapsedMillis());
         mContext.decisionLog().requestEnded(mTrace, outcome);
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -9,6 +9,7 @@
 import org.troutpier.daemon.decision.LatencyEstimator;
 import org.troutpier.daemon.decision.RetryPacer;
 import org.troutpier.daemon.directory.UpstreamDirectory;
+import org.troutpier.daemon.extracall.ExtraCallBudget;
 import org.troutpier.daemon.organisation.OrganisationLimiter;
 import org.troutpier.daemon.plain.PlainCalls;
 import org.troutpier.daemon.resume.StreamOrigins;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
@@ -2,10 +2,12 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.SettableGauge;
 import java.util.Locale;
 import java.util.Set;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.daemon.decision.QueueTier;
+import org.troutpier.daemon.extracall.ExtraCallBudget;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
@@ -30,6 +32,9 @@
 
     private final Counter mExtraCallsMade;
 
+    /** Calls beyond the first of a request that may have arrived at upstreams. */
+    private final Counter mExtraCallsArrived;
+
     /** Extra calls that the budget did not allow. */
     private final Counter mExtraCallsDenied;
 
@@ -40,6 +45,7 @@
         mWaitingRequests = metrics.counter("places.waiting");
         mExtendedTimeouts = metrics.counter("prefill.timeouts.extended");
         mExtraCallsMade = metrics.counter("budget.extra.made");
+        mExtraCallsArrived = metrics.counter("budget.extra.arrived");
         mExtraCallsDenied = metrics.counter("budget.extra.denied");
     }
 
@@ -124,6 +130,27 @@
         (acquired ? mExtraCallsMade : mExtraCallsDenied).inc();
     }
 
+    /** Counts calls beyond the first of a request that has ended. */
+    void recordExtraArrivals(int calls) {
+        mExtraCallsArrived.inc(calls);
+    }
+
+    /**
+     * Sets the gauges of this router's share of a service's budget of extra calls.
+     *
+     * @param usage what was used of it in the window that has just ended
+     */
+    void recordBudgetUsage(String service, ExtraCallBudget.Usage usage) {
+        setGauge("budget." + service + ".requests", usage.requests());
+        setGauge("budget." + service + ".used", usage.extraCalls());
+        setGauge("budget." + service + ".allowed", (long) usage.allowed());
+    }
+
+    private void setGauge(String name, long value) {
+        SettableGauge<Long> gauge = mMetrics.gauge(name);
+        gauge.setValue(value);
+    }
+
     /**
      * Counts a request that starts or ends to wait for a reservation.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -188,7 +188,7 @@
         recordDispatch(engine, "decode");
         mRelay.startRun();
         UpstreamPort.RunPlan plan =
-                UpstreamPort.RunPlan.plain(remainingMillis(), priority())
+                UpstreamPort.RunPlan.plain(mArrivals.begin(), remainingMillis(), priority())
                         .withReservation(mReservation.takeReservation())
                         .withResumeAfter(mRelay.lastEventId());
         mRun =
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
@@ -200,8 +200,8 @@
     /** {@inheritDoc} */
     @Override
     public void onFailure(AttemptEnd end) {
-        close();
         refundIfUnreached(end);
+        close();
         mListener.onFailed(this, end);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.extracall.RequestArrivals;
 import org.troutpier.daemon.notice.UpstreamNotice;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
@@ -79,8 +80,9 @@
     }
 
     /**
-     * Parameters of a run or a prefill. Immutable and thread safe.
+     * Parameters of a run or a prefill. Immutable and thread safe, but for the arrival.
      *
+     * @param arrival the call among those of its request
      * @param deadlineMillis time left until the upstream must stop work, milliseconds
      * @param priority the rank; 0 is the most urgent
      * @param prompt the stored prompt, if it was prefilled at another engine
@@ -88,6 +90,7 @@
      * @param resumeAfter the last event that the caller has received, if a stream is resumed
      */
     record RunPlan(
+            RequestArrivals.Arrival arrival,
             long deadlineMillis,
             int priority,
             Optional<StoredPrompt> prompt,
@@ -97,11 +100,14 @@
         /**
          * Creates the parameters of a call to a plain service.
          *
+         * @param arrival the call among those of its request
          * @param deadlineMillis time left until the upstream must stop work, milliseconds
          * @param priority the rank; 0 is the most urgent
          */
-        public static RunPlan plain(long deadlineMillis, int priority) {
+        public static RunPlan plain(
+                RequestArrivals.Arrival arrival, long deadlineMillis, int priority) {
             return new RunPlan(
+                    arrival,
                     deadlineMillis,
                     priority,
                     Optional.empty(),
@@ -116,6 +122,7 @@
          */
         public RunPlan after(long millis) {
             return new RunPlan(
+                    arrival,
                     Math.max(1, deadlineMillis - millis),
                     priority,
                     prompt,
@@ -129,13 +136,18 @@
          * @param reserved the reservation, if any
          */
         public RunPlan withReservation(Optional<Reservation> reserved) {
-            return new RunPlan(deadlineMillis, priority, prompt, reserved, resumeAfter);
+            return new RunPlan(arrival, deadlineMillis, priority, prompt, reserved, resumeAfter);
         }
 
         /** Returns a copy with a prompt that was prefilled at another engine. */
         public RunPlan withPrompt(StoredPrompt stored) {
             return new RunPlan(
-                    deadlineMillis, priority, Optional.of(stored), reservation, resumeAfter);
+                    arrival,
+                    deadlineMillis,
+                    priority,
+                    Optional.of(stored),
+                    reservation,
+                    resumeAfter);
         }
 
         /**
@@ -144,7 +156,7 @@
          * @param lastEvent the last event that the caller has received, if any
          */
         public RunPlan withResumeAfter(OptionalLong lastEvent) {
-            return new RunPlan(deadlineMillis, priority, prompt, reservation, lastEvent);
+            return new RunPlan(arrival, deadlineMillis, priority, prompt, reservation, lastEvent);
         }
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRun.java
@@ -1,6 +1,7 @@
 package org.troutpier.daemon.serving;
 
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.extracall.RequestArrivals;
 import org.troutpier.daemon.notice.UpstreamNotice;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
@@ -21,6 +22,9 @@
 
     private UpstreamPort.Call mCall;
 
+    /** The call among those of its request; null until it is sent. */
+    private RequestArrivals.Arrival mArrival;
+
     /** Fires when the upstream was silent for too long; null while it is not set. */
     private TrafficLoop.Timer mSilenceTimer;
 
@@ -40,6 +44,7 @@
 
     /** Sends the call. */
     protected void send(ServingRequest request, UpstreamPort.RunPlan plan) {
+        mArrival = plan.arrival();
         mCall = mContext.port().run(mUpstream, request, plan, this);
     }
 
@@ -92,12 +97,14 @@
     /** {@inheritDoc} */
     @Override
     public void onNotice(UpstreamNotice notice, UpstreamPort.Verdict verdict) {
+        mArrival.recordArrived();
         mContext.admission().recordAnswer(mUpstream, notice, verdict, elapsedMillis());
     }
 
-    /** Refunds the admission of a call that never reached its upstream. */
+    /** Refunds what was taken for a call that never reached its upstream. */
     protected void refundIfUnreached(AttemptEnd end) {
         if (end.neverReached()) {
+            mArrival.recordUnreached();
             mContext.admission().refund(mUpstream, mStart);
         }
     }
@@ -107,6 +114,7 @@
         stopSilenceTimer();
         if (!mEnded) {
             mEnded = true;
+            mArrival.recordArrived();
             onClosed();
         }
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExtraCallBudgetTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/extracall/ExtraCallBudgetTest.java
@@ -1,4 +1,4 @@
-package org.troutpier.daemon.serving;
+package org.troutpier.daemon.extracall;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -22,6 +22,7 @@
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.extracall.ExtraCallBudget;
 import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.node.ManualClock;
 import org.troutpier.daemon.notice.AnnouncedRate;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
@@ -23,6 +23,7 @@
 import org.troutpier.daemon.cluster.TestReports;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.extracall.ExtraCallBudget;
 import org.troutpier.daemon.node.ManualClock;
 import org.troutpier.daemon.organisation.Requester;
 import org.troutpier.daemon.route.Organisation;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestContext.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestContext.java
@@ -11,6 +11,7 @@
 import org.troutpier.daemon.decision.LatencyEstimator;
 import org.troutpier.daemon.decision.RetryPacer;
 import org.troutpier.daemon.directory.UpstreamDirectory;
+import org.troutpier.daemon.extracall.ExtraCallBudget;
 import org.troutpier.daemon.limit.UsageSettings;
 import org.troutpier.daemon.node.ManualClock;
 import org.troutpier.daemon.organisation.OrganisationLimiter;
