--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakePort.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakePort.java
@@ -10,7 +10,7 @@
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /** Upstreams whose answers are given by the test. Confined to the test's thread. */
-final class FakePort implements UpstreamPort {
+class FakePort implements UpstreamPort {
 
     final List<Sent> mRuns = new ArrayList<>();
     final List<ResultListener<StoredPrompt>> mPrefills = new ArrayList<>();
