Each call beyond the first of a request takes its permit where it is sent, also a run after a failed prefill

What callers saw: nothing; the service got up to 2.5 times the extra calls that the budget allows (248 for 237 requests, 101 allowed), which is what a budget against retry storms is for. Cause: a permit was asked for by whoever decided to retry. A run after a prefill that was rejected or lost was taken for the first call, and no place decided to retry it. Class: a limit that is enforced at the decisions that are known to lead to an act, in place of at the act. Why it works: RunPlan demands an Arrival, and only RequestArrivals makes them; it knows what of the request may have arrived and takes a permit for all but the first call. A permit counts from its acquisition until its call has certainly arrived and left the window; one that is not used goes back. The last permit is kept for the run where a further prefill would count; without one the request is refused as not run, with a time to come back.

ExecutionTest.lostPrefillIsLeftToTheDecodeEngineWhenNoExtraCallIsLeft asserted the uncounted call. Two tests take its place: the same with one extra call, and refused without a run where none is left.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/extracall/ExtraCallBudget.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/extracall/ExtraCallBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.troutpier.common.logging.LogThrottle;
@@ -53,11 +54,52 @@
      * What a router has used of its share in a window. Immutable and thread safe.
      *
      * @param requests the requests for the service
-     * @param extraCalls the calls beyond the first of each request
+     * @param extraCalls the calls beyond the first of each request, and the permits for further
+     *     ones
      * @param allowed the most extra calls that these requests allow
      */
     public record Usage(int requests, int extraCalls, double allowed) {}
 
+    /**
+     * Permission for one extra call. Invariant: it counts against the budget from its acquisition
+     * until the call's arrival is outside the window, however late the call is sent.
+     */
+    public final class Permit {
+
+        private final Counts mPermitCounts;
+
+        private boolean mClosed;
+
+        private Permit(Counts counts) {
+            mPermitCounts = counts;
+            counts.mOpenPermits++;
+        }
+
+        /**
+         * Records that the call has arrived or may have arrived.
+         *
+         * @param nowMillis the monotonic clock, milliseconds; no earlier than the arrival
+         */
+        public void recordArrival(long nowMillis) {
+            if (close()) {
+                advance(mPermitCounts, nowMillis);
+                mPermitCounts.mExtra[(int) (mPermitCounts.mBucket % RING_SIZE)]++;
+            }
+        }
+
+        /** Returns the permit to the budget; its call has not arrived. */
+        public void release() {
+            close();
+        }
+
+        private boolean close() {
+            boolean open = !mClosed;
+            mClosed = true;
+            mPermitCounts.mOpenPermits -= open ? 1 : 0;
+            return open;
+        }
+    }
+
     /** Counts of one service by bucket. */
     private final class Counts {
 
@@ -65,6 +107,9 @@
 
         private final int[] mExtra = new int[RING_SIZE];
 
+        /** Permits whose calls have not arrived yet. */
+        private int mOpenPermits;
+
         /** Limits the lines about a denied call to one in a window. */
         private final LogThrottle mLogThrottle = new LogThrottle(mBucketMillis * WINDOW_BUCKETS);
 
@@ -121,25 +166,24 @@
      * window, requests over slightly less.
      *
      * @param nowMillis the monotonic clock, milliseconds
-     * @return whether the call may be made
+     * @return the permit, or empty if the budget is used up
      */
-    public boolean tryAcquire(String service, long nowMillis) {
+    public Optional<Permit> tryAcquire(String service, long nowMillis) {
         Usage usage = usage(service, nowMillis);
-        if (usage.extraCalls() + 1 > usage.allowed()) {
-            if (mCounts.get(service).mLogThrottle.tryAcquire(nowMillis)) {
-                LOGGER.info(
-                        "budget of extra calls used up, requests are not sent again service={}"
-                                + " requests={} extraCalls={} allowed={}",
-                        service,
-                        usage.requests(),
-                        usage.extraCalls(),
-                        usage.allowed());
-            }
-            return false;
-        }
         Counts counts = mCounts.get(service);
-        counts.mExtra[(int) (counts.mBucket % RING_SIZE)]++;
-        return true;
+        if (usage.extraCalls() + 1 <= usage.allowed()) {
+            return Optional.of(new Permit(counts));
+        }
+        if (counts.mLogThrottle.tryAcquire(nowMillis)) {
+            LOGGER.info(
+                    "budget of extra calls used up, requests are not sent again service={}"
+                            + " requests={} extraCalls={} allowed={}",
+                    service,
+                    usage.requests(),
+                    usage.extraCalls(),
+                    usage.allowed());
+        }
+        return Optional.empty();
     }
 
     /**
@@ -151,7 +195,7 @@
         Counts counts = advance(service, nowMillis);
         int oldest = (int) ((counts.mBucket + 1) % RING_SIZE);
         int requests = -counts.mRequests[oldest];
-        int extra = 0;
+        int extra = counts.mOpenPermits;
         for (int slot = 0; slot < RING_SIZE; slot++) {
             requests += counts.mRequests[slot];
             extra += counts.mExtra[slot];
@@ -164,6 +208,11 @@
      */
     private Counts advance(String service, long nowMillis) {
         Counts counts = mCounts.computeIfAbsent(service, name -> new Counts());
+        advance(counts, nowMillis);
+        return counts;
+    }
+
+    private void advance(Counts counts, long nowMillis) {
         long bucket = nowMillis / mBucketMillis;
         long clear = Math.min(RING_SIZE, bucket - counts.mBucket);
         for (long each = 0; each < clear; each++) {
@@ -172,6 +221,5 @@
             counts.mExtra[index] = 0;
         }
         counts.mBucket = Math.max(counts.mBucket, bucket);
-        return counts;
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -1,9 +1,11 @@
 package org.troutpier.daemon.serving;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.extracall.RequestArrivals;
 import org.troutpier.daemon.plain.PlainCall;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.upstream.AttemptEnd;
@@ -97,11 +99,19 @@
                 return;
             }
         }
+        Optional<RequestArrivals.Arrival> arrival = mArrivals.begin();
+        if (arrival.isEmpty()) {
+            giveUp(
+                    ResultCode.UPSTREAMS_REFUSED,
+                    BUDGET_USED_UP,
+                    ServingSettings.RETRY_AFTER_MILLIS);
+            return;
+        }
         UpstreamEntry upstream = mNextUpstream;
         mNextUpstream = null;
         recordDispatch(upstream, "sent");
         mAttempt = new Attempt(upstream);
-        mAttempt.start();
+        mAttempt.start(arrival.get());
     }
 
     /**
@@ -255,15 +265,13 @@
             super(PlainExecution.this.mContext, upstream);
         }
 
-        void start() {
+        void start(RequestArrivals.Arrival arrival) {
             mContext.loads().begin(mUpstream, 0);
             if (mContext.load().plainQueue()) {
                 mCallsThere = mContext.loads().calls(mUpstream);
                 mContext.plainCalls().begin(mService);
             }
-            send(
-                    mRequest,
-                    UpstreamPort.RunPlan.plain(mArrivals.begin(), remainingMillis(), priority()));
+            send(mRequest, UpstreamPort.RunPlan.plain(arrival, remainingMillis(), priority()));
             long silenceMillis =
                     (long) (mRoute.targetMillis() * ServingSettings.PLAIN_SILENCE_FACTOR);
             boolean canRetry =
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillStage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillStage.java
@@ -9,6 +9,7 @@
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.extracall.RequestArrivals;
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
@@ -42,7 +43,7 @@
     /** The queue tier when the last prefill was sent. */
     private QueueTier mTierWhenSent = QueueTier.IN_TIME;
 
-    /** Whether a prefill was already sent, so that the next one counts as an extra call. */
+    /** Whether a prefill was already sent. */
     private boolean mSentBefore;
 
     PrefillStage(
@@ -61,9 +62,9 @@
     }
 
     /**
-     * Obtains a result. Where there is no prefill engine, none admits the call, or the budget
-     * allows no further extra call, the decode engine processes the prompt itself, in the run that
-     * is sent to it anyway and needs no extra call.
+     * Obtains a result. Where there is no prefill engine, none admits the call, or the budget of
+     * extra calls allows the run only, the decode engine processes the prompt itself. Where the
+     * budget does not allow the run either, the request ends.
      *
      * @param resumeAfter the last event that the caller has received
      */
@@ -77,28 +78,35 @@
             mNext.accept(kept);
             return;
         }
+        if (!mExecution.mArrivals.reserve()) {
+            mExecution.failWithoutPermit();
+            return;
+        }
         List<UpstreamEntry> engines = mEngines.inOrder(mTriedEngines);
         if (engines.isEmpty()) {
             mExecution.trace().addStep("no prefill engine");
             mNext.accept(Optional.empty());
             return;
         }
-        if (mSentBefore && !mExecution.tryAcquireExtraCall()) {
+        Optional<RequestArrivals.Arrival> arrival = mExecution.mArrivals.beginPrefill();
+        if (arrival.isEmpty()) {
             mNext.accept(Optional.empty());
             return;
         }
         Optional<UpstreamEntry> admitted =
                 mContext.admission().acquireFirst(engines, mExecution.flowKey());
         if (admitted.isEmpty()) {
+            arrival.get().recordUnreached();
             mExecution.trace().addStep("no prefill engine admits the call");
             mNext.accept(Optional.empty());
             return;
         }
         mEngines.recordPassedOver(engines, admitted.get(), mExecution.trace());
-        send(admitted.get(), resumeAfter);
+        send(admitted.get(), arrival.get(), resumeAfter);
     }
 
-    private void send(UpstreamEntry engine, OptionalLong resumeAfter) {
+    private void send(
+            UpstreamEntry engine, RequestArrivals.Arrival arrival, OptionalLong resumeAfter) {
         mTriedEngines.add(engine.incarnation());
         mTierWhenSent = mTiming.tier();
         boolean measurable =
@@ -116,9 +124,7 @@
         mCall.send(
                 mExecution.mRequest,
                 UpstreamPort.RunPlan.plain(
-                                mExecution.mArrivals.begin(),
-                                mExecution.remainingMillis(),
-                                mExecution.priority())
+                                arrival, mExecution.remainingMillis(), mExecution.priority())
                         .withResumeAfter(resumeAfter));
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -23,6 +23,9 @@
  */
 abstract class RequestExecution {
 
+    /** Why a call is not sent that would be an extra one. */
+    protected static final String BUDGET_USED_UP = "budget of extra calls is used up";
+
     /** The shared collaborators. */
     protected final ServingContext mContext;
 
@@ -51,7 +54,7 @@
     private final Set<UpstreamIncarnation> mUnreached = new HashSet<>();
 
     /** The calls of the request that may have arrived at upstreams. */
-    protected final RequestArrivals mArrivals = new RequestArrivals();
+    protected final RequestArrivals mArrivals;
 
     /** The steps of the request, for its log line. */
     protected final RequestTrace mTrace;
@@ -90,6 +93,12 @@
         mService = service;
         mCaller = caller;
         mTrace = new RequestTrace(request.id().value(), route.name(), context.loop());
+        mArrivals =
+                new RequestArrivals(
+                        context.extraCallBudget(),
+                        service,
+                        context.loop()::millis,
+                        this::onPermitRequested);
         long timeoutMillis =
                 Math.min(
                         route.timeoutMillis(),
@@ -277,9 +286,7 @@
 
     /**
      * Returns whether the request may be sent to another upstream. A call that never reached its
-     * upstream counts neither as an attempt nor as an extra call. A call that was received by
-     * another upstream at the same address does not count as an attempt either, but it did arrive,
-     * so the next call is an extra one.
+     * upstream, or was received by another upstream at the same address, is no attempt.
      *
      * @return whether the attempts, the time and the budget of extra calls allow it
      */
@@ -293,9 +300,9 @@
             mAttempted.remove(upstream.incarnation());
             mUnreached.add(upstream.incarnation());
             boolean withinLimit = mUnreached.size() <= ServingSettings.MAX_UNREACHED;
-            return withinLimit && (unreached || tryAcquireExtraCall());
+            return withinLimit && mArrivals.reserve();
         }
-        return mAttempted.size() < mRoute.maxAttempts() && tryAcquireExtraCall();
+        return mAttempted.size() < mRoute.maxAttempts() && mArrivals.reserve();
     }
 
     /**
@@ -305,23 +312,20 @@
      * @return whether the time and the budget of extra calls allow it
      */
     protected boolean mayResend() {
-        return remainingMillis() > ServingSettings.ANSWER_MARGIN_MILLIS && tryAcquireExtraCall();
+        return remainingMillis() > ServingSettings.ANSWER_MARGIN_MILLIS && mArrivals.reserve();
     }
 
     /**
-     * Takes one extra call from the budget if it allows one.
+     * Records that a permit for an extra call was requested.
      *
-     * @return whether the call may be made
+     * @param granted whether the budget granted it
      */
-    protected boolean tryAcquireExtraCall() {
-        boolean acquired =
-                mContext.extraCallBudget().tryAcquire(mService, mContext.loop().millis());
-        mContext.metrics().recordExtraCall(acquired);
+    private void onPermitRequested(boolean granted) {
+        mContext.metrics().recordExtraCall(granted);
         recordBudgetUsage();
-        if (!acquired) {
-            mTrace.addStep("budget of extra calls is used up");
+        if (!granted) {
+            mTrace.addStep(BUDGET_USED_UP);
         }
-        return acquired;
     }
 
     private void recordBudgetUsage() {
@@ -457,6 +461,7 @@
         mEnded = true;
         mDeadlineTimer.cancel();
         refundUsage();
+        mArrivals.close();
         if (mArrivals.extraCalls() > 0) {
             mTrace.addInput("extraCalls", mArrivals.extraCalls());
             mContext.metrics().recordExtraArrivals(mArrivals.extraCalls());
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -6,6 +6,7 @@
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.decision.WaitBudget;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.extracall.RequestArrivals;
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.upstream.AttemptEnd;
@@ -185,10 +186,16 @@
             search();
             return;
         }
+        Optional<RequestArrivals.Arrival> arrival = mArrivals.begin();
+        if (arrival.isEmpty()) {
+            prompt.ifPresent(mContext.port()::discard);
+            failWithoutPermit();
+            return;
+        }
         recordDispatch(engine, "decode");
         mRelay.startRun();
         UpstreamPort.RunPlan plan =
-                UpstreamPort.RunPlan.plain(mArrivals.begin(), remainingMillis(), priority())
+                UpstreamPort.RunPlan.plain(arrival.get(), remainingMillis(), priority())
                         .withReservation(mReservation.takeReservation())
                         .withResumeAfter(mRelay.lastEventId());
         mRun =
@@ -227,6 +234,11 @@
         }
     }
 
+    /** Ends the request because its next call would be an extra one that the budget denies. */
+    void failWithoutPermit() {
+        failWithoutRun(ResultCode.UPSTREAMS_REFUSED, BUDGET_USED_UP);
+    }
+
     /** Decides how to continue after a failed run. */
     private void onRunFailed(StreamRun run, AttemptEnd end) {
         UpstreamEntry engine = run.engine();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -192,7 +192,19 @@
     }
 
     @Test
-    public void lostPrefillIsLeftToTheDecodeEngineWhenNoExtraCallIsLeft() {
+    public void lostPrefillIsLeftToTheDecodeEngineWhereNoOtherPrefillEngineIsLeft() {
+        mContext.extraCallBudget().setLimits(0, 1);
+        mDirectory.replaceAll(List.of(TestUpstreams.prefill("p"), TestUpstreams.decode("a")));
+        stream();
+        mPort.mPrefills.get(0).onFailure(AttemptEnd.lost("reset"));
+        assertEquals(mPort.mPrefills.size(), 1);
+        assertEquals(mPort.mRuns.size(), 1);
+        assertEquals(mPort.mRuns.get(0).mPlan.prompt(), Optional.empty());
+        assertNull(mCaller.mRefusal);
+    }
+
+    @Test
+    public void requestWhosePrefillWasLostIsRefusedAsNotRunWhenNoExtraCallIsLeft() {
         mDirectory.replaceAll(
                 List.of(
                         TestUpstreams.prefill("p"),
@@ -201,8 +213,25 @@
         stream();
         mPort.mPrefills.get(0).onFailure(AttemptEnd.lost("reset"));
         assertEquals(mPort.mPrefills.size(), 1);
-        assertEquals(mPort.mRuns.size(), 1);
-        assertEquals(mPort.mRuns.get(0).mPlan.prompt(), Optional.empty());
+        assertEquals(mPort.mRuns.size(), 0);
+        assertEquals(mCaller.mRefusal, ResultCode.UPSTREAMS_REFUSED);
+        assertTrue(mCaller.mRetryAfterMillis > 0);
+        mTime.advance(1000);
+        assertNothingHeld();
+    }
+
+    @Test
+    public void lastPermitIsKeptForTheRunWhereASecondPrefillWouldCount() {
+        mContext.extraCallBudget().setLimits(0, 1);
+        UpstreamEntry prefill = TestUpstreams.prefill("p");
+        mDirectory.replaceAll(
+                List.of(prefill, TestUpstreams.decode("a"), TestUpstreams.decode("b")));
+        stream(Route.Kind.RESUMABLE_STREAM, 2);
+        mPort.mPrefills.get(0).onResult(new UpstreamPort.StoredPrompt(prefill, "handle"));
+        mPort.mRuns.get(0).mListener.onHead(head(UpstreamPort.Verdict.NOT_STARTED));
+        mPort.mRuns.get(0).mListener.onEnd();
+        assertEquals(mPort.mPrefills.size(), 1);
+        assertEquals(mPort.mRuns.size(), 2);
         assertNull(mCaller.mRefusal);
     }
 
