Read as a newcomer: a request's charge, its demand and its time to come back stand where they belong

The metric of return delays now has the back-off of engines in it, which callers are told as well. An upstream that a call was admitted at is given back where the budget does not allow the call. No other decision is changed.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/extracall/RequestArrivals.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/extracall/RequestArrivals.java
@@ -77,13 +77,16 @@
         if (!mPrefillExempted) {
             return begin();
         }
+        // this prefill counts, so the run that follows it is an extra call
         if (mReserved.isEmpty()) {
             mReserved = acquire();
         }
-        if (mReserved.isEmpty() || mCount == 0) {
-            return mReserved.map(permit -> new Arrival(Optional.empty()));
+        if (mReserved.isEmpty()) {
+            return Optional.empty();
         }
-        return acquire().map(permit -> new Arrival(Optional.of(permit)));
+        Optional<ExtraCallBudget.Permit> permit = mCount > 0 ? acquire() : Optional.empty();
+        boolean allowed = mCount == 0 || permit.isPresent();
+        return allowed ? Optional.of(new Arrival(permit)) : Optional.empty();
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeEngines.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeEngines.java
@@ -112,6 +112,20 @@
         return all().stream().filter(entry -> !excluded.contains(entry.incarnation())).toList();
     }
 
+    /**
+     * Determines when a refused caller should retry.
+     *
+     * @param forecast when there is room for the request
+     * @return the delay in milliseconds
+     */
+    long retryDelayMillis(EngineMemoryForecast forecast) {
+        ServingContext context = mExecution.mContext;
+        long limit = (long) (mExecution.remainingMillis() * ServingSettings.MAX_RETRY_AFTER_RATIO);
+        long backOff = context.admission().backOffMillis(untried());
+        return backOff
+                + forecast.retryDelayMillis(mExecution.upstreams(UpstreamEntry.Role.DECODE), limit);
+    }
+
     /** Returns why the request cannot be sent to any engine, if it cannot. */
     Optional<Obstacle> obstacle() {
         if (!untried().isEmpty()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -101,6 +101,7 @@
         }
         Optional<RequestArrivals.Arrival> arrival = mArrivals.begin();
         if (arrival.isEmpty()) {
+            releaseNext();
             giveUp(
                     ResultCode.UPSTREAMS_REFUSED,
                     BUDGET_USED_UP,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -74,11 +74,7 @@
     /** Whether the request was refused with a code that says it was certainly not run. */
     private boolean mRefusedAsNotRun;
 
-    /** The usage charged to the organisation, or 0 where none was charged. */
-    private double mUsageCost;
-
-    /** When the usage was charged, milliseconds on the loop's clock. */
-    private long mChargedAt;
+    private final UsageCharge mUsageCharge;
 
     RequestExecution(
             ServingContext context,
@@ -89,6 +85,7 @@
         mContext = context;
         mRequest = request;
         mTraits = new RequestTraits(request);
+        mUsageCharge = new UsageCharge(context, request);
         mRoute = route;
         mService = service;
         mCaller = caller;
@@ -138,32 +135,9 @@
      * @return whether the request may be served
      */
     private boolean chargeUsage() {
-        Optional<Organisation> organisation = mRequest.organisation();
-        if (organisation.isEmpty()) {
-            return true;
-        }
-        double cost = organisation.get().limit().cost(mRequest.maxTokens());
-        Optional<OrganisationLimiter.Refusal> refusal =
-                mContext.organisationLimiter().admit(organisation.get(), cost);
-        if (refusal.isPresent()) {
-            long returnMillis = refusal.get().returnMillis();
-            refuse(ResultCode.USE_LIMIT, refusal.get().detail(), returnMillis);
-            return false;
-        }
-        mUsageCost = cost;
-        mChargedAt = mContext.loop().millis();
-        return true;
-    }
-
-    /** Refunds the charged usage if the request was certainly not run. */
-    private void refundUsage() {
-        if (mUsageCost > 0 && (!mDispatched || mRefusedAsNotRun)) {
-            mRequest.organisation()
-                    .ifPresent(
-                            each ->
-                                    mContext.organisationLimiter()
-                                            .refund(each, mUsageCost, mChargedAt));
-        }
+        Optional<OrganisationLimiter.Refusal> refusal = mUsageCharge.charge();
+        refusal.ifPresent(each -> refuse(ResultCode.USE_LIMIT, each.detail(), each.returnMillis()));
+        return refusal.isEmpty();
     }
 
     /**
@@ -460,7 +434,9 @@
     private void finish(String outcome) {
         mEnded = true;
         mDeadlineTimer.cancel();
-        refundUsage();
+        if (!mDispatched || mRefusedAsNotRun) {
+            mUsageCharge.refund();
+        }
         mArrivals.close();
         if (mArrivals.extraCalls() > 0) {
             mTrace.addInput("extraCalls", mArrivals.extraCalls());
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -64,8 +64,12 @@
                         mPrompt.promptTokens());
         mTiming = new StreamTiming(this, prefillEngines, mEngines);
         mPrefill = new PrefillStage(this, engineTraits, prefillEngines, mTiming, this::startRun);
-        mRelay = new EventRelay(caller, request.lastEventId(), this::beforeFirstEvent);
         mReservation = new DecodeReservation(context, service, engineTraits, flowKey(), mPrompt);
+        mRelay =
+                new EventRelay(
+                        caller,
+                        request.lastEventId(),
+                        () -> mEngines.bindTo(mReservation.engine()));
     }
 
     /** {@inheritDoc} */
@@ -95,15 +99,8 @@
         }
     }
 
-    private void beforeFirstEvent() {
-        mEngines.bindTo(mReservation.engine());
-    }
-
     private void startSearch() {
-        if (!mTiming.recordArrival()) {
-            mContext.demandMeter()
-                    .recordRequest(mService, mPrompt.promptTokens(), mContext.loop().millis());
-        }
+        mTiming.recordArrival();
         search();
     }
 
@@ -220,21 +217,14 @@
         if (mStreamStarted) {
             abortStream(detail);
         } else {
-            long now = mContext.loop().millis();
-            mRequest.prompt()
-                    .ifPresent(prompt -> mContext.recentRefusals().recordRefusal(prompt, now));
-            long limit = (long) (remainingMillis() * ServingSettings.MAX_RETRY_AFTER_RATIO);
-            long backOff = mContext.admission().backOffMillis(mEngines.untried());
-            long delay =
-                    mReservation
-                            .forecast()
-                            .retryDelayMillis(upstreams(UpstreamEntry.Role.DECODE), limit);
+            mTiming.recordRefusal();
+            long delay = mEngines.retryDelayMillis(mReservation.forecast());
             mContext.metrics().recordRetryDelay(mTiming.isReturning(), delay);
-            refuse(code, detail, backOff + delay);
+            refuse(code, detail, delay);
         }
     }
 
-    /** Ends the request because its next call would be an extra one that the budget denies. */
+    /** Ends the request because the budget of extra calls does not allow its next call. */
     void failWithoutPermit() {
         failWithoutRun(ResultCode.UPSTREAMS_REFUSED, BUDGET_USED_UP);
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamTiming.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamTiming.java
@@ -37,11 +37,10 @@
     }
 
     /**
-     * Records the arrival of the request.
-     *
-     * @return whether it was refused recently and this is the caller's retry
+     * Records the arrival of the request, and its demand unless it was refused recently and this is
+     * its caller's retry.
      */
-    boolean recordArrival() {
+    void recordArrival() {
         ServingContext context = mExecution.mContext;
         long now = context.loop().millis();
         mReturning =
@@ -50,7 +49,20 @@
                         .prompt()
                         .filter(prompt -> context.recentRefusals().isReturning(prompt, now))
                         .isPresent();
-        return mReturning;
+        if (!mReturning) {
+            PromptMetadata prompt = mExecution.mRequest.prompt().orElse(PromptMetadata.NONE);
+            context.demandMeter().recordRequest(mExecution.mService, prompt.promptTokens(), now);
+        }
+    }
+
+    /** Records that the request is refused, so that its caller's retry is recognised. */
+    void recordRefusal() {
+        ServingContext context = mExecution.mContext;
+        long now = context.loop().millis();
+        mExecution
+                .mRequest
+                .prompt()
+                .ifPresent(prompt -> context.recentRefusals().recordRefusal(prompt, now));
     }
 
     boolean isReturning() {
