--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/extracall/ExtraCallBudget.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/extracall/ExtraCallBudget.java
@@ -9,10 +9,10 @@
 
 /**
  * Limits the calls to a service beyond the first call of each request, over a sliding window.
- * Confined to the traffic loop. Invariant: within any window, the extra calls of a service are at
- * most the ratio of the requests in that window, plus a fixed allowance. Each router keeps to its
- * own share, also over its restarts, so the sum over all routers stays within the limit without any
- * communication.
+ * Confined to the traffic loop. Invariant: when a permit is granted, the extra calls of a service
+ * within the last window and the open permits are at most the ratio of the requests in that window,
+ * plus a fixed allowance. Each router keeps to its own share, also over its restarts, so the sum
+ * over all routers stays within the limit without any communication.
  */
 public final class ExtraCallBudget {
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/extracall/RequestArrivals.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/extracall/RequestArrivals.java
@@ -69,15 +69,16 @@
     }
 
     /**
-     * Begins a prefill. To be called right before it is sent.
+     * Begins a prefill. To be called right before it is sent. After a completed prefill, a further
+     * one counts as well, so it is begun only if the budget also allows the run that follows it;
+     * the permit of that run is kept.
      *
-     * @return the call, or empty if the budget does not allow both it and the run that follows it
+     * @return the call, or empty if the budget does not allow it
      */
     public Optional<Arrival> beginPrefill() {
         if (!mPrefillExempted) {
             return begin();
         }
-        // this prefill counts, so the run that follows it is an extra call
         if (mReserved.isEmpty()) {
             mReserved = acquire();
         }
@@ -151,7 +152,7 @@
             }
         }
 
-        /** Records that no byte of the call has arrived. */
+        /** Records that the call was not sent, or that no byte of it has arrived. */
         public void recordUnreached() {
             uncount();
         }
