Quarantine: a part that all prompts of a service share is tried again

Cause: three engines crashed within seconds of the routers' first start, before any request with the common first part had been completed. The part was in all three crashes, the guilty content in two (one router judged the third to be no crash), so the part alone explained them. Once it was withheld at all routers, no request with it could be completed, and completion is the only proof of soundness: a verdict that prevents the evidence against itself.

Change: the verdict is provisional at a router where the service completed nothing in two minutes, or where eight requests in a row were withheld. A completed trial clears the part at all routers. Routers need no agreement: each draws its wait in proportion to their number. A part with a contrast (other requests of the service are completed) is withheld as before.

Without the provisional verdict, which is the code before, two of the three new tests fail: "the part was not tried again: 3", and none of 500 requests is run in 5 s.

--- a/troutpier-common/src/main/java/org/troutpier/common/result/ResultCode.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/result/ResultCode.java
@@ -79,6 +79,13 @@
     /** A stream is resumed, and no engine of the software version that began it can take it. */
     VERSION_GONE(
             134, 503, Family.NOT_RUN, 1, "No engine of the version that began the stream is left."),
+    /** Several upstreams crashed under a part of prompts that most requests share. */
+    PART_SUSPECTED(
+            135,
+            503,
+            Family.NOT_RUN,
+            1,
+            "Upstreams crashed under a part that most prompts share; it was not run."),
     /** A request with the same key is running elsewhere. */
     ALREADY_RUNNING(200, 409, Family.OUTCOME_UNKNOWN, 2, "The request with this key is running."),
     /** The request was sent to an upstream, and it is not known whether it was run. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/CrashAttribution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/CrashAttribution.java
@@ -9,7 +9,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import org.troutpier.common.id.UpstreamIncarnation;
 
@@ -148,24 +147,23 @@
     }
 
     /**
-     * Returns the trait for which a request is withheld.
+     * Returns the traits for which a request is withheld.
      *
      * @param traits the request's traits
-     * @return one of them, or empty if the request is run
+     * @return some of them; none if the request is run
      */
-    Optional<CrashTrait> reasonToWithhold(Collection<? extends CrashTrait> traits) {
+    List<CrashTrait> reasonsToWithhold(Collection<? extends CrashTrait> traits) {
+        List<CrashTrait> reasons = new ArrayList<>();
         for (CrashTrait trait : traits) {
             Set<CrashTrait> group = mGroups.getOrDefault(trait, Set.of());
-            if (group.size() == 1 || mContents.contains(trait)) {
-                return Optional.of(trait);
-            }
-            for (CrashTrait other : traits) {
-                if (!other.equals(trait) && group.contains(other)) {
-                    return Optional.of(trait);
-                }
+            if (group.size() == 1
+                    || mContents.contains(trait)
+                    || traits.stream()
+                            .anyMatch(each -> !each.equals(trait) && group.contains(each))) {
+                reasons.add(trait);
             }
         }
-        return Optional.empty();
+        return reasons;
     }
 
     /** Returns the traits for which requests are withheld, alone or together with another one. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
@@ -46,7 +46,7 @@
     /** The monotonic clock, milliseconds. */
     private final LongSupplier mMillis;
 
-    private final ClearingSelector mClearing;
+    private final RouterShare mShare;
 
     /** Traits with too few crashes to withhold requests, and those that were cleared. */
     private final ExpiringMap<CrashTrait, CrashRecord> mSuspects =
@@ -70,6 +70,10 @@
 
     private final WithheldTraits mWithheld;
 
+    private final ServiceOutcomes mOutcomes = new ServiceOutcomes();
+
+    private final TrialSchedule mTrials;
+
     /** Receives the changes made by this router. */
     private Consumer<CrashReport> mLocalListener = report -> {};
 
@@ -82,23 +86,24 @@
      * @param millis the monotonic clock, milliseconds
      */
     public Quarantine(QuarantineSettings settings, LongSupplier millis, MetricRegistry metrics) {
-        this(settings, millis, ClearingSelector.ForFewRouters.INSTANCE, metrics);
+        this(settings, millis, RouterShare.ForFewRouters.INSTANCE, metrics);
     }
 
     /**
      * Creates a quarantine without any records.
      *
      * @param millis the monotonic clock, milliseconds
-     * @param clearing selects whether this router clears sound parts that others suspect
+     * @param share what this router does of that which each router could do
      */
     public Quarantine(
             QuarantineSettings settings,
             LongSupplier millis,
-            ClearingSelector clearing,
+            RouterShare share,
             MetricRegistry metrics) {
         mSettings = settings;
         mMillis = millis;
-        mClearing = clearing;
+        mShare = share;
+        mTrials = new TrialSchedule(settings, share);
         mCandidates = new ExpiringMap<>(MAX_CANDIDATES, settings.quarantineMillis());
         mCounters = QuarantineCounters.register(metrics);
         mWithheld = new WithheldTraits(settings, mCandidates, this::isSound, mCounters);
@@ -146,15 +151,50 @@
     }
 
     /**
-     * Returns the trait for which a request is withheld, and counts it.
+     * Returns why a request must not be run, if so, and counts it.
      *
      * @param traits the request's traits
-     * @return one of them, or empty if the request may be run
+     * @param trial the request's permit to be run on trial, which may be given here
+     * @return empty if the request may be run
      */
-    public Optional<CrashTrait> withhold(Collection<? extends CrashTrait> traits) {
-        Optional<CrashTrait> reason = mWithheld.reasonToWithhold(traits, mMillis.getAsLong());
-        reason.ifPresent(trait -> mCounters.of(trait).withheld().inc());
-        return reason;
+    public Optional<Withholding> withhold(
+            String service, Collection<? extends CrashTrait> traits, Trial trial) {
+        long now = mMillis.getAsLong();
+        List<CrashTrait> reasons = mWithheld.reasonsToWithhold(traits, now);
+        if (reasons.isEmpty()) {
+            return Optional.empty();
+        }
+        Withholding withholding = withholding(service, reasons, now);
+        if (withholding.provisional() && isOnTrial(service, withholding, trial, now)) {
+            return Optional.empty();
+        }
+        mCounters.of(withholding.trait()).withheld().inc();
+        if (withholding.trait() instanceof CrashTrait.ForPart) {
+            mOutcomes.recordWithheld(service, now);
+        }
+        return Optional.of(withholding);
+    }
+
+    /** Returns the reason that is proved, if there is one. */
+    private Withholding withholding(String service, List<CrashTrait> reasons, long now) {
+        boolean proved = mOutcomes.areOthersCompleted(service, now);
+        return reasons.stream()
+                .filter(trait -> proved || trait instanceof RequestFingerprint)
+                .findFirst()
+                .map(trait -> new Withholding(trait, crashCount(trait), false))
+                .orElseGet(() -> new Withholding(reasons.get(0), crashCount(reasons.get(0)), true));
+    }
+
+    private boolean isOnTrial(String service, Withholding withholding, Trial trial, long now) {
+        CrashTrait trait = withholding.trait();
+        int crashes = withholding.crashes();
+        if (!trial.covers(trait, crashes)
+                && mOutcomes.areMostWithheld(service, now)
+                && mTrials.startIfDue(trait, crashes, now)) {
+            LOGGER.warn("request on trial {} ended={} service={}", trait, crashes, service);
+            trial.start(trait, crashes);
+        }
+        return trial.covers(trait, crashes);
     }
 
     /** Returns the number of upstreams that crashed during requests with a trait. */
@@ -189,6 +229,11 @@
         publish(trait, after);
     }
 
+    /** Records that a service completed a request at this router. */
+    public void recordServed(String service) {
+        mOutcomes.recordCompleted(service, mMillis.getAsLong());
+    }
+
     /** Records that a request was completed at this router, which clears its content. */
     public void recordCompletion(RequestFingerprint content) {
         clear(content, "ran whole");
@@ -210,7 +255,8 @@
             mWithheld.onChange();
         }
         if (mChangedLocally.contains(part, now)
-                || mSettings.isNearThreshold(record) && mClearing.isSelected()) {
+                || mTrials.hasStarted(part, now)
+                || mSettings.isNearThreshold(record) && mShare.clears()) {
             clear(part, "ran whole");
         }
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/WithheldTraits.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/WithheldTraits.java
@@ -2,8 +2,8 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.apache.logging.log4j.LogManager;
@@ -76,14 +76,14 @@
     }
 
     /**
-     * Returns the trait for which a request is withheld.
+     * Returns the traits for which a request is withheld.
      *
      * @param traits the request's traits
      * @param now the monotonic clock, milliseconds
-     * @return one of them, or empty if the request is run
+     * @return some of them; none if the request is run
      */
-    Optional<CrashTrait> reasonToWithhold(Collection<? extends CrashTrait> traits, long now) {
-        return attribution(now).reasonToWithhold(traits);
+    List<CrashTrait> reasonsToWithhold(Collection<? extends CrashTrait> traits, long now) {
+        return attribution(now).reasonsToWithhold(traits);
     }
 
     private CrashAttribution attribution(long now) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/CrashGuard.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/CrashGuard.java
@@ -15,6 +15,7 @@
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.quarantine.Quarantine;
+import org.troutpier.daemon.quarantine.Withholding;
 
 /**
  * Determines which lost calls were lost because their upstream crashed, records these crashes
@@ -108,13 +109,14 @@
      * Returns why a request must not be run, if so, and counts it. Checked before each call, since
      * another router may have reported one of its traits while it waited.
      */
-    Optional<String> withhold(RequestTraits traits) {
+    Optional<Withholding> withhold(RequestTraits traits) {
         if (mQuarantine.isEmpty()) {
             return Optional.empty();
         }
-        return mQuarantine
-                .withhold(mightBeKnown(traits) ? traits.all() : traits.parts())
-                .map(trait -> mQuarantine.crashCount(trait) + " upstreams crashed under " + trait);
+        return mQuarantine.withhold(
+                traits.service(),
+                mightBeKnown(traits) ? traits.all() : traits.parts(),
+                traits.trial());
     }
 
     /**
@@ -127,6 +129,7 @@
 
     /** Records that a request was completed. */
     void recordCompletion(RequestTraits traits) {
+        mQuarantine.recordServed(traits.service());
         traits.parts().forEach(mQuarantine::recordSound);
         if (mightBeKnown(traits)) {
             mQuarantine.recordCompletion(traits.content());
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -11,6 +11,7 @@
 import org.troutpier.daemon.extracall.RequestArrivals;
 import org.troutpier.daemon.limit.FlowKey;
 import org.troutpier.daemon.organisation.OrganisationLimiter;
+import org.troutpier.daemon.quarantine.Withholding;
 import org.troutpier.daemon.request.OutcomeTracker;
 import org.troutpier.daemon.route.Organisation;
 import org.troutpier.daemon.route.Route;
@@ -84,7 +85,7 @@
             CallerChannel caller) {
         mContext = context;
         mRequest = request;
-        mTraits = new RequestTraits(request);
+        mTraits = new RequestTraits(request, service);
         mUsageCharge = new UsageCharge(context, request);
         mRoute = route;
         mService = service;
@@ -243,17 +244,20 @@
      * @return whether the request must not be run, and is finished
      */
     protected boolean refuseIfQuarantined() {
-        Optional<String> reason =
+        Optional<Withholding> withheld =
                 mEnded ? Optional.empty() : mContext.crashGuard().withhold(mTraits);
-        if (reason.isEmpty()) {
+        if (withheld.isEmpty()) {
             return false;
         }
+        String reason = withheld.get().detail();
         mTrace.addTraits(mTraits.content(), mTraits.parts());
         mTrace.markNotable();
         if (isStreaming()) {
-            abortStream(reason.get());
+            abortStream(reason);
+        } else if (withheld.get().provisional()) {
+            refuse(ResultCode.PART_SUSPECTED, reason, ServingSettings.RETRY_AFTER_MILLIS);
         } else {
-            refuse(ResultCode.REQUEST_QUARANTINED, reason.get(), 0);
+            refuse(ResultCode.REQUEST_QUARANTINED, reason, 0);
         }
         return true;
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTraits.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTraits.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.troutpier.daemon.quarantine.CrashTrait;
 import org.troutpier.daemon.quarantine.RequestFingerprint;
+import org.troutpier.daemon.quarantine.Trial;
 
 /**
  * The traits by which a request that crashes upstreams is recognized when it comes again: its
@@ -18,6 +19,10 @@
 
     private final ServingRequest mRequest;
 
+    private final String mService;
+
+    private final Trial mTrial = new Trial();
+
     /** The coarse hash, or null until it is needed. */
     private String mCoarseHash;
 
@@ -27,8 +32,24 @@
     /** The parts, or null until they are needed. */
     private List<CrashTrait.ForPart> mParts;
 
-    RequestTraits(ServingRequest request) {
+    /**
+     * Creates the traits of a request.
+     *
+     * @param service the service that runs it
+     */
+    RequestTraits(ServingRequest request, String service) {
         mRequest = request;
+        mService = service;
+    }
+
+    /** Returns the service that runs the request. */
+    String service() {
+        return mService;
+    }
+
+    /** Returns the request's permit to be run in spite of a quarantined trait. */
+    Trial trial() {
+        return mTrial;
     }
 
     /** Returns the coarse hash, which does not cover the content of the body. */
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/CrashAttributionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/CrashAttributionTest.java
@@ -39,7 +39,7 @@
     }
 
     private boolean isWithheld(CrashTrait... traits) {
-        return CrashAttribution.of(mRecords, 3).reasonToWithhold(List.of(traits)).isPresent();
+        return CrashAttribution.of(mRecords, 3).reasonsToWithhold(List.of(traits)).size() > 0;
     }
 
     @Test
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
@@ -7,7 +7,11 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.troutpier.common.id.UpstreamIncarnation;
@@ -17,6 +21,13 @@
 
     private static final QuarantineSettings SETTINGS = new QuarantineSettings(3, 60, 3000, "");
 
+    private static final int ROUTERS = 100;
+
+    /** How soon all routers know of a crash, milliseconds. */
+    private static final int KNOWN_AFTER_MILLIS = 300;
+
+    private static final int LONG_MILLIS = 300_000;
+
     private long mNow;
     private List<CrashReport> mReports;
     private Quarantine mQuarantine;
@@ -146,14 +157,23 @@
         return CrashTrait.ForPart.of(id);
     }
 
+    private Optional<Withholding> withhold(String... parts) {
+        return mQuarantine.withhold(
+                "service", Stream.of(parts).map(QuarantineTest::part).toList(), new Trial());
+    }
+
+    private boolean isWithheld(String... parts) {
+        return withhold(parts).isPresent();
+    }
+
     @Test
     public void aPartOfACompletedRequestIsNotSuspectedForSomeTime() {
         mQuarantine.recordSound(part("sound"));
         for (int number = 1; number <= 3; number++) {
             mQuarantine.recordCrash(List.of(part("sound"), part("guilty")), upstream(number));
         }
-        assertTrue(mQuarantine.withhold(List.of(part("sound"), part("guilty"))).isPresent());
-        assertFalse(mQuarantine.withhold(List.of(part("sound"))).isPresent());
+        assertTrue(isWithheld("sound", "guilty"));
+        assertFalse(isWithheld("sound"));
         mNow += QuarantineSettings.SOUND_RETENTION_MILLIS + 1;
         mQuarantine.recordCrash(List.of(part("sound")), upstream(4));
         assertEquals(mQuarantine.crashCount(part("sound")), 1);
@@ -171,4 +191,66 @@
         mReports.forEach(other::merge);
         assertFalse(other.isQuarantined(part("sound")));
     }
+
+    private void crashUnderPart(String id, int... upstreams) {
+        for (int upstream : upstreams) {
+            mQuarantine.recordCrash(List.of(part(id)), upstream(upstream));
+        }
+    }
+
+    @Test
+    public void aServiceIsNotRefusedForLongForAPartThatAllItsPromptsShare() {
+        crashUnderPart("common", 1, 2, 3);
+        assertTrue(withhold("common").orElseThrow().provisional());
+        int run = 0;
+        while (run == 0 && mNow < 5000) {
+            mNow += 10;
+            run += isWithheld("common") ? 0 : 1;
+        }
+        assertEquals(run, 1);
+        assertTrue(isWithheld("common"));
+        mQuarantine.recordSound(part("common"));
+        assertFalse(isWithheld("common"));
+        assertEquals(mReports.get(mReports.size() - 1).record().ended(), Set.of());
+    }
+
+    @Test
+    public void aPartIsNotTriedWhileOtherRequestsOfTheServiceAreCompleted() {
+        crashUnderPart("guilty", 1, 2, 3);
+        for (; mNow < 50_000; mNow += 100) {
+            mQuarantine.recordServed("service");
+            assertFalse(withhold("guilty").orElseThrow().provisional());
+        }
+    }
+
+    /** Verifies the sum of all routers: at most three requests after the fifth crash. */
+    @Test
+    public void aPartThatCrashesEachUpstreamIsTriedByFewOfManyRouters() {
+        RandomGenerator random = new SplittableRandom(7);
+        List<Quarantine> routers = new ArrayList<>();
+        for (int router = 0; router < ROUTERS; router++) {
+            RouterShare share = new RouterShare.ForManyRouters(() -> ROUTERS, random);
+            routers.add(
+                    new Quarantine(
+                            QuarantineSettings.DEFAULT, () -> mNow, share, new MetricRegistry()));
+        }
+        List<Long> crashes = new ArrayList<>(List.of(0L, 0L, 0L));
+        int known = 0;
+        int sentAfterFifth = 0;
+        for (; mNow < LONG_MILLIS; mNow += 100) {
+            for (; known < crashes.size() && crashes.get(known) <= mNow; known++) {
+                UpstreamIncarnation upstream = upstream(known);
+                routers.forEach(each -> each.recordCrash(List.of(part("guilty")), upstream));
+            }
+            for (Quarantine router : routers) {
+                List<CrashTrait> traits = List.of(part("guilty"));
+                if (router.withhold("service", traits, new Trial()).isEmpty()) {
+                    crashes.add(mNow + KNOWN_AFTER_MILLIS);
+                    sentAfterFifth += known >= 5 ? 1 : 0;
+                }
+            }
+        }
+        assertTrue(known > 5, "the part was not tried again: " + known);
+        assertTrue(sentAfterFifth <= 3, "sent after the fifth crash: " + sentAfterFifth);
+    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrashGuardTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrashGuardTest.java
@@ -174,7 +174,8 @@
                         Optional.empty(),
                         Optional.empty(),
                         Optional.empty(),
-                        new Requester.Unchecked()));
+                        new Requester.Unchecked()),
+                "service");
     }
 
     private void recordCrash(RequestFingerprint request, int number) {
