Predictions of prefills: one by which all are late is checked

Cause: after some slow prefills all routers predict 406 ms for each prompt, the target is 400 ms, and the samples of PrefillLatencyModel come from prefills only. Nothing is read, so nothing is measured; the sums decay, but the prediction is their ratio. The time to the first event is predicted by a mean of runs and was caught the same way.

Change: where no router has measured a prefill for a second (told by the weight of their sums, no new message), an idle engine reads one prompt that is predicted to be late; while such a check takes less than half of what was predicted the next one follows at once.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/WaitBudget.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/WaitBudget.java
@@ -74,7 +74,11 @@
      */
     public record Prediction(double prefillMillis, double firstEventMillis) {
 
-        double millis() {
+        /** Nothing is known of the latency. */
+        public static final Prediction UNKNOWN = new Prediction(0, 0);
+
+        /** Returns the whole latency, milliseconds. */
+        public double millis() {
             return prefillMillis + firstEventMillis;
         }
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
@@ -260,6 +260,8 @@
         }
         if (mPredictedMillis > 0) {
             mContext.prefillExcess().record(now - mStart - mPacedMillis);
+            mContext.prefillCheck()
+                    .recordMeasurement(mPrompt.service(), mPacedMillis, now - mStart);
             recordPace(now - mStart);
             mContext.metrics().recordPredictionError("prefill", mPacedMillis, now - mStart);
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillEngines.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillEngines.java
@@ -72,6 +72,20 @@
                 * model.predictedMillis(mContext.loads().tokens(first) + mPromptTokens);
     }
 
+    /**
+     * Returns whether the prompt may be processed though it is predicted to be late, to check the
+     * prediction. Only an engine without other work is used for that.
+     *
+     * @param excluded the engines that are not to be used
+     */
+    boolean mayCheckPrediction(Set<UpstreamIncarnation> excluded) {
+        List<UpstreamEntry> engines = inOrder(excluded);
+        double weight = mContext.demandFor(mService).reading().count();
+        return mContext.prefillCheck().isDue(mService, weight, mContext.loop().millis())
+                && !engines.isEmpty()
+                && mContext.loads().tokens(engines.get(0)) == 0;
+    }
+
     /**
      * Records the engine with the fewest queued tokens, if it was passed over for its pace.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -7,6 +7,7 @@
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.decision.GrowthMargin;
 import org.troutpier.daemon.decision.LatencyEstimator;
+import org.troutpier.daemon.decision.PredictionCheck;
 import org.troutpier.daemon.decision.RetryPacer;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.extracall.ExtraCallBudget;
@@ -34,6 +35,7 @@
  * @param returnSchedule the return times given to refused callers, in view of all routers
  * @param growthMargin how much memory stays free for the growth of running requests
  * @param prefillExcess by how much prefills take longer than predicted
+ * @param prefillCheck when prompts that are predicted to be late are processed
  * @param firstEventDelay how long runs take to their first event
  * @param peerLoads the reports of the other routers
  * @param loadView provides the current load of the other routers before decisions
@@ -60,6 +62,7 @@
         ReturnSchedule returnSchedule,
         GrowthMargin growthMargin,
         LatencyEstimator prefillExcess,
+        PredictionCheck prefillCheck,
         LatencyEstimator firstEventDelay,
         PeerLoads peerLoads,
         LoadView loadView,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamTiming.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamTiming.java
@@ -119,15 +119,21 @@
     }
 
     /**
-     * Predicts the time from the reservation to the first event.
+     * Predicts the time from the reservation to the first event; 0 for unknown, where a prediction
+     * by which the request is late is to be checked.
      *
      * @param excluded the prefill engines that are not to be used
      */
     WaitBudget.Prediction prediction(Set<UpstreamIncarnation> excluded) {
         ServingContext context = mExecution.mContext;
-        return new WaitBudget.Prediction(
-                mPrefillEngines.predictedMillis(excluded)
-                        + context.prefillExcess().predictedMillis(),
-                context.firstEventDelay().predictedMillis());
+        WaitBudget.Prediction prediction =
+                new WaitBudget.Prediction(
+                        mPrefillEngines.predictedMillis(excluded)
+                                + context.prefillExcess().predictedMillis(),
+                        context.firstEventDelay().predictedMillis());
+        boolean late = prediction.millis() > mExecution.mRoute.targetMillis();
+        return late && mPrefillEngines.mayCheckPrediction(excluded)
+                ? WaitBudget.Prediction.UNKNOWN
+                : prediction;
     }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestContext.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestContext.java
@@ -9,6 +9,7 @@
 import org.troutpier.daemon.cluster.PeerLoads;
 import org.troutpier.daemon.decision.GrowthMargin;
 import org.troutpier.daemon.decision.LatencyEstimator;
+import org.troutpier.daemon.decision.PredictionCheck;
 import org.troutpier.daemon.decision.RetryPacer;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.extracall.ExtraCallBudget;
@@ -91,6 +92,7 @@
                 mReturns == null ? new ReturnSchedule(mRandom) : mReturns,
                 new GrowthMargin(),
                 LatencyEstimator.forPrefillExcess(),
+                new PredictionCheck(),
                 LatencyEstimator.forFirstEvent(),
                 mPeers,
                 mView,
