Peers: the load of a router whose process has ended is discarded at once

Cause: a report of a router counts for 1.5 s after it was received. The runs of a killed process end with its connections within milliseconds, but the others take its engines to be full just in the time in which its callers come back ("least used old-1 known 10008 in 8 calls", none of them running).

Change: a router that loses the connection to a peer connects again at once. Where the machine answers that nothing listens there, the process has ended and its report is discarded (usage of organisations is retained as before). Nothing answers after a loss of power or a cut, so there the 1.5 s stay: runs may go on at the engines. A relay's report for its group is kept, since those routers live.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -300,6 +300,16 @@
         }
     }
 
+    /** {@inheritDoc} Its runs have ended with it, so others may use their memory. */
+    @Override
+    public void onEnded(Incarnation router) {
+        if (mLoads.discardOwn(router)) {
+            mNode.count("peer.ended");
+            mLoads.aggregate(mNode.millis());
+            mRelay.onGroupChanged();
+        }
+    }
+
     private void onLoad(Member from, PeerMessage.Load load) {
         boolean expected =
                 load.scope() != ReportScope.REST
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -127,6 +127,21 @@
         return before == null || before.scope() != scope || !before.report().hasSameLoad(report);
     }
 
+    /**
+     * Discards a router's report of its own load, since its process has ended. It takes effect at
+     * the next {@link #aggregate}. A report for other routers as well is kept until it expires.
+     *
+     * @return whether there was one
+     */
+    boolean discardOwn(Incarnation router) {
+        boolean discarded =
+                discardIf(
+                        (each, received) ->
+                                each.equals(router) && received.scope() == ReportScope.OWN);
+        mOutdated |= discarded;
+        return discarded;
+    }
+
     /**
      * Discards reports of earlier starts of a router, and retains their usage.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
@@ -8,11 +8,13 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashMap;
@@ -102,6 +104,12 @@
          * @param from the sender
          */
         void onMessage(Member from, PeerMessage message);
+
+        /**
+         * Called when a router's machine answers and nothing listens at the router's address, so
+         * that its process has ended.
+         */
+        default void onEnded(Incarnation router) {}
     }
 
     /**
@@ -179,6 +187,13 @@
         }
     }
 
+    /** Connects again at once, which tells whether the router's process has ended. */
+    private void reconnect(Incarnation lost) {
+        mPeers.connectionTargets().get().stream()
+                .filter(target -> target.incarnation().equals(lost))
+                .forEach(this::connect);
+    }
+
     private void open(Member member) {
         Address address = Address.parse(member.address());
         new Bootstrap()
@@ -206,11 +221,24 @@
                 .addListener(
                         connected -> {
                             if (!connected.isSuccess()) {
-                                mNode.control().execute(() -> mTargets.remove(member.address()));
+                                boolean ended = isRefused(connected.cause());
+                                mNode.control().execute(() -> onNotConnected(member, ended));
                             }
                         });
     }
 
+    /** Returns whether a machine answered that nothing listens at an address. */
+    private static boolean isRefused(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    }
+
+    private void onNotConnected(Member member, boolean ended) {
+        mTargets.remove(member.address());
+        if (ended) {
+            mMessageListener.onEnded(member.incarnation());
+        }
+    }
+
     @Override
     public boolean send(Incarnation to, PeerMessage message) {
         Channel channel = mReady.get(to);
@@ -335,10 +363,14 @@
                     .execute(
                             () -> {
                                 mTargets.remove(mMember.address());
-                                mReady.remove(mMember.incarnation(), context.channel());
+                                boolean lost =
+                                        mReady.remove(mMember.incarnation(), context.channel());
                                 if (!mReady.containsKey(mMember.incarnation())) {
                                     mAcceptingOrigins.remove(mMember.incarnation());
                                 }
+                                if (lost) {
+                                    reconnect(mMember.incarnation());
+                                }
                             });
         }
 
