Crashes: one that another router finds counts against what was lost here

Cause: a router judges the loss of a call by its own connection attempt. The class: a fact about an upstream kept with the router that observed it.

Change: a reported crash names the start of the upstream; what was lost there within two seconds before, and what is lost later, has that crash as well.

Measured: CrashGuardTest.aCrashThatOnlyAnotherRouterFinds... fails without the listener (0 crashes, 1 expected); a call lost three seconds before is not counted. aRequestThatWroteForSomeTimeBeforeACrashProvesItsPartsSound closes a gap: no test failed with that rule left out; it does now (1 crash, 0 expected).

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
@@ -77,6 +77,9 @@
     /** Receives the changes made by this router. */
     private Consumer<CrashReport> mLocalListener = report -> {};
 
+    /** Receives upstreams of whose crash another router told this one. */
+    private Consumer<UpstreamIncarnation> mCrashListener = upstream -> {};
+
     /** Receives merged records of traits that this router reported. */
     private Consumer<CrashReport> mMergedListener = report -> {};
 
@@ -129,6 +132,16 @@
         mMergedListener = listener;
     }
 
+    /**
+     * Sets the listener for crashes that other routers found.
+     *
+     * @param listener receives each crashed upstream, on the traffic loop; several times if several
+     *     traits were lost with it
+     */
+    public void onReportedCrash(Consumer<UpstreamIncarnation> listener) {
+        mCrashListener = listener;
+    }
+
     /** Returns whether no trait is recorded. */
     public boolean isEmpty() {
         long now = mMillis.getAsLong();
@@ -307,6 +320,9 @@
         if (mChangedLocally.contains(report.trait(), mMillis.getAsLong())) {
             mMergedListener.accept(new CrashReport(report.trait(), after));
         }
+        after.ended().stream()
+                .filter(upstream -> !before.ended().contains(upstream))
+                .forEach(mCrashListener);
     }
 
     /** Removes a trait whose row was deleted. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/CrashGuard.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/CrashGuard.java
@@ -47,6 +47,12 @@
      */
     private static final long CRASH_TTL_MILLIS = 10_000;
 
+    /**
+     * How long a lost call may be explained by a crash that another router reports, milliseconds:
+     * as long as routers take at most to find a crash and to tell it.
+     */
+    private static final long UNEXPLAINED_TTL_MILLIS = 2000;
+
     /** Maximum number of crashes remembered: many times what occurs in that time. */
     private static final int MAX_RECENT_CRASHES = 1000;
 
@@ -85,6 +91,14 @@
     private final ExpiringMap<UpstreamIncarnation, Boolean> mRecentCrashes =
             new ExpiringMap<>(MAX_RECENT_CRASHES, CRASH_TTL_MILLIS);
 
+    /**
+     * The requests whose calls were lost at upstreams that were not found to have crashed. Another
+     * router may find the crash, where the next start already accepts connections at this one's
+     * probe.
+     */
+    private final ExpiringMap<UpstreamIncarnation, List<RequestTraits>> mUnexplained =
+            new ExpiringMap<>(MAX_RECENT_CRASHES, UNEXPLAINED_TTL_MILLIS);
+
     /** Creates a guard. */
     public CrashGuard(
             TrafficLoop loop,
@@ -98,6 +112,18 @@
         mQuarantine = quarantine;
         mCrashCount = metrics.counter("upstreams.ended");
         mAliveCount = metrics.counter("upstreams.lost-calls-alive");
+        quarantine.onReportedCrash(this::onReportedCrash);
+    }
+
+    /**
+     * Records a crash that another router found against the requests that were lost here with it.
+     */
+    private void onReportedCrash(UpstreamIncarnation upstream) {
+        long now = mLoop.millis();
+        mRecentCrashes.put(upstream, Boolean.TRUE, now);
+        List<RequestTraits> lost = mUnexplained.get(upstream, now).orElse(List.of());
+        mUnexplained.remove(upstream);
+        lost.forEach(traits -> mQuarantine.recordCrash(traits.all(), upstream));
     }
 
     /** Returns the quarantine in which crashes are recorded. */
@@ -236,8 +262,10 @@
         }
 
         private void onResult(UpstreamPort.ProbeResult result) {
-            boolean restarted = mDirectory.hasRestarted(mUpstream.incarnation());
-            if (restarted || result == UpstreamPort.ProbeResult.NOT_LISTENING) {
+            boolean crashed =
+                    mDirectory.hasRestarted(mUpstream.incarnation())
+                            || mRecentCrashes.contains(mUpstream.incarnation(), mLoop.millis());
+            if (crashed || result == UpstreamPort.ProbeResult.NOT_LISTENING) {
                 onCrashed();
             } else {
                 onAlive();
@@ -251,6 +279,7 @@
          */
         private void onAlive() {
             mAliveCount.inc(mLost.size());
+            recordUnexplained();
             List<LostCall> attributed = mLost;
             mLost = mLostSinceSent;
             mLostSinceSent = new ArrayList<>();
@@ -262,6 +291,15 @@
             attributed.forEach(LostCall::notifyListener);
         }
 
+        private void recordUnexplained() {
+            long now = mLoop.millis();
+            UpstreamIncarnation incarnation = mUpstream.incarnation();
+            List<RequestTraits> lost =
+                    new ArrayList<>(mUnexplained.get(incarnation, now).orElse(List.of()));
+            mLost.forEach(call -> lost.add(call.mTraits));
+            mUnexplained.put(incarnation, lost, now);
+        }
+
         /** Records the crash against all requests that the upstream was working on. */
         private void onCrashed() {
             UpstreamIncarnation incarnation = mUpstream.incarnation();
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrashGuardTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrashGuardTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -19,6 +20,9 @@
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualClock;
 import org.troutpier.daemon.organisation.Requester;
+import org.troutpier.daemon.quarantine.CrashRecord;
+import org.troutpier.daemon.quarantine.CrashReport;
+import org.troutpier.daemon.quarantine.CrashTrait;
 import org.troutpier.daemon.quarantine.Quarantine;
 import org.troutpier.daemon.quarantine.QuarantineSettings;
 import org.troutpier.daemon.quarantine.RequestFingerprint;
@@ -152,6 +156,39 @@
         assertEquals(recordedCrashes(ONE), 1);
     }
 
+    /** Has another router report that the upstream crashed under a request of its own. */
+    private void reportCrashElsewhere() {
+        CrashRecord record = new CrashRecord(0, Set.of(mUpstream.incarnation()));
+        mQuarantine.merge(new CrashReport(TWO, record));
+    }
+
+    @Test
+    public void aCrashThatOnlyAnotherRouterFindsIsRecordedAgainstRequestsLostHere() {
+        loseCall(ONE);
+        answer(UpstreamPort.ProbeResult.LISTENING);
+        reportCrashElsewhere();
+        assertEquals(recordedCrashes(ONE), 1);
+    }
+
+    @Test
+    public void aCallLostLongBeforeACrashElsewhereIsNotRecorded() {
+        loseCall(ONE);
+        answer(UpstreamPort.ProbeResult.LISTENING);
+        mTime.advance(3000);
+        reportCrashElsewhere();
+        assertEquals(recordedCrashes(ONE), 0);
+    }
+
+    @Test
+    public void aRequestThatWroteForSomeTimeBeforeACrashProvesItsPartsSound() {
+        long longEnough = CrashGuard.SOUND_WRITING_MILLIS;
+        mGuard.attributeLoss(mUpstream, withPart("long"), longEnough, mResults::add);
+        mGuard.attributeLoss(mUpstream, withPart("short"), longEnough - 1, mResults::add);
+        answer(UpstreamPort.ProbeResult.NOT_LISTENING);
+        assertEquals(mQuarantine.crashCount(CrashTrait.ForPart.of("long")), 0);
+        assertEquals(mQuarantine.crashCount(CrashTrait.ForPart.of("short")), 1);
+    }
+
     private static RequestTraits traits(RequestFingerprint request) {
         return content(request.equals(ONE) ? "/1" : "/2", new byte[0]);
     }
@@ -161,6 +198,20 @@
     }
 
     private static RequestTraits content(String target, byte[] body) {
+        return traits(target, body, Optional.empty());
+    }
+
+    private static RequestTraits withPart(String part) {
+        List<PromptMetadata.Part> parts =
+                List.of(
+                        new PromptMetadata.Part(part, 100),
+                        new PromptMetadata.Part("own of " + part, 100));
+        return traits(
+                "/" + part, new byte[0], Optional.of(new PromptMetadata("m", 200, 10, parts)));
+    }
+
+    private static RequestTraits traits(
+            String target, byte[] body, Optional<PromptMetadata> prompt) {
         return new RequestTraits(
                 new ServingRequest(
                         new RequestId("abc"),
@@ -172,7 +223,7 @@
                         9000,
                         OptionalLong.empty(),
                         Optional.empty(),
-                        Optional.empty(),
+                        prompt,
                         Optional.empty(),
                         new Requester.Unchecked()),
                 "service");
