--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
@@ -172,6 +172,7 @@
         for (int number = 1; number <= 3; number++) {
             mQuarantine.recordCrash(List.of(part("sound"), part("guilty")), upstream(number));
         }
+        assertEquals(mQuarantine.crashCount(part("sound")), 0);
         assertTrue(isWithheld("sound", "guilty"));
         assertFalse(isWithheld("sound"));
         mNow += QuarantineSettings.SOUND_RETENTION_MILLIS + 1;
