--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/PredictionCheck.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/PredictionCheck.java
@@ -65,8 +65,11 @@
             state.mMeasuredAt = now;
         }
         state.mWeight = weight;
-        boolean due = state.mContradicted || now - state.mMeasuredAt >= CHECK_AFTER_MILLIS;
-        state.mChecking |= due;
-        return due;
+        return state.mContradicted || now - state.mMeasuredAt >= CHECK_AFTER_MILLIS;
+    }
+
+    /** Records that a request may be admitted as a check. */
+    public void recordCheck(String service) {
+        state(service).mChecking = true;
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
@@ -204,7 +204,9 @@
         if (!trial.covers(trait, crashes)
                 && mOutcomes.areMostWithheld(service, now)
                 && mTrials.startIfDue(trait, crashes, now)) {
-            LOGGER.warn("request on trial {} ended={} service={}", trait, crashes, service);
+            LOGGER.warn(
+                    "request on trial {} ended={} service={}", trait.logField(), crashes, service);
+            mCounters.of(trait).trials().inc();
             trial.start(trait, crashes);
         }
         return trial.covers(trait, crashes);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/QuarantineCounters.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/QuarantineCounters.java
@@ -30,15 +30,18 @@
      * @param entered counts traits that entered quarantine, as known to this router
      * @param cleared counts traits that this router cleared
      * @param withheld counts requests that this router did not run
+     * @param trials counts requests that this router ran on trial
      */
-    record ForKind(Counter crashes, Counter entered, Counter cleared, Counter withheld) {
+    record ForKind(
+            Counter crashes, Counter entered, Counter cleared, Counter withheld, Counter trials) {
 
         private static ForKind register(MetricRegistry metrics, String prefix) {
             return new ForKind(
                     metrics.counter(prefix + ".crashes"),
                     metrics.counter(prefix + ".entered"),
                     metrics.counter(prefix + ".cleared"),
-                    metrics.counter(prefix + ".withheld"));
+                    metrics.counter(prefix + ".withheld"),
+                    metrics.counter(prefix + ".trials"));
         }
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/CrashGuard.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/CrashGuard.java
@@ -2,7 +2,10 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +17,7 @@
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.quarantine.CrashTrait;
 import org.troutpier.daemon.quarantine.Quarantine;
 import org.troutpier.daemon.quarantine.Withholding;
 
@@ -53,6 +57,9 @@
      */
     private static final long UNEXPLAINED_TTL_MILLIS = 2000;
 
+    /** Maximum number of lost calls remembered of one upstream: as many as run there. */
+    private static final int MAX_UNEXPLAINED = 64;
+
     /** Maximum number of crashes remembered: many times what occurs in that time. */
     private static final int MAX_RECENT_CRASHES = 1000;
 
@@ -96,9 +103,17 @@
      * router may find the crash, where the next start already accepts connections at this one's
      * probe.
      */
-    private final ExpiringMap<UpstreamIncarnation, List<RequestTraits>> mUnexplained =
+    private final ExpiringMap<UpstreamIncarnation, Deque<UnexplainedLoss>> mUnexplained =
             new ExpiringMap<>(MAX_RECENT_CRASHES, UNEXPLAINED_TTL_MILLIS);
 
+    /**
+     * A call that was lost. Immutable and thread safe.
+     *
+     * @param traits the traits of its request
+     * @param at when it was lost, milliseconds
+     */
+    private record UnexplainedLoss(List<CrashTrait> traits, long at) {}
+
     /** Creates a guard. */
     public CrashGuard(
             TrafficLoop loop,
@@ -121,9 +136,25 @@
     private void onReportedCrash(UpstreamIncarnation upstream) {
         long now = mLoop.millis();
         mRecentCrashes.put(upstream, Boolean.TRUE, now);
-        List<RequestTraits> lost = mUnexplained.get(upstream, now).orElse(List.of());
+        Collection<UnexplainedLoss> losses = unexplained(upstream, now);
         mUnexplained.remove(upstream);
-        lost.forEach(traits -> mQuarantine.recordCrash(traits.all(), upstream));
+        losses.forEach(loss -> mQuarantine.recordCrash(loss.traits(), upstream));
+    }
+
+    private Deque<UnexplainedLoss> unexplained(UpstreamIncarnation upstream, long now) {
+        Deque<UnexplainedLoss> losses = mUnexplained.get(upstream, now).orElseGet(ArrayDeque::new);
+        losses.removeIf(loss -> now - loss.at() > UNEXPLAINED_TTL_MILLIS);
+        return losses;
+    }
+
+    private void addUnexplained(UpstreamIncarnation upstream, RequestTraits traits) {
+        long now = mLoop.millis();
+        Deque<UnexplainedLoss> losses = unexplained(upstream, now);
+        losses.addLast(new UnexplainedLoss(traits.all(), now));
+        if (losses.size() > MAX_UNEXPLAINED) {
+            losses.removeFirst();
+        }
+        mUnexplained.put(upstream, losses, now);
     }
 
     /** Returns the quarantine in which crashes are recorded. */
@@ -279,7 +310,7 @@
          */
         private void onAlive() {
             mAliveCount.inc(mLost.size());
-            recordUnexplained();
+            mLost.forEach(call -> addUnexplained(mUpstream.incarnation(), call.mTraits));
             List<LostCall> attributed = mLost;
             mLost = mLostSinceSent;
             mLostSinceSent = new ArrayList<>();
@@ -291,15 +322,6 @@
             attributed.forEach(LostCall::notifyListener);
         }
 
-        private void recordUnexplained() {
-            long now = mLoop.millis();
-            UpstreamIncarnation incarnation = mUpstream.incarnation();
-            List<RequestTraits> lost =
-                    new ArrayList<>(mUnexplained.get(incarnation, now).orElse(List.of()));
-            mLost.forEach(call -> lost.add(call.mTraits));
-            mUnexplained.put(incarnation, lost, now);
-        }
-
         /** Records the crash against all requests that the upstream was working on. */
         private void onCrashed() {
             UpstreamIncarnation incarnation = mUpstream.incarnation();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillEngines.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillEngines.java
@@ -81,9 +81,14 @@
     boolean mayCheckPrediction(Set<UpstreamIncarnation> excluded) {
         List<UpstreamEntry> engines = inOrder(excluded);
         double weight = mContext.demandFor(mService).reading().count();
-        return mContext.prefillCheck().isDue(mService, weight, mContext.loop().millis())
-                && !engines.isEmpty()
-                && mContext.loads().tokens(engines.get(0)) == 0;
+        boolean allowed =
+                mContext.prefillCheck().isDue(mService, weight, mContext.loop().millis())
+                        && !engines.isEmpty()
+                        && mContext.loads().tokens(engines.get(0)) == 0;
+        if (allowed) {
+            mContext.prefillCheck().recordCheck(mService);
+        }
+        return allowed;
     }
 
     /**
