--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/Arrival.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/Arrival.java
@@ -21,4 +21,14 @@
         ClassDeclaration requestClass,
         String key,
         String fingerprint,
-        String call) {}
+        String call) {
+
+    /** Runs an action on the event loop of the caller's connection. */
+    void runOnLoop(Runnable action) {
+        if (exchange.loop().inEventLoop()) {
+            action.run();
+        } else {
+            exchange.loop().execute(action);
+        }
+    }
+}
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
@@ -1,7 +1,6 @@
 package org.troutpier.daemon.request;
 
 import io.netty.util.concurrent.Future;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -17,9 +16,7 @@
 import org.troutpier.common.result.TroutpierException;
 import org.troutpier.daemon.admission.Grant;
 import org.troutpier.daemon.admission.Ticket;
-import org.troutpier.daemon.claim.Claim;
 import org.troutpier.daemon.claim.ClaimOutcome;
-import org.troutpier.daemon.claim.ClaimStore.SettlementResult;
 import org.troutpier.daemon.claim.StoredAnswer;
 import org.troutpier.daemon.node.Invariants;
 import org.troutpier.daemon.upstream.AttemptEnd;
@@ -36,12 +33,6 @@
     /** Maximum number of attempts, including the first one. */
     private static final int MAX_ATTEMPTS = 4;
 
-    /** Delay before a failed attempt to record an outcome is retried. */
-    private static final long RECORD_RETRY_MILLIS = 200;
-
-    /** Time before the end of a lease from which it is no longer relied on. */
-    private static final long LEASE_MARGIN_NANOS = 2_000_000_000L;
-
     private final ExchangeServices mServices;
 
     private final Arrival mArrival;
@@ -56,23 +47,15 @@
 
     private Future<?> mDeadlineTimer;
 
-    /** Claim on the idempotency key; null if there is none. */
-    private Claim mClaim;
+    private final HeldClaim mClaim;
 
-    /** Ticket that waits for admission, or null. */
-    private Ticket mTicket;
-
-    /** Upstreams that the current attempt may use, or null. */
-    private Grant mGrant;
+    private final AdmittedPlace mPlace;
 
     /** Number of attempts started. */
     private int mAttempts;
 
     private final OutcomeTracker mOutcomeTracker = new OutcomeTracker();
 
-    /** Upstreams that failed this request. */
-    private final Set<UpstreamId> mFailedUpstreams = new HashSet<>();
-
     /** Complete answer while its outcome is being recorded, or null. */
     private StoredAnswer mPendingAnswer;
 
@@ -86,6 +69,8 @@
         mServices = services;
         mArrival = arrival;
         mArrivalNanos = services.node().nanos().getAsLong();
+        mClaim = new HeldClaim(services, arrival);
+        mPlace = new AdmittedPlace(services);
     }
 
     /**
@@ -127,11 +112,11 @@
     /** Continues after the attempt to acquire a claim. */
     private void onClaimOutcome(ClaimOutcome outcome) {
         if (outcome instanceof ClaimOutcome.Granted granted) {
-            mClaim = granted.claim();
             if (isOver()) {
-                mServices.claims().release(mClaim);
+                mServices.claims().release(granted.claim());
             } else {
-                recordEvent("claimed", "epoch " + mClaim.row().epoch());
+                mClaim.hold(granted.claim());
+                recordEvent("claimed", "epoch " + granted.claim().row().epoch());
                 enqueue();
             }
         } else if (isOver()) {
@@ -154,9 +139,7 @@
     /** Submits a ticket to the admission controller. */
     private void enqueue() {
         setStage(Stage.QUEUED);
-        mTicket = ticket(mArrivalNanos, Set.copyOf(mFailedUpstreams), new AdmissionListener());
-        Ticket ticket = mTicket;
-        mServices.node().control().execute(() -> mServices.controller().submit(ticket));
+        mPlace.submit(ticket(mArrivalNanos, mPlace.failedUpstreams(), new AdmissionListener()));
     }
 
     /** Receives the admission decision on the control thread and forwards it to the event loop. */
@@ -178,11 +161,10 @@
     /** Starts an attempt, or releases the grant if the request is over. */
     private void startAttempt(Grant grant) {
         if (isOver()) {
-            release(grant);
+            mPlace.release(grant);
             return;
         }
-        mTicket = null;
-        mGrant = grant;
+        mPlace.accept(grant);
         mAttempts++;
         if (mAttempts == 1) {
             mServices.budget().recordFirstAttempt(requestClass().partner());
@@ -235,10 +217,9 @@
             return;
         }
         recordEvent("attempt-ended", end.code().label() + " " + end.detail());
-        Grant grant = mGrant;
-        mGrant = null;
+        Grant grant = mPlace.take();
         stopAttempt();
-        reportAttemptEnd(grant, end);
+        mPlace.release(grant, failedUpstream(grant), end);
         mOutcomeTracker.recordAttemptEnd(end);
         setStage(Stage.QUEUED);
         if (!requestClass().repeatable() && mOutcomeTracker.mayHaveRun()) {
@@ -266,24 +247,6 @@
         }
     }
 
-    /** Reports the end of an attempt to the admission controller. */
-    private void reportAttemptEnd(Grant grant, AttemptEnd end) {
-        UpstreamId failedUpstream = failedUpstream(grant);
-        mFailedUpstreams.add(failedUpstream);
-        mServices
-                .node()
-                .control()
-                .execute(
-                        () -> {
-                            if (end.neverReached()) {
-                                mServices.controller().onUnreachable(failedUpstream);
-                            } else if (end.notStarted()) {
-                                mServices.controller().onRefusal(failedUpstream, end.leaving());
-                            }
-                            mServices.controller().release(grant);
-                        });
-    }
-
     /** Returns the upstream at which the current attempt ended. */
     protected abstract UpstreamId failedUpstream(Grant grant);
 
@@ -295,66 +258,33 @@
      * @param keep whether the answer is small enough to be stored
      */
     protected final void onAnswerComplete(StoredAnswer answer, boolean keep) {
-        Grant grant = mGrant;
-        mGrant = null;
-        release(grant);
+        mPlace.release(mPlace.take());
         setStage(Stage.ANSWERING);
-        if (mClaim == null) {
+        if (!mClaim.isHeld()) {
             sendAndFinish(answer);
             return;
         }
         mPendingAnswer = answer;
+        Optional<StoredAnswer> kept = keep ? Optional.of(answer) : Optional.empty();
         boolean sendBeforeRecording = requestClass().answerCommit() == AnswerCommit.AFTER_END_MARK;
-        long leaseNanos = mClaim.safeUntilNanos() - mServices.node().nanos().getAsLong();
-        if (sendBeforeRecording && leaseNanos > LEASE_MARGIN_NANOS) {
-            mServices.claims().recordAnswerInBackground(mClaim, answerToKeep(answer, keep));
-            mClaim = null;
+        if (sendBeforeRecording && mClaim.outlastsRecording()) {
+            mClaim.recordInBackground(kept);
             sendAndFinish(answer);
         } else {
-            recordOutcome(answer, keep);
+            mClaim.record(kept, recorded -> onRecorded(answer, recorded));
         }
     }
 
-    /** Records the answer, retrying until the result is known, and then sends the end mark. */
-    private void recordOutcome(StoredAnswer answer, boolean keep) {
-        if (isOver()) {
-            return;
-        }
-        mServices
-                .claims()
-                .recordAnswer(mClaim, answerToKeep(answer, keep))
-                .thenAccept(result -> runOnLoop(() -> onRecorded(answer, keep, result)));
-    }
-
-    /** Continues after an attempt to record the answer. */
-    private void onRecorded(StoredAnswer answer, boolean keep, SettlementResult result) {
-        if (isOver()) {
-            return;
-        }
-        switch (result) {
-            case DONE -> {
-                mClaim = null;
-                sendAndFinish(answer);
-            }
-            case SUPERSEDED -> {
-                mClaim = null;
-                count("superseded");
-                refuse(ResultCode.SUPERSEDED, "another router holds a higher epoch");
-            }
-            default ->
-                    exchange()
-                            .loop()
-                            .schedule(
-                                    () -> recordOutcome(answer, keep),
-                                    RECORD_RETRY_MILLIS,
-                                    TimeUnit.MILLISECONDS);
+    /** Sends the end mark if the answer was recorded. */
+    private void onRecorded(StoredAnswer answer, boolean recorded) {
+        if (recorded) {
+            sendAndFinish(answer);
+        } else {
+            count("superseded");
+            refuse(ResultCode.SUPERSEDED, "another router holds a higher epoch");
         }
     }
 
-    private static Optional<StoredAnswer> answerToKeep(StoredAnswer answer, boolean keep) {
-        return keep ? Optional.of(answer) : Optional.empty();
-    }
-
     /**
      * Sends the complete answer, or the end of one that has been started, and finishes the request.
      */
@@ -386,9 +316,8 @@
         }
         count("caller-gone");
         recordEvent("caller-gone", mStage.label());
-        if (mStage == Stage.ANSWERING && mClaim != null) {
-            mServices.claims().recordAnswerInBackground(mClaim, Optional.of(mPendingAnswer));
-            mClaim = null;
+        if (mStage == Stage.ANSWERING && mClaim.isHeld()) {
+            mClaim.recordInBackground(Optional.of(mPendingAnswer));
         }
         mOutcomeTracker.recordAtUpstream(mStage.isAtUpstream());
         finish(ResultCode.OUTCOME_UNKNOWN);
@@ -447,30 +376,11 @@
         stopAttempt();
         mStage = Stage.OVER;
         mDeadlineTimer.cancel(false);
-        if (mTicket != null) {
-            Ticket ticket = mTicket;
-            mServices.node().control().execute(() -> mServices.controller().withdraw(ticket));
-            mTicket = null;
-        }
-        if (mGrant != null) {
-            release(mGrant);
-            mGrant = null;
-        }
-        if (mClaim != null) {
-            if (mayHaveRun && !requestClass().repeatable()) {
-                mServices.claims().recordEnd(mClaim, code);
-            } else {
-                mServices.claims().release(mClaim);
-            }
-            mClaim = null;
-        }
+        mPlace.leave();
+        mClaim.settle(mayHaveRun, code);
         mServices.registry().remove(this);
     }
 
-    private void release(Grant grant) {
-        mServices.node().control().execute(() -> mServices.controller().release(grant));
-    }
-
     /**
      * Returns the id of the current attempt: the id of the request, followed by the number of the
      * attempt from the second one on.
@@ -483,11 +393,7 @@
 
     /** Runs an action on the event loop of the caller's connection. */
     protected final void runOnLoop(Runnable action) {
-        if (exchange().loop().inEventLoop()) {
-            action.run();
-        } else {
-            exchange().loop().execute(action);
-        }
+        mArrival.runOnLoop(action);
     }
 
     /** Sets the stage of the request. */
@@ -526,7 +432,7 @@
      * @param attempt id of the attempt
      */
     protected final boolean isCurrent(String attempt) {
-        return !isOver() && mGrant != null && attempt.equals(attemptId());
+        return !isOver() && mPlace.isGranted() && attempt.equals(attemptId());
     }
 
     /** Returns the time until the deadline in milliseconds, at least 1. */
