PrefillEngines: engines are ordered for a check only where one is due

Each request that is predicted to be late ordered the engines a second time, which costs most just when most are refused. The answer is the same. PrefillPredictionTest passes.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillEngines.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillEngines.java
@@ -79,16 +79,16 @@
      * @param excluded the engines that are not to be used
      */
     boolean mayCheckPrediction(Set<UpstreamIncarnation> excluded) {
-        List<UpstreamEntry> engines = inOrder(excluded);
         double weight = mContext.demandFor(mService).reading().count();
-        boolean allowed =
-                mContext.prefillCheck().isDue(mService, weight, mContext.loop().millis())
-                        && !engines.isEmpty()
-                        && mContext.loads().tokens(engines.get(0)) == 0;
-        if (allowed) {
+        if (!mContext.prefillCheck().isDue(mService, weight, mContext.loop().millis())) {
+            return false;
+        }
+        List<UpstreamEntry> engines = inOrder(excluded);
+        boolean idle = !engines.isEmpty() && mContext.loads().tokens(engines.get(0)) == 0;
+        if (idle) {
             mContext.prefillCheck().recordCheck(mService);
         }
-        return allowed;
+        return idle;
     }
 
     /**
