Read as a newcomer: names that say what has an effect, and four types of their own

Trial is TrialPermit, AdmittedPlace is HeldAdmission, onEnded is onProcessEnded; isOnTrial and mayCheckPrediction, which had effects, are grantIfDue and tryCheckPrediction. TrialSchedule's constants say frequent and rare. Four tests build their requests by TestRequests.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerExchange.java
@@ -12,7 +12,6 @@
 import org.troutpier.common.id.InstanceId;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.settings.Address;
-import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.instancelist.InstanceList.Instance;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.peer.Membership;
@@ -227,21 +226,7 @@
      *     relay, none at other routers
      */
     public EngineUsageReconciler.Scope engineQueryScope() {
-        return new EngineUsageReconciler.Scope() {
-
-            /** {@inheritDoc} */
-            @Override
-            public boolean polls(UpstreamEntry engine) {
-                RelayPlan plan = mPlan;
-                return plan.direct() || plan.isRelay() && engine.hall().equals(mNode.hall());
-            }
-
-            /** {@inheritDoc} */
-            @Override
-            public boolean sharesResults() {
-                return mPlan.isRelay();
-            }
-        };
+        return new EngineQueryScope(() -> mPlan, mNode.hall());
     }
 
     /**
@@ -300,9 +285,9 @@
         }
     }
 
-    /** {@inheritDoc} Its runs have ended with it, so others may use their memory. */
+    /** {@inheritDoc} Its runs have ended with it, so that their memory is free. */
     @Override
-    public void onEnded(Incarnation router) {
+    public void onProcessEnded(Incarnation router) {
         if (mLoads.discardOwn(router)) {
             mNode.count("peer.ended");
             mLoads.aggregate(mNode.millis());
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/PredictionCheck.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/decision/PredictionCheck.java
@@ -45,6 +45,7 @@
      * Records a measurement of this router.
      *
      * @param predictedMillis what was predicted for it
+     * @param millis what was measured
      */
     public void recordMeasurement(String service, double predictedMillis, double millis) {
         State state = state(service);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/PeerMesh.java
@@ -74,27 +74,13 @@
 
     private final Channel mServerChannel;
 
-    private final Counter mSent;
-
-    /**
-     * Counters of sent messages by kind, cached so that the registry is not searched for each
-     * message.
-     */
-    private final Map<String, KindCounters> mSentByKind = new HashMap<>();
+    private final SentMessageCounters mSent;
 
     private final Counter mReceived;
 
     /** Counts bytes in both directions. */
     private final Counter mBytes;
 
-    /**
-     * Counters of one kind of message. Thread safe.
-     *
-     * @param messages number of messages sent
-     * @param bytes their size including the length field
-     */
-    private record KindCounters(Counter messages, Counter bytes) {}
-
     /** Receives messages on the control thread. */
     public interface MessageListener {
 
@@ -105,11 +91,8 @@
          */
         void onMessage(Member from, PeerMessage message);
 
-        /**
-         * Called when a router's machine answers and nothing listens at the router's address, so
-         * that its process has ended.
-         */
-        default void onEnded(Incarnation router) {}
+        /** Called when a connection is refused, so that no process of the router is left. */
+        default void onProcessEnded(Incarnation router) {}
     }
 
     /**
@@ -142,7 +125,7 @@
         mSecret = secret;
         mForwarding = forwarding;
         mMessageListener = listener;
-        mSent = node.metrics().counter("peer.sent");
+        mSent = new SentMessageCounters(node.metrics());
         mReceived = node.metrics().counter("peer.heard");
         mBytes = node.metrics().counter("peer.bytes");
         mServerChannel =
@@ -187,7 +170,7 @@
         }
     }
 
-    /** Connects again at once, which tells whether the router's process has ended. */
+    /** Opens a lost connection again; a refusal proves that the router's process has ended. */
     private void reconnect(Incarnation lost) {
         mPeers.connectionTargets().get().stream()
                 .filter(target -> target.incarnation().equals(lost))
@@ -227,7 +210,7 @@
                         });
     }
 
-    /** Returns whether a machine answered that nothing listens at an address. */
+    /** Returns whether a machine refused a connection, rather than not answering. */
     private static boolean isRefused(Throwable cause) {
         return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
     }
@@ -235,7 +218,7 @@
     private void onNotConnected(Member member, boolean ended) {
         mTargets.remove(member.address());
         if (ended) {
-            mMessageListener.onEnded(member.incarnation());
+            mMessageListener.onProcessEnded(member.incarnation());
         }
     }
 
@@ -268,25 +251,11 @@
         }
     }
 
-    /**
-     * Sends a message, and counts it by kind, since these messages are most of what routers cost
-     * each other.
-     */
     private void send(Channel channel, PeerMessage message, byte[] frame) {
-        mSent.inc();
-        KindCounters kind = mSentByKind.computeIfAbsent(message.label(), this::registerKind);
-        kind.messages().inc();
-        kind.bytes().inc(frame.length + PeerFraming.LENGTH_FIELD_BYTES);
+        mSent.count(message, frame.length + PeerFraming.LENGTH_FIELD_BYTES);
         channel.writeAndFlush(Unpooled.wrappedBuffer(frame), channel.voidPromise());
     }
 
-    private KindCounters registerKind(String label) {
-        String name = "peer.sent." + label;
-        return new KindCounters(
-                mNode.metrics().counter(name + ".messages"),
-                mNode.metrics().counter(name + ".bytes"));
-    }
-
     private static byte[] encode(PeerMessage message) {
         try {
             return PeerCodec.encode(message);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/Quarantine.java
@@ -77,7 +77,7 @@
     /** Receives the changes made by this router. */
     private Consumer<CrashReport> mLocalListener = report -> {};
 
-    /** Receives upstreams of whose crash another router told this one. */
+    /** Receives upstreams whose crash another router reported. */
     private Consumer<UpstreamIncarnation> mCrashListener = upstream -> {};
 
     /** Receives merged records of traits that this router reported. */
@@ -167,19 +167,22 @@
      * Returns why a request must not be run, if so, and counts it.
      *
      * @param traits the request's traits
-     * @param trial the request's permit to be run on trial, which may be given here
+     * @param permit the request's permit to be run on trial, which may be granted here
      * @return empty if the request may be run
      */
     public Optional<Withholding> withhold(
-            String service, Collection<? extends CrashTrait> traits, Trial trial) {
+            String service, Collection<? extends CrashTrait> traits, TrialPermit permit) {
         long now = mMillis.getAsLong();
         List<CrashTrait> reasons = mWithheld.reasonsToWithhold(traits, now);
         if (reasons.isEmpty()) {
             return Optional.empty();
         }
-        Withholding withholding = withholding(service, reasons, now);
-        if (withholding.provisional() && isOnTrial(service, withholding, trial, now)) {
-            return Optional.empty();
+        Withholding withholding = strongestReason(service, reasons, now);
+        if (withholding.provisional()) {
+            grantIfDue(service, withholding, permit, now);
+            if (permit.covers(withholding.trait(), withholding.crashes())) {
+                return Optional.empty();
+            }
         }
         mCounters.of(withholding.trait()).withheld().inc();
         if (withholding.trait() instanceof CrashTrait.ForPart) {
@@ -188,8 +191,8 @@
         return Optional.of(withholding);
     }
 
-    /** Returns the reason that is proved, if there is one. */
-    private Withholding withholding(String service, List<CrashTrait> reasons, long now) {
+    /** Returns a reason that is proved if there is one, and a provisional one otherwise. */
+    private Withholding strongestReason(String service, List<CrashTrait> reasons, long now) {
         boolean proved = mOutcomes.areOthersCompleted(service, now);
         return reasons.stream()
                 .filter(trait -> proved || trait instanceof RequestFingerprint)
@@ -198,18 +201,17 @@
                 .orElseGet(() -> new Withholding(reasons.get(0), crashCount(reasons.get(0)), true));
     }
 
-    private boolean isOnTrial(String service, Withholding withholding, Trial trial, long now) {
+    private void grantIfDue(String service, Withholding withholding, TrialPermit permit, long now) {
         CrashTrait trait = withholding.trait();
         int crashes = withholding.crashes();
-        if (!trial.covers(trait, crashes)
+        if (!permit.covers(trait, crashes)
                 && mOutcomes.areMostWithheld(service, now)
                 && mTrials.startIfDue(trait, crashes, now)) {
             LOGGER.warn(
                     "request on trial {} ended={} service={}", trait.logField(), crashes, service);
             mCounters.of(trait).trials().inc();
-            trial.start(trait, crashes);
+            permit.grant(trait, crashes);
         }
-        return trial.covers(trait, crashes);
     }
 
     /** Returns the number of upstreams that crashed during requests with a trait. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/ServiceOutcomes.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/ServiceOutcomes.java
@@ -9,16 +9,13 @@
  */
 final class ServiceOutcomes {
 
-    /**
-     * Withheld requests in a row after which the withheld trait seems to be common to most requests
-     * of the service. A trait of half of the requests withholds that many in a row once in 256.
-     */
+    /** Successive withheld requests after which most requests seem to have the trait. */
     private static final int MIN_SUCCESSIVE = 8;
 
     private static final int MAX_SERVICES = 1000;
 
-    /** The requests withheld in a row, by service; none for one that completed a request. */
-    private final ExpiringMap<String, Integer> mWithheldSince =
+    /** The number of requests withheld since the last completed one, by service. */
+    private final ExpiringMap<String, Integer> mWithheldSinceCompletion =
             new ExpiringMap<>(MAX_SERVICES, QuarantineSettings.SUSPECT_RETENTION_MILLIS);
 
     /** The services that completed a request. */
@@ -28,16 +25,16 @@
     /** Records that a request was completed. */
     void recordCompleted(String service, long now) {
         mCompleted.put(service, Boolean.TRUE, now);
-        mWithheldSince.remove(service);
+        mWithheldSinceCompletion.remove(service);
     }
 
     /** Records that a request was withheld. */
     void recordWithheld(String service, long now) {
-        mWithheldSince.put(service, withheldSinceCompletion(service, now) + 1, now);
+        mWithheldSinceCompletion.put(service, withheldSinceCompletion(service, now) + 1, now);
     }
 
     private int withheldSinceCompletion(String service, long now) {
-        return mWithheldSince.get(service, now).orElse(0);
+        return mWithheldSinceCompletion.get(service, now).orElse(0);
     }
 
     /** Returns whether a trait for which requests are withheld seems to be in most of them. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/TrialSchedule.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/TrialSchedule.java
@@ -3,23 +3,24 @@
 import org.troutpier.common.collection.ExpiringMap;
 
 /**
- * When requests are run on trial, though they have a quarantined trait. A trait that no request can
- * be run with is never proved to be sound. All routers together start few trials: one in {@value
- * #FIRST_MILLIS} to twice as many milliseconds while few upstreams have crashed, then one a minute,
- * then none. Confined to the traffic loop.
+ * Determines when a request with a quarantined trait is run on trial, since a trait with which no
+ * request is run can never be proved sound. Trials of all routers follow each other at a fixed
+ * interval and a random one of the same mean; the interval grows with the number of crashes, and
+ * there is none after {@value #MAX_CRASHES} more crashes than quarantine a trait. Confined to the
+ * traffic loop.
  */
 final class TrialSchedule {
 
-    /** Crashes beyond those that quarantine a trait after which trials become rare. */
-    private static final int FIRST_CRASHES = 2;
+    /** Crashes beyond those that quarantine a trait from which on trials are rare. */
+    private static final int FREQUENT_CRASHES = 2;
 
-    /** Crashes beyond those that quarantine a trait after which there are no trials. */
+    /** Crashes beyond those that quarantine a trait from which on there are no trials. */
     private static final int MAX_CRASHES = 4;
 
-    /** Several times as long as it takes until all routers know of a crash, milliseconds. */
-    private static final long FIRST_MILLIS = 500;
+    /** Longer than it takes until all routers know of a crash, milliseconds. */
+    private static final long FREQUENT_INTERVAL_MILLIS = 500;
 
-    private static final long LATER_MILLIS = 30_000;
+    private static final long RARE_INTERVAL_MILLIS = 30_000;
 
     private final QuarantineSettings mSettings;
 
@@ -65,8 +66,8 @@
     }
 
     private Turn draw(int crashes, long now, boolean started) {
-        boolean few = crashes < mSettings.crashes() + FIRST_CRASHES;
-        long millis = few ? FIRST_MILLIS : LATER_MILLIS;
+        boolean few = crashes < mSettings.crashes() + FREQUENT_CRASHES;
+        long millis = few ? FREQUENT_INTERVAL_MILLIS : RARE_INTERVAL_MILLIS;
         return new Turn(crashes, now + millis + mShare.drawDelay(millis), started);
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/AdmittedPlace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/HeldAdmission.java
@@ -10,11 +10,11 @@
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
- * The place of one request at the admission controller: a ticket that waits, then the grant of its
+ * What one request holds at the admission controller: a ticket that waits, then the grant of its
  * current attempt. Confined to the event loop of the caller's connection; the controller is called
  * on the control thread. Invariant: each grant is released exactly once.
  */
-final class AdmittedPlace {
+final class HeldAdmission {
 
     private final ExchangeServices mServices;
 
@@ -28,7 +28,7 @@
     private final Set<UpstreamId> mFailedUpstreams = new HashSet<>();
 
     /** Creates an instance without ticket and grant. */
-    AdmittedPlace(ExchangeServices services) {
+    HeldAdmission(ExchangeServices services) {
         mServices = services;
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
@@ -49,7 +49,7 @@
 
     private final HeldClaim mClaim;
 
-    private final AdmittedPlace mPlace;
+    private final HeldAdmission mAdmission;
 
     /** Number of attempts started. */
     private int mAttempts;
@@ -70,7 +70,7 @@
         mArrival = arrival;
         mArrivalNanos = services.node().nanos().getAsLong();
         mClaim = new HeldClaim(services, arrival);
-        mPlace = new AdmittedPlace(services);
+        mAdmission = new HeldAdmission(services);
     }
 
     /**
@@ -139,7 +139,8 @@
     /** Submits a ticket to the admission controller. */
     private void enqueue() {
         setStage(Stage.QUEUED);
-        mPlace.submit(ticket(mArrivalNanos, mPlace.failedUpstreams(), new AdmissionListener()));
+        mAdmission.submit(
+                ticket(mArrivalNanos, mAdmission.failedUpstreams(), new AdmissionListener()));
     }
 
     /** Receives the admission decision on the control thread and forwards it to the event loop. */
@@ -161,10 +162,10 @@
     /** Starts an attempt, or releases the grant if the request is over. */
     private void startAttempt(Grant grant) {
         if (isOver()) {
-            mPlace.release(grant);
+            mAdmission.release(grant);
             return;
         }
-        mPlace.accept(grant);
+        mAdmission.accept(grant);
         mAttempts++;
         if (mAttempts == 1) {
             mServices.budget().recordFirstAttempt(requestClass().partner());
@@ -217,9 +218,9 @@
             return;
         }
         recordEvent("attempt-ended", end.code().label() + " " + end.detail());
-        Grant grant = mPlace.take();
+        Grant grant = mAdmission.take();
         stopAttempt();
-        mPlace.release(grant, failedUpstream(grant), end);
+        mAdmission.release(grant, failedUpstream(grant), end);
         mOutcomeTracker.recordAttemptEnd(end);
         setStage(Stage.QUEUED);
         if (!requestClass().repeatable() && mOutcomeTracker.mayHaveRun()) {
@@ -258,7 +259,7 @@
      * @param keep whether the answer is small enough to be stored
      */
     protected final void onAnswerComplete(StoredAnswer answer, boolean keep) {
-        mPlace.release(mPlace.take());
+        mAdmission.release(mAdmission.take());
         setStage(Stage.ANSWERING);
         if (!mClaim.isHeld()) {
             sendAndFinish(answer);
@@ -376,7 +377,7 @@
         stopAttempt();
         mStage = Stage.OVER;
         mDeadlineTimer.cancel(false);
-        mPlace.leave();
+        mAdmission.leave();
         mClaim.settle(mayHaveRun, code);
         mServices.registry().remove(this);
     }
@@ -432,7 +433,7 @@
      * @param attempt id of the attempt
      */
     protected final boolean isCurrent(String attempt) {
-        return !isOver() && mPlace.isGranted() && attempt.equals(attemptId());
+        return !isOver() && mAdmission.isGranted() && attempt.equals(attemptId());
     }
 
     /** Returns the time until the deadline in milliseconds, at least 1. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/CrashGuard.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/CrashGuard.java
@@ -2,10 +2,7 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,7 +14,6 @@
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.quarantine.CrashTrait;
 import org.troutpier.daemon.quarantine.Quarantine;
 import org.troutpier.daemon.quarantine.Withholding;
 
@@ -51,15 +47,6 @@
      */
     private static final long CRASH_TTL_MILLIS = 10_000;
 
-    /**
-     * How long a lost call may be explained by a crash that another router reports, milliseconds:
-     * as long as routers take at most to find a crash and to tell it.
-     */
-    private static final long UNEXPLAINED_TTL_MILLIS = 2000;
-
-    /** Maximum number of lost calls remembered of one upstream: as many as run there. */
-    private static final int MAX_UNEXPLAINED = 64;
-
     /** Maximum number of crashes remembered: many times what occurs in that time. */
     private static final int MAX_RECENT_CRASHES = 1000;
 
@@ -98,21 +85,7 @@
     private final ExpiringMap<UpstreamIncarnation, Boolean> mRecentCrashes =
             new ExpiringMap<>(MAX_RECENT_CRASHES, CRASH_TTL_MILLIS);
 
-    /**
-     * The requests whose calls were lost at upstreams that were not found to have crashed. Another
-     * router may find the crash, where the next start already accepts connections at this one's
-     * probe.
-     */
-    private final ExpiringMap<UpstreamIncarnation, Deque<UnexplainedLoss>> mUnexplained =
-            new ExpiringMap<>(MAX_RECENT_CRASHES, UNEXPLAINED_TTL_MILLIS);
-
-    /**
-     * A call that was lost. Immutable and thread safe.
-     *
-     * @param traits the traits of its request
-     * @param at when it was lost, milliseconds
-     */
-    private record UnexplainedLoss(List<CrashTrait> traits, long at) {}
+    private final UnexplainedLosses mUnexplained = new UnexplainedLosses();
 
     /** Creates a guard. */
     public CrashGuard(
@@ -136,25 +109,9 @@
     private void onReportedCrash(UpstreamIncarnation upstream) {
         long now = mLoop.millis();
         mRecentCrashes.put(upstream, Boolean.TRUE, now);
-        Collection<UnexplainedLoss> losses = unexplained(upstream, now);
-        mUnexplained.remove(upstream);
-        losses.forEach(loss -> mQuarantine.recordCrash(loss.traits(), upstream));
-    }
-
-    private Deque<UnexplainedLoss> unexplained(UpstreamIncarnation upstream, long now) {
-        Deque<UnexplainedLoss> losses = mUnexplained.get(upstream, now).orElseGet(ArrayDeque::new);
-        losses.removeIf(loss -> now - loss.at() > UNEXPLAINED_TTL_MILLIS);
-        return losses;
-    }
-
-    private void addUnexplained(UpstreamIncarnation upstream, RequestTraits traits) {
-        long now = mLoop.millis();
-        Deque<UnexplainedLoss> losses = unexplained(upstream, now);
-        losses.addLast(new UnexplainedLoss(traits.all(), now));
-        if (losses.size() > MAX_UNEXPLAINED) {
-            losses.removeFirst();
-        }
-        mUnexplained.put(upstream, losses, now);
+        mUnexplained
+                .remove(upstream, now)
+                .forEach(loss -> mQuarantine.recordCrash(loss.traits(), upstream));
     }
 
     /** Returns the quarantine in which crashes are recorded. */
@@ -173,7 +130,7 @@
         return mQuarantine.withhold(
                 traits.service(),
                 mightBeKnown(traits) ? traits.all() : traits.parts(),
-                traits.trial());
+                traits.trialPermit());
     }
 
     /**
@@ -310,7 +267,10 @@
          */
         private void onAlive() {
             mAliveCount.inc(mLost.size());
-            mLost.forEach(call -> addUnexplained(mUpstream.incarnation(), call.mTraits));
+            mLost.forEach(
+                    call ->
+                            mUnexplained.add(
+                                    mUpstream.incarnation(), call.mTraits.all(), mLoop.millis()));
             List<LostCall> attributed = mLost;
             mLost = mLostSinceSent;
             mLostSinceSent = new ArrayList<>();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillEngines.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillEngines.java
@@ -73,12 +73,13 @@
     }
 
     /**
-     * Returns whether the prompt may be processed though it is predicted to be late, to check the
-     * prediction. Only an engine without other work is used for that.
+     * Admits the prompt though it is predicted to be late, if the prediction is to be checked. Only
+     * an engine without other work is used for that.
      *
      * @param excluded the engines that are not to be used
+     * @return whether the prompt is admitted
      */
-    boolean mayCheckPrediction(Set<UpstreamIncarnation> excluded) {
+    boolean tryCheckPrediction(Set<UpstreamIncarnation> excluded) {
         double weight = mContext.demandFor(mService).reading().count();
         if (!mContext.prefillCheck().isDue(mService, weight, mContext.loop().millis())) {
             return false;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -442,10 +442,8 @@
             mUsageCharge.refund();
         }
         mArrivals.close();
-        if (mArrivals.extraCalls() > 0) {
-            mTrace.addInput("extraCalls", mArrivals.extraCalls());
-            mContext.metrics().recordExtraArrivals(mArrivals.extraCalls());
-        }
+        mTrace.addExtraCalls(mArrivals.extraCalls());
+        mContext.metrics().recordExtraArrivals(mArrivals.extraCalls());
         mContext.metrics().requestEnded(mRoute.name(), outcome, mTrace.elapsedMillis());
         mContext.decisionLog().requestEnded(mTrace, outcome);
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
@@ -108,6 +108,13 @@
         return outcome.equals(ANSWERED) && !mNotable;
     }
 
+    /** Adds how many calls beyond the first may have arrived, if any. */
+    void addExtraCalls(int calls) {
+        if (calls > 0) {
+            addInput("extraCalls", calls);
+        }
+    }
+
     /**
      * Adds an input of the decisions about the request.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTraits.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTraits.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import org.troutpier.daemon.quarantine.CrashTrait;
 import org.troutpier.daemon.quarantine.RequestFingerprint;
-import org.troutpier.daemon.quarantine.Trial;
+import org.troutpier.daemon.quarantine.TrialPermit;
 
 /**
  * The traits by which a request that crashes upstreams is recognized when it comes again: its
@@ -21,7 +21,7 @@
 
     private final String mService;
 
-    private final Trial mTrial = new Trial();
+    private final TrialPermit mTrialPermit = new TrialPermit();
 
     /** The coarse hash, or null until it is needed. */
     private String mCoarseHash;
@@ -48,8 +48,8 @@
     }
 
     /** Returns the request's permit to be run in spite of a quarantined trait. */
-    Trial trial() {
-        return mTrial;
+    TrialPermit trialPermit() {
+        return mTrialPermit;
     }
 
     /** Returns the coarse hash, which does not cover the content of the body. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamTiming.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamTiming.java
@@ -132,7 +132,7 @@
                                 + context.prefillExcess().predictedMillis(),
                         context.firstEventDelay().predictedMillis());
         boolean late = prediction.millis() > mExecution.mRoute.targetMillis();
-        return late && mPrefillEngines.mayCheckPrediction(excluded)
+        return late && mPrefillEngines.tryCheckPrediction(excluded)
                 ? WaitBudget.Prediction.UNKNOWN
                 : prediction;
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
@@ -159,7 +159,7 @@
 
     private Optional<Withholding> withhold(String... parts) {
         return mQuarantine.withhold(
-                "service", Stream.of(parts).map(QuarantineTest::part).toList(), new Trial());
+                "service", Stream.of(parts).map(QuarantineTest::part).toList(), new TrialPermit());
     }
 
     private boolean isWithheld(String... parts) {
@@ -245,7 +245,7 @@
             }
             for (Quarantine router : routers) {
                 List<CrashTrait> traits = List.of(part("guilty"));
-                if (router.withhold("service", traits, new Trial()).isEmpty()) {
+                if (router.withhold("service", traits, new TrialPermit()).isEmpty()) {
                     crashes.add(mNow + KNOWN_AFTER_MILLIS);
                     sentAfterFifth += known >= 5 ? 1 : 0;
                 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrashGuardTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrashGuardTest.java
@@ -5,21 +5,17 @@
 import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import org.troutpier.common.id.RequestId;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualClock;
-import org.troutpier.daemon.organisation.Requester;
 import org.troutpier.daemon.quarantine.CrashRecord;
 import org.troutpier.daemon.quarantine.CrashReport;
 import org.troutpier.daemon.quarantine.CrashTrait;
@@ -212,21 +208,7 @@
 
     private static RequestTraits traits(
             String target, byte[] body, Optional<PromptMetadata> prompt) {
-        return new RequestTraits(
-                new ServingRequest(
-                        new RequestId("abc"),
-                        "POST",
-                        target,
-                        "h",
-                        new DefaultHttpHeaders(),
-                        body,
-                        9000,
-                        OptionalLong.empty(),
-                        Optional.empty(),
-                        prompt,
-                        Optional.empty(),
-                        new Requester.Unchecked()),
-                "service");
+        return new RequestTraits(TestRequests.of("abc", target, body, prompt), "service");
     }
 
     private void recordCrash(RequestFingerprint request, int number) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -15,7 +15,6 @@
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import org.troutpier.common.id.RequestId;
 import org.troutpier.common.id.UpstreamId;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.result.ResultCode;
@@ -98,19 +97,8 @@
     private ServingRequest request() {
         PromptMetadata prompt =
                 new PromptMetadata("m", 1000, 500, List.of(new PromptMetadata.Part("own", 1000)));
-        return new ServingRequest(
-                new RequestId("abc"),
-                "POST",
-                "/x",
-                "h",
-                new DefaultHttpHeaders(),
-                new byte[0],
-                9000,
-                OptionalLong.empty(),
-                Optional.empty(),
-                Optional.of(prompt),
-                Optional.empty(),
-                mRequester);
+        return TestRequests.of("abc", "/x", new byte[0], Optional.of(prompt))
+                .withRequester(mRequester);
     }
 
     /**
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExtraCallsOverRoutersTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExtraCallsOverRoutersTest.java
@@ -2,13 +2,11 @@
 
 import static org.testng.Assert.assertTrue;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Random;
 import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
@@ -19,7 +17,6 @@
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.extracall.ExtraCallBudget;
 import org.troutpier.daemon.node.ManualClock;
-import org.troutpier.daemon.organisation.Requester;
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.upstream.AttemptEnd;
@@ -81,7 +78,7 @@
             mTime.advance(random.nextInt(200));
             ServingContext router = routers.get(random.nextInt(ROUTERS));
             mRequests.add(mTime.millis());
-            execution(router, new RequestId("r" + sent), random.nextInt(kinds)).begin();
+            execution(router, "r" + sent, random.nextInt(kinds)).begin();
             if (random.nextInt(restartOneIn) == 0) {
                 ServingContext restarted = router(ends, random);
                 restarted.extraCallBudget().withholdAllowance(mTime.millis());
@@ -122,22 +119,9 @@
         return setup.build();
     }
 
-    private RequestExecution execution(ServingContext context, RequestId id, int kind) {
+    private RequestExecution execution(ServingContext context, String id, int kind) {
         PromptMetadata prompt = new PromptMetadata("m", 100, 100, List.of());
-        ServingRequest request =
-                new ServingRequest(
-                        id,
-                        "POST",
-                        "/x",
-                        "h",
-                        new DefaultHttpHeaders(),
-                        new byte[0],
-                        9000,
-                        OptionalLong.empty(),
-                        Optional.empty(),
-                        Optional.of(prompt),
-                        Optional.empty(),
-                        new Requester.Unchecked());
+        ServingRequest request = TestRequests.of(id, "/x", new byte[0], Optional.of(prompt));
         List<Route.WeightedService> services = List.of(new Route.WeightedService("service", 1));
         Route.Kind routeKind = kind == 0 ? Route.Kind.REPEATABLE : Route.Kind.RESUMABLE_STREAM;
         Route route = new Route("r", "h", "/", routeKind, 8000, 900, 300, 1, 2, services, false);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestStreams.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestStreams.java
@@ -1,11 +1,7 @@
 package org.troutpier.daemon.serving;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
-import org.troutpier.common.id.RequestId;
-import org.troutpier.daemon.organisation.Requester;
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.route.Route;
 
@@ -22,20 +18,9 @@
     /** Starts a stream that differs from all others by its name. */
     static FakeCaller start(ServingContext context, String service, String name) {
         PromptMetadata.Part own = new PromptMetadata.Part(name, TOKENS);
+        PromptMetadata prompt = new PromptMetadata("m", TOKENS, 50, List.of(own));
         ServingRequest request =
-                new ServingRequest(
-                        new RequestId(name),
-                        "POST",
-                        "/" + name,
-                        "h",
-                        new DefaultHttpHeaders(),
-                        new byte[0],
-                        9000,
-                        OptionalLong.empty(),
-                        Optional.empty(),
-                        Optional.of(new PromptMetadata("m", TOKENS, 50, List.of(own))),
-                        Optional.empty(),
-                        new Requester.Unchecked());
+                TestRequests.of(name, "/" + name, new byte[0], Optional.of(prompt));
         Route route =
                 new Route(
                         "r",
