--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
@@ -56,6 +56,12 @@
     /** Time after which probes end without a result; 0 if they succeed at once. */
     long mProbeMillis;
 
+    /** Which router receives {@link #mCrowdedShare} of the calls instead of its even share. */
+    int mCrowdedRouter;
+
+    /** The part of the calls that go to one router; the others go to any. */
+    double mCrowdedShare;
+
     private final Random mRandom;
     private final LoadSettings mSettings;
     private long mNextRequest;
@@ -108,6 +114,11 @@
         mTime.advance(millis + 2 * DEADLINE_MILLIS);
     }
 
+    private Router drawRouter() {
+        boolean crowded = mCrowdedShare > 0 && mRandom.nextDouble() < mCrowdedShare;
+        return mRouters.get(crowded ? mCrowdedRouter : mRandom.nextInt(mRouters.size()));
+    }
+
     private void report() {
         List<Router> senders = List.copyOf(mRouters);
         List<LoadReport> reports = new ArrayList<>();
@@ -170,7 +181,7 @@
                             Optional.empty(),
                             Optional.empty(),
                             new Requester.Member(organisation));
-            Router router = mRouters.get(mRandom.nextInt(mRouters.size()));
+            Router router = drawRouter();
             new PlainExecution(router.mContext, request, route(), "service", this).begin();
         }
 
