--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
@@ -52,6 +52,8 @@
 
     private final HttpHandler mHandler;
 
+    private final ConnectionGate mGate;
+
     private final AtomicInteger mConnections = new AtomicInteger();
 
     private final AtomicInteger mActiveExchanges = new AtomicInteger();
@@ -93,7 +95,13 @@
             Supplier<ServerLimits> limits,
             ServerRefusals refusals,
             HttpHandler handler) {
-        this(listen(address), loops, limits, refusals, handler);
+        this(
+                listen(address),
+                loops,
+                limits,
+                refusals,
+                handler,
+                ConnectionGate.ForNoRestriction.INSTANCE);
         startAccepting();
     }
 
@@ -102,16 +110,19 @@
      * #startAccepting()}.
      *
      * @param limits the limits; read again for each new connection
+     * @param gate decides about each new connection
      */
     public HttpServer(
             ListeningSocket socket,
             EventLoopGroup loops,
             Supplier<ServerLimits> limits,
             ServerRefusals refusals,
-            HttpHandler handler) {
+            HttpHandler handler,
+            ConnectionGate gate) {
         mLimits = limits;
         mRefusals = refusals;
         mHandler = handler;
+        mGate = gate;
         mListener =
                 new ServerBootstrap()
                         .group(loops)
@@ -211,6 +222,10 @@
         /** {@inheritDoc} */
         @Override
         protected void initChannel(SocketChannel channel) {
+            if (!mGate.admit(channel)) {
+                channel.close();
+                return;
+            }
             ServerLimits limits = mLimits.get();
             boolean overLimit = mConnections.incrementAndGet() > limits.connections();
             mOpenChannels.add(channel);
--- a/troutpier-common/src/test/java/org/troutpier/common/http/HttpServerTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/HttpServerTest.java
@@ -102,7 +102,8 @@
                 mLoops,
                 () -> ServerLimits.DEFAULT,
                 ServerRefusals.AsJson.INSTANCE,
-                handler);
+                handler,
+                ConnectionGate.ForNoRestriction.INSTANCE);
     }
 
     private static byte[] request(String path) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamConnections.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamConnections.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.troutpier.common.http.ByteMeter;
 import org.troutpier.common.http.HttpCall;
 import org.troutpier.common.http.HttpClient;
 import org.troutpier.common.id.UpstreamIncarnation;
@@ -34,12 +35,15 @@
 
     private final ConnectionProbe mProbe;
 
+    private final ByteMeter mBytes;
+
     /**
      * Creates the connections of a router.
      *
      * @param loop the event loop that carries traffic
      * @param self this router as a peer
      * @param peers the other routers that may be running; thread safe
+     * @param bytes counts the bytes of connections to upstreams
      */
     public UpstreamConnections(
             Node node,
@@ -47,7 +51,9 @@
             Member self,
             PeerSecret secret,
             UpstreamDirectory directory,
-            Supplier<List<Member>> peers) {
+            Supplier<List<Member>> peers,
+            ByteMeter bytes) {
+        mBytes = bytes;
         mPaths =
                 new UpstreamPaths(
                         new TrafficLoop.ForNetty(loop),
@@ -71,6 +77,7 @@
 
     private void addHandler(Channel channel, ForwardingHandler.Identity identity) {
         channel.pipeline().addFirst(new ForwardingHandler(mPaths, identity));
+        mBytes.install(channel);
     }
 
     /** Returns the address of an upstream that this router lists and reaches itself. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/CallAdmission.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/CallAdmission.java
@@ -85,6 +85,24 @@
         return new Decision(verdict, waitMillis, ahead, free);
     }
 
+    /** Returns the number of calls that wait for the service at all routers. */
+    long waitingCount() {
+        return count(waiting);
+    }
+
+    /** Returns the number of calls that all routers are expected to place on the same view. */
+    long expectedCount() {
+        return count(competing);
+    }
+
+    private long count(List<WaitingReport.Entry> entries) {
+        return Math.round(
+                entries.stream()
+                        .filter(entry -> entry.service().equals(service))
+                        .mapToDouble(WaitingReport.Entry::cost)
+                        .sum());
+    }
+
     /** Returns the number of calls that are to be sent before a call. */
     private double callsAhead(Claim claim, double draw) {
         Map<PartnerId, Double> sameLevel = new HashMap<>();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
@@ -128,7 +128,7 @@
             enqueue(service, candidate);
         } else {
             mRefused.inc();
-            refuse(service, candidate, decision, now);
+            refuse(service, candidate, admission, decision, now);
         }
     }
 
@@ -234,14 +234,21 @@
     }
 
     private void refuse(
-            ServiceCalls service, WaitingCall call, CallAdmission.Decision decision, long now) {
+            ServiceCalls service,
+            WaitingCall call,
+            CallAdmission admission,
+            CallAdmission.Decision decision,
+            long now) {
         service.recordRefusal();
         if (mRefusalLog.tryAcquire(now)) {
             LOGGER.info(
-                    "plain calls refused service={} refused={} waiting={} upstreams={}",
+                    "plain calls refused service={} refused={} waiting={} waitingAnywhere={}"
+                            + " expected={} upstreams={}",
                     call.call().service(),
                     service.refusedCount(),
                     service.queue().size(),
+                    admission.waitingCount(),
+                    admission.expectedCount(),
                     service.lastRooms());
         }
         long waited = now - call.arrivedAt();
@@ -314,7 +321,7 @@
                     send(service, admission, call);
                 } else {
                     mExpired.inc();
-                    refuse(service, call, decision, now);
+                    refuse(service, call, admission, decision, now);
                 }
             }
             if (!send && decision.free() == 0) {
