Plain calls: what the other routers send is reported, not supposed

What callers saw: while the balancer hands most new connections to one router of many, most calls there are refused with 429 within milliseconds, and the upstreams are idle.

Cause: FlowDemand.expected took this router's demand times the number of routers for what all of them send in the next 50 ms, and CallAdmission lets that precede a call. The product is right only under an even balancer; at a router that receives most calls of 85 it is up to 85 times too large.

Why this works: each load report now holds the calls that arrived at its sender in the last second (limit.RecentArrivals, at most 32 entries), and a call leaves room for what the others report. Its own calls it counts itself. Under an even balancer the sum is the former product with less noise; with all calls at one router it is nothing there, and at the others it is what that one sends. No message is added.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.limit.RateReport;
+import org.troutpier.daemon.limit.RecentArrivals;
 import org.troutpier.daemon.organisation.UsageReport;
 import org.troutpier.daemon.pace.PaceReport;
 import org.troutpier.daemon.waiting.WaitingReport;
@@ -30,6 +31,7 @@
  * @param rates the upstreams that announce rates, and what was recently sent to them
  * @param waiting the requests that wait for capacity
  * @param paces how long the upstreams recently took
+ * @param arrivals the calls to plain services that arrived recently
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record LoadReport(
@@ -44,7 +46,8 @@
         UsageReport organisations,
         Map<UpstreamIncarnation, RateReport> rates,
         WaitingReport waiting,
-        Map<UpstreamIncarnation, PaceReport> paces) {
+        Map<UpstreamIncarnation, PaceReport> paces,
+        RecentArrivals arrivals) {
 
     /** A report that covers no router. */
     public static final LoadReport NONE =
@@ -75,6 +78,37 @@
         rates = rates == null ? Map.of() : Map.copyOf(rates);
         waiting = waiting == null ? WaitingReport.NONE : waiting;
         paces = paces == null ? Map.of() : Map.copyOf(paces);
+        arrivals = arrivals == null ? RecentArrivals.NONE : arrivals;
+    }
+
+    /** Creates a report without recent arrivals. */
+    public LoadReport(
+            long configuration,
+            int routers,
+            boolean roleHolder,
+            long waitingTokens,
+            Set<UpstreamIncarnation> changing,
+            Set<UpstreamIncarnation> refusing,
+            Map<UpstreamIncarnation, UpstreamUsage> uses,
+            Map<String, Demand> demands,
+            UsageReport organisations,
+            Map<UpstreamIncarnation, RateReport> rates,
+            WaitingReport waiting,
+            Map<UpstreamIncarnation, PaceReport> paces) {
+        this(
+                configuration,
+                routers,
+                roleHolder,
+                waitingTokens,
+                changing,
+                refusing,
+                uses,
+                demands,
+                organisations,
+                rates,
+                waiting,
+                paces,
+                RecentArrivals.NONE);
     }
 
     /** Creates a report that covers no router and holds only usage by organisations. */
@@ -125,14 +159,15 @@
                 usage,
                 announcedRates,
                 waitingRequests,
-                upstreamPaces);
+                upstreamPaces,
+                arrivals);
     }
 
     /**
      * Returns whether another report has the same load. Demand is not compared, since it drifts all
      * the time and affects only decisions on a scale of seconds; neither is usage against limits,
-     * which rises with the calls in progress and falls by itself. Neither are waiting requests and
-     * paces, which are sent with the reports that are due anyway.
+     * which rises with the calls in progress and falls by itself. Neither are waiting requests,
+     * paces and arrivals, which are sent with the reports that are due anyway.
      */
     boolean hasSameLoad(LoadReport other) {
         return configuration == other.configuration
@@ -172,6 +207,7 @@
         Map<UpstreamIncarnation, RateReport> allRates = new HashMap<>(rates);
         List<WaitingReport> otherWaiting = new ArrayList<>();
         Map<UpstreamIncarnation, PaceReport> allPaces = new HashMap<>(paces);
+        List<RecentArrivals> otherArrivals = new ArrayList<>();
         for (LoadReport other : others) {
             routerCount += other.routers;
             anyRoleHolder |= other.roleHolder;
@@ -183,6 +219,7 @@
             otherUsage.add(other.organisations);
             other.rates.forEach((id, rate) -> allRates.merge(id, rate, RateReport::plus));
             otherWaiting.add(other.waiting);
+            otherArrivals.add(other.arrivals);
             other.paces.forEach(
                     (id, pace) ->
                             allPaces.merge(id, pace.bounded(other.routers), PaceReport::plus));
@@ -199,6 +236,7 @@
                 organisations.plus(otherUsage),
                 allRates,
                 waiting.plus(otherWaiting),
-                allPaces);
+                allPaces,
+                arrivals.plus(otherArrivals));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.limit.RecentArrivals;
 import org.troutpier.daemon.node.ControlExecutor;
 import org.troutpier.daemon.organisation.OrganisationLimiter;
 import org.troutpier.daemon.role.RoleController;
@@ -50,6 +51,9 @@
     /** The calls to plain services that wait at this router. */
     private final Supplier<WaitingReport> mWaitingCalls;
 
+    /** The calls to plain services that arrived recently at this router. */
+    private final Supplier<RecentArrivals> mArrivals;
+
     private final RoleController mRoles;
 
     private final ControlExecutor mControl;
@@ -75,6 +79,7 @@
      * @param organisations the usage by organisations at this router
      * @param rates the rates that upstreams announce
      * @param waitingCalls the calls to plain services that wait at this router
+     * @param arrivals the calls to plain services that arrived recently at this router
      * @param roles assigns engine roles, if this router holds the lease
      * @param control the control thread, where reports are sent
      * @param exchange sends reports
@@ -88,6 +93,7 @@
             OrganisationLimiter organisations,
             UpstreamRates rates,
             Supplier<WaitingReport> waitingCalls,
+            Supplier<RecentArrivals> arrivals,
             CurrentConfiguration configuration,
             RoleController roles,
             ControlExecutor control,
@@ -100,6 +106,7 @@
         mOrganisations = organisations;
         mRates = rates;
         mWaitingCalls = waitingCalls;
+        mArrivals = arrivals;
         mConfiguration = configuration;
         mRoles = roles;
         mControl = control;
@@ -176,7 +183,8 @@
                         mRates.report(),
                         waiting.plus(List.of(mWaitingCalls.get()))
                                 .plusReturning(mReturns.returningCost(mLoop.millis())),
-                        mLoads.paces().report());
+                        mLoads.paces().report(),
+                        mArrivals.get());
         mControl.execute(() -> mExchange.publishLoad(report));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -13,6 +13,7 @@
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.limit.PeerRates;
 import org.troutpier.daemon.limit.RateReport;
+import org.troutpier.daemon.limit.RecentArrivals;
 import org.troutpier.daemon.limit.UsageSettings;
 import org.troutpier.daemon.organisation.PeerUsage;
 import org.troutpier.daemon.organisation.UsageReport;
@@ -24,10 +25,10 @@
  * Aggregates the load and demand that the other routers report. Changes are confined to the control
  * thread; {@link #upstreamUsage}, {@link #demand}, {@link #organisations()}, {@link #rate}, {@link
  * #isChangingRole}, {@link #isRefusing}, {@link #waitingTokens()}, {@link #waiting()}, {@link
- * #waiting(long)}, {@link #pace}, {@link #peerCount()} and {@link #hasRoleHolder()} are thread safe
- * and answer as of the last {@link #aggregate}. Invariants: a report expires {@link
- * #REPORT_TTL_MILLIS} after it was received; only reports of the counted scopes enter the
- * aggregate, so that no router's load is counted twice.
+ * #waiting(long)}, {@link #arrivals()}, {@link #pace}, {@link #peerCount()} and {@link
+ * #hasRoleHolder()} are thread safe and answer as of the last {@link #aggregate}. Invariants: a
+ * report expires {@link #REPORT_TTL_MILLIS} after it was received; only reports of the counted
+ * scopes enter the aggregate, so that no router's load is counted twice.
  */
 public final class PeerLoads implements PeerUsage, PeerRates, PeerPaces {
 
@@ -298,6 +299,11 @@
         return aggregate.report().waiting().aged(Math.max(0, now - aggregate.computedMillis()));
     }
 
+    /** Returns the calls to plain services that arrived recently at the other routers. */
+    public RecentArrivals arrivals() {
+        return mAggregate.report().arrivals();
+    }
+
     /** {@inheritDoc} */
     @Override
     public PaceReport pace(UpstreamIncarnation upstream, long now) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/LoadReportCodec.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/LoadReportCodec.java
@@ -16,6 +16,7 @@
 import org.troutpier.daemon.cluster.UpstreamUsage;
 import org.troutpier.daemon.limit.LastAnnouncedRate;
 import org.troutpier.daemon.limit.RateReport;
+import org.troutpier.daemon.limit.RecentArrivals;
 import org.troutpier.daemon.limit.RecentUsage;
 import org.troutpier.daemon.organisation.UsageReport;
 import org.troutpier.daemon.pace.PaceReport;
@@ -29,7 +30,7 @@
  */
 final class LoadReportCodec {
 
-    private static final int REPORT_SIZE = 12;
+    private static final int REPORT_SIZE = 13;
 
     private static final int USAGE_SIZE = 5;
 
@@ -43,6 +44,8 @@
 
     private static final int PACE_SIZE = 4;
 
+    private static final int ARRIVAL_SIZE = 4;
+
     private LoadReportCodec() {}
 
     static void write(MessagePacker out, LoadReport report) throws IOException {
@@ -91,6 +94,19 @@
                     .packDouble(pace.lastingWeight())
                     .packDouble(pace.lastingLogarithm());
         }
+        writeArrivals(out, report.arrivals());
+    }
+
+    private static void writeArrivals(MessagePacker out, RecentArrivals arrivals)
+            throws IOException {
+        out.packArrayHeader(1).packArrayHeader(arrivals.entries().size());
+        for (RecentArrivals.Entry entry : arrivals.entries()) {
+            out.packArrayHeader(ARRIVAL_SIZE)
+                    .packString(entry.service())
+                    .packInt(entry.rank())
+                    .packString(entry.organisation().value())
+                    .packDouble(entry.calls());
+        }
     }
 
     private static void writeUpstreams(MessagePacker out, Set<UpstreamIncarnation> upstreams)
@@ -167,11 +183,31 @@
                         fields.next() ? readOrganisations(in) : UsageReport.NONE,
                         fields.nextMap(UpstreamIncarnation::of, LoadReportCodec::readRate),
                         fields.next() ? WaitingReportCodec.read(in) : WaitingReport.NONE,
-                        fields.nextMap(UpstreamIncarnation::of, LoadReportCodec::readPace));
+                        fields.nextMap(UpstreamIncarnation::of, LoadReportCodec::readPace),
+                        fields.next() ? readArrivals(in) : RecentArrivals.NONE);
         fields.end();
         return report;
     }
 
+    private static RecentArrivals readArrivals(MessageUnpacker in) throws IOException {
+        MessagePackArray fields = new MessagePackArray(in);
+        RecentArrivals arrivals = new RecentArrivals(fields.nextList(LoadReportCodec::readArrival));
+        fields.end();
+        return arrivals;
+    }
+
+    private static RecentArrivals.Entry readArrival(MessageUnpacker in) throws IOException {
+        MessagePackArray fields = new MessagePackArray(in);
+        RecentArrivals.Entry entry =
+                new RecentArrivals.Entry(
+                        fields.nextString(),
+                        fields.nextInt(),
+                        new PartnerId(fields.nextString()),
+                        fields.nextDouble());
+        fields.end();
+        return entry;
+    }
+
     private static UpstreamUsage readUsage(MessageUnpacker in) throws IOException {
         MessagePackArray fields = new MessagePackArray(in);
         UpstreamUsage usage =
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/CallAdmission.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/CallAdmission.java
@@ -23,7 +23,7 @@
  * @param service the service of the call
  * @param rooms what is known of the upstreams, in order of preference
  * @param waiting the calls that wait at all routers
- * @param competing the calls that all routers are expected to place on the same view
+ * @param competing the calls that other routers are expected to place on the same view
  * @param workMillis the mean work of a call, milliseconds
  */
 record CallAdmission(
@@ -90,7 +90,7 @@
         return count(waiting);
     }
 
-    /** Returns the number of calls that all routers are expected to place on the same view. */
+    /** Returns the number of calls that other routers are expected to place on the same view. */
     long expectedCount() {
         return count(competing);
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/FlowDemand.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/FlowDemand.java
@@ -1,14 +1,12 @@
 package org.troutpier.daemon.plain;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.decision.SlidingWindowSum;
 import org.troutpier.daemon.limit.FlowKey;
-import org.troutpier.daemon.waiting.WaitingReport;
+import org.troutpier.daemon.limit.RecentArrivals;
 
 /**
  * The demand of each urgency and organisation for one service at this router. Not thread safe;
@@ -16,8 +14,6 @@
  */
 final class FlowDemand {
 
-    private static final long WINDOW_MILLIS = 1000;
-
     private static final int WINDOW_STEPS = 5;
 
     /** Flows that are measured by themselves; others are added up without an organisation. */
@@ -29,37 +25,29 @@
     void record(FlowKey flow, long now) {
         boolean measured = mFlows.containsKey(flow) || mFlows.size() < MAX_FLOWS;
         FlowKey key = measured ? flow : new FlowKey(flow.rank(), FlowKey.NO_ORGANISATION);
-        mFlows.computeIfAbsent(key, any -> new SlidingWindowSum(WINDOW_MILLIS, WINDOW_STEPS))
+        mFlows.computeIfAbsent(
+                        key,
+                        any -> new SlidingWindowSum(RecentArrivals.WINDOW_MILLIS, WINDOW_STEPS))
                 .add(1, now);
     }
 
     /**
-     * Returns the calls that are expected within a time, if other routers have the same demand.
-     * Routers cannot know each other's calls of that time when they decide.
+     * Adds the calls of the last {@link RecentArrivals#WINDOW_MILLIS} to a list.
      *
-     * @param millis the time
-     * @param routers the number of routers
      * @param now the current time, milliseconds
      */
-    List<WaitingReport.Entry> expected(String service, double millis, int routers, long now) {
-        List<WaitingReport.Entry> expected = new ArrayList<>(mFlows.size());
+    void addEntries(String service, long now, List<RecentArrivals.Entry> entries) {
         Iterator<Map.Entry<FlowKey, SlidingWindowSum>> flows = mFlows.entrySet().iterator();
         while (flows.hasNext()) {
             Map.Entry<FlowKey, SlidingWindowSum> each = flows.next();
-            double calls = each.getValue().sum(now) * routers * millis / WINDOW_MILLIS;
+            double calls = each.getValue().sum(now);
             if (calls <= 0) {
                 flows.remove();
             } else {
-                expected.add(
-                        new WaitingReport.Entry(
-                                service,
-                                QueueTier.IN_TIME,
-                                each.getKey().rank(),
-                                each.getKey().organisation(),
-                                calls,
-                                0));
+                FlowKey flow = each.getKey();
+                entries.add(
+                        new RecentArrivals.Entry(service, flow.rank(), flow.organisation(), calls));
             }
         }
-        return expected;
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
@@ -15,6 +15,7 @@
 import org.troutpier.common.logging.LogThrottle;
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.limit.RecentArrivals;
 import org.troutpier.daemon.upstream.AttemptEnd;
 import org.troutpier.daemon.waiting.Claim;
 import org.troutpier.daemon.waiting.WaitingReport;
@@ -117,7 +118,7 @@
         service.demand().record(call.flow(), now);
         WaitingCall candidate = candidate(service, call, listener, now);
         CallAdmission admission =
-                admission(service, call, competingCalls(service, call.service(), now), now);
+                admission(service, call, competingCalls(service, call.service()), now);
         CallAdmission.Decision decision = decide(admission, candidate, now);
         boolean bounded =
                 mWaitingCalls < MAX_WAITING_CALLS
@@ -168,26 +169,20 @@
      * The calls with which others compete. Immutable.
      *
      * @param waiting the calls that wait at all routers
-     * @param expected the calls that all routers are expected to place while a change at an
+     * @param expected the calls that the other routers are expected to place while a change at an
      *     upstream becomes known
      */
     private record CompetingCalls(
             List<WaitingReport.Entry> waiting, List<WaitingReport.Entry> expected) {}
 
-    private CompetingCalls competingCalls(ServiceCalls service, String name, long now) {
+    private CompetingCalls competingCalls(ServiceCalls service, String name) {
         List<WaitingReport.Entry> waiting = mFleet.peers().waiting().entries();
         if (service.queue().size() > 0) {
             waiting = new ArrayList<>(waiting);
             addEntries(service, waiting);
         }
-        int routers = mFleet.peers().peerCount() + 1;
-        boolean isAlone = routers == 1 || !service.work().known();
         return new CompetingCalls(
-                waiting,
-                isAlone
-                        ? List.of()
-                        : service.demand()
-                                .expected(name, FleetView.REPORT_AGE_MILLIS, routers, now));
+                waiting, service.work().known() ? mFleet.expectedCalls(name) : List.of());
     }
 
     private CallAdmission admission(
@@ -305,7 +300,7 @@
         long now = mSchedule.millis();
         List<WaitingCall> order = service.queue().drain();
         order.forEach(call -> service.queue().add(call.claim(), call));
-        CompetingCalls competing = competingCalls(service, order.get(0).call().service(), now);
+        CompetingCalls competing = competingCalls(service, order.get(0).call().service());
         Set<UpstreamEntry> full = new HashSet<>();
         for (WaitingCall call : order) {
             boolean due = now >= call.waitsUntil();
@@ -412,6 +407,14 @@
         return allowed;
     }
 
+    /** Returns the calls that arrived at this router recently. */
+    public RecentArrivals arrivals() {
+        List<RecentArrivals.Entry> entries = new ArrayList<>();
+        long now = mSchedule.millis();
+        mServices.forEach((name, service) -> service.demand().addEntries(name, now, entries));
+        return RecentArrivals.of(entries);
+    }
+
     /** Returns the calls that wait at this router. */
     public WaitingReport report() {
         if (mWaitingCalls == 0) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/TestReports.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/TestReports.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.troutpier.common.id.UpstreamIncarnation;
+import org.troutpier.daemon.limit.RecentArrivals;
 import org.troutpier.daemon.organisation.UsageReport;
 import org.troutpier.daemon.waiting.WaitingReport;
 
@@ -19,6 +20,14 @@
     /** Returns the report of one router that has only usage of upstreams and waiting requests. */
     public static LoadReport of(
             Map<UpstreamIncarnation, UpstreamUsage> uses, WaitingReport waiting) {
+        return of(uses, waiting, RecentArrivals.NONE);
+    }
+
+    /** Returns the report of one router that has usage, waiting requests and recent arrivals. */
+    public static LoadReport of(
+            Map<UpstreamIncarnation, UpstreamUsage> uses,
+            WaitingReport waiting,
+            RecentArrivals arrivals) {
         return new LoadReport(
                 1,
                 1,
@@ -31,6 +40,7 @@
                 UsageReport.NONE,
                 Map.of(),
                 waiting,
-                Map.of());
+                Map.of(),
+                arrivals);
     }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerCodecTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerCodecTest.java
@@ -30,6 +30,7 @@
 import org.troutpier.daemon.decision.QueueTier;
 import org.troutpier.daemon.limit.LastAnnouncedRate;
 import org.troutpier.daemon.limit.RateReport;
+import org.troutpier.daemon.limit.RecentArrivals;
 import org.troutpier.daemon.limit.RecentUsage;
 import org.troutpier.daemon.organisation.UsageReport;
 import org.troutpier.daemon.pace.PaceReport;
@@ -86,6 +87,10 @@
 
     private static final PaceReport PACE = new PaceReport(1.5, 0.25, 3, -0.75);
 
+    private static final RecentArrivals ARRIVALS =
+            new RecentArrivals(
+                    List.of(new RecentArrivals.Entry("web", 2, new PartnerId("partner-a"), 3.5)));
+
     private static final LoadReport REPORT =
             new LoadReport(
                     7,
@@ -99,7 +104,8 @@
                     ORGANISATIONS,
                     Map.of(ENGINE, RATE),
                     WAITING,
-                    Map.of(ENGINE, PACE));
+                    Map.of(ENGINE, PACE),
+                    ARRIVALS);
 
     private static final SharedPage PAGE =
             new SharedPage(
@@ -159,6 +165,7 @@
         requireNoDefaults(WAITING, WaitingReport.NONE);
         requireNoDefaults(OUTPUTS, new OutputSums(0, 0, 0, 0, 0));
         requireNoDefaults(PACE, PaceReport.NONE);
+        requireNoDefaults(ARRIVALS, RecentArrivals.NONE);
     }
 
     private static void requireNoDefaults(Record record, Record defaults) throws Exception {
@@ -186,6 +193,9 @@
         waiting.get(0).forEach(entry -> ((ArrayNode) entry).add("later"));
         waiting.get(3).forEach(traffic -> ((ArrayNode) traffic).add("later"));
         waiting.add("later");
+        ArrayNode arrivals = (ArrayNode) report.get(12);
+        arrivals.get(0).forEach(entry -> ((ArrayNode) entry).add("later"));
+        arrivals.add("later");
         ((ArrayNode) report).addObject().put("later", 1);
     }
 
@@ -195,6 +205,7 @@
                 MAPPER.readTree(
                         MAPPER.writeValueAsBytes(new PeerMessage.Load(ReportScope.OWN, REPORT)));
         ArrayNode report = (ArrayNode) tree.get("report");
+        report.remove(12);
         report.remove(11);
         report.remove(10);
         report.remove(9);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrowdedRouterTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrowdedRouterTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.troutpier.daemon.route.Route;
 
@@ -34,18 +35,33 @@
         return (double) (total.mInTime - before.mInTime) / sent;
     }
 
-    @Test
-    public void callsAreServedWhileOneRouterReceivesMostOfThem() {
-        PlainFleet fleet = new PlainFleet(85, UPSTREAMS, true, SEED);
-        send(fleet, 144, 6 * SECOND);
+    @DataProvider
+    public Object[][] crowds() {
+        return new Object[][] {
+            {23, 0.33, 144},
+            {23, 0.9, 144},
+            {85, 0.33, 144},
+            {85, 0.9, 144},
+            {85, 1.0, 144},
+            {85, 0.9, 216},
+            {200, 0.9, 144},
+        };
+    }
+
+    @Test(dataProvider = "crowds")
+    public void callsAreServedWhileOneRouterReceivesMostOfThem(
+            int routers, double share, double perSecond) {
+        PlainFleet fleet = new PlainFleet(routers, UPSTREAMS, true, SEED);
+        send(fleet, perSecond, 6 * SECOND);
         fleet.mTime.advance(2 * SECOND);
         PlainTally before = fleet.total();
         assertEquals(before.mRefused, 0);
-        fleet.mCrowdedShare = 0.9;
+        fleet.mCrowdedShare = share;
         fleet.mTime.advance(2 * SECOND);
         fleet.mCrowdedRouter = 1;
         fleet.finish(2 * SECOND);
         double served = servedShare(fleet, before);
+        System.out.printf("%d routers, %.2f to one: %s%n", routers, share, fleet.total());
         assertTrue(served >= REQUIRED_SHARE, "served at the first attempt: " + served);
     }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
@@ -342,7 +342,10 @@
         }
 
         private LoadReport report() {
-            return TestReports.of(mContext.loads().usage(), mContext.plainCalls().report());
+            return TestReports.of(
+                    mContext.loads().usage(),
+                    mContext.plainCalls().report(),
+                    mContext.plainCalls().arrivals());
         }
 
         private void receive(List<Router> senders, List<LoadReport> reports) {
