Paces of upstreams: the time that a call waits at the router itself is left out

What callers saw: a router that receives more than its link or processor bears refuses most plain calls with 429 while the upstreams are idle, and goes on doing so after the delay is gone.

Cause: the time from a call to its answer was taken for the upstream's work, also where its bytes waited at this router's link and event loop. The limit of an upstream follows the work, so the limits of idle upstreams fell to their slots and then to nothing, a late answer halved a part, and a refused call brings no measurement that would correct it.

Why this works: a run opens a connection of its own, and opening it takes a round trip through the same queues, in which the upstream does nothing. Twice that time, for the connection and for the request, is left out of what is recorded of plain calls and prefills, and of the paces that are reported. Predictions of when a caller is answered still contain it.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpClient.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpClient.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import javax.net.ssl.SSLEngine;
@@ -185,6 +186,12 @@
         /** Whether any byte of the request may have been sent. */
         private volatile boolean mSent;
 
+        /** When the connection began to be opened, nanoseconds; 0 if it was kept. */
+        private long mConnectStart;
+
+        /** How long the connection took to open, nanoseconds; 0 if it was kept. */
+        private volatile long mConnectNanos;
+
         /** Whether the exchange has ended or was aborted. */
         private volatile boolean mEnded;
 
@@ -264,9 +271,21 @@
             return mSent;
         }
 
+        /** Returns how long its connection took to open, milliseconds; 0 if it was kept. */
+        public long connectMillis() {
+            return TimeUnit.NANOSECONDS.toMillis(mConnectNanos);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onTcpConnectAttempt(InetSocketAddress address) {
+            mConnectStart = System.nanoTime();
+        }
+
         /** {@inheritDoc} */
         @Override
         public void onTcpConnectSuccess(InetSocketAddress address, Channel channel) {
+            mConnectNanos = System.nanoTime() - mConnectStart;
             mChannel = channel;
         }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/PathAwarePort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/PathAwarePort.java
@@ -199,6 +199,12 @@
         public boolean mayHaveBeenSent() {
             return mDelegate.mayHaveBeenSent();
         }
+
+        /** {@inheritDoc} */
+        @Override
+        public long connectMillis() {
+            return mDelegate.connectMillis();
+        }
     }
 
     /** A run that may be sent several times. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -373,7 +373,7 @@
                 case SUCCESS -> {
                     recordSuccess(mUpstream, "plain", elapsedMillis(), head.framed());
                     recordAnswer();
-                    mContext.loads().recordPace(mUpstream, elapsedMillis());
+                    mContext.loads().recordPace(mUpstream, upstreamMillis());
                     mTrace.addStep("status=" + head.status());
                     markIfLate(mTrace.elapsedMillis());
                     mResponse.sendTo(mCaller);
@@ -394,7 +394,7 @@
             if (mContext.load().plainQueue()) {
                 mContext.plainCalls()
                         .recordAnswer(
-                                mUpstream, elapsedMillis(), mCallsThere, mRoute.targetMillis());
+                                mUpstream, upstreamMillis(), mCallsThere, mRoute.targetMillis());
             }
         }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
@@ -254,15 +254,16 @@
         mArrival.recordPrefilled();
         close();
         long now = mContext.loop().millis();
+        long engineMillis = mCall.upstreamMillis(now - mStart);
         if (mPrompt.measurable()) {
             mContext.demandMeter()
-                    .recordPrefill(mPrompt.service(), mPrompt.tokens(), now - mStart, now);
+                    .recordPrefill(mPrompt.service(), mPrompt.tokens(), engineMillis, now);
         }
         if (mPredictedMillis > 0) {
             mContext.prefillExcess().record(now - mStart - mPacedMillis);
             mContext.prefillCheck()
                     .recordMeasurement(mPrompt.service(), mPacedMillis, now - mStart);
-            recordPace(now - mStart);
+            recordPace(engineMillis);
             mContext.metrics().recordPredictionError("prefill", mPacedMillis, now - mStart);
         }
         mContext.loads().succeeded(mEngine);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RestartAwarePort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RestartAwarePort.java
@@ -169,6 +169,12 @@
         public boolean mayHaveBeenSent() {
             return mDelegate == null || mDelegate.mayHaveBeenSent();
         }
+
+        /** {@inheritDoc} */
+        @Override
+        public long connectMillis() {
+            return mDelegate == null ? 0 : mDelegate.connectMillis();
+        }
     }
 
     /** A run in flight. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
@@ -77,6 +77,23 @@
         default boolean mayHaveBeenSent() {
             return true;
         }
+
+        /** Returns how long its connection took to open, milliseconds; 0 if that is not known. */
+        default long connectMillis() {
+            return 0;
+        }
+
+        /**
+         * Returns the part of the call's duration for which the upstream is responsible. To open a
+         * connection takes a round trip, in which bytes wait at this router's link and event loop
+         * as long as those of the request and its answer do, and the upstream does no work.
+         *
+         * @param millis the duration, from the call to its answer
+         * @return milliseconds, at least 1
+         */
+        default long upstreamMillis(long millis) {
+            return Math.max(1, millis - 2 * connectMillis());
+        }
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamRun.java
@@ -119,6 +119,11 @@
         }
     }
 
+    /** Returns the part of the duration so far for which the upstream is responsible. */
+    protected long upstreamMillis() {
+        return mCall.upstreamMillis(elapsedMillis());
+    }
+
     /**
      * Returns the duration of the run so far.
      *
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrowdedRouterTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/CrowdedRouterTest.java
@@ -64,4 +64,18 @@
         System.out.printf("%d routers, %.2f to one: %s%n", routers, share, fleet.total());
         assertTrue(served >= REQUIRED_SHARE, "served at the first attempt: " + served);
     }
+
+    @Test
+    public void aRouterThatIsLateItselfDoesNotTakeIdleUpstreamsForSlow() {
+        PlainFleet fleet = new PlainFleet(23, UPSTREAMS, true, SEED);
+        send(fleet, 144, 6 * SECOND);
+        fleet.mTime.advance(2 * SECOND);
+        fleet.mCrowdedShare = 0.9;
+        fleet.mRouters.get(0).mRoundTripMillis = PlainFleet.TARGET_MILLIS;
+        fleet.finish(4 * SECOND);
+        PlainTally total = fleet.total();
+        System.out.println("late router: " + total);
+        double served = (total.mInTime + total.mLate) / (double) total.mSent;
+        assertTrue(served >= 0.95, "served at the first attempt: " + served);
+    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
@@ -262,6 +262,11 @@
     private final class Port implements UpstreamPort {
 
         private final FakePort mRest = new FakePort();
+        private final Router mRouter;
+
+        Port(Router router) {
+            mRouter = router;
+        }
 
         @Override
         public Call run(
@@ -274,8 +279,9 @@
                             .filter(each -> each.mEntry.id().equals(upstream.id()))
                             .findFirst()
                             .orElseThrow();
-            PlainUpstream.Run run = target.new Run(request.id(), listener);
-            mTime.loop().schedule(() -> target.accept(run), 2);
+            long roundTrip = mRouter.mRoundTripMillis;
+            PlainUpstream.Run run = target.new Run(request.id(), listener, roundTrip);
+            mTime.loop().schedule(() -> target.accept(run), 2 + roundTrip + roundTrip / 2);
             return run;
         }
 
@@ -320,12 +326,15 @@
         private final PeerLoads mPeers = new PeerLoads();
         final ServingContext mContext;
 
+        /** How long a packet and its answer wait at this router, milliseconds. */
+        long mRoundTripMillis;
+
         /** The routers that hear each other; all of one group do. */
         int mGroup;
 
         Router(int number) {
             mIncarnation = Incarnation.create(new InstanceId("router-" + number));
-            mContext = context(new Port());
+            mContext = context(new Port(this));
         }
 
         private ServingContext context(UpstreamPort port) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainUpstream.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainUpstream.java
@@ -101,11 +101,16 @@
         private final RequestId mRequest;
         private final boolean mRepeatable;
         private final UpstreamPort.RunListener mListener;
+
+        /** How long a packet and its answer wait at the router, milliseconds. */
+        private final long mRoundTripMillis;
+
         private boolean mStarted;
         private boolean mDone;
         private boolean mAborted;
 
-        Run(RequestId request, UpstreamPort.RunListener listener) {
+        Run(RequestId request, UpstreamPort.RunListener listener, long roundTripMillis) {
+            mRoundTripMillis = roundTripMillis;
             mRequest = request;
             mRepeatable = request.value().startsWith(PlainFleet.REPEATABLE_PREFIX);
             mListener = listener;
@@ -142,7 +147,7 @@
                                     action.run();
                                 }
                             },
-                            2);
+                            2 + mRoundTripMillis / 2);
         }
 
         @Override
@@ -157,5 +162,10 @@
 
         @Override
         public void setAutoRead(boolean on) {}
+
+        @Override
+        public long connectMillis() {
+            return mRoundTripMillis;
+        }
     }
 }
