A router that is overloaded itself closes a part of the new connections unread

Cause: nothing knew that the router itself was the bottleneck. The only bound was a number of connections, and a connection beyond it was read and then refused.

Why this works: OverloadMonitor measures two delays 20 times a second. LoopDelay is how late the event loop runs each of its tasks in the best of 200 ms; ConnectDelay is how much longer than usual even the fastest of several connections to upstreams took to open, which the link and the loop have in common. While either exceeds 40 ms, the share of new connections that are admitted falls; the rest is closed before anything is read, so that also once-only requests are safe to send again, and their clients reach another router within milliseconds. Every fourth connection is still taken, as by a router that says it is ready. Load reports tell whether a router is overloaded; where half of the others are, or none is heard, nothing is closed, since it would help nobody.

--- a/troutpier-common/src/test/java/org/troutpier/common/http/HttpServerTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/HttpServerTest.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -97,13 +98,17 @@
 
     /** Creates a server on a listening socket that does not accept connections yet. */
     private HttpServer server(ListeningSocket socket, HttpHandler handler) {
+        return server(socket, handler, ConnectionGate.ForNoRestriction.INSTANCE);
+    }
+
+    private HttpServer server(ListeningSocket socket, HttpHandler handler, ConnectionGate gate) {
         return new HttpServer(
                 socket,
                 mLoops,
                 () -> ServerLimits.DEFAULT,
                 ServerRefusals.AsJson.INSTANCE,
                 handler,
-                ConnectionGate.ForNoRestriction.INSTANCE);
+                gate);
     }
 
     private static byte[] request(String path) {
@@ -126,4 +131,21 @@
             assertFalse(answer.contains("close"), answer);
         }
     }
+
+    @Test
+    public void aConnectionThatIsNotAdmittedIsClosedAndItsRequestNotRead() throws IOException {
+        ListeningSocket socket = ListeningSocket.open(new Address("127.0.0.1", 0));
+        HttpServer server = server(socket, mExchange::complete, connection -> false);
+        server.startAccepting();
+        try (Socket caller = new Socket("127.0.0.1", socket.address().port())) {
+            caller.setSoTimeout(READ_MILLIS);
+            caller.getOutputStream().write(request("/"));
+            assertEquals(caller.getInputStream().read(), -1);
+        } catch (SocketException reset) {
+            assertTrue(reset.getMessage().contains("reset"), reset.getMessage());
+        }
+        assertFalse(mExchange.isDone());
+        assertEquals(server.connectionCount(), 0);
+        server.close();
+    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReport.java
@@ -32,6 +32,7 @@
  * @param waiting the requests that wait for capacity
  * @param paces how long the upstreams recently took
  * @param arrivals the calls to plain services that arrived recently
+ * @param overloaded how many of the routers are themselves overloaded
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record LoadReport(
@@ -47,7 +48,8 @@
         Map<UpstreamIncarnation, RateReport> rates,
         WaitingReport waiting,
         Map<UpstreamIncarnation, PaceReport> paces,
-        RecentArrivals arrivals) {
+        RecentArrivals arrivals,
+        int overloaded) {
 
     /** A report that covers no router. */
     public static final LoadReport NONE =
@@ -81,7 +83,7 @@
         arrivals = arrivals == null ? RecentArrivals.NONE : arrivals;
     }
 
-    /** Creates a report without recent arrivals. */
+    /** Creates a report without recent arrivals and overloaded routers. */
     public LoadReport(
             long configuration,
             int routers,
@@ -108,7 +110,8 @@
                 rates,
                 waiting,
                 paces,
-                RecentArrivals.NONE);
+                RecentArrivals.NONE,
+                0);
     }
 
     /** Creates a report that covers no router and holds only usage by organisations. */
@@ -160,14 +163,15 @@
                 announcedRates,
                 waitingRequests,
                 upstreamPaces,
-                arrivals);
+                arrivals,
+                overloaded);
     }
 
     /**
      * Returns whether another report has the same load. Demand is not compared, since it drifts all
      * the time and affects only decisions on a scale of seconds; neither is usage against limits,
      * which rises with the calls in progress and falls by itself. Neither are waiting requests,
-     * paces and arrivals, which are sent with the reports that are due anyway.
+     * paces, arrivals and overloads, which are sent with the reports that are due anyway.
      */
     boolean hasSameLoad(LoadReport other) {
         return configuration == other.configuration
@@ -197,6 +201,7 @@
     /** Returns the total of this report and others, with this report's configuration version. */
     public LoadReport plus(Iterable<LoadReport> others) {
         int routerCount = routers;
+        int allOverloaded = overloaded;
         boolean anyRoleHolder = roleHolder;
         long allWaitingTokens = waitingTokens;
         Set<UpstreamIncarnation> allChanging = new HashSet<>(changing);
@@ -210,6 +215,7 @@
         List<RecentArrivals> otherArrivals = new ArrayList<>();
         for (LoadReport other : others) {
             routerCount += other.routers;
+            allOverloaded += other.overloaded;
             anyRoleHolder |= other.roleHolder;
             allWaitingTokens += other.waitingTokens;
             allChanging.addAll(other.changing);
@@ -237,6 +243,7 @@
                 allRates,
                 waiting.plus(otherWaiting),
                 allPaces,
-                arrivals.plus(otherArrivals));
+                arrivals.plus(otherArrivals),
+                allOverloaded);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/LoadReporter.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.daemon.limit.RecentArrivals;
@@ -54,6 +55,9 @@
     /** The calls to plain services that arrived recently at this router. */
     private final Supplier<RecentArrivals> mArrivals;
 
+    /** Whether this router itself is overloaded. */
+    private final BooleanSupplier mOverloaded;
+
     private final RoleController mRoles;
 
     private final ControlExecutor mControl;
@@ -80,6 +84,7 @@
      * @param rates the rates that upstreams announce
      * @param waitingCalls the calls to plain services that wait at this router
      * @param arrivals the calls to plain services that arrived recently at this router
+     * @param overloaded whether this router itself is overloaded
      * @param roles assigns engine roles, if this router holds the lease
      * @param control the control thread, where reports are sent
      * @param exchange sends reports
@@ -94,6 +99,7 @@
             UpstreamRates rates,
             Supplier<WaitingReport> waitingCalls,
             Supplier<RecentArrivals> arrivals,
+            BooleanSupplier overloaded,
             CurrentConfiguration configuration,
             RoleController roles,
             ControlExecutor control,
@@ -107,6 +113,7 @@
         mRates = rates;
         mWaitingCalls = waitingCalls;
         mArrivals = arrivals;
+        mOverloaded = overloaded;
         mConfiguration = configuration;
         mRoles = roles;
         mControl = control;
@@ -184,7 +191,8 @@
                         waiting.plus(List.of(mWaitingCalls.get()))
                                 .plusReturning(mReturns.returningCost(mLoop.millis())),
                         mLoads.paces().report(),
-                        mArrivals.get());
+                        mArrivals.get(),
+                        mOverloaded.getAsBoolean() ? 1 : 0);
         mControl.execute(() -> mExchange.publishLoad(report));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -25,10 +25,10 @@
  * Aggregates the load and demand that the other routers report. Changes are confined to the control
  * thread; {@link #upstreamUsage}, {@link #demand}, {@link #organisations()}, {@link #rate}, {@link
  * #isChangingRole}, {@link #isRefusing}, {@link #waitingTokens()}, {@link #waiting()}, {@link
- * #waiting(long)}, {@link #arrivals()}, {@link #pace}, {@link #peerCount()} and {@link
- * #hasRoleHolder()} are thread safe and answer as of the last {@link #aggregate}. Invariants: a
- * report expires {@link #REPORT_TTL_MILLIS} after it was received; only reports of the counted
- * scopes enter the aggregate, so that no router's load is counted twice.
+ * #waiting(long)}, {@link #arrivals()}, {@link #mostHaveRoom()}, {@link #pace}, {@link
+ * #peerCount()} and {@link #hasRoleHolder()} are thread safe and answer as of the last {@link
+ * #aggregate}. Invariants: a report expires {@link #REPORT_TTL_MILLIS} after it was received; only
+ * reports of the counted scopes enter the aggregate, so that no router's load is counted twice.
  */
 public final class PeerLoads implements PeerUsage, PeerRates, PeerPaces {
 
@@ -304,6 +304,12 @@
         return mAggregate.report().arrivals();
     }
 
+    /** Returns whether there are other routers and fewer than half of them are overloaded. */
+    public boolean mostHaveRoom() {
+        LoadReport report = mAggregate.report();
+        return 2 * report.overloaded() < report.routers();
+    }
+
     /** {@inheritDoc} */
     @Override
     public PaceReport pace(UpstreamIncarnation upstream, long now) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamConnections.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamConnections.java
@@ -6,7 +6,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import org.troutpier.common.http.ByteMeter;
+import org.troutpier.common.http.ConnectionMeter;
 import org.troutpier.common.http.HttpCall;
 import org.troutpier.common.http.HttpClient;
 import org.troutpier.common.id.UpstreamIncarnation;
@@ -35,7 +35,7 @@
 
     private final ConnectionProbe mProbe;
 
-    private final ByteMeter mBytes;
+    private final ConnectionMeter mBytes;
 
     /**
      * Creates the connections of a router.
@@ -52,7 +52,7 @@
             PeerSecret secret,
             UpstreamDirectory directory,
             Supplier<List<Member>> peers,
-            ByteMeter bytes) {
+            ConnectionMeter bytes) {
         mBytes = bytes;
         mPaths =
                 new UpstreamPaths(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/overload/OverloadMonitor.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/overload/OverloadMonitor.java
@@ -4,17 +4,19 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.Channel;
+import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.troutpier.common.http.ByteMeter;
 import org.troutpier.common.http.ConnectionGate;
+import org.troutpier.common.http.ConnectionMeter;
 import org.troutpier.common.logging.LogThrottle;
 import org.troutpier.daemon.serving.TrafficLoop;
 
 /**
- * Measures the load of this router itself, and reports it as gauges and, while it is too high, as a
- * line. Confined to the traffic loop, except {@link #load()}, {@link #admit} and the gauges, which
- * are thread safe.
+ * Measures the load of this router itself, and closes a part of the new connections while it is too
+ * high and other routers have room. Confined to the traffic loop, except {@link #isOverloaded()}
+ * and the gauges, which are thread safe. Invariant: a connection is closed before anything is read
+ * from it, never with a request in progress.
  */
 public final class OverloadMonitor implements ConnectionGate {
 
@@ -30,31 +32,50 @@
 
     private final TrafficLoop mLoop;
 
-    private final ByteMeter mBytes;
+    private final ConnectionMeter mMeter;
+
+    private final BooleanSupplier mRoomElsewhere;
 
     private final LoopDelay mDelay = new LoopDelay(SAMPLES);
 
+    private final ConnectDelay mConnects = new ConnectDelay(SAMPLES);
+
     private final LinkUse mLink;
 
+    private final AdmittedShare mShare = new AdmittedShare();
+
     private final LogThrottle mLogThrottle = new LogThrottle(LOG_INTERVAL_MILLIS);
 
     private final Counter mOpened;
 
+    private final Counter mClosed;
+
     private volatile RouterLoad mLoad = RouterLoad.NONE;
 
+    /** Whether some new connections are closed. */
+    private volatile boolean mRestricting;
+
     /**
      * Creates a monitor.
      *
-     * @param bytes counts what this router receives and sends
+     * @param meter measures the connections of callers and to upstreams
      * @param linkMegabits the bandwidth of its link, Mbit/s
+     * @param roomElsewhere whether most of the other routers are not overloaded
      */
     public OverloadMonitor(
-            TrafficLoop loop, ByteMeter bytes, double linkMegabits, MetricRegistry metrics) {
+            TrafficLoop loop,
+            ConnectionMeter meter,
+            double linkMegabits,
+            BooleanSupplier roomElsewhere,
+            MetricRegistry metrics) {
+        mRoomElsewhere = roomElsewhere;
         mLoop = loop;
-        mBytes = bytes;
+        mMeter = meter;
         mLink = new LinkUse(linkMegabits, SAMPLES);
         mOpened = metrics.counter("callers.opened");
-        metrics.register("loop.delay.millis", (Gauge<Long>) () -> mLoad.delayMillis());
+        mClosed = metrics.counter("callers.closed-unread");
+        metrics.register("loop.delay.millis", (Gauge<Long>) () -> mLoad.loopMillis());
+        metrics.register("connect.delay.millis", (Gauge<Long>) () -> mLoad.connectMillis());
         metrics.register("link.used.percent", (Gauge<Long>) () -> Math.round(mLoad.link() * 100));
     }
 
@@ -66,8 +87,12 @@
     /** {@inheritDoc} */
     @Override
     public boolean admit(Channel connection) {
-        mBytes.install(connection);
         mOpened.inc();
+        if (!mShare.admitNext()) {
+            mClosed.inc();
+            return false;
+        }
+        mMeter.install(connection);
         return true;
     }
 
@@ -79,20 +104,27 @@
     private void sample(long due) {
         long now = mLoop.millis();
         mDelay.record(now - due);
-        mLink.record(new LinkUse.Sample(mBytes.received(), mBytes.sent(), now));
-        mLoad = new RouterLoad(mDelay.persistentMillis(), mLink.part());
+        mLink.record(new LinkUse.Sample(mMeter.received(), mMeter.sent(), now));
+        mConnects.record(mMeter.takeConnectNanos());
+        mLoad = new RouterLoad(mDelay.persistentMillis(), mConnects.millis(), mLink.part());
+        mShare.update(mLoad, mRoomElsewhere.getAsBoolean());
+        mRestricting = mShare.value() < 1;
         if (mLoad.isExcessive() && mLogThrottle.tryAcquire(now)) {
             LOGGER.info(
-                    "router overloaded loopDelayMillis={} linkPercent={} connectionsOpened={}",
-                    mLoad.delayMillis(),
+                    "router overloaded loopDelayMillis={} connectDelayMillis={} linkPercent={}"
+                            + " admittedPercent={} opened={} closedUnread={}",
+                    mLoad.loopMillis(),
+                    mLoad.connectMillis(),
                     Math.round(mLoad.link() * 100),
-                    mOpened.getCount());
+                    Math.round(mShare.value() * 100),
+                    mOpened.getCount(),
+                    mClosed.getCount());
         }
         scheduleSample();
     }
 
-    /** Returns the load as of the last sample; thread safe. */
-    public RouterLoad load() {
-        return mLoad;
+    /** Returns whether this router is overloaded or recently was; thread safe. */
+    public boolean isOverloaded() {
+        return mLoad.isExcessive() || mRestricting;
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/overload/RouterLoad.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/overload/RouterLoad.java
@@ -3,30 +3,28 @@
 /**
  * The load of a router. Immutable and thread safe.
  *
- * @param delayMillis the delay of its event loop that persists, milliseconds
+ * @param loopMillis the delay of its event loop that persists, milliseconds
+ * @param connectMillis how much longer than usual all its connections take to open, milliseconds
  * @param link the part of its link's bandwidth that is used; above 1 while bytes wait
  */
-public record RouterLoad(long delayMillis, double link) {
+public record RouterLoad(long loopMillis, long connectMillis, double link) {
 
     /** No load. */
-    public static final RouterLoad NONE = new RouterLoad(0, 0);
-
-    /** Delay up to which answers are hardly later for it, milliseconds. */
-    private static final long MAX_DELAY_MILLIS = 30;
+    public static final RouterLoad NONE = new RouterLoad(0, 0, 0);
 
     /**
-     * Part of the bandwidth up to which bytes hardly wait. The rest is needed for what is not
-     * counted: headers of packets, and messages between routers.
+     * Delay up to which answers are hardly later for it, milliseconds. A call has it four times:
+     * when its caller connects and is answered, and when the upstream is connected to and answers.
      */
-    private static final double MAX_LINK = 0.8;
+    private static final double MAX_DELAY_MILLIS = 40;
 
-    /** Returns the load in multiples of what the router bears without adding delay. */
+    /** Returns the load in multiples of what the router bears. */
     double relative() {
-        return Math.max((double) delayMillis / MAX_DELAY_MILLIS, link / MAX_LINK);
+        return Math.max(loopMillis, connectMillis) / MAX_DELAY_MILLIS;
     }
 
     /** Returns whether the router itself delays what it serves. */
-    public boolean isExcessive() {
+    boolean isExcessive() {
         return relative() > 1;
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/LoadReportCodec.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/LoadReportCodec.java
@@ -30,7 +30,7 @@
  */
 final class LoadReportCodec {
 
-    private static final int REPORT_SIZE = 13;
+    private static final int REPORT_SIZE = 14;
 
     private static final int USAGE_SIZE = 5;
 
@@ -95,6 +95,7 @@
                     .packDouble(pace.lastingLogarithm());
         }
         writeArrivals(out, report.arrivals());
+        out.packInt(report.overloaded());
     }
 
     private static void writeArrivals(MessagePacker out, RecentArrivals arrivals)
@@ -184,7 +185,8 @@
                         fields.nextMap(UpstreamIncarnation::of, LoadReportCodec::readRate),
                         fields.next() ? WaitingReportCodec.read(in) : WaitingReport.NONE,
                         fields.nextMap(UpstreamIncarnation::of, LoadReportCodec::readPace),
-                        fields.next() ? readArrivals(in) : RecentArrivals.NONE);
+                        fields.next() ? readArrivals(in) : RecentArrivals.NONE,
+                        fields.nextInt());
         fields.end();
         return report;
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/TestReports.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/TestReports.java
@@ -41,6 +41,7 @@
                 Map.of(),
                 waiting,
                 Map.of(),
-                arrivals);
+                arrivals,
+                0);
     }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerCodecTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/PeerCodecTest.java
@@ -105,7 +105,8 @@
                     Map.of(ENGINE, RATE),
                     WAITING,
                     Map.of(ENGINE, PACE),
-                    ARRIVALS);
+                    ARRIVALS,
+                    3);
 
     private static final SharedPage PAGE =
             new SharedPage(
@@ -205,6 +206,7 @@
                 MAPPER.readTree(
                         MAPPER.writeValueAsBytes(new PeerMessage.Load(ReportScope.OWN, REPORT)));
         ArrayNode report = (ArrayNode) tree.get("report");
+        report.remove(13);
         report.remove(12);
         report.remove(11);
         report.remove(10);
