Quarantine: a router acts by its part of the requests, not by the number of routers

What callers would see: while one router of 300 receives nearly all requests, a sound part of prompts stays withheld 300 times as long, since each router cleared a suspicion with a chance of 8 in 300 and waited 300 times as long before a trial, and the others had no request to clear or try it with.

RouterShare divided by the number of routers, which is right only if all have the same demand.

Why this works: RequestShare is this router's part of the recent prompt tokens, which load reports hold already. All routers together still clear a part about eight times and start one trial in a given time.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/DemandMeter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/DemandMeter.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 
 /**
- * Measures the demand for each service. Confined to the traffic loop, except {@link #published},
- * which is thread safe.
+ * Measures the demand for each service. Confined to the traffic loop, except {@link #published} and
+ * {@link #recentPromptTokens()}, which are thread safe.
  */
 public final class DemandMeter {
 
@@ -89,6 +89,11 @@
         return mPublished.getOrDefault(service, Demand.NONE);
     }
 
+    /** Returns the recent prompt tokens of all services as last published; thread safe. */
+    double recentPromptTokens() {
+        return mPublished.values().stream().mapToDouble(Demand::recentPromptTokens).sum();
+    }
+
     private void add(String service, Demand more, long now) {
         mDemands.put(service, demandAt(service, now).plus(more));
         mUpdatedMillis.put(service, now);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/PeerLoads.java
@@ -278,6 +278,13 @@
         return mAggregate.report().demands().getOrDefault(service, Demand.NONE);
     }
 
+    /** Returns the recent prompt tokens of all services at the other routers. */
+    double recentPromptTokens() {
+        return mAggregate.report().demands().values().stream()
+                .mapToDouble(Demand::recentPromptTokens)
+                .sum();
+    }
+
     /** Returns the prompt tokens of requests that wait for engine memory at the other routers. */
     public long waitingTokens() {
         return mAggregate.report().waitingTokens();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/RouterShare.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/quarantine/RouterShare.java
@@ -1,6 +1,6 @@
 package org.troutpier.daemon.quarantine;
 
-import java.util.function.IntSupplier;
+import java.util.function.DoubleSupplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -44,37 +44,39 @@
     }
 
     /**
-     * Selects about {@value #CLEARING_ROUTERS} of the routers for each clearing, at random.
-     * Confined to the traffic loop.
+     * Selects routers at random, each in proportion to its part of the requests, so that a router
+     * that receives nearly all of them acts as soon as all routers together would. Confined to the
+     * traffic loop.
      */
     final class ForManyRouters implements RouterShare {
 
-        private static final int CLEARING_ROUTERS = 8;
+        /** Clearings of one part by all routers together, on average. */
+        private static final int CLEARINGS = 8;
 
-        private final IntSupplier mRouterCount;
+        private final DoubleSupplier mRequestShare;
 
         private final RandomGenerator mRandom;
 
         /**
          * Creates an instance.
          *
-         * @param routerCount the number of routers, this one included
+         * @param requestShare the part of all requests that this router receives, above 0
          */
-        public ForManyRouters(IntSupplier routerCount, RandomGenerator random) {
-            mRouterCount = routerCount;
+        public ForManyRouters(DoubleSupplier requestShare, RandomGenerator random) {
+            mRequestShare = requestShare;
             mRandom = random;
         }
 
         /** {@inheritDoc} */
         @Override
         public boolean clears() {
-            return mRandom.nextDouble() * mRouterCount.getAsInt() < CLEARING_ROUTERS;
+            return mRandom.nextDouble() < CLEARINGS * mRequestShare.getAsDouble();
         }
 
         /** {@inheritDoc} */
         @Override
         public long drawDelay(long millis) {
-            return (long) (mRandom.nextExponential() * millis * mRouterCount.getAsInt());
+            return (long) (mRandom.nextExponential() * millis / mRequestShare.getAsDouble());
         }
     }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/quarantine/QuarantineTest.java
@@ -230,7 +230,7 @@
         RandomGenerator random = new SplittableRandom(7);
         List<Quarantine> routers = new ArrayList<>();
         for (int router = 0; router < ROUTERS; router++) {
-            RouterShare share = new RouterShare.ForManyRouters(() -> ROUTERS, random);
+            RouterShare share = new RouterShare.ForManyRouters(() -> 1.0 / ROUTERS, random);
             routers.add(
                     new Quarantine(
                             QuarantineSettings.DEFAULT, () -> mNow, share, new MetricRegistry()));
