--- a/troutpier-common/src/main/java/org/troutpier/common/http/ConnectionGate.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ConnectionGate.java
@@ -3,9 +3,9 @@
 import io.netty.channel.Channel;
 
 /**
- * Decides about new connections of a server. Implementations are thread safe. Invariant: a
- * connection that is not admitted is closed before anything is read from it, so that its client
- * knows that nothing was run.
+ * Decides about new connections of a server. Called on the event loop of each connection.
+ * Invariant: a connection that is not admitted is closed before anything is read from it, so that
+ * its client knows that nothing was run.
  */
 public interface ConnectionGate {
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/overload/OverloadMonitor.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/overload/OverloadMonitor.java
@@ -14,9 +14,9 @@
 
 /**
  * Measures the load of this router itself, and closes a part of the new connections while it is too
- * high and other routers have room. Confined to the traffic loop, except {@link #isOverloaded()}
- * and the gauges, which are thread safe. Invariant: a connection is closed before anything is read
- * from it, never with a request in progress.
+ * high and other routers have room. Confined to the traffic loop, which is also that of callers'
+ * connections, except {@link #isOverloaded()} and the gauges, which are thread safe. Invariant: a
+ * connection is closed before anything is read from it, never with a request in progress.
  */
 public final class OverloadMonitor implements ConnectionGate {
 
