Read as a newcomer: a meter is called so where it is passed on

UpstreamConnections and PeerAssembly called the ConnectionMeter bytes, which it counted at first; OverloadMonitor's delays say of what. No behaviour changes.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamConnections.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/forward/UpstreamConnections.java
@@ -35,7 +35,7 @@
 
     private final ConnectionProbe mProbe;
 
-    private final ConnectionMeter mBytes;
+    private final ConnectionMeter mMeter;
 
     /**
      * Creates the connections of a router.
@@ -43,7 +43,7 @@
      * @param loop the event loop that carries traffic
      * @param self this router as a peer
      * @param peers the other routers that may be running; thread safe
-     * @param bytes counts the bytes of connections to upstreams
+     * @param meter measures the connections to upstreams
      */
     public UpstreamConnections(
             Node node,
@@ -52,8 +52,8 @@
             PeerSecret secret,
             UpstreamDirectory directory,
             Supplier<List<Member>> peers,
-            ConnectionMeter bytes) {
-        mBytes = bytes;
+            ConnectionMeter meter) {
+        mMeter = meter;
         mPaths =
                 new UpstreamPaths(
                         new TrafficLoop.ForNetty(loop),
@@ -77,7 +77,7 @@
 
     private void addHandler(Channel channel, ForwardingHandler.Identity identity) {
         channel.pipeline().addFirst(new ForwardingHandler(mPaths, identity));
-        mBytes.install(channel);
+        mMeter.install(channel);
     }
 
     /** Returns the address of an upstream that this router lists and reaches itself. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/overload/OverloadMonitor.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/overload/OverloadMonitor.java
@@ -36,9 +36,9 @@
 
     private final BooleanSupplier mRoomElsewhere;
 
-    private final LoopDelay mDelay = new LoopDelay(SAMPLES);
+    private final LoopDelay mLoopDelay = new LoopDelay(SAMPLES);
 
-    private final ConnectDelay mConnects = new ConnectDelay(SAMPLES);
+    private final ConnectDelay mConnectDelay = new ConnectDelay(SAMPLES);
 
     private final LinkUse mLink;
 
@@ -103,10 +103,10 @@
 
     private void sample(long due) {
         long now = mLoop.millis();
-        mDelay.record(now - due);
+        mLoopDelay.record(now - due);
         mLink.record(new LinkUse.Sample(mMeter.received(), mMeter.sent(), now));
-        mConnects.record(mMeter.takeConnectNanos());
-        mLoad = new RouterLoad(mDelay.persistentMillis(), mConnects.millis(), mLink.part());
+        mConnectDelay.record(mMeter.takeConnectNanos());
+        mLoad = new RouterLoad(mLoopDelay.persistentMillis(), mConnectDelay.millis(), mLink.part());
         mShare.update(mLoad, mRoomElsewhere.getAsBoolean());
         mRestricting = mShare.value() < 1;
         if (mLoad.isExcessive() && mLogThrottle.tryAcquire(now)) {
