--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/extracall/RequestArrivals.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/extracall/RequestArrivals.java
@@ -120,6 +120,11 @@
     /** Ends the request: calls in flight count as arrived, and the reserved permit is released. */
     public void close() {
         List.copyOf(mInFlight).forEach(Arrival::recordArrived);
+        releaseReserved();
+    }
+
+    /** Releases the permit that was reserved for a call which is not sent after all. */
+    public void releaseReserved() {
         mReserved.ifPresent(ExtraCallBudget.Permit::release);
         mReserved = Optional.empty();
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
@@ -9,9 +9,9 @@
 import org.troutpier.daemon.route.EngineTraits;
 
 /**
- * The decode engine of one request: the search for an engine with room, the slot and memory
- * reserved there, and the memory that the request takes. Confined to the traffic loop. Invariants:
- * at most one search is in progress; a reservation is used or released; memory is freed.
+ * The search for a decode engine with room for one request, and the slot and memory reserved there
+ * until a run uses them. Confined to the traffic loop. Invariants: at most one search is in
+ * progress; a reservation is used or released; memory is handed over or freed.
  */
 final class DecodeReservation {
 
@@ -40,7 +40,7 @@
     /** The reservation while no run uses it. */
     private Optional<UpstreamPort.Reservation> mReservation = Optional.empty();
 
-    /** What the request takes at the engine, or null. */
+    /** What the request takes at the engine until a run uses it, or null. */
     private EngineMemory mMemory;
 
     /**
@@ -145,29 +145,27 @@
         return reservation;
     }
 
-    /** Records the memory of new events of the run. */
-    void recordEvents(long events) {
-        if (mMemory != null) {
-            mMemory.grow(events * mTraits.eventTokens());
-        }
-    }
-
-    /** Records that the request no longer takes memory at the engine. */
-    void freeMemory() {
-        if (mMemory != null) {
-            mMemory.free();
-            mMemory = null;
-        }
+    /**
+     * Hands the memory over to the run that uses it; {@link #release} no longer frees it.
+     *
+     * @return the memory that was recorded with the reservation accepted last
+     */
+    EngineMemory takeMemory() {
+        EngineMemory memory = mMemory;
+        mMemory = null;
+        return memory;
     }
 
-    /** Cancels the search, frees the memory and releases the reservation. */
+    /** Cancels the search, and releases the reservation and the memory that no run uses. */
     void release() {
         if (mSearch != null) {
             mSearch.cancel();
             mSearch = null;
             mContext.metrics().reservationWaitChanged(false);
         }
-        freeMemory();
+        if (mMemory != null) {
+            takeMemory().free();
+        }
         takeReservation().ifPresent(reservation -> mContext.port().release(mEngine, reservation));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/EventRelay.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/EventRelay.java
@@ -2,8 +2,10 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.common.result.TroutpierException;
+import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.upstream.ServerSentEventSplitter;
 
 /**
@@ -17,10 +19,7 @@
 
     private final CallerChannel mCaller;
 
-    private final Runnable mBeforeFirstEvent;
-
-    /** Splits the bytes of the current run into events. */
-    private ServerSentEventSplitter mParser = new ServerSentEventSplitter();
+    private final Consumer<UpstreamEntry> mBeforeFirstEvent;
 
     /** The id of the last event that the caller has, if any. */
     private OptionalLong mLastEventId;
@@ -31,33 +30,18 @@
      * Creates a relay.
      *
      * @param lastEventId the id of the last event that the caller says it has, if any
-     * @param beforeFirstEvent runs before the first event is relayed
+     * @param beforeFirstEvent receives the engine that wrote the first event, before that is
+     *     relayed
      */
-    EventRelay(CallerChannel caller, OptionalLong lastEventId, Runnable beforeFirstEvent) {
+    EventRelay(
+            CallerChannel caller,
+            OptionalLong lastEventId,
+            Consumer<UpstreamEntry> beforeFirstEvent) {
         mBeforeFirstEvent = beforeFirstEvent;
         mCaller = caller;
         mLastEventId = lastEventId;
     }
 
-    /** Starts with the bytes of another run; an incomplete event of the run before is dropped. */
-    void startRun() {
-        mParser = new ServerSentEventSplitter();
-    }
-
-    /**
-     * Accepts bytes of the run and relays each event that they complete.
-     *
-     * @throws TroutpierException when an event is out of order or has a malformed id
-     */
-    void feed(byte[] bytes) {
-        mParser.feed(bytes, this::relay);
-    }
-
-    /** Returns whether the bytes so far end between two events, so that the stream may end here. */
-    boolean atEventBoundary() {
-        return !mParser.hasPartialEvent();
-    }
-
     /** Returns the id of the last event that the caller has, if any. */
     OptionalLong lastEventId() {
         return mLastEventId;
@@ -68,25 +52,37 @@
         return mEventCount;
     }
 
+    /**
+     * Returns the id of an event that may be relayed next.
+     *
+     * @return the id, if the event has one
+     * @throws TroutpierException when the event is out of order or its id is malformed
+     */
+    private OptionalLong nextId(byte[] event) {
+        OptionalLong id = parseId(event);
+        boolean inOrder =
+                id.isEmpty()
+                        || mLastEventId.isEmpty()
+                        || id.getAsLong() == mLastEventId.getAsLong() + 1;
+        if (!inOrder) {
+            throw new TroutpierException(
+                    ResultCode.UPSTREAM_FAILED,
+                    "event " + id.getAsLong() + " came after " + mLastEventId.getAsLong());
+        }
+        return id;
+    }
+
     /**
      * Relays one event.
      *
      * @param event its bytes, with the blank line that ends it
      */
-    private void relay(byte[] event) {
-        OptionalLong id = parseId(event);
+    private void relay(byte[] event, OptionalLong id, UpstreamEntry engine) {
         if (id.isPresent()) {
-            boolean inOrder =
-                    mLastEventId.isEmpty() || id.getAsLong() == mLastEventId.getAsLong() + 1;
-            if (!inOrder) {
-                throw new TroutpierException(
-                        ResultCode.UPSTREAM_FAILED,
-                        "event " + id.getAsLong() + " came after " + mLastEventId.getAsLong());
-            }
             mLastEventId = id;
         }
         if (mEventCount++ == 0) {
-            mBeforeFirstEvent.run();
+            mBeforeFirstEvent.accept(engine);
         }
         mCaller.write(event);
     }
@@ -107,4 +103,47 @@
                     ResultCode.UPSTREAM_FAILED, "an event's id is no number", exception);
         }
     }
+
+    /**
+     * The bytes of one run. Confined to the traffic loop. Invariant: bytes of different runs never
+     * form one event.
+     */
+    final class Source {
+
+        private final UpstreamEntry mEngine;
+
+        private final ServerSentEventSplitter mSplitter = new ServerSentEventSplitter();
+
+        /**
+         * Creates the source of a run that continues after the last event relayed.
+         *
+         * @param engine the engine of the run
+         */
+        Source(UpstreamEntry engine) {
+            mEngine = engine;
+        }
+
+        /**
+         * Accepts bytes of the run and relays each event that they complete.
+         *
+         * @param beforeEvent runs before each event that is in order is relayed
+         * @throws TroutpierException when an event is out of order or has a malformed id
+         */
+        void feed(byte[] bytes, Runnable beforeEvent) {
+            mSplitter.feed(
+                    bytes,
+                    event -> {
+                        OptionalLong id = nextId(event);
+                        beforeEvent.run();
+                        relay(event, id, mEngine);
+                    });
+        }
+
+        /**
+         * Returns whether the bytes so far end between two events, so that the run may end here.
+         */
+        boolean atEventBoundary() {
+            return !mSplitter.hasPartialEvent();
+        }
+    }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -1,6 +1,5 @@
 package org.troutpier.daemon.serving;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -46,13 +45,7 @@
     protected final OutcomeTracker mOutcomeTracker = new OutcomeTracker();
 
     /** The upstreams to which the request was sent to be run. */
-    protected final Set<UpstreamIncarnation> mAttempted = new HashSet<>();
-
-    /**
-     * Upstreams that never received the request: unreachable, or replaced by another upstream at
-     * the same address.
-     */
-    private final Set<UpstreamIncarnation> mUnreached = new HashSet<>();
+    protected final AttemptedUpstreams mAttempted = new AttemptedUpstreams();
 
     /** The calls of the request that may have arrived at upstreams. */
     protected final RequestArrivals mArrivals;
@@ -196,9 +189,7 @@
 
     /** Records a failed attempt in the trace, the metrics and the state of its upstream. */
     protected void recordFailure(UpstreamEntry upstream, AttemptEnd end) {
-        mOutcomeTracker.recordAttemptEnd(end);
-        mContext.metrics().callFailed(upstream.id(), end);
-        mTrace.addStep("failed@" + upstream.id() + "(" + end.detail() + ")");
+        recordAttemptEnd(upstream, end);
         if (end.notStarted() && end.leaving()) {
             mContext.loads().replaced(upstream);
         } else if (!end.notStarted() || end.unreachable()) {
@@ -208,6 +199,13 @@
         }
     }
 
+    /** Records a failed or aborted attempt in the trace and the metrics. */
+    protected void recordAttemptEnd(UpstreamEntry upstream, AttemptEnd end) {
+        mOutcomeTracker.recordAttemptEnd(end);
+        mContext.metrics().callFailed(upstream.id(), end);
+        mTrace.addStep("failed@" + upstream.id() + "(" + end.detail() + ")");
+    }
+
     /**
      * Continues after a failed call once it is known whether the call was lost because its
      * upstream's process ended. The request may have caused that, so it is not sent to another
@@ -244,8 +242,7 @@
      * @return whether the request must not be run, and is finished
      */
     protected boolean refuseIfQuarantined() {
-        Optional<Withholding> withheld =
-                mEnded ? Optional.empty() : mContext.crashGuard().withhold(mTraits);
+        Optional<Withholding> withheld = mEnded ? Optional.empty() : withheld();
         if (withheld.isEmpty()) {
             return false;
         }
@@ -262,6 +259,11 @@
         return true;
     }
 
+    /** Returns why the request must not be run again, if requests like it crashed upstreams. */
+    protected Optional<Withholding> withheld() {
+        return mContext.crashGuard().withhold(mTraits);
+    }
+
     /**
      * Returns whether the request may be sent to another upstream. A call that never reached its
      * upstream, or was received by another upstream at the same address, is no attempt.
@@ -272,15 +274,11 @@
         if (remainingMillis() <= ServingSettings.ANSWER_MARGIN_MILLIS) {
             return false;
         }
-        boolean replaced = end.notStarted() && end.leaving();
-        boolean unreached = end.neverReached();
-        if (replaced || unreached) {
-            mAttempted.remove(upstream.incarnation());
-            mUnreached.add(upstream.incarnation());
-            boolean withinLimit = mUnreached.size() <= ServingSettings.MAX_UNREACHED;
-            return withinLimit && mArrivals.reserve();
-        }
-        return mAttempted.size() < mRoute.maxAttempts() && mArrivals.reserve();
+        boolean withinLimit =
+                mAttempted.withdraw(upstream, end)
+                        ? mAttempted.mayMissAnother()
+                        : mAttempted.size() < mRoute.maxAttempts();
+        return withinLimit && mArrivals.reserve();
     }
 
     /**
@@ -319,15 +317,13 @@
      * @return those that received it and those that could not be reached
      */
     protected Set<UpstreamIncarnation> excludedUpstreams() {
-        Set<UpstreamIncarnation> excluded = new HashSet<>(mAttempted);
-        excluded.addAll(mUnreached);
-        return excluded;
+        return mAttempted.excluded();
     }
 
     /** Records that the request is sent to be run. */
     protected void recordDispatch(UpstreamEntry upstream, String step) {
         mDispatched = true;
-        mAttempted.add(upstream.incarnation());
+        mAttempted.add(upstream);
         mTrace.addCall(step, upstream);
         mContext.metrics().callSent(upstream.id());
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
@@ -169,6 +169,14 @@
         mMetrics.counter("refused.at.once." + tier.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    /**
+     * Counts what became of a run whose engine was silent: "begun" when the silence limit has
+     * passed, then "continued" by the engine, "replaced" or "ended".
+     */
+    void silentRun(String event) {
+        mMetrics.counter("runs.silent." + event).inc();
+    }
+
     /** Counts a search for memory that found no engine in time. */
     void searchRefused() {
         mMetrics.counter("places.refused").inc();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
@@ -38,11 +38,20 @@
     static final double PREFILL_TIMEOUT_FACTOR = 3;
 
     /**
-     * How long a stream may be silent that can be resumed at another engine, milliseconds. Any
-     * other stream may be silent until its deadline.
+     * Silence after which another engine is searched for a stream that can be resumed,
+     * milliseconds. The run goes on meanwhile.
      */
     static final long STREAM_SILENCE_MILLIS = 1200;
 
+    /** Interval at which another engine is searched again for a silent stream, milliseconds. */
+    static final long SILENCE_CHECK_MILLIS = 400;
+
+    /**
+     * How long two runs of a stream may overlap, milliseconds. An engine must have stopped 400 ms
+     * after its stream was continued elsewhere; the rest is for the cancellation to arrive.
+     */
+    static final long MAX_OVERLAP_MILLIS = 300;
+
     /** When a caller should retry if no better value is known, milliseconds. */
     static final long RETRY_AFTER_MILLIS = 400;
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -3,8 +3,6 @@
 import java.util.Optional;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.cluster.DemandMeter;
-import org.troutpier.daemon.decision.QueueTier;
-import org.troutpier.daemon.decision.WaitBudget;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.extracall.RequestArrivals;
 import org.troutpier.daemon.route.EngineTraits;
@@ -12,14 +10,16 @@
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
- * Serves a streaming model request with separate prefill and decode engines: reserves memory at a
- * decode engine, has a prefill engine process the prompt, then relays the decode engine's events to
- * the caller. Confined to the traffic loop. Invariants: no prefill is sent before memory is
- * reserved for its request; a stream is ended as complete only where its run was complete; all
- * events of a stream, over all tries of its caller, are written by one software version; each
- * reservation is used or released.
+ * Serves a streaming model request with separate prefill and decode engines: has an engine searched
+ * and the prompt processed, then relays the decode engine's events to the caller. Confined to the
+ * traffic loop. Invariants: a stream is ended as complete only where its run was complete; a run is
+ * aborted only once its replacement has taken over or the request ends; all events of a stream,
+ * over all tries of its caller, are written by one software version.
  */
-final class StreamExecution extends RequestExecution {
+final class StreamExecution extends RequestExecution implements StreamSearch.Listener {
+
+    private static final AttemptEnd SILENT =
+            AttemptEnd.failed(ResultCode.OUTCOME_UNKNOWN, "stream silent");
 
     private final EngineTraits mEngineTraits;
 
@@ -27,21 +27,17 @@
 
     private final EventRelay mRelay;
 
-    private final StreamTiming mTiming;
-
-    private final PrefillStage mPrefill;
+    private final DecodeEngines mEngines = new DecodeEngines(this);
 
-    private final DecodeReservation mReservation;
+    private final StreamSearch mSearch;
 
-    private final DecodeEngines mEngines = new DecodeEngines(this);
+    private final RunReplacement mReplacement;
 
-    /** The decode run in progress, or null. */
+    /** The decode run whose events are relayed, or null. */
     private StreamRun mRun;
 
-    /** The engine that still has the prompt of a run whose answer was lost. */
-    private final ResumeTarget mResumeTarget = new ResumeTarget();
-
-    private double mPredictedWaitMillis;
+    /** Whether the engine of the run has passed the silence limit. */
+    private boolean mSilent;
 
     /** Whether the head of the answer was sent to the caller. */
     private boolean mStreamStarted;
@@ -56,20 +52,16 @@
         super(context, request, route, service, caller);
         mEngineTraits = engineTraits;
         mPrompt = request.prompt().orElse(PromptMetadata.NONE);
-        PrefillEngines prefillEngines =
-                new PrefillEngines(
-                        context,
-                        () -> upstreams(UpstreamEntry.Role.PREFILL),
-                        service,
-                        mPrompt.promptTokens());
-        mTiming = new StreamTiming(this, prefillEngines, mEngines);
-        mPrefill = new PrefillStage(this, engineTraits, prefillEngines, mTiming, this::startRun);
-        mReservation = new DecodeReservation(context, service, engineTraits, flowKey(), mPrompt);
-        mRelay =
-                new EventRelay(
-                        caller,
-                        request.lastEventId(),
-                        () -> mEngines.bindTo(mReservation.engine()));
+        mRelay = new EventRelay(caller, request.lastEventId(), mEngines::bindTo);
+        mSearch = new StreamSearch(this, engineTraits, mRelay, mEngines, this);
+        mReplacement = new RunReplacement(this, mSearch);
+        caller.onWritable(this::resumeReading);
+    }
+
+    private void resumeReading() {
+        if (mRun != null) {
+            mRun.resumeReading();
+        }
     }
 
     /** {@inheritDoc} */
@@ -100,89 +92,26 @@
     }
 
     private void startSearch() {
-        mTiming.recordArrival();
-        search();
+        mSearch.timing().recordArrival();
+        mSearch.begin();
     }
 
-    /** Searches for a decode engine with room, or refuses at once what cannot start in time. */
-    private void search() {
-        Optional<DecodeEngines.Obstacle> obstacle = mEngines.obstacle();
-        if (obstacle.isPresent()) {
-            failWithoutRun(obstacle.get().code(), obstacle.get().detail());
-            return;
+    /** {@inheritDoc} While a run is silent, only its replacement ends. */
+    @Override
+    protected boolean refuseIfQuarantined() {
+        if (!mReplacement.isActive()) {
+            return super.refuseIfQuarantined();
         }
-        WaitBudget budget = mTiming.waitBudget();
-        WaitBudget.Prediction prediction = mTiming.prediction();
-        if (mContext.admission().backOffMillis(mEngines.untried())
-                > budget.waitMillis(prediction)) {
-            failWithoutRun(ResultCode.NO_PLACE, "engines asked for a back-off");
-            return;
+        boolean withheld = withheld().isPresent();
+        if (withheld) {
+            mReplacement.end("withheld");
         }
-        mPredictedWaitMillis =
-                mReservation
-                        .forecast()
-                        .predictedWaitMillis(
-                                mEngines.all(), budget.tier(), budget.waitMillis(prediction));
-        if (budget.isExceededBy(mPredictedWaitMillis, prediction)) {
-            mContext.metrics().refusedAtOnce(budget.tier());
-            mTrace.addStep("predicted wait for memory " + (long) mPredictedWaitMillis + "ms");
-            failWithoutRun(ResultCode.NO_PLACE, "no place in time");
-            return;
-        }
-        mTiming.recordSearch();
-        mReservation.search(
-                budget.waitMillis(prediction),
-                budget.tier(),
-                mRelay.eventCount(),
-                () -> mEngines.eligible(mTiming),
-                new SearchListener());
-    }
-
-    /**
-     * Tries to reserve memory at the engine that lost the run's answer and may still have the
-     * prompt. The search does not wait, since the run has freed its memory there.
-     */
-    private void searchResumeTarget(AttemptEnd end) {
-        mReservation.search(
-                0,
-                QueueTier.CONTINUED,
-                mRelay.eventCount(),
-                () -> mResumeTarget.filter(mEngines.all()),
-                new ResumeSearchListener(end));
-    }
-
-    /**
-     * Accepts a reservation.
-     *
-     * @param engine the engine that granted it
-     * @param reservation the reservation; empty where the engines do not support reservations
-     */
-    private void acceptReservation(
-            UpstreamEntry engine, Optional<UpstreamPort.Reservation> reservation) {
-        mReservation.accept(engine, reservation);
-        mContext.retryPacer().recordGrant(mContext.loop().millis());
-        mTrace.addStep("place@" + engine.id() + " known " + mContext.loads().tokens(engine));
+        return withheld;
     }
 
-    /**
-     * Sends the request to the decode engine, or searches for another one if that engine has
-     * stopped taking work since the reservation.
-     *
-     * @param prompt the stored prefill result; empty where the decode engine processes the prompt
-     */
-    private void startRun(Optional<UpstreamPort.StoredPrompt> prompt) {
-        if (refuseIfQuarantined()) {
-            prompt.ifPresent(mContext.port()::discard);
-            return;
-        }
-        UpstreamEntry engine = mReservation.engine();
-        if (!mEngines.stillTakesRun(engine)) {
-            mTrace.addStep("unavailable@" + engine.id());
-            prompt.ifPresent(mPrefill::keep);
-            mReservation.release();
-            search();
-            return;
-        }
+    /** {@inheritDoc} Sends the request to the decode engine. */
+    @Override
+    public void onReady(UpstreamEntry engine, Optional<UpstreamPort.StoredPrompt> prompt) {
         Optional<RequestArrivals.Arrival> arrival = mArrivals.begin();
         if (arrival.isEmpty()) {
             prompt.ifPresent(mContext.port()::discard);
@@ -190,12 +119,12 @@
             return;
         }
         recordDispatch(engine, "decode");
-        mRelay.startRun();
+        Optional<UpstreamPort.Reservation> reservation = mSearch.reservation().takeReservation();
         UpstreamPort.RunPlan plan =
                 UpstreamPort.RunPlan.plain(arrival.get(), remainingMillis(), priority())
-                        .withReservation(mReservation.takeReservation())
+                        .withReservation(reservation)
                         .withResumeAfter(mRelay.lastEventId());
-        mRun =
+        StreamRun run =
                 new StreamRun(
                         mContext,
                         engine,
@@ -204,22 +133,36 @@
                         mCaller,
                         new EventGaps(mContext, mRoute, engine, mTrace),
                         mTrace,
-                        new RunListener());
-        mRun.start(mRequest, prompt.map(plan::withPrompt).orElse(plan));
+                        new RunListener(mSearch.reservation().takeMemory()));
+        if (mReplacement.isActive()) {
+            mReplacement.setCandidate(run, reservation.isPresent());
+        } else {
+            mRun = run;
+        }
+        run.start(mRequest, prompt.map(plan::withPrompt).orElse(plan));
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onNotFound(ResultCode code, String detail) {
+        failWithoutRun(code, detail);
     }
 
     /**
-     * Refuses a request of which no run is in progress, or aborts a stream that cannot be resumed.
+     * Ends the replacement of a silent run. Without a run in progress, refuses the request, or
+     * aborts a stream that cannot be resumed.
      *
      * @param code the result code that fits the last step
      */
     private void failWithoutRun(ResultCode code, String detail) {
-        if (mStreamStarted) {
+        if (mReplacement.isActive()) {
+            mReplacement.end(detail);
+        } else if (mStreamStarted) {
             abortStream(detail);
         } else {
-            mTiming.recordRefusal();
-            long delay = mEngines.retryDelayMillis(mReservation.forecast());
-            mContext.metrics().recordRetryDelay(mTiming.isReturning(), delay);
+            mSearch.timing().recordRefusal();
+            long delay = mEngines.retryDelayMillis(mSearch.reservation().forecast());
+            mContext.metrics().recordRetryDelay(mSearch.timing().isReturning(), delay);
             refuse(code, detail, delay);
         }
     }
@@ -229,11 +172,87 @@
         failWithoutRun(ResultCode.UPSTREAMS_REFUSED, BUDGET_USED_UP);
     }
 
+    /** Searches for another engine, while attempts and time are left; the silent run goes on. */
+    private void onSilent(StreamRun run, long millis) {
+        if (mRoute.kind() != Route.Kind.RESUMABLE_STREAM || mReplacement.isActive()) {
+            return;
+        }
+        if (!mSilent) {
+            mSilent = true;
+            mTrace.markNotable();
+            mTrace.addStep(
+                    "silent@%s for %dms, attempt %d of %d"
+                            .formatted(
+                                    run.engine().id(),
+                                    millis,
+                                    mAttempted.size(),
+                                    mRoute.maxAttempts()));
+            mContext.metrics().silentRun("begun");
+            mContext.loads().failed(run.engine(), false, SILENT.detail());
+        }
+        if (mayRetry(run.engine(), SILENT)) {
+            mReplacement.begin();
+        }
+    }
+
+    /** Ends the replacement of a run whose engine is no longer silent. */
+    private void onBytes(StreamRun run, long silentMillis) {
+        if (!mSilent) {
+            return;
+        }
+        mSilent = false;
+        mContext.metrics().silentRun("continued");
+        mTrace.addStep("continued@" + run.engine().id() + " after " + silentMillis + "ms");
+        mReplacement.end("continued");
+    }
+
+    /**
+     * Replaces the silent run by the candidate.
+     *
+     * @param reason why the candidate is relied on
+     */
+    void takeOver(String reason) {
+        RunReplacement.Taken taken = mReplacement.take();
+        StreamRun silent = mRun;
+        if (silent != null) {
+            mTrace.addStep("replaced after " + silent.silentMillis() + "ms, " + reason);
+            mContext.metrics().silentRun("replaced");
+            silent.abort();
+            recordAttemptEnd(silent.engine(), SILENT);
+        }
+        mSilent = false;
+        mRun = taken.run();
+        taken.head().ifPresent(this::beginStream);
+    }
+
+    private void beginStream(UpstreamPort.Head head) {
+        if (!mStreamStarted) {
+            mStreamStarted = true;
+            mTrace.addStep("head");
+            mCaller.beginStream(head.status(), head.headers());
+        }
+    }
+
+    /** Records that a run has ended while its engine was silent. */
+    private void recordSilenceEnded() {
+        if (mSilent) {
+            mSilent = false;
+            mContext.metrics().silentRun("ended");
+        }
+    }
+
     /** Decides how to continue after a failed run. */
     private void onRunFailed(StreamRun run, AttemptEnd end) {
         UpstreamEntry engine = run.engine();
         long writing = run.writingMillis();
         recordFailure(engine, end);
+        recordSilenceEnded();
+        if (mReplacement.hasCandidate()) {
+            takeOver("the silent run failed");
+            afterCrashAttribution(engine, end, writing, ended -> {});
+            return;
+        }
+        mReplacement.end("the silent run failed");
         if (end.notStarted() || mRoute.kind() == Route.Kind.RESUMABLE_STREAM) {
             afterCrashAttribution(engine, end, writing, ended -> retryRun(engine, end, ended));
             return;
@@ -242,6 +261,14 @@
         failWithoutRun(end.code(), end.detail());
     }
 
+    /** Ends a replacement whose run failed. */
+    private void onCandidateFailed(StreamRun run, AttemptEnd end) {
+        recordFailure(run.engine(), end);
+        mAttempted.withdraw(run.engine(), end);
+        mReplacement.endFailed(end.detail());
+        afterCrashAttribution(run.engine(), end, run.writingMillis(), ended -> {});
+    }
+
     /**
      * Starts the search for another run if one is allowed.
      *
@@ -250,33 +277,27 @@
      */
     private void retryRun(UpstreamEntry upstream, AttemptEnd end, boolean ended) {
         boolean resumable = mRoute.kind() == Route.Kind.RESUMABLE_STREAM;
-        if (resumable && !ended && mResumeTarget.recordLoss(upstream, end)) {
+        if (resumable && !ended && mSearch.recordLoss(upstream, end)) {
             if (mayResend()) {
-                searchResumeTarget(end);
+                mSearch.beginAtResumeTarget(end);
                 return;
             }
         } else if (mayRetry(upstream, end)) {
-            restartSearch();
+            mSearch.beginAgain();
             return;
         }
         failWithoutRun(end.code(), end.detail());
     }
 
-    /** Searches for another decode engine, with a new wait budget. */
-    private void restartSearch() {
-        mPrefill.restart();
-        mTiming.restart();
-        search();
-    }
-
     /** {@inheritDoc} */
     @Override
     protected void releaseUpstream() {
+        recordSilenceEnded();
         if (mRun != null) {
             mRun.abort();
         }
-        mReservation.release();
-        mPrefill.release();
+        mReplacement.release();
+        mSearch.release();
     }
 
     /** {@inheritDoc} */
@@ -291,100 +312,58 @@
         return mStreamStarted;
     }
 
-    /** Receives the outcome of a search over all decode engines. Confined to the traffic loop. */
-    private final class SearchListener implements ReservationAllocator.Listener {
-
-        /** {@inheritDoc} */
-        @Override
-        public void onGranted(
-                UpstreamEntry engine, Optional<UpstreamPort.Reservation> reservation) {
-            mContext.metrics()
-                    .recordPredictionError(
-                            "place", mPredictedWaitMillis, mReservation.searchMillis());
-            acceptReservation(engine, reservation);
-            mPrefill.start(mRelay.lastEventId());
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onRefused(String detail) {
-            mReservation.endSearch();
-            mContext.growthMargin().recordRefusal();
-            mContext.metrics().searchRefused();
-            mTrace.addStep(
-                    detail
-                            + ", prompt read in "
-                            + (long) mTiming.predictedPrefillMillis()
-                            + "ms at best");
-            failWithoutRun(ResultCode.NO_PLACE, "no place");
-        }
-    }
-
-    /**
-     * Receives the outcome of a search at the engine that may still have the prompt. Confined to
-     * the traffic loop.
-     */
-    private final class ResumeSearchListener implements ReservationAllocator.Listener {
+    /** Receives what happens to a run at a decode engine. Confined to the traffic loop. */
+    private final class RunListener implements StreamRun.Listener {
 
-        /** How the run ended that is to be resumed. */
-        private final AttemptEnd mEnd;
+        private final EngineMemory mMemory;
 
         /**
          * Creates a listener.
          *
-         * @param end how the run ended that is to be resumed
+         * @param memory what the request takes at the engine
          */
-        ResumeSearchListener(AttemptEnd end) {
-            mEnd = end;
+        RunListener(EngineMemory memory) {
+            mMemory = memory;
         }
 
         /** {@inheritDoc} */
         @Override
-        public void onGranted(
-                UpstreamEntry engine, Optional<UpstreamPort.Reservation> reservation) {
-            acceptReservation(engine, reservation);
-            mResumeTarget.recordResume();
-            mTrace.addStep("prompt still there");
-            startRun(Optional.empty());
+        public void onSilent(StreamRun run, long millis) {
+            if (!mReplacement.isCandidate(run)) {
+                StreamExecution.this.onSilent(run, millis);
+            }
         }
 
         /** {@inheritDoc} */
         @Override
-        public void onRefused(String detail) {
-            mReservation.endSearch();
-            mTrace.addStep("not there again");
-            if (mAttempted.size() < mRoute.maxAttempts()) {
-                restartSearch();
-            } else {
-                failWithoutRun(mEnd.code(), mEnd.detail());
+        public void onBytes(StreamRun run, long millis) {
+            if (!mReplacement.isCandidate(run)) {
+                StreamExecution.this.onBytes(run, millis);
             }
         }
-    }
-
-    /** Receives what happens to a run at a decode engine. Confined to the traffic loop. */
-    private final class RunListener implements StreamRun.Listener {
 
         /** {@inheritDoc} */
         @Override
-        public boolean mayResume() {
-            return mRoute.kind() == Route.Kind.RESUMABLE_STREAM
-                    && mAttempted.size() < mRoute.maxAttempts();
+        public void onHead(StreamRun run, UpstreamPort.Head head) {
+            if (mReplacement.isCandidate(run)) {
+                mReplacement.recordHead(head);
+            } else {
+                beginStream(head);
+            }
         }
 
         /** {@inheritDoc} */
         @Override
-        public void onHead(UpstreamPort.Head head) {
-            if (!mStreamStarted) {
-                mStreamStarted = true;
-                mTrace.addStep("head");
-                mCaller.beginStream(head.status(), head.headers());
+        public void beforeEvent(StreamRun run) {
+            if (mReplacement.isCandidate(run)) {
+                takeOver("first event");
             }
         }
 
         /** {@inheritDoc} */
         @Override
         public void onEvents(long events) {
-            mReservation.recordEvents(events);
+            mMemory.grow(events * mEngineTraits.eventTokens());
         }
 
         /** {@inheritDoc} */
@@ -396,22 +375,27 @@
 
         /** {@inheritDoc} */
         @Override
-        public void onClosed() {
-            mRun = null;
-            mReservation.freeMemory();
+        public void onClosed(StreamRun run) {
+            if (run == mRun) {
+                mRun = null;
+            }
+            mMemory.free();
         }
 
         /** {@inheritDoc} */
         @Override
-        public void onCompleted(UpstreamEntry engine, long millis, boolean framed) {
-            recordSuccess(engine, "stream", millis, framed);
+        public void onCompleted(StreamRun run, long millis, boolean framed) {
+            if (mReplacement.isCandidate(run)) {
+                takeOver("complete");
+            }
+            recordSuccess(run.engine(), "stream", millis, framed);
             long output = mRelay.eventCount() * mEngineTraits.eventTokens();
             mContext.demandMeter()
                     .recordRun(
                             mService,
                             new DemandMeter.CompletedRun(mPrompt.promptTokens(), output, millis),
                             mContext.loop().millis());
-            mReservation.forecast().recordOutput(output);
+            mSearch.reservation().forecast().recordOutput(output);
             mTrace.addStep("events=" + mRelay.eventCount());
             mCaller.endStream();
             finishAnswered();
@@ -422,7 +406,7 @@
         public void onErrorAnswer(StreamRun run, BufferedResponse answer) {
             AttemptEnd end = AttemptEnds.end(answer.head());
             if (end.notStarted() && end.leaving()) {
-                run.prompt().ifPresent(mPrefill::keep);
+                run.prompt().ifPresent(mSearch::keep);
             } else if (end.notStarted()) {
                 run.prompt().ifPresent(mContext.port()::discard);
             }
@@ -435,16 +419,24 @@
                 finishAnswered();
                 return;
             }
-            onRunFailed(run, end);
+            onEnded(run, end);
         }
 
         /** {@inheritDoc} */
         @Override
         public void onFailed(StreamRun run, AttemptEnd end) {
             if (end.notStarted()) {
-                run.prompt().ifPresent(mPrefill::keep);
+                run.prompt().ifPresent(mSearch::keep);
+            }
+            onEnded(run, end);
+        }
+
+        private void onEnded(StreamRun run, AttemptEnd end) {
+            if (mReplacement.isCandidate(run)) {
+                onCandidateFailed(run, end);
+            } else {
+                onRunFailed(run, end);
             }
-            onRunFailed(run, end);
         }
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
@@ -8,8 +8,9 @@
 
 /**
  * One run at a decode engine, whose events are relayed to the caller. Confined to the traffic loop.
- * Invariant: unless it is aborted, the run ends with exactly one of {@link Listener#onCompleted},
- * {@link Listener#onErrorAnswer} and {@link Listener#onFailed}, after {@link Listener#onClosed}.
+ * Invariants: silence never ends the run; unless it is aborted, it ends with exactly one of {@link
+ * Listener#onCompleted}, {@link Listener#onErrorAnswer} and {@link Listener#onFailed}, after {@link
+ * Listener#onClosed}.
  */
 final class StreamRun extends UpstreamRun {
 
@@ -18,6 +19,8 @@
 
     private final EventRelay mRelay;
 
+    private final EventRelay.Source mSource;
+
     private final CallerChannel mCaller;
 
     private final EventGaps mGaps;
@@ -32,17 +35,35 @@
     /** When the first event was relayed, milliseconds on the loop's clock; -1 before. */
     private long mFirstEventAt = -1;
 
+    /** When the engine was last known not to be silent, milliseconds on the loop's clock. */
+    private long mLastBytesAt;
+
     /** A response that is not a success and therefore no event stream, or null. */
     private BufferedResponse mErrorResponse;
 
     /** Receives what happens to a run, on the traffic loop. */
     interface Listener {
 
-        /** Returns whether another engine may resume the stream if this one is silent. */
-        boolean mayResume();
+        /**
+         * Called while nothing arrives from the engine, each time the silence limit or the interval
+         * of further checks has passed.
+         *
+         * @param millis how long the engine has been silent
+         */
+        void onSilent(StreamRun run, long millis);
+
+        /**
+         * Called when anything arrives from the engine, before it is processed.
+         *
+         * @param millis how long the engine had been silent
+         */
+        void onBytes(StreamRun run, long millis);
 
         /** Called with the head of a successful answer. */
-        void onHead(UpstreamPort.Head head);
+        void onHead(StreamRun run, UpstreamPort.Head head);
+
+        /** Called before an event that is next in order is relayed. */
+        void beforeEvent(StreamRun run);
 
         /**
          * Called after events were relayed.
@@ -55,7 +76,7 @@
         void onFirstEvent();
 
         /** Called when the run ends, however it ends. */
-        void onClosed();
+        void onClosed(StreamRun run);
 
         /**
          * Called when the stream is complete.
@@ -63,7 +84,7 @@
          * @param millis the duration of the run
          * @param framed whether the answer has a length or chunks
          */
-        void onCompleted(UpstreamEntry engine, long millis, boolean framed);
+        void onCompleted(StreamRun run, long millis, boolean framed);
 
         /** Called when the engine sent a complete answer that is no event stream. */
         void onErrorAnswer(StreamRun run, BufferedResponse answer);
@@ -90,10 +111,12 @@
         super(context, engine);
         mPrompt = prompt;
         mRelay = relay;
+        mSource = relay.new Source(engine);
         mCaller = caller;
         mGaps = gaps;
         mTrace = trace;
         mListener = listener;
+        mLastBytesAt = context.loop().millis();
     }
 
     UpstreamEntry engine() {
@@ -113,39 +136,55 @@
         return mFirstEventAt < 0 ? 0 : mContext.loop().millis() - mFirstEventAt;
     }
 
+    /**
+     * Returns how long nothing has arrived from the engine.
+     *
+     * @return milliseconds
+     */
+    long silentMillis() {
+        return mContext.loop().millis() - mLastBytesAt;
+    }
+
     void start(ServingRequest request, UpstreamPort.RunPlan plan) {
         send(request, plan);
-        mCaller.onWritable(() -> setAutoRead(true));
-        restartSilenceTimer();
+        startSilenceTimer(ServingSettings.STREAM_SILENCE_MILLIS);
     }
 
-    private void restartSilenceTimer() {
-        if (mListener.mayResume()) {
-            startSilenceTimer(ServingSettings.STREAM_SILENCE_MILLIS);
-        } else {
-            stopSilenceTimer();
-        }
+    /** Reads on after the caller has read. */
+    void resumeReading() {
+        setAutoRead(true);
     }
 
-    /** {@inheritDoc} */
+    /** {@inheritDoc} Bytes do not reset the timer; it is started again for what is left. */
     @Override
     protected void onSilence() {
-        abort();
-        onFailure(AttemptEnd.failed(ResultCode.OUTCOME_UNKNOWN, "stream silent"));
+        long silentMillis = silentMillis();
+        long left = ServingSettings.STREAM_SILENCE_MILLIS - silentMillis;
+        startSilenceTimer(left > 0 ? left : ServingSettings.SILENCE_CHECK_MILLIS);
+        if (left <= 0) {
+            mListener.onSilent(this, silentMillis);
+        }
     }
 
     /** {@inheritDoc} */
     @Override
     protected void onClosed() {
-        mListener.onClosed();
+        mListener.onClosed(this);
+    }
+
+    private void recordBytes() {
+        long silentMillis = silentMillis();
+        mLastBytesAt = mContext.loop().millis();
+        mListener.onBytes(this, silentMillis);
     }
 
     /** {@inheritDoc} */
     @Override
     public void onHead(UpstreamPort.Head head) {
+        recordBytes();
         if (head.verdict() == UpstreamPort.Verdict.SUCCESS) {
             mFramed = head.framed();
-            mListener.onHead(head);
+            mListener.onHead(this, head);
         } else {
             mErrorResponse = new BufferedResponse(head);
         }
@@ -154,44 +193,53 @@
     /** {@inheritDoc} */
     @Override
     public void onPart(byte[] part) {
+        recordBytes();
         if (mErrorResponse != null) {
-            mErrorResponse.append(part);
+            if (!mErrorResponse.append(part)) {
+                fail(ResultCode.UPSTREAM_FAILED, "the answer is too large");
+            }
             return;
         }
         long before = mRelay.eventCount();
         try {
-            mRelay.feed(part);
+            mSource.feed(part, () -> mListener.beforeEvent(this));
         } catch (TroutpierException exception) {
-            abort();
-            onFailure(AttemptEnd.failed(exception.code(), exception.detail()));
+            fail(exception.code(), exception.detail());
             return;
         }
+        long events = mRelay.eventCount() - before;
         mGaps.onEvents(mRelay.eventCount());
-        mListener.onEvents(mRelay.eventCount() - before);
-        if (mFirstEventAt < 0 && mRelay.eventCount() > before) {
+        mListener.onEvents(events);
+        if (mFirstEventAt < 0 && events > 0) {
             mFirstEventAt = mContext.loop().millis();
         }
-        if (before == 0 && mRelay.eventCount() > 0) {
+        if (before == 0 && events > 0) {
             mTrace.addStep("first event");
             mContext.firstEventDelay().record(elapsedMillis());
             mListener.onFirstEvent();
         }
-        restartSilenceTimer();
         if (!mCaller.isWritable()) {
             setAutoRead(false);
             mGaps.interrupt();
         }
     }
 
+    /** Fails the run because of what the engine sent. */
+    private void fail(ResultCode code, String detail) {
+        abort();
+        onFailure(AttemptEnd.failed(code, detail));
+    }
+
     /** {@inheritDoc} */
     @Override
     public void onEnd() {
+        recordBytes();
         if (mErrorResponse != null) {
             close();
             mListener.onErrorAnswer(this, mErrorResponse);
-        } else if (mRelay.atEventBoundary()) {
+        } else if (mSource.atEventBoundary()) {
             close();
-            mListener.onCompleted(mUpstream, elapsedMillis(), mFramed);
+            mListener.onCompleted(this, elapsedMillis(), mFramed);
         } else {
             onFailure(AttemptEnd.lost("ended inside an event"));
         }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecodeReservationTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/DecodeReservationTest.java
@@ -164,9 +164,10 @@
         reservation.search(0, QueueTier.IN_TIME, 0, List::of, new IgnoringListener());
         reservation.accept(mEngine, Optional.empty());
         long atStart = mLoads.usage().get(mEngine.incarnation()).restCorrection();
-        reservation.recordEvents(100);
+        EngineMemory memory = reservation.takeMemory();
+        memory.grow(100 * 60);
         long later = mLoads.usage().get(mEngine.incarnation()).restCorrection();
-        reservation.release();
+        memory.free();
         assertEquals(mLoads.activeRuns().restCorrection(mEngine.incarnation()), 0);
         assertTrue(mLoads.usage().isEmpty());
         return new long[] {atStart, later};
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/EventRelayTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/EventRelayTest.java
@@ -21,6 +21,10 @@
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
+    private static EventRelay.Source run(EventRelay relay) {
+        return relay.new Source(TestUpstreams.decode("a"));
+    }
+
     @BeforeMethod
     void setUp() {
         mCaller = new FakeCaller();
@@ -28,37 +32,41 @@
 
     @Test
     public void onlyCompleteEventsAreRelayed() {
-        EventRelay relay = new EventRelay(mCaller, OptionalLong.empty(), () -> {});
-        relay.feed(bytes("id: 1\ndata: a\n\nid: 2\nda"));
+        EventRelay relay = new EventRelay(mCaller, OptionalLong.empty(), engine -> {});
+        EventRelay.Source run = run(relay);
+        run.feed(bytes("id: 1\ndata: a\n\nid: 2\nda"), () -> {});
         assertEquals(mCaller.text(), "id: 1\ndata: a\n\n");
-        assertFalse(relay.atEventBoundary());
-        relay.feed(bytes("ta: b\n\n"));
-        assertTrue(relay.atEventBoundary());
+        assertFalse(run.atEventBoundary());
+        run.feed(bytes("ta: b\n\n"), () -> {});
+        assertTrue(run.atEventBoundary());
         assertEquals(relay.lastEventId(), OptionalLong.of(2));
     }
 
     @Test
     public void nextRunContinuesAfterTheLastCompleteEvent() {
-        EventRelay relay = new EventRelay(mCaller, OptionalLong.empty(), () -> {});
-        relay.feed(bytes("id: 1\ndata: a\n\nid: 2\nda"));
-        relay.startRun();
-        relay.feed(bytes("id: 2\ndata: b\n\n"));
+        EventRelay relay = new EventRelay(mCaller, OptionalLong.empty(), engine -> {});
+        run(relay).feed(bytes("id: 1\ndata: a\n\nid: 2\nda"), () -> {});
+        run(relay).feed(bytes("id: 2\ndata: b\n\n"), () -> {});
         assertEquals(mCaller.text(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     }
 
     @Test
     public void outOfOrderEventIsNotRelayed() {
-        EventRelay relay = new EventRelay(mCaller, OptionalLong.of(4), () -> {});
-        assertThrows(TroutpierException.class, () -> relay.feed(bytes("id: 6\ndata: a\n\n")));
-        EventRelay again = new EventRelay(mCaller, OptionalLong.of(4), () -> {});
-        assertThrows(TroutpierException.class, () -> again.feed(bytes("id: 4\ndata: a\n\n")));
+        EventRelay relay = new EventRelay(mCaller, OptionalLong.of(4), engine -> {});
+        assertThrows(
+                TroutpierException.class,
+                () -> run(relay).feed(bytes("id: 6\ndata: a\n\n"), () -> {}));
+        EventRelay again = new EventRelay(mCaller, OptionalLong.of(4), engine -> {});
+        assertThrows(
+                TroutpierException.class,
+                () -> run(again).feed(bytes("id: 4\ndata: a\n\n"), () -> {}));
         assertEquals(mCaller.text(), "");
     }
 
     @Test
     public void aFirstLineBeforeTheIdIsKept() {
-        EventRelay relay = new EventRelay(mCaller, OptionalLong.of(0), () -> {});
-        relay.feed(bytes("weight-versions: 2\nid: 1\ndata: a\n\n"));
+        EventRelay relay = new EventRelay(mCaller, OptionalLong.of(0), engine -> {});
+        run(relay).feed(bytes("weight-versions: 2\nid: 1\ndata: a\n\n"), () -> {});
         assertEquals(mCaller.text(), "weight-versions: 2\nid: 1\ndata: a\n\n");
         assertEquals(relay.lastEventId(), OptionalLong.of(1));
     }
@@ -70,7 +78,7 @@
         Random random = new Random(seed);
         for (int round = 0; round < 500; round++) {
             FakeCaller caller = new FakeCaller();
-            EventRelay relay = new EventRelay(caller, OptionalLong.empty(), () -> {});
+            EventRelay.Source run = run(new EventRelay(caller, OptionalLong.empty(), engine -> {}));
             StringBuilder all = new StringBuilder();
             for (int event = 1; event <= 1 + random.nextInt(20); event++) {
                 all.append("id: ").append(event).append("\ndata: ");
@@ -79,7 +87,7 @@
             byte[] bytes = bytes(all.toString());
             for (int at = 0; at < bytes.length; ) {
                 int next = Math.min(bytes.length, at + 1 + random.nextInt(100));
-                relay.feed(java.util.Arrays.copyOfRange(bytes, at, next));
+                run.feed(java.util.Arrays.copyOfRange(bytes, at, next), () -> {});
                 at = next;
             }
             assertEquals(caller.text(), all.toString(), "seed " + seed);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -350,7 +350,7 @@
     }
 
     @Test
-    public void promptOfASilentEngineIsPrefilledAgain() {
+    public void promptOfASilentEngineIsPrefilledAgainWhileItsRunGoesOn() {
         mContext.extraCallBudget().setLimits(0, 10);
         UpstreamEntry prefill = TestUpstreams.prefill("p");
         mDirectory.replaceAll(
@@ -358,11 +358,19 @@
         stream(Route.Kind.RESUMABLE_STREAM, 2);
         mPort.mPrefills.get(0).onResult(new UpstreamPort.StoredPrompt(prefill, "handle"));
         mTime.advance(ServingSettings.STREAM_SILENCE_MILLIS + 1);
-        assertTrue(mPort.mRuns.get(0).mAborted);
         assertEquals(mPort.mRuns.size(), 1);
         assertEquals(mPort.mPrefills.size(), 2);
         mPort.mPrefills.get(1).onResult(new UpstreamPort.StoredPrompt(prefill, "other"));
         assertNotEquals(mPort.mRuns.get(1).mUpstream, mPort.mRuns.get(0).mUpstream);
+        assertFalse(mPort.mRuns.get(0).mAborted);
+        UpstreamPort.RunListener second = mPort.mRuns.get(1).mListener;
+        second.onHead(head(UpstreamPort.Verdict.SUCCESS));
+        assertFalse(mPort.mRuns.get(0).mAborted);
+        second.onPart("id: 1\ndata: a\n\n".getBytes(StandardCharsets.UTF_8));
+        assertTrue(mPort.mRuns.get(0).mAborted);
+        second.onEnd();
+        assertTrue(mCaller.mEnded);
+        assertNothingHeld();
     }
 
     @Test
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakeCaller.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/FakeCaller.java
@@ -14,12 +14,19 @@
     long mRetryAfterMillis;
     boolean mEnded;
     boolean mAborted;
+    boolean mWritable = true;
     private Runnable mOnGone = () -> {};
+    private Runnable mOnWritable = () -> {};
 
     String text() {
         return mText.toString();
     }
 
+    void readOn() {
+        mWritable = true;
+        mOnWritable.run();
+    }
+
     void disconnect() {
         mOnGone.run();
     }
@@ -61,7 +68,7 @@
 
     @Override
     public boolean isWritable() {
-        return true;
+        return mWritable;
     }
 
     @Override
@@ -70,5 +77,7 @@
     }
 
     @Override
-    public void onWritable(Runnable action) {}
+    public void onWritable(Runnable action) {
+        mOnWritable = action;
+    }
 }
--- /dev/null
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/RunReplacementTest.java
@@ -0,0 +1,136 @@
+package org.troutpier.daemon.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.troutpier.daemon.directory.UpstreamDirectory;
+import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.node.ManualClock;
+import org.troutpier.daemon.route.EngineTraits;
+import org.troutpier.daemon.route.Route;
+import org.troutpier.daemon.upstream.AttemptEnd;
+
+/** Two runs of one stream, of which the first is silent. */
+public final class RunReplacementTest {
+
+    private static final UpstreamPort.Head HEAD =
+            new UpstreamPort.Head(
+                    200, new DefaultHttpHeaders(), UpstreamPort.Verdict.SUCCESS, true);
+
+    private ManualClock mTime;
+    private FakePort mPort;
+    private FakeCaller mCaller;
+    private ServingContext mContext;
+    private UpstreamDirectory mDirectory;
+
+    @BeforeMethod
+    void setUp() {
+        mTime = new ManualClock();
+        mPort = new FakePort();
+        mCaller = new FakeCaller();
+        mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
+        TestContext setup = new TestContext(mTime);
+        setup.mPort = mPort;
+        setup.mDirectory = mDirectory;
+        mContext = setup.build();
+        mContext.extraCallBudget().setLimits(0, 10);
+    }
+
+    /** Starts a stream for which there are two decode engines. */
+    private void stream(UpstreamEntry... others) {
+        List<UpstreamEntry> upstreams = new ArrayList<>(List.of(others));
+        upstreams.add(TestUpstreams.decode("a"));
+        upstreams.add(TestUpstreams.decode("b"));
+        mDirectory.replaceAll(upstreams);
+        PromptMetadata prompt =
+                new PromptMetadata("m", 1000, 500, List.of(new PromptMetadata.Part("own", 1000)));
+        Route route =
+                new Route(
+                        "r",
+                        "h",
+                        "/",
+                        Route.Kind.RESUMABLE_STREAM,
+                        14_000,
+                        900,
+                        300,
+                        1,
+                        2,
+                        List.of(new Route.WeightedService("service", 1)),
+                        false);
+        new StreamExecution(
+                        mContext,
+                        TestRequests.of("abc", "/x", new byte[0], Optional.of(prompt)),
+                        route,
+                        "service",
+                        new EngineTraits(10, 90_000, 4, 2000, 500, 100),
+                        mCaller)
+                .begin();
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void assertNothingHeld() {
+        mContext.loads()
+                .usage()
+                .forEach(
+                        (upstream, use) -> {
+                            assertEquals(use.calls(), 0, upstream.toString());
+                            assertEquals(use.tokens(), 0, upstream.toString());
+                        });
+    }
+
+    @Test
+    public void anEngineThatSpeaksAgainEndsTheSearchForAnother() {
+        UpstreamEntry prefill = TestUpstreams.prefill("p");
+        stream(prefill);
+        mPort.mPrefills.get(0).onResult(new UpstreamPort.StoredPrompt(prefill, "handle"));
+        mTime.advance(ServingSettings.STREAM_SILENCE_MILLIS + 1);
+        UpstreamPort.RunListener first = mPort.mRuns.get(0).mListener;
+        first.onHead(HEAD);
+        assertTrue(mPort.mPrefillCalls.get(1).mAborted);
+        assertEquals(mPort.mReleased.size(), 1);
+        first.onPart(bytes("id: 1\ndata: a\n\n"));
+        first.onEnd();
+        assertTrue(mCaller.mEnded);
+        assertNothingHeld();
+    }
+
+    @Test
+    public void anEngineDoesNotWorkOnAStreamThatWasContinuedElsewhere400MillisBefore() {
+        stream();
+        mTime.advance(ServingSettings.STREAM_SILENCE_MILLIS + 1);
+        assertEquals(mPort.mRuns.size(), 2);
+        assertFalse(mPort.mRuns.get(0).mAborted);
+        mTime.advance(380);
+        assertTrue(mPort.mRuns.get(0).mAborted);
+        assertFalse(mPort.mRuns.get(1).mAborted);
+    }
+
+    @Test
+    public void aSilentRunThatBreaksOffIsFollowedByTheOneThatWasSent() {
+        stream();
+        UpstreamPort.RunListener first = mPort.mRuns.get(0).mListener;
+        first.onHead(HEAD);
+        first.onPart(bytes("id: 1\ndata: a\n\nid: 2\nda"));
+        mTime.advance(ServingSettings.STREAM_SILENCE_MILLIS + 1);
+        first.onFailure(AttemptEnd.lost("reset"));
+        assertEquals(mPort.mRuns.size(), 2);
+        UpstreamPort.RunListener second = mPort.mRuns.get(1).mListener;
+        second.onHead(HEAD);
+        second.onPart(bytes("id: 2\ndata: b\n\n"));
+        second.onEnd();
+        assertEquals(mCaller.text(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        assertTrue(mCaller.mEnded);
+        assertNothingHeld();
+    }
+}
