Streams: an engine is not silent while its caller does not read

What callers saw: a caller that takes nothing for 1.2 s has its run replaced, and its prompt read again, though the engine writes. Cause: reading from the engine is paused while the caller's buffer is full, but the silence timer went on, so the router took its own pause for the engine's. Evidence: RunReplacementTest.anEngineIsNotSilentBecauseItsCallerReadsSlowly failed: two runs where one was expected. Change: while reading is paused the engine counts as not silent; the time starts again when the caller has read. Why it works: silence is measured only over times in which bytes could have been read.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
@@ -38,6 +38,9 @@
     /** When the engine was last known not to be silent, milliseconds on the loop's clock. */
     private long mLastBytesAt;
 
+    /** Whether reading is paused because the caller does not read. */
+    private boolean mPaused;
+
     /** A response that is not a success and therefore no event stream, or null. */
     private BufferedResponse mErrorResponse;
 
@@ -139,10 +142,10 @@
     /**
      * Returns how long nothing has arrived from the engine.
      *
-     * @return milliseconds
+     * @return milliseconds; 0 while reading is paused
      */
     long silentMillis() {
-        return mContext.loop().millis() - mLastBytesAt;
+        return mPaused ? 0 : mContext.loop().millis() - mLastBytesAt;
     }
 
     void start(ServingRequest request, UpstreamPort.RunPlan plan) {
@@ -152,7 +155,11 @@
 
     /** Reads on after the caller has read. */
     void resumeReading() {
-        setAutoRead(true);
+        if (mPaused) {
+            mPaused = false;
+            mLastBytesAt = mContext.loop().millis();
+            setAutoRead(true);
+        }
     }
 
     /** {@inheritDoc} Bytes do not reset the timer; it is started again for what is left. */
@@ -219,6 +226,7 @@
             mListener.onFirstEvent();
         }
         if (!mCaller.isWritable()) {
+            mPaused = true;
             setAutoRead(false);
             mGaps.interrupt();
         }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/RunReplacementTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/RunReplacementTest.java
@@ -133,4 +133,18 @@
         assertTrue(mCaller.mEnded);
         assertNothingHeld();
     }
+
+    @Test
+    public void anEngineIsNotSilentBecauseItsCallerReadsSlowly() {
+        stream();
+        UpstreamPort.RunListener run = mPort.mRuns.get(0).mListener;
+        run.onHead(HEAD);
+        mCaller.mWritable = false;
+        run.onPart(bytes("id: 1\ndata: a\n\n"));
+        mTime.advance(2 * ServingSettings.STREAM_SILENCE_MILLIS);
+        assertEquals(mPort.mRuns.size(), 1);
+        mCaller.readOn();
+        mTime.advance(ServingSettings.STREAM_SILENCE_MILLIS + 1);
+        assertEquals(mPort.mRuns.size(), 2);
+    }
 }
