Server: a connection is idle only once its output has been written

Cause: an exchange counts as over when the end of its answer is handed to Netty. closeIdle() of a planned stop and the idle limit took a connection for idle from then on, and closed it with the rest of the answer unsent.

Change: IdleConnectionHandler replaces IdleStateHandler on all connections of a server. Idle means that no request is being served and that the output buffer of the connection is empty.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
@@ -5,7 +5,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.timeout.IdleStateEvent;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -151,16 +150,6 @@
         }
     }
 
-    /** {@inheritDoc} */
-    @Override
-    public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        boolean idle = !isServing();
-        boolean asked = event instanceof IdleStateEvent || event == HttpServer.Idle.CLOSE;
-        if (asked && idle) {
-            context.close();
-        }
-    }
-
     /** {@inheritDoc} */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpServer.java
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -196,18 +195,23 @@
     }
 
     /**
-     * Closes each connection on which no request is being served. A request that has been
-     * completely read is served. If a request is still being received, its connection is closed and
-     * the request is not handled.
+     * Returns the number of connections whose output waits for the client to read; refusals are
+     * included, which belong to no exchange.
      */
-    public void closeIdle() {
-        mOpenChannels.forEach(channel -> channel.pipeline().fireUserEventTriggered(Idle.CLOSE));
+    public int sendingConnections() {
+        return (int) mOpenChannels.stream().filter(IdleConnectionHandler::hasOutput).count();
     }
 
-    /** Events for the pipeline of a connection. */
-    enum Idle {
-        /** Closes the connection unless a request is being served. */
-        CLOSE
+    /**
+     * Closes each connection on which no request is being served and all responses have been
+     * written to the socket. A request that has been completely read is served. If a request is
+     * still being received, its connection is closed and the request is not handled.
+     */
+    public void closeIdle() {
+        mOpenChannels.forEach(
+                channel ->
+                        channel.pipeline()
+                                .fireUserEventTriggered(IdleConnectionHandler.Event.CLOSE_IF_IDLE));
     }
 
     /** Stops listening; open connections are kept. */
@@ -233,16 +237,6 @@
             RequestTimeoutHandler timer =
                     new RequestTimeoutHandler(limits.requestMillis(), mRefusals);
             ChannelPipeline pipeline = channel.pipeline();
-            pipeline.addLast(
-                    new IdleStateHandler(0, 0, limits.idleMillis(), TimeUnit.MILLISECONDS));
-            pipeline.addLast(timer);
-            pipeline.addLast(
-                    new HttpServerCodec(
-                            MAX_REQUEST_LINE_BYTES, limits.headerBytes(), MAX_CHUNK_BYTES));
-            if (overLimit) {
-                pipeline.addLast(new RefuseAllHandler(ResultCode.TOO_MANY_CONNECTIONS, mRefusals));
-                return;
-            }
             ExchangeHandler exchanges =
                     new ExchangeHandler(
                             mHandler,
@@ -251,6 +245,15 @@
                             mActiveExchanges,
                             mDraining::get,
                             HttpServer.this::mayHaveBacklog);
+            pipeline.addLast(new IdleConnectionHandler(limits.idleMillis(), exchanges::isServing));
+            pipeline.addLast(timer);
+            pipeline.addLast(
+                    new HttpServerCodec(
+                            MAX_REQUEST_LINE_BYTES, limits.headerBytes(), MAX_CHUNK_BYTES));
+            if (overLimit) {
+                pipeline.addLast(new RefuseAllHandler(ResultCode.TOO_MANY_CONNECTIONS, mRefusals));
+                return;
+            }
             pipeline.addLast(
                     new RequestHeadFilter(
                             mHandler,
