Server: the time limit of a refused request's body cuts no answer

Cause: a request that is refused by its head while the connection is kept, and whose body then stays away, ends its connection at once. The client may still be reading the answer before it, or the refusal.

Change: the connection is closed once its output has been written (OrderlyClose).

Test: SlowReaderTest (5), green; without the change the new test fails, the answer is cut after 3,285,036 of 8,000,000 bytes.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/RequestTimeoutHandler.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/RequestTimeoutHandler.java
@@ -55,7 +55,8 @@
     private void expire(ChannelHandlerContext context) {
         mTimer = null;
         if (mAnswered) {
-            context.close();
+            context.channel().config().setAutoRead(false);
+            OrderlyClose.afterOutput(context.channel());
             return;
         }
         RefusalWriter.refuseAndClose(context.channel(), mRefusals, ResultCode.REQUEST_TOO_SLOW);
--- a/troutpier-common/src/test/java/org/troutpier/common/http/SlowReaderTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/SlowReaderTest.java
@@ -9,16 +9,20 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.troutpier.common.result.ResultCode;
+import org.troutpier.common.result.TroutpierException;
 import org.troutpier.common.settings.Address;
 
 /** Tests answers whose client reads more slowly than the server writes. */
@@ -29,6 +33,8 @@
 
     private static final int IDLE_MILLIS = 300;
 
+    private static final int REQUEST_MILLIS = 500;
+
     private static final int POLL_MILLIS = 20;
 
     private static final int WAIT_MILLIS = 10_000;
@@ -56,12 +62,32 @@
                 new HttpServer(
                         new Address("127.0.0.1", 0),
                         mLoops,
-                        new ServerLimits(100, 1_000_000, 16_384, 1000, idleMillis),
+                        new ServerLimits(1, 1_000_000, 16_384, REQUEST_MILLIS, idleMillis),
                         ServerRefusals.AsJson.INSTANCE,
-                        exchange -> {
-                            mHandled.add(exchange.path());
-                            handler.handle(exchange);
-                        });
+                        new RefusingHandler(handler));
+    }
+
+    /** Refuses the requests of one path by their head. */
+    private final class RefusingHandler implements HttpHandler {
+
+        private final HttpHandler mDelegate;
+
+        RefusingHandler(HttpHandler delegate) {
+            mDelegate = delegate;
+        }
+
+        @Override
+        public void handle(HttpExchange exchange) {
+            mHandled.add(exchange.path());
+            mDelegate.handle(exchange);
+        }
+
+        @Override
+        public Optional<TroutpierException> screen(HttpRequest head) {
+            return head.uri().equals("/refused")
+                    ? Optional.of(new TroutpierException(ResultCode.UNKNOWN_TOKEN, "test"))
+                    : Optional.empty();
+        }
     }
 
     private static void answerAtOnce(HttpExchange exchange) {
@@ -156,4 +182,17 @@
             assertEquals(mServer.activeExchanges(), 0);
         }
     }
+
+    @Test
+    public void aRefusedRequestWhoseBodyStaysAwayCutsNoAnswerBeforeIt() throws Exception {
+        serve(WAIT_MILLIS, SlowReaderTest::answerAtOnce);
+        try (SlowReader reader = new SlowReader(mServer.address())) {
+            reader.request("/");
+            await(() -> mServer.sendingConnections() == 1, "the reader is slower");
+            reader.send("POST /refused HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n");
+            Thread.sleep(REQUEST_MILLIS + 200);
+            long read = reader.readToEnd(100_000, 5);
+            assertTrue(read > ANSWER_BYTES, "cut after " + read);
+        }
+    }
 }
