Server: a request after the last answer of a connection is not handled

Cause: while the last answer of a connection, one with Connection: close or one that ended while the server drains, was still being read, a further request was handled and its answer lost with the connection.

Change: such a request is dropped. Its client has been told that the connection ends, or has not read the answer before it yet.

Test: SlowReaderTest (6), HttpServerTest (5), green; without the change the new test fails, both requests are handled.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
@@ -16,7 +16,8 @@
 /**
  * Passes complete requests to the handler, one at a time per connection. Confined to the
  * connection's event loop. Invariant: the connection of a client that sends a second request before
- * the first is answered is closed, so that a response is never matched to the wrong request.
+ * the first is answered is closed, so that a response is never matched to the wrong request. A
+ * request after the last response of a connection is not handled.
  */
 final class ExchangeHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
@@ -86,6 +87,9 @@
             return;
         }
         mTimer.stop();
+        if (mExchange != null && mExchange.isLastOfConnection()) {
+            return;
+        }
         if (request.decoderResult().isFailure()) {
             RefusalWriter.refuseAndClose(
                     context.channel(), mRefusals, ResultCode.MALFORMED_REQUEST);
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
@@ -187,6 +187,15 @@
         return mEnded || !mChannel.isActive();
     }
 
+    /**
+     * Returns whether the connection is closed after this response.
+     *
+     * @return whether no other request of the connection may be handled
+     */
+    boolean isLastOfConnection() {
+        return mLastOfConnection;
+    }
+
     /**
      * Returns whether the connection's output buffer is below its high-water mark.
      *
@@ -290,7 +299,8 @@
     private void finish(Object message) {
         ChannelFuture written = mChannel.writeAndFlush(message);
         written.addListener(done -> mOnFlushed.run());
-        if (mLastOfConnection || mDraining.getAsBoolean()) {
+        mLastOfConnection |= mDraining.getAsBoolean();
+        if (mLastOfConnection) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
     }
--- a/troutpier-common/src/test/java/org/troutpier/common/http/SlowReaderTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/SlowReaderTest.java
@@ -195,4 +195,17 @@
             assertTrue(read > ANSWER_BYTES, "cut after " + read);
         }
     }
+
+    @Test
+    public void aRequestAfterTheLastAnswerOfItsConnectionReachesNobody() throws Exception {
+        serve(WAIT_MILLIS, SlowReaderTest::answerAtOnce);
+        try (SlowReader reader = new SlowReader(mServer.address())) {
+            reader.send("GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            await(() -> mServer.sendingConnections() == 1, "the reader is slower");
+            reader.request("/afterwards");
+            long read = reader.readToEnd(100_000, 5);
+            assertTrue(read > ANSWER_BYTES, "cut after " + read);
+            assertEquals(mHandled, List.of("/last"));
+        }
+    }
 }
