Server: an aborted answer is cut behind what was handed over before

Cause: HttpExchange.abort() closed the connection at once. Parts that the client had not read yet were lost, among them the event with which a truncated stream tells its reason.

Change: the connection is closed once its output has been written; the idle limit lets go of a client that takes nothing. No further request of the connection is handled.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
@@ -282,12 +282,13 @@
 
     /**
      * Aborts a streamed response: the connection is closed without the end of the body, so that the
-     * client can detect it.
+     * client can detect it. The parts before are sent.
      */
     public void abort() {
         if (!mEnded) {
             mEnded = true;
-            mChannel.close().addListener(closed -> mOnFlushed.run());
+            mLastOfConnection = true;
+            OrderlyClose.afterOutput(mChannel).addListener(closed -> mOnFlushed.run());
         }
     }
 
--- a/troutpier-common/src/test/java/org/troutpier/common/http/SlowReaderTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/SlowReaderTest.java
@@ -208,4 +208,50 @@
             assertEquals(mHandled, List.of("/last"));
         }
     }
+
+    @Test
+    public void whatPrecedesAnAbortReachesASlowReader() throws Exception {
+        serve(
+                WAIT_MILLIS,
+                exchange -> {
+                    exchange.begin(200, new DefaultHttpHeaders());
+                    exchange.write(new byte[ANSWER_BYTES]);
+                    exchange.abort();
+                });
+        try (SlowReader reader = new SlowReader(mServer.address())) {
+            reader.request("/");
+            long read = reader.readToEnd(100_000, 5);
+            assertTrue(read > ANSWER_BYTES, "cut after " + read);
+            await(() -> mServer.activeExchanges() == 0, "the exchange is over");
+        }
+    }
+
+    @Test
+    public void aReaderThatTakesNothingOfAnAbortedAnswerIsLetGoAtTheIdleLimit() throws Exception {
+        serve(
+                IDLE_MILLIS,
+                exchange -> {
+                    exchange.begin(200, new DefaultHttpHeaders());
+                    exchange.write(new byte[ANSWER_BYTES]);
+                    exchange.abort();
+                });
+        try (SlowReader reader = new SlowReader(mServer.address())) {
+            reader.request("/");
+            await(() -> mServer.sendingConnections() == 1, "the reader takes nothing");
+            await(() -> mServer.connectionCount() == 0, "the connection is closed");
+            assertEquals(mServer.activeExchanges(), 0);
+        }
+    }
+
+    @Test
+    public void aConnectionOverTheLimitThatSendsNothingIsClosedWithTheIdleOnes() throws Exception {
+        serve(WAIT_MILLIS, SlowReaderTest::answerAtOnce);
+        try (SlowReader first = new SlowReader(mServer.address());
+                SlowReader overLimit = new SlowReader(mServer.address())) {
+            await(() -> mServer.connectionCount() == 2, "both are open");
+            mServer.closeIdle();
+            await(() -> mServer.connectionCount() == 0, "both are closed");
+            assertEquals(first.readText() + overLimit.readText(), "");
+        }
+    }
 }
