Planned stop: what the end of the grace period cuts off is counted

Cause: the last line of a stop named requests in progress only. Refusals and answers behind which a reader lags, and forwarded connections, ended with the process and left no trace.

Change: GracefulShutdown returns and logs, as a warning, the exchanges, the connections with unread output and the forwarded connections that are cut off. RouterDaemon waits for unread output too, and logs the same.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
@@ -320,6 +320,14 @@
         await(start, NOTICE_MILLIS, false);
         mCallers.close();
         await(start, mSettings.drainMillis(), true);
+        if (isBusy()) {
+            LOGGER.warn(
+                    "stop cuts off requests={} exchanges={} unread={} cancellations={}",
+                    mRegistry.all().size(),
+                    mCallers.activeExchanges(),
+                    mCallers.sendingConnections(),
+                    mCancellations.pendingCount());
+        }
         close();
         LOGGER.info("stopped {}", mNode.incarnation());
     }
@@ -345,10 +353,15 @@
         }
     }
 
-    /** Returns whether a request, the last bytes of an answer, or a cancellation is in progress. */
+    /**
+     * Returns whether a request, the last bytes of an answer or a refusal, or a cancellation is in
+     * progress.
+     */
     private boolean isBusy() {
-        boolean cancelling = mCancellations.pendingCount() > 0;
-        return !mRegistry.all().isEmpty() || mCallers.activeExchanges() > 0 || cancelling;
+        return !mRegistry.all().isEmpty()
+                || mCallers.activeExchanges() > 0
+                || mCallers.sendingConnections() > 0
+                || mCancellations.pendingCount() > 0;
     }
 
     /** Closes everything at once; further calls do nothing. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/GracefulShutdown.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/GracefulShutdown.java
@@ -10,9 +10,9 @@
 /**
  * Shuts a router down without aborting requests: readiness is withdrawn, each response closes its
  * connection, idle connections are closed last, and the process ends once no connection is left or
- * the grace period is over. Invariant: a request that was read is served before its connection is
- * closed; ending the process while connections are open would lose a request that arrives at that
- * moment. Thread safe; {@link #run()} blocks the calling thread.
+ * the grace period is over. Invariant: a request that was read is served, and its response written,
+ * before its connection is closed; ending the process while connections are open would lose a
+ * request that arrives at that moment. Thread safe; {@link #run()} blocks the calling thread.
  */
 public final class GracefulShutdown {
 
@@ -54,8 +54,27 @@
         mGraceMillis = graceMillis;
     }
 
-    /** Shuts the router down; returns when the process may end. */
-    public void run() {
+    /**
+     * What the end of the grace period cuts off. Immutable and thread safe.
+     *
+     * @param exchanges requests whose response is not complete, or not completely written
+     * @param unread connections whose output the caller has not read
+     * @param forwarded connections that are forwarded for other routers
+     */
+    public record CutOff(int exchanges, int unread, int forwarded) {
+
+        /** Returns whether nothing is cut off. */
+        public boolean isEmpty() {
+            return exchanges == 0 && unread == 0 && forwarded == 0;
+        }
+    }
+
+    /**
+     * Shuts the router down; returns when the process may end.
+     *
+     * @return what is cut off when the process ends now
+     */
+    public CutOff run() {
         long start = System.nanoTime();
         mReadiness.setStopping();
         mServer.drain();
@@ -68,10 +87,22 @@
         mServer.close();
         mForwarding.drain();
         waitUntil(this::closeIdleConnections, start);
+        CutOff cutOff =
+                new CutOff(
+                        mServer.activeExchanges(),
+                        mServer.sendingConnections(),
+                        mForwarding.connectionCount());
         LOGGER.info(
-                "shutdown finished busy={} millis={}",
-                mServer.activeExchanges(),
-                elapsedMillis(start));
+                "shutdown finished busy={} millis={}", cutOff.exchanges(), elapsedMillis(start));
+        if (!cutOff.isEmpty()) {
+            LOGGER.warn(
+                    "shutdown cuts off exchanges={} unread={} forwarded={} graceMillis={}",
+                    cutOff.exchanges(),
+                    cutOff.unread(),
+                    cutOff.forwarded(),
+                    mGraceMillis);
+        }
+        return cutOff;
     }
 
     /**
