Forwarding: what an upstream sent before its reset is passed on

Cause: a router that forwards a connection closed its side at once when the upstream reset its own. Bytes that the other router had not read yet were lost, among them the rest of answers that were complete: an upstream that closes with unread input resets too.

Change: the connection is closed once its output has been written, still without the frame that marks an end in order.

Tests: ForwardedConnectionTest (2), green.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/ForwardedConnection.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/peer/ForwardedConnection.java
@@ -15,6 +15,7 @@
  * connections. Invariants: a connection is read only while the other one is writable; bytes for the
  * other router are framed, and only an upstream that closed its connection in order causes the
  * empty frame that marks the end, so that no loss on the way is taken for the end of an answer.
+ * Whatever an upstream sent before its end or its failure is passed on.
  */
 abstract class ForwardedConnection extends ChannelInboundHandlerAdapter {
 
@@ -134,11 +135,8 @@
         /** {@inheritDoc} */
         @Override
         protected void onEnd(Channel router, boolean reset) {
-            if (reset) {
-                router.close();
-            } else {
-                router.writeAndFlush(Unpooled.copyInt(0)).addListener(ChannelFutureListener.CLOSE);
-            }
+            ByteBuf end = reset ? Unpooled.EMPTY_BUFFER : Unpooled.copyInt(0);
+            router.writeAndFlush(end).addListener(ChannelFutureListener.CLOSE);
         }
     }
 }
