Server: a planned stop writes whatever a socket still takes

Cause: a socket counts as writable again once a third of its buffer is free. At the end of the grace period up to 1.3 MB of an answer stayed in the router although the kernel would have sent it.

Change: the output is flushed whenever idle connections are closed.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/IdleConnectionHandler.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/IdleConnectionHandler.java
@@ -87,7 +87,7 @@
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event != Event.CLOSE_IF_IDLE) {
             context.fireUserEventTriggered(event);
-        } else if (!mServing.getAsBoolean() && !hasOutput(context.channel())) {
+        } else if (!mServing.getAsBoolean() && unwrittenBytes(context.channel()) == 0) {
             context.close();
         }
     }
@@ -114,7 +114,7 @@
     private static long unwrittenBytes(Channel channel) {
         if (hasOutput(channel) && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
             // The selector reports a socket as writable only once a third of its buffer is free,
-            // which takes a slow reader longer than a short limit.
+            // which takes a slow reader longer than a short limit, or than the rest of a stop.
             unsafe.forceFlush();
         }
         ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
