--- a/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ExchangeHandler.java
@@ -5,7 +5,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.timeout.IdleStateEvent;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -17,7 +16,8 @@
 /**
  * Passes complete requests to the handler, one at a time per connection. Confined to the
  * connection's event loop. Invariant: the connection of a client that sends a second request before
- * the first is answered is closed, so that a response is never matched to the wrong request.
+ * the first is answered is closed, so that a response is never matched to the wrong request. A
+ * request after the last response of a connection is not handled.
  */
 final class ExchangeHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
@@ -87,6 +87,9 @@
             return;
         }
         mTimer.stop();
+        if (mExchange != null && mExchange.isLastOfConnection()) {
+            return;
+        }
         if (request.decoderResult().isFailure()) {
             RefusalWriter.refuseAndClose(
                     context.channel(), mRefusals, ResultCode.MALFORMED_REQUEST);
@@ -151,16 +154,6 @@
         }
     }
 
-    /** {@inheritDoc} */
-    @Override
-    public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        boolean idle = !isServing();
-        boolean asked = event instanceof IdleStateEvent || event == HttpServer.Idle.CLOSE;
-        if (asked && idle) {
-            context.close();
-        }
-    }
-
     /** {@inheritDoc} */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpExchange.java
@@ -187,6 +187,15 @@
         return mEnded || !mChannel.isActive();
     }
 
+    /**
+     * Returns whether the connection is closed after this response.
+     *
+     * @return whether no other request of the connection may be handled
+     */
+    boolean isLastOfConnection() {
+        return mLastOfConnection;
+    }
+
     /**
      * Returns whether the connection's output buffer is below its high-water mark.
      *
@@ -273,12 +282,13 @@
 
     /**
      * Aborts a streamed response: the connection is closed without the end of the body, so that the
-     * client can detect it.
+     * client can detect it. The parts before are sent.
      */
     public void abort() {
         if (!mEnded) {
             mEnded = true;
-            mChannel.close().addListener(closed -> mOnFlushed.run());
+            mLastOfConnection = true;
+            OrderlyClose.afterOutput(mChannel).addListener(closed -> mOnFlushed.run());
         }
     }
 
@@ -290,7 +300,8 @@
     private void finish(Object message) {
         ChannelFuture written = mChannel.writeAndFlush(message);
         written.addListener(done -> mOnFlushed.run());
-        if (mLastOfConnection || mDraining.getAsBoolean()) {
+        mLastOfConnection |= mDraining.getAsBoolean();
+        if (mLastOfConnection) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
     }
