HTTP client: bound what a server sends besides its answer

AsyncHttpClient takes an interim response for the answer (102, 103), or sends the request's body once more (100); with interim responses without end a call went on until its time limit. 101 was an answer too, and the bytes after it were read for nothing. Bytes on a kept connection that waits for no answer were read and dropped without end, and what was left of them was attributed to the next call.

ResponseLimiter drops interim responses, fails a call after 24 kB without a head or a part of a body (twice the longest head), and closes a connection on which bytes arrive while no answer is due. The codec's limits (4 kB a line, 8 kB headers) are now set by the client itself; the values are those of the library.

EndlessServer is a stand-in whose answers have no end. EndlessAnswerTest: 13 kinds of framing without end, on kept and on fresh connections, bytes beyond the length, three interim responses; without ResponseLimiter 5 of these fail (status 101, 103 and 0, two times 5 s without an outcome).

--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpClient.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpClient.java
@@ -23,6 +23,7 @@
 import org.asynchttpclient.HttpResponseStatus;
 import org.asynchttpclient.ListenableFuture;
 import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.netty.channel.ChannelManager;
 import org.asynchttpclient.netty.request.NettyRequest;
 import org.asynchttpclient.proxy.ProxyServerSelector;
 import org.asynchttpclient.uri.Uri;
@@ -76,11 +77,21 @@
                                 .setDisableUrlEncodingForBoundRequests(true)
                                 .setProxyServerSelector(ProxyServerSelector.NO_PROXY_SELECTOR)
                                 .setTcpNoDelay(true)
-                                .setHttpAdditionalChannelInitializer(initializer)
+                                .setHttpClientCodecMaxInitialLineLength(
+                                        ResponseLimiter.MAX_LINE_BYTES)
+                                .setHttpClientCodecMaxHeaderSize(ResponseLimiter.MAX_HEADER_BYTES)
+                                .setHttpClientCodecMaxChunkSize(ResponseLimiter.MAX_PART_BYTES)
+                                .setHttpAdditionalChannelInitializer(
+                                        connection -> initialize(connection, initializer))
                                 .setSslEngineFactory(HttpClient::rejectTls)
                                 .build());
     }
 
+    private static void initialize(Channel connection, Consumer<Channel> initializer) {
+        ResponseLimiter.install(connection, ChannelManager.HTTP_CLIENT_CODEC);
+        initializer.accept(connection);
+    }
+
     /**
      * Refuses TLS, which is not supported. The library's default factory would load and initialise
      * the JVM's cryptography at each start.
