HTTP client: an answer without headers has a head

AsyncHttpClient does not report empty headers, so listeners got parts and an end without a head: a plain call failed with a null pointer on the traffic loop and never ended, and the bytes of such an answer to a run would have been taken for events. The client now passes on a head without headers before the first part or the end.

EndlessAnswerTest.anAnswerWithoutHeadersHasAnEmptyHead, status 0 before.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpClient.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpClient.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -194,6 +195,9 @@
         /** The status, until the headers arrive. */
         private int mStatus;
 
+        /** Whether the head was passed on. */
+        private boolean mHeadPassed;
+
         /** Whether any byte of the request may have been sent. */
         private volatile boolean mSent;
 
@@ -325,16 +329,29 @@
             if (mEnded) {
                 return State.ABORT;
             }
-            mListener.onHead(mStatus, headers);
+            passHead(headers);
             return State.CONTINUE;
         }
 
+        private void passHead(HttpHeaders headers) {
+            mHeadPassed = true;
+            mListener.onHead(mStatus, headers);
+        }
+
+        /** Passes on the head of an answer without headers, which the library does not report. */
+        private void requireHead() {
+            if (!mHeadPassed) {
+                passHead(EmptyHttpHeaders.INSTANCE);
+            }
+        }
+
         /** {@inheritDoc} */
         @Override
         public State onBodyPartReceived(HttpResponseBodyPart part) {
             if (mEnded) {
                 return State.ABORT;
             }
+            requireHead();
             byte[] bytes = part.getBodyPartBytes();
             if (bytes.length > 0) {
                 mListener.onPart(bytes);
@@ -362,6 +379,7 @@
                 channel.config().setAutoRead(true);
             }
             if (!mEnded) {
+                requireHead();
                 mEnded = true;
                 mListener.onEnd();
             }
--- a/troutpier-common/src/test/java/org/troutpier/common/http/EndlessAnswerTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/EndlessAnswerTest.java
@@ -139,4 +139,20 @@
             }
         }
     }
+
+    @Test
+    public void anAnswerWithoutHeadersHasAnEmptyHead() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            CompletableFuture<HttpReply> reply =
+                    mCalls.call(post(server.getLocalPort()).withFreshConnection());
+            try (Socket socket = server.accept()) {
+                socket.getInputStream().read(new byte[1000]);
+                socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nall".getBytes());
+                TimeUnit.MILLISECONDS.sleep(50);
+                socket.shutdownOutput();
+                assertEquals(outcome(reply), "status 200");
+                assertTrue(reply.join().headers().isEmpty());
+            }
+        }
+    }
 }
