HTTP client: bound the bodies that it collects

A body without end filled the heap until the call's time limit. call() now fails the call and closes its connection once the body exceeds a limit, by default 16 MB, the largest answer that is buffered; a caller may set another. The collector is a class of its own, ReplyCollector.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpClient.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpClient.java
@@ -1,15 +1,11 @@
 package org.troutpier.common.http;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -45,6 +41,9 @@
     /** Interval between two searches of the pool for idle connections, milliseconds. */
     private static final int IDLE_CHECK_MILLIS = 1000;
 
+    /** The largest body of a response that is collected, bytes, unless its call sets another. */
+    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
     private final AsyncHttpClient mClient;
 
     /** Creates a client. */
@@ -102,20 +101,33 @@
     }
 
     /**
-     * Sends a request and collects the complete response.
+     * Sends a request and collects the complete response, whose body is {@link #MAX_BODY_BYTES} at
+     * most.
      *
      * @return the response, or a {@link CallFailedException}; cancelling it aborts the exchange
      */
     public CompletableFuture<HttpReply> call(HttpCall call) {
-        ResponseCollector collector = new ResponseCollector();
+        return call(call, MAX_BODY_BYTES);
+    }
+
+    /**
+     * Sends a request and collects the complete response.
+     *
+     * @param maxBodyBytes the largest body of the response; a larger one fails the call
+     * @return the response, or a {@link CallFailedException}; cancelling it aborts the exchange
+     */
+    public CompletableFuture<HttpReply> call(HttpCall call, int maxBodyBytes) {
+        ReplyCollector collector = new ReplyCollector(maxBodyBytes);
         OngoingCall ongoing = send(call, collector);
-        collector.mReply.whenComplete(
-                (reply, failure) -> {
-                    if (failure instanceof CancellationException) {
-                        ongoing.abort();
-                    }
-                });
-        return collector.mReply;
+        collector
+                .reply()
+                .whenComplete(
+                        (reply, failure) -> {
+                            if (failure != null) {
+                                ongoing.abort();
+                            }
+                        });
+        return collector.reply();
     }
 
     /**
@@ -386,41 +398,4 @@
             return null;
         }
     }
-
-    /** Collects a complete response. Confined to the exchange's event loop until it completes. */
-    private static final class ResponseCollector implements ReplyListener {
-
-        private final CompletableFuture<HttpReply> mReply = new CompletableFuture<>();
-
-        private final ByteBuf mBody = Unpooled.buffer();
-
-        private int mStatus;
-
-        private HttpHeaders mHeaders;
-
-        /** {@inheritDoc} */
-        @Override
-        public void onHead(int status, HttpHeaders headers) {
-            mStatus = status;
-            mHeaders = headers;
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onPart(byte[] part) {
-            mBody.writeBytes(part);
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onEnd() {
-            mReply.complete(new HttpReply(mStatus, mHeaders, ByteBufUtil.getBytes(mBody)));
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onFailure(CallFailedException failure) {
-            mReply.completeExceptionally(failure);
-        }
-    }
 }
--- a/troutpier-common/src/test/java/org/troutpier/common/http/EndlessAnswerTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/EndlessAnswerTest.java
@@ -95,6 +95,26 @@
         }
     }
 
+    @DataProvider
+    Object[][] bodies() {
+        return new Object[][] {
+            {"until the end", "HTTP/1.1 200 OK\nX: y\n\n", "x"},
+            {"without headers", "HTTP/1.1 200 OK\n\n", "x"},
+            {"of one chunk", CHUNKED + "7fffffff\n", "x"},
+            {"in chunks", CHUNKED, "8\nabcdefgh\n"},
+            {"with a length", "HTTP/1.1 200 OK\nContent-Length: 9000000000\n\n", "x"},
+        };
+    }
+
+    @Test(dataProvider = "bodies")
+    public void aBodyWithoutEndFailsTheCallAtItsLimit(String what, String start, String unit)
+            throws Exception {
+        try (EndlessServer server = new EndlessServer(new EndlessServer.Answer(start, unit))) {
+            assertEquals(outcome(mCalls.call(post(server.port()))), "failed");
+            assertTrue(server.awaitClosed(CALL_MILLIS / 2), "the connection is still open");
+        }
+    }
+
     @Test
     public void bytesBeyondTheLengthLeaveTheAnswerWholeAndCloseItsConnection() throws Exception {
         String whole = "HTTP/1.1 200 OK\nContent-Length: 2\n\nok";
