Event streams: an event without end fails at the longest event

The splitter dropped the bytes beyond 64 kB and reported the failure only at the end of the event, so an event without end went on until the deadline; and a stream that ended inside such an event counted as ended between two events, hence as complete. It now fails at once.

ServerSentEventSplitterTest; anEventWithoutEndFailsAtTheLongestEvent failed before. anEventThatIsTooLongIsNotSkipped held before, too.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/ServerSentEventSplitter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/ServerSentEventSplitter.java
@@ -14,7 +14,8 @@
  */
 public final class ServerSentEventSplitter extends DelimiterBasedFrameDecoder {
 
-    private static final int MAX_EVENT_BYTES = 65_536;
+    /** The longest event, bytes. */
+    static final int MAX_EVENT_BYTES = 65_536;
 
     private static final byte[] EVENT_END = "\n\n".getBytes(StandardCharsets.US_ASCII);
 
@@ -23,7 +24,7 @@
 
     /** Creates a splitter without buffered bytes. */
     public ServerSentEventSplitter() {
-        super(MAX_EVENT_BYTES, false, false, Unpooled.wrappedBuffer(EVENT_END));
+        super(MAX_EVENT_BYTES, false, true, Unpooled.wrappedBuffer(EVENT_END));
     }
 
     /**
@@ -31,6 +32,8 @@
      *
      * @param bytes the received bytes
      * @param consumer receives each event, including the blank line that ends it
+     * @throws TroutpierException once an event is longer than {@link #MAX_EVENT_BYTES}, whether or
+     *     not it has an end; the splitter must not be used further
      */
     public void feed(byte[] bytes, Consumer<byte[]> consumer) {
         mBuffer.writeBytes(bytes);
