Engine client: nothing is read after the end of a decode

After it had reported a failure (a token of another attempt, an event that is too long) the client read on until the time limit; a refusal without end was buffered whole; after the end mark, bytes without end kept the decode from completing, or made it fail. Now the end closes the connection, a refusal is limited to 64 kB, and a decode is complete once more than the longest event follows its end mark.

EndlessServer takes its texts unchanged: \n\n ends an event.

--- a/troutpier-common/src/test/java/org/troutpier/common/http/EndlessAnswerTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/EndlessAnswerTest.java
@@ -85,7 +85,8 @@
     public void framingWithoutEndFailsTheCallAtOnce(String what, String start, String unit)
             throws Exception {
         for (boolean fresh : new boolean[] {false, true}) {
-            try (EndlessServer server = new EndlessServer(new EndlessServer.Answer(start, unit))) {
+            try (EndlessServer server =
+                    new EndlessServer(EndlessServer.Answer.ofLines(start, unit))) {
                 HttpCall call = post(server.port());
                 assertEquals(
                         outcome(mCalls.call(fresh ? call.withFreshConnection() : call)), "failed");
@@ -109,7 +110,7 @@
     @Test(dataProvider = "bodies")
     public void aBodyWithoutEndFailsTheCallAtItsLimit(String what, String start, String unit)
             throws Exception {
-        try (EndlessServer server = new EndlessServer(new EndlessServer.Answer(start, unit))) {
+        try (EndlessServer server = new EndlessServer(EndlessServer.Answer.ofLines(start, unit))) {
             assertEquals(outcome(mCalls.call(post(server.port()))), "failed");
             assertTrue(server.awaitClosed(CALL_MILLIS / 2), "the connection is still open");
         }
@@ -119,7 +120,8 @@
     public void bytesBeyondTheLengthLeaveTheAnswerWholeAndCloseItsConnection() throws Exception {
         String whole = "HTTP/1.1 200 OK\nContent-Length: 2\n\nok";
         for (String unit : new String[] {"x", "HTTP/1.1 500 No\nContent-Length: 1\n\nx"}) {
-            try (EndlessServer server = new EndlessServer(new EndlessServer.Answer(whole, unit))) {
+            try (EndlessServer server =
+                    new EndlessServer(EndlessServer.Answer.ofLines(whole, unit))) {
                 assertEquals(outcome(mCalls.call(post(server.port()))), "status 200");
                 assertTrue(server.awaitClosed(CALL_MILLIS / 2), "the connection is still open");
                 assertEquals(mCalls.idleConnections(), 0);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/HttpEngineClient.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/HttpEngineClient.java
@@ -25,6 +25,9 @@
     /** Timeout of queries and cancellations. */
     private static final int QUERY_TIMEOUT_MILLIS = 700;
 
+    /** The largest refusal of a decode, bytes. */
+    private static final int MAX_REFUSAL_BYTES = 64 * 1024;
+
     private final HttpClient mCalls;
 
     /** Creates a client. */
@@ -118,8 +121,9 @@
                 HttpCall.of("POST", engine.address().url("/v1/decode"))
                         .withJson(decodeBody(request))
                         .withTimeout(timeoutMillis);
-        HttpClient.OngoingCall ongoing =
-                mCalls.send(call, new DecodeStreamReader(request.attempt(), listener));
+        DecodeStreamReader reader = new DecodeStreamReader(request.attempt(), listener);
+        HttpClient.OngoingCall ongoing = mCalls.send(call, reader);
+        reader.mExchange.complete(ongoing);
         return ongoing::abort;
     }
 
@@ -186,8 +190,8 @@
     }
 
     /**
-     * Reads a decode stream. Confined to the event loop of the call. Invariant: a token of another
-     * attempt is never passed on.
+     * Reads a decode stream. Confined to the event loop of the call. Invariants: a token of another
+     * attempt is never passed on; nothing is read after the end was reported to the listener.
      */
     private static final class DecodeStreamReader implements ReplyListener {
 
@@ -198,6 +202,10 @@
 
         private final ServerSentEventSplitter mSplitter = new ServerSentEventSplitter();
 
+        /** The exchange, once it was begun. */
+        private final CompletableFuture<HttpClient.OngoingCall> mExchange =
+                new CompletableFuture<>();
+
         /** The body of a reply whose status is not 200. */
         private final ByteArrayOutputStream mRefusalBody = new ByteArrayOutputStream();
 
@@ -206,6 +214,9 @@
         /** Whether the end mark was received. */
         private boolean mEndMarkReceived;
 
+        /** Bytes received in parts that follow the one with the end mark. */
+        private int mBytesAfterEndMark;
+
         /** Whether the end was reported to the listener. */
         private boolean mEnded;
 
@@ -227,8 +238,21 @@
         /** {@inheritDoc} */
         @Override
         public void onPart(byte[] part) {
+            if (mEnded) {
+                return;
+            }
             if (mStatus != 200) {
                 mRefusalBody.writeBytes(part);
+                if (mRefusalBody.size() > MAX_REFUSAL_BYTES) {
+                    fail(AttemptEnd.lost("the engine answers " + mStatus + " without end"));
+                }
+                return;
+            }
+            if (mEndMarkReceived) {
+                mBytesAfterEndMark += part.length;
+                if (mBytesAfterEndMark > ServerSentEventSplitter.MAX_EVENT_BYTES) {
+                    complete();
+                }
                 return;
             }
             try {
@@ -260,9 +284,8 @@
                 fail(parseRefusal(mStatus, mRefusalBody.toByteArray()));
             } else if (!mEndMarkReceived) {
                 fail(AttemptEnd.failed(ResultCode.UPSTREAM_FAILED, "no end mark came"));
-            } else if (!mEnded) {
-                mEnded = true;
-                mListener.onComplete();
+            } else {
+                complete();
             }
         }
 
@@ -274,11 +297,27 @@
 
         /** Reports the failure to the listener, unless the end was reported before. */
         private void fail(AttemptEnd end) {
-            if (!mEnded) {
-                mEnded = true;
+            if (end()) {
                 mListener.onDecodeFailure(end);
             }
         }
+
+        /** Reports that the stream is complete, unless the end was reported before. */
+        private void complete() {
+            if (end()) {
+                mListener.onComplete();
+            }
+        }
+
+        /** Stops reading; returns whether the end was not reported before. */
+        private boolean end() {
+            if (mEnded) {
+                return false;
+            }
+            mEnded = true;
+            mExchange.thenAccept(HttpClient.OngoingCall::abort);
+            return true;
+        }
     }
 
     private static Map<String, Object> prefillBody(PrefillRequest request) {
--- a/troutpier-testing/src/main/java/org/troutpier/testing/EndlessServer.java
+++ b/troutpier-testing/src/main/java/org/troutpier/testing/EndlessServer.java
@@ -44,10 +44,9 @@
      */
     public record Answer(String start, String unit) {
 
-        /** Creates an answer, with \n as line end in both texts. */
-        public Answer {
-            start = start.replace("\n", "\r\n");
-            unit = unit.replace("\n", "\r\n");
+        /** Creates an answer of two texts with \n as line end. */
+        public static Answer ofLines(String start, String unit) {
+            return new Answer(start.replace("\n", "\r\n"), unit.replace("\n", "\r\n"));
         }
 
         private byte[] units() {
