--- a/troutpier-common/src/main/java/org/troutpier/common/http/HttpClient.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/HttpClient.java
@@ -1,14 +1,11 @@
 package org.troutpier.common.http;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -23,6 +20,7 @@
 import org.asynchttpclient.HttpResponseStatus;
 import org.asynchttpclient.ListenableFuture;
 import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.netty.channel.ChannelManager;
 import org.asynchttpclient.netty.request.NettyRequest;
 import org.asynchttpclient.proxy.ProxyServerSelector;
 import org.asynchttpclient.uri.Uri;
@@ -43,6 +41,9 @@
     /** Interval between two searches of the pool for idle connections, milliseconds. */
     private static final int IDLE_CHECK_MILLIS = 1000;
 
+    /** The largest body of a response that is collected, bytes, unless its call sets another. */
+    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
     private final AsyncHttpClient mClient;
 
     /** Creates a client. */
@@ -76,11 +77,21 @@
                                 .setDisableUrlEncodingForBoundRequests(true)
                                 .setProxyServerSelector(ProxyServerSelector.NO_PROXY_SELECTOR)
                                 .setTcpNoDelay(true)
-                                .setHttpAdditionalChannelInitializer(initializer)
+                                .setHttpClientCodecMaxInitialLineLength(
+                                        ResponseLimiter.MAX_LINE_BYTES)
+                                .setHttpClientCodecMaxHeaderSize(ResponseLimiter.MAX_HEADER_BYTES)
+                                .setHttpClientCodecMaxChunkSize(ResponseLimiter.MAX_PART_BYTES)
+                                .setHttpAdditionalChannelInitializer(
+                                        connection -> initialize(connection, initializer))
                                 .setSslEngineFactory(HttpClient::rejectTls)
                                 .build());
     }
 
+    private static void initialize(Channel connection, Consumer<Channel> initializer) {
+        ResponseLimiter.install(connection, ChannelManager.HTTP_CLIENT_CODEC);
+        initializer.accept(connection);
+    }
+
     /**
      * Refuses TLS, which is not supported. The library's default factory would load and initialise
      * the JVM's cryptography at each start.
@@ -90,20 +101,33 @@
     }
 
     /**
-     * Sends a request and collects the complete response.
+     * Sends a request and collects the complete response, whose body is {@link #MAX_BODY_BYTES} at
+     * most.
      *
      * @return the response, or a {@link CallFailedException}; cancelling it aborts the exchange
      */
     public CompletableFuture<HttpReply> call(HttpCall call) {
-        ResponseCollector collector = new ResponseCollector();
+        return call(call, MAX_BODY_BYTES);
+    }
+
+    /**
+     * Sends a request and collects the complete response.
+     *
+     * @param maxBodyBytes the largest body of the response; a larger one fails the call
+     * @return the response, or a {@link CallFailedException}; cancelling it aborts the exchange
+     */
+    public CompletableFuture<HttpReply> call(HttpCall call, int maxBodyBytes) {
+        ReplyCollector collector = new ReplyCollector(maxBodyBytes);
         OngoingCall ongoing = send(call, collector);
-        collector.mReply.whenComplete(
-                (reply, failure) -> {
-                    if (failure instanceof CancellationException) {
-                        ongoing.abort();
-                    }
-                });
-        return collector.mReply;
+        collector
+                .reply()
+                .whenComplete(
+                        (reply, failure) -> {
+                            if (failure != null) {
+                                ongoing.abort();
+                            }
+                        });
+        return collector.reply();
     }
 
     /**
@@ -183,6 +207,9 @@
         /** The status, until the headers arrive. */
         private int mStatus;
 
+        /** Whether the head was passed on. */
+        private boolean mHeadPassed;
+
         /** Whether any byte of the request may have been sent. */
         private volatile boolean mSent;
 
@@ -314,16 +341,29 @@
             if (mEnded) {
                 return State.ABORT;
             }
-            mListener.onHead(mStatus, headers);
+            passHead(headers);
             return State.CONTINUE;
         }
 
+        private void passHead(HttpHeaders headers) {
+            mHeadPassed = true;
+            mListener.onHead(mStatus, headers);
+        }
+
+        /** Passes on the head of an answer without headers, which the library does not report. */
+        private void requireHead() {
+            if (!mHeadPassed) {
+                passHead(EmptyHttpHeaders.INSTANCE);
+            }
+        }
+
         /** {@inheritDoc} */
         @Override
         public State onBodyPartReceived(HttpResponseBodyPart part) {
             if (mEnded) {
                 return State.ABORT;
             }
+            requireHead();
             byte[] bytes = part.getBodyPartBytes();
             if (bytes.length > 0) {
                 mListener.onPart(bytes);
@@ -351,47 +391,11 @@
                 channel.config().setAutoRead(true);
             }
             if (!mEnded) {
+                requireHead();
                 mEnded = true;
                 mListener.onEnd();
             }
             return null;
         }
     }
-
-    /** Collects a complete response. Confined to the exchange's event loop until it completes. */
-    private static final class ResponseCollector implements ReplyListener {
-
-        private final CompletableFuture<HttpReply> mReply = new CompletableFuture<>();
-
-        private final ByteBuf mBody = Unpooled.buffer();
-
-        private int mStatus;
-
-        private HttpHeaders mHeaders;
-
-        /** {@inheritDoc} */
-        @Override
-        public void onHead(int status, HttpHeaders headers) {
-            mStatus = status;
-            mHeaders = headers;
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onPart(byte[] part) {
-            mBody.writeBytes(part);
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onEnd() {
-            mReply.complete(new HttpReply(mStatus, mHeaders, ByteBufUtil.getBytes(mBody)));
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onFailure(CallFailedException failure) {
-            mReply.completeExceptionally(failure);
-        }
-    }
 }
