Upstreams: if all are silent, all remain usable

Cause: an upstream that is silent is ejected like one that cannot be reached. After a second of silence of all of them, only the one whose ejection ends first was used, and received all calls.

Change: an ejection records whether the upstream is assumed to take no calls, as it was unreachable, refused a call or was replaced. If all candidates are ejected, those that were silent or failed calls are used, in the order of their load. A silent upstream is ejected at once, until a call to it succeeds at the latest. UpstreamLoad takes over state that UpstreamLoads read directly.

Tests: 4 new ones in UpstreamLoadsTest, one in PaceEstimateTest that also held before: silence of all makes none an outlier.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoad.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoad.java
@@ -1,5 +1,7 @@
 package org.troutpier.daemon.serving;
 
+import org.troutpier.daemon.cluster.UpstreamUsage;
+import org.troutpier.daemon.decision.FailureRate;
 import org.troutpier.daemon.decision.SlidingWindowSum;
 import org.troutpier.daemon.directory.UpstreamEntry;
 
@@ -38,13 +40,13 @@
     long mTokens;
 
     /** Tokens reported by the engine beyond those that the routers account for. */
-    long mUnattributedTokens;
+    private long mUnattributedTokens;
 
     /** When they were reported, milliseconds. */
-    long mUnattributedAt;
+    private long mUnattributedAt;
 
     /** Whether this router reports them to the others. */
-    boolean mUnattributedShared;
+    private boolean mUnattributedShared;
 
     int mConsecutiveFailures;
 
@@ -54,6 +56,12 @@
     /** Duration of the last ejection, milliseconds. */
     long mEjectionMillis;
 
+    /**
+     * Until when it is assumed to take no calls, because it was unreachable or refused one,
+     * milliseconds. An upstream that is ejected for longer was silent or has failed calls.
+     */
+    private long mClosedUntil;
+
     /**
      * Until when another upstream is assumed to answer at the address, milliseconds; 0 if none is.
      */
@@ -95,16 +103,98 @@
         return replaced ? Math.max(mReplacedUntil, mEjectedUntil) : mEjectedUntil;
     }
 
+    /**
+     * Starts an ejection, unless one is in progress. Until a call succeeds, each ejection lasts
+     * twice as long as the one before, up to {@link UpstreamLoads#MAX_EJECTION_MILLIS}.
+     *
+     * @param minMillis the shortest duration, milliseconds
+     * @param closed whether the upstream is assumed to take no calls
+     * @return whether an ejection was started
+     */
+    boolean eject(long now, long minMillis, boolean closed) {
+        boolean started = now >= mEjectedUntil;
+        if (started) {
+            long millis = Math.max(minMillis, 2 * mEjectionMillis);
+            mEjectionMillis = Math.min(UpstreamLoads.MAX_EJECTION_MILLIS, millis);
+            mEjectedUntil = now + mEjectionMillis;
+        }
+        if (closed) {
+            mClosedUntil = mEjectedUntil;
+        }
+        return started;
+    }
+
+    /** Ejects the upstream for a time because it refused a call. */
+    void ejectRefusing(long now, long millis) {
+        mEjectedUntil = Math.max(mEjectedUntil, now + millis);
+        mClosedUntil = Math.max(mClosedUntil, now + millis);
+    }
+
+    /** Returns whether the upstream is assumed to take no calls. */
+    boolean isClosed(UpstreamEntry entry, long now) {
+        boolean replaced = entry.role() == mReplacedRole && mReplacedUntil > now;
+        return replaced || mClosedUntil > now;
+    }
+
     /** Forgets past failures and refusals after a successful call. */
     void recordSuccess(long now) {
         mRecentSuccesses.add(1, now);
         mConsecutiveFailures = 0;
         mEjectedUntil = 0;
         mEjectionMillis = 0;
+        mClosedUntil = 0;
         mConsecutiveRunRefusals = 0;
         mRefusingRunsUntil = 0;
     }
 
+    /** Returns the outcomes of the recent calls of all routers. */
+    FailureRate failureRate(UpstreamUsage peers, long now) {
+        return new FailureRate(
+                peers.failed() + recentFailures(now), peers.succeeded() + recentSuccesses(now));
+    }
+
+    private int recentFailures(long now) {
+        return (int) Math.round(mRecentFailures.sum(now));
+    }
+
+    private int recentSuccesses(long now) {
+        return (int) Math.round(mRecentSuccesses.sum(now));
+    }
+
+    /** Returns whether there is anything to report to the other routers. */
+    boolean isReported(long now) {
+        return mCalls > 0 || sharedTokens(now) > 0 || recentFailures(now) > 0;
+    }
+
+    /**
+     * Returns the usage to report to the other routers.
+     *
+     * @param restCorrection see {@link UpstreamUsage}
+     */
+    UpstreamUsage usage(long now, long restCorrection) {
+        return new UpstreamUsage(
+                mCalls,
+                mTokens + sharedTokens(now),
+                recentFailures(now),
+                recentSuccesses(now),
+                restCorrection);
+    }
+
+    private long sharedTokens(long now) {
+        return mUnattributedShared ? unattributedTokens(now) : 0;
+    }
+
+    /**
+     * Records the tokens in use at an engine that no router accounts for.
+     *
+     * @param share whether this router reports them to the others
+     */
+    void recordUnattributedTokens(long tokens, boolean share, long now) {
+        mUnattributedTokens = tokens;
+        mUnattributedShared = share;
+        mUnattributedAt = now;
+    }
+
     /**
      * Returns the tokens in use at an engine that no router accounts for, or 0 if the last report
      * is too old.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamLoads.java
@@ -19,7 +19,8 @@
 /**
  * Tracks the calls and tokens that this router has in flight at each upstream, and ejects upstreams
  * whose calls fail. Confined to the traffic loop. Invariant: an ejected upstream is tried again
- * after at most {@link #MAX_EJECTION_MILLIS}; if all candidates are ejected, the one whose ejection
+ * after at most {@link #MAX_EJECTION_MILLIS}; if all candidates are ejected, those that were silent
+ * or failed calls remain usable; if all are unreachable or refuse calls, the one whose ejection
  * ends first is used.
  */
 public final class UpstreamLoads {
@@ -201,10 +202,7 @@
      * @param share whether this router reports them to the others
      */
     void recordUnattributedTokens(UpstreamEntry engine, long tokens, boolean share) {
-        UpstreamLoad load = load(engine.incarnation());
-        load.mUnattributedTokens = tokens;
-        load.mUnattributedShared = share;
-        load.mUnattributedAt = mLoop.millis();
+        load(engine.incarnation()).recordUnattributedTokens(tokens, share, mLoop.millis());
     }
 
     /** Returns the number of calls that all routers are known to have in flight at an upstream. */
@@ -239,8 +237,7 @@
 
     /** Records that an engine refused a call because it is full or changes its role. */
     public void refused(UpstreamEntry upstream) {
-        UpstreamLoad load = load(upstream.incarnation());
-        load.mEjectedUntil = Math.max(load.mEjectedUntil, mLoop.millis() + REFUSAL_EJECTION_MILLIS);
+        load(upstream.incarnation()).ejectRefusing(mLoop.millis(), REFUSAL_EJECTION_MILLIS);
     }
 
     /**
@@ -314,30 +311,37 @@
             mOnChange.run();
         }
         if (unreachable || load.mConsecutiveFailures >= CONSECUTIVE_FAILURES) {
-            eject(upstream, load, MIN_EJECTION_MILLIS, detail);
+            eject(upstream, load, MIN_EJECTION_MILLIS, unreachable, detail);
         }
     }
 
+    /**
+     * Records that an upstream has not answered a call that goes on. It is ejected at once, until
+     * the call is answered at the latest, but remains usable while all others are ejected too. The
+     * call does not count in its failure rate.
+     */
+    void silent(UpstreamEntry upstream, String detail) {
+        UpstreamLoad load = load(upstream.incarnation());
+        load.mConsecutiveFailures++;
+        eject(upstream, load, MIN_EJECTION_MILLIS, false, detail);
+    }
+
     /** Discards recent failures that were those of the path, for the peers as well. */
     public void discardFailures(UpstreamEntry upstream) {
         load(upstream.incarnation()).mRecentFailures.discardBefore(Long.MAX_VALUE, mLoop.millis());
         mOnChange.run();
     }
 
-    /**
-     * Ejects an upstream, unless it is ejected already. Until a call succeeds, each ejection lasts
-     * twice as long as the one before, up to {@link #MAX_EJECTION_MILLIS}.
-     *
-     * @param minMillis the shortest duration, milliseconds
-     */
-    private void eject(UpstreamEntry upstream, UpstreamLoad load, long minMillis, String detail) {
-        long now = mLoop.millis();
-        if (now < load.mEjectedUntil) {
+    /** Ejects an upstream; see {@link UpstreamLoad#eject}. */
+    private void eject(
+            UpstreamEntry upstream,
+            UpstreamLoad load,
+            long minMillis,
+            boolean closed,
+            String detail) {
+        if (!load.eject(mLoop.millis(), minMillis, closed)) {
             return;
         }
-        load.mEjectionMillis =
-                Math.min(MAX_EJECTION_MILLIS, Math.max(minMillis, 2 * load.mEjectionMillis));
-        load.mEjectedUntil = now + load.mEjectionMillis;
         UpstreamUsage peers = mPeers.upstreamUsage(upstream.incarnation());
         LOGGER.warn(
                 "upstream ejected after failures id={} failures={} millis={} cause={}"
@@ -358,20 +362,16 @@
      * @param now the current time, milliseconds
      */
     void ejectIfFailing(UpstreamEntry upstream, long now) {
-        UpstreamUsage peers = mPeers.upstreamUsage(upstream.incarnation());
         UpstreamLoad load = load(upstream.incarnation());
-        int failed = peers.failed() + (int) Math.round(load.mRecentFailures.sum(now));
-        if (failed == 0) {
-            return;
-        }
-        int succeeded = peers.succeeded() + (int) Math.round(load.mRecentSuccesses.sum(now));
-        FailureRate failureRate = new FailureRate(failed, succeeded);
+        FailureRate failureRate =
+                load.failureRate(mPeers.upstreamUsage(upstream.incarnation()), now);
         if (failureRate.failing()) {
             double jitter = 1 + EJECTION_JITTER * (2 * mRandom.nextDouble() - 1);
             eject(
                     upstream,
                     load,
                     (long) (UpstreamLoad.OUTCOME_WINDOW_MILLIS * jitter),
+                    false,
                     failureRate.toString());
         }
     }
@@ -405,6 +405,11 @@
         return load(upstream.incarnation()).ejectedUntil(upstream);
     }
 
+    /** Returns whether an upstream is assumed to take no calls; it is ejected then. */
+    boolean isClosed(UpstreamEntry upstream) {
+        return load(upstream.incarnation()).isClosed(upstream, mLoop.millis());
+    }
+
     /** Returns whether an engine counts as refusing runs, as seen by this router or another. */
     boolean refusesRuns(UpstreamIncarnation id, long now) {
         return load(id).mRefusingRunsUntil > now || mPeers.isRefusing(id);
@@ -423,15 +428,8 @@
         Map<UpstreamIncarnation, UpstreamUsage> usage = new HashMap<>();
         mLoads.forEach(
                 (id, load) -> {
-                    long unattributed = load.mUnattributedShared ? load.unattributedTokens(now) : 0;
-                    int failed = (int) Math.round(load.mRecentFailures.sum(now));
-                    if (load.mCalls > 0 || unattributed > 0 || failed > 0) {
-                        int succeeded = (int) Math.round(load.mRecentSuccesses.sum(now));
-                        long tokens = load.mTokens + unattributed;
-                        long rest = mActiveRuns.restCorrection(id);
-                        usage.put(
-                                id,
-                                new UpstreamUsage(load.mCalls, tokens, failed, succeeded, rest));
+                    if (load.isReported(now)) {
+                        usage.put(id, load.usage(now, mActiveRuns.restCorrection(id)));
                     }
                 });
         return usage;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamOrder.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamOrder.java
@@ -98,7 +98,8 @@
      *
      * @param tried the upstreams that were already sent the request
      * @return the available upstreams that accept runs, the cheapest first; if all available ones
-     *     refuse runs, those; if all are ejected, the one whose ejection ends first
+     *     refuse runs, those; if all are ejected, those that may take calls nevertheless, or else
+     *     the one whose ejection ends first
      */
     private List<UpstreamEntry> ordered(
             Collection<UpstreamEntry> candidates,
@@ -113,6 +114,9 @@
         untried.forEach(entry -> mLoads.ejectIfFailing(entry, now));
         List<UpstreamEntry> available = new ArrayList<>(untried);
         available.removeIf(entry -> mLoads.ejectedUntil(entry) > now);
+        if (available.isEmpty()) {
+            untried.stream().filter(entry -> !mLoads.isClosed(entry)).forEach(available::add);
+        }
         if (available.isEmpty()) {
             return untried.stream()
                     .min(Comparator.comparingLong(mLoads::ejectedUntil))
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/pace/PaceEstimateTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/pace/PaceEstimateTest.java
@@ -169,6 +169,22 @@
         }
     }
 
+    @Test
+    public void aSecondOfSilenceOfAllMakesNoneAnOutlier() {
+        play(3000, entry -> 1);
+        for (PaceEstimate router : mRouters) {
+            mEngines.forEach(engine -> router.recordOverdue(engine, 200, 100, 1));
+        }
+        mNow += 1000;
+        for (int engine = 0; engine < 6; engine++) {
+            assertEquals(pace(engine), 1.0, "engine " + engine);
+        }
+        play(1000, entry -> 1);
+        for (int engine = 0; engine < 6; engine++) {
+            assertEquals(pace(engine), 1.0, "engine " + engine);
+        }
+    }
+
     @Test
     public void aSlowRouterFindsNoUpstreamSlow() {
         for (int step = 0; step < 200; step++) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/UpstreamLoadsTest.java
@@ -183,6 +183,44 @@
         assertEquals(pick().get(), mNear);
     }
 
+    @Test
+    public void aSilentUpstreamIsAvoidedUntilItAnswers() {
+        mLoads.silent(mNear, "silent");
+        assertEquals(mLoads.order().byCalls(List.of(mNear, mFar), Set.of()), List.of(mFar));
+        mLoads.succeeded(mNear);
+        assertEquals(pick().get(), mNear);
+    }
+
+    @Test
+    public void ifAllAreSilentAllRemainUsable() {
+        mLoads.silent(mNear, "silent");
+        mLoads.silent(mFar, "silent");
+        assertEquals(mLoads.order().byCalls(List.of(mNear, mFar), Set.of()), List.of(mNear, mFar));
+        mLoads.begin(mNear, 0);
+        mLoads.begin(mNear, 0);
+        assertEquals(pick().get(), mFar, "load is spread as before");
+    }
+
+    @Test
+    public void ifAllHaveFailedCallsAllRemainUsable() {
+        for (int failure = 0; failure < 4; failure++) {
+            mLoads.failed(mNear, false, "stream silent");
+            mLoads.failed(mFar, false, "stream silent");
+        }
+        assertEquals(mLoads.order().byCalls(List.of(mNear, mFar), Set.of()).size(), 2);
+    }
+
+    @Test
+    public void aSilentUpstreamIsPreferredToAnUnreachableOrRefusingOne() {
+        UpstreamEntry refusing = TestUpstreams.plain("refusing", "hall-a");
+        mLoads.silent(mFar, "silent");
+        mLoads.silent(mNear, "silent");
+        mLoads.failed(mNear, true, "refused");
+        mLoads.refused(refusing);
+        List<UpstreamEntry> all = List.of(mNear, mFar, refusing);
+        assertEquals(mLoads.order().byCalls(all, Set.of()), List.of(mFar));
+    }
+
     @Test
     public void triedUpstreamsAndChangingEnginesAreNotChosen() {
         assertEquals(
