Plain calls: a silent call goes on until another one is answered

Cause: a repeatable call was aborted as soon as another upstream had admitted it, a decision of this router. If that upstream then refused the call, was lost or stayed silent, the first, sound call was gone.

Change: the second call is sent beside the first one. The first complete success is the answer and the other call is aborted; a failure decides only when no other call is left and all lost calls are explained. At most two are in progress. SecondCallPolicy decides whether and when a second one may be sent; a search without a result is repeated, with growing intervals, and an upstream that turned the second call away may be sent it once more, as before. Silence is reported as a failure of the upstream under the same conditions as before, but no longer as a possible crash. The steps of a request name the silent upstream, for how long and on which clock, the obstacle, and who answered; plain.silent.* count what became of silent calls.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
@@ -38,14 +38,8 @@
      */
     private static final double MAX_WAIT_PART = 0.125;
 
-    /**
-     * Time left for a second try, in multiples of the predicted duration of a call at an idle
-     * upstream: other upstreams are rarely idle.
-     */
-    private static final double SECOND_TRY_FACTOR = 1.5;
-
     /** Time that an answer takes to its caller, with a margin for this router, milliseconds. */
-    private static final long ANSWER_MARGIN_MILLIS = 20;
+    static final long ANSWER_MARGIN_MILLIS = 20;
 
     /** Interval at which waiting calls are considered, milliseconds; less than most work takes. */
     private static final long ROUND_MILLIS = 10;
@@ -76,6 +70,8 @@
 
     private final Counter mTurnedAway;
 
+    private final SilentCalls mSilentCalls;
+
     /** Calls that wait now. */
     private final Counter mWaiting;
 
@@ -105,6 +101,7 @@
         mExpired = metrics.counter("plain.expired");
         mTurnedAway = metrics.counter("plain.turned-away");
         mWaiting = metrics.counter("plain.waiting");
+        mSilentCalls = SilentCalls.of(metrics);
     }
 
     /**
@@ -368,19 +365,18 @@
         }
     }
 
+    /** Returns the counters of calls whose upstream was silent. */
+    public SilentCalls silentCalls() {
+        return mSilentCalls;
+    }
+
     /** Returns when to consider a second upstream for a repeatable call, in milliseconds. */
     public long secondTryDelayMillis(PlainCall call) {
-        double answerMillis = service(call.service()).work().answerMillis(1, 1, 1);
-        double delay =
-                call.targetMillis()
-                        - call.elapsedMillis()
-                        - ANSWER_MARGIN_MILLIS
-                        - SECOND_TRY_FACTOR * answerMillis;
-        return (long) Math.max(1, delay);
+        return service(call.service()).secondTryDelayMillis(call);
     }
 
     /**
-     * Returns the upstreams to which a silent repeatable call may go.
+     * Returns the upstreams to which a repeatable call may be sent beside one that is silent.
      *
      * @param first the upstream that is silent
      * @param silentMillis for how long
@@ -390,21 +386,8 @@
      */
     public List<UpstreamEntry> secondUpstreams(
             UpstreamEntry first, long silentMillis, PlainCall call, boolean inTime) {
-        long now = mSchedule.millis();
-        ServiceCalls service = service(call.service());
-        double answerMillis = call.targetMillis() - ANSWER_MARGIN_MILLIS;
-        double remaining = answerMillis - call.elapsedMillis();
-        UpstreamRoom silent = service.rooms(List.of(first), answerMillis, now).get(0);
-        double expected = service.answerMillis(first, silent.calls(), now);
-        List<UpstreamEntry> allowed = new ArrayList<>();
-        for (UpstreamRoom room : service.rooms(call.upstreams().get(), answerMillis, now)) {
-            double predicted = service.answerMillis(room.upstream(), room.calls() + 1, now);
-            SecondTry second = new SecondTry(silent, room, expected, predicted);
-            if (inTime ? second.isInTime(silentMillis, remaining) : second.hasRoom()) {
-                allowed.add(room.upstream());
-            }
-        }
-        return allowed;
+        return service(call.service())
+                .secondUpstreams(first, silentMillis, call, inTime, mSchedule.millis());
     }
 
     /** Returns the calls that arrived at this router recently. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/SecondTry.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/SecondTry.java
@@ -1,9 +1,9 @@
 package org.troutpier.daemon.plain;
 
 /**
- * Decides whether a silent repeatable call goes to another upstream. Answers the load of one slow
- * upstream among others. In a burst of all, silence is the queue of the upstream, and a second call
- * would only make the others' queues longer. Immutable and thread safe.
+ * Decides whether a silent repeatable call also goes to another upstream. Answers the load of one
+ * slow upstream among others. In a burst of all, silence is the queue of the upstream, and a second
+ * call would only make the others' queues longer. Immutable and thread safe.
  *
  * @param first what is known of the upstream that is silent
  * @param second what is known of the other one
@@ -14,7 +14,7 @@
         UpstreamRoom first, UpstreamRoom second, double expectedMillis, double answerMillis) {
 
     /**
-     * Returns whether the call goes to the other upstream while its target can still be met.
+     * Returns whether the call also goes to the other upstream while its target can still be met.
      *
      * @param silentMillis how long the first upstream has been silent, milliseconds
      * @param remainingMillis the time until the target, milliseconds
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
@@ -23,6 +23,12 @@
      */
     private static final double ISOLATED_RISE = 0.5;
 
+    /**
+     * Time left for a second try, in multiples of the predicted duration of a call at an idle
+     * upstream: other upstreams are rarely idle.
+     */
+    private static final double SECOND_TRY_FACTOR = 1.5;
+
     private final FlowDemand mDemand = new FlowDemand();
 
     private final WorkEstimate mWork = new WorkEstimate();
@@ -158,8 +164,45 @@
         return rooms;
     }
 
+    /** Returns when to consider a second upstream for a repeatable call, in milliseconds. */
+    long secondTryDelayMillis(PlainCall call) {
+        double delay =
+                call.targetMillis()
+                        - call.elapsedMillis()
+                        - PlainCalls.ANSWER_MARGIN_MILLIS
+                        - SECOND_TRY_FACTOR * mWork.answerMillis(1, 1, 1);
+        return (long) Math.max(1, delay);
+    }
+
+    /**
+     * Returns the upstreams to which a repeatable call may be sent beside one that is silent.
+     *
+     * @param first the upstream that is silent
+     * @param silentMillis for how long
+     * @param call the call, with the other upstreams
+     * @param inTime whether only those are returned at which the target is met
+     * @param now the current time, milliseconds
+     * @return the upstreams, in order of preference
+     */
+    List<UpstreamEntry> secondUpstreams(
+            UpstreamEntry first, long silentMillis, PlainCall call, boolean inTime, long now) {
+        double answerMillis = call.targetMillis() - PlainCalls.ANSWER_MARGIN_MILLIS;
+        double remaining = answerMillis - call.elapsedMillis();
+        UpstreamRoom silent = rooms(List.of(first), answerMillis, now).get(0);
+        double expected = answerMillis(first, silent.calls(), now);
+        List<UpstreamEntry> allowed = new ArrayList<>();
+        for (UpstreamRoom room : rooms(call.upstreams().get(), answerMillis, now)) {
+            double predicted = answerMillis(room.upstream(), room.calls() + 1, now);
+            SecondTry second = new SecondTry(silent, room, expected, predicted);
+            if (inTime ? second.isInTime(silentMillis, remaining) : second.hasRoom()) {
+                allowed.add(room.upstream());
+            }
+        }
+        return allowed;
+    }
+
     /** Predicts the duration of one of several calls at an upstream, milliseconds. */
-    double answerMillis(UpstreamEntry upstream, int calls, long now) {
+    private double answerMillis(UpstreamEntry upstream, int calls, long now) {
         return mWork.answerMillis(upstream.slots(), calls, slowdown(upstream, now));
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -1,24 +1,36 @@
 package org.troutpier.daemon.serving;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.extracall.RequestArrivals;
 import org.troutpier.daemon.plain.PlainCall;
+import org.troutpier.daemon.plain.SecondCallPolicy;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
  * Serves a request of a plain service: the answer is buffered until it is complete, then sent to
- * the caller unchanged. Confined to the traffic loop. Invariant: a request that is not repeatable
- * is sent again only if it is proved that it was not started.
+ * the caller unchanged. While an upstream is silent, the request may also be sent to a second one;
+ * the first complete success is the answer. Confined to the traffic loop. Invariants: a request
+ * that is not repeatable is sent again only if it is proved that it was not started; a call is
+ * aborted only once another one was answered or the request ends; a failed call decides nothing
+ * while another one is in progress.
  */
-final class PlainExecution extends RequestExecution implements PlainCall.Listener {
+final class PlainExecution extends RequestExecution
+        implements PlainCall.Listener, PlainAttempt.Listener {
 
-    /** The attempt in progress, or null. */
-    private Attempt mAttempt;
+    private final SecondCall mSecondCall;
+
+    /** The calls in progress, the first one first. */
+    private final List<PlainAttempt> mAttempts = new ArrayList<>(2);
+
+    /** Lost calls of which it is not known yet whether their upstream crashed. */
+    private int mPendingAttributions;
 
     /** The upstream of the next attempt, at which the call is already admitted; or null. */
     private UpstreamEntry mNextUpstream;
@@ -42,6 +54,16 @@
             String service,
             CallerChannel caller) {
         super(context, request, route, service, caller);
+        mSecondCall =
+                new SecondCall(
+                        this,
+                        new SecondCallPolicy(
+                                route.kind().repeatable(),
+                                route.maxAttempts(),
+                                route.targetMillis(),
+                                (long)
+                                        (route.targetMillis()
+                                                * ServingSettings.PLAIN_SILENCE_FACTOR)));
     }
 
     /** {@inheritDoc} */
@@ -55,12 +77,17 @@
         if (!mContext.load().plainQueue()) {
             sendNext();
         } else if (!refuseIfQuarantined()) {
-            mSubmitted = plainCall();
+            mSubmitted = plainCall(this::candidates);
             mContext.plainCalls().submit(mSubmitted, this);
         }
     }
 
-    private PlainCall plainCall() {
+    /**
+     * Returns the request as a call that is to be placed.
+     *
+     * @param upstreams the upstreams to which it may be sent
+     */
+    PlainCall plainCall(Supplier<List<UpstreamEntry>> upstreams) {
         return new PlainCall(
                 mService,
                 flowKey(),
@@ -68,7 +95,7 @@
                 mRoute.targetMillis(),
                 remainingMillis(),
                 mRequest.body().length,
-                this::candidates);
+                upstreams);
     }
 
     /** {@inheritDoc} */
@@ -108,11 +135,22 @@
                     ServingSettings.RETRY_AFTER_MILLIS);
             return;
         }
+        send(arrival.get(), "sent");
+    }
+
+    /**
+     * Sends the request to the upstream at which it is admitted.
+     *
+     * @param step the step for the trace
+     */
+    void send(RequestArrivals.Arrival arrival, String step) {
         UpstreamEntry upstream = mNextUpstream;
         mNextUpstream = null;
-        recordDispatch(upstream, "sent");
-        mAttempt = new Attempt(upstream);
-        mAttempt.start(arrival.get());
+        recordDispatch(upstream, step);
+        PlainAttempt attempt = new PlainAttempt(mContext, upstream, this);
+        mAttempts.add(attempt);
+        attempt.start(mRequest, UpstreamPort.RunPlan.plain(arrival, remainingMillis(), priority()));
+        mSecondCall.watch(attempt);
     }
 
     /**
@@ -121,14 +159,14 @@
      * @param candidates the upstreams to which the request may be sent
      * @return whether one of them admits the call
      */
-    private boolean admitNext(List<UpstreamEntry> candidates) {
+    boolean admitNext(List<UpstreamEntry> candidates) {
         mNextUpstream = mContext.admission().acquireFirst(candidates, flowKey()).orElse(null);
         mAdmittedAt = mContext.loop().millis();
         return mNextUpstream != null;
     }
 
     /** Refunds the admission of a call that will not be sent. */
-    private void releaseNext() {
+    void releaseNext() {
         if (mNextUpstream != null) {
             mContext.admission().refund(mNextUpstream, mAdmittedAt);
             mNextUpstream = null;
@@ -137,12 +175,23 @@
 
     /** Returns the upstreams to which the request may still be sent, the least loaded first. */
     private List<UpstreamEntry> candidates() {
-        List<UpstreamEntry> upstreams = upstreams(UpstreamEntry.Role.PLAIN);
-        if (mOnlyUpstream != null) {
-            upstreams = upstreams.contains(mOnlyUpstream) ? List.of(mOnlyUpstream) : List.of();
-            return mContext.loads().order().byCalls(upstreams, Set.of());
-        }
-        return mContext.loads().order().byCalls(upstreams, excludedUpstreams());
+        return mOnlyUpstream == null ? otherUpstreams() : only(mOnlyUpstream);
+    }
+
+    /** Returns the upstreams that were not sent the request, the least loaded first. */
+    List<UpstreamEntry> otherUpstreams() {
+        return mContext.loads()
+                .order()
+                .byCalls(upstreams(UpstreamEntry.Role.PLAIN), excludedUpstreams());
+    }
+
+    /** Returns an upstream if it may still be sent the request. */
+    List<UpstreamEntry> only(UpstreamEntry upstream) {
+        List<UpstreamEntry> usable =
+                upstreams(UpstreamEntry.Role.PLAIN).contains(upstream)
+                        ? List.of(upstream)
+                        : List.of();
+        return mContext.loads().order().byCalls(usable, Set.of());
     }
 
     /**
@@ -195,215 +244,173 @@
         if (mSubmitted != null) {
             mContext.plainCalls().cancel(mSubmitted);
         }
-        if (mAttempt != null) {
-            mAttempt.abort();
+        for (PlainAttempt attempt : List.copyOf(mAttempts)) {
+            attempt.abort();
+            mSecondCall.recordEnded(attempt);
         }
     }
 
     /** {@inheritDoc} */
     @Override
     protected boolean isAtUpstream() {
-        return mAttempt != null && mAttempt.mayHaveBeenSent();
-    }
-
-    /** Decides how to continue after a failed attempt. */
-    private void onAttemptFailed(UpstreamEntry upstream, AttemptEnd end) {
-        recordFailure(upstream, end);
-        if (mContext.load().plainQueue()) {
-            mContext.plainCalls().recordFailure(upstream, end);
-        }
-        if (end.notStarted() || mRoute.kind().repeatable()) {
-            afterCrashAttribution(upstream, end, 0, ended -> retry(upstream, end));
-            return;
-        }
-        afterCrashAttribution(upstream, end, 0, ended -> {});
-        giveUp(end);
+        return mAttempts.stream().anyMatch(PlainAttempt::mayHaveBeenSent);
     }
 
-    /** Gives up after a failed attempt. */
-    private void giveUp(AttemptEnd end) {
-        giveUp(end.code(), end.detail(), ServingSettings.RETRY_AFTER_MILLIS);
+    /** {@inheritDoc} */
+    @Override
+    public void onClosed(PlainAttempt attempt) {
+        mAttempts.remove(attempt);
     }
 
-    /** Sends the request to another upstream if that is allowed, or gives up. */
-    private void retry(UpstreamEntry upstream, AttemptEnd end) {
-        if (mayRetry(upstream, end)) {
-            mOnlyUpstream = null;
-            place();
-        } else if (mayWaitFor(upstream, end)) {
-            mOnlyUpstream = upstream;
-            place();
-        } else {
-            releaseNext();
-            giveUp(end);
-        }
+    /** {@inheritDoc} */
+    @Override
+    public void onSilent(PlainAttempt attempt) {
+        mSecondCall.onSilent(attempt);
     }
 
     /**
-     * Returns whether the request waits for the upstream that turned it away, which does not count
-     * as a further attempt.
+     * Returns what a second call depends on.
+     *
+     * @param turnedAway whether an upstream turned the request away while it was in progress
+     *     elsewhere
      */
-    private boolean mayWaitFor(UpstreamEntry upstream, AttemptEnd end) {
-        return mContext.load().plainQueue()
-                && mOnlyUpstream == null
-                && end.isTurnedAway()
-                && mayResend();
+    SecondCallPolicy.Progress progress(boolean turnedAway) {
+        return new SecondCallPolicy.Progress(
+                mAttempts.size(),
+                mAttempted.size(),
+                mAttempted.mayMissAnother(),
+                turnedAway && mContext.load().plainQueue() && mOnlyUpstream == null,
+                remainingMillis());
     }
 
-    /** One call to one upstream. Confined to the traffic loop. */
-    private final class Attempt extends UpstreamRun {
-
-        /** The response so far, or null before its head. */
-        private BufferedResponse mResponse;
-
-        /** The calls known at the upstream when this one was sent, itself included. */
-        private int mCallsThere;
-
-        /** Whether it is too late for an answer of another upstream within the target. */
-        private boolean mLate;
+    /** Returns whether it is not known yet of a lost call whether its upstream crashed. */
+    boolean isLossUnexplained() {
+        return mPendingAttributions > 0;
+    }
 
-        Attempt(UpstreamEntry upstream) {
-            super(PlainExecution.this.mContext, upstream);
-        }
+    /** Restricts the request to an upstream that turned it away. */
+    void restrictTo(UpstreamEntry upstream) {
+        mOnlyUpstream = upstream;
+    }
 
-        void start(RequestArrivals.Arrival arrival) {
-            mContext.loads().begin(mUpstream, 0);
-            if (mContext.load().plainQueue()) {
-                mCallsThere = mContext.loads().calls(mUpstream);
-                mContext.plainCalls().begin(mService);
-            }
-            send(mRequest, UpstreamPort.RunPlan.plain(arrival, remainingMillis(), priority()));
-            long silenceMillis =
-                    (long) (mRoute.targetMillis() * ServingSettings.PLAIN_SILENCE_FACTOR);
-            boolean canRetry =
-                    mRoute.kind().repeatable()
-                            && mAttempted.size() < mRoute.maxAttempts()
-                            && silenceMillis + mRoute.targetMillis() < remainingMillis();
-            if (canRetry) {
-                startSilenceTimer(
-                        mContext.load().plainQueue()
-                                ? mContext.plainCalls().secondTryDelayMillis(plainCall())
-                                : silenceMillis);
+    /** {@inheritDoc} */
+    @Override
+    public void onAnswer(PlainAttempt attempt, BufferedResponse answer) {
+        UpstreamPort.Head head = answer.head();
+        switch (head.verdict()) {
+            case SUCCESS -> onSuccess(attempt, answer);
+            case OWN_FAILURE -> {
+                mUpstreamFailure = answer;
+                onFailed(
+                        attempt,
+                        AttemptEnd.failed(ResultCode.UPSTREAM_FAILED, "status " + head.status()));
             }
+            default -> onFailed(attempt, AttemptEnds.end(head));
         }
+    }
 
-        /** Moves the call to another upstream if one has room and the budget allows it. */
-        private void trySecond() {
-            AttemptEnd end = AttemptEnd.lost("silent");
-            boolean late = mLate;
-            if (!mLate) {
-                mLate = true;
-                long silenceMillis =
-                        (long) (mRoute.targetMillis() * ServingSettings.PLAIN_SILENCE_FACTOR);
-                startSilenceTimer(Math.max(1, silenceMillis - elapsedMillis()));
-            }
-            List<UpstreamEntry> others =
-                    mContext.plainCalls()
-                            .secondUpstreams(mUpstream, elapsedMillis(), plainCall(), !late);
-            if (!admitNext(others)) {
-                return;
-            }
-            if (!mayRetry(mUpstream, end)) {
-                releaseNext();
-                return;
-            }
-            abort();
-            if (late) {
-                recordFailure(mUpstream, end);
-                mContext.plainCalls().recordFailure(mUpstream, end);
-                afterCrashAttribution(mUpstream, end, 0, ended -> sendNext());
-            } else {
-                // a slow upstream is not ejected: it would leave less room for all others
-                mOutcomeTracker.recordAttemptEnd(end);
-                mTrace.addStep("slow@" + mUpstream.id());
-                // no crash attribution: its probe takes longer than is left of the target
-                sendNext();
-            }
+    /** Sends the first complete success to the caller and aborts the other call. */
+    private void onSuccess(PlainAttempt attempt, BufferedResponse answer) {
+        UpstreamEntry upstream = attempt.upstream();
+        recordSuccess(upstream, "plain", attempt.sentMillis(), answer.head().framed());
+        if (mContext.load().plainQueue()) {
+            mContext.plainCalls()
+                    .recordAnswer(
+                            upstream,
+                            attempt.upstreamMillis(),
+                            attempt.callsThere(),
+                            mRoute.targetMillis());
         }
-
-        /**
-         * {@inheritDoc} Aborts the call and retries at another upstream, if one admits the request.
-         */
-        @Override
-        protected void onSilence() {
-            if (mContext.load().plainQueue()) {
-                trySecond();
-                return;
-            }
-            if (!admitNext(candidates())) {
-                return;
-            }
-            abort();
-            onAttemptFailed(mUpstream, AttemptEnd.lost("silent"));
+        mContext.loads().recordPace(upstream, attempt.upstreamMillis());
+        mSecondCall.recordAnswered(attempt);
+        for (PlainAttempt other : List.copyOf(mAttempts)) {
+            other.abort();
+            mSecondCall.recordReplaced(other, upstream);
         }
+        mTrace.addStep("status=" + answer.head().status());
+        markIfLate(mTrace.elapsedMillis());
+        answer.sendTo(mCaller);
+        finishAnswered();
+    }
 
-        /** {@inheritDoc} */
-        @Override
-        protected void onClosed() {
-            mAttempt = null;
-            mContext.loads().end(mUpstream, 0);
-            if (mContext.load().plainQueue()) {
-                mContext.plainCalls().end(mService);
+    /** {@inheritDoc} Decides how to continue, unless another call is in progress. */
+    @Override
+    public void onFailed(PlainAttempt attempt, AttemptEnd end) {
+        UpstreamEntry upstream = attempt.upstream();
+        recordEnd(attempt, end);
+        if (!end.notStarted() && !mRoute.kind().repeatable()) {
+            afterCrashAttribution(upstream, end, 0, ended -> {});
+            giveUp(end);
+            return;
+        }
+        if (!mAttempts.isEmpty() || mPendingAttributions > 0) {
+            mAttempted.withdraw(upstream, end);
+            mArrivals.releaseReserved();
+            if (end.isTurnedAway()) {
+                mSecondCall.recordTurnedAway(upstream);
             }
         }
+        mPendingAttributions++;
+        afterCrashAttribution(
+                upstream,
+                end,
+                0,
+                ended -> {
+                    mPendingAttributions--;
+                    continueAfter(upstream, end);
+                });
+    }
 
-        /** {@inheritDoc} */
-        @Override
-        public void onHead(UpstreamPort.Head head) {
-            mResponse = new BufferedResponse(head);
+    private void recordEnd(PlainAttempt attempt, AttemptEnd end) {
+        mSecondCall.recordEnded(attempt);
+        if (attempt.isReportedLost() && !end.notStarted()) {
+            recordAttemptEnd(attempt.upstream(), end);
+        } else {
+            recordFailure(attempt.upstream(), end);
         }
-
-        /** {@inheritDoc} */
-        @Override
-        public void onPart(byte[] part) {
-            if (!mResponse.append(part)) {
-                abort();
-                onAttemptFailed(
-                        mUpstream,
-                        AttemptEnd.failed(ResultCode.UPSTREAM_FAILED, "the answer is too large"));
-            }
+        if (mContext.load().plainQueue()) {
+            mContext.plainCalls().recordFailure(attempt.upstream(), end);
         }
+    }
 
-        /** {@inheritDoc} */
-        @Override
-        public void onEnd() {
-            close();
-            UpstreamPort.Head head = mResponse.head();
-            switch (head.verdict()) {
-                case SUCCESS -> {
-                    recordSuccess(mUpstream, "plain", elapsedMillis(), head.framed());
-                    recordAnswer();
-                    mContext.loads().recordPace(mUpstream, upstreamMillis());
-                    mTrace.addStep("status=" + head.status());
-                    markIfLate(mTrace.elapsedMillis());
-                    mResponse.sendTo(mCaller);
-                    finishAnswered();
-                }
-                case OWN_FAILURE -> {
-                    mUpstreamFailure = mResponse;
-                    onAttemptFailed(
-                            mUpstream,
-                            AttemptEnd.failed(
-                                    ResultCode.UPSTREAM_FAILED, "status " + head.status()));
-                }
-                default -> onAttemptFailed(mUpstream, AttemptEnds.end(head));
-            }
+    /** Continues once all lost calls are explained. */
+    private void continueAfter(UpstreamEntry upstream, AttemptEnd end) {
+        if (mPendingAttributions > 0) {
+            return;
         }
-
-        private void recordAnswer() {
-            if (mContext.load().plainQueue()) {
-                mContext.plainCalls()
-                        .recordAnswer(
-                                mUpstream, upstreamMillis(), mCallsThere, mRoute.targetMillis());
-            }
+        if (mAttempts.isEmpty()) {
+            retry(upstream, end);
+        } else if (mAttempts.get(0).isSilent()) {
+            mSecondCall.consider(mAttempts.get(0));
         }
+    }
+
+    /** Gives up after a failed attempt. */
+    private void giveUp(AttemptEnd end) {
+        giveUp(end.code(), end.detail(), ServingSettings.RETRY_AFTER_MILLIS);
+    }
 
-        /** {@inheritDoc} */
-        @Override
-        public void onFailure(AttemptEnd end) {
-            refundIfUnreached(end);
-            close();
-            onAttemptFailed(mUpstream, end);
+    /** Sends the request to another upstream if that is allowed, or gives up. */
+    private void retry(UpstreamEntry upstream, AttemptEnd end) {
+        Optional<UpstreamEntry> turnedAwayBy =
+                end.isTurnedAway() ? Optional.of(upstream) : mSecondCall.turnedAwayBy();
+        if (mayRetry(upstream, end)) {
+            mOnlyUpstream = null;
+            place();
+        } else if (turnedAwayBy.isPresent() && mayWait()) {
+            mOnlyUpstream = turnedAwayBy.get();
+            place();
+        } else {
+            releaseNext();
+            giveUp(end);
         }
     }
+
+    /**
+     * Returns whether the request waits for an upstream that turned it away, which does not count
+     * as a further attempt.
+     */
+    private boolean mayWait() {
+        return mContext.load().plainQueue() && mOnlyUpstream == null && mayResend();
+    }
 }
