Plain calls: steps give the longest silence of a call

Cause: the step of a call that went on gave 0 ms, since its last bytes had just come; an obstacle that came back after a second call was left out.

Change: a call keeps its longest pause without bytes; checks of a second call are at least 1 ms apart, also without a target.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/SecondCallPolicy.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/SecondCallPolicy.java
@@ -16,7 +16,7 @@
         boolean repeatable, int maxAttempts, long targetMillis, long silenceMillis) {
 
     /** The most calls of one request that are in progress at a time. */
-    static final int MAX_CALLS = 2;
+    private static final int MAX_CALLS = 2;
 
     /** Whether a second call may be sent, or why not. */
     public enum Verdict {
@@ -104,11 +104,11 @@
      * their reasons fit the log line.
      *
      * @param sentMillis the time since the silent call was sent, milliseconds
-     * @return milliseconds from now
+     * @return milliseconds from now, at least 1
      */
     public long nextCheckMillis(long sentMillis) {
         return isPastLimit(sentMillis)
-                ? Math.max(targetMillis, sentMillis / 2)
+                ? Math.max(Math.max(1, targetMillis), sentMillis / 2)
                 : silenceMillis - sentMillis;
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainAttempt.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainAttempt.java
@@ -38,6 +38,9 @@
     /** When the call was sent or the upstream sent its last bytes, milliseconds after the start. */
     private long mLastBytesMillis;
 
+    /** The longest time without bytes before the last ones, milliseconds. */
+    private long mLongestPauseMillis;
+
     private boolean mSilent;
 
     private boolean mReportedLost;
@@ -76,6 +79,16 @@
         return elapsedMillis() - mLastBytesMillis;
     }
 
+    /** Returns the longest time for which the upstream was silent, milliseconds. */
+    long longestSilenceMillis() {
+        return Math.max(mLongestPauseMillis, silentMillis());
+    }
+
+    private void recordBytes() {
+        mLongestPauseMillis = longestSilenceMillis();
+        mLastBytesMillis = elapsedMillis();
+    }
+
     /**
      * Records that the call counts as silent, until it ends.
      *
@@ -127,14 +140,14 @@
     /** {@inheritDoc} */
     @Override
     public void onHead(UpstreamPort.Head head) {
-        mLastBytesMillis = elapsedMillis();
+        recordBytes();
         mResponse = new BufferedResponse(head);
     }
 
     /** {@inheritDoc} */
     @Override
     public void onPart(byte[] part) {
-        mLastBytesMillis = elapsedMillis();
+        recordBytes();
         if (!mResponse.append(part)) {
             abort();
             mListener.onFailed(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/SecondCall.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/SecondCall.java
@@ -122,6 +122,7 @@
         if (again) {
             mExecution.restrictTo(mTurnedAwayBy);
         }
+        mObstacle = "";
         reportIfLost(silent);
         mExecution.send(arrival.get(), "second");
         return true;
@@ -204,8 +205,11 @@
         mExecution
                 .trace()
                 .addStep(
-                        "%s@%s silent for %dms"
-                                .formatted(step, attempt.upstream().id(), attempt.silentMillis()));
+                        "%s@%s silent for up to %dms"
+                                .formatted(
+                                        step,
+                                        attempt.upstream().id(),
+                                        attempt.longestSilenceMillis()));
     }
 
     private SilentCalls counters() {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/SecondCallPolicyTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/plain/SecondCallPolicyTest.java
@@ -44,5 +44,6 @@
             checks++;
         }
         assertTrue(checks <= 12, "checks " + checks);
+        assertEquals(new SecondCallPolicy(true, 2, 0, 0).nextCheckMillis(0), 1);
     }
 }
