Test that no third call is sent while a lost one is explained

Cause: with the check in SecondCall.consider taken out, all tests passed.

Change: one more test; with the check taken out it fails (1 of 24 in SilentCallTest), with it all 24 pass.

--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/SilentCallTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/SilentCallTest.java
@@ -282,6 +282,21 @@
         service.assertEnded(1);
     }
 
+    @Test
+    public void aSilenceThatIsFoundWhileALostCallIsExplainedStartsNoThirdCall() {
+        Service service = new Service(3, false);
+        service.mPort.mFurther = PausingUpstreams.Further.NEVER_ANSWERED;
+        service.mPort.mOnCheck = listener -> {};
+        service.call(Route.Kind.REPEATABLE, 3);
+        service.mTime.advance(2 * SECOND_MILLIS - 10);
+        service.run(0).mListener.onFailure(AttemptEnd.lost("reset"));
+        service.mTime.advance(20);
+        assertTrue(service.run(1).mListener instanceof PlainAttempt run && run.isSilent());
+        assertEquals(service.mPort.mRuns.size(), 2);
+        service.mTime.advance(CrashGuard.ATTRIBUTION_TIMEOUT_MILLIS);
+        assertEquals(service.mPort.mRuns.size(), 3);
+    }
+
     @Test
     public void anUpstreamThatIsAnotherOneIsNoAttempt() {
         Service service = new Service(3, true);
