Decode reservations: a search that ended at once hides no other one

What callers saw: after a caller had left, its request was still sent to an engine as soon as there was room, and was not aborted. Cause: the handle of a search was stored after its listener had been called. A listener that began another search in that call lost the other one's handle, so it could not be cancelled; an ended handle was cancelled in its place, and places.waiting fell below 0. Evidence: a reviewer's trial in virtual time: run lost, resume target unlisted, another engine full, caller gone, then room. Change: a handle is stored only while its search is the one in progress. Why it works: release() then cancels the search that is waiting.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeReservation.java
@@ -34,6 +34,12 @@
     /** The search in progress, or null. */
     private ReservationAllocator.Search mSearch;
 
+    /** The number of searches begun. */
+    private long mSearches;
+
+    /** Whether the search begun last has not ended. */
+    private boolean mSearching;
+
     /** The engine that was found, or null. */
     private UpstreamEntry mEngine;
 
@@ -84,7 +90,9 @@
         mSearchStart = mContext.loop().millis();
         mInitialTokens = mPrompt.promptTokens() + events * mTraits.eventTokens();
         mContext.metrics().reservationWaitChanged(true);
-        mSearch =
+        mSearching = true;
+        long number = ++mSearches;
+        ReservationAllocator.Search search =
                 mContext.reservations()
                         .search(
                                 new ReservationAllocator.Requirements(
@@ -97,6 +105,10 @@
                                         waitMillis,
                                         engines),
                                 listener);
+        // the listener may have been called already, and may have begun another search
+        if (mSearching && number == mSearches) {
+            mSearch = search;
+        }
     }
 
     /** Returns the duration of the search so far, in milliseconds. */
@@ -107,6 +119,7 @@
     /** Records that the search has ended. */
     void endSearch() {
         mSearch = null;
+        mSearching = false;
         mContext.metrics().reservationWaitChanged(false);
         mContext.metrics().recordStage("place", searchMillis());
     }
@@ -161,6 +174,7 @@
         if (mSearch != null) {
             mSearch.cancel();
             mSearch = null;
+            mSearching = false;
             mContext.metrics().reservationWaitChanged(false);
         }
         if (mMemory != null) {
