Request lines: the last steps are kept

What callers saw: nothing; the line of a long request ended before the step that tells why it was cut. Cause: steps after the first 900 characters were dropped. Change: the last 300 characters of steps are kept behind the first 900. Measured: DecisionLogTest green.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestTrace.java
@@ -22,9 +22,12 @@
     /** The outcome of a request that received an upstream's complete answer. */
     public static final String ANSWERED = "answered";
 
-    /** Length from which on no further steps are recorded, characters. */
+    /** Length from which on only the last steps are kept, characters. */
     private static final int MAX_STEPS_LENGTH = 900;
 
+    /** Length of the last steps that are kept, characters: why the request ended as it did. */
+    private static final int MAX_LAST_STEPS_LENGTH = 300;
+
     /** Maximum number of parts of a prompt in a line. */
     private static final int MAX_PARTS = 8;
 
@@ -45,6 +48,9 @@
 
     private final StringBuilder mSteps = new StringBuilder();
 
+    /** The last steps, once there are too many. */
+    private final StringBuilder mLastSteps = new StringBuilder();
+
     /**
      * Starts a trace.
      *
@@ -59,8 +65,10 @@
 
     /** Adds a step with the time since the request arrived. */
     public void addStep(String step) {
-        if (mSteps.length() < MAX_STEPS_LENGTH) {
-            mSteps.append(' ').append(elapsedMillis()).append("ms:").append(step);
+        StringBuilder steps = mSteps.length() < MAX_STEPS_LENGTH ? mSteps : mLastSteps;
+        steps.append(' ').append(elapsedMillis()).append("ms:").append(step);
+        if (mLastSteps.length() > MAX_LAST_STEPS_LENGTH) {
+            mLastSteps.replace(0, mLastSteps.length() - MAX_LAST_STEPS_LENGTH, "...");
         }
     }
 
@@ -169,6 +177,6 @@
 
     /** Returns the steps so far, each with the milliseconds since the request arrived. */
     String steps() {
-        return mSteps.toString().trim();
+        return (mSteps.toString() + mLastSteps).trim();
     }
 }
