Streams: a second run takes over only once it answers

What callers saw, found by a review in virtual time: a sound run was aborted 300 ms after a second run had been sent, also when that one was then refused, never reached or already answered 503: cut. A second run that was given up because the first went on used up an attempt for good, so that a later crash could not be resumed: cut. A silent run that broke off lost the permit which its replacement held: cut. A deadline while only the second run may have been sent was told as not run. Cause: the grant of a place was taken for a run; what a replacement holds was released with it, or not at all. Change: the time for which both runs may go on begins with the head of the second one; without a head both go on. An attempt that was given up, or refused as not started, is withdrawn. The permit is kept when the silent run breaks off. Events without an id replace no run. A run's silence is reported once a run. A kept or unused prefill result is freed. The state of a silence is RunSilence. RunReplacementTest.anEngineDoesNotWorkOnAStreamThatWasContinuedElsewhere400MillisBefore began to count when the run was sent; an engine begins to run a request with its first token, so it now counts from the head, and demands that a comment replaces nothing. Why it works: nothing but the answer of the second run ends the first.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/AttemptedUpstreams.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/AttemptedUpstreams.java
@@ -7,8 +7,9 @@
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
- * The upstreams to which one request was sent. Confined to the traffic loop. Invariant: an upstream
- * that never received the request is no attempt, but is not tried again.
+ * The upstreams to which one request was sent. Confined to the traffic loop. Invariants: an
+ * upstream that never received the request is no attempt, but is not tried again; one whose call
+ * was given up while another one went on is no attempt, and may be tried again.
  */
 final class AttemptedUpstreams {
 
@@ -42,6 +43,13 @@
         return true;
     }
 
+    /**
+     * Withdraws an attempt that was given up, so that its upstream may be sent the request again.
+     */
+    void giveUp(UpstreamEntry upstream) {
+        mAttempted.remove(upstream.incarnation());
+    }
+
     /** Returns the number of attempts. */
     int size() {
         return mAttempted.size();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/EventRelay.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/EventRelay.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.common.result.TroutpierException;
 import org.troutpier.daemon.directory.UpstreamEntry;
@@ -126,16 +127,18 @@
         /**
          * Accepts bytes of the run and relays each event that they complete.
          *
-         * @param beforeEvent runs before each event that is in order is relayed
+         * @param filter receives for each event that is in order whether it has an id, and returns
+         *     whether it is relayed
          * @throws TroutpierException when an event is out of order or has a malformed id
          */
-        void feed(byte[] bytes, Runnable beforeEvent) {
+        void feed(byte[] bytes, Predicate<Boolean> filter) {
             mSplitter.feed(
                     bytes,
                     event -> {
                         OptionalLong id = nextId(event);
-                        beforeEvent.run();
-                        relay(event, id, mEngine);
+                        if (filter.test(id.isPresent())) {
+                            relay(event, id, mEngine);
+                        }
                     });
         }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RunReplacement.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RunReplacement.java
@@ -21,10 +21,7 @@
     /** The head of the candidate's answer, if it has come. */
     private Optional<UpstreamPort.Head> mHead = Optional.empty();
 
-    /** Whether the candidate's engine granted a reservation for it. */
-    private boolean mReserved;
-
-    /** Fires when the two runs have overlapped for long enough; null while they do not. */
+    /** Fires when both runs have gone on for long enough; null before the candidate's head. */
     private TrafficLoop.Timer mOverlapTimer;
 
     private boolean mActive;
@@ -55,38 +52,27 @@
         mSearch.beginAgain();
     }
 
-    /**
-     * Records that a run was sent that may take over.
-     *
-     * @param reserved whether its engine granted a reservation for it
-     */
-    void setCandidate(StreamRun run, boolean reserved) {
+    /** Records that a run was sent that may take over. */
+    void setCandidate(StreamRun run) {
         mCandidate = run;
-        mReserved = reserved;
         mHead = Optional.empty();
-        mOverlapTimer =
-                mExecution
-                        .mContext
-                        .loop()
-                        .schedule(this::onOverlapEnd, ServingSettings.MAX_OVERLAP_MILLIS);
     }
 
-    /** Records the head of the candidate's answer. */
+    /** Records the head of the candidate's answer, which shows that its engine runs the request. */
     void recordHead(UpstreamPort.Head head) {
         mHead = Optional.of(head);
+        mOverlapTimer =
+                mExecution
+                        .mContext
+                        .loop()
+                        .schedule(
+                                () -> mExecution.takeOver("head"),
+                                ServingSettings.MAX_OVERLAP_MILLIS);
     }
 
-    /**
-     * Lets the candidate take over. An engine that has granted a place and has not refused the run
-     * at once is running it.
-     */
-    private void onOverlapEnd() {
-        mOverlapTimer = null;
-        if (mReserved || mHead.isPresent()) {
-            mExecution.takeOver("sent " + ServingSettings.MAX_OVERLAP_MILLIS + "ms ago");
-        } else {
-            end("not answered within " + ServingSettings.MAX_OVERLAP_MILLIS + "ms");
-        }
+    /** Returns whether any byte of the candidate's call may have been sent. */
+    boolean isAtUpstream() {
+        return mCandidate != null && mCandidate.mayHaveBeenSent();
     }
 
     /**
@@ -109,7 +95,7 @@
     record Taken(StreamRun run, Optional<UpstreamPort.Head> head) {}
 
     /**
-     * Ends the replacement, if there is one; the silent run is kept.
+     * Ends the replacement, if there is one. The permit for its call is kept.
      *
      * @param reason why it ends
      */
@@ -122,11 +108,12 @@
         clear();
         if (candidate != null) {
             candidate.abort();
+            candidate.prompt().ifPresent(mExecution.mContext.port()::discard);
+            mExecution.mAttempted.giveUp(candidate.engine());
             mExecution.recordAttemptEnd(
                     candidate.engine(), AttemptEnd.failed(ResultCode.OUTCOME_UNKNOWN, reason));
         }
         mSearch.release();
-        mExecution.mArrivals.releaseReserved();
         mExecution.trace().addStep("replacement ended(" + reason + ")");
     }
 
@@ -140,10 +127,9 @@
         }
     }
 
-    /** Ends the replacement because the candidate's run has failed. */
-    void endFailed(String reason) {
+    /** Records that the candidate's run has failed. */
+    void dropCandidate() {
         mCandidate = null;
-        end(reason);
     }
 
     private void clear() {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingSettings.java
@@ -47,8 +47,9 @@
     static final long SILENCE_CHECK_MILLIS = 400;
 
     /**
-     * How long two runs of a stream may overlap, milliseconds. An engine must have stopped 400 ms
-     * after its stream was continued elsewhere; the rest is for the cancellation to arrive.
+     * How long two runs of a stream may go on once the second one has sent a head, milliseconds. An
+     * engine must have stopped 400 ms after its stream was continued elsewhere; the rest is for the
+     * cancellation to arrive.
      */
     static final long MAX_OVERLAP_MILLIS = 300;
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -36,8 +36,8 @@
     /** The decode run whose events are relayed, or null. */
     private StreamRun mRun;
 
-    /** Whether the engine of the run has passed the silence limit. */
-    private boolean mSilent;
+    /** The silence of the run's engine. */
+    private final RunSilence mSilence;
 
     /** Whether the head of the answer was sent to the caller. */
     private boolean mStreamStarted;
@@ -55,6 +55,7 @@
         mRelay = new EventRelay(caller, request.lastEventId(), mEngines::bindTo);
         mSearch = new StreamSearch(this, engineTraits, mRelay, mEngines, this);
         mReplacement = new RunReplacement(this, mSearch);
+        mSilence = new RunSilence(context, mTrace);
         caller.onWritable(this::resumeReading);
     }
 
@@ -104,7 +105,7 @@
         }
         boolean withheld = withheld().isPresent();
         if (withheld) {
-            mReplacement.end("withheld");
+            endReplacement("withheld");
         }
         return withheld;
     }
@@ -135,7 +136,7 @@
                         mTrace,
                         new RunListener(mSearch.reservation().takeMemory()));
         if (mReplacement.isActive()) {
-            mReplacement.setCandidate(run, reservation.isPresent());
+            mReplacement.setCandidate(run);
         } else {
             mRun = run;
         }
@@ -156,7 +157,7 @@
      */
     private void failWithoutRun(ResultCode code, String detail) {
         if (mReplacement.isActive()) {
-            mReplacement.end(detail);
+            endReplacement(detail);
         } else if (mStreamStarted) {
             abortStream(detail);
         } else {
@@ -177,33 +178,31 @@
         if (mRoute.kind() != Route.Kind.RESUMABLE_STREAM || mReplacement.isActive()) {
             return;
         }
-        if (!mSilent) {
-            mSilent = true;
-            mTrace.markNotable();
-            mTrace.addStep(
-                    "silent@%s for %dms, attempt %d of %d"
-                            .formatted(
-                                    run.engine().id(),
-                                    millis,
-                                    mAttempted.size(),
-                                    mRoute.maxAttempts()));
-            mContext.metrics().silentRun("begun");
-            mContext.loads().failed(run.engine(), false, SILENT.detail());
-        }
-        if (mayRetry(run.engine(), SILENT)) {
+        mSilence.begin(
+                run, millis, SILENT.detail(), mAttempted.size() + " of " + mRoute.maxAttempts());
+        if (mSilence.isSearchDue(millis) && mayRetry(run.engine(), SILENT)) {
+            mSilence.recordSearch();
             mReplacement.begin();
         }
     }
 
     /** Ends the replacement of a run whose engine is no longer silent. */
     private void onBytes(StreamRun run, long silentMillis) {
-        if (!mSilent) {
-            return;
+        if (mSilence.isSilent()) {
+            mSilence.recordContinued(run, silentMillis);
+            endReplacement("continued");
         }
-        mSilent = false;
-        mContext.metrics().silentRun("continued");
-        mTrace.addStep("continued@" + run.engine().id() + " after " + silentMillis + "ms");
-        mReplacement.end("continued");
+    }
+
+    /** Ends the replacement of a run that goes on, and releases the permit for its call. */
+    private void endReplacement(String reason) {
+        mReplacement.end(reason);
+        mArrivals.releaseReserved();
+    }
+
+    /** Returns whether a run is in progress, so that a search is for its replacement. */
+    boolean isRunning() {
+        return mRun != null;
     }
 
     /**
@@ -215,12 +214,10 @@
         RunReplacement.Taken taken = mReplacement.take();
         StreamRun silent = mRun;
         if (silent != null) {
-            mTrace.addStep("replaced after " + silent.silentMillis() + "ms, " + reason);
-            mContext.metrics().silentRun("replaced");
+            mSilence.recordReplaced(silent.silentMillis(), reason);
             silent.abort();
             recordAttemptEnd(silent.engine(), SILENT);
         }
-        mSilent = false;
         mRun = taken.run();
         taken.head().ifPresent(this::beginStream);
     }
@@ -233,20 +230,12 @@
         }
     }
 
-    /** Records that a run has ended while its engine was silent. */
-    private void recordSilenceEnded() {
-        if (mSilent) {
-            mSilent = false;
-            mContext.metrics().silentRun("ended");
-        }
-    }
-
     /** Decides how to continue after a failed run. */
     private void onRunFailed(StreamRun run, AttemptEnd end) {
         UpstreamEntry engine = run.engine();
         long writing = run.writingMillis();
         recordFailure(engine, end);
-        recordSilenceEnded();
+        mSilence.recordEnded();
         if (mReplacement.hasCandidate()) {
             takeOver("the silent run failed");
             afterCrashAttribution(engine, end, writing, ended -> {});
@@ -264,8 +253,11 @@
     /** Ends a replacement whose run failed. */
     private void onCandidateFailed(StreamRun run, AttemptEnd end) {
         recordFailure(run.engine(), end);
-        mAttempted.withdraw(run.engine(), end);
-        mReplacement.endFailed(end.detail());
+        if (!mAttempted.withdraw(run.engine(), end) && end.notStarted()) {
+            mAttempted.giveUp(run.engine());
+        }
+        mReplacement.dropCandidate();
+        endReplacement(end.detail());
         afterCrashAttribution(run.engine(), end, run.writingMillis(), ended -> {});
     }
 
@@ -292,7 +284,7 @@
     /** {@inheritDoc} */
     @Override
     protected void releaseUpstream() {
-        recordSilenceEnded();
+        mSilence.recordEnded();
         if (mRun != null) {
             mRun.abort();
         }
@@ -303,7 +295,7 @@
     /** {@inheritDoc} */
     @Override
     protected boolean isAtUpstream() {
-        return mRun != null && mRun.mayHaveBeenSent();
+        return (mRun != null && mRun.mayHaveBeenSent()) || mReplacement.isAtUpstream();
     }
 
     /** {@inheritDoc} */
@@ -354,10 +346,15 @@
 
         /** {@inheritDoc} */
         @Override
-        public void beforeEvent(StreamRun run) {
-            if (mReplacement.isCandidate(run)) {
+        public boolean onEvent(StreamRun run, boolean numbered) {
+            if (!mReplacement.isCandidate(run)) {
+                return true;
+            }
+            boolean next = numbered || mRelay.lastEventId().isEmpty();
+            if (next) {
                 takeOver("first event");
             }
+            return next;
         }
 
         /** {@inheritDoc} */
@@ -397,6 +394,7 @@
                             mContext.loop().millis());
             mSearch.reservation().forecast().recordOutput(output);
             mTrace.addStep("events=" + mRelay.eventCount());
+            mSearch.release();
             mCaller.endStream();
             finishAnswered();
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
@@ -65,8 +65,13 @@
         /** Called with the head of a successful answer. */
         void onHead(StreamRun run, UpstreamPort.Head head);
 
-        /** Called before an event that is next in order is relayed. */
-        void beforeEvent(StreamRun run);
+        /**
+         * Called before an event that is next in order is relayed.
+         *
+         * @param numbered whether the event has an id
+         * @return whether to relay it
+         */
+        boolean onEvent(StreamRun run, boolean numbered);
 
         /**
          * Called after events were relayed.
@@ -209,7 +214,7 @@
         }
         long before = mRelay.eventCount();
         try {
-            mSource.feed(part, () -> mListener.beforeEvent(this));
+            mSource.feed(part, numbered -> mListener.onEvent(this, numbered));
         } catch (TroutpierException exception) {
             fail(exception.code(), exception.detail());
             return;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamSearch.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamSearch.java
@@ -111,7 +111,9 @@
                         .predictedWaitMillis(
                                 mEngines.all(), budget.tier(), budget.waitMillis(prediction));
         if (budget.isExceededBy(mPredictedWaitMillis, prediction)) {
-            mContext.metrics().refusedAtOnce(budget.tier());
+            if (!mExecution.isRunning()) {
+                mContext.metrics().refusedAtOnce(budget.tier());
+            }
             mExecution
                     .trace()
                     .addStep("predicted wait for memory " + (long) mPredictedWaitMillis + "ms");
@@ -220,8 +222,10 @@
         @Override
         public void onRefused(String detail) {
             mReservation.endSearch();
-            mContext.growthMargin().recordRefusal();
-            mContext.metrics().searchRefused();
+            if (!mExecution.isRunning()) {
+                mContext.growthMargin().recordRefusal();
+                mContext.metrics().searchRefused();
+            }
             mExecution
                     .trace()
                     .addStep(
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/EventRelayTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/EventRelayTest.java
@@ -34,10 +34,10 @@
     public void onlyCompleteEventsAreRelayed() {
         EventRelay relay = new EventRelay(mCaller, OptionalLong.empty(), engine -> {});
         EventRelay.Source run = run(relay);
-        run.feed(bytes("id: 1\ndata: a\n\nid: 2\nda"), () -> {});
+        run.feed(bytes("id: 1\ndata: a\n\nid: 2\nda"), numbered -> true);
         assertEquals(mCaller.text(), "id: 1\ndata: a\n\n");
         assertFalse(run.atEventBoundary());
-        run.feed(bytes("ta: b\n\n"), () -> {});
+        run.feed(bytes("ta: b\n\n"), numbered -> true);
         assertTrue(run.atEventBoundary());
         assertEquals(relay.lastEventId(), OptionalLong.of(2));
     }
@@ -45,8 +45,8 @@
     @Test
     public void nextRunContinuesAfterTheLastCompleteEvent() {
         EventRelay relay = new EventRelay(mCaller, OptionalLong.empty(), engine -> {});
-        run(relay).feed(bytes("id: 1\ndata: a\n\nid: 2\nda"), () -> {});
-        run(relay).feed(bytes("id: 2\ndata: b\n\n"), () -> {});
+        run(relay).feed(bytes("id: 1\ndata: a\n\nid: 2\nda"), numbered -> true);
+        run(relay).feed(bytes("id: 2\ndata: b\n\n"), numbered -> true);
         assertEquals(mCaller.text(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     }
 
@@ -55,18 +55,18 @@
         EventRelay relay = new EventRelay(mCaller, OptionalLong.of(4), engine -> {});
         assertThrows(
                 TroutpierException.class,
-                () -> run(relay).feed(bytes("id: 6\ndata: a\n\n"), () -> {}));
+                () -> run(relay).feed(bytes("id: 6\ndata: a\n\n"), numbered -> true));
         EventRelay again = new EventRelay(mCaller, OptionalLong.of(4), engine -> {});
         assertThrows(
                 TroutpierException.class,
-                () -> run(again).feed(bytes("id: 4\ndata: a\n\n"), () -> {}));
+                () -> run(again).feed(bytes("id: 4\ndata: a\n\n"), numbered -> true));
         assertEquals(mCaller.text(), "");
     }
 
     @Test
     public void aFirstLineBeforeTheIdIsKept() {
         EventRelay relay = new EventRelay(mCaller, OptionalLong.of(0), engine -> {});
-        run(relay).feed(bytes("weight-versions: 2\nid: 1\ndata: a\n\n"), () -> {});
+        run(relay).feed(bytes("weight-versions: 2\nid: 1\ndata: a\n\n"), numbered -> true);
         assertEquals(mCaller.text(), "weight-versions: 2\nid: 1\ndata: a\n\n");
         assertEquals(relay.lastEventId(), OptionalLong.of(1));
     }
@@ -87,7 +87,7 @@
             byte[] bytes = bytes(all.toString());
             for (int at = 0; at < bytes.length; ) {
                 int next = Math.min(bytes.length, at + 1 + random.nextInt(100));
-                run.feed(java.util.Arrays.copyOfRange(bytes, at, next), () -> {});
+                run.feed(java.util.Arrays.copyOfRange(bytes, at, next), numbered -> true);
                 at = next;
             }
             assertEquals(caller.text(), all.toString(), "seed " + seed);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/RunReplacementTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/RunReplacementTest.java
@@ -105,17 +105,95 @@
         assertNothingHeld();
     }
 
-    @Test
-    public void anEngineDoesNotWorkOnAStreamThatWasContinuedElsewhere400MillisBefore() {
+    /** Starts a stream whose first engine is silent, and returns the second run. */
+    private UpstreamPort.RunListener streamWithSecondRun() {
         stream();
+        UpstreamPort.RunListener first = mPort.mRuns.get(0).mListener;
+        first.onHead(HEAD);
+        first.onPart(bytes("id: 1\ndata: a\n\n"));
         mTime.advance(ServingSettings.STREAM_SILENCE_MILLIS + 1);
         assertEquals(mPort.mRuns.size(), 2);
+        return mPort.mRuns.get(1).mListener;
+    }
+
+    @Test
+    public void anEngineDoesNotWorkOnAStreamThatWasContinuedElsewhere400MillisBefore() {
+        UpstreamPort.RunListener second = streamWithSecondRun();
+        second.onHead(HEAD);
+        second.onPart(bytes(": no event\n\n"));
         assertFalse(mPort.mRuns.get(0).mAborted);
         mTime.advance(380);
         assertTrue(mPort.mRuns.get(0).mAborted);
         assertFalse(mPort.mRuns.get(1).mAborted);
     }
 
+    @Test
+    public void aSilentRunIsNotGivenUpForOneThatIsRefusedLate() {
+        UpstreamPort.RunListener second = streamWithSecondRun();
+        mTime.advance(2000);
+        second.onHead(
+                new UpstreamPort.Head(
+                        503, new DefaultHttpHeaders(), UpstreamPort.Verdict.NOT_STARTED, true));
+        second.onEnd();
+        assertFalse(mPort.mRuns.get(0).mAborted);
+        UpstreamPort.RunListener first = mPort.mRuns.get(0).mListener;
+        first.onPart(bytes("id: 2\ndata: b\n\n"));
+        first.onEnd();
+        assertEquals(mCaller.text(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        assertTrue(mCaller.mEnded);
+        assertNothingHeld();
+    }
+
+    @Test
+    public void anEngineWhoseRunWasGivenUpMayBeSentTheStreamAgain() {
+        streamWithSecondRun();
+        UpstreamPort.RunListener first = mPort.mRuns.get(0).mListener;
+        first.onPart(bytes("id: 2\ndata: b\n\n"));
+        assertTrue(mPort.mRuns.get(1).mAborted);
+        mPort.mOnCheck = probe -> probe.accept(UpstreamPort.ProbeResult.NOT_LISTENING);
+        first.onFailure(AttemptEnd.lost("reset"));
+        mTime.advance(1000);
+        UpstreamPort.RunListener third = mPort.mRuns.get(2).mListener;
+        third.onHead(HEAD);
+        third.onPart(bytes("id: 3\ndata: c\n\n"));
+        third.onEnd();
+        assertTrue(mCaller.mEnded);
+        assertNothingHeld();
+    }
+
+    @Test
+    public void aCallerThatLeavesEndsBothRuns() {
+        streamWithSecondRun();
+        mCaller.disconnect();
+        assertTrue(mPort.mRuns.get(0).mAborted);
+        assertTrue(mPort.mRuns.get(1).mAborted);
+        mTime.advance(5000);
+        assertEquals(mPort.mRuns.size(), 2);
+        assertNothingHeld();
+    }
+
+    @Test
+    public void aSilentRunThatBreaksOffKeepsThePermitOfItsReplacement() {
+        mContext.extraCallBudget().setLimits(0, 1);
+        mPort.mDefersReservations = true;
+        stream();
+        mPort.mDeferredReservation.onResult(new UpstreamPort.Reservation("token"));
+        mTime.advance(ServingSettings.STREAM_SILENCE_MILLIS + 1);
+        mPort.mOnCheck =
+                probe ->
+                        mTime.loop()
+                                .schedule(
+                                        () -> probe.accept(UpstreamPort.ProbeResult.NOT_LISTENING),
+                                        100);
+        mPort.mRuns.get(0).mListener.onFailure(AttemptEnd.lost("reset"));
+        assertTrue(
+                mContext.extraCallBudget().tryAcquire("service", mTime.millis()).isEmpty(),
+                "the permit was given to another request");
+        mTime.advance(1000);
+        mPort.mDeferredReservation.onResult(new UpstreamPort.Reservation("token"));
+        assertEquals(mPort.mRuns.size(), 2);
+    }
+
     @Test
     public void aSilentRunThatBreaksOffIsFollowedByTheOneThatWasSent() {
         stream();
