Completions: silence ends an attempt only once other engines are granted

Cause: a prefill of 4 s, a transfer of 2 s or 3 s without a token ended the attempt of a sound engine first. Whether a retry was left, and an engine had room, was asked afterwards; where not, the request was refused, or its stream cut.

Change: these times start a search beside the attempt (ReplacementSearch, EngineSilence): a retry is taken and a ticket submitted that avoids the silent engines. The attempt ends when a grant avoids them; otherwise it goes on until its deadline, and the search is tried again. If the engine goes on, or the request ends, the ticket, the grant and the retry are given back. Requests that are not repeatable are never searched for.

Counters: requests.*.silent; given-up counts attempts that were replaced.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/CompletionExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/CompletionExchange.java
@@ -24,22 +24,14 @@
 /**
  * Handling of a completion: prefill, transfer, decode, answer. Confined to the event loop of the
  * caller's connection. Invariants: the end mark is sent only after the end mark of the decode
- * engine; a retry of an interrupted answer continues after the last token received.
+ * engine; a retry of an interrupted answer continues after the last token received; silence of an
+ * engine ends an attempt only once other engines have been granted.
  */
 public final class CompletionExchange extends RequestExchange {
 
     /** Interval at which the upstream is checked for silence. */
     private static final long SILENCE_CHECK_INTERVAL_MILLIS = 250;
 
-    /** Maximum duration of a prefill. */
-    private static final long PREFILL_TIMEOUT_NANOS = 4_000_000_000L;
-
-    /** Maximum time from the decode request to the first token, including the transfer. */
-    private static final long TRANSFER_TIMEOUT_NANOS = 2_000_000_000L;
-
-    /** Maximum time between tokens. */
-    private static final long TOKEN_TIMEOUT_NANOS = 3_000_000_000L;
-
     /** Maximum number of bytes buffered for a slow caller. */
     private static final long MAX_PENDING_BYTES = 1024 * 1024;
 
@@ -80,6 +72,9 @@
 
     private Future<?> mSilenceTimer;
 
+    /** Whether the upstream of the current step has been silent for too long. */
+    private boolean mSilent;
+
     /**
      * Parameters of a completion. Immutable and thread safe.
      *
@@ -126,7 +121,7 @@
         setStage(Stage.PREFILL);
         setUpstream(grant.prefill().id().value());
         recordEvent("prefill", grant.prefill().id() + " for " + grant.main().id());
-        mLastProgressNanos = now();
+        recordProgress(now());
         mPrefillMayHold = true;
         mSilenceTimer =
                 exchange()
@@ -206,7 +201,7 @@
         setStage(Stage.TRANSFER);
         setUpstream(grant.main().id().value());
         recordEvent("decode", grant.main().id().value());
-        mLastProgressNanos = now();
+        recordProgress(now());
         mDecodeMayHold = true;
         EngineClient.DecodeRequest order =
                 new EngineClient.DecodeRequest(
@@ -293,7 +288,7 @@
         if (mTokens == mTokensBefore) {
             onFirstTokenOfAttempt(now);
         }
-        mLastProgressNanos = now;
+        recordProgress(now);
         mTokens++;
         mText.append(event.text());
         if (mRequest.stream()) {
@@ -370,35 +365,32 @@
         services().node().metrics().counter(name).inc(amount);
     }
 
-    /** Ends the attempt if its upstream has been silent for too long. */
-    private void checkSilence() {
-        if (!isCurrent(mAttempt)) {
-            return;
-        }
-        long silentNanos = now() - mLastProgressNanos;
-        switch (currentStage()) {
-            case PREFILL -> abandonAfter(silentNanos, PREFILL_TIMEOUT_NANOS, "no prefill");
-            case TRANSFER -> abandonAfter(silentNanos, TRANSFER_TIMEOUT_NANOS, "no first token");
-            case DECODE -> abandonAfter(silentNanos, TOKEN_TIMEOUT_NANOS, "no next token");
-            default -> {
-                // nothing is awaited
-            }
+    /** Records that an upstream of the current attempt has sent something, or was just called. */
+    private void recordProgress(long now) {
+        mLastProgressNanos = now;
+        if (mSilent) {
+            mSilent = false;
+            endReplacementSearch();
         }
     }
 
-    /**
-     * Ends the attempt if the time since the last progress exceeds a timeout.
-     *
-     * @param silentNanos time since the last progress
-     * @param timeoutNanos the timeout
-     * @param missing what has not arrived
-     */
-    private void abandonAfter(long silentNanos, long timeoutNanos, String missing) {
-        if (silentNanos > timeoutNanos) {
-            count("given-up");
-            AttemptEnd end = AttemptEnd.lost(missing + " from " + currentUpstream());
-            onAttemptEnd(currentStage() == Stage.PREFILL ? end : endAfterPrefill(end));
+    /** Searches other engines if the upstream of the current step has been silent for too long. */
+    private void checkSilence() {
+        EngineSilence silence = new EngineSilence(mCurrentGrant, currentStage());
+        if (!isCurrent(mAttempt) || !silence.isDue(now() - mLastProgressNanos)) {
+            return;
+        }
+        String detail = silence.missing() + " from " + currentUpstream();
+        if (!mSilent) {
+            mSilent = true;
+            count("silent");
+            recordEvent("silent", detail);
         }
+        AttemptEnd end = AttemptEnd.lost(detail);
+        searchReplacement(
+                silence.suspects(),
+                silence::isAvoidedBy,
+                currentStage() == Stage.PREFILL ? end : endAfterPrefill(end));
     }
 
     /** {@inheritDoc} */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
@@ -1,9 +1,11 @@
 package org.troutpier.daemon.request;
 
 import io.netty.util.concurrent.Future;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.troutpier.common.declaration.ClassDeclaration;
 import org.troutpier.common.declaration.ClassDeclaration.AnswerCommit;
 import org.troutpier.common.declaration.ClassDeclaration.TableOutagePolicy;
@@ -51,6 +53,8 @@
 
     private final HeldAdmission mAdmission;
 
+    private final ReplacementSearch mReplacement;
+
     /** Number of attempts started. */
     private int mAttempts;
 
@@ -71,6 +75,7 @@
         mArrivalNanos = services.node().nanos().getAsLong();
         mClaim = new HeldClaim(services, arrival);
         mAdmission = new HeldAdmission(services);
+        mReplacement = new ReplacementSearch(services, arrival);
     }
 
     /**
@@ -217,11 +222,7 @@
         if (isOver()) {
             return;
         }
-        recordEvent("attempt-ended", end.code().label() + " " + end.detail());
-        Grant grant = mAdmission.take();
-        stopAttempt();
-        mAdmission.release(grant, failedUpstream(grant), end);
-        mOutcomeTracker.recordAttemptEnd(end);
+        releaseAttempt(end);
         setStage(Stage.QUEUED);
         if (!requestClass().repeatable() && mOutcomeTracker.mayHaveRun()) {
             refuse(end.code(), end.detail());
@@ -234,6 +235,47 @@
         }
     }
 
+    /** Stops the current attempt and releases what it holds. */
+    private void releaseAttempt(AttemptEnd end) {
+        recordEvent("attempt-ended", end.code().label() + " " + end.detail());
+        mReplacement.end();
+        Grant grant = mAdmission.take();
+        stopAttempt();
+        mAdmission.release(grant, failedUpstream(grant), end);
+        mOutcomeTracker.recordAttemptEnd(end);
+    }
+
+    /**
+     * Searches upstreams for another attempt while the current one, which is silent, goes on. The
+     * current attempt ends once they have been granted; without them it is kept until the deadline.
+     *
+     * @param suspects upstreams that may be the cause of the silence
+     * @param isUseful whether a grant promises more than the current attempt
+     * @param end how the current attempt ends if it is replaced
+     */
+    protected final void searchReplacement(
+            Set<UpstreamId> suspects, Predicate<Grant> isUseful, AttemptEnd end) {
+        if (!requestClass().repeatable() || mAttempts >= MAX_ATTEMPTS) {
+            return;
+        }
+        Set<UpstreamId> avoided = new HashSet<>(mAdmission.failedUpstreams());
+        avoided.addAll(suspects);
+        mReplacement.tryStart(
+                listener -> ticket(mArrivalNanos, avoided, listener),
+                isUseful,
+                grant -> {
+                    count("given-up");
+                    count("retries");
+                    releaseAttempt(end);
+                    startAttempt(grant);
+                });
+    }
+
+    /** Ends the search for another attempt: the current one goes on. */
+    protected final void endReplacementSearch() {
+        mReplacement.end();
+    }
+
     /** Retries the request if the partner's retry budget allows it, or else refuses it. */
     private void retryWithinBudget(AttemptEnd end) {
         if (mServices.budget().tryAcquire(requestClass().partner())) {
@@ -259,6 +301,7 @@
      * @param keep whether the answer is small enough to be stored
      */
     protected final void onAnswerComplete(StoredAnswer answer, boolean keep) {
+        mReplacement.end();
         mAdmission.release(mAdmission.take());
         setStage(Stage.ANSWERING);
         if (!mClaim.isHeld()) {
@@ -377,6 +420,7 @@
         stopAttempt();
         mStage = Stage.OVER;
         mDeadlineTimer.cancel(false);
+        mReplacement.end();
         mAdmission.leave();
         mClaim.settle(mayHaveRun, code);
         mServices.registry().remove(this);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RetryBudget.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RetryBudget.java
@@ -43,4 +43,9 @@
         mBalances.put(partner, Math.max(0, balance - 1));
         return true;
     }
+
+    /** Gives back a retry that was taken and not used. */
+    public synchronized void giveBack(PartnerId partner) {
+        mBalances.merge(partner, 1.0, (balance, one) -> Math.min(MAX_BALANCE, balance + one));
+    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/request/RetryBudgetTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/request/RetryBudgetTest.java
@@ -51,4 +51,17 @@
             assertTrue(retries * 10 <= first, "seed " + seed + " step " + step);
         }
     }
+
+    @Test
+    public void aRetryThatWasNotUsedIsGivenBack() {
+        RetryBudget budget = new RetryBudget();
+        for (int tries = 0; tries < 10; tries++) {
+            budget.recordFirstAttempt(TRUST);
+        }
+        assertTrue(budget.tryAcquire(TRUST));
+        assertFalse(budget.tryAcquire(TRUST));
+        budget.giveBack(TRUST);
+        assertTrue(budget.tryAcquire(TRUST));
+        assertFalse(budget.tryAcquire(TRUST));
+    }
 }
