Test of endless bodies: chunks of 8 bytes against a limit of 1 MB

16 MB in chunks of 8 bytes are two million messages, whose decoding took over 5 s once on the busy machine, so the test timed out. The bodies are now played against a limit that the call sets, the default limit against one body. What chunks cost is not bounded.

--- a/troutpier-common/src/test/java/org/troutpier/common/http/EndlessAnswerTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/EndlessAnswerTest.java
@@ -28,6 +28,9 @@
     /** Time limit of a call, far beyond the time in which its answer exceeds a limit. */
     private static final int CALL_MILLIS = 10_000;
 
+    /** Limit of bodies that are costly to decode. */
+    private static final int BODY_BYTES = 1024 * 1024;
+
     /** What the sockets of both sides hold while nothing is read. */
     private static final long SOCKET_BYTES = 12_000_000;
 
@@ -111,6 +114,15 @@
     public void aBodyWithoutEndFailsTheCallAtItsLimit(String what, String start, String unit)
             throws Exception {
         try (EndlessServer server = new EndlessServer(EndlessServer.Answer.ofLines(start, unit))) {
+            assertEquals(outcome(mCalls.call(post(server.port()), BODY_BYTES)), "failed");
+            assertTrue(server.awaitClosed(CALL_MILLIS / 2), "the connection is still open");
+        }
+    }
+
+    @Test
+    public void aBodyWithoutEndFailsACallThatSetsNoLimit() throws Exception {
+        try (EndlessServer server =
+                new EndlessServer(EndlessServer.Answer.ofLines("HTTP/1.1 200 OK\n\n", "x"))) {
             assertEquals(outcome(mCalls.call(post(server.port()))), "failed");
             assertTrue(server.awaitClosed(CALL_MILLIS / 2), "the connection is still open");
         }
