--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/BufferedResponse.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/BufferedResponse.java
@@ -1,8 +1,6 @@
 package org.troutpier.daemon.serving;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
+import com.fasterxml.jackson.core.util.ByteArrayBuilder;
 
 /**
  * A response whose body is buffered until it is complete. Confined to the traffic loop. {@link
@@ -17,7 +15,8 @@
 
     private final UpstreamPort.Head mHead;
 
-    private final ByteBuf mBody = Unpooled.buffer();
+    /** Grows by blocks, so that it takes little more memory than it holds and is not copied. */
+    private final ByteArrayBuilder mBody = new ByteArrayBuilder();
 
     BufferedResponse(UpstreamPort.Head head) {
         mHead = head;
@@ -29,8 +28,8 @@
      * @return whether the body is still within its limit
      */
     boolean append(byte[] part) {
-        mBody.writeBytes(part);
-        return mBody.readableBytes() <= MAX_BYTES;
+        mBody.write(part);
+        return mBody.size() <= MAX_BYTES;
     }
 
     /** Returns the head of the response. */
@@ -40,6 +39,6 @@
 
     /** Sends the response to a caller. */
     void sendTo(CallerChannel caller) {
-        caller.sendResponse(mHead.status(), mHead.headers(), ByteBufUtil.getBytes(mBody));
+        caller.sendResponse(mHead.status(), mHead.headers(), mBody.toByteArray());
     }
 }
