Prefills: a silent one goes on until another is completed

Cause: a prefill was aborted once its engine counted as silent, and only then another engine, a permit and admission were searched. Without a permit the request was refused although a sound engine was at work.

Change: silence starts the search for a replacement, again every 400 ms while all prefills in progress are silent. The first result is used, the others are aborted, and a result that still arrives is freed at its engine. A failure counts only when no other prefill is left. Of several prefills, the one left out of the count is the last one, so that the run takes over its permit whichever is completed first. Without another engine, the decode engine processes the prompt if the budget allows the run and it is done by the deadline; otherwise the prefill goes on. No prompt is sent to an engine that is ejected itself. The duration of a prefill with a pause is no longer a measurement, and silence is not attributed to the request. Steps of the request and the counters prefills.silent.{begun,continued,replaced,ended} tell what became of it.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillCall.java
@@ -9,7 +9,8 @@
 
 /**
  * One call that has a prompt processed by a prefill engine. Confined to the traffic loop.
- * Invariant: the call ends exactly once, by success, failure, time-out or abort.
+ * Invariants: the call ends exactly once, by success, failure or abort, and silence never ends it;
+ * a result that arrives later is freed at its engine.
  */
 final class PrefillCall implements UpstreamPort.ResultListener<UpstreamPort.StoredPrompt> {
 
@@ -67,6 +68,9 @@
 
     private boolean mEnded;
 
+    /** Whether the engine has passed the silence limit. */
+    private boolean mSilent;
+
     /**
      * A prompt to be processed. Immutable and thread safe.
      *
@@ -86,10 +90,16 @@
          *
          * @param prompt the result, stored at the engine
          */
-        void onPrefilled(UpstreamPort.StoredPrompt prompt);
+        void onPrefilled(PrefillCall call, UpstreamPort.StoredPrompt prompt);
+
+        /**
+         * Called while the engine does not answer, each time the silence limit or the interval of
+         * further checks has passed.
+         */
+        void onSilent(PrefillCall call);
 
         /** Called when the engine did not process the prompt. */
-        void onFailed(UpstreamEntry engine, AttemptEnd end);
+        void onFailed(PrefillCall call, UpstreamEntry engine, AttemptEnd end);
 
         /** Returns whether the first event could still be in time if another engine is called. */
         boolean mayBeInTimeElsewhere();
@@ -116,7 +126,7 @@
             mPacedMillis = state.predictedMillis();
         } else {
             mWatch = null;
-            mTimeout = context.loop().schedule(this::onTimeout, timeoutMillis());
+            mTimeout = context.loop().schedule(this::onSilent, timeoutMillis());
             mPacedMillis = mPredictedMillis;
         }
         if (mWatch != null && mPredictedMillis > 0) {
@@ -166,9 +176,24 @@
         mCall = mContext.port().prefill(mEngine, request, plan, this);
     }
 
+    /** Returns the call among those of its request; null until it is sent. */
+    RequestArrivals.Arrival arrival() {
+        return mArrival;
+    }
+
+    /** Returns whether the engine has passed the silence limit. */
+    boolean isSilent() {
+        return mSilent;
+    }
+
+    /** Returns the time since the call was created, milliseconds. */
+    long elapsedMillis() {
+        return mContext.loop().millis() - mStart;
+    }
+
     /**
-     * Returns the time-out of the call. It follows the prediction, so that after a lost answer
-     * another engine can still process the prompt in time.
+     * Returns the time after which the engine counts as silent. It follows the prediction, so that
+     * after a lost answer another engine can still process the prompt in time.
      */
     private long timeoutMillis() {
         if (mPredictedMillis <= 0) {
@@ -198,20 +223,28 @@
             mTimeout = mContext.loop().schedule(this::onCheck, remaining);
             return;
         }
-        mTrace.addStep(
-                "silent@"
-                        + mEngine.id()
-                        + " known tokens "
-                        + queuedTokens
-                        + mContext.loads().paces().describe(mEngine));
-        onTimeout();
+        onSilent();
     }
 
-    private void onTimeout() {
-        if (!mEnded) {
-            mCall.abort();
-            onFailure(AttemptEnd.lost("prefill silent"));
+    private void onSilent() {
+        if (mEnded) {
+            return;
+        }
+        if (!mSilent) {
+            mSilent = true;
+            mTrace.markNotable();
+            mTrace.addStep(
+                    "prefill silent@%s for %dms, known tokens %d%s"
+                            .formatted(
+                                    mEngine.id(),
+                                    elapsedMillis(),
+                                    mContext.loads().tokens(mEngine),
+                                    mContext.loads().paces().describe(mEngine)));
+            mContext.metrics().silentPrefill("begun");
+            mContext.loads().silent(mEngine, "prefill silent");
         }
+        mTimeout = mContext.loop().schedule(this::onSilent, ServingSettings.SILENCE_CHECK_MILLIS);
+        mListener.onSilent(this);
     }
 
     /**
@@ -223,10 +256,27 @@
         return Math.max(MIN_MEASUREMENT_WEIGHT, Math.min(1, alone / mPredictedMillis));
     }
 
-    /** Aborts the call; its listener is not called. */
+    /** Aborts the call because its request ends; its listener is not called. */
     void abort() {
+        abort("ended");
+    }
+
+    /** Aborts the call because its result is no longer needed; its listener is not called. */
+    void giveWay() {
+        mTrace.addStep("prefill replaced@" + mEngine.id() + " after " + elapsedMillis() + "ms");
+        abort("replaced");
+    }
+
+    private void abort(String event) {
         mCall.abort();
         close();
+        recordSilenceEnd(event);
+    }
+
+    private void recordSilenceEnd(String event) {
+        if (mSilent) {
+            mContext.metrics().silentPrefill(event);
+        }
     }
 
     private void close() {
@@ -236,7 +286,6 @@
         }
         if (!mEnded) {
             mEnded = true;
-            mArrival.recordArrived();
             mContext.loads().end(mEngine, mPrompt.tokens());
         }
     }
@@ -244,15 +293,34 @@
     /** {@inheritDoc} */
     @Override
     public void onNotice(UpstreamNotice notice, UpstreamPort.Verdict verdict) {
-        long elapsedMillis = mContext.loop().millis() - mStart;
-        mContext.admission().recordAnswer(mEngine, notice, verdict, elapsedMillis);
+        mContext.admission().recordAnswer(mEngine, notice, verdict, elapsedMillis());
     }
 
     /** {@inheritDoc} */
     @Override
     public void onResult(UpstreamPort.StoredPrompt prompt) {
-        mArrival.recordPrefilled();
+        if (mEnded) {
+            mContext.port().discard(prompt);
+            return;
+        }
         close();
+        recordSilenceEnd("continued");
+        if (mSilent) {
+            mTrace.addStep("continued@" + mEngine.id() + " after " + elapsedMillis() + "ms");
+        } else {
+            recordMeasurements();
+        }
+        mContext.loads().succeeded(mEngine);
+        mContext.metrics().callSucceeded(mEngine.id(), "prefill", elapsedMillis());
+        mTrace.addStep("read");
+        mListener.onPrefilled(this, prompt);
+    }
+
+    /**
+     * Records how long the engine took. The duration of a call with a pause would lower the
+     * throughput that is predicted for all engines, so that requests are refused as too late.
+     */
+    private void recordMeasurements() {
         long now = mContext.loop().millis();
         long engineMillis = mCall.upstreamMillis(now - mStart);
         if (mPrompt.measurable()) {
@@ -266,20 +334,19 @@
             recordPace(engineMillis);
             mContext.metrics().recordPredictionError("prefill", mPacedMillis, now - mStart);
         }
-        mContext.loads().succeeded(mEngine);
-        mContext.metrics().callSucceeded(mEngine.id(), "prefill", now - mStart);
-        mTrace.addStep("read");
-        mListener.onPrefilled(prompt);
     }
 
     /** {@inheritDoc} */
     @Override
     public void onFailure(AttemptEnd end) {
+        if (mEnded) {
+            return;
+        }
         if (end.neverReached()) {
-            mArrival.recordUnreached();
             mContext.admission().refund(mEngine, mStart);
         }
         close();
+        recordSilenceEnd("ended");
         mTrace.addStep("prefill failed(" + end.detail() + ")");
         mContext.metrics().callFailed(mEngine.id(), end);
         if (end.notStarted() && end.leaving()) {
@@ -289,6 +356,6 @@
         } else {
             mContext.loads().failed(mEngine, end.unreachable(), end.detail());
         }
-        mListener.onFailed(mEngine, end);
+        mListener.onFailed(this, mEngine, end);
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillEngines.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillEngines.java
@@ -53,6 +53,28 @@
         return mContext.loads().order().byPrefillEnd(mCandidates.get(), excluded, mPromptTokens);
     }
 
+    /**
+     * Returns the engines that may replace one that is silent. Ejected engines do not: those that
+     * are silent as well answer no earlier.
+     *
+     * @param excluded the engines that are not to be used
+     * @return the engines, the one that completes the prompt first in front
+     */
+    List<UpstreamEntry> replacements(Set<UpstreamIncarnation> excluded) {
+        return inOrder(excluded).stream()
+                .filter(each -> mContext.loads().ejectedUntil(each) <= mContext.loop().millis())
+                .toList();
+    }
+
+    /**
+     * Predicts the time in which a decode engine processes the prompt.
+     *
+     * @return milliseconds; 0 where the engines' throughput is unknown
+     */
+    double predictedDecodeEngineMillis() {
+        return mContext.demandFor(mService).reading().predictedDecodeEngineMillis(mPromptTokens);
+    }
+
     /**
      * Predicts the prefill time at the engine that completes the prompt first.
      *
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RestartAwarePort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RestartAwarePort.java
@@ -19,8 +19,8 @@
  * Port that fails calls whose upstream is known to have restarted since they were sent. Such calls
  * are lost as in a crash, but if the machine lost power the connection never reports it: a plain
  * call of a non-repeatable request would wait until its deadline, and a stream until the silence
- * limit. Confined to the traffic loop. Invariant: a call ends once; a call that was ended here
- * passes on nothing more.
+ * limit. Confined to the traffic loop. Invariants: a call ends once; a call that was ended here
+ * passes on nothing more; a stored prompt that arrives later is freed at its engine.
  */
 public final class RestartAwarePort implements UpstreamPort {
 
@@ -67,7 +67,8 @@
             ServingRequest request,
             RunPlan plan,
             ResultListener<StoredPrompt> listener) {
-        TrackedResult<StoredPrompt> call = new TrackedResult<>(upstream.incarnation(), listener);
+        TrackedResult<StoredPrompt> call =
+                new TrackedResult<>(upstream.incarnation(), listener, mPort::discard);
         return call.delegateTo(mPort.prefill(upstream, request, plan, call));
     }
 
@@ -75,7 +76,8 @@
     @Override
     public Call reserve(
             UpstreamEntry upstream, long tokens, int millis, ResultListener<Reservation> listener) {
-        TrackedResult<Reservation> call = new TrackedResult<>(upstream.incarnation(), listener);
+        TrackedResult<Reservation> call =
+                new TrackedResult<>(upstream.incarnation(), listener, late -> {});
         return call.delegateTo(mPort.reserve(upstream, tokens, millis, call));
     }
 
@@ -225,9 +227,14 @@
 
         private final ResultListener<T> mListener;
 
-        TrackedResult(UpstreamIncarnation upstream, ResultListener<T> listener) {
+        /** Receives a result that arrives after the call has ended. */
+        private final Consumer<T> mLateResults;
+
+        TrackedResult(
+                UpstreamIncarnation upstream, ResultListener<T> listener, Consumer<T> lateResults) {
             super(upstream, listener::onFailure);
             mListener = listener;
+            mLateResults = lateResults;
         }
 
         /** {@inheritDoc} */
@@ -243,6 +250,8 @@
         public void onResult(T result) {
             if (end()) {
                 mListener.onResult(result);
+            } else {
+                mLateResults.accept(result);
             }
         }
     }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingMetrics.java
@@ -213,4 +213,12 @@
     private static UpstreamId id(String name) {
         return new UpstreamId(name.substring(UPSTREAM.length(), name.lastIndexOf('.')));
     }
+
+    /**
+     * Counts what became of a prefill whose engine was silent: "begun" when the silence limit has
+     * passed, then "continued" by the engine, "replaced" or "ended".
+     */
+    void silentPrefill(String event) {
+        mMetrics.counter("prefills.silent." + event).inc();
+    }
 }
