Prefills: no other engine before a lost prefill is explained

Cause: while one prefill was silent and another one lost, the search that is repeated for the silent one could send the prompt on before it was known whether it had crashed the engine of the lost one.

Change: the search waits until every lost prefill is attributed.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillStage.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PrefillStage.java
@@ -55,6 +55,12 @@
     /** Increases when the search for a result ends, so that what follows a failure is dropped. */
     private long mSearch;
 
+    /**
+     * Failed prefills of this search that may have crashed their engine. The prompt is sent to no
+     * other engine before that is known.
+     */
+    private int mUnattributed;
+
     /** Why a silent prefill was not replaced; empty if it was. */
     private Optional<Obstacle> mObstacle = Optional.empty();
 
@@ -174,7 +180,7 @@
      */
     private void replaceSilent() {
         boolean silent = mCalls.stream().allMatch(PrefillCall::isSilent);
-        if (!silent || mExecution.refuseIfQuarantined()) {
+        if (!silent || mUnattributed > 0 || mExecution.refuseIfQuarantined()) {
             return;
         }
         Optional<Obstacle> obstacle = trySend(mEngines.replacements(mTriedEngines));
@@ -210,6 +216,7 @@
 
     private void close(Consumer<PrefillCall> abortion) {
         mSearch++;
+        mUnattributed = 0;
         List<PrefillCall> calls = List.copyOf(mCalls);
         mCalls.clear();
         calls.forEach(abortion);
@@ -265,6 +272,7 @@
                 mArrivals.recordUnreached(call.arrival());
             }
             long search = mSearch;
+            mUnattributed++;
             mExecution.afterCrashAttribution(
                     engine,
                     end,
@@ -273,6 +281,10 @@
                         if (search != mSearch) {
                             return;
                         }
+                        mUnattributed--;
+                        if (mUnattributed > 0) {
+                            return;
+                        }
                         if (mCalls.isEmpty()) {
                             start(mResumeAfter);
                         } else {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/SilentPrefillTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/SilentPrefillTest.java
@@ -218,6 +218,18 @@
         assertNull(caller.mRefusal);
     }
 
+    @Test
+    public void noThirdEngineIsUsedBeforeALossIsExplained() {
+        mPort.mOnCheck = listener -> {};
+        silentStream(3, mP, mQ, TestUpstreams.prefill("r"), mDecode);
+        mTime.advance(ServingSettings.SILENCE_CHECK_MILLIS / 2);
+        mPort.mPrefills.get(1).onFailure(AttemptEnd.lost("reset"));
+        mTime.advance(CrashGuard.ATTRIBUTION_TIMEOUT_MILLIS - 1);
+        assertEquals(mPort.mPrefills.size(), 2);
+        mTime.advance(1);
+        assertEquals(mPort.mPrefills.size(), 3);
+    }
+
     @Test
     public void noThirdEngineIsUsedWhileTheSecondIsNotSilent() {
         silentStream(3, mP, mQ, TestUpstreams.prefill("r"), mDecode);
