Streams: the delay of a first event after a silence is no measurement

What callers saw: after a pause of all engines, new requests could be predicted to be late and be refused. Cause: the estimate of the time to the first event took runs that had been silent, and does not decay in time. Change: a first event after the silence limit is left out. Found by reading, not shown by a run. Measured: 132 tests of the serving package that concern silence, executions and loads green.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
@@ -227,7 +227,9 @@
         }
         if (before == 0 && events > 0) {
             mTrace.addStep("first event");
-            mContext.firstEventDelay().record(elapsedMillis());
+            if (elapsedMillis() < ServingSettings.STREAM_SILENCE_MILLIS) {
+                mContext.firstEventDelay().record(elapsedMillis());
+            }
             mListener.onFirstEvent();
         }
         if (!mCaller.isWritable()) {
