Streams: the interval between searches for a silent run goes on doubling

What callers saw: nothing yet; after the fifth search another one began every 0.4 s until the deadline, each with a permit. Cause: the number of doublings was bounded at four, and with it the threshold, not the interval. Change: the bound is beyond any deadline. Found by reading.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RunSilence.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RunSilence.java
@@ -7,8 +7,8 @@
  */
 final class RunSilence {
 
-    /** How often the interval between two searches is doubled. */
-    private static final int MAX_DOUBLINGS = 4;
+    /** How often the interval between two searches is doubled: up to hours. */
+    private static final int MAX_DOUBLINGS = 16;
 
     private final ServingContext mContext;
 
