Test of readers that take nothing: the exchange ends after its connection

Netty completes a channel's close future before it fails the writes that were pending, so on the event loop the connection is counted out first and the exchange right after. The test reads both from another thread, and could read in between; nothing was held. Change: the two tests that read the exchanges after a forced close wait for the exchange as they wait for the connection; an exchange that is never over still fails them.

--- a/troutpier-common/src/test/java/org/troutpier/common/http/SlowReaderTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/SlowReaderTest.java
@@ -179,7 +179,7 @@
             reader.request("/");
             await(() -> mServer.sendingConnections() == 1, "the reader takes nothing");
             await(() -> mServer.connectionCount() == 0, "the connection is closed");
-            assertEquals(mServer.activeExchanges(), 0);
+            await(() -> mServer.activeExchanges() == 0, "the exchange is over");
         }
     }
 
@@ -239,7 +239,7 @@
             reader.request("/");
             await(() -> mServer.sendingConnections() == 1, "the reader takes nothing");
             await(() -> mServer.connectionCount() == 0, "the connection is closed");
-            assertEquals(mServer.activeExchanges(), 0);
+            await(() -> mServer.activeExchanges() == 0, "the exchange is over");
         }
     }
 
