Comments in the usual terms, as a newcomer reads them

Cause: five comments of the change told a story. Change: comments only. Measured: formatter, linter and the build of common and daemon without tests are green.

--- a/troutpier-common/src/test/java/org/troutpier/common/http/SlowReader.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/SlowReader.java
@@ -6,7 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import org.troutpier.common.settings.Address;
 
-/** A client on a socket of its own that reads only when it is told to. Confined to one thread. */
+/** A client on a socket of its own that reads only on request. Confined to one thread. */
 final class SlowReader implements AutoCloseable {
 
     private static final int RECEIVE_BUFFER_BYTES = 8192;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/EngineSilence.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/EngineSilence.java
@@ -6,9 +6,9 @@
 import org.troutpier.daemon.admission.Grant;
 
 /**
- * Decides about engines that stay silent in the middle of an attempt, which may be paused or gone:
- * when to search others, and which others promise more. Immutable and thread safe. Invariant: the
- * limits start a search only; no attempt ends by them alone.
+ * Decides about engines that stay silent in the middle of an attempt, which may be paused or have
+ * ended: when to search others, and which others promise more. Immutable and thread safe.
+ * Invariant: the limits start a search only; no attempt ends by them alone.
  *
  * @param grant the engines of the attempt
  * @param stage the stage in which it is silent
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainAttempt.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainAttempt.java
@@ -6,8 +6,8 @@
 
 /**
  * One call of a request to one upstream of a plain service. Confined to the traffic loop.
- * Invariants: the listener is told of a complete answer or a failure once, and of neither after the
- * call was aborted; an answer is buffered apart from those of other calls.
+ * Invariants: the listener receives a complete answer or a failure once, and neither after the call
+ * was aborted; an answer is buffered apart from those of other calls.
  */
 final class PlainAttempt extends UpstreamRun {
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RunReplacement.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RunReplacement.java
@@ -21,7 +21,7 @@
     /** The head of the candidate's answer, if it has come. */
     private Optional<UpstreamPort.Head> mHead = Optional.empty();
 
-    /** Fires when both runs have gone on for long enough; null before the candidate's head. */
+    /** Fires at the end of the overlap of both runs; null before the candidate's head. */
     private TrafficLoop.Timer mOverlapTimer;
 
     private boolean mActive;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/ForwardedConnectionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/peer/ForwardedConnectionTest.java
@@ -29,7 +29,7 @@
 
     private EmbeddedChannel mUpstream;
 
-    /** A socket that takes nothing until it is told to. Confined to one thread. */
+    /** A socket that accepts no bytes until it is opened. Confined to one thread. */
     private static final class Socket extends ChannelOutboundHandlerAdapter {
 
         private final Queue<Runnable> mWaiting = new ArrayDeque<>();
