Review: two machines of one name hold the role lease in turns

Tried: a planned replacement beside late orders, three router processes, real clock. Seen: with the old machine's name the lease changes hands every one to two seconds and both order the same engine within about 1 s; with another name nothing is wrong. run.sh failed 5 of 5 times, TROUBLE=0 passed.

--- a/review/standins-2/Rig2.java
+++ b/review/standins-2/Rig2.java
@@ -173,6 +173,8 @@
 
         volatile Process process;
 
+        private volatile Path output;
+
         Router(Rig2 rig, int number, String name) throws IOException {
             this.rig = rig;
             host = "127.0.0." + (10 + number);
@@ -222,12 +224,14 @@
             builder.environment().put("TROUTPIER_CONFIG", settings.toString());
             builder.environment().put("TROUTPIER_LISTEN", host + ":" + port);
             builder.redirectErrorStream(true);
-            Path output = rig.temporary.resolve(host + "-" + System.nanoTime() + ".log");
+            output = rig.temporary.resolve(host + "-" + System.nanoTime() + ".log");
             builder.redirectOutput(output.toFile());
             process = builder.start();
             String keep = System.getenv("KEEP_LOG");
             if (keep != null) {
-                process.onExit().thenRun(() -> copy(output, Path.of(keep, output.getFileName().toString())));
+                Path log = output;
+                process.onExit()
+                        .thenRun(() -> copy(log, Path.of(keep, log.getFileName().toString())));
             }
             rig.log("router " + host + ":" + port + " started pid=" + process.pid());
         }
@@ -249,6 +253,19 @@
             }
         }
 
+        /** Returns the numbers that follow a text in the log of the last start. */
+        List<Long> numbersAfter(String text) throws IOException {
+            List<Long> numbers = new ArrayList<>();
+            for (String line : Files.readAllLines(output)) {
+                int at = line.indexOf(text);
+                if (at >= 0) {
+                    String rest = line.substring(at + text.length());
+                    numbers.add(Long.parseLong(rest.replaceAll("^(\\d+).*", "$1")));
+                }
+            }
+            return numbers;
+        }
+
         void kill() {
             if (process != null) {
                 process.destroyForcibly();
@@ -422,7 +439,8 @@
 
         final AtomicInteger runs = new AtomicInteger();
 
-        private final String more;
+        /** Further fields of the row, each after a comma. */
+        volatile java.util.function.Supplier<String> rowFields;
 
         private final String version;
 
@@ -451,7 +469,7 @@
             this.rig = rig;
             this.id = id;
             this.service = service;
-            this.more = more;
+            rowFields = () -> more;
             this.handler = handler;
             listener = new ServerSocket();
             listener.setReuseAddress(true);
@@ -477,7 +495,7 @@
                         "{\"service\":\"" + service + "\",\"address\":\"" + address()
                                 + "\",\"zone\":\"a\",\"version\":\"" + version + "\",\"slots\":64,\"phase\":\""
                                 + phase + "\",\"cold_remaining_ms\":0,\"sequence\":"
-                                + sequence.incrementAndGet() + more + "}";
+                                + sequence.incrementAndGet() + rowFields.get() + "}";
                 rig.store.put("servers", "", id, row.getBytes(StandardCharsets.UTF_8));
             }
         }
