--- a/review/standins-2/ChangedPath.java
+++ b/review/standins-2/ChangedPath.java
@@ -41,6 +41,7 @@
             targets.put("/lohu930/a/../b", "/lohu930/b");
             targets.put("/lohu930/./2f", "/lohu930/2f");
             targets.put("/lohu930/../pule252/2f", "/pule252/2f");
+            targets.put("/lohu930/2f?q=\u00e9", "/lohu930/2f?q=%E9");
             targets.put("/lohu930/2f?q=1", "/lohu930/2f?q=1");
             for (int round = 0; round < 3; round++) {
                 for (Map.Entry<String, String> each : targets.entrySet()) {
