--- a/review/standins-2/ResumedStream.java
+++ b/review/standins-2/ResumedStream.java
@@ -130,8 +130,9 @@
                     Rig2.service("web", ""),
                     4194304,
                     16384);
-            rig.router(1);
-            rig.router(2);
+            for (int number = 1; number <= 3; number++) {
+                rig.router(number);
+            }
             rig.awaitReady();
             ServerSocket proxy = proxy(rig.routers.get(0), rig.trouble ? 900 : Integer.MAX_VALUE);
             for (int number = 0; number < STREAMS; number++) {
--- a/review/standins-2/Rig2.java
+++ b/review/standins-2/Rig2.java
@@ -51,6 +51,14 @@
         record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
         temporary = Files.createTempDirectory("troutpier-review");
         store = new Store(this);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> routers.forEach(Router::kill)));
+        // a case that fails otherwise than by its check couldn't run
+        Thread.currentThread()
+                .setUncaughtExceptionHandler(
+                        (thread, failure) -> {
+                            failure.printStackTrace();
+                            System.exit(2);
+                        });
         log("trouble=" + trouble);
     }
 
