--- a/review/standins-2/ChangedPath.java
+++ b/review/standins-2/ChangedPath.java
@@ -3,7 +3,10 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** Whether the path and query of a request reach the replica unchanged. */
+/**
+ * Whether the path and query of a request reach the replica unchanged. The clients have no key and
+ * use a public route; the other route wants a key.
+ */
 public final class ChangedPath {
 
     private ChangedPath() {}
@@ -19,28 +22,36 @@
                         run.put(request.header("Attempt-Id"), request.target());
                         rig.log(
                                 "run at " + replica.id + " id=" + request.header("Attempt-Id") + " "
-                                        + request.method() + " " + request.target());
+                                        + request.method() + " " + request.target() + " Tenant="
+                                        + request.header("Tenant"));
                         replica.succeed(out, request, "done");
                     };
             for (int number = 1; number <= 3; number++) {
                 rig.replica("i-web-" + number, "web", "", handler);
             }
+            rig.configurationFields =
+                    "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k-5f2a91c07b\"]}],";
             rig.configure(
                     1,
-                    Rig2.route("/lohu930/", "non_idempotent", "web", "")
+                    Rig2.route("/lohu930/", "non_idempotent", "web", ",\"public\":true")
                             + ","
-                            + Rig2.route("/pule252/", "idempotent", "web", ""),
+                            + Rig2.route("/pule252/", "non_idempotent", "web", ""),
                     Rig2.service("web", ""),
                     4194304,
                     16384);
             rig.router(1);
             rig.awaitReady();
+            try (Rig2.Client client = rig.routers.get(0).connect()) {
+                String target = "/pule252/2f";
+                client.send(Rig2.head("POST", target, Rig2.newId(), "Content-Length: 0\r\n"));
+                rig.log("without a key, sent as it is: " + target + " " + client.read(5000).status);
+            }
             // what is sent with trouble, and without
             Map<String, String> targets = new LinkedHashMap<>();
             targets.put("/lohu930/2f?", "/lohu930/2f");
             targets.put("/lohu930/a/../b", "/lohu930/b");
             targets.put("/lohu930/./2f", "/lohu930/2f");
-            targets.put("/lohu930/../pule252/2f", "/pule252/2f");
+            targets.put("/lohu930/../pule252/2f", "/lohu930/pule252/2f");
             targets.put("/lohu930/2f?q=\u00e9", "/lohu930/2f?q=%E9");
             targets.put("/lohu930/2f?q=1", "/lohu930/2f?q=1");
             for (int round = 0; round < 3; round++) {
--- a/review/standins-2/Rig2.java
+++ b/review/standins-2/Rig2.java
@@ -845,10 +845,13 @@
                     + "\"most\":12,\"kv_ttl_s\":0.5,\"switch_s\":6.0,\"pin_ms\":4000.0,"
                     + "\"hold_ms\":2000.0,\"models\":[{\"name\":\"m\"}]}";
 
+    /** Further fields of configurations, each with a comma after it. */
+    String configurationFields = "";
+
     void configure(int version, String routes, String services, int maxBody, int maxHeader) {
         String text =
-                "{\"version\":" + version + ",\"routes\":[" + routes + "],\"services\":[" + services
-                        + "],\"limits\":{\"max_header_bytes\":" + maxHeader
+                "{" + configurationFields + "\"version\":" + version + ",\"routes\":[" + routes
+                        + "],\"services\":[" + services + "],\"limits\":{\"max_header_bytes\":" + maxHeader
                         + ",\"max_body_bytes\":" + maxBody
                         + ",\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
         store.put("op", "", "config", text.getBytes(StandardCharsets.UTF_8));
