Event streams are split at any line end

Cause: ServerSentEventSplitter looked for two LF in a row. A line of an event stream ends with CR LF, LF or CR, so no event was ever complete, and the end of a whole run counted as a run that ended inside an event. Change: one parser (eventstream) for the relay, the engine client, the load generator and the tests of resumed streams. It passes an event on with the byte that completes it, and an LF after that CR as it comes, so no event waits and all bytes reach the caller.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/EventRelay.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/EventRelay.java
@@ -1,13 +1,13 @@
 package org.troutpier.daemon.serving;
 
-import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
+import org.troutpier.common.eventstream.ServerSentEvent;
+import org.troutpier.common.eventstream.ServerSentEventSplitter;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.common.result.TroutpierException;
 import org.troutpier.daemon.directory.UpstreamEntry;
-import org.troutpier.daemon.upstream.ServerSentEventSplitter;
 
 /**
  * Relays a stream's events to a caller, complete and in order, across all runs that produce the
@@ -16,7 +16,7 @@
  */
 final class EventRelay {
 
-    private static final String ID_FIELD = "id:";
+    private static final byte[] LINE_FEED = {'\n'};
 
     private final CallerChannel mCaller;
 
@@ -27,6 +27,9 @@
 
     private long mEventCount;
 
+    /** Whether the caller has bytes of this answer. */
+    private boolean mStarted;
+
     /**
      * Creates a relay.
      *
@@ -59,12 +62,10 @@
      * @return the id, if the event has one
      * @throws TroutpierException when the event is out of order or its id is malformed
      */
-    private OptionalLong nextId(byte[] event) {
+    private OptionalLong nextId(ServerSentEvent event) {
         OptionalLong id = parseId(event);
         boolean inOrder =
-                id.isEmpty()
-                        || mLastEventId.isEmpty()
-                        || id.getAsLong() == mLastEventId.getAsLong() + 1;
+                id.isEmpty() || mLastEventId.isEmpty() || id.getAsLong() == mLastEventId.getAsLong() + 1;
         if (!inOrder) {
             throw new TroutpierException(
                     ResultCode.UPSTREAM_FAILED,
@@ -73,35 +74,52 @@
         return id;
     }
 
-    /**
-     * Relays one event.
-     *
-     * @param event its bytes, with the blank line that ends it
-     */
-    private void relay(byte[] event, OptionalLong id, UpstreamEntry engine) {
+    /** Relays one event. */
+    private void relay(ServerSentEvent event, OptionalLong id, UpstreamEntry engine) {
         if (id.isPresent()) {
             mLastEventId = id;
         }
         if (mEventCount++ == 0) {
             mBeforeFirstEvent.accept(engine);
         }
-        mCaller.write(event);
+        write(event);
+    }
+
+    /** Writes an event or comment; a byte order mark only where the caller has nothing yet. */
+    private void write(ServerSentEvent event) {
+        mCaller.write(mStarted ? event.bytesWithoutMark() : event.bytes());
+        mStarted = true;
     }
 
     /** Returns an event's id, if it has one. */
-    private static OptionalLong parseId(byte[] event) {
-        String text = new String(event, StandardCharsets.ISO_8859_1);
-        int from = text.startsWith(ID_FIELD) ? 0 : text.indexOf("\n" + ID_FIELD) + 1;
-        if (from == 0 && !text.startsWith(ID_FIELD)) {
-            return OptionalLong.empty();
-        }
-        int end = text.indexOf('\n', from);
+    private static OptionalLong parseId(ServerSentEvent event) {
+        Optional<String> id = event.id();
         try {
-            return OptionalLong.of(
-                    Long.parseLong(text.substring(from + ID_FIELD.length(), end).trim()));
+            return id.isEmpty()
+                    ? OptionalLong.empty()
+                    : OptionalLong.of(Long.parseLong(id.get().strip()));
         } catch (NumberFormatException exception) {
             throw new TroutpierException(
-                    ResultCode.UPSTREAM_FAILED, "an event's id is no number", exception);
+                    ResultCode.UPSTREAM_FAILED,
+                    "event id '" + id.get() + "' is no number",
+                    exception);
+        }
+    }
+
+    /** Decides which parts of a run are relayed. */
+    @FunctionalInterface
+    interface Filter {
+
+        /**
+         * Returns whether to relay an event that is in order.
+         *
+         * @param numbered whether the event has an id
+         */
+        boolean relaysEvent(boolean numbered);
+
+        /** Returns whether to relay a comment. */
+        default boolean relaysComment() {
+            return true;
         }
     }
 
@@ -115,6 +133,9 @@
 
         private final ServerSentEventSplitter mSplitter = new ServerSentEventSplitter();
 
+        /** Whether the last event or comment of the run was relayed. */
+        private boolean mLastRelayed;
+
         /**
          * Creates the source of a run that continues after the last event relayed.
          *
@@ -127,21 +148,46 @@
         /**
          * Accepts bytes of the run and relays each event that they complete.
          *
-         * @param filter receives for each event that is in order whether it has an id, and returns
-         *     whether it is relayed
-         * @throws TroutpierException when an event is out of order or has a malformed id
+         * @throws TroutpierException when an event is out of order, too long or has a malformed id
          */
-        void feed(byte[] bytes, Predicate<Boolean> filter) {
+        void feed(byte[] bytes, Filter filter) {
             mSplitter.feed(
                     bytes,
-                    event -> {
-                        OptionalLong id = nextId(event);
-                        if (filter.test(id.isPresent())) {
-                            relay(event, id, mEngine);
+                    new ServerSentEventSplitter.Listener() {
+
+                        /** {@inheritDoc} */
+                        @Override
+                        public void onEvent(ServerSentEvent event) {
+                            mLastRelayed = accept(event, filter);
+                        }
+
+                        /** {@inheritDoc} */
+                        @Override
+                        public void onTrailingLineFeed() {
+                            if (mLastRelayed) {
+                                mCaller.write(LINE_FEED);
+                            }
                         }
                     });
         }
 
+        /** Relays an event or comment, if the filter allows it; returns whether it was relayed. */
+        private boolean accept(ServerSentEvent event, Filter filter) {
+            if (event.isComment()) {
+                if (filter.relaysComment()) {
+                    write(event);
+                    return true;
+                }
+                return false;
+            }
+            OptionalLong id = nextId(event);
+            if (filter.relaysEvent(id.isPresent())) {
+                relay(event, id, mEngine);
+                return true;
+            }
+            return false;
+        }
+
         /**
          * Returns whether the bytes so far end between two events, so that the run may end here.
          */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -357,6 +357,12 @@
             return next;
         }
 
+        /** {@inheritDoc} A comment does not show that a candidate continues the stream. */
+        @Override
+        public boolean onComment(StreamRun run) {
+            return !mReplacement.isCandidate(run);
+        }
+
         /** {@inheritDoc} */
         @Override
         public void onEvents(long events) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
@@ -29,6 +29,22 @@
 
     private final Listener mListener;
 
+    private final EventRelay.Filter mFilter =
+            new EventRelay.Filter() {
+
+                /** {@inheritDoc} */
+                @Override
+                public boolean relaysEvent(boolean numbered) {
+                    return mListener.onEvent(StreamRun.this, numbered);
+                }
+
+                /** {@inheritDoc} */
+                @Override
+                public boolean relaysComment() {
+                    return mListener.onComment(StreamRun.this);
+                }
+            };
+
     /** Whether the answer has a length or chunks. */
     private boolean mFramed;
 
@@ -73,6 +89,13 @@
          */
         boolean onEvent(StreamRun run, boolean numbered);
 
+        /**
+         * Called before a comment is relayed.
+         *
+         * @return whether to relay it
+         */
+        boolean onComment(StreamRun run);
+
         /**
          * Called after events were relayed.
          *
@@ -214,7 +237,7 @@
         }
         long before = mRelay.eventCount();
         try {
-            mSource.feed(part, numbered -> mListener.onEvent(this, numbered));
+            mSource.feed(part, mFilter);
         } catch (TroutpierException exception) {
             fail(exception.code(), exception.detail());
             return;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/HttpEngineClient.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/HttpEngineClient.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import org.troutpier.common.declaration.UpstreamDeclaration;
+import org.troutpier.common.eventstream.ServerSentEvent;
+import org.troutpier.common.eventstream.ServerSentEventSplitter;
 import org.troutpier.common.http.CallFailedException;
 import org.troutpier.common.http.HttpCall;
 import org.troutpier.common.http.HttpClient;
@@ -263,8 +265,8 @@
         }
 
         /** Handles one event. */
-        private void onEvent(byte[] bytes) {
-            TokenEvent event = TokenEvent.parse(bytes);
+        private void onEvent(ServerSentEvent received) {
+            TokenEvent event = TokenEvent.parse(received);
             if (event == null || mEnded || mEndMarkReceived) {
                 return;
             }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/TokenEvent.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/upstream/TokenEvent.java
@@ -4,8 +4,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
+import org.troutpier.common.eventstream.ServerSentEvent;
 import org.troutpier.common.http.Json;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.common.result.TroutpierException;
@@ -20,43 +19,36 @@
  */
 public record TokenEvent(byte[] bytes, String id, String text, boolean done) {
 
-    private static final byte[] DATA_PREFIX = "data:".getBytes(StandardCharsets.US_ASCII);
-
-    private static final byte[] END_MARK = "[DONE]".getBytes(StandardCharsets.US_ASCII);
+    private static final String END_MARK = "[DONE]";
 
     private static final JsonFactory FACTORY = Json.mapper().getFactory();
 
     /**
      * Parses an event.
      *
-     * @param bytes the event as received
-     * @return the event, or null for one without data
+     * @return the token or end mark, or null for an event without data
      */
-    static TokenEvent parse(byte[] bytes) {
-        if (!startsWith(bytes, 0, DATA_PREFIX)) {
+    static TokenEvent parse(ServerSentEvent event) {
+        String data = event.data().map(String::strip).orElse("");
+        if (data.isEmpty()) {
             return null;
         }
-        int start = DATA_PREFIX.length;
-        while (start < bytes.length && bytes[start] == ' ') {
-            start++;
-        }
-        if (startsWith(bytes, start, END_MARK)) {
-            return new TokenEvent(bytes, null, null, true);
+        if (data.startsWith(END_MARK)) {
+            return new TokenEvent(event.bytes(), null, null, true);
         }
-        return parse(bytes, start);
+        return parse(event.bytes(), data);
     }
 
     /**
      * Parses the JSON of an event.
      *
      * @param bytes the event as received
-     * @param start the offset of the JSON
-     * @return the event
+     * @return the token
      */
-    private static TokenEvent parse(byte[] bytes, int start) {
+    private static TokenEvent parse(byte[] bytes, String data) {
         String id = null;
         String text = null;
-        try (JsonParser parser = FACTORY.createParser(bytes, start, bytes.length - start)) {
+        try (JsonParser parser = FACTORY.createParser(data)) {
             for (JsonToken token = parser.nextToken(); token != null; token = parser.nextToken()) {
                 if (token == JsonToken.FIELD_NAME && parser.currentName().equals("id")) {
                     id = parser.nextTextValue();
@@ -70,10 +62,4 @@
         }
         return new TokenEvent(bytes, id, text == null ? "" : text, false);
     }
-
-    /** Returns whether an array contains a prefix at an offset. */
-    private static boolean startsWith(byte[] bytes, int offset, byte[] prefix) {
-        return bytes.length >= offset + prefix.length
-                && Arrays.equals(bytes, offset, offset + prefix.length, prefix, 0, prefix.length);
-    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/EventRelayTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/EventRelayTest.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.troutpier.common.result.TroutpierException;
 
@@ -93,4 +94,42 @@
             assertEquals(caller.text(), all.toString(), "seed " + seed);
         }
     }
+
+    @DataProvider
+    Object[][] lineEnds() {
+        return new Object[][] {{"\r\n"}, {"\r"}, {"\n"}};
+    }
+
+    /** Guards against streams of which no event is relayed because of how their lines end. */
+    @Test(dataProvider = "lineEnds")
+    public void eventsAreRelayedWhateverEndsTheirLines(String end) {
+        EventRelay relay = new EventRelay(mCaller, OptionalLong.empty(), engine -> {});
+        EventRelay.Source run = run(relay);
+        String sent = "id: 1\ndata: a\n\nid:2\ndata: b\n\n".replace("\n", end);
+        for (byte each : bytes(sent)) {
+            run.feed(new byte[] {each}, numbered -> true);
+        }
+        assertEquals(mCaller.text(), sent);
+        assertEquals(relay.lastEventId(), OptionalLong.of(2));
+        assertTrue(run.atEventBoundary());
+    }
+
+    /** Guards against comments that count as events. */
+    @Test
+    public void commentsAreRelayedButAreNoEvents() {
+        EventRelay relay = new EventRelay(mCaller, OptionalLong.empty(), engine -> {});
+        run(relay).feed(bytes(": alive\n\n"), numbered -> true);
+        assertEquals(relay.eventCount(), 0);
+        assertEquals(mCaller.text(), ": alive\n\n");
+    }
+
+    /** Guards against a byte order mark in the middle of an answer, which hides an id. */
+    @Test
+    public void aByteOrderMarkIsRelayedAtTheStartOnly() {
+        EventRelay relay = new EventRelay(mCaller, OptionalLong.empty(), engine -> {});
+        run(relay).feed(bytes("\uFEFFid: 1\ndata: a\n\n"), numbered -> true);
+        run(relay).feed(bytes("\uFEFFid: 2\ndata: b\n\n"), numbered -> true);
+        assertEquals(mCaller.text(), "\uFEFFid: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        assertEquals(relay.lastEventId(), OptionalLong.of(2));
+    }
 }
--- a/troutpier-standins/src/main/java/org/troutpier/standins/load/LoadRun.java
+++ b/troutpier-standins/src/main/java/org/troutpier/standins/load/LoadRun.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -11,6 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.troutpier.common.eventstream.ServerSentEvent;
+import org.troutpier.common.eventstream.ServerSentEventSplitter;
 import org.troutpier.common.http.CallFailedException;
 import org.troutpier.common.http.HttpResponses;
 import org.troutpier.common.http.ReplyListener;
@@ -198,8 +199,7 @@
         /** The number of tokens received. */
         private int mTokens;
 
-        /** The data after the last complete event. */
-        private String mPartialEvent = "";
+        private final ServerSentEventSplitter mSplitter = new ServerSentEventSplitter();
 
         /** Whether the end marker was received. */
         private boolean mDone;
@@ -228,30 +228,20 @@
                 mFirstNanos = mLastNanos;
             }
             if (mPlanned.stream().completion()) {
-                parseEvents(new String(part, StandardCharsets.ISO_8859_1));
+                mSplitter.feed(part, this::onEvent);
             }
         }
 
-        /**
-         * Counts the tokens of complete events and detects the end marker.
-         *
-         * @param part the part
-         */
-        private void parseEvents(String part) {
+        /** Counts a token or detects the end marker. */
+        private void onEvent(ServerSentEvent event) {
             final String text = "\"text\":\"";
-            mPartialEvent += part;
-            int whole = mPartialEvent.lastIndexOf("\n\n") + 2;
-            if (whole < 2) {
-                return;
-            }
-            int at = mPartialEvent.indexOf(text);
-            while (at >= 0 && at < whole) {
+            String data = event.data().orElse("");
+            int at = data.indexOf(text);
+            if (at >= 0) {
                 mTokens++;
-                mWrong |= !mPartialEvent.startsWith(mMark, at + text.length());
-                at = mPartialEvent.indexOf(text, at + 1);
+                mWrong |= !data.startsWith(mMark, at + text.length());
             }
-            mDone |= mPartialEvent.lastIndexOf("[DONE]", whole) >= 0;
-            mPartialEvent = mPartialEvent.substring(whole);
+            mDone |= data.startsWith("[DONE]");
         }
 
         /** {@inheritDoc} */
