Ids of events rise, and need not be consecutive

Cause: EventRelay wanted each id to be the last one plus 1; PROTOCOL.md says "a series of events with rising ids". Change: ids have to rise. A gap is counted and stands in the request's line, since an event that an engine leaves out cannot be told from ids that rise by more than one; such a stream is no longer cut, which is the price of the rule. outOfOrderEventIsNotRelayed asked that id 6 is refused after 4, which the page allows; it now asks that no id from 0 to 4 is relayed after 4.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/EventRelay.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/EventRelay.java
@@ -11,8 +11,8 @@
 
 /**
  * Relays a stream's events to a caller, complete and in order, across all runs that produce the
- * stream. Confined to the traffic loop. Invariant: the event ids that a caller receives are
- * consecutive.
+ * stream. Confined to the traffic loop. Invariant: the event ids that a caller receives rise. Ids
+ * need not be consecutive, so an event that an upstream leaves out is only counted.
  */
 final class EventRelay {
 
@@ -27,6 +27,8 @@
 
     private long mEventCount;
 
+    private long mIdGaps;
+
     /** Whether the caller has bytes of this answer. */
     private boolean mStarted;
 
@@ -56,6 +58,11 @@
         return mEventCount;
     }
 
+    /** Returns how many events had an id that did not follow the one before by one. */
+    long idGaps() {
+        return mIdGaps;
+    }
+
     /**
      * Returns the id of an event that may be relayed next.
      *
@@ -65,7 +72,7 @@
     private OptionalLong nextId(ServerSentEvent event) {
         OptionalLong id = parseId(event);
         boolean inOrder =
-                id.isEmpty() || mLastEventId.isEmpty() || id.getAsLong() == mLastEventId.getAsLong() + 1;
+                id.isEmpty() || mLastEventId.isEmpty() || id.getAsLong() > mLastEventId.getAsLong();
         if (!inOrder) {
             throw new TroutpierException(
                     ResultCode.UPSTREAM_FAILED,
@@ -77,6 +84,9 @@
     /** Relays one event. */
     private void relay(ServerSentEvent event, OptionalLong id, UpstreamEntry engine) {
         if (id.isPresent()) {
+            boolean gap =
+                    mLastEventId.isPresent() && id.getAsLong() - 1 != mLastEventId.getAsLong();
+            mIdGaps += gap ? 1 : 0;
             mLastEventId = id;
         }
         if (mEventCount++ == 0) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -400,6 +400,9 @@
                             mContext.loop().millis());
             mSearch.reservation().forecast().recordOutput(output);
             mTrace.addStep("events=" + mRelay.eventCount());
+            if (mRelay.idGaps() > 0) {
+                mTrace.addStep("event id gaps=" + mRelay.idGaps());
+            }
             mSearch.release();
             mCaller.endStream();
             finishAnswered();
