Streams of services without engines are relayed and resumed like others

Cause: the caller's Last-Event-Id was dropped by its name, and only the plan of a StreamExecution put it back; a stream of a service without engines was served by PlainExecution, which buffers an answer, knows no origin and resumes nothing. With the header alone the repeated piece would have become a joined one: such a stream was bound to no version, and the table of versions left these services out. Evidence: Last-Event-Id=none at the replicas in the record of the case. Change: StreamExecution serves every streaming route; the search of the upstream varies (StreamSearch: EngineStreamSearch, PlainStreamSearch). Versions of all services are in the table. On routes that are not resumable, what a caller says of an earlier stream is only forwarded. An upstream's own failure of a resumable stream is passed on when no run is left.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/VersionTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/VersionTable.java
@@ -145,7 +145,7 @@
     }
 
     private Set<String> listed(String service) {
-        return mDirectory.engineVersions().getOrDefault(service, Set.of()).stream()
+        return mDirectory.versions().getOrDefault(service, Set.of()).stream()
                 .map(SoftwareVersion::value)
                 .collect(Collectors.toSet());
     }
@@ -160,7 +160,7 @@
         if (mWriting || !mExchange.isTableReader()) {
             return;
         }
-        for (String service : mDirectory.engineVersions().keySet()) {
+        for (String service : mDirectory.versions().keySet()) {
             StoredRow row = mRows.get(service);
             Set<String> versions = versionsToStore(service, row, now);
             if (row == null || !row.versions().equals(versions)) {
@@ -182,7 +182,7 @@
                                         each ->
                                                 mLastListed.putIfAbsent(
                                                         new ServiceVersion(service, each), now)));
-        for (String service : mDirectory.engineVersions().keySet()) {
+        for (String service : mDirectory.versions().keySet()) {
             listed(service)
                     .forEach(each -> mLastListed.put(new ServiceVersion(service, each), now));
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -22,12 +22,12 @@
 
 /**
  * Holds the upstreams that the platform lists. Changes are confined to the control thread; {@link
- * #usable}, {@link #engineVersions()}, {@link #hasRestarted}, {@link #isLoaded()}, {@link
- * #ageMillis()} and {@link #missingCount()} are thread safe. Invariant: an upstream is usable only
- * if its entry is listed, readable and not draining, and the upstream has not announced that it is
- * leaving; after such an announcement it is unusable until it restarts. Exception: an entry that
- * disappeared while no router read the store stays usable until {@link #MISSING_GRACE_MILLIS} after
- * reading resumed, since entries of live upstreams lapse while the store is unavailable.
+ * #usable}, {@link #versions()}, {@link #hasRestarted}, {@link #isLoaded()}, {@link #ageMillis()}
+ * and {@link #missingCount()} are thread safe. Invariant: an upstream is usable only if its entry
+ * is listed, readable and not draining, and the upstream has not announced that it is leaving;
+ * after such an announcement it is unusable until it restarts. Exception: an entry that disappeared
+ * while no router read the store stays usable until {@link #MISSING_GRACE_MILLIS} after reading
+ * resumed, since entries of live upstreams lapse while the store is unavailable.
  */
 public final class UpstreamDirectory {
 
@@ -169,9 +169,9 @@
                 .findFirst();
     }
 
-    /** Returns the software versions of all listed engines, also of draining ones, by service. */
-    public Map<String, Set<SoftwareVersion>> engineVersions() {
-        return mListing.engineVersions();
+    /** Returns the software versions of all listed upstreams, also of draining ones, by service. */
+    public Map<String, Set<SoftwareVersion>> versions() {
+        return mListing.versions();
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamListing.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamListing.java
@@ -15,12 +15,12 @@
  *
  * @param usable the usable entries by service
  * @param incarnations the listed incarnation of each upstream
- * @param engineVersions the software versions of the listed engines by service
+ * @param versions the software versions of the listed upstreams by service
  */
 record UpstreamListing(
         Map<String, List<UpstreamEntry>> usable,
         Map<UpstreamId, UpstreamIncarnation> incarnations,
-        Map<String, Set<SoftwareVersion>> engineVersions) {
+        Map<String, Set<SoftwareVersion>> versions) {
 
     /** A listing without upstreams. */
     static final UpstreamListing EMPTY = new UpstreamListing(Map.of(), Map.of(), Map.of());
@@ -44,7 +44,6 @@
                                 Collectors.toUnmodifiableMap(
                                         UpstreamEntry::id, UpstreamEntry::incarnation)),
                 entries.stream()
-                        .filter(entry -> entry.role() != UpstreamEntry.Role.PLAIN)
                         .collect(
                                 Collectors.groupingBy(
                                         UpstreamEntry::service,
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/PlainCalls.java
@@ -344,6 +344,16 @@
                 .recordAnswer(upstream, millis, calls, millis <= targetMillis, mSchedule.millis());
     }
 
+    /**
+     * Records the first event of a stream. Its time is no measurement of the work, which goes on.
+     *
+     * @param millis the time since the call was sent, milliseconds
+     * @param targetMillis the target of the first event, milliseconds
+     */
+    public void recordFirstEvent(UpstreamEntry upstream, long millis, long targetMillis) {
+        service(upstream.service()).recordTarget(upstream, millis <= targetMillis);
+    }
+
     /** Records the failure of a call; an error answer is no measurement of the upstream's load. */
     public void recordFailure(UpstreamEntry upstream, AttemptEnd end) {
         if (end.isTurnedAway()) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/plain/ServiceCalls.java
@@ -107,6 +107,11 @@
     void recordAnswer(UpstreamEntry upstream, long millis, int calls, boolean inTime, long now) {
         double ratio = mWork.record(millis, upstream.slots(), calls);
         mPaces.computeIfAbsent(upstream.incarnation(), any -> new Slowdown()).record(ratio, now);
+        recordTarget(upstream, inTime);
+    }
+
+    /** Records whether an upstream met the target of a call. */
+    void recordTarget(UpstreamEntry upstream, boolean inTime) {
         IsolatedPart part = mIsolatedParts.get(upstream.incarnation());
         if (part == null) {
             return;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/EventGaps.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/EventGaps.java
@@ -42,11 +42,16 @@
             recordPause(pause, now);
         }
         mLastEventAt = now;
-        if (mContext.load().pace() && events > 0) {
+        if (mContext.load().pace() && isEngine() && events > 0) {
             mContext.loads().recordPace(mEngine, mTimer.record(events, now));
         }
     }
 
+    /** Returns whether the pauses depend on an engine's memory and batch. */
+    private boolean isEngine() {
+        return mEngine.role() != UpstreamEntry.Role.PLAIN;
+    }
+
     /** Discards the measurement in progress because the caller does not read fast enough. */
     void interrupt() {
         mTimer.interrupt();
@@ -55,7 +60,9 @@
     /** Records a pause that exceeds the route's limit. */
     private void recordPause(long pause, long now) {
         mTrace.markNotable();
-        mContext.growthMargin().recordPause(now);
+        if (isEngine()) {
+            mContext.growthMargin().recordPause(now);
+        }
         mTrace.addStep(
                 "pause "
                         + pause
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
@@ -61,15 +61,13 @@
             return;
         }
         mContext.organisationLimiter().applyConfiguration(configuration.get());
-        String name = route.get().selectService(selector(request, route.get()));
+        ServingRequest served = request.withRequester(requester.orElseThrow());
+        if (route.get().kind() != Route.Kind.RESUMABLE_STREAM) {
+            served = served.withoutResumption();
+        }
+        String name = route.get().selectService(selector(served, route.get()));
         Optional<Service> service = configuration.get().findService(name);
-        RequestExecution execution =
-                execution(
-                        request.withRequester(requester.orElseThrow()),
-                        route.get(),
-                        name,
-                        service,
-                        caller);
+        RequestExecution execution = execution(served, route.get(), name, service, caller);
         execution.trace().addInput("configuration", configuration.get().version());
         execution.begin();
     }
@@ -126,7 +124,7 @@
     }
 
     /**
-     * Creates the execution that fits the service.
+     * Creates the execution that fits the route.
      *
      * @param service the service, if it is configured
      */
@@ -136,12 +134,10 @@
             String name,
             Optional<Service> service,
             CallerChannel caller) {
-        boolean engine = service.flatMap(Service::engine).isPresent();
-        if (engine && route.kind().isStreaming()) {
-            return new StreamExecution(
-                    mContext, request, route, name, service.get().engine().get(), caller);
-        }
-        return new PlainExecution(mContext, request, route, name, caller);
+        return route.kind().isStreaming()
+                ? new StreamExecution(
+                        mContext, request, route, name, service.flatMap(Service::engine), caller)
+                : new PlainExecution(mContext, request, route, name, caller);
     }
 
     /** Refuses a request for which no execution was created. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingRequest.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingRequest.java
@@ -5,6 +5,8 @@
 import java.util.OptionalLong;
 import org.troutpier.common.declaration.KeyHash;
 import org.troutpier.common.id.RequestId;
+import org.troutpier.common.result.ResultCode;
+import org.troutpier.common.result.TroutpierException;
 import org.troutpier.daemon.organisation.Requester;
 import org.troutpier.daemon.route.Organisation;
 
@@ -19,7 +21,7 @@
  * @param headers the end-to-end headers, which are forwarded unchanged
  * @param body the body
  * @param deadlineMillis how long the caller waits, from the arrival of the request
- * @param lastEventId the last event of a stream that the caller has, if it says so
+ * @param lastEventId the last event of a stream that the caller has, if it says so, as received
  * @param resumedAttempt the attempt that brought the first event of that stream, if the caller says
  *     so
  * @param prompt the metadata of the prompt, for a model request
@@ -34,7 +36,7 @@
         HttpHeaders headers,
         byte[] body,
         long deadlineMillis,
-        OptionalLong lastEventId,
+        Optional<String> lastEventId,
         Optional<RequestId> resumedAttempt,
         Optional<PromptMetadata> prompt,
         Optional<KeyHash> key,
@@ -57,6 +59,41 @@
                 newRequester);
     }
 
+    /** Returns a copy that resumes no stream; what its caller says of one is forwarded only. */
+    ServingRequest withoutResumption() {
+        return new ServingRequest(
+                id,
+                method,
+                target,
+                host,
+                headers,
+                body,
+                deadlineMillis,
+                Optional.empty(),
+                Optional.empty(),
+                prompt,
+                key,
+                requester);
+    }
+
+    /**
+     * Returns the id of the last event that the caller has, if it says so.
+     *
+     * @throws TroutpierException if it is no number
+     */
+    OptionalLong resumeAfter() {
+        try {
+            return lastEventId.isEmpty()
+                    ? OptionalLong.empty()
+                    : OptionalLong.of(Long.parseLong(lastEventId.get().strip()));
+        } catch (NumberFormatException exception) {
+            throw new TroutpierException(
+                    ResultCode.MALFORMED_REQUEST,
+                    "last event id '" + lastEventId.get() + "' is no number",
+                    exception);
+        }
+    }
+
     /** Returns whether the caller has received a part of the stream in an earlier attempt. */
     boolean isResumed() {
         return lastEventId.isPresent() || resumedAttempt.isPresent();
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import org.troutpier.common.result.ResultCode;
-import org.troutpier.daemon.cluster.DemandMeter;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.extracall.RequestArrivals;
 import org.troutpier.daemon.route.EngineTraits;
@@ -10,24 +9,20 @@
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
- * Serves a streaming model request with separate prefill and decode engines: has an engine searched
- * and the prompt processed, then relays the decode engine's events to the caller. Confined to the
- * traffic loop. Invariants: a stream is ended as complete only where its run was complete; a run is
- * aborted only once its replacement has taken over or the request ends; all events of a stream,
- * over all tries of its caller, are written by one software version.
+ * Serves a stream: has an upstream searched, then relays its events to the caller as they come. How
+ * the upstream is searched depends on whether the service has engines. Confined to the traffic
+ * loop. Invariants: a stream is ended as complete only where its run was complete; a run is aborted
+ * only once its replacement has taken over or the request ends; all events of a stream, over all
+ * tries of its caller, are written by one software version.
  */
 final class StreamExecution extends RequestExecution implements StreamSearch.Listener {
 
     private static final AttemptEnd SILENT =
             AttemptEnd.failed(ResultCode.OUTCOME_UNKNOWN, "stream silent");
 
-    private final EngineTraits mEngineTraits;
-
-    private final PromptMetadata mPrompt;
-
     private final EventRelay mRelay;
 
-    private final DecodeEngines mEngines = new DecodeEngines(this);
+    private final StreamUpstreams mUpstreams;
 
     private final StreamSearch mSearch;
 
@@ -42,18 +37,31 @@
     /** Whether the head of the answer was sent to the caller. */
     private boolean mStreamStarted;
 
+    /** The last complete answer of an upstream that is no success, or null. */
+    private BufferedResponse mUpstreamFailure;
+
+    /**
+     * Creates an execution.
+     *
+     * @param engines the capabilities of the service's engines; empty for a service without engines
+     */
     StreamExecution(
             ServingContext context,
             ServingRequest request,
             Route route,
             String service,
-            EngineTraits engineTraits,
+            Optional<EngineTraits> engines,
             CallerChannel caller) {
         super(context, request, route, service, caller);
-        mEngineTraits = engineTraits;
-        mPrompt = request.prompt().orElse(PromptMetadata.NONE);
-        mRelay = new EventRelay(caller, request.lastEventId(), mEngines::bindTo);
-        mSearch = new StreamSearch(this, engineTraits, mRelay, mEngines, this);
+        mUpstreams =
+                new StreamUpstreams(
+                        this,
+                        engines.isPresent() ? UpstreamEntry.Role.DECODE : UpstreamEntry.Role.PLAIN);
+        mRelay = new EventRelay(caller, request.resumeAfter(), mUpstreams::bindTo);
+        mSearch =
+                engines.isPresent()
+                        ? new EngineStreamSearch(this, engines.get(), mRelay, mUpstreams, this)
+                        : new PlainStreamSearch(this, mUpstreams, this);
         mReplacement = new RunReplacement(this, mSearch);
         mSilence = new RunSilence(context, mTrace);
         caller.onWritable(this::resumeReading);
@@ -71,19 +79,20 @@
         if (refuseIfQuarantined()) {
             return;
         }
-        if (mPrompt.promptTokens() > mEngineTraits.memoryTokens()) {
-            refuse(ResultCode.NO_PLACE, "larger than an engine's memory", 0);
+        Optional<StreamUpstreams.Obstacle> obstacle = mSearch.obstacle();
+        if (obstacle.isPresent()) {
+            refuse(obstacle.get().code(), obstacle.get().detail(), 0);
         } else if (mRequest.isResumed()) {
-            mEngines.resolveOrigin(this::onOriginResolved);
+            mUpstreams.resolveOrigin(this::onOriginResolved);
         } else {
-            startSearch();
+            mSearch.begin();
         }
     }
 
     /** Continues a stream that a caller resumes, or refuses it if its origin is unknown. */
     private void onOriginResolved(boolean known) {
         if (known) {
-            startSearch();
+            mSearch.begin();
         } else {
             refuse(
                     ResultCode.ORIGIN_UNKNOWN,
@@ -92,11 +101,6 @@
         }
     }
 
-    private void startSearch() {
-        mSearch.timing().recordArrival();
-        mSearch.begin();
-    }
-
     /** {@inheritDoc} While a run is silent, only its replacement ends. */
     @Override
     protected boolean refuseIfQuarantined() {
@@ -110,7 +114,7 @@
         return withheld;
     }
 
-    /** {@inheritDoc} Sends the request to the decode engine. */
+    /** {@inheritDoc} Sends the request to the upstream. */
     @Override
     public void onReady(UpstreamEntry engine, Optional<UpstreamPort.StoredPrompt> prompt) {
         Optional<RequestArrivals.Arrival> arrival = mArrivals.begin();
@@ -119,12 +123,12 @@
             failWithoutPermit();
             return;
         }
-        recordDispatch(engine, "decode");
-        Optional<UpstreamPort.Reservation> reservation = mSearch.reservation().takeReservation();
+        recordDispatch(engine, engine.role() == UpstreamEntry.Role.DECODE ? "decode" : "sent");
         UpstreamPort.RunPlan plan =
-                UpstreamPort.RunPlan.plain(arrival.get(), remainingMillis(), priority())
-                        .withReservation(reservation)
-                        .withResumeAfter(mRelay.lastEventId());
+                mSearch.reserved(
+                        UpstreamPort.RunPlan.plain(arrival.get(), remainingMillis(), priority())
+                                .asStream()
+                                .withResumeAfter(mRelay.lastEventId()));
         StreamRun run =
                 new StreamRun(
                         mContext,
@@ -134,7 +138,7 @@
                         mCaller,
                         new EventGaps(mContext, mRoute, engine, mTrace),
                         mTrace,
-                        new RunListener(mSearch.reservation().takeMemory()));
+                        new RunListener(mSearch.takeUsage()));
         if (mReplacement.isActive()) {
             mReplacement.setCandidate(run);
         } else {
@@ -160,11 +164,21 @@
             endReplacement(detail);
         } else if (mStreamStarted) {
             abortStream(detail);
+        } else if (mUpstreamFailure != null) {
+            sendUpstreamFailure();
         } else {
-            mSearch.timing().recordRefusal();
-            long delay = mEngines.retryDelayMillis(mSearch.reservation().forecast());
-            mContext.metrics().recordRetryDelay(mSearch.timing().isReturning(), delay);
-            refuse(code, detail, delay);
+            refuse(code, detail, mSearch.recordRefusal());
+        }
+    }
+
+    /** Sends an upstream's own complete answer, which is not a success. */
+    private void sendUpstreamFailure() {
+        if (!isEnded()) {
+            mTrace.markNotable();
+            mTrace.addStep("status=" + mUpstreamFailure.head().status());
+            mUpstreamFailure.sendTo(mCaller);
+            releaseUpstream();
+            finishAnswered();
         }
     }
 
@@ -307,15 +321,15 @@
     /** Receives what happens to a run at a decode engine. Confined to the traffic loop. */
     private final class RunListener implements StreamRun.Listener {
 
-        private final EngineMemory mMemory;
+        private final StreamSearch.Usage mUsage;
 
         /**
          * Creates a listener.
          *
-         * @param memory what the request takes at the engine
+         * @param usage what the run takes at its upstream
          */
-        RunListener(EngineMemory memory) {
-            mMemory = memory;
+        RunListener(StreamSearch.Usage usage) {
+            mUsage = usage;
         }
 
         /** {@inheritDoc} */
@@ -366,12 +380,13 @@
         /** {@inheritDoc} */
         @Override
         public void onEvents(long events) {
-            mMemory.grow(events * mEngineTraits.eventTokens());
+            mUsage.grow(events);
         }
 
         /** {@inheritDoc} */
         @Override
-        public void onFirstEvent() {
+        public void onFirstEvent(StreamRun run, long millis) {
+            mSearch.recordFirstEvent(run.engine(), millis);
             markIfLate(mTrace.elapsedMillis());
             mContext.metrics().recordStage("first-event", mTrace.elapsedMillis());
         }
@@ -382,7 +397,7 @@
             if (run == mRun) {
                 mRun = null;
             }
-            mMemory.free();
+            mUsage.free();
         }
 
         /** {@inheritDoc} */
@@ -392,13 +407,7 @@
                 takeOver("complete");
             }
             recordSuccess(run.engine(), "stream", millis, framed);
-            long output = mRelay.eventCount() * mEngineTraits.eventTokens();
-            mContext.demandMeter()
-                    .recordRun(
-                            mService,
-                            new DemandMeter.CompletedRun(mPrompt.promptTokens(), output, millis),
-                            mContext.loop().millis());
-            mSearch.reservation().forecast().recordOutput(output);
+            mSearch.recordCompletion(mRelay.eventCount(), millis);
             mTrace.addStep("events=" + mRelay.eventCount());
             if (mRelay.idGaps() > 0) {
                 mTrace.addStep("event id gaps=" + mRelay.idGaps());
@@ -418,12 +427,12 @@
                 run.prompt().ifPresent(mContext.port()::discard);
             }
             boolean ownFailure = answer.head().verdict() == UpstreamPort.Verdict.OWN_FAILURE;
+            if (ownFailure) {
+                mUpstreamFailure = answer;
+            }
             if (ownFailure && !mStreamStarted && mRoute.kind() != Route.Kind.RESUMABLE_STREAM) {
                 recordFailure(run.engine(), end);
-                mTrace.markNotable();
-                mTrace.addStep("status=" + answer.head().status());
-                answer.sendTo(mCaller);
-                finishAnswered();
+                sendUpstreamFailure();
                 return;
             }
             onEnded(run, end);
@@ -439,6 +448,7 @@
         }
 
         private void onEnded(StreamRun run, AttemptEnd end) {
+            mSearch.recordFailure(run.engine(), end);
             if (mReplacement.isCandidate(run)) {
                 onCandidateFailed(run, end);
             } else {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
@@ -7,10 +7,10 @@
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
- * One run at a decode engine, whose events are relayed to the caller. Confined to the traffic loop.
- * Invariants: silence never ends the run; unless it is aborted, it ends with exactly one of {@link
- * Listener#onCompleted}, {@link Listener#onErrorAnswer} and {@link Listener#onFailed}, after {@link
- * Listener#onClosed}.
+ * One run at an engine or a replica of a plain service, whose events are relayed to the caller.
+ * Confined to the traffic loop. Invariants: silence never ends the run; unless it is aborted, it
+ * ends with exactly one of {@link Listener#onCompleted}, {@link Listener#onErrorAnswer} and {@link
+ * Listener#onFailed}, after {@link Listener#onClosed}.
  */
 final class StreamRun extends UpstreamRun {
 
@@ -103,8 +103,12 @@
          */
         void onEvents(long events);
 
-        /** Called after the first event of the stream was relayed. */
-        void onFirstEvent();
+        /**
+         * Called after the first event of the stream was relayed.
+         *
+         * @param millis the time since the run was sent, milliseconds
+         */
+        void onFirstEvent(StreamRun run, long millis);
 
         /** Called when the run ends, however it ends. */
         void onClosed(StreamRun run);
@@ -250,10 +254,7 @@
         }
         if (before == 0 && events > 0) {
             mTrace.addStep("first event");
-            if (elapsedMillis() < ServingSettings.STREAM_SILENCE_MILLIS) {
-                mContext.firstEventDelay().record(elapsedMillis());
-            }
-            mListener.onFirstEvent();
+            mListener.onFirstEvent(this, elapsedMillis());
         }
         if (!mCaller.isWritable()) {
             mPaused = true;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamTiming.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamTiming.java
@@ -15,7 +15,7 @@
 
     private final PrefillEngines mPrefillEngines;
 
-    private final DecodeEngines mDecodeEngines;
+    private final StreamUpstreams mStreamUpstreams;
 
     /** Whether the request was refused recently and this is the caller's retry. */
     private boolean mReturning;
@@ -30,10 +30,12 @@
     private long mWaitStart;
 
     StreamTiming(
-            StreamExecution execution, PrefillEngines prefillEngines, DecodeEngines decodeEngines) {
+            StreamExecution execution,
+            PrefillEngines prefillEngines,
+            StreamUpstreams decodeEngines) {
         mExecution = execution;
         mPrefillEngines = prefillEngines;
-        mDecodeEngines = decodeEngines;
+        mStreamUpstreams = decodeEngines;
     }
 
     /**
@@ -100,7 +102,7 @@
      */
     QueueTier tier() {
         if (mExecution.isStreaming() || mExecution.mRequest.isResumed()) {
-            return mDecodeEngines.isRestricted() ? QueueTier.IN_TIME : QueueTier.CONTINUED;
+            return mStreamUpstreams.isRestricted() ? QueueTier.IN_TIME : QueueTier.CONTINUED;
         }
         boolean late =
                 mSearchedBefore
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/DecodeEngines.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamUpstreams.java
@@ -12,19 +12,28 @@
 import org.troutpier.daemon.route.Route;
 
 /**
- * The decode engines at which a stream may run: those of its service and, once an event of the
- * stream was relayed, of the software version that wrote the first one. Confined to the traffic
- * loop. Invariant: the origin never changes once it is known.
+ * The upstreams at which a stream may run: those of its service and, once an event of the stream
+ * was relayed, of the software version that wrote the first one. Confined to the traffic loop.
+ * Invariant: the origin never changes once it is known.
  */
-final class DecodeEngines {
+final class StreamUpstreams {
 
     private final StreamExecution mExecution;
 
+    /** The role of the upstreams that write events. */
+    private final UpstreamEntry.Role mRole;
+
     /** What began the stream; empty before the first event of a new stream. */
     private Optional<StreamOrigin> mOrigin = Optional.empty();
 
-    DecodeEngines(StreamExecution execution) {
+    /**
+     * Creates an instance for a stream without an origin.
+     *
+     * @param role the role of the upstreams that write events
+     */
+    StreamUpstreams(StreamExecution execution, UpstreamEntry.Role role) {
         mExecution = execution;
+        mRole = role;
     }
 
     /**
@@ -54,29 +63,27 @@
     }
 
     /**
-     * Binds the stream to the engine that wrote the first event of this answer, unless it is bound
-     * already, and records that before the caller can have the event.
+     * Binds the stream to the upstream that wrote the first event of this answer, unless it is
+     * bound already, and records that before the caller can have the event.
      */
-    void bindTo(UpstreamEntry engine) {
+    void bindTo(UpstreamEntry upstream) {
         if (mOrigin.isEmpty()) {
-            mOrigin = Optional.of(new StreamOrigin(engine.service(), engine.version()));
+            mOrigin = Optional.of(new StreamOrigin(upstream.service(), upstream.version()));
         }
         if (mExecution.mRoute.kind() == Route.Kind.RESUMABLE_STREAM) {
             mExecution.mContext.origins().record(mExecution.mRequest.id(), mOrigin.get());
         }
     }
 
-    /** Returns whether the stream may run at an engine. */
-    boolean allows(UpstreamEntry engine) {
-        return mOrigin.map(new StreamOrigin(engine.service(), engine.version())::equals)
+    /** Returns whether the stream may run at an upstream. */
+    boolean allows(UpstreamEntry upstream) {
+        return mOrigin.map(new StreamOrigin(upstream.service(), upstream.version())::equals)
                 .orElse(true);
     }
 
-    /** Returns the usable engines, whether the request was sent there or not. */
+    /** Returns the usable upstreams, whether the request was sent there or not. */
     List<UpstreamEntry> all() {
-        return mExecution.upstreams(UpstreamEntry.Role.DECODE).stream()
-                .filter(this::allows)
-                .toList();
+        return mExecution.upstreams(mRole).stream().filter(this::allows).toList();
     }
 
     /**
@@ -87,60 +94,41 @@
         ServingContext context = mExecution.mContext;
         return context.directory()
                 .usable(engine)
-                .filter(listed -> listed.role() == UpstreamEntry.Role.DECODE)
+                .filter(listed -> listed.role() == mRole)
                 .filter(this::allows)
                 .filter(context.admission()::stillAdmits)
                 .isPresent();
     }
 
-    /** Returns whether there are usable engines at which the stream may not run. */
+    /** Returns whether there are usable upstreams at which the stream may not run. */
     boolean isRestricted() {
-        return !mExecution.upstreams(UpstreamEntry.Role.DECODE).stream().allMatch(this::allows);
-    }
-
-    /**
-     * Returns the engines at which memory may be reserved now; none while the prefill engines could
-     * not process the prompt in time.
-     */
-    List<UpstreamEntry> eligible(StreamTiming timing) {
-        return timing.waitBudget().allowsPrefill(timing.prediction()) ? untried() : List.of();
+        return !mExecution.upstreams(mRole).stream().allMatch(this::allows);
     }
 
-    /** Returns the engines to which the request may still be sent. */
+    /** Returns the upstreams to which the request may still be sent. */
     List<UpstreamEntry> untried() {
         Set<UpstreamIncarnation> excluded = mExecution.excludedUpstreams();
         return all().stream().filter(entry -> !excluded.contains(entry.incarnation())).toList();
     }
 
     /**
-     * Determines when a refused caller should retry.
+     * Returns why the request cannot be sent to any upstream, if it cannot.
      *
-     * @param forecast when there is room for the request
-     * @return the delay in milliseconds
+     * @param none the code that says that no upstream is left
      */
-    long retryDelayMillis(EngineMemoryForecast forecast) {
-        ServingContext context = mExecution.mContext;
-        long limit = (long) (mExecution.remainingMillis() * ServingSettings.MAX_RETRY_AFTER_RATIO);
-        long backOff = context.admission().backOffMillis(untried());
-        return backOff
-                + forecast.retryDelayMillis(mExecution.upstreams(UpstreamEntry.Role.DECODE), limit);
-    }
-
-    /** Returns why the request cannot be sent to any engine, if it cannot. */
-    Optional<Obstacle> obstacle() {
+    Optional<Obstacle> obstacle(ResultCode none) {
         if (!untried().isEmpty()) {
             return Optional.empty();
         }
-        boolean gone =
-                all().isEmpty() && !mExecution.upstreams(UpstreamEntry.Role.DECODE).isEmpty();
+        boolean gone = all().isEmpty() && !mExecution.upstreams(mRole).isEmpty();
         return Optional.of(
                 gone
-                        ? new Obstacle(ResultCode.VERSION_GONE, "no engine of " + mOrigin.get())
-                        : new Obstacle(ResultCode.NO_PLACE, "no engine is left"));
+                        ? new Obstacle(ResultCode.VERSION_GONE, "no upstream of " + mOrigin.get())
+                        : new Obstacle(none, "no upstream of " + mExecution.mService + " is left"));
     }
 
     /**
-     * Why a request cannot be sent to any engine. Immutable and thread safe.
+     * Why a request cannot be sent to any upstream. Immutable and thread safe.
      *
      * @param code the result code of the refusal
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/UpstreamPort.java
@@ -105,6 +105,7 @@
      * @param prompt the stored prompt, if it was prefilled at another engine
      * @param reservation the slot and memory reserved for the run, if any
      * @param resumeAfter the last event that the caller has received, if a stream is resumed
+     * @param stream whether a successful answer is relayed as it comes, and not buffered
      */
     record RunPlan(
             RequestArrivals.Arrival arrival,
@@ -112,10 +113,11 @@
             int priority,
             Optional<StoredPrompt> prompt,
             Optional<Reservation> reservation,
-            OptionalLong resumeAfter) {
+            OptionalLong resumeAfter,
+            boolean stream) {
 
         /**
-         * Creates the parameters of a call to a plain service.
+         * Creates the parameters of a call whose answer is buffered.
          *
          * @param arrival the call among those of its request
          * @param deadlineMillis time left until the upstream must stop work, milliseconds
@@ -129,7 +131,8 @@
                     priority,
                     Optional.empty(),
                     Optional.empty(),
-                    OptionalLong.empty());
+                    OptionalLong.empty(),
+                    false);
         }
 
         /**
@@ -144,7 +147,8 @@
                     priority,
                     prompt,
                     reservation,
-                    resumeAfter);
+                    resumeAfter,
+                    stream);
         }
 
         /**
@@ -153,7 +157,8 @@
          * @param reserved the reservation, if any
          */
         public RunPlan withReservation(Optional<Reservation> reserved) {
-            return new RunPlan(arrival, deadlineMillis, priority, prompt, reserved, resumeAfter);
+            return new RunPlan(
+                    arrival, deadlineMillis, priority, prompt, reserved, resumeAfter, stream);
         }
 
         /** Returns a copy with a prompt that was prefilled at another engine. */
@@ -164,7 +169,8 @@
                     priority,
                     Optional.of(stored),
                     reservation,
-                    resumeAfter);
+                    resumeAfter,
+                    stream);
         }
 
         /**
@@ -173,7 +179,14 @@
          * @param lastEvent the last event that the caller has received, if any
          */
         public RunPlan withResumeAfter(OptionalLong lastEvent) {
-            return new RunPlan(arrival, deadlineMillis, priority, prompt, reservation, lastEvent);
+            return new RunPlan(
+                    arrival, deadlineMillis, priority, prompt, reservation, lastEvent, stream);
+        }
+
+        /** Returns a copy for a run whose answer is relayed as it comes. */
+        public RunPlan asStream() {
+            return new RunPlan(
+                    arrival, deadlineMillis, priority, prompt, reservation, resumeAfter, true);
         }
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -129,7 +129,7 @@
                         request(),
                         route(kind, attempts),
                         "service",
-                        new EngineTraits(10, 90_000, 4, 2000, 500, 100),
+                        Optional.of(new EngineTraits(10, 90_000, 4, 2000, 500, 100)),
                         mCaller)
                 .begin();
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExtraCallsOverRoutersTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExtraCallsOverRoutersTest.java
@@ -129,7 +129,8 @@
         CallerChannel caller = new FakeCaller();
         return kind == 0
                 ? new PlainExecution(context, request, route, "service", caller)
-                : new StreamExecution(context, request, route, "service", traits, caller);
+                : new StreamExecution(
+                        context, request, route, "service", Optional.of(traits), caller);
     }
 
     /** Upstreams that complete one in five prefills and fail all other calls. */
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainExecutionTest.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.troutpier.common.id.RequestId;
@@ -50,7 +49,7 @@
                         new DefaultHttpHeaders(),
                         body,
                         1500,
-                        OptionalLong.empty(),
+                        Optional.empty(),
                         Optional.empty(),
                         Optional.empty(),
                         Optional.empty(),
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PlainFleet.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -176,7 +175,7 @@
                             new DefaultHttpHeaders(),
                             new byte[0],
                             DEADLINE_MILLIS - (mAttemptAt - mFirst),
-                            OptionalLong.empty(),
+                            Optional.empty(),
                             Optional.empty(),
                             Optional.empty(),
                             Optional.empty(),
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PrefillTimeoutTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PrefillTimeoutTest.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.testng.annotations.Test;
 import org.troutpier.common.id.Incarnation;
@@ -80,7 +79,7 @@
                         new DefaultHttpHeaders(),
                         new byte[0],
                         9000,
-                        OptionalLong.empty(),
+                        Optional.empty(),
                         Optional.empty(),
                         Optional.of(
                                 new PromptMetadata(
@@ -108,7 +107,7 @@
                         request,
                         route,
                         "service",
-                        new EngineTraits(10, 90_000, 4, 2000, 500, 100),
+                        Optional.of(new EngineTraits(10, 90_000, 4, 2000, 500, 100)),
                         new FakeCaller())
                 .begin();
         return mContext.loads().ownCalls(p) > 0 ? List.of(p, q) : List.of(q, p);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/RunReplacementTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/RunReplacementTest.java
@@ -70,7 +70,7 @@
                         TestRequests.of("abc", "/x", new byte[0], Optional.of(prompt)),
                         route,
                         "service",
-                        new EngineTraits(10, 90_000, 4, 2000, 500, 100),
+                        Optional.of(new EngineTraits(10, 90_000, 4, 2000, 500, 100)),
                         mCaller)
                 .begin();
     }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/SilentPrefillTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/SilentPrefillTest.java
@@ -81,7 +81,7 @@
                         TestRequests.of(name, "/x", new byte[0], Optional.of(prompt)),
                         route,
                         "service",
-                        new EngineTraits(1000, 10_000_000, 4, 9000, 500, 100),
+                        Optional.of(new EngineTraits(1000, 10_000_000, 4, 9000, 500, 100)),
                         caller)
                 .begin();
         return caller;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/SilentRunTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/SilentRunTest.java
@@ -69,7 +69,7 @@
                         TestRequests.of("abc", "/x", new byte[0], Optional.of(prompt)),
                         route,
                         "service",
-                        new EngineTraits(10, 90_000, 4, 2000, 500, 100),
+                        Optional.of(new EngineTraits(10, 90_000, 4, 2000, 500, 100)),
                         caller)
                 .begin();
         time.advance(untilMillis);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestRequests.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestRequests.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.troutpier.common.id.RequestId;
 import org.troutpier.daemon.organisation.Requester;
 
@@ -22,7 +21,7 @@
                 new DefaultHttpHeaders(),
                 body,
                 9000,
-                OptionalLong.empty(),
+                Optional.empty(),
                 Optional.empty(),
                 prompt,
                 Optional.empty(),
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestStreams.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestStreams.java
@@ -36,7 +36,7 @@
                         false);
         FakeCaller caller = new FakeCaller();
         EngineTraits traits = new EngineTraits(10, 90_000, 4, 2000, 500, 100);
-        new StreamExecution(context, request, route, service, traits, caller).begin();
+        new StreamExecution(context, request, route, service, Optional.of(traits), caller).begin();
         return caller;
     }
 }
