Versions are stored before use, and origins in doubt are stored

Cause: facts that must outlive all routers were kept in routers alone. A version was used from the moment it was listed and written up to a tick later, or not at all while the store was away; which version began a stream, no row said. Change: a stream that may be resumed begins only at a version that is in the row (VersionTable.isStored), which is written when the list changes. The row is read anew before it is relied on; one that is deleted, unreadable or restored from a copy counts as a further version until the retention is over. The refusal of a stream that nobody knows tells its caller to come back as late as callers heed. VersionTableTest: an unreadable row and a restored one.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/VersionTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/VersionTable.java
@@ -1,11 +1,15 @@
 package org.troutpier.daemon.cluster;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -14,26 +18,33 @@
 import org.troutpier.daemon.directory.UpstreamDirectory;
 import org.troutpier.daemon.node.Node;
 import org.troutpier.daemon.resume.ServedVersions;
+import org.troutpier.daemon.resume.StreamOrigin;
 import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.route.RoutingConfiguration;
 import org.troutpier.daemon.rows.RowDecoder;
 import org.troutpier.daemon.rows.RowStore;
+import org.troutpier.daemon.rows.RowStore.Outcome;
 import org.troutpier.daemon.rows.RowStore.Row;
+import org.troutpier.daemon.rows.RowStore.RowPage;
+import org.troutpier.daemon.rows.RowStore.WriteResult;
 import org.troutpier.daemon.rows.TableFollower;
 
 /**
- * The software versions that have served each service of engines lately, in a table of the store
- * with one row for each service. So a router that has just started, even after the loss of all,
- * knows whether an older stream can have begun at another version. The table readers of the halls
- * write it when the versions of the listed engines change, which is rare. Confined to the control
- * thread. Invariants: a version is removed only after none of its engines was listed for the
- * retention time; a version is returned as the only one only while the listed engines are confirmed
- * to be those of the store.
+ * The software versions that have served each service lately, in a table of the store with one row
+ * for each service. So a router that has just started, even after the loss of all, knows whether an
+ * older stream can have begun at another version. The table readers of the halls write it when the
+ * versions of the listed upstreams change, which is rare. Confined to the control thread, except
+ * {@link #isStored}. Invariants: a version is removed only after none of its upstreams was listed
+ * for the retention time; a version is returned as the only one only while the listed upstreams and
+ * the row are confirmed to be those of the store.
  */
 public final class VersionTable implements TableFollower.Listener, ServedVersions {
 
     static final String TABLE = "troutpier_versions";
 
+    /** Stands in a row for versions that may have served and that nobody knows. */
+    private static final String LOST = "?";
+
     /** Interval between comparisons of the table with the listed engines, milliseconds. */
     static final long TICK_MILLIS = 500;
 
@@ -47,11 +58,14 @@
     private static final int RESUMED_TRIES = 4;
 
     /**
-     * Age of the list of engines from which on it may lack engines that others use, milliseconds. A
+     * Age of the list of upstreams from which on it may lack some that others use, milliseconds. A
      * hall reads the list every 700 ms.
      */
     static final long MAX_DIRECTORY_AGE_MILLIS = 1500;
 
+    /** Age of what was read of the rows from which on they are read again, milliseconds. */
+    private static final long REFRESH_MILLIS = 1000;
+
     /** Changes are pushed as they occur; a call only waits for them. */
     private static final TableFollower.PollTiming POLL_TIMING =
             new TableFollower.PollTiming(6000, 200, 8000, 2000);
@@ -76,10 +90,27 @@
     /** When engines of a version were last listed, milliseconds on the monotonic clock. */
     private final Map<ServiceVersion, Long> mLastListed = new HashMap<>();
 
+    /** The versions in the rows, replaced on each change. */
+    private volatile Map<String, Set<String>> mStored = Map.of();
+
     private boolean mLoaded;
 
     private boolean mWriting;
 
+    /** When the rows were last read for a question, milliseconds on the monotonic clock. */
+    private OptionalLong mReadAt = OptionalLong.empty();
+
+    /** The questions that wait for the rows to be read; empty while no read is in progress. */
+    private final List<Consumer<Boolean>> mWaiting = new ArrayList<>();
+
+    /** The services whose rows were restored from a copy and do not say so yet. */
+    private final Set<String> mRestored = new HashSet<>();
+
+    /** The services whose streams of several versions may be resumed. */
+    private Set<String> mInDoubt = Set.of();
+
+    private Consumer<String> mDoubtListener = service -> {};
+
     /**
      * Content of a row. Immutable.
      *
@@ -123,40 +154,99 @@
         mDecoder = new RowDecoder(node.metrics(), node::millis);
     }
 
+    /** Sets the listener that is called with each service that comes into doubt. */
+    public void setDoubtListener(Consumer<String> listener) {
+        mDoubtListener = listener;
+    }
+
     /** Follows the table, and keeps it up to date. */
     public void start() {
         TableExchange.ForPages pages = new TableExchange.ForPages(mExchange.tables(), TABLE);
         pages.follow(mNode, mStore, POLL_TIMING, this, new TableExchange.ForWholeTable(pages));
-        mNode.control().scheduleWithFixedDelay(this::tick, TICK_MILLIS);
+        mDirectory.addListener(listed -> update());
+        mNode.control().scheduleWithFixedDelay(this::update, TICK_MILLIS);
+    }
+
+    /** {@inheritDoc} Rows that were read lately are not read again. */
+    @Override
+    public void refresh(Consumer<Boolean> next) {
+        if (isReadWithin(REFRESH_MILLIS)) {
+            next.accept(true);
+            return;
+        }
+        mWaiting.add(next);
+        if (mWaiting.size() == 1) {
+            mStore.read(TABLE, "")
+                    .whenComplete(
+                            (page, failure) ->
+                                    mNode.control().execute(() -> onRead(page, failure)));
+        }
+    }
+
+    private void onRead(RowPage page, Throwable failure) {
+        if (failure == null) {
+            onChanges(page.rows());
+            mReadAt = OptionalLong.of(mNode.millis());
+        }
+        List<Consumer<Boolean>> waiting = List.copyOf(mWaiting);
+        mWaiting.clear();
+        waiting.forEach(next -> next.accept(failure == null));
+    }
+
+    private boolean isReadWithin(long millis) {
+        return mReadAt.isPresent() && mNode.millis() - mReadAt.getAsLong() <= millis;
     }
 
     /** {@inheritDoc} */
     @Override
     public Optional<SoftwareVersion> onlyVersion(String service) {
-        boolean current = mLoaded && mDirectory.ageMillis() <= MAX_DIRECTORY_AGE_MILLIS;
+        boolean current =
+                mLoaded
+                        && mDirectory.ageMillis() <= MAX_DIRECTORY_AGE_MILLIS
+                        && isReadWithin(MAX_DIRECTORY_AGE_MILLIS);
         if (!current || !mRows.containsKey(service)) {
             return Optional.empty();
         }
         noteVersions(mNode.millis());
         Set<String> versions = recentVersions(service, mNode.millis());
-        return versions.size() == 1
+        return versions.size() == 1 && !versions.contains(LOST)
                 ? versions.stream().findFirst().map(SoftwareVersion::new)
                 : Optional.empty();
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public boolean isInDoubt(String service) {
+        return mInDoubt.contains(service);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public boolean isStored(StreamOrigin origin) {
+        return mStored.getOrDefault(origin.service(), Set.of()).contains(origin.version().value());
+    }
+
+    /** Returns how long streams of a version may be resumed after its last upstream. */
+    long retentionMillis() {
+        long longestTry =
+                mConfiguration.current().map(RoutingConfiguration::longestTimeoutMillis).orElse(0L);
+        return Math.max(MIN_RETENTION_MILLIS, RESUMED_TRIES * longestTry);
+    }
+
     private Set<String> listed(String service) {
         return mDirectory.versions().getOrDefault(service, Set.of()).stream()
                 .map(SoftwareVersion::value)
                 .collect(Collectors.toSet());
     }
 
-    /** Writes the first row that differs from the listed engines, at the hall's table reader. */
-    private void tick() {
+    /** Writes the first row that differs from the listed upstreams, at the hall's table reader. */
+    private void update() {
         if (!mLoaded || !mDirectory.isLoaded()) {
             return;
         }
         long now = mNode.millis();
         noteVersions(now);
+        updateDoubt(now);
         if (mWriting || !mExchange.isTableReader()) {
             return;
         }
@@ -170,6 +260,15 @@
         }
     }
 
+    private void updateDoubt(long now) {
+        Set<String> before = mInDoubt;
+        mInDoubt =
+                mDirectory.versions().keySet().stream()
+                        .filter(service -> recentVersions(service, now).size() > 1)
+                        .collect(Collectors.toUnmodifiableSet());
+        mInDoubt.stream().filter(each -> !before.contains(each)).forEach(mDoubtListener);
+    }
+
     /**
      * Notes when each version was listed last. For one that this router knows from the row only,
      * the retention time begins now.
@@ -186,17 +285,14 @@
             listed(service)
                     .forEach(each -> mLastListed.put(new ServiceVersion(service, each), now));
         }
-        mLastListed.entrySet().removeIf(each -> isExpired(each, now) && !isStored(each.getKey()));
+        mLastListed.entrySet().removeIf(each -> isExpired(each, now) && !isInRow(each.getKey()));
     }
 
     private boolean isExpired(Map.Entry<ServiceVersion, Long> listed, long now) {
-        long longestTry =
-                mConfiguration.current().map(RoutingConfiguration::longestTimeoutMillis).orElse(0L);
-        long retention = Math.max(MIN_RETENTION_MILLIS, RESUMED_TRIES * longestTry);
-        return now - listed.getValue() > retention;
+        return now - listed.getValue() > retentionMillis();
     }
 
-    private boolean isStored(ServiceVersion version) {
+    private boolean isInRow(ServiceVersion version) {
         StoredRow row = mRows.get(version.service());
         return row != null && row.versions().contains(version.version());
     }
@@ -218,6 +314,9 @@
         if (row != null) {
             Set<String> recent = recentVersions(service, now);
             row.versions().stream().filter(recent::contains).forEach(versions::add);
+            if (mRestored.contains(service)) {
+                versions.add(LOST);
+            }
         }
         return versions;
     }
@@ -226,7 +325,19 @@
         mWriting = true;
         byte[] value = Json.bytes(new ServiceVersions(versions));
         mStore.write(new Row(TABLE, "", service, value, expected, false), expected)
-                .whenComplete((write, failure) -> mNode.control().execute(() -> mWriting = false));
+                .thenAccept(
+                        result ->
+                                mNode.control()
+                                        .execute(() -> onWritten(service, versions, result)));
+    }
+
+    /** Goes on with the next row; after a failure at the next tick. */
+    private void onWritten(String service, Set<String> versions, WriteResult result) {
+        mWriting = false;
+        if (result.outcome() == Outcome.WRITTEN) {
+            put(service, new StoredRow(result.version(), versions));
+            update();
+        }
     }
 
     /** {@inheritDoc} */
@@ -235,6 +346,21 @@
         mRows.clear();
         onChanges(rows);
         mLoaded = true;
+        update();
+    }
+
+    /** {@inheritDoc} Marks all rows, which may lack versions. */
+    @Override
+    public void onRestored() {
+        for (String service : mRows.keySet()) {
+            mLastListed.put(new ServiceVersion(service, LOST), mNode.millis());
+            mRestored.add(service);
+        }
+        LOGGER.warn(
+                "version rows restored from a copy services={}, unknown origins are refused for"
+                        + " {} ms",
+                mRows.keySet(),
+                retentionMillis());
     }
 
     /** {@inheritDoc} */
@@ -243,20 +369,38 @@
         rows.forEach(this::apply);
     }
 
-    /** Applies a row. One that cannot be decoded counts as empty, and is overwritten. */
+    /**
+     * Applies a row, unless a later one is known. One that was deleted or cannot be decoded may
+     * have had any version.
+     */
     private void apply(Row row) {
+        StoredRow before = mRows.get(row.key());
+        if (before != null && before.version() > row.version()) {
+            return;
+        }
         Set<String> versions =
                 row.deleted()
-                        ? Set.of()
+                        ? Set.of(LOST)
                         : mDecoder.decode(
                                         row, each -> Json.read(each.value(), ServiceVersions.class))
                                 .map(ServiceVersions::versions)
-                                .orElse(Set.of());
-        StoredRow before =
-                mRows.put(row.key(), new StoredRow(row.deleted() ? 0 : row.version(), versions));
-        if (before == null || !before.versions().equals(versions)) {
-            LOGGER.info("software versions service={} versions={}", row.key(), versions);
+                                .orElse(Set.of(LOST));
+        put(row.key(), new StoredRow(row.deleted() ? 0 : row.version(), versions));
+    }
+
+    private void put(String service, StoredRow row) {
+        StoredRow before = mRows.put(service, row);
+        if (row.versions().contains(LOST)) {
+            mRestored.remove(service);
+        }
+        if (before == null || !before.versions().equals(row.versions())) {
+            LOGGER.info("software versions service={} versions={}", service, row.versions());
         }
+        mStored =
+                mRows.entrySet().stream()
+                        .collect(
+                                Collectors.toUnmodifiableMap(
+                                        Map.Entry::getKey, each -> each.getValue().versions()));
     }
 
     /** {@inheritDoc} */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -1,5 +1,6 @@
 package org.troutpier.daemon.directory;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -95,7 +96,7 @@
     /** Replaced on each change. */
     private volatile UpstreamListing mListing = UpstreamListing.EMPTY;
 
-    private Consumer<Set<UpstreamIncarnation>> mListener = listed -> {};
+    private final List<Consumer<Set<UpstreamIncarnation>>> mListeners = new ArrayList<>();
 
     private volatile boolean mLoaded;
 
@@ -184,12 +185,12 @@
     }
 
     /**
-     * Sets the listener that is called whenever the entries have changed.
+     * Adds a listener that is called whenever the entries have changed.
      *
      * @param listener receives all listed incarnations on the control thread
      */
-    public void setListener(Consumer<Set<UpstreamIncarnation>> listener) {
-        mListener = listener;
+    public void addListener(Consumer<Set<UpstreamIncarnation>> listener) {
+        mListeners.add(listener);
     }
 
     /** Records that the store did not answer this router. */
@@ -431,6 +432,7 @@
                 UpstreamListing.of(
                         mEntries.values(),
                         entry -> !entry.draining() && !mUnreadable.contains(entry.id()));
-        mListener.accept(Set.copyOf(mListing.incarnations().values()));
+        Set<UpstreamIncarnation> listed = Set.copyOf(mListing.incarnations().values());
+        mListeners.forEach(listener -> listener.accept(listed));
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/StreamOrigins.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/StreamOrigins.java
@@ -16,9 +16,9 @@
 /**
  * Records and finds the origins of streams. This router records the streams that it began and those
  * that others announce to it; for any other one it asks all routers. Confined to the control
- * thread, except {@link #record} and {@link #resolve}, which are thread safe. Invariant: an origin
- * is found only if it was recorded, or if the service has had no other version since the stream can
- * have begun.
+ * thread, except {@link #record}, {@link #resolve} and {@link #mayBegin}, which are thread safe.
+ * Invariant: an origin is found only if it was recorded, or if the service has had no other version
+ * since the stream can have begun.
  */
 public final class StreamOrigins {
 
@@ -28,6 +28,9 @@
      */
     public static final long ASK_MILLIS = 100;
 
+    /** The ask at which the store is asked too, once a router that knows would have answered. */
+    private static final int STORE_ASK = 2;
+
     /** How often the others are asked; after that nobody is expected to know the origin. */
     public static final int MAX_ASKS = 4;
 
@@ -49,7 +52,9 @@
 
     private OriginPeers mPeers = OriginPeers.NONE;
 
-    private ServedVersions mVersions = ServedVersions.UNKNOWN;
+    private OriginStore mStore = OriginStore.NONE;
+
+    private volatile ServedVersions mVersions = ServedVersions.UNKNOWN;
 
     /** How an origin became known. */
     public enum Source {
@@ -57,6 +62,8 @@
         RECORD,
         /** Another router has recorded it. */
         PEER,
+        /** The store has it. */
+        STORE,
         /** The service has had no other version. */
         ONLY_VERSION,
         /** It is unknown. */
@@ -72,8 +79,9 @@
      * What is known of a stream. Immutable and thread safe.
      *
      * @param origin the origin; empty if it is unknown
+     * @param conclusive whether an origin that is unknown will not become known either
      */
-    public record Resolution(Optional<StreamOrigin> origin, Source source) {}
+    public record Resolution(Optional<StreamOrigin> origin, Source source, boolean conclusive) {}
 
     /**
      * Creates an instance without peers.
@@ -92,7 +100,12 @@
         mPeers = peers;
     }
 
-    /** Sets what is known of the versions of services. */
+    /** Sets the store of origins. */
+    public void setStore(OriginStore store) {
+        mStore = store;
+    }
+
+    /** Sets what is known of the versions of services; to be called before any request arrives. */
     public void setVersions(ServedVersions versions) {
         mVersions = versions;
     }
@@ -106,6 +119,7 @@
                 () -> {
                     mRecords.put(attempt, origin, mMillis.getAsLong());
                     mPeers.announce(attempt, origin);
+                    mStore.add(attempt, origin);
                 });
     }
 
@@ -119,12 +133,21 @@
         return mRecords.find(attempt, mMillis.getAsLong());
     }
 
+    /** Returns whether new streams may begin at a version; thread safe. */
+    public boolean mayBegin(StreamOrigin origin) {
+        return mVersions.isStored(origin);
+    }
+
     /** Records the answer of another router that knows the origin. */
     public void onAnswer(RequestId attempt, StreamOrigin origin) {
+        onFound(attempt, origin, Source.PEER);
+    }
+
+    private void onFound(RequestId attempt, StreamOrigin origin, Source source) {
         List<Lookup> lookups = mPending.remove(attempt);
         if (lookups != null) {
             mRecords.put(attempt, origin, mMillis.getAsLong());
-            lookups.forEach(each -> each.onAnswer(origin));
+            lookups.forEach(each -> each.finish(new Resolution(Optional.of(origin), source, true)));
         }
     }
 
@@ -141,9 +164,9 @@
                 () -> {
                     Optional<StreamOrigin> recorded = attempt.flatMap(this::find);
                     if (recorded.isPresent()) {
-                        finish(new Resolution(recorded, Source.RECORD), listener);
+                        finish(new Resolution(recorded, Source.RECORD, true), listener);
                     } else if (attempt.isEmpty() || mPending.size() >= MAX_PENDING) {
-                        finish(fromVersions(service), listener);
+                        resolveByVersions(service, attempt.isEmpty(), listener);
                     } else {
                         askPeers(attempt.get(), service, listener);
                     }
@@ -156,10 +179,21 @@
         lookup.ask();
     }
 
-    private Resolution fromVersions(String service) {
-        Optional<StreamOrigin> only =
-                mVersions.onlyVersion(service).map(version -> new StreamOrigin(service, version));
-        return new Resolution(only, only.isPresent() ? Source.ONLY_VERSION : Source.NONE);
+    /**
+     * Finds the origin of a stream that nobody recorded.
+     *
+     * @param asked whether all that may have recorded it were asked
+     */
+    private void resolveByVersions(String service, boolean asked, Consumer<Resolution> listener) {
+        mVersions.refresh(
+                read -> {
+                    Optional<StreamOrigin> only =
+                            mVersions
+                                    .onlyVersion(service)
+                                    .map(version -> new StreamOrigin(service, version));
+                    Source source = only.isPresent() ? Source.ONLY_VERSION : Source.NONE;
+                    finish(new Resolution(only, source, asked && read), listener);
+                });
     }
 
     private void finish(Resolution resolution, Consumer<Resolution> listener) {
@@ -178,6 +212,8 @@
 
         private int mAsks;
 
+        private boolean mStoreRead;
+
         Lookup(RequestId attempt, String service, Consumer<Resolution> listener) {
             mAttempt = attempt;
             mService = service;
@@ -197,6 +233,9 @@
                 mAskCount.inc();
                 mPeers.ask(mAttempt);
                 mControl.schedule(this::ask, ASK_MILLIS);
+                if (mAsks == STORE_ASK) {
+                    mStore.find(mAttempt, this::onStoreAnswer);
+                }
                 return;
             }
             mPending.computeIfPresent(
@@ -205,11 +244,16 @@
                         lookups.remove(this);
                         return lookups.isEmpty() ? null : lookups;
                     });
-            finish(fromVersions(mService), mListener);
+            resolveByVersions(mService, mStoreRead, mListener);
+        }
+
+        private void onStoreAnswer(OriginStore.Answer answer) {
+            mStoreRead = answer.read();
+            answer.origin().ifPresent(origin -> onFound(mAttempt, origin, Source.STORE));
         }
 
-        private void onAnswer(StreamOrigin origin) {
-            finish(new Resolution(Optional.of(origin), Source.PEER), mListener);
+        private void finish(Resolution resolution) {
+            StreamOrigins.this.finish(resolution, mListener);
         }
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -4,6 +4,7 @@
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.extracall.RequestArrivals;
+import org.troutpier.daemon.resume.StreamOrigins;
 import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.route.Route;
 import org.troutpier.daemon.upstream.AttemptEnd;
@@ -89,16 +90,20 @@
         }
     }
 
-    /** Continues a stream that a caller resumes, or refuses it if its origin is unknown. */
-    private void onOriginResolved(boolean known) {
-        if (known) {
+    /**
+     * Continues a stream that a caller resumes, or refuses it if its origin is unknown: for as long
+     * as its caller heeds if the origin will not become known.
+     */
+    private void onOriginResolved(StreamOrigins.Resolution found) {
+        if (found.origin().isPresent()) {
             mSearch.begin();
-        } else {
-            refuse(
-                    ResultCode.ORIGIN_UNKNOWN,
-                    "no router knows what began the stream",
-                    ServingSettings.RETRY_AFTER_MILLIS);
+            return;
         }
+        long longest = (long) (remainingMillis() * ServingSettings.MAX_RETRY_AFTER_RATIO);
+        refuse(
+                ResultCode.ORIGIN_UNKNOWN,
+                "neither a router nor the store knows what began the stream",
+                found.conclusive() ? longest : ServingSettings.RETRY_AFTER_MILLIS);
     }
 
     /** {@inheritDoc} While a run is silent, only its replacement ends. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamUpstreams.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamUpstreams.java
@@ -39,9 +39,9 @@
     /**
      * Finds out what began the stream that a caller resumes, and binds the stream to it.
      *
-     * @param next receives whether that is known; not called if the request is finished by then
+     * @param next receives what is known; not called if the request is finished by then
      */
-    void resolveOrigin(Consumer<Boolean> next) {
+    void resolveOrigin(Consumer<StreamOrigins.Resolution> next) {
         ServingContext context = mExecution.mContext;
         Consumer<StreamOrigins.Resolution> listener =
                 found -> {
@@ -52,7 +52,7 @@
                                 .trace()
                                 .addStep("origin " + origin + " " + found.source().label());
                         mOrigin = found.origin();
-                        next.accept(mOrigin.isPresent());
+                        next.accept(found);
                     }
                 };
         context.origins()
@@ -81,9 +81,26 @@
                 .orElse(true);
     }
 
-    /** Returns the usable upstreams, whether the request was sent there or not. */
+    /**
+     * Returns the usable upstreams, whether the request was sent there or not. A stream that may be
+     * resumed begins only at a version that routers will know of after the loss of all, unless
+     * there is no other.
+     */
     List<UpstreamEntry> all() {
-        return mExecution.upstreams(mRole).stream().filter(this::allows).toList();
+        List<UpstreamEntry> allowed =
+                mExecution.upstreams(mRole).stream().filter(this::allows).toList();
+        if (mOrigin.isPresent() || mExecution.mRoute.kind() != Route.Kind.RESUMABLE_STREAM) {
+            return allowed;
+        }
+        StreamOrigins origins = mExecution.mContext.origins();
+        List<UpstreamEntry> stored =
+                allowed.stream()
+                        .filter(
+                                each ->
+                                        origins.mayBegin(
+                                                new StreamOrigin(each.service(), each.version())))
+                        .toList();
+        return stored.isEmpty() ? allowed : stored;
     }
 
     /**
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/RejoinedStreamsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/RejoinedStreamsTest.java
@@ -83,6 +83,10 @@
                             node, mStore, router.mExchange, mDirectory, new CurrentConfiguration());
             mOrigins = new StreamOrigins(mControl, mTime::millis, new MetricRegistry());
             mOrigins.setVersions(mTable);
+            OriginTable stored =
+                    new OriginTable(node, mStore, mTable, () -> 7, router.mExchange::isTableReader);
+            stored.start();
+            mOrigins.setStore(stored);
             readList();
             mTable.start();
         }
@@ -107,13 +111,24 @@
         }
 
         void beginStream() {
-            List<String> usable = new ArrayList<>(new TreeSet<>(mKnown));
+            List<String> usable = usable();
             String version = usable.get(mRandom.nextInt(usable.size()));
             RequestId attempt = new RequestId("s" + mBegun.size());
             mOrigins.record(attempt, new StreamOrigin(SERVICE, new SoftwareVersion(version)));
             mBegun.add(new Begun(attempt, version, mTime.millis()));
         }
 
+        /** Returns the versions at which a new stream may begin, as a router selects them. */
+        List<String> usable() {
+            List<String> known = new ArrayList<>(new TreeSet<>(mKnown));
+            List<String> stored = known.stream().filter(this::mayBegin).toList();
+            return stored.isEmpty() ? known : stored;
+        }
+
+        private boolean mayBegin(String version) {
+            return mOrigins.mayBegin(new StreamOrigin(SERVICE, new SoftwareVersion(version)));
+        }
+
         void takeUpStream() {
             Begun begun = mBegun.get(mRandom.nextInt(mBegun.size()));
             if (mTime.millis() - begun.at() > OLDEST_MILLIS) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/VersionTableTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/VersionTableTest.java
@@ -56,6 +56,8 @@
         }
 
         Optional<String> onlyVersion() {
+            mTable.refresh(read -> {});
+            mTime.advance(1);
             return mTable.onlyVersion(SERVICE).map(SoftwareVersion::value);
         }
     }
@@ -102,4 +104,31 @@
         mTime.advance(VersionTable.MAX_DIRECTORY_AGE_MILLIS + 1);
         assertEquals(router.onlyVersion(), Optional.empty());
     }
+
+    /** Guards against relying on a row whose content is lost. */
+    @Test
+    public void aRowThatCannotBeReadMayHaveHadAnyVersion() {
+        new Router("one", "v1");
+        mRows.put(new VersionedRows.Key(VersionTable.TABLE, "", SERVICE), "broken");
+        Router later = new Router("later", "v1");
+        assertEquals(later.onlyVersion(), Optional.empty());
+        assertEquals(new Router("last", "v1").onlyVersion(), Optional.empty());
+        mTime.advance(VersionTable.MIN_RETENTION_MILLIS + 3 * VersionTable.TICK_MILLIS);
+        later.list("v1");
+        assertEquals(later.onlyVersion(), Optional.of("v1"));
+    }
+
+    /** Guards against versions that a copy of the store lacks. */
+    @Test
+    public void afterARestoreAnyVersionMayHaveServed() {
+        Router one = new Router("one", "v1");
+        VersionedRows.Copy copy = mRows.copy();
+        one.list("v1", "v2");
+        mTime.advance(VersionTable.TICK_MILLIS);
+        one.list("v1");
+        mRows.restore(copy);
+        mTime.advance(30_000);
+        one.list("v1");
+        assertEquals(new Router("later", "v1").onlyVersion(), Optional.empty());
+    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/directory/UpstreamDirectoryTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/directory/UpstreamDirectoryTest.java
@@ -280,7 +280,7 @@
     @Test
     public void theListenerReceivesTheListedIncarnations() {
         Set<UpstreamIncarnation> reported = new HashSet<>();
-        mDirectory.setListener(
+        mDirectory.addListener(
                 listed -> {
                     reported.clear();
                     reported.addAll(listed);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ExecutionTest.java
@@ -59,7 +59,7 @@
         mFramed = true;
         mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
         RestartAwarePort port = new RestartAwarePort(mPort);
-        mDirectory.setListener(port::retain);
+        mDirectory.addListener(port::retain);
         mRequester = new Requester.Unchecked();
         mDeferredDecisions = null;
         mSetup = new TestContext(mTime);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PrefillTimeoutTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/PrefillTimeoutTest.java
@@ -45,7 +45,7 @@
         mPort = new FakePort();
         mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
         RestartAwarePort port = new RestartAwarePort(mPort);
-        mDirectory.setListener(port::retain);
+        mDirectory.addListener(port::retain);
         mPeers = new PeerLoads();
         TestContext context = new TestContext(mTime);
         context.mPort = port;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/SilentPrefillTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/SilentPrefillTest.java
@@ -47,7 +47,7 @@
         mDirectory = new UpstreamDirectory(mTime.control(), mTime::millis);
         mMetrics = new MetricRegistry();
         RestartAwarePort restartAware = new RestartAwarePort(port);
-        mDirectory.setListener(restartAware::retain);
+        mDirectory.addListener(restartAware::retain);
         TestContext setup = new TestContext(mTime);
         setup.mPort = restartAware;
         setup.mDirectory = mDirectory;
