Continued streams wait for a place by their own measure

Cause: a continued stream that only some engines can continue was queued before the others, but its wait was that of a new request: until its target, counted from its arrival, less the prediction of its prefill. The lookup of its origin used up to 400 ms of it. Change: its place in the queue and its wait are two tiers. It waits as every continued stream does, from when its origin is known.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/EngineStreamSearch.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/EngineStreamSearch.java
@@ -107,7 +107,7 @@
                 mReservation
                         .forecast()
                         .predictedWaitMillis(
-                                mEngines.all(), budget.tier(), budget.waitMillis(prediction));
+                                mEngines.all(), mTiming.queueTier(), budget.waitMillis(prediction));
         if (budget.isExceededBy(mPredictedWaitMillis, prediction)) {
             if (!mExecution.isRunning()) {
                 mContext.metrics().refusedAtOnce(budget.tier());
@@ -121,7 +121,7 @@
         mTiming.recordSearch();
         mReservation.search(
                 budget.waitMillis(prediction),
-                budget.tier(),
+                mTiming.queueTier(),
                 mRelay.eventCount(),
                 this::eligible,
                 new AnyEngineListener());
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamTiming.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamTiming.java
@@ -15,7 +15,7 @@
 
     private final PrefillEngines mPrefillEngines;
 
-    private final StreamUpstreams mStreamUpstreams;
+    private final StreamUpstreams mUpstreams;
 
     /** Whether the request was refused recently and this is the caller's retry. */
     private boolean mReturning;
@@ -25,7 +25,8 @@
 
     /**
      * When the current wait budget began, milliseconds since the request arrived: 0 before the
-     * stream was started, then the time at which the search for another run began.
+     * stream was started, then the time at which the search for another run began; for a stream
+     * that its caller resumes, the time at which its origin was known.
      */
     private long mWaitStart;
 
@@ -35,7 +36,7 @@
             StreamUpstreams decodeEngines) {
         mExecution = execution;
         mPrefillEngines = prefillEngines;
-        mStreamUpstreams = decodeEngines;
+        mUpstreams = decodeEngines;
     }
 
     /**
@@ -43,6 +44,9 @@
      * its caller's retry.
      */
     void recordArrival() {
+        if (mExecution.mRequest.isResumed()) {
+            mWaitStart = mExecution.trace().elapsedMillis();
+        }
         ServingContext context = mExecution.mContext;
         long now = context.loop().millis();
         mReturning =
@@ -76,9 +80,9 @@
         mSearchedBefore = true;
     }
 
-    /** Records that another run is searched, with a new wait budget if the stream was started. */
+    /** Records that another run is searched, with a new wait budget if a stream is continued. */
     void restart() {
-        mWaitStart = mExecution.isStreaming() ? mExecution.trace().elapsedMillis() : 0;
+        mWaitStart = isContinued() ? mExecution.trace().elapsedMillis() : 0;
     }
 
     /** Returns how long the request may wait for a reservation. */
@@ -95,14 +99,25 @@
                 tier);
     }
 
+    private boolean isContinued() {
+        return mExecution.isStreaming() || mExecution.mRequest.isResumed();
+    }
+
+    /**
+     * Returns the tier in which the request is queued. A continued stream for which only some
+     * engines are left does not wait behind new requests, which can use the others.
+     */
+    QueueTier queueTier() {
+        return isContinued() && mUpstreams.isRestricted() ? QueueTier.IN_TIME : tier();
+    }
+
     /**
-     * Returns the queue tier, which depends on whether the request can still meet its target. A
-     * continued stream for which only some engines are left does not wait behind new requests,
-     * which can use the others.
+     * Returns the tier by which the request may wait, which depends on whether it can still meet
+     * its target. A continued stream has met or missed it with its first event.
      */
     QueueTier tier() {
-        if (mExecution.isStreaming() || mExecution.mRequest.isResumed()) {
-            return mStreamUpstreams.isRestricted() ? QueueTier.IN_TIME : QueueTier.CONTINUED;
+        if (isContinued()) {
+            return QueueTier.CONTINUED;
         }
         boolean late =
                 mSearchedBefore
