--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/OriginTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/OriginTable.java
@@ -53,6 +53,15 @@
     /** Origins from which on a router begins another row. */
     private static final int ROW_ORIGINS = 64;
 
+    /** Most origins of a row: 80 characters each, which fits into any store's rows. */
+    private static final int MAX_ROW_ORIGINS = 500;
+
+    /** Delay after a write that the store did not take, milliseconds. */
+    private static final long RETRY_MILLIS = 1000;
+
+    /** Most rows that a clean-up removes, so that it takes few of the store's writes. */
+    private static final int MAX_REMOVALS = 20;
+
     /** Streams of this router that are remembered for the case that their service gets in doubt. */
     private static final int MAX_REMEMBERED = 5000;
 
@@ -80,7 +89,7 @@
     /** This router's streams that can be resumed, the oldest first. */
     private final Deque<OriginBatch.Begun> mRecent = new ArrayDeque<>();
 
-    /** The streams that are to be written, the oldest first. */
+    /** The streams that are to be written. */
     private final Deque<OriginBatch.Begun> mPending = new ArrayDeque<>();
 
     /** This router's complete rows that are not removed yet. */
@@ -177,15 +186,20 @@
         forget();
         if (mVersions.isInDoubt(origin.service())) {
             mPending.add(begun);
-            scheduleFlush();
+            scheduleFlush(0);
         }
     }
 
     private void forget() {
+        forget(mRecent);
+        forget(mPending);
+    }
+
+    private void forget(Deque<OriginBatch.Begun> streams) {
         long oldest = mNode.millis() - mVersions.retentionMillis();
-        while (mRecent.size() > MAX_REMEMBERED
-                || (!mRecent.isEmpty() && mRecent.peek().at() < oldest)) {
-            mRecent.remove();
+        while (streams.size() > MAX_REMEMBERED
+                || (!streams.isEmpty() && streams.peek().at() < oldest)) {
+            streams.remove();
         }
     }
 
@@ -194,27 +208,32 @@
         mRecent.stream()
                 .filter(each -> each.origin().service().equals(service))
                 .forEach(mPending::add);
-        scheduleFlush();
+        mCleanUpDue = true;
+        scheduleFlush(0);
     }
 
-    private void scheduleFlush() {
+    /**
+     * Schedules the next write, if there is anything to write.
+     *
+     * @param atLeastMillis the shortest delay
+     */
+    private void scheduleFlush(long atLeastMillis) {
         int routers = mRouters.getAsInt();
         if (routers > MAX_ROUTERS) {
             mPending.clear();
         }
         if (!mFlushScheduled && !mWriting && !mPending.isEmpty()) {
             mFlushScheduled = true;
-            long interval =
-                    Math.max(
-                            MIN_FLUSH_MILLIS,
-                            (long) routers * MILLIS_PER_SECOND / MAX_WRITES_PER_SECOND);
-            mNode.control().schedule(this::flush, interval);
+            long share = (long) routers * MILLIS_PER_SECOND / MAX_WRITES_PER_SECOND;
+            long interval = Math.max(MIN_FLUSH_MILLIS, share);
+            mNode.control().schedule(this::flush, Math.max(atLeastMillis, interval));
         }
     }
 
-    /** Adds all pending origins to the current row, and writes it. */
+    /** Adds pending origins to the current row, and writes it. */
     private void flush() {
         mFlushScheduled = false;
+        forget();
         if (mPending.isEmpty()) {
             return;
         }
@@ -222,8 +241,9 @@
             mOwnRows.add(mCurrent);
             mCurrent = newRow();
         }
-        mCurrent.mStreams.addAll(mPending);
-        mPending.clear();
+        while (!mPending.isEmpty() && mCurrent.mStreams.size() < MAX_ROW_ORIGINS) {
+            mCurrent.mStreams.add(mPending.remove());
+        }
         mWriting = true;
         OwnRow row = mCurrent;
         byte[] value = Json.bytes(OriginBatch.of(row.mStreams));
@@ -237,11 +257,12 @@
         mNode.count("origins.rows." + (result.outcome() == Outcome.WRITTEN ? "stored" : "failed"));
         if (result.outcome() == Outcome.WRITTEN) {
             row.mVersion = result.version();
+            scheduleFlush(0);
         } else {
-            mPending.addAll(row.mStreams);
+            row.mStreams.forEach(mPending::add);
             mCurrent = newRow();
+            scheduleFlush(RETRY_MILLIS);
         }
-        scheduleFlush();
     }
 
     /** {@inheritDoc} */
@@ -315,18 +336,20 @@
     private void cleanUp(RowPage page) {
         long now = mNode.millis();
         Map<String, SeenRow> seen = new HashMap<>();
+        int removed = 0;
         for (Row row : page.rows()) {
             SeenRow before = mSeen.get(row.key());
             boolean changed = before == null || before.version() != row.version();
             SeenRow current = changed ? new SeenRow(row.version(), now) : before;
-            if (now - current.since() > mVersions.retentionMillis()) {
+            seen.put(row.key(), current);
+            boolean expired = now - current.since() > mVersions.retentionMillis();
+            if (expired && removed < MAX_REMOVALS) {
+                removed++;
                 mStore.delete(row);
-            } else {
-                seen.put(row.key(), current);
             }
         }
         mSeen.clear();
         mSeen.putAll(seen);
-        mCleanUpDue = !page.rows().isEmpty();
+        mCleanUpDue = !page.rows().isEmpty() || mVersions.isAnyInDoubt();
     }
 }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/VersionTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/VersionTable.java
@@ -220,6 +220,11 @@
         return mInDoubt.contains(service);
     }
 
+    /** Returns whether any service is in doubt. */
+    boolean isAnyInDoubt() {
+        return !mInDoubt.isEmpty();
+    }
+
     /** {@inheritDoc} */
     @Override
     public boolean isStored(StreamOrigin origin) {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/PlainExecution.java
@@ -44,8 +44,7 @@
     /** The only upstream that may be sent the request again, which turned it away; or null. */
     private UpstreamEntry mOnlyUpstream;
 
-    /** An error response of an upstream, sent to the caller if no attempt succeeds; or null. */
-    private BufferedResponse mUpstreamFailure;
+    private final UpstreamFailure mUpstreamFailure = new UpstreamFailure();
 
     PlainExecution(
             ServingContext context,
@@ -227,10 +226,8 @@
      * @param retryAfterMillis when the caller should retry, milliseconds
      */
     private void giveUp(ResultCode code, String detail, long retryAfterMillis) {
-        if (mUpstreamFailure != null && !isEnded()) {
-            mUpstreamFailure.sendTo(mCaller);
-            mTrace.markNotable();
-            mTrace.addStep("status=" + mUpstreamFailure.head().status());
+        if (mUpstreamFailure.isPresent() && !isEnded()) {
+            mUpstreamFailure.sendTo(mCaller, mTrace);
             finishAnswered();
             return;
         }
@@ -300,7 +297,7 @@
         switch (head.verdict()) {
             case SUCCESS -> onSuccess(attempt, answer);
             case OWN_FAILURE -> {
-                mUpstreamFailure = answer;
+                mUpstreamFailure.record(answer);
                 onFailed(
                         attempt,
                         AttemptEnd.failed(ResultCode.UPSTREAM_FAILED, "status " + head.status()));
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
@@ -64,6 +64,9 @@
         ServingRequest served = request.withRequester(requester.orElseThrow());
         if (route.get().kind() != Route.Kind.RESUMABLE_STREAM) {
             served = served.withoutResumption();
+        } else {
+            // fails for a malformed id before anything is started
+            served.resumeAfter();
         }
         String name = route.get().selectService(selector(served, route.get()));
         Optional<Service> service = configuration.get().findService(name);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -38,8 +38,7 @@
     /** Whether the head of the answer was sent to the caller. */
     private boolean mStreamStarted;
 
-    /** The last complete answer of an upstream that is no success, or null. */
-    private BufferedResponse mUpstreamFailure;
+    private final UpstreamFailure mUpstreamFailure = new UpstreamFailure();
 
     /**
      * Creates an execution.
@@ -90,20 +89,14 @@
         }
     }
 
-    /**
-     * Continues a stream that a caller resumes, or refuses it if its origin is unknown: for as long
-     * as its caller heeds if the origin will not become known.
-     */
+    /** Continues a stream that a caller resumes, or refuses it if its origin is unknown. */
     private void onOriginResolved(StreamOrigins.Resolution found) {
         if (found.origin().isPresent()) {
             mSearch.begin();
-            return;
+        } else {
+            String detail = "neither a router nor the store knows what began the stream";
+            refuse(ResultCode.ORIGIN_UNKNOWN, detail, mUpstreams.retryDelayMillis(found));
         }
-        long longest = (long) (remainingMillis() * ServingSettings.MAX_RETRY_AFTER_RATIO);
-        refuse(
-                ResultCode.ORIGIN_UNKNOWN,
-                "neither a router nor the store knows what began the stream",
-                found.conclusive() ? longest : ServingSettings.RETRY_AFTER_MILLIS);
     }
 
     /** {@inheritDoc} While a run is silent, only its replacement ends. */
@@ -169,19 +162,16 @@
             endReplacement(detail);
         } else if (mStreamStarted) {
             abortStream(detail);
-        } else if (mUpstreamFailure != null) {
+        } else if (mUpstreamFailure.isPresent()) {
             sendUpstreamFailure();
         } else {
             refuse(code, detail, mSearch.recordRefusal());
         }
     }
 
-    /** Sends an upstream's own complete answer, which is not a success. */
     private void sendUpstreamFailure() {
         if (!isEnded()) {
-            mTrace.markNotable();
-            mTrace.addStep("status=" + mUpstreamFailure.head().status());
-            mUpstreamFailure.sendTo(mCaller);
+            mUpstreamFailure.sendTo(mCaller, mTrace);
             releaseUpstream();
             finishAnswered();
         }
@@ -433,7 +423,7 @@
             }
             boolean ownFailure = answer.head().verdict() == UpstreamPort.Verdict.OWN_FAILURE;
             if (ownFailure) {
-                mUpstreamFailure = answer;
+                mUpstreamFailure.record(answer);
             }
             if (ownFailure && !mStreamStarted && mRoute.kind() != Route.Kind.RESUMABLE_STREAM) {
                 recordFailure(run.engine(), end);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamUpstreams.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamUpstreams.java
@@ -62,6 +62,16 @@
                         found -> context.loop().execute(() -> listener.accept(found)));
     }
 
+    /**
+     * Returns when to retry a stream whose origin is unknown: as late as callers heed if it will
+     * not become known.
+     */
+    long retryDelayMillis(StreamOrigins.Resolution unknown) {
+        return unknown.conclusive()
+                ? (long) (mExecution.remainingMillis() * ServingSettings.MAX_RETRY_AFTER_RATIO)
+                : ServingSettings.RETRY_AFTER_MILLIS;
+    }
+
     /**
      * Binds the stream to the upstream that wrote the first event of this answer, unless it is
      * bound already, and records that before the caller can have the event.
