--- a/troutpier-common/src/main/java/org/troutpier/common/eventstream/ServerSentEventSplitter.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/eventstream/ServerSentEventSplitter.java
@@ -56,9 +56,9 @@
         int at = 0;
         while (at < bytes.length) {
             byte value = bytes[at++];
-            boolean secondOfPair = value == '\n' && mAfterCarriageReturn;
+            boolean endsCrLf = value == '\n' && mAfterCarriageReturn;
             mAfterCarriageReturn = value == '\r';
-            if (secondOfPair) {
+            if (endsCrLf) {
                 if (mEventPassedOn) {
                     start = at;
                     listener.onTrailingLineFeed();
@@ -72,6 +72,7 @@
                 mLineEmpty = true;
                 mEventBytes++;
             } else {
+                // a blank line: the event is complete, with an LF that follows a CR in this part
                 if (mAfterCarriageReturn && at < bytes.length && bytes[at] == '\n') {
                     mAfterCarriageReturn = false;
                     at++;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/OriginTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/OriginTable.java
@@ -82,7 +82,7 @@
 
     private final IntSupplier mRouters;
 
-    private final BooleanSupplier mReader;
+    private final BooleanSupplier mCleansUp;
 
     private final RowDecoder mDecoder;
 
@@ -115,7 +115,7 @@
     /** Rows of any router that a clean-up has seen, by key. */
     private final Map<String, SeenRow> mSeen = new HashMap<>();
 
-    /** Whether the table may have rows that nobody removes. */
+    /** Whether the table may have rows of ended routers. */
     private boolean mCleanUpDue = true;
 
     /** A row of this router. Confined to the control thread. */
@@ -149,21 +149,21 @@
     /**
      * Creates a table.
      *
-     * @param versions tells which services are in doubt
+     * @param versions the versions of services, by which a service is in doubt
      * @param routers the number of routers
-     * @param reader whether this router reads tables for its hall, and cleans up
+     * @param cleansUp whether this router removes the rows of routers that have ended
      */
     public OriginTable(
             Node node,
             RowStore store,
             VersionTable versions,
             IntSupplier routers,
-            BooleanSupplier reader) {
+            BooleanSupplier cleansUp) {
         mNode = node;
         mStore = store;
         mVersions = versions;
         mRouters = routers;
-        mReader = reader;
+        mCleansUp = cleansUp;
         mDecoder = new RowDecoder(node.metrics(), node::millis);
         mCurrent = newRow();
     }
@@ -307,7 +307,7 @@
         questions.forEach(each -> each.next().accept(answer(each.attempt())));
     }
 
-    /** Removes this router's rows, and at a table reader those of routers that are gone. */
+    /** Removes this router's expired rows, and those of ended routers where that is its task. */
     private void cleanUp() {
         long oldest = mNode.millis() - mVersions.retentionMillis();
         if (!mWriting && !mCurrent.mStreams.isEmpty() && mCurrent.newestAt() < oldest) {
@@ -319,7 +319,7 @@
             mCopy = Map.of();
             mCopyAt = OptionalLong.empty();
         }
-        if (mCleanUpDue && mReader.getAsBoolean()) {
+        if (mCleanUpDue && mCleansUp.getAsBoolean()) {
             mStore.read(TABLE, PART)
                     .thenAccept(page -> mNode.control().execute(() -> cleanUp(page)));
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/StreamOrigins.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/StreamOrigins.java
@@ -16,9 +16,9 @@
 /**
  * Records and finds the origins of streams. This router records the streams that it began and those
  * that others announce to it; for any other one it asks all routers. Confined to the control
- * thread, except {@link #record}, {@link #resolve} and {@link #mayBegin}, which are thread safe.
- * Invariant: an origin is found only if it was recorded, or if the service has had no other version
- * since the stream can have begun.
+ * thread, except {@link #record}, {@link #resolve} and {@link #isVersionStored}, which are thread
+ * safe. Invariant: an origin is found only if it was recorded, or if the service has had no other
+ * version since the stream can have begun.
  */
 public final class StreamOrigins {
 
@@ -133,8 +133,8 @@
         return mRecords.find(attempt, mMillis.getAsLong());
     }
 
-    /** Returns whether new streams may begin at a version; thread safe. */
-    public boolean mayBegin(StreamOrigin origin) {
+    /** Returns whether the row of a version is stored. */
+    public boolean isVersionStored(StreamOrigin origin) {
         return mVersions.isStored(origin);
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RunReplacement.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RunReplacement.java
@@ -109,9 +109,9 @@
         if (candidate != null) {
             candidate.abort();
             candidate.prompt().ifPresent(mExecution.mContext.port()::discard);
-            mExecution.mAttempted.giveUp(candidate.engine());
+            mExecution.mAttempted.giveUp(candidate.upstream());
             mExecution.recordAttemptEnd(
-                    candidate.engine(), AttemptEnd.failed(ResultCode.OUTCOME_UNKNOWN, reason));
+                    candidate.upstream(), AttemptEnd.failed(ResultCode.OUTCOME_UNKNOWN, reason));
         }
         mSearch.release();
         mExecution.trace().addStep("replacement ended(" + reason + ")");
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RunSilence.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RunSilence.java
@@ -44,11 +44,12 @@
         }
         mSilent = true;
         mTrace.markNotable();
-        mTrace.addStep("silent@" + run.engine().id() + " for " + millis + "ms, attempt " + attempt);
+        mTrace.addStep(
+                "silent@" + run.upstream().id() + " for " + millis + "ms, attempt " + attempt);
         mContext.metrics().silentRun("begun");
         if (run != mReportedRun) {
             mReportedRun = run;
-            mContext.loads().failed(run.engine(), false, detail);
+            mContext.loads().failed(run.upstream(), false, detail);
         }
     }
 
@@ -71,7 +72,7 @@
 
     /** Records that the engine goes on. */
     void recordContinued(StreamRun run, long silentMillis) {
-        mTrace.addStep("continued@" + run.engine().id() + " after " + silentMillis + "ms");
+        mTrace.addStep("continued@" + run.upstream().id() + " after " + silentMillis + "ms");
         end("continued");
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingRequest.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingRequest.java
@@ -21,7 +21,7 @@
  * @param headers the end-to-end headers, which are forwarded unchanged
  * @param body the body
  * @param deadlineMillis how long the caller waits, from the arrival of the request
- * @param lastEventId the last event of a stream that the caller has, if it says so, as received
+ * @param lastEventId the id of the last event of a stream that the caller has received, unparsed
  * @param resumedAttempt the attempt that brought the first event of that stream, if the caller says
  *     so
  * @param prompt the metadata of the prompt, for a model request
@@ -59,7 +59,7 @@
                 newRequester);
     }
 
-    /** Returns a copy that resumes no stream; what its caller says of one is forwarded only. */
+    /** Returns a copy that resumes no stream; the headers about an earlier one are kept. */
     ServingRequest withoutResumption() {
         return new ServingRequest(
                 id,
@@ -77,7 +77,7 @@
     }
 
     /**
-     * Returns the id of the last event that the caller has, if it says so.
+     * Returns the id of the last event that the caller has received; empty for a new stream.
      *
      * @throws TroutpierException if it is no number
      */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamExecution.java
@@ -29,7 +29,7 @@
 
     private final RunReplacement mReplacement;
 
-    /** The decode run whose events are relayed, or null. */
+    /** The run whose events are relayed, or null. */
     private StreamRun mRun;
 
     /** The silence of the run's engine. */
@@ -53,15 +53,11 @@
             Optional<EngineTraits> engines,
             CallerChannel caller) {
         super(context, request, route, service, caller);
-        mUpstreams =
-                new StreamUpstreams(
-                        this,
-                        engines.isPresent() ? UpstreamEntry.Role.DECODE : UpstreamEntry.Role.PLAIN);
+        UpstreamEntry.Role role =
+                engines.isPresent() ? UpstreamEntry.Role.DECODE : UpstreamEntry.Role.PLAIN;
+        mUpstreams = new StreamUpstreams(this, role);
         mRelay = new EventRelay(caller, request.resumeAfter(), mUpstreams::bindTo);
-        mSearch =
-                engines.isPresent()
-                        ? new EngineStreamSearch(this, engines.get(), mRelay, mUpstreams, this)
-                        : new PlainStreamSearch(this, mUpstreams, this);
+        mSearch = StreamSearch.of(this, engines, mRelay, mUpstreams);
         mReplacement = new RunReplacement(this, mSearch);
         mSilence = new RunSilence(context, mTrace);
         caller.onWritable(this::resumeReading);
@@ -114,14 +110,14 @@
 
     /** {@inheritDoc} Sends the request to the upstream. */
     @Override
-    public void onReady(UpstreamEntry engine, Optional<UpstreamPort.StoredPrompt> prompt) {
+    public void onReady(UpstreamEntry upstream, Optional<UpstreamPort.StoredPrompt> prompt) {
         Optional<RequestArrivals.Arrival> arrival = mArrivals.begin();
         if (arrival.isEmpty()) {
             prompt.ifPresent(mContext.port()::discard);
             failWithoutPermit();
             return;
         }
-        recordDispatch(engine, engine.role() == UpstreamEntry.Role.DECODE ? "decode" : "sent");
+        recordDispatch(upstream, upstream.role() == UpstreamEntry.Role.DECODE ? "decode" : "sent");
         UpstreamPort.RunPlan plan =
                 mSearch.reserved(
                         UpstreamPort.RunPlan.plain(arrival.get(), remainingMillis(), priority())
@@ -130,11 +126,11 @@
         StreamRun run =
                 new StreamRun(
                         mContext,
-                        engine,
+                        upstream,
                         prompt,
                         mRelay,
                         mCaller,
-                        new EventGaps(mContext, mRoute, engine, mTrace),
+                        new EventGaps(mContext, mRoute, upstream, mTrace),
                         mTrace,
                         new RunListener(mSearch.takeUsage()));
         if (mReplacement.isActive()) {
@@ -189,7 +185,7 @@
         }
         mSilence.begin(
                 run, millis, SILENT.detail(), mAttempted.size() + " of " + mRoute.maxAttempts());
-        if (mSilence.isSearchDue(millis) && mayRetry(run.engine(), SILENT)) {
+        if (mSilence.isSearchDue(millis) && mayRetry(run.upstream(), SILENT)) {
             mSilence.recordSearch();
             mReplacement.begin();
         }
@@ -225,7 +221,7 @@
         if (silent != null) {
             mSilence.recordReplaced(silent.silentMillis(), reason);
             silent.abort();
-            recordAttemptEnd(silent.engine(), SILENT);
+            recordAttemptEnd(silent.upstream(), SILENT);
         }
         mRun = taken.run();
         taken.head().ifPresent(this::beginStream);
@@ -241,7 +237,7 @@
 
     /** Decides how to continue after a failed run. */
     private void onRunFailed(StreamRun run, AttemptEnd end) {
-        UpstreamEntry engine = run.engine();
+        UpstreamEntry engine = run.upstream();
         long writing = run.writingMillis();
         recordFailure(engine, end);
         mSilence.recordEnded();
@@ -261,13 +257,13 @@
 
     /** Ends a replacement whose run failed. */
     private void onCandidateFailed(StreamRun run, AttemptEnd end) {
-        recordFailure(run.engine(), end);
-        if (!mAttempted.withdraw(run.engine(), end) && end.notStarted()) {
-            mAttempted.giveUp(run.engine());
+        recordFailure(run.upstream(), end);
+        if (!mAttempted.withdraw(run.upstream(), end) && end.notStarted()) {
+            mAttempted.giveUp(run.upstream());
         }
         mReplacement.dropCandidate();
         endReplacement(end.detail());
-        afterCrashAttribution(run.engine(), end, run.writingMillis(), ended -> {});
+        afterCrashAttribution(run.upstream(), end, run.writingMillis(), ended -> {});
     }
 
     /**
@@ -313,7 +309,7 @@
         return mStreamStarted;
     }
 
-    /** Receives what happens to a run at a decode engine. Confined to the traffic loop. */
+    /** Receives what happens to a run. Confined to the traffic loop. */
     private final class RunListener implements StreamRun.Listener {
 
         private final StreamSearch.Usage mUsage;
@@ -381,7 +377,7 @@
         /** {@inheritDoc} */
         @Override
         public void onFirstEvent(StreamRun run, long millis) {
-            mSearch.recordFirstEvent(run.engine(), millis);
+            mSearch.recordFirstEvent(run.upstream(), millis);
             markIfLate(mTrace.elapsedMillis());
             mContext.metrics().recordStage("first-event", mTrace.elapsedMillis());
         }
@@ -401,7 +397,7 @@
             if (mReplacement.isCandidate(run)) {
                 takeOver("complete");
             }
-            recordSuccess(run.engine(), "stream", millis, framed);
+            recordSuccess(run.upstream(), "stream", millis, framed);
             mSearch.recordCompletion(mRelay.eventCount(), millis);
             mTrace.addStep("events=" + mRelay.eventCount());
             if (mRelay.idGaps() > 0) {
@@ -426,7 +422,7 @@
                 mUpstreamFailure.record(answer);
             }
             if (ownFailure && !mStreamStarted && mRoute.kind() != Route.Kind.RESUMABLE_STREAM) {
-                recordFailure(run.engine(), end);
+                recordFailure(run.upstream(), end);
                 sendUpstreamFailure();
                 return;
             }
@@ -443,7 +439,7 @@
         }
 
         private void onEnded(StreamRun run, AttemptEnd end) {
-            mSearch.recordFailure(run.engine(), end);
+            mSearch.recordFailure(run.upstream(), end);
             if (mReplacement.isCandidate(run)) {
                 onCandidateFailed(run, end);
             } else {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamRun.java
@@ -154,7 +154,7 @@
         mLastBytesAt = context.loop().millis();
     }
 
-    UpstreamEntry engine() {
+    UpstreamEntry upstream() {
         return mUpstream;
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamSearch.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamSearch.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.route.EngineTraits;
 import org.troutpier.daemon.upstream.AttemptEnd;
 
 /**
@@ -12,6 +13,21 @@
  */
 interface StreamSearch {
 
+    /**
+     * Creates the search of a stream, whose execution receives its outcomes.
+     *
+     * @param engines the capabilities of the service's engines; empty for a service without engines
+     */
+    static StreamSearch of(
+            StreamExecution execution,
+            Optional<EngineTraits> engines,
+            EventRelay relay,
+            StreamUpstreams upstreams) {
+        return engines.isPresent()
+                ? new EngineStreamSearch(execution, engines.get(), relay, upstreams, execution)
+                : new PlainStreamSearch(execution, upstreams, execution);
+    }
+
     /** Receives the outcome of a search, on the traffic loop. */
     interface Listener {
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamUpstreams.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamUpstreams.java
@@ -7,6 +7,7 @@
 import org.troutpier.common.id.UpstreamIncarnation;
 import org.troutpier.common.result.ResultCode;
 import org.troutpier.daemon.directory.UpstreamEntry;
+import org.troutpier.daemon.resume.NewStreams;
 import org.troutpier.daemon.resume.StreamOrigin;
 import org.troutpier.daemon.resume.StreamOrigins;
 import org.troutpier.daemon.route.Route;
@@ -78,7 +79,7 @@
      */
     void bindTo(UpstreamEntry upstream) {
         if (mOrigin.isEmpty()) {
-            mOrigin = Optional.of(new StreamOrigin(upstream.service(), upstream.version()));
+            mOrigin = Optional.of(originAt(upstream));
         }
         if (mExecution.mRoute.kind() == Route.Kind.RESUMABLE_STREAM) {
             mExecution.mContext.origins().record(mExecution.mRequest.id(), mOrigin.get());
@@ -87,30 +88,26 @@
 
     /** Returns whether the stream may run at an upstream. */
     boolean allows(UpstreamEntry upstream) {
-        return mOrigin.map(new StreamOrigin(upstream.service(), upstream.version())::equals)
-                .orElse(true);
+        return mOrigin.map(originAt(upstream)::equals).orElse(true);
     }
 
-    /**
-     * Returns the usable upstreams, whether the request was sent there or not. A stream that may be
-     * resumed begins only at a version that routers will know of after the loss of all, unless
-     * there is no other.
-     */
+    /** Returns the usable upstreams, whether the request was sent there or not. */
     List<UpstreamEntry> all() {
         List<UpstreamEntry> allowed =
                 mExecution.upstreams(mRole).stream().filter(this::allows).toList();
-        if (mOrigin.isPresent() || mExecution.mRoute.kind() != Route.Kind.RESUMABLE_STREAM) {
-            return allowed;
-        }
-        StreamOrigins origins = mExecution.mContext.origins();
-        List<UpstreamEntry> stored =
-                allowed.stream()
-                        .filter(
-                                each ->
-                                        origins.mayBegin(
-                                                new StreamOrigin(each.service(), each.version())))
-                        .toList();
-        return stored.isEmpty() ? allowed : stored;
+        boolean resumableLater =
+                mOrigin.isEmpty() && mExecution.mRoute.kind() == Route.Kind.RESUMABLE_STREAM;
+        return resumableLater
+                ? NewStreams.select(
+                        allowed,
+                        StreamUpstreams::originAt,
+                        mExecution.mContext.origins()::isVersionStored)
+                : allowed;
+    }
+
+    /** Returns what a stream is bound to whose first event an upstream writes. */
+    private static StreamOrigin originAt(UpstreamEntry upstream) {
+        return new StreamOrigin(upstream.service(), upstream.version());
     }
 
     /**
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/OriginTableTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/OriginTableTest.java
@@ -8,31 +8,23 @@
 import java.util.Optional;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.RequestId;
 import org.troutpier.common.id.SoftwareVersion;
-import org.troutpier.common.id.UpstreamIncarnation;
-import org.troutpier.common.settings.Address;
-import org.troutpier.daemon.directory.UpstreamDirectory;
-import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualClock;
-import org.troutpier.daemon.node.Node;
-import org.troutpier.daemon.node.TestNode;
 import org.troutpier.daemon.resume.OriginStore;
 import org.troutpier.daemon.resume.StreamOrigin;
-import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.rows.FakeRowStore;
 import org.troutpier.standins.platform.VersionedRows;
 
 /** What is stored of the streams of one router, and when. */
 public final class OriginTableTest {
 
-    private static final String SERVICE = "notes";
-    private static final StreamOrigin ORIGIN = new StreamOrigin(SERVICE, new SoftwareVersion("v1"));
+    private static final StreamOrigin ORIGIN =
+            new StreamOrigin(VersionedRouter.SERVICE, new SoftwareVersion("v1"));
 
     private ManualClock mTime;
     private FakeRowStore mStore;
-    private UpstreamDirectory mDirectory;
+    private VersionedRouter mRouter;
     private OriginTable mTable;
     private int mBegun;
     private int mRouters;
@@ -49,33 +41,16 @@
     }
 
     private void startRouter(String name) {
-        ManualClock.PausableControlExecutor control = mTime.control();
-        Node node = TestNode.of(name, control, mTime::nanos);
-        mDirectory = new UpstreamDirectory(control, mTime::millis);
-        PeerExchange exchange = new IsolatedRouter(node).mExchange;
-        VersionTable versions =
-                new VersionTable(node, mStore, exchange, mDirectory, new CurrentConfiguration());
-        versions.start();
-        mTable = new OriginTable(node, mStore, versions, () -> mRouters, () -> true);
+        mRouter = new VersionedRouter(name, mTime, mStore);
+        mRouter.mVersions.start();
+        mTable =
+                new OriginTable(
+                        mRouter.mNode, mStore, mRouter.mVersions, () -> mRouters, () -> true);
         mTable.start();
     }
 
     private void list(String... versions) {
-        List<UpstreamEntry> entries = new ArrayList<>();
-        for (String version : versions) {
-            entries.add(
-                    new UpstreamEntry(
-                            UpstreamIncarnation.of("engine-" + version),
-                            SERVICE,
-                            new Address("127.0.0.1", 1),
-                            new HallId("hall-a"),
-                            8,
-                            UpstreamEntry.Role.DECODE,
-                            false,
-                            new SoftwareVersion(version)));
-        }
-        mDirectory.onConfirmed(true, 0);
-        mDirectory.replaceAll(entries);
+        mRouter.list(List.of(versions));
     }
 
     private void begin(int streams) {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/RejoinedStreamsTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/RejoinedStreamsTest.java
@@ -12,19 +12,12 @@
 import java.util.TreeSet;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.RequestId;
 import org.troutpier.common.id.SoftwareVersion;
-import org.troutpier.common.id.UpstreamIncarnation;
-import org.troutpier.common.settings.Address;
-import org.troutpier.daemon.directory.UpstreamDirectory;
-import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualClock;
-import org.troutpier.daemon.node.Node;
-import org.troutpier.daemon.node.TestNode;
+import org.troutpier.daemon.resume.NewStreams;
 import org.troutpier.daemon.resume.StreamOrigin;
 import org.troutpier.daemon.resume.StreamOrigins;
-import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.rows.FakeRowStore;
 import org.troutpier.standins.platform.VersionedRows;
 
@@ -34,7 +27,7 @@
  */
 public final class RejoinedStreamsTest {
 
-    private static final String SERVICE = "notes";
+    private static final String SERVICE = VersionedRouter.SERVICE;
     private static final int SERIES = 200;
     private static final int STEP_MILLIS = 50;
     private static final int LIST_MILLIS = 700;
@@ -59,9 +52,7 @@
         /** The versions that the store lists. */
         final Set<String> mListed = new TreeSet<>(Set.of("v1"));
 
-        ManualClock.PausableControlExecutor mControl;
-        UpstreamDirectory mDirectory;
-        VersionTable mTable;
+        VersionedRouter mRouter;
         StreamOrigins mOrigins;
         Set<String> mKnown = Set.of();
         int mRouters;
@@ -74,28 +65,21 @@
         }
 
         void startRouter() {
-            mControl = mTime.control();
-            Node node = TestNode.of("router-" + ++mRouters, mControl, mTime::nanos);
-            mDirectory = new UpstreamDirectory(mControl, mTime::millis);
-            IsolatedRouter router = new IsolatedRouter(node);
-            mTable =
-                    new VersionTable(
-                            node, mStore, router.mExchange, mDirectory, new CurrentConfiguration());
-            mOrigins = new StreamOrigins(mControl, mTime::millis, new MetricRegistry());
-            mOrigins.setVersions(mTable);
+            mRouter = new VersionedRouter("router-" + ++mRouters, mTime, mStore);
+            mOrigins = new StreamOrigins(mRouter.mControl, mTime::millis, new MetricRegistry());
+            mOrigins.setVersions(mRouter.mVersions);
             OriginTable stored =
-                    new OriginTable(node, mStore, mTable, () -> 7, router.mExchange::isTableReader);
+                    new OriginTable(mRouter.mNode, mStore, mRouter.mVersions, () -> 7, () -> true);
             stored.start();
             mOrigins.setStore(stored);
             readList();
-            mTable.start();
+            mRouter.mVersions.start();
         }
 
         void readList() {
             if (!mStore.mAway) {
                 mKnown = Set.copyOf(mListed);
-                mDirectory.onConfirmed(true, 0);
-                mDirectory.replaceAll(mKnown.stream().map(RejoinedStreamsTest::engine).toList());
+                mRouter.list(mKnown);
             }
         }
 
@@ -111,22 +95,19 @@
         }
 
         void beginStream() {
-            List<String> usable = usable();
+            List<String> usable =
+                    NewStreams.select(
+                            List.copyOf(new TreeSet<>(mKnown)),
+                            this::origin,
+                            mOrigins::isVersionStored);
             String version = usable.get(mRandom.nextInt(usable.size()));
             RequestId attempt = new RequestId("s" + mBegun.size());
-            mOrigins.record(attempt, new StreamOrigin(SERVICE, new SoftwareVersion(version)));
+            mOrigins.record(attempt, origin(version));
             mBegun.add(new Begun(attempt, version, mTime.millis()));
         }
 
-        /** Returns the versions at which a new stream may begin, as a router selects them. */
-        List<String> usable() {
-            List<String> known = new ArrayList<>(new TreeSet<>(mKnown));
-            List<String> stored = known.stream().filter(this::mayBegin).toList();
-            return stored.isEmpty() ? known : stored;
-        }
-
-        private boolean mayBegin(String version) {
-            return mOrigins.mayBegin(new StreamOrigin(SERVICE, new SoftwareVersion(version)));
+        private StreamOrigin origin(String version) {
+            return new StreamOrigin(SERVICE, new SoftwareVersion(version));
         }
 
         void takeUpStream() {
@@ -175,7 +156,7 @@
                         events.run();
                         beginStream();
                     });
-            mControl.pause(true);
+            mRouter.mControl.pause(true);
             mOrigins = new StreamOrigins(mTime.control(), mTime::millis, new MetricRegistry());
             run(back, events);
             startRouter();
@@ -188,18 +169,6 @@
         }
     }
 
-    private static UpstreamEntry engine(String version) {
-        return new UpstreamEntry(
-                UpstreamIncarnation.of("engine-" + version),
-                SERVICE,
-                new Address("127.0.0.1", 1),
-                new HallId("hall-a"),
-                8,
-                UpstreamEntry.Role.DECODE,
-                false,
-                new SoftwareVersion(version));
-    }
-
     @DataProvider
     Object[][] kinds() {
         return new Object[][] {
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/VersionTableTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/VersionTableTest.java
@@ -6,74 +6,43 @@
 import java.util.Optional;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import org.troutpier.common.id.HallId;
 import org.troutpier.common.id.SoftwareVersion;
-import org.troutpier.common.id.UpstreamIncarnation;
-import org.troutpier.common.settings.Address;
-import org.troutpier.daemon.directory.UpstreamDirectory;
-import org.troutpier.daemon.directory.UpstreamEntry;
 import org.troutpier.daemon.node.ManualClock;
-import org.troutpier.daemon.node.Node;
-import org.troutpier.daemon.node.TestNode;
-import org.troutpier.daemon.route.CurrentConfiguration;
 import org.troutpier.daemon.rows.FakeRowStore;
 import org.troutpier.standins.platform.VersionedRows;
 
 /** What routers that share only the store know of the versions that served. */
 public final class VersionTableTest {
 
-    private static final String SERVICE = "notes";
-
     private ManualClock mTime;
     private VersionedRows mRows;
 
     /** A router that no other reaches. */
     private final class Router {
 
-        final ManualClock.PausableControlExecutor mControl = mTime.control();
-        final UpstreamDirectory mDirectory = new UpstreamDirectory(mControl, mTime::millis);
-        final VersionTable mTable;
+        final VersionedRouter mRouter;
 
         Router(String name, String... versions) {
-            Node node = TestNode.of(name, mControl, mTime::nanos);
-            mTable =
-                    new VersionTable(
-                            node,
-                            new FakeRowStore(mRows),
-                            new IsolatedRouter(node).mExchange,
-                            mDirectory,
-                            new CurrentConfiguration());
+            mRouter = new VersionedRouter(name, mTime, new FakeRowStore(mRows));
             list(versions);
-            mTable.start();
+            mRouter.mVersions.start();
             mTime.advance(3 * VersionTable.TICK_MILLIS);
             list(versions);
         }
 
         void list(String... versions) {
-            mDirectory.onConfirmed(true, 0);
-            mDirectory.replaceAll(
-                    List.of(versions).stream().map(VersionTableTest::engine).toList());
+            mRouter.list(List.of(versions));
         }
 
         Optional<String> onlyVersion() {
-            mTable.refresh(read -> {});
+            mRouter.mVersions.refresh(read -> {});
             mTime.advance(1);
-            return mTable.onlyVersion(SERVICE).map(SoftwareVersion::value);
+            return mRouter.mVersions
+                    .onlyVersion(VersionedRouter.SERVICE)
+                    .map(SoftwareVersion::value);
         }
     }
 
-    private static UpstreamEntry engine(String version) {
-        return new UpstreamEntry(
-                UpstreamIncarnation.of("engine-" + version),
-                SERVICE,
-                new Address("127.0.0.1", 1),
-                new HallId("hall-a"),
-                8,
-                UpstreamEntry.Role.DECODE,
-                false,
-                new SoftwareVersion(version));
-    }
-
     @BeforeMethod
     void start() {
         mTime = new ManualClock();
@@ -109,7 +78,7 @@
     @Test
     public void aRowThatCannotBeReadMayHaveHadAnyVersion() {
         new Router("one", "v1");
-        mRows.put(new VersionedRows.Key(VersionTable.TABLE, "", SERVICE), "broken");
+        mRows.put(new VersionedRows.Key(VersionTable.TABLE, "", VersionedRouter.SERVICE), "broken");
         Router later = new Router("later", "v1");
         assertEquals(later.onlyVersion(), Optional.empty());
         assertEquals(new Router("last", "v1").onlyVersion(), Optional.empty());
