--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/VersionTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/VersionTable.java
@@ -42,7 +42,7 @@
 
     static final String TABLE = "troutpier_versions";
 
-    /** Stands in a row for versions that may have served and that nobody knows. */
+    /** Stands in a row for unknown versions that may have served. */
     private static final String LOST = "?";
 
     /** Interval between comparisons of the table with the listed engines, milliseconds. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/StreamOrigins.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/StreamOrigins.java
@@ -28,7 +28,7 @@
      */
     public static final long ASK_MILLIS = 100;
 
-    /** The ask at which the store is asked too, once a router that knows would have answered. */
+    /** The ask at which the store is read too; a router with a record answers the first one. */
     private static final int STORE_ASK = 2;
 
     /** How often the others are asked; after that nobody is expected to know the origin. */
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamUpstreams.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/StreamUpstreams.java
@@ -64,8 +64,8 @@
     }
 
     /**
-     * Returns when to retry a stream whose origin is unknown: as late as callers heed if it will
-     * not become known.
+     * Returns when to retry a stream whose origin is unknown: after the longest delay that callers
+     * accept if the origin will not become known.
      */
     long retryDelayMillis(StreamOrigins.Resolution unknown) {
         return unknown.conclusive()
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/OriginTableTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/OriginTableTest.java
@@ -117,7 +117,7 @@
         assertEquals(rows(), 0);
     }
 
-    /** Guards against rows that outlive their streams, also those of routers that are gone. */
+    /** Guards against rows that outlive their streams, also those of ended routers. */
     @Test
     public void rowsAreRemovedOnceTheirStreamsCannotBeResumed() {
         list("v1", "v2");
@@ -132,7 +132,7 @@
         assertEquals(rows(), 0);
     }
 
-    /** Guards against taking a store that does not answer for one that knows nothing. */
+    /** Guards against taking a store that does not answer for one without a record. */
     @Test
     public void aStoreThatDoesNotAnswerIsNotRead() {
         mStore.mAway = true;
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ContinuedStreamTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/ContinuedStreamTest.java
@@ -78,7 +78,7 @@
         assertEquals(mPort.mRuns.get(0).mPlan.resumeAfter(), OptionalLong.of(7));
     }
 
-    /** Guards against callers that come back at once for a stream that nobody knows. */
+    /** Guards against a final refusal of a stream whose origin may still become known. */
     @Test
     public void anUnknownOriginIsRefusedUntilItMayBecomeKnown() {
         mDirectory.replaceAll(List.of(TestUpstreams.decode("a", "v1")));
