Responses with malformed fields, codings or chunks are lost calls

What callers saw: a replica in trouble sent a head in which the name of a field held a blank or a tab. Folded lines, unknown transfer codings and trailers passed as well.

Cause: the codec ends a name at its first blank, joins folded lines and ignores codings that it does not know. Decoded messages no longer show it.

Change: ResponseScanner follows a response over its heads, chunks and trailers before the codec does, and fails the call at the first line that breaks the syntax. A blank before the colon is rejected rather than removed, since readers disagree about such a line. Sound heads go on: no reason, any token characters, bytes beyond ASCII, empty values, interim heads.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/ResponseLimiter.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ResponseLimiter.java
@@ -107,10 +107,10 @@
         /** {@inheritDoc} */
         @Override
         public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-            if (message instanceof HttpRequest) {
+            if (message instanceof HttpRequest request) {
                 mAnswerDue = true;
                 mFramingBytes = 0;
-                mScanner.begin();
+                mScanner.begin(request.method());
             }
             context.write(message, promise);
         }
--- a/troutpier-common/src/main/java/org/troutpier/common/http/ResponseScanner.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ResponseScanner.java
@@ -1,15 +1,20 @@
 package org.troutpier.common.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 
 /**
  * Checks the bytes of the responses on a connection before they are decoded. The codec accepts any
- * number as a status, among other things, and nothing of that can be seen in what it decodes.
- * Confined to the connection's event loop. Invariant: at most one line is buffered, of {@link
- * ResponseLimiter#MAX_HEADER_BYTES} at most.
+ * number as a status, ends the name of a field at the first blank and leaves out unknown transfer
+ * codings, and nothing of that can be seen in what it decodes. Confined to the connection's event
+ * loop. Invariant: at most one line is buffered, of {@link ResponseLimiter#MAX_HEADER_BYTES} at
+ * most.
  */
 final class ResponseScanner {
 
@@ -17,19 +22,39 @@
     private enum Part {
         STATUS_LINE,
         FIELDS,
-        /** A body, and whatever follows the response. */
-        BODY
+        CHUNK_SIZE,
+        CHUNK,
+        /** The line end after a chunk. */
+        CHUNK_END,
+        TRAILERS,
+        /** A body that is not chunked, and whatever follows the response. */
+        REST
     }
 
     /** The start of a line whose end has not been received. */
     private final ByteArrayOutputStream mLine = new ByteArrayOutputStream(0);
 
-    private Part mPart = Part.BODY;
+    private Part mPart = Part.REST;
+
+    /** Whether the request's response has no body whatever its head says. */
+    private boolean mHeadOnly;
+
+    private String mStatusLine;
 
     private int mStatus;
 
-    /** Expects the response to a request that is being sent. */
-    void begin() {
+    private boolean mChunked;
+
+    /** Bytes of the chunk that are not received yet. */
+    private long mChunkBytes;
+
+    /**
+     * Expects the response to a request that is being sent.
+     *
+     * @param method the method of the request
+     */
+    void begin(HttpMethod method) {
+        mHeadOnly = HttpMethod.HEAD.equals(method);
         mPart = Part.STATUS_LINE;
         mLine.reset();
     }
@@ -41,9 +66,19 @@
      */
     void scan(ByteBuf bytes) {
         int index = bytes.readerIndex();
-        while (mPart != Part.BODY && index < bytes.writerIndex()) {
-            index = scanLine(bytes, index);
+        while (mPart != Part.REST && index < bytes.writerIndex()) {
+            index = mPart == Part.CHUNK ? skipChunk(bytes, index) : scanLine(bytes, index);
+        }
+    }
+
+    /** Skips a chunk as far as it was received; returns the index of what follows it. */
+    private int skipChunk(ByteBuf bytes, int start) {
+        int skipped = (int) Math.min(mChunkBytes, bytes.writerIndex() - start);
+        mChunkBytes -= skipped;
+        if (mChunkBytes == 0) {
+            mPart = Part.CHUNK_END;
         }
+        return start + skipped;
     }
 
     /** Checks a line as far as it was received; returns the index of what follows it. */
@@ -68,16 +103,65 @@
     }
 
     private void onLine(String line) {
-        if (mPart == Part.STATUS_LINE) {
-            mStatus = ResponseSyntax.status(line);
-            mPart = Part.FIELDS;
-        } else if (line.isEmpty()) {
-            mPart = isInterim() ? Part.STATUS_LINE : Part.BODY;
+        switch (mPart) {
+            case STATUS_LINE -> {
+                mStatusLine = line;
+                mStatus = ResponseSyntax.status(line);
+                mChunked = false;
+                mPart = Part.FIELDS;
+            }
+            case FIELDS -> {
+                if (line.isEmpty()) {
+                    mPart = afterHead();
+                } else {
+                    onField(line, ResponseSyntax.field(line));
+                }
+            }
+            case CHUNK_SIZE -> {
+                mChunkBytes = ResponseSyntax.chunkSize(line);
+                mPart = mChunkBytes == 0 ? Part.TRAILERS : Part.CHUNK;
+            }
+            case CHUNK_END -> {
+                if (!line.isEmpty()) {
+                    throw new MalformedResponseException("chunk without a line end", line);
+                }
+                mPart = Part.CHUNK_SIZE;
+            }
+            default -> {
+                if (line.isEmpty()) {
+                    mPart = Part.REST;
+                } else {
+                    ResponseSyntax.field(line);
+                }
+            }
+        }
+    }
+
+    /**
+     * Follows the transfer coding. Requests name none that is accepted, so any but chunked hides
+     * where the body ends, or what it is.
+     */
+    private void onField(String line, ResponseSyntax.Field field) {
+        if (HttpHeaderNames.TRANSFER_ENCODING.contentEqualsIgnoreCase(field.name())) {
+            boolean valid =
+                    HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(field.value())
+                            && !mChunked
+                            && !mStatusLine.startsWith("HTTP/1.0");
+            if (!valid) {
+                throw new MalformedResponseException("transfer coding", line);
+            }
+            mChunked = true;
         }
     }
 
-    /** Returns whether the response itself follows another head. */
-    private boolean isInterim() {
-        return HttpStatusClass.INFORMATIONAL.contains(mStatus);
+    private Part afterHead() {
+        if (HttpStatusClass.INFORMATIONAL.contains(mStatus)) {
+            return Part.STATUS_LINE;
+        }
+        boolean bodiless =
+                mHeadOnly
+                        || mStatus == HttpResponseStatus.NO_CONTENT.code()
+                        || mStatus == HttpResponseStatus.NOT_MODIFIED.code();
+        return mChunked && !bodiless ? Part.CHUNK_SIZE : Part.REST;
     }
 }
--- a/troutpier-common/src/test/java/org/troutpier/common/http/MalformedAnswerTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/MalformedAnswerTest.java
@@ -20,6 +20,10 @@
 
     private static final String FIELDS = "Content-Length: 2\n\nok";
 
+    private static final String OK = "HTTP/1.1 200 OK\n";
+
+    private static final String CHUNKED = OK + "Transfer-Encoding: chunked\n\n";
+
     private static final int CALL_MILLIS = 5000;
 
     private EventLoopGroup mLoops;
@@ -132,4 +136,103 @@
         assertEquals(reply.status(), status);
         assertEquals(reply.text(), "ok");
     }
+
+    @DataProvider
+    Object[][] malformedFields() {
+        return rows(
+                "X Bad: v",
+                "X\tBad: v",
+                "X\u0001Bad: v",
+                "X\u0000: v",
+                "X\u007f: v",
+                "X\u0080: v",
+                "X(Bad): v",
+                "Name : v",
+                "Name\t: v",
+                " First: v",
+                "X: y\n folded",
+                "X: y\n\tfolded",
+                "no-colon",
+                "no colon",
+                ": v",
+                "X: a\u0000b",
+                "X: a\u0001b",
+                "X: a\rb",
+                "Content Length: 2",
+                "Content-Length 9: 2",
+                "Transfer Encoding: chunked",
+                "Transfer-Encoding x: chunked",
+                "Transfer-Encoding: cow",
+                "Transfer-Encoding: gzip",
+                "Transfer-Encoding: identity",
+                "Transfer-Encoding: xchunked",
+                "Transfer-Encoding: gzip, chunked",
+                "Transfer-Encoding: chunked, chunked",
+                "Transfer-Encoding: chunked\nTransfer-Encoding: chunked",
+                "Transfer-Encoding:");
+    }
+
+    @Test(dataProvider = "malformedFields")
+    public void aMalformedFieldIsNoPartOfAnAnswer(String lines) throws Exception {
+        assertRejected(OK + lines + "\n" + FIELDS);
+        assertRejected(OK + "Good: v\n" + lines + "\n\n2\nok\n0\n\n");
+        assertRejected("HTTP/1.1 103 Early Hints\n" + lines + "\n\n" + OK + FIELDS);
+    }
+
+    @DataProvider
+    Object[][] malformedChunks() {
+        return rows(
+                "2\u0000\nok\n0\n\n",
+                "2\u0000;a\nok\n0\n\n",
+                "2 3\nok\n0\n\n",
+                "0x2\nok\n0\n\n",
+                "+2\nok\n0\n\n",
+                "-2\nok\n0\n\n",
+                " 2\nok\n0\n\n",
+                "\nok\n0\n\n",
+                ";a\nok\n0\n\n",
+                "2;a=\u0001\nok\n0\n\n",
+                "2\nokay\n0\n\n",
+                "2\nok0\n\n",
+                "1\no\n1\nk\nx\n",
+                "2\nok\n0\nX Bad: v\n\n",
+                "2\nok\n0\nX\u0001Bad: v\n\n",
+                "2\nok\n0\nX\n\n",
+                "2\nok\n0\n X: y\n\n");
+    }
+
+    @Test(dataProvider = "malformedChunks")
+    public void aMalformedChunkIsNoPartOfAnAnswer(String chunks) throws Exception {
+        assertRejected(CHUNKED + chunks);
+    }
+
+    @Test
+    public void chunksOfAnOlderVersionAreNoAnswer() throws Exception {
+        assertRejected("HTTP/1.0 200 OK\nTransfer-Encoding: chunked\n\n2\nok\n0\n\n");
+    }
+
+    @DataProvider
+    Object[][] answers() {
+        return rows(
+                OK + FIELDS,
+                OK + "a!#$%&'*+-.^_`|~09Z: v\nEmpty:\nBytes: \u0080\u00ff \t:\n" + FIELDS,
+                OK + "X:v\nX: \tv \n" + FIELDS,
+                CHUNKED + "2\nok\n0\n\n",
+                CHUNKED + "01 ; a=\"b\"\no\n1  \nk\n000;x\nX-Trailer: v\n\n",
+                CHUNKED.replace("chunked", "\tCHUNKED ") + "2\nok\n0\n\n",
+                "HTTP/1.1 103 Early Hints\nLink: x\n\n" + CHUNKED + "2\nok\n0\n\n");
+    }
+
+    @Test(dataProvider = "answers")
+    public void aSoundAnswerIsPassedOn(String answer) {
+        assertEquals(accepted("GET", answer).text(), "ok");
+    }
+
+    @Test
+    public void anAnswerWithoutBodyEndsWithItsHead() {
+        String head = "Transfer-Encoding: chunked\n\n";
+        assertEquals(accepted("HEAD", OK + head).status(), 200);
+        assertEquals(accepted("GET", "HTTP/1.1 204 None\n" + head).status(), 204);
+        assertEquals(accepted("GET", "HTTP/1.1 304 Same\n" + head).status(), 304);
+    }
 }
