Requests with an unknown transfer coding are refused

What callers saw: a request with "Transfer-Encoding: cow" was run as one without a body (200). The codec decodes no body for a coding that it does not know, so the bytes of the body would have been read as the next request.

Change: RequestHeadFilter refuses any coding but chunked with 400 and closes the connection, before an upstream is asked.

Evidence: CallerInputTest "unknown transfer coding" got 200 before, 400 now.

--- a/troutpier-common/src/main/java/org/troutpier/common/http/RequestHeadFilter.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/RequestHeadFilter.java
@@ -3,6 +3,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -85,6 +87,13 @@
                 RefusalWriter.refuseAndClose(context.channel(), mRefusals, decodingErrorCode(head));
                 return;
             }
+            if (hidesEndOfBody(head)) {
+                mClosing = true;
+                ReferenceCountUtil.release(message);
+                RefusalWriter.refuseAndClose(
+                        context.channel(), mRefusals, ResultCode.MALFORMED_REQUEST);
+                return;
+            }
             Optional<TroutpierException> refusal =
                     mServing.getAsBoolean() ? Optional.empty() : mHandler.screen(head);
             if (refusal.isPresent()) {
@@ -133,6 +142,15 @@
                 && !mDraining.getAsBoolean();
     }
 
+    /**
+     * Returns whether a request has a transfer coding other than chunked. The codec would take the
+     * request for one without a body, and its body for the next request.
+     */
+    private static boolean hidesEndOfBody(HttpRequest head) {
+        return head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
+                .anyMatch(coding -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding));
+    }
+
     private static ResultCode decodingErrorCode(HttpRequest head) {
         Throwable cause = head.decoderResult().cause();
         boolean tooLarge =
