Requests late in a planned stop get a final answer

What callers saw: a router that stopped took requests for 2.6 s and cut what was not answered at the end of its grace, once-only requests among them, also those that still waited for a place (LOST).

Cause: nothing that admits or sends a request knew of the stop; deadlines were those of routes and callers, also where the process ended before.

Change: StopDeadline is set half a second before the end of the process. A request that by its limit, or by what its route usually takes, does not end in time is refused at once as not run; what waits then is refused as not run; what is at an upstream is answered that it may have run. Answers that were begun keep all the time there is. No further connections are forwarded for other routers. The product's own interface, which took nothing new during a stop before, refuses what outlasts its drain time.

Evidence: StoppingRouterTest failed before (the late call was passed on), and with the mechanism off three of five cases of StopDeadlineTest and the case of the own interface in SilentEngineTest (closed without an answer). All pass now, with GracefulShutdownTest, EndToEndRequestTest, PartitionedRouterTest, RequestUnderFailureTest, PlainExecutionTest and ExecutionTest.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/RouterDaemon.java
@@ -42,6 +42,7 @@
 import org.troutpier.daemon.placement.UpstreamState;
 import org.troutpier.daemon.request.ExchangeRegistry;
 import org.troutpier.daemon.request.ExchangeServices;
+import org.troutpier.daemon.request.RequestExchange;
 import org.troutpier.daemon.request.RetryBudget;
 import org.troutpier.daemon.settings.DaemonSettings;
 import org.troutpier.daemon.table.Table;
@@ -64,6 +65,9 @@
 
     private static final long DRAIN_POLL_MILLIS = 20;
 
+    /** How much of the drain time is left to write the last answers, milliseconds. */
+    private static final long ANSWER_MARGIN_MILLIS = 200;
+
     /**
      * How long a stop keeps the callers' server open, so that the load balancer and the peers
      * notice first.
@@ -303,6 +307,11 @@
         return mCallers.address();
     }
 
+    /** Returns the number of requests that are not over. */
+    int requestsInProgress() {
+        return mRegistry.all().size();
+    }
+
     /** Returns the address for operators. */
     public Address operatorAddress() {
         return mOperators.address();
@@ -311,7 +320,8 @@
     /**
      * Stops the router and waits for it: becomes unready, stops listening for callers after {@link
      * #NOTICE_MILLIS}, waits until no request is in progress or the drain time since the start of
-     * the stop has passed, and closes everything else.
+     * the stop has passed, and closes everything else. Requests whose answer was not begun are
+     * refused shortly before.
      */
     public void stop() {
         mReadiness.setStopping();
@@ -319,6 +329,8 @@
         long start = System.nanoTime();
         await(start, NOTICE_MILLIS, false);
         mCallers.close();
+        await(start, mSettings.drainMillis() - ANSWER_MARGIN_MILLIS, true);
+        mRegistry.all().forEach(RequestExchange::refuseForStop);
         await(start, mSettings.drainMillis(), true);
         if (isBusy()) {
             LOGGER.warn(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/request/RequestExchange.java
@@ -373,15 +373,29 @@
      * @param by who cancels it
      */
     public final void cancel(String by) {
+        runOnLoop(() -> giveUp(ResultCode.UPSTREAMS_REFUSED, "cancelled by " + by));
+    }
+
+    /** Refuses the request, unless its answer was begun, because the router ends. Thread safe. */
+    public final void refuseForStop() {
         runOnLoop(
                 () -> {
-                    boolean mayHaveRun = mOutcomeTracker.mayHaveRun() || mStage.isAtUpstream();
-                    refuse(
-                            mayHaveRun ? ResultCode.OUTCOME_UNKNOWN : ResultCode.UPSTREAMS_REFUSED,
-                            "cancelled by " + by);
+                    if (!exchange().hasBegun()) {
+                        giveUp(ResultCode.ROUTER_NOT_READY, "the router stops");
+                    }
                 });
     }
 
+    /**
+     * Refuses the request before its deadline.
+     *
+     * @param notRun the code if no upstream can have run it
+     */
+    private void giveUp(ResultCode notRun, String detail) {
+        boolean mayHaveRun = mOutcomeTracker.mayHaveRun() || mStage.isAtUpstream();
+        refuse(mayHaveRun ? ResultCode.OUTCOME_UNKNOWN : notRun, detail);
+    }
+
     /**
      * Refuses the request, or truncates the answer if it has been started. The reported code is
      * restricted to what is known of all attempts.
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/GracefulShutdown.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/GracefulShutdown.java
@@ -10,9 +10,11 @@
 /**
  * Shuts a router down without aborting requests: readiness is withdrawn, each response closes its
  * connection, idle connections are closed last, and the process ends once no connection is left or
- * the grace period is over. Invariant: a request that was read is served, and its response written,
- * before its connection is closed; ending the process while connections are open would lose a
- * request that arrives at that moment. Thread safe; {@link #run()} blocks the calling thread.
+ * the grace period is over. Invariants: a request that was read is served or refused, and its
+ * response written, before its connection is closed; only answers that were begun, and connections
+ * that are forwarded for other routers, may be cut. Ending the process while connections are open
+ * would lose a request that arrives at that moment. Thread safe; {@link #run()} blocks the calling
+ * thread.
  */
 public final class GracefulShutdown {
 
@@ -25,6 +27,9 @@
     /** How much of the grace period is left for the process to exit, milliseconds. */
     private static final long EXIT_MARGIN_MILLIS = 300;
 
+    /** How much of the grace period is left to write the last answers, milliseconds. */
+    private static final long ANSWER_MARGIN_MILLIS = 200;
+
     /** Interval at which open connections are checked, milliseconds. */
     private static final long POLL_MILLIS = 50;
 
@@ -32,6 +37,8 @@
 
     private final Readiness mReadiness;
 
+    private final StopDeadline mStopDeadline;
+
     private final HttpServer mServer;
 
     private final ForwardingServer mForwarding;
@@ -42,13 +49,19 @@
      * Creates a shutdown.
      *
      * @param readiness whether this router accepts new work
+     * @param stopDeadline by when requests without an answer are refused
      * @param server serves callers
      * @param forwarding forwards connections of other routers
      * @param graceMillis how long the process may take to end, milliseconds
      */
     public GracefulShutdown(
-            Readiness readiness, HttpServer server, ForwardingServer forwarding, long graceMillis) {
+            Readiness readiness,
+            StopDeadline stopDeadline,
+            HttpServer server,
+            ForwardingServer forwarding,
+            long graceMillis) {
         mReadiness = readiness;
+        mStopDeadline = stopDeadline;
         mServer = server;
         mForwarding = forwarding;
         mGraceMillis = graceMillis;
@@ -77,7 +90,9 @@
     public CutOff run() {
         long start = System.nanoTime();
         mReadiness.setStopping();
+        mStopDeadline.begin(mGraceMillis - EXIT_MARGIN_MILLIS - ANSWER_MARGIN_MILLIS);
         mServer.drain();
+        mForwarding.drain();
         LOGGER.info(
                 "shutdown started busy={} forwarding={} graceMillis={}",
                 mServer.activeExchanges(),
@@ -85,7 +100,6 @@
                 mGraceMillis);
         waitUntil(() -> elapsedMillis(start) >= READINESS_DELAY_MILLIS, start);
         mServer.close();
-        mForwarding.drain();
         waitUntil(this::closeIdleConnections, start);
         CutOff cutOff =
                 new CutOff(
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestExecution.java
@@ -53,10 +53,7 @@
     /** The steps of the request, for its log line. */
     protected final RequestTrace mTrace;
 
-    /** When the request is finished at the latest, milliseconds on the loop's clock. */
-    private final long mDeadlineMillis;
-
-    private final TrafficLoop.Timer mDeadlineTimer;
+    private final RequestDeadline mDeadline;
 
     private boolean mEnded;
 
@@ -90,12 +87,13 @@
                         service,
                         context.loop()::millis,
                         this::onPermitRequested);
-        long timeoutMillis =
-                Math.min(
-                        route.timeoutMillis(),
-                        request.deadlineMillis() - ServingSettings.ANSWER_MARGIN_MILLIS);
-        mDeadlineMillis = context.loop().millis() + Math.max(1, timeoutMillis);
-        mDeadlineTimer = context.loop().schedule(this::onDeadline, Math.max(1, timeoutMillis));
+        mDeadline =
+                new RequestDeadline(
+                        context.loop(),
+                        context.stopDeadline(),
+                        limitMillis(route, request),
+                        this::isStreaming,
+                        this::onDeadline);
         mTrace.addInput("routersHeard", context.peerLoads().peerCount());
         if (request.isResumed()) {
             mTrace.addResumedAttempt(request.resumedAttempt());
@@ -108,6 +106,13 @@
         recordBudgetUsage();
     }
 
+    /** Returns how long a request may take by its route and its caller. */
+    static long limitMillis(Route route, ServingRequest request) {
+        return Math.min(
+                route.timeoutMillis(),
+                request.deadlineMillis() - ServingSettings.ANSWER_MARGIN_MILLIS);
+    }
+
     RequestTrace trace() {
         return mTrace;
     }
@@ -166,13 +171,9 @@
      */
     protected abstract boolean isAtUpstream();
 
-    /**
-     * Returns the time until the request's deadline.
-     *
-     * @return milliseconds, at least 1
-     */
+    /** Returns the time until the request's deadline, at least 1 millisecond. */
     protected long remainingMillis() {
-        return Math.max(1, mDeadlineMillis - mContext.loop().millis());
+        return mDeadline.remainingMillis();
     }
 
     /** Returns whether the request is finished. */
@@ -357,6 +358,7 @@
 
     /** Finishes the request after an upstream's complete answer was sent to the caller. */
     protected void finishAnswered() {
+        mContext.stopDeadline().recordAnswer(mRoute.name(), mTrace.elapsedMillis());
         finish(RequestTrace.ANSWERED);
     }
 
@@ -433,7 +435,7 @@
      */
     private void finish(String outcome) {
         mEnded = true;
-        mDeadlineTimer.cancel();
+        mDeadline.cancel();
         if (!mDispatched || mRefusedAsNotRun) {
             mUsageCharge.refund();
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/RequestRouter.java
@@ -13,7 +13,8 @@
 
 /**
  * Finds the route of each request and starts its execution. Confined to the traffic loop.
- * Invariant: a request is served by the configuration that was current when it arrived.
+ * Invariants: a request is served by the configuration that was current when it arrived; one that
+ * is expected to outlast the stop of the router is refused at once.
  */
 public final class RequestRouter {
 
@@ -23,6 +24,12 @@
      */
     private static final long STARTUP_RETRY_MILLIS = 500;
 
+    /**
+     * When callers retry that reach a router that stops, milliseconds: at once, since their next
+     * connection leads to another router.
+     */
+    private static final long STOP_RETRY_MILLIS = 1;
+
     private static final long MILLIS_PER_SECOND = 1000;
 
     private final CurrentConfiguration mConfiguration;
@@ -68,6 +75,11 @@
             // fails for a malformed id before anything is started
             served.resumeAfter();
         }
+        long limitMillis = RequestExecution.limitMillis(route.get(), served);
+        if (!mContext.stopDeadline().isReachable(route.get(), limitMillis)) {
+            refuse(request, caller, ResultCode.ROUTER_NOT_READY, STOP_RETRY_MILLIS);
+            return;
+        }
         String name = route.get().selectService(selector(served, route.get()));
         Optional<Service> service = configuration.get().findService(name);
         RequestExecution execution = execution(served, route.get(), name, service, caller);
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/serving/ServingContext.java
@@ -43,6 +43,7 @@
  * @param metrics the metrics of requests
  * @param decisionLog logs decisions about requests
  * @param plainCalls places calls to plain services
+ * @param stopDeadline by when a router that stops has sent its last refusals
  * @param load which of the decisions for overload are in effect
  * @param random selects among weighted services
  */
@@ -70,6 +71,7 @@
         ServingMetrics metrics,
         DecisionLog decisionLog,
         PlainCalls plainCalls,
+        StopDeadline stopDeadline,
         LoadSettings load,
         RandomGenerator random) {
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/RouterTestRig.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/RouterTestRig.java
@@ -71,6 +71,10 @@
     final InstanceListStandin mInstances = new InstanceListStandin(local(0), 100, mLoop);
     final List<PrefillEngine> mPrefills = new ArrayList<>();
     final List<DecodeEngine> mDecodes = new ArrayList<>();
+
+    /** How long a stop of routers that are started from now on may take. */
+    int mDrainMillis = 20_000;
+
     final List<PlainService> mServices = new ArrayList<>();
     final List<RouterDaemon> mRouters = new ArrayList<>();
     final List<Integer> mPeerPorts = new ArrayList<>();
@@ -146,7 +150,7 @@
                         LIMITS,
                         new AdmissionSettings(mPermits, PairRule.PREDICTED, true),
                         1,
-                        20_000);
+                        mDrainMillis);
         RouterDaemon router = new RouterDaemon(settings);
         mRouters.add(router);
         mInstances.register("router-" + number, router.operatorAddress().url("/healthz"));
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/SilentEngineTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/SilentEngineTest.java
@@ -17,6 +17,9 @@
     /** How long requests are delayed or dropped; later ones, as of a transfer, are not. */
     private static final int FAULT_MILLIS = 1000;
 
+    /** Shorter than a call may take. */
+    private static final int STOP_MILLIS = 2500;
+
     private RouterTestRig mRig;
 
     @AfterMethod(alwaysRun = true)
@@ -80,4 +83,17 @@
         assertEquals(count(rig, "given-up"), 1);
         assertEquals(count(rig, "retries"), 1);
     }
+
+    @Test
+    public void aStopTellsWhatIsKnownOfRequestsThatOutlastIt() {
+        mRig = new RouterTestRig();
+        mRig.mDrainMillis = STOP_MILLIS;
+        mRig.withEngines(1, 1).withServices(1).withRouters(1).declared();
+        RouterTestRig.fault(mRig.mServices.get(0).server(), Fault.HANG, FAULT_MILLIS, 0);
+        Outcome call = mRig.service(0, "machine-status", null, "/slow", "slow");
+        RouterTestRig.await(
+                () -> mRig.mRouters.get(0).requestsInProgress() == 1, "the call is in progress");
+        mRig.mRouters.get(0).stop();
+        assertEquals(call.get().mCode, "TP-201", call.toString());
+    }
 }
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/GracefulShutdownTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/GracefulShutdownTest.java
@@ -69,6 +69,7 @@
                         System::nanoTime);
         return new GracefulShutdown(
                 new Readiness(events),
+                new StopDeadline(new TrafficLoop.ForNetty(mLoops.next())),
                 mServer,
                 new ForwardingServer(node, upstream -> Optional.empty()),
                 graceMillis);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestContext.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/serving/TestContext.java
@@ -105,6 +105,7 @@
                         new FleetView(loads::calls, mPeers, () -> mRouters),
                         mRandom,
                         new MetricRegistry()),
+                new StopDeadline(loop),
                 mSettings,
                 mRandom);
     }
