The only version of a service is read after the question

What callers saw: while a new version joined and one router was cut off or stood still, streams that had begun at the new version were taken up at that router and went on at the old one (ORDER).

Cause: a row of versions counted for up to 1,500 ms, was not read again within 1,000 ms, and counted even if that read had failed. Its age began when the answer was processed, so that a router which had stood still took what it found in its socket for fresh.

Change: a question waits for a read that begins after it, and is refused if that fails. Versions are stored before they are used, so such a row names the version of each stream that its caller can take up.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/VersionTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/VersionTable.java
@@ -1,15 +1,14 @@
 package org.troutpier.daemon.cluster;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -25,7 +24,6 @@
 import org.troutpier.daemon.rows.RowStore;
 import org.troutpier.daemon.rows.RowStore.Outcome;
 import org.troutpier.daemon.rows.RowStore.Row;
-import org.troutpier.daemon.rows.RowStore.RowPage;
 import org.troutpier.daemon.rows.RowStore.WriteResult;
 import org.troutpier.daemon.rows.TableFollower;
 
@@ -35,8 +33,9 @@
  * older stream can have begun at another version. The table readers of the halls write it when the
  * versions of the listed upstreams change, which is rare. Confined to the control thread, except
  * {@link #isStored}. Invariants: a version is removed only after none of its upstreams was listed
- * for the retention time; a version is returned as the only one only while the listed upstreams and
- * the row are confirmed to be those of the store.
+ * for the retention time; a version is returned as the only one only if the row of its service says
+ * so and the list of upstreams is recent. A version is used once its row is stored, so a row that
+ * was read after a stream was resumed names the version that began it, however old the list is.
  */
 public final class VersionTable implements TableFollower.Listener, ServedVersions {
 
@@ -63,9 +62,6 @@
      */
     static final long MAX_DIRECTORY_AGE_MILLIS = 1500;
 
-    /** Age of what was read of the rows from which on they are read again, milliseconds. */
-    private static final long REFRESH_MILLIS = 1000;
-
     /** Changes are pushed as they occur; a call only waits for them. */
     private static final TableFollower.PollTiming POLL_TIMING =
             new TableFollower.PollTiming(6000, 200, 8000, 2000);
@@ -97,11 +93,7 @@
 
     private boolean mWriting;
 
-    /** When the rows were last read for a question, milliseconds on the monotonic clock. */
-    private OptionalLong mReadAt = OptionalLong.empty();
-
-    /** The questions that wait for the rows to be read; empty while no read is in progress. */
-    private final List<Consumer<Boolean>> mWaiting = new ArrayList<>();
+    private final FreshReads mReads;
 
     /** The services whose rows were restored from a copy and do not say so yet. */
     private final Set<String> mRestored = new HashSet<>();
@@ -139,19 +131,22 @@
      * Creates a table.
      *
      * @param configuration the routes, whose time limits determine how long streams may be resumed
+     * @param routers the number of routers that may exist
      */
     public VersionTable(
             Node node,
             RowStore store,
             PeerExchange exchange,
             UpstreamDirectory directory,
-            CurrentConfiguration configuration) {
+            CurrentConfiguration configuration,
+            IntSupplier routers) {
         mNode = node;
         mStore = store;
         mExchange = exchange;
         mDirectory = directory;
         mConfiguration = configuration;
         mDecoder = new RowDecoder(node.metrics(), node::millis);
+        mReads = new FreshReads(node.control(), node::millis, routers, this::read);
     }
 
     /** Sets the listener that is called with each service that comes into doubt. */
@@ -167,43 +162,30 @@
         mNode.control().scheduleWithFixedDelay(this::update, TICK_MILLIS);
     }
 
-    /** {@inheritDoc} Rows that were read lately are not read again. */
+    /** {@inheritDoc} */
     @Override
     public void refresh(Consumer<Boolean> next) {
-        if (isReadWithin(REFRESH_MILLIS)) {
-            next.accept(true);
-            return;
-        }
-        mWaiting.add(next);
-        if (mWaiting.size() == 1) {
-            mStore.read(TABLE, "")
-                    .whenComplete(
-                            (page, failure) ->
-                                    mNode.control().execute(() -> onRead(page, failure)));
-        }
+        mReads.await(next);
     }
 
-    private void onRead(RowPage page, Throwable failure) {
-        if (failure == null) {
-            onChanges(page.rows());
-            mReadAt = OptionalLong.of(mNode.millis());
-        }
-        List<Consumer<Boolean>> waiting = List.copyOf(mWaiting);
-        mWaiting.clear();
-        waiting.forEach(next -> next.accept(failure == null));
-    }
-
-    private boolean isReadWithin(long millis) {
-        return mReadAt.isPresent() && mNode.millis() - mReadAt.getAsLong() <= millis;
+    private void read(Consumer<Boolean> next) {
+        mStore.read(TABLE, "")
+                .whenComplete(
+                        (page, failure) ->
+                                mNode.control()
+                                        .execute(
+                                                () -> {
+                                                    if (failure == null) {
+                                                        onChanges(page.rows());
+                                                    }
+                                                    next.accept(failure == null);
+                                                }));
     }
 
     /** {@inheritDoc} */
     @Override
     public Optional<SoftwareVersion> onlyVersion(String service) {
-        boolean current =
-                mLoaded
-                        && mDirectory.ageMillis() <= MAX_DIRECTORY_AGE_MILLIS
-                        && isReadWithin(MAX_DIRECTORY_AGE_MILLIS);
+        boolean current = mLoaded && mDirectory.ageMillis() <= MAX_DIRECTORY_AGE_MILLIS;
         if (!current || !mRows.containsKey(service)) {
             return Optional.empty();
         }
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/ServedVersions.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/ServedVersions.java
@@ -40,9 +40,9 @@
             };
 
     /**
-     * Brings what is known up to date with the store.
+     * Brings what is known up to date with the store, as of a moment after this call.
      *
-     * @param next receives whether the store answered
+     * @param next receives whether the store answered; if not, what is known may be out of date
      */
     void refresh(Consumer<Boolean> next);
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/StreamOrigins.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/StreamOrigins.java
@@ -188,8 +188,9 @@
         mVersions.refresh(
                 read -> {
                     Optional<StreamOrigin> only =
-                            mVersions
-                                    .onlyVersion(service)
+                            Optional.of(service)
+                                    .filter(each -> read)
+                                    .flatMap(mVersions::onlyVersion)
                                     .map(version -> new StreamOrigin(service, version));
                     Source source = only.isPresent() ? Source.ONLY_VERSION : Source.NONE;
                     finish(new Resolution(only, source, asked && read), listener);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/VersionedRouter.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/VersionedRouter.java
@@ -33,7 +33,8 @@
                         store,
                         new IsolatedRouter(mNode).mExchange,
                         mDirectory,
-                        new CurrentConfiguration());
+                        new CurrentConfiguration(),
+                        () -> 1);
     }
 
     /** Lists one engine of each version, as the store would now. */
