Tables are dated by the calls that read them

Cause: the age of a table began when an answer was processed. A router that had stood still took an answer which had waited in its socket for fresh, and sent the table on as recent.

Change: an answer holds as of its call, or as of the end of the store's wait if nothing had changed by then. The list of upstreams and the trust in keys take that time.

--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/directory/UpstreamDirectory.java
@@ -211,10 +211,11 @@
      *
      * @param own whether this router read the store itself, rather than another one that shared its
      *     state
+     * @param at time as of which the entries are the store's, milliseconds on the monotonic clock
      * @param since time since which the entries have been confirmed without interruption,
      *     milliseconds on the monotonic clock
      */
-    public void onConfirmed(boolean own, long since) {
+    public void onConfirmed(boolean own, long at, long since) {
         if (own && mStoreUnavailable) {
             mStoreUnavailable = false;
             LOGGER.info(
@@ -227,7 +228,7 @@
             scheduleExpiry();
         }
         mConfirmedSince = OptionalLong.of(since);
-        mConfirmedAt = mMillis.getAsLong();
+        mConfirmedAt = at;
         expireMissing();
     }
 
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/KeyTrust.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/organisation/KeyTrust.java
@@ -29,9 +29,13 @@
         mConfirmedAt = millis.getAsLong();
     }
 
-    /** Records that the configuration was confirmed to be the latest. */
-    public void recordConfirmation() {
-        mConfirmedAt = mMillis.getAsLong();
+    /**
+     * Records that the configuration was confirmed to be the latest.
+     *
+     * @param at when it was, milliseconds on the monotonic clock
+     */
+    public void recordConfirmation(long at) {
+        mConfirmedAt = at;
     }
 
     /**
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/TableFollower.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/rows/TableFollower.java
@@ -85,10 +85,7 @@
     /** Whether a call has failed or has been late since the state was last confirmed. */
     private boolean mUncertain;
 
-    /**
-     * Time at which the state was last confirmed to be the store's, milliseconds on the monotonic
-     * clock.
-     */
+    /** Time as of which the state is the store's, milliseconds on the monotonic clock. */
     private long mConfirmedAt;
 
     /**
@@ -146,10 +143,11 @@
          * the confirmation.
          *
          * @param own whether this router read the state from the store itself
+         * @param at time as of which the state is the store's, milliseconds on the monotonic clock
          * @param since time since which the state has been confirmed without interruption, by this
          *     router or by the one that sent it, milliseconds on the monotonic clock
          */
-        default void onConfirmed(boolean own, long since) {}
+        default void onConfirmed(boolean own, long at, long since) {}
 
         /**
          * Called before {@link #onSnapshot} if the store was restored from a backup: the latest
@@ -318,18 +316,23 @@
     private void call(int waitMillis) {
         int call = ++mLastCall;
         boolean whole = mSnapshotNeeded;
+        long sentAt = mMillis.getAsLong();
         CompletableFuture<RowPage> page =
                 whole ? mStore.read(mTable, "") : mStore.pollChanges(mTable, mVersion, waitMillis);
         schedule(mTiming.retryMillis() + (whole ? 0 : waitMillis));
         page.whenComplete(
-                (read, failure) -> mControl.execute(() -> onAnswer(call, read, failure, whole)));
+                (read, failure) -> {
+                    boolean waited = !whole && failure == null && read.rows().isEmpty();
+                    long at = sentAt + (waited ? waitMillis : 0);
+                    mControl.execute(() -> onAnswer(call, at, read, failure, whole));
+                });
     }
 
     /**
      * Handles an answer or a failure of the store. Answers of calls that were superseded are
-     * ignored.
+     * ignored, and others hold as of their call, since they may have waited for this process.
      */
-    private void onAnswer(int call, RowPage page, Throwable failure, boolean whole) {
+    private void onAnswer(int call, long at, RowPage page, Throwable failure, boolean whole) {
         if (call < mOldestValidCall) {
             return;
         }
@@ -352,7 +355,7 @@
             schedule(Math.max(FIRST_RETRY_DELAY_MILLIS, mTiming.pauseMillis()));
             return;
         }
-        confirm(true, 0, 0, page.version());
+        confirm(true, Math.max(0, mMillis.getAsLong() - at), 0, page.version());
         if (whole) {
             applySnapshot(page.version(), page.rows());
         } else {
@@ -379,7 +382,7 @@
         mUnbrokenSince = broken || first ? since : Math.min(mUnbrokenSince, since);
         mConfirmedAt = Math.max(mConfirmedAt, at);
         mUncertain = false;
-        mListener.onConfirmed(own, mUnbrokenSince);
+        mListener.onConfirmed(own, mConfirmedAt, mUnbrokenSince);
     }
 
     /**
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/TableKeys.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/TableKeys.java
@@ -13,7 +13,7 @@
     long mUnbrokenSince;
 
     @Override
-    public void onConfirmed(boolean own, long since) {
+    public void onConfirmed(boolean own, long at, long since) {
         mUnbrokenSince = since;
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/VersionedRouter.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/VersionedRouter.java
@@ -39,7 +39,7 @@
 
     /** Lists one engine of each version, as the store would now. */
     void list(Collection<String> versions) {
-        mDirectory.onConfirmed(true, 0);
+        mDirectory.onConfirmed(true, mNode.millis(), 0);
         mDirectory.replaceAll(versions.stream().map(VersionedRouter::engine).toList());
     }
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/directory/UpstreamDirectoryTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/directory/UpstreamDirectoryTest.java
@@ -120,7 +120,7 @@
 
     /** The entries are confirmed without interruption from now on. */
     private void confirmFromNowOn() {
-        mDirectory.onConfirmed(true, mTime.millis());
+        mDirectory.onConfirmed(true, mTime.millis(), mTime.millis());
     }
 
     /** No router reads the store for a while, then reading resumes. */
@@ -166,7 +166,7 @@
         mDirectory.replaceAll(List.of(entry("a", false)));
         mDirectory.onStoreUnavailable();
         mTime.advance(5000);
-        mDirectory.onConfirmed(false, since);
+        mDirectory.onConfirmed(false, mTime.millis(), since);
         mDirectory.replaceAll(List.of());
         assertEquals(usable(), 0);
     }
@@ -178,7 +178,7 @@
         interruptFor(5000);
         mDirectory.replaceAll(List.of());
         mTime.advance(300);
-        mDirectory.onConfirmed(false, mTime.millis() - 1800);
+        mDirectory.onConfirmed(false, mTime.millis(), mTime.millis() - 1800);
         mTime.advance(199);
         assertEquals(usable(), 1);
         mTime.advance(1);
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/TableFollowerTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/rows/TableFollowerTest.java
@@ -30,6 +30,8 @@
     private List<String> mSharedKeys;
     private int mPages;
     private long mSince;
+    private List<Long> mConfirmedAt;
+    private ManualClock.PausableControlExecutor mControl;
     private TableFollower mFollower;
 
     @BeforeMethod
@@ -41,9 +43,11 @@
         mShared = new ArrayList<>();
         mSharedKeys = new ArrayList<>();
         mPages = 0;
+        mConfirmedAt = new ArrayList<>();
+        mControl = mTime.control();
         mFollower =
                 new TableFollower(
-                        mTime.control(),
+                        mControl,
                         mStore,
                         TABLE,
                         new TableFollower.PollTiming(1, PAUSE, SHARED, RETRY),
@@ -62,7 +66,8 @@
     private final class Listener implements TableFollower.Listener {
 
         @Override
-        public void onConfirmed(boolean own, long since) {
+        public void onConfirmed(boolean own, long at, long since) {
+            mConfirmedAt.add(at);
             mSince = since;
         }
 
@@ -102,6 +107,21 @@
         mFollower.applyShared(before, mRows.version(), 0, List.of(row(key, mRows.version())));
     }
 
+    /** Guards against taking an answer for fresh that waited in the socket of a paused process. */
+    @Test
+    public void anAnswerConfirmsTheTimeOfItsCallHoweverLateItIsProcessed() {
+        long sentAt = mTime.millis() - 10 + PAUSE;
+        put("b");
+        mTime.loop().schedule(() -> mControl.pause(true), PAUSE - 10);
+        mTime.advance(PAUSE + 3000);
+        mConfirmedAt.clear();
+        mControl.pause(false);
+        mTime.advance(1);
+        assertEquals(mReceived, List.of("a", "b"));
+        assertEquals((long) mConfirmedAt.get(0), sentAt);
+        assertTrue(mFollower.stateSince(0).isEmpty(), "sent to other routers as recent");
+    }
+
     @Test
     public void whatThisRouterReadIsShared() {
         put("b");
