Drawn answers release their buffers; the only version read in plain steps

Cause: the leak detector reported buffers of DrawnAnswerTest, which read messages and closed no channel. All reports came from that test. Change: it releases them. StreamOrigins asks for the only version in plain steps, without a change of behaviour. Evidence: no report in a run of DrawnAnswerTest, MalformedAnswerTest and EndlessAnswerTest.

--- a/troutpier-common/src/test/java/org/troutpier/common/http/DrawnAnswerTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/DrawnAnswerTest.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Random;
@@ -54,6 +55,7 @@
             } else {
                 assertRejected(channel, what);
             }
+            channel.finishAndReleaseAll();
         }
     }
 
@@ -70,6 +72,7 @@
         do {
             part = channel.readInbound();
             body.append(part.content().toString(StandardCharsets.ISO_8859_1));
+            part.release();
         } while (!(part instanceof LastHttpContent));
         assertEquals(body.toString(), answer.body(), what);
         channel.checkException();
@@ -81,6 +84,7 @@
                 message != null;
                 message = channel.readInbound()) {
             complete |= message instanceof LastHttpContent;
+            ReferenceCountUtil.release(message);
         }
         assertTrue(!complete, what);
         try {
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/StreamOrigins.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/resume/StreamOrigins.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.troutpier.common.id.RequestId;
+import org.troutpier.common.id.SoftwareVersion;
 import org.troutpier.daemon.node.ControlExecutor;
 
 /**
@@ -187,13 +188,12 @@
     private void resolveByVersions(String service, boolean asked, Consumer<Resolution> listener) {
         mVersions.refresh(
                 read -> {
-                    Optional<StreamOrigin> only =
-                            Optional.of(service)
-                                    .filter(each -> read)
-                                    .flatMap(mVersions::onlyVersion)
-                                    .map(version -> new StreamOrigin(service, version));
+                    Optional<SoftwareVersion> only =
+                            read ? mVersions.onlyVersion(service) : Optional.empty();
+                    Optional<StreamOrigin> origin =
+                            only.map(version -> new StreamOrigin(service, version));
                     Source source = only.isPresent() ? Source.ONLY_VERSION : Source.NONE;
-                    finish(new Resolution(only, source, asked && read), listener);
+                    finish(new Resolution(origin, source, asked && read), listener);
                 });
     }
 
