Test of answers without a body uses a connection for each call

The test's server closes each connection after its answer; an answer without a body ends with its head, so the client may have put the connection back into its pool, and taken it again, before the close arrived. Answers with a body were asked for once a test. Change: each of these calls has a connection of its own. What is checked of the answers is unchanged.

--- a/troutpier-common/src/test/java/org/troutpier/common/http/MalformedAnswerTest.java
+++ b/troutpier-common/src/test/java/org/troutpier/common/http/MalformedAnswerTest.java
@@ -74,7 +74,8 @@
 
     private HttpReply accepted(String method, String answer) {
         mServer.setAnswer(RawServer.Answer.ofLines(answer));
-        return mCalls.call(call(method)).join();
+        // the server closes each connection, so one that was kept might be closed in between
+        return mCalls.call(call(method).withFreshConnection()).join();
     }
 
     @DataProvider
