--- a/troutpier-common/src/main/java/org/troutpier/common/http/ResponseLimiter.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ResponseLimiter.java
@@ -177,7 +177,8 @@
                 mAnswerDue = false;
             } else if (message instanceof HttpContent part) {
                 int bytes = part.content().readableBytes();
-                // each byte of content counts among the received ones, and makes up for another
+                // received bytes include the content, and each byte of content offsets one of
+                // framing
                 mOverheadBytes = Math.max(0, mOverheadBytes - 2 * bytes);
                 if (bytes < SMALL_PART_BYTES) {
                     join(context, part);
--- a/troutpier-common/src/main/java/org/troutpier/common/http/ResponseScanner.java
+++ b/troutpier-common/src/main/java/org/troutpier/common/http/ResponseScanner.java
@@ -39,7 +39,7 @@
 
     private Part mPart = Part.REST;
 
-    /** Whether the request's response has no body whatever its head says. */
+    /** Whether the request is a HEAD request, whose response has no body. */
     private boolean mHeadOnly;
 
     private String mStatusLine;
--- a/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/VersionTable.java
+++ b/troutpier-daemon/src/main/java/org/troutpier/daemon/cluster/VersionTable.java
@@ -33,9 +33,9 @@
  * older stream can have begun at another version. The table readers of the halls write it when the
  * versions of the listed upstreams change, which is rare. Confined to the control thread, except
  * {@link #isStored}. Invariants: a version is removed only after none of its upstreams was listed
- * for the retention time; a version is returned as the only one only if the row of its service says
- * so and the list of upstreams is recent. A version is used once its row is stored, so a row that
- * was read after a stream was resumed names the version that began it, however old the list is.
+ * for the retention time; a version is returned as the only one only if the row of its service
+ * names no other and the list of upstreams is recent. A version is used once its row is stored, so
+ * a row that is read after a caller resumes a stream names the version that began it.
  */
 public final class VersionTable implements TableFollower.Listener, ServedVersions {
 
--- a/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/OutOfStepRouterTest.java
+++ b/troutpier-daemon/src/test/java/org/troutpier/daemon/cluster/OutOfStepRouterTest.java
@@ -21,8 +21,8 @@
 import org.troutpier.standins.platform.VersionedRows;
 
 /**
- * Releases during which one router is cut off, or stands still, while another begins streams of the
- * new version that break and are taken up at the first: drawn series in virtual time.
+ * Releases during which one router is partitioned or suspended. Another router begins streams of
+ * the new version, which are resumed at the first one. Drawn series in virtual time.
  */
 public final class OutOfStepRouterTest {
 
